--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements."""
--- /dev/null
+++ b/src/endivevane/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Batch jobs: acceptance, execution, results."""
--- /dev/null
+++ b/src/endivevane/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between daemons and the tasks that exchange them."""
--- /dev/null
+++ b/src/endivevane/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration that operators publish."""
--- /dev/null
+++ b/src/endivevane/configuration/models.py
@@ -0,0 +1,218 @@
+"""Validated models of the configuration files that operators write."""
+
+from __future__ import annotations
+
+import typing
+from typing import Annotated, Literal
+
+import pydantic
+
+from endivevane import types
+
+_NAME = r"^[a-z0-9][a-z0-9._-]{0,62}$"
+Name = Annotated[str, pydantic.Field(pattern=_NAME)]
+PositiveSeconds = Annotated[float, pydantic.Field(gt=0, le=86_400)]
+
+
+class _Model(pydantic.BaseModel):
+    """Base of all configuration models: unknown keys are errors."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+def _check_address(text: str) -> str:
+    types.parse_address(text)
+    return text
+
+
+AddressText = Annotated[str, pydantic.AfterValidator(_check_address)]
+
+
+class TargetModel(_Model):
+    """One target of a service.
+
+    :param slots: requests that the target runs together
+    :param checks_orders: whether the target checks who gives it an order
+    :param checks_fencing: whether the target refuses orders with an old number
+    """
+
+    name: Name
+    address: AddressText
+    zone: Name
+    slots: int = pydantic.Field(default=16, gt=0, le=4096)
+    checks_orders: bool = False
+    checks_fencing: bool = False
+
+
+class LanguageModelModel(_Model):
+    """A language model that a service offers.
+
+    :param adapters: names of adapters that callers may ask for
+    :param min_replicas: replicas that keep the model loaded
+    """
+
+    name: Name
+    version: str = "1"
+    adapters: tuple[Name, ...] = ()
+    min_replicas: int = pydantic.Field(default=1, ge=0)
+
+
+class RouteModel(_Model):
+    """A group of calls of a plain service.
+
+    :param path: prefix of the path below the service's root
+    :param idempotent: whether a call may be repeated
+    """
+
+    path: str = pydantic.Field(pattern=r"^/")
+    methods: tuple[Literal["GET", "POST", "PUT", "DELETE"], ...] = ("GET",)
+    idempotent: bool
+    timeout_s: PositiveSeconds = 5.0
+
+
+class OnlineModel(_Model):
+    """How online requests of a service are served.
+
+    :param deadline_s: deadline that applies when a caller names none
+    :param inactivity_timeout_s: longest silence of a stream
+    :param first_token_timeout_s: longest wait for the first token
+    :param max_attempts: attempts for one request, the first included
+    :param max_queue: requests of this service that may wait in one daemon
+    """
+
+    deadline_s: PositiveSeconds = 60.0
+    priority: Literal["interactive", "normal", "background"] = "interactive"
+    inactivity_timeout_s: PositiveSeconds = 5.0
+    first_token_timeout_s: PositiveSeconds = 10.0
+    max_attempts: int = pydantic.Field(default=3, ge=1, le=10)
+    max_queue: int = pydantic.Field(default=256, ge=0)
+
+
+class BatchModel(_Model):
+    """How batch items of a service are run.
+
+    :param online_reserve_slots: slots per target that batch leaves free
+    :param max_item_attempts: attempts before an item is given up
+    :param item_timeout_s: limit for one attempt of an item
+    """
+
+    enabled: bool = True
+    online_reserve_slots: int = pydantic.Field(default=2, ge=0)
+    max_item_attempts: int = pydantic.Field(default=3, ge=1, le=10)
+    item_timeout_s: PositiveSeconds = 120.0
+
+
+class ServiceModel(_Model):
+    """A service: a set of targets that offer models or plain calls."""
+
+    kind: Literal["service"]
+    name: Name
+    type: Literal["model", "plain"]
+    organisations: tuple[Name, ...] = pydantic.Field(min_length=1)
+    online: OnlineModel = OnlineModel()
+    batch: BatchModel = BatchModel()
+    models: tuple[LanguageModelModel, ...] = ()
+    routes: tuple[RouteModel, ...] = ()
+    targets: tuple[TargetModel, ...] = ()
+
+    @pydantic.model_validator(mode="after")
+    def _check_type(self) -> typing.Self:
+        if self.type == "model" and not self.models:
+            raise ValueError("a service of type 'model' needs at least one [[models]]")
+        if self.type == "plain" and not self.routes:
+            raise ValueError("a service of type 'plain' needs at least one [[routes]]")
+        if self.type == "model" and self.routes:
+            raise ValueError("[[routes]] belong to services of type 'plain'")
+        if self.type == "plain" and self.models:
+            raise ValueError("[[models]] belong to services of type 'model'")
+        _check_unique("models", [item.name for item in self.models])
+        _check_unique("targets", [item.name for item in self.targets])
+        _check_unique("routes", [item.path for item in self.routes])
+        return self
+
+
+class KeyModel(_Model):
+    """An API key, known by its digest only.
+
+    :param sha256: SHA-256 of the key in hex
+    """
+
+    id: Name
+    sha256: str = pydantic.Field(pattern=r"^[0-9a-f]{64}$")
+    role: Literal["caller", "operator"] = "caller"
+
+
+class OrganisationModel(_Model):
+    """An organisation whose callers use the services.
+
+    :param weight: share of capacity under overload, relative to others
+    :param max_concurrent_requests: online requests in flight in one daemon
+    """
+
+    kind: Literal["organisation"]
+    name: Name
+    weight: float = pydantic.Field(default=1.0, gt=0, le=1000)
+    max_concurrent_requests: int = pydantic.Field(default=1000, gt=0)
+    keys: tuple[KeyModel, ...] = ()
+
+    @pydantic.model_validator(mode="after")
+    def _check_keys(self) -> typing.Self:
+        _check_unique("keys", [item.id for item in self.keys])
+        return self
+
+
+class ZoneModel(_Model):
+    """An availability zone and the region that it belongs to."""
+
+    name: Name
+    region: Name
+
+
+class LinkModel(_Model):
+    """The link between the regions.
+
+    :param capacity_mbit_s: capacity in each direction
+    :param data_share: share that requests and batch data may use
+    """
+
+    capacity_mbit_s: float = pydantic.Field(default=15.0, gt=0)
+    data_share: float = pydantic.Field(default=0.6, ge=0, le=0.9)
+
+
+class FleetModel(_Model):
+    """The zones of the fleet and the link between its regions."""
+
+    kind: Literal["fleet"]
+    name: Literal["fleet"] = "fleet"
+    zones: tuple[ZoneModel, ...] = pydantic.Field(min_length=1)
+    link: LinkModel = LinkModel()
+
+    @pydantic.model_validator(mode="after")
+    def _check_zones(self) -> typing.Self:
+        _check_unique("zones", [item.name for item in self.zones])
+        return self
+
+
+DocumentModel = Annotated[
+    ServiceModel | OrganisationModel | FleetModel,
+    pydantic.Field(discriminator="kind"),
+]
+
+DOCUMENT_ADAPTER: pydantic.TypeAdapter[
+    ServiceModel | OrganisationModel | FleetModel
+] = pydantic.TypeAdapter(DocumentModel)
+
+
+def make_document_key(document: ServiceModel | OrganisationModel | FleetModel) -> str:
+    """Return the key of a document, for example ``services/kernel-llm``."""
+    if isinstance(document, FleetModel):
+        return "fleet"
+    return f"{document.kind}s/{document.name}"
+
+
+def _check_unique(what: str, names: list[str]) -> None:
+    seen: set[str] = set()
+    for name in names:
+        if name in seen:
+            raise ValueError(f"{what}: {name!r} appears twice")
+        seen.add(name)
--- /dev/null
+++ b/src/endivevane/configuration/snapshot.py
@@ -0,0 +1,145 @@
+"""The configuration in force, as immutable data for the daemon's tasks."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping
+from typing import Any
+
+from endivevane import types
+from endivevane.configuration import models
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Zone:
+    """An availability zone."""
+
+    name: str
+    region: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Link:
+    """The link between the regions, capacity in each direction."""
+
+    capacity_bytes_s: float
+    data_share: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """A back end of a service.
+
+    :param service: name of the service that it belongs to
+    :param slots: requests that it runs together
+    """
+
+    name: str
+    service: str
+    address: types.Address
+    zone: str
+    region: str
+    slots: int
+    checks_orders: bool
+    checks_fencing: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """A service and how it is served.
+
+    :param model: the validated document, for its limits and routes
+    """
+
+    name: str
+    model: models.ServiceModel
+    targets: tuple[Target, ...]
+
+    @property
+    def is_plain(self) -> bool:
+        """Whether the service has routes rather than models."""
+        return self.model.type == "plain"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyOwner:
+    """Who an API key belongs to."""
+
+    organisation: str
+    role: types.Role
+    key_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """One revision of the whole configuration.
+
+    :param revision: number of the publish that made it, 0 before the first
+    :param services_by_model: service that offers a model, by model name
+    :param key_owners: owners by SHA-256 digest of the key
+    """
+
+    revision: int
+    services: Mapping[str, Service]
+    services_by_model: Mapping[str, Service]
+    organisations: Mapping[str, models.OrganisationModel]
+    key_owners: Mapping[str, KeyOwner]
+    zones: Mapping[str, Zone]
+    link: Link
+
+
+EMPTY = Snapshot(0, {}, {}, {}, {}, {}, Link(15e6 / 8, 0.6))
+
+
+def build_snapshot(revision: int, documents: Mapping[str, Any]) -> Snapshot:
+    """Build a snapshot from validated documents.
+
+    :param documents: documents by key, as JSON objects
+    :raises pydantic.ValidationError: when a document does not validate
+    """
+    parsed = [
+        models.DOCUMENT_ADAPTER.validate_python(documents[key])
+        for key in sorted(documents)
+    ]
+    zones: dict[str, Zone] = {}
+    link = EMPTY.link
+    for document in parsed:
+        if not isinstance(document, models.FleetModel):
+            continue
+        zones = {zone.name: Zone(zone.name, zone.region) for zone in document.zones}
+        link = Link(document.link.capacity_mbit_s * 1e6 / 8, document.link.data_share)
+    services: dict[str, Service] = {}
+    by_model: dict[str, Service] = {}
+    organisations: dict[str, models.OrganisationModel] = {}
+    key_owners: dict[str, KeyOwner] = {}
+    for document in parsed:
+        if isinstance(document, models.ServiceModel):
+            service = _build_service(document, zones)
+            services[service.name] = service
+            by_model.update({item.name: service for item in document.models})
+            continue
+        if isinstance(document, models.OrganisationModel):
+            organisations[document.name] = document
+            for key in document.keys:
+                role = types.Role(key.role)
+                key_owners[key.sha256] = KeyOwner(document.name, role, key.id)
+    return Snapshot(
+        revision, services, by_model, organisations, key_owners, zones, link
+    )
+
+
+def _build_service(document: models.ServiceModel, zones: Mapping[str, Zone]) -> Service:
+    targets = tuple(
+        Target(
+            name=item.name,
+            service=document.name,
+            address=types.parse_address(item.address),
+            zone=item.zone,
+            region=zones[item.zone].region if item.zone in zones else "",
+            slots=item.slots,
+            checks_orders=item.checks_orders,
+            checks_fencing=item.checks_fencing,
+        )
+        for item in document.targets
+    )
+    return Service(document.name, document, targets)
--- /dev/null
+++ b/src/endivevane/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool for operators."""
--- /dev/null
+++ b/src/endivevane/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon process."""
--- /dev/null
+++ b/src/endivevane/metrics.py
@@ -0,0 +1,50 @@
+"""Prometheus metrics of a daemon."""
+
+from __future__ import annotations
+
+import prometheus_client
+
+REFUSALS = prometheus_client.Counter(
+    "endivevane_refusals",
+    "Requests refused, by reason and run state.",
+    ["reason", "run_state"],
+)
+RETRIES = prometheus_client.Counter(
+    "endivevane_retries", "Attempts after the first, by reason.", ["reason"]
+)
+RETRIES_DENIED = prometheus_client.Counter(
+    "endivevane_retries_denied", "Retries that were not made, by reason.", ["reason"]
+)
+ONLINE_REQUESTS = prometheus_client.Counter(
+    "endivevane_online_requests", "Online requests ended, by outcome.", ["outcome"]
+)
+FIRST_TOKEN_SECONDS = prometheus_client.Histogram(
+    "endivevane_first_token_seconds",
+    "Time from request to first token.",
+    buckets=(0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.7, 2.5, 5, 10),
+)
+STREAMS_OPEN = prometheus_client.Gauge(
+    "endivevane_streams_open", "Online requests in flight or waiting."
+)
+BATCH_ITEMS = prometheus_client.Counter(
+    "endivevane_batch_items", "Batch items ended, by outcome.", ["outcome"]
+)
+BATCH_COMMITS = prometheus_client.Counter(
+    "endivevane_batch_commits", "Chunk commits, by outcome.", ["outcome"]
+)
+STORE_CALLS = prometheus_client.Counter(
+    "endivevane_store_calls",
+    "Table service calls, by kind and outcome.",
+    ["kind", "outcome"],
+)
+CONFIG_REVISION = prometheus_client.Gauge(
+    "endivevane_config_revision", "Configuration revision in force."
+)
+MEMBERS = prometheus_client.Gauge(
+    "endivevane_members", "Daemons known, by state.", ["state"]
+)
+LINK_BYTES = prometheus_client.Counter(
+    "endivevane_link_bytes",
+    "Bytes over the inter-region link, by purpose.",
+    ["purpose"],
+)
--- /dev/null
+++ b/src/endivevane/online/__init__.py
@@ -0,0 +1,1 @@
+"""Online requests: HTTP front end, admission, routing and streams."""
--- /dev/null
+++ b/src/endivevane/online/contract.py
@@ -0,0 +1,115 @@
+"""Data that the front end, the scheduler and the relay exchange."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from typing import Any
+
+from endivevane import types
+from endivevane.configuration import snapshot
+from endivevane.web import errors
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OnlineRequest:
+    """One online request for a model, parsed and validated.
+
+    :param body: JSON body as the caller sent it
+    :param is_streamed: whether the caller wants server-sent events
+    :param is_deterministic: whether a second run gives the same output
+    :param received_s: monotonic time of arrival
+    :param deadline_s: monotonic time by which the answer must be complete
+    :param fingerprint: digest of model and body, for the quarantine
+    :param prefix_hashes: hashes of growing prompt prefixes, shortest first
+    """
+
+    request_id: str
+    organisation: str
+    service: snapshot.Service
+    model: str
+    priority: types.Priority
+    body: dict[str, Any]
+    is_streamed: bool
+    is_deterministic: bool
+    received_s: float
+    deadline_s: float
+    fingerprint: str
+    prefix_hashes: tuple[int, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempt:
+    """One try of a request at one target.
+
+    :param attempt_id: goes to the engine as ``X-Request-Id``
+    :param number: 1 for the first attempt
+    """
+
+    attempt_id: str
+    request: OnlineRequest
+    target: snapshot.Target
+    number: int
+    started_s: float
+
+
+class AttemptFailure(enum.StrEnum):
+    """How an attempt failed; also the reason label of the retry counters."""
+
+    CONNECT_FAILED = "connect_failed"
+    REFUSED_NOT_RUN = "refused_not_run"
+    BROKEN = "broken"
+    SILENT = "silent"
+    FIRST_TOKEN_TIMEOUT = "first_token_timeout"
+    TARGET_ERROR = "target_error"
+    DEADLINE = "deadline"
+
+
+class AttemptOutcome(enum.StrEnum):
+    """How an attempt ended without a further try."""
+
+    COMPLETED = "completed"
+    CALLER_LEFT = "caller_left"
+    FAILED = "failed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Send:
+    """Open a connection to the target and start the attempt."""
+
+    attempt: Attempt
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Queued:
+    """The request waits inside the scheduler."""
+
+    request: OnlineRequest
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refuse:
+    """Answer the caller with the error at once."""
+
+    request: OnlineRequest
+    error: errors.ApiError
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resume:
+    """Open a new connection to the same engine and resume after the offset."""
+
+    attempt: Attempt
+    after_offset: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class YieldRequest:
+    """Ask the batch sender of a target to free slots for online requests."""
+
+    target: snapshot.Target
+    slots: int
+
+
+SubmitDecision = Send | Queued | Refuse
+RetryDecision = Send | Resume | Refuse
--- /dev/null
+++ b/src/endivevane/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to model engines."""
--- /dev/null
+++ b/src/endivevane/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients for the outside systems of the platform."""
--- /dev/null
+++ b/src/endivevane/platform/http_pool.py
@@ -0,0 +1,223 @@
+"""Bounded pool of HTTP/1.1 connections to one address."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import enum
+import http.client
+import socket
+import threading
+from collections.abc import Mapping
+
+import result
+
+from endivevane import exceptions, types
+from endivevane.coordination import clock
+
+
+class Stage(enum.StrEnum):
+    """How far a call came before it failed."""
+
+    CONNECT = "connect"
+    SEND = "send"
+    RESPONSE = "response"
+
+
+class TransportError(exceptions.EndivevaneError):
+    """A call failed below the HTTP level.
+
+    :param address: where the call went
+    :param stage: how far it came; at ``CONNECT`` no byte was sent
+    :param detail: what happened
+    """
+
+    def __init__(self, address: types.Address, stage: Stage, detail: str) -> None:
+        super().__init__()
+        self.address = address
+        self.stage = stage
+        self.detail = detail
+
+    def format_message(self) -> str:
+        """Return address, stage and detail."""
+        return f"{self.address}: failed at {self.stage}: {self.detail}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolSettings:
+    """Limits of a pool.
+
+    :param connect_timeout_s: limit for the TCP handshake
+    :param read_timeout_s: limit for each wait for bytes
+    :param max_idle_s: idle connections older than this are closed; short enough to
+        stay below the idle limits of load balancers and NAT tables
+    :param max_age_s: connections older than this are not reused
+    :param max_idle_connections: how many idle connections are kept
+    """
+
+    connect_timeout_s: float = 1.0
+    read_timeout_s: float = 10.0
+    max_idle_s: float = 15.0
+    max_age_s: float = 300.0
+    max_idle_connections: int = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Response:
+    """A whole HTTP response.
+
+    :param headers: header names in lower case
+    """
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class _Pooled:
+    connection: http.client.HTTPConnection
+    opened_at_s: float
+    idle_since_s: float
+    is_reused: bool = False
+
+
+def open_connection(
+    address: types.Address, connect_timeout_s: float, user_timeout_s: float
+) -> http.client.HTTPConnection:
+    """Open a TCP connection with ``TCP_USER_TIMEOUT`` and without Nagle's delay.
+
+    :param connect_timeout_s: limit for the handshake
+    :param user_timeout_s: how long sent data may stay unacknowledged
+    :raises OSError: when the connection can't be opened
+    """
+    connection = http.client.HTTPConnection(
+        address.host, address.port, timeout=connect_timeout_s
+    )
+    connection.connect()
+    sock = connection.sock
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(user_timeout_s * 1000)
+    )
+    return connection
+
+
+class HttpPool:
+    """A thread-safe pool of keep-alive connections to one address.
+
+    :param address: where the calls go
+    :param settings: limits
+    """
+
+    def __init__(
+        self,
+        address: types.Address,
+        settings: PoolSettings,
+        pool_clock: clock.Clock | None = None,
+    ) -> None:
+        self.address = address
+        self._settings = settings
+        self._clock = pool_clock or clock.SystemClock()
+        self._idle: collections.deque[_Pooled] = collections.deque()
+        self._lock = threading.Lock()
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+        timeout_s: float | None = None,
+        is_repeatable: bool = True,
+    ) -> result.Result[Response, TransportError]:
+        """Send a request and read the whole response.
+
+        A reused connection that the server has closed fails before any byte of the
+        response; such a call is sent once more on a new connection, but only when it
+        is repeatable. A call that is not repeatable always uses a new connection, so
+        that a failure at ``CONNECT`` proves that nothing was sent.
+
+        :param timeout_s: limit for each wait, instead of the pool's read timeout
+        """
+        while True:
+            opened = self._acquire(is_repeatable)
+            if isinstance(opened, result.Err):
+                return opened
+            pooled = opened.ok_value
+            was_reused = pooled.is_reused
+            outcome = self._exchange(pooled, method, path, body, headers, timeout_s)
+            if isinstance(outcome, result.Ok) or not was_reused:
+                return outcome
+            self.close_idle()
+
+    def close_idle(self) -> None:
+        """Close all idle connections."""
+        with self._lock:
+            pooled_list = list(self._idle)
+            self._idle.clear()
+        for pooled in pooled_list:
+            pooled.connection.close()
+
+    def _acquire(self, may_reuse: bool) -> result.Result[_Pooled, TransportError]:
+        now_s = self._clock.monotonic_s()
+        while may_reuse:
+            with self._lock:
+                pooled = self._idle.pop() if self._idle else None
+            if pooled is None:
+                break
+            if self._is_stale(pooled, now_s):
+                pooled.connection.close()
+                continue
+            pooled.is_reused = True
+            return result.Ok(pooled)
+        try:
+            connection = open_connection(
+                self.address,
+                self._settings.connect_timeout_s,
+                self._settings.read_timeout_s,
+            )
+        except OSError as error:
+            return result.Err(TransportError(self.address, Stage.CONNECT, str(error)))
+        return result.Ok(_Pooled(connection, now_s, now_s))
+
+    def _is_stale(self, pooled: _Pooled, now_s: float) -> bool:
+        idle_s = now_s - pooled.idle_since_s
+        age_s = now_s - pooled.opened_at_s
+        return idle_s > self._settings.max_idle_s or age_s > self._settings.max_age_s
+
+    def _exchange(
+        self,
+        pooled: _Pooled,
+        method: str,
+        path: str,
+        body: bytes | None,
+        headers: Mapping[str, str] | None,
+        timeout_s: float | None,
+    ) -> result.Result[Response, TransportError]:
+        connection = pooled.connection
+        connection.sock.settimeout(timeout_s or self._settings.read_timeout_s)
+        stage = Stage.SEND
+        try:
+            connection.request(method, path, body, dict(headers or {}))
+            stage = Stage.RESPONSE
+            raw = connection.getresponse()
+            data = raw.read()
+        except (OSError, http.client.HTTPException) as error:
+            connection.close()
+            detail = f"{type(error).__name__}: {error}"
+            return result.Err(TransportError(self.address, stage, detail))
+        response_headers = {key.lower(): value for key, value in raw.getheaders()}
+        if raw.will_close:
+            connection.close()
+        else:
+            self._release(pooled)
+        return result.Ok(Response(raw.status, response_headers, data))
+
+    def _release(self, pooled: _Pooled) -> None:
+        pooled.idle_since_s = self._clock.monotonic_s()
+        with self._lock:
+            if len(self._idle) < self._settings.max_idle_connections:
+                self._idle.append(pooled)
+                return
+        pooled.connection.close()
--- /dev/null
+++ b/src/endivevane/web/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface: routes, authentication and errors."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems around endivevane, for demos and tests."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that build and check the project."""
