Add publishing of configuration documents

Cause: daemons and the command need one way to put documents into force. Change: files are collected and validated with all problems at once; one transaction writes the head and the changed documents; a publisher whose own document moved gets a typed conflict, others are tried again on the new head. Conclusion: the version of a document is the revision that changed it, so a document that is removed and added again never repeats a version.

--- /dev/null
+++ b/src/endivevane/configuration/publishing.py
@@ -0,0 +1,289 @@
+"""Put documents into force and read what is in force, over the table service."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from collections.abc import Collection, Mapping
+from typing import Any
+
+import result
+
+from endivevane import exceptions, utils
+from endivevane.configuration import loading
+from endivevane.coordination import store
+
+TABLE = "config"
+HEAD_KEY = "head"
+ACKS_PREFIX = "acks/"
+_MAX_ATTEMPTS = 8
+
+
+class HeadState(enum.StrEnum):
+    """Whether every zone has confirmed the head revision."""
+
+    PENDING = "pending"
+    ACCEPTED = "accepted"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VersionedDocument:
+    """A document in force.
+
+    :param version: configuration revision that last changed the document
+    """
+
+    version: int
+    document: dict[str, Any]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Documents:
+    """All documents of one configuration revision.
+
+    :param revision: 0 before the first publish
+    :param head_row_revision: row revision of ``config/head``; ``None`` when absent
+    """
+
+    revision: int
+    state: HeadState
+    documents: Mapping[str, VersionedDocument]
+    excluded_zones: tuple[str, ...] = ()
+    head_row_revision: int | None = None
+
+
+NO_DOCUMENTS = Documents(0, HeadState.ACCEPTED, {})
+
+
+class HeadKeepsMoving(store.StoreError):
+    """The head changed during each of several reads."""
+
+    def format_message(self) -> str:
+        """Return what to do next."""
+        return "the configuration changed during each read; try again"
+
+
+class PublishRejected(exceptions.ConfigurationError):
+    """The documents do not fit together with those in force."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """What a publisher wants to change.
+
+    :param documents: new content by document key
+    :param removed: keys of documents to remove
+    :param files: file of each document, for messages
+    :param excluded_zones: zones whose confirmation is not waited for
+    """
+
+    documents: Mapping[str, dict[str, Any]]
+    removed: Collection[str] = ()
+    files: Mapping[str, str] = dataclasses.field(default_factory=dict)
+    excluded_zones: tuple[str, ...] = ()
+
+
+def fetch_changes(
+    table_store: store.TableStore, known: Documents = NO_DOCUMENTS
+) -> result.Result[Documents, store.StoreError]:
+    """Return the documents of the head revision.
+
+    Only documents whose version differs from the known one are read. A publish between
+    the reads shows as a row that is newer than the head, and the head is read again.
+
+    :param known: what the caller has already
+    """
+    for _ in range(_MAX_ATTEMPTS):
+        head = table_store.read(TABLE, HEAD_KEY)
+        if isinstance(head, result.Err):
+            return head
+        if head.ok_value is None:
+            return result.Ok(known)
+        if head.ok_value.value["revision"] < known.revision:
+            return result.Ok(known)
+        documents = _read_documents(table_store, head.ok_value.value, known)
+        if isinstance(documents, result.Err):
+            return documents
+        if documents.ok_value is None:
+            continue
+        return result.Ok(_make_documents(head.ok_value, documents.ok_value))
+    return result.Err(HeadKeepsMoving())
+
+
+def find_changed_keys(change: Change, base: Documents) -> list[str]:
+    """Return the keys that a publish of the change would write or remove."""
+    changed = [
+        key
+        for key, document in sorted(change.documents.items())
+        if key not in base.documents or base.documents[key].document != document
+    ]
+    return changed + [key for key in sorted(change.removed) if key in base.documents]
+
+
+def publish(
+    table_store: store.TableStore, change: Change, base: Documents
+) -> result.Result[
+    Documents, store.StoreError | exceptions.PublishConflict | PublishRejected
+]:
+    """Put a change into force in one transaction.
+
+    When only other documents moved since the base was read, the publish is tried again
+    on the new head. When one of the changed documents moved, it is a conflict.
+
+    :param base: documents that the publisher has seen
+    :returns: the documents in force after the publish
+    """
+    keys = find_changed_keys(change, base)
+    current = base
+    for _ in range(_MAX_ATTEMPTS):
+        if not keys:
+            return result.Ok(current)
+        conflict = _find_conflict(keys, base, current)
+        if conflict is not None:
+            return result.Err(conflict)
+        wanted = _merge(change, keys, current)
+        problems = loading.check_references(
+            {key: item.document for key, item in wanted.items()}, change.files
+        )
+        if problems:
+            return result.Err(PublishRejected(problems))
+        written = _write(table_store, change, keys, current, wanted)
+        if isinstance(written, result.Ok):
+            return fetch_changes(table_store, current)
+        if not isinstance(written.err_value, store.StoreConflict):
+            return written
+        fetched = fetch_changes(table_store, current)
+        if isinstance(fetched, result.Err):
+            return fetched
+        current = fetched.ok_value
+    return result.Err(HeadKeepsMoving())
+
+
+def mark_accepted(
+    table_store: store.TableStore, published: Documents
+) -> result.Result[bool, store.StoreError]:
+    """Record that every zone has confirmed a revision.
+
+    :returns: whether the head was still at this revision
+    """
+    head = table_store.read(TABLE, HEAD_KEY)
+    if isinstance(head, result.Err):
+        return head
+    row = head.ok_value
+    if row is None or row.value["revision"] != published.revision:
+        return result.Ok(False)
+    value = {**row.value, "state": HeadState.ACCEPTED.value}
+    written = store.transact_settled(
+        table_store,
+        utils.make_id("accept"),
+        [store.Condition(TABLE, HEAD_KEY, row.revision)],
+        [store.Write(TABLE, HEAD_KEY, value)],
+    )
+    if isinstance(written, result.Ok):
+        return result.Ok(True)
+    if isinstance(written.err_value, store.StoreConflict):
+        return result.Ok(False)
+    return written
+
+
+def read_confirmations(
+    table_store: store.TableStore,
+) -> result.Result[dict[str, int], store.StoreError]:
+    """Return the revision that each zone has confirmed, by zone."""
+    scanned = table_store.scan(TABLE, ACKS_PREFIX)
+    if isinstance(scanned, result.Err):
+        return scanned
+    return result.Ok(
+        {
+            row.key.removeprefix(ACKS_PREFIX): int(row.value["revision"])
+            for row in scanned.ok_value
+        }
+    )
+
+
+def _read_documents(
+    table_store: store.TableStore, head: Mapping[str, Any], known: Documents
+) -> result.Result[dict[str, VersionedDocument] | None, store.StoreError]:
+    """Return the head's documents, or ``None`` when the head has moved on."""
+    documents: dict[str, VersionedDocument] = {}
+    for key, version in head["documents"].items():
+        have = known.documents.get(key)
+        if have is not None and have.version == version:
+            documents[key] = have
+            continue
+        reading = table_store.read(TABLE, key)
+        if isinstance(reading, result.Err):
+            return reading
+        row = reading.ok_value
+        if row is None or row.value["version"] != version:
+            return result.Ok(None)
+        documents[key] = VersionedDocument(version, row.value["document"])
+    return result.Ok(documents)
+
+
+def _make_documents(
+    head: store.Row, documents: dict[str, VersionedDocument]
+) -> Documents:
+    return Documents(
+        revision=head.value["revision"],
+        state=HeadState(head.value["state"]),
+        documents=documents,
+        excluded_zones=tuple(head.value["excluded_zones"]),
+        head_row_revision=head.revision,
+    )
+
+
+def _find_conflict(
+    keys: list[str], base: Documents, current: Documents
+) -> exceptions.PublishConflict | None:
+    for key in keys:
+        before, now = base.documents.get(key), current.documents.get(key)
+        expected = before.version if before else None
+        actual = now.version if now else None
+        if expected != actual:
+            return exceptions.PublishConflict(key, expected, actual)
+    return None
+
+
+def _merge(
+    change: Change, keys: list[str], current: Documents
+) -> dict[str, VersionedDocument]:
+    revision = current.revision + 1
+    wanted = dict(current.documents)
+    for key in keys:
+        if key in change.removed:
+            wanted.pop(key, None)
+            continue
+        wanted[key] = VersionedDocument(revision, change.documents[key])
+    return wanted
+
+
+def _write(
+    table_store: store.TableStore,
+    change: Change,
+    keys: list[str],
+    current: Documents,
+    wanted: Mapping[str, VersionedDocument],
+) -> result.Result[int, store.StoreError]:
+    """Write the head and the changed documents under a condition on the head.
+
+    The head names the version of every document, so the condition on its row revision
+    covers the documents too.
+    """
+    head = {
+        "revision": current.revision + 1,
+        "state": HeadState.PENDING.value,
+        "documents": {key: item.version for key, item in wanted.items()},
+        "excluded_zones": list(change.excluded_zones),
+    }
+    writes = [store.Write(TABLE, HEAD_KEY, head)]
+    for key in keys:
+        if key not in wanted:
+            writes.append(store.Write(TABLE, key, None))
+            continue
+        item = wanted[key]
+        value = {"version": item.version, "document": item.document}
+        writes.append(store.Write(TABLE, key, value))
+    condition = store.Condition(TABLE, HEAD_KEY, current.head_row_revision)
+    operation_id = utils.make_id("publish")
+    return store.transact_settled(table_store, operation_id, [condition], writes)
