--- a/src/endivevane/logs.py
+++ b/src/endivevane/logs.py
@@ -4,11 +4,23 @@
 
 import logging as std_logging
 import sys
+from collections.abc import Callable, Mapping
 
 from absl import logging
 
 _NEEDS_QUOTES = frozenset(' "=\n\t')
 
+Observer = Callable[[str, Mapping[str, object]], None]
+_observers: list[Observer] = []
+
+
+def add_observer(observer: Observer) -> None:
+    """Call a function with the name and the fields of every event.
+
+    :param observer: must return fast and must be thread-safe
+    """
+    _observers.append(observer)
+
 
 def format_event(event: str, **fields: object) -> str:
     """Return ``event=NAME key=value ...`` with quotes where needed.
@@ -30,19 +42,27 @@
 
 def info(event: str, **fields: object) -> None:
     """Log an event of normal operation."""
+    _notify(event, fields)
     logging.info("%s", format_event(event, **fields))
 
 
 def warning(event: str, **fields: object) -> None:
     """Log an event that an operator may want to know of."""
+    _notify(event, fields)
     logging.warning("%s", format_event(event, **fields))
 
 
 def error(event: str, **fields: object) -> None:
     """Log a failure that needs an operator."""
+    _notify(event, fields)
     logging.error("%s", format_event(event, **fields))
 
 
+def _notify(event: str, fields: Mapping[str, object]) -> None:
+    for observer in _observers:
+        observer(event, fields)
+
+
 class _LineFormatter(std_logging.Formatter):
     """Formats a record as ``ts=... level=... event=...``."""
 
