--- a/src/endivevane/configuration/publishing.py
+++ b/src/endivevane/configuration/publishing.py
@@ -276,14 +276,18 @@
         "documents": {key: item.version for key, item in wanted.items()},
         "excluded_zones": list(change.excluded_zones),
     }
-    writes = [store.Write(TABLE, HEAD_KEY, head)]
+    writes: list[store.Write] = []
+    removals: list[store.Write] = []
     for key in keys:
         if key not in wanted:
-            writes.append(store.Write(TABLE, key, None))
+            removals.append(store.Write(TABLE, key, None))
             continue
         item = wanted[key]
         value = {"version": item.version, "document": item.document}
         writes.append(store.Write(TABLE, key, value))
+    # A document row comes first, since a lost answer is settled on the first row and
+    # the head may be overwritten by a publisher of other documents in the meantime.
+    writes += [store.Write(TABLE, HEAD_KEY, head), *removals]
     condition = store.Condition(TABLE, HEAD_KEY, current.head_row_revision)
     operation_id = utils.make_id("publish")
     return store.transact_settled(table_store, operation_id, [condition], writes)
