Add stand-ins for the outside systems and a fleet starter

The daemon's parts need a table service, object store, VM list, weight store, model engines, plain services and a balancer to talk to in scenarios. Add one aiohttp process for each, with fault switches and records, and tools.fleet.Fleet, which starts them with the daemons and publishes documents. Scenarios for the stand-ins and the part that starts daemons are still untried.

--- /dev/null
+++ b/standins/balancer.py
@@ -0,0 +1,152 @@
+"""Stand-in for the platform's balancer: TCP round robin over the ready daemons."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from standins import serving
+
+_CHECK_INTERVAL_S = 0.5
+_CHECK_TIMEOUT_S = 1.0
+_READ_BYTES = 64 << 10
+
+
+@dataclasses.dataclass(slots=True)
+class Backend:
+    """A daemon behind the balancer."""
+
+    address: str
+    is_ready: bool = False
+    connections: int = 0
+    failures: int = 0
+
+
+class Balancer:
+    """Passes connections on and checks which backends are ready.
+
+    :param addresses: ``host:port`` of each daemon
+    """
+
+    def __init__(self, addresses: list[str]) -> None:
+        self._backends = [Backend(address) for address in addresses]
+        self._next = 0
+        self._refused = 0
+
+    def add(self, app: web.Application) -> None:
+        """Add the tasks that run while the application runs."""
+        app.cleanup_ctx.append(self._check_backends)
+
+    def record(self) -> dict[str, Any]:
+        """Return connections per backend and connections that found none ready."""
+        backends = [dataclasses.asdict(backend) for backend in self._backends]
+        return {"backends": backends, "refused": self._refused}
+
+    async def serve_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Connect a caller to the next ready backend and copy both ways."""
+        opened = await self._open_backend()
+        if opened is None:
+            self._refused += 1
+            writer.transport.abort()
+            return
+        backend_reader, backend_writer = opened
+        await asyncio.gather(
+            _copy(reader, backend_writer), _copy(backend_reader, writer)
+        )
+
+    async def _open_backend(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
+        for _ in self._backends:
+            backend = self._backends[self._next % len(self._backends)]
+            self._next += 1
+            if not backend.is_ready:
+                continue
+            host, port = serving.split_address(backend.address)
+            try:
+                opened = await asyncio.open_connection(host, port)
+            except OSError:
+                backend.failures += 1
+                backend.is_ready = False
+                continue
+            backend.connections += 1
+            return opened
+        return None
+
+    async def _check_backends(self, _app: web.Application) -> Any:
+        timeout = aiohttp.ClientTimeout(total=_CHECK_TIMEOUT_S)
+        connector = aiohttp.TCPConnector(force_close=True)
+        async with aiohttp.ClientSession(
+            timeout=timeout, connector=connector
+        ) as session:
+            tasks = [
+                asyncio.create_task(_check_forever(session, backend))
+                for backend in self._backends
+            ]
+            yield
+            for task in tasks:
+                task.cancel()
+
+
+async def _check_forever(session: aiohttp.ClientSession, backend: Backend) -> None:
+    while True:
+        try:
+            async with session.get(f"http://{backend.address}/readyz") as response:
+                backend.is_ready = response.status == 200
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            backend.is_ready = False
+        await asyncio.sleep(_CHECK_INTERVAL_S)
+
+
+async def _copy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Copy bytes until the end of one side; a broken side breaks the other."""
+    try:
+        while data := await reader.read(_READ_BYTES):
+            writer.write(data)
+            await writer.drain()
+        if writer.can_write_eof():
+            writer.write_eof()
+    except OSError:
+        writer.transport.abort()
+
+
+class BalancerServer:
+    """Listens for callers; the control address is a separate HTTP server."""
+
+    def __init__(self, balancer: Balancer, listen: str) -> None:
+        self._balancer = balancer
+        self._host, self._port = serving.split_address(listen)
+
+    async def run(self, _app: web.Application) -> Any:
+        """Listen while the application runs."""
+        server = await asyncio.start_server(
+            self._balancer.serve_connection, self._host, self._port, backlog=1024
+        )
+        print(f"listening {self._host}:{self._port}", flush=True)
+        yield
+        server.close()
+
+
+def main() -> None:
+    """Serve the balancer."""
+    parser = serving.make_parser(__doc__)
+    parser.add_argument("--backend", action="append", required=True)
+    arguments = parser.parse_args()
+    if not arguments.control:
+        parser.error("--control is required, since --listen passes everything on")
+    balancer = Balancer(arguments.backend)
+    app = serving.make_app()
+    balancer.add(app)
+    app.cleanup_ctx.append(BalancerServer(balancer, arguments.listen).run)
+    arguments.listen, arguments.control = arguments.control, None
+    serving.run(app, arguments, balancer.record)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/batching.py
@@ -0,0 +1,199 @@
+"""Continuous batching: running requests that take a step together, and a FIFO list."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import enum
+import os
+import time
+from collections.abc import Callable
+from typing import Any
+
+from standins import completions, faults, prefix_cache
+
+_CRASH_STATUS = 70
+
+
+class RunState(enum.StrEnum):
+    """Where a run is."""
+
+    WAITING = "waiting"
+    STARTED = "started"
+    FINISHED = "finished"
+    CANCELLED = "cancelled"
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Run:
+    """One request inside the engine.
+
+    :param on_step: called after each new token and at the end
+    """
+
+    attempt_id: str
+    request_key: str | None
+    model: str
+    is_batch: bool
+    digest: str
+    prompt: bytes
+    hashes: list[int]
+    max_tokens: int
+    state: RunState = RunState.WAITING
+    tokens: int = 0
+    cached_blocks: int = 0
+    group: int = 0
+    decode_from_s: float = 0.0
+    accepted_at_s: float = 0.0
+    started_at_s: float | None = None
+    ended_at_s: float | None = None
+    on_step: Callable[[], None] | None = None
+    ended: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the run has finished or was cancelled."""
+        return self.state in (RunState.FINISHED, RunState.CANCELLED)
+
+    def describe(self) -> dict[str, Any]:
+        """Return the entry for the record."""
+        return {
+            "attempt_id": self.attempt_id,
+            "request_key": self.request_key,
+            "prompt_sha256": self.digest,
+            "state": self.state.value,
+            "tokens": self.tokens,
+            "model": self.model,
+            "batch": self.is_batch,
+            "cached_blocks": self.cached_blocks,
+            "accepted_at_s": self.accepted_at_s,
+            "started_at_s": self.started_at_s,
+            "ended_at_s": self.ended_at_s,
+        }
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pace:
+    """How fast the engine is.
+
+    :param slots: requests that run together
+    :param token_ms: time of one step
+    :param prefill_ms: fixed part of the time before the first token
+    :param prefill_token_ms: further time per prompt token that is not cached
+    :param step_groups: groups of running requests that step at different moments
+    """
+
+    slots: int
+    token_ms: float
+    prefill_ms: float
+    prefill_token_ms: float
+    step_groups: int
+
+
+class Batcher:
+    """Starts waiting requests in order of arrival and steps the running ones.
+
+    :param current_faults: ``crash_on`` and ``token_ms`` apply here
+    """
+
+    def __init__(
+        self,
+        pace: Pace,
+        cache: prefix_cache.PrefixCache,
+        current_faults: faults.Faults,
+    ) -> None:
+        self._pace = pace
+        self._cache = cache
+        self._faults = current_faults
+        self._waiting: collections.deque[Run] = collections.deque()
+        self._groups: list[dict[Run, None]] = [{} for _ in range(pace.step_groups)]
+        self._changed: list[Callable[[], None]] = []
+
+    @property
+    def running(self) -> int:
+        """Number of running requests."""
+        return sum(len(group) for group in self._groups)
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests in the waiting list."""
+        return len(self._waiting)
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Call a function after each change of the two numbers."""
+        self._changed.append(callback)
+
+    def submit(self, run: Run) -> None:
+        """Add a request to the waiting list."""
+        run.accepted_at_s = time.time()
+        self._waiting.append(run)
+        self._fill_slots()
+
+    def cancel(self, run: Run) -> None:
+        """Stop a request and free its slot at once."""
+        if run.is_over:
+            return
+        if run.state is RunState.WAITING:
+            self._waiting.remove(run)
+        self._end(run, RunState.CANCELLED)
+        self._fill_slots()
+
+    async def step_forever(self) -> None:
+        """Step all groups in turn, each once per token time."""
+        loop = asyncio.get_running_loop()
+        number = 0
+        due_s = loop.time()
+        while True:
+            token_ms = self._faults.token_ms or self._pace.token_ms
+            due_s += token_ms / 1000 / len(self._groups)
+            # After a pause of the process the missed steps are not made up for.
+            due_s = max(due_s, loop.time())
+            await asyncio.sleep(due_s - loop.time())
+            self._step(self._groups[number % len(self._groups)])
+            number += 1
+
+    def _step(self, group: dict[Run, None]) -> None:
+        now_s = time.monotonic()
+        has_ended = False
+        for run in list(group):
+            if run.decode_from_s > now_s or run.is_over:
+                continue
+            run.tokens += 1
+            if run.tokens >= run.max_tokens:
+                self._end(run, RunState.FINISHED)
+                has_ended = True
+            elif run.on_step is not None:
+                run.on_step()
+        if has_ended:
+            self._fill_slots()
+
+    def _fill_slots(self) -> None:
+        while self._waiting and self.running < self._pace.slots:
+            self._start(self._waiting.popleft())
+        for callback in self._changed:
+            callback()
+
+    def _start(self, run: Run) -> None:
+        if self._faults.crash_on and self._faults.crash_on.encode() in run.prompt:
+            os._exit(_CRASH_STATUS)
+        run.cached_blocks = self._cache.count_cached(run.hashes)
+        cached_bytes = run.cached_blocks * completions.PREFIX_BLOCK_BYTES
+        tokens = completions.count_prompt_tokens(run.prompt[cached_bytes:])
+        prefill_ms = self._pace.prefill_ms + tokens * self._pace.prefill_token_ms
+        self._cache.store(run.hashes)
+        run.state = RunState.STARTED
+        run.started_at_s = time.time()
+        run.decode_from_s = time.monotonic() + prefill_ms / 1000
+        run.group = min(
+            range(len(self._groups)), key=lambda index: len(self._groups[index])
+        )
+        self._groups[run.group][run] = None
+
+    def _end(self, run: Run, state: RunState) -> None:
+        run.state = state
+        run.ended_at_s = time.time()
+        self._groups[run.group].pop(run, None)
+        if run.on_step is not None:
+            run.on_step()
+        run.ended.set()
--- /dev/null
+++ b/standins/completions.py
@@ -0,0 +1,64 @@
+"""Deterministic output of the model engine, and the prompt's digest and prefixes."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from typing import Any
+
+import xxhash
+
+DEFAULT_MAX_TOKENS = 16
+PREFIX_BLOCK_BYTES = 256
+_BYTES_PER_TOKEN = 4
+
+
+def digest_messages(messages: list[dict[str, Any]]) -> str:
+    """Return the SHA-256 of the canonical JSON of the messages."""
+    text = json.dumps(
+        messages, sort_keys=True, separators=(",", ":"), ensure_ascii=False
+    )
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def make_token(digest: str, index: int) -> str:
+    """Return token number ``index`` of the answer to a prompt."""
+    return hashlib.sha256(f"{digest}:{index}".encode()).hexdigest()[:6] + " "
+
+
+def expected_text(
+    messages: list[dict[str, Any]], max_tokens: int = DEFAULT_MAX_TOKENS
+) -> str:
+    """Return the whole answer of the engine to a prompt."""
+    digest = digest_messages(messages)
+    return "".join(make_token(digest, index) for index in range(max_tokens))
+
+
+def render_prompt(messages: list[dict[str, Any]]) -> bytes:
+    r"""Return the prompt as bytes: ``role\ncontent\n`` of each message in turn."""
+    parts = []
+    for message in messages:
+        content = message.get("content") or ""
+        if not isinstance(content, str):
+            content = json.dumps(content, sort_keys=True, separators=(",", ":"))
+        parts.append(f"{message.get('role', '')}\n{content}\n")
+    return "".join(parts).encode()
+
+
+def count_prompt_tokens(prompt: bytes) -> int:
+    """Return the number of tokens of a prompt."""
+    return max(1, len(prompt) // _BYTES_PER_TOKEN)
+
+
+def hash_prefixes(model: str, prompt: bytes) -> list[int]:
+    """Return one hash per whole block of 256 bytes, each over all bytes before its end.
+
+    The model's name goes in first, since the cache of one model is of no use to
+    another.
+    """
+    state = xxhash.xxh64(model.encode() + b"\n")
+    hashes = []
+    for start in range(0, len(prompt) - PREFIX_BLOCK_BYTES + 1, PREFIX_BLOCK_BYTES):
+        state.update(prompt[start : start + PREFIX_BLOCK_BYTES])
+        hashes.append(state.intdigest())
+    return hashes
--- /dev/null
+++ b/standins/tables.py
@@ -0,0 +1,147 @@
+"""Tables with conditional transactions, rate limits and a record of every write."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import time
+from typing import Any
+
+import sortedcontainers
+
+HISTORY_TABLES = frozenset({"chunks", "jobs", "register"})
+
+
+class TokenBucket:
+    """Limits a rate; a burst of one second's worth is allowed.
+
+    :param rate_per_s: tokens that are added each second
+    """
+
+    def __init__(self, rate_per_s: float) -> None:
+        self._rate_per_s = rate_per_s
+        self._tokens = rate_per_s
+        self._updated_s = time.monotonic()
+
+    def take(self, count: int) -> float:
+        """Take tokens and return 0, or return the wait in seconds and take none.
+
+        A count above the burst is allowed when the bucket is full, else it would be
+        refused for ever; the bucket then goes into debt.
+        """
+        now_s = time.monotonic()
+        elapsed_s = now_s - self._updated_s
+        self._updated_s = now_s
+        filled = self._tokens + elapsed_s * self._rate_per_s
+        self._tokens = min(self._rate_per_s, filled)
+        needed = min(count, self._rate_per_s)
+        if self._tokens >= needed:
+            self._tokens -= count
+            return 0.0
+        return (needed - self._tokens) / self._rate_per_s
+
+
+@dataclasses.dataclass(slots=True)
+class Counts:
+    """What was done to one table."""
+
+    writes: int = 0
+    reads: int = 0
+    scans: int = 0
+    conflicts: int = 0
+
+
+class Tables:
+    """All rows, the revision counter and the record."""
+
+    def __init__(self) -> None:
+        self._rows: dict[str, sortedcontainers.SortedDict] = collections.defaultdict(
+            sortedcontainers.SortedDict
+        )
+        self._revision = 0
+        self._counts: dict[str, Counts] = collections.defaultdict(Counts)
+        self._history: list[dict[str, Any]] = []
+        self.refused_writes = 0
+        self.refused_reads = 0
+
+    def read(self, table: str, key: str) -> tuple[dict[str, Any], int] | None:
+        """Return value and revision of a row, or ``None``."""
+        self._counts[table].reads += 1
+        row: tuple[dict[str, Any], int] | None = self._rows[table].get(key)
+        return row
+
+    def scan(
+        self, table: str, prefix: str, after: str, limit: int
+    ) -> list[dict[str, Any]]:
+        """Return rows in key order."""
+        self._counts[table].scans += 1
+        rows = self._rows[table]
+        found: list[dict[str, Any]] = []
+        start = max(prefix, after)
+        for key in rows.irange(minimum=start):
+            if key <= after and after:
+                continue
+            if not key.startswith(prefix) or len(found) >= limit:
+                break
+            value, revision = rows[key]
+            found.append({"key": key, "value": value, "revision": revision})
+        return found
+
+    def transact(self, body: dict[str, Any]) -> tuple[int, list[dict[str, Any]]]:
+        """Apply all writes if all conditions hold.
+
+        :returns: new revision and no conflicts, or the conflicts
+        """
+        conflicts = self._find_conflicts(body["conditions"])
+        if conflicts:
+            return 0, conflicts
+        self._revision += 1
+        for write in body["writes"]:
+            self._apply(write, body["operation_id"])
+        return self._revision, []
+
+    def _find_conflicts(self, conditions: list[dict[str, Any]]) -> list[dict[str, Any]]:
+        conflicts = []
+        for condition in conditions:
+            table, key = condition["table"], condition["key"]
+            value, revision = self._rows[table].get(key, (None, None))
+            if revision == condition["revision"]:
+                continue
+            self._counts[table].conflicts += 1
+            conflicts.append(
+                {"table": table, "key": key, "revision": revision, "value": value}
+            )
+        return conflicts
+
+    def _apply(self, write: dict[str, Any], operation_id: str) -> None:
+        table, key, value = write["table"], write["key"], write["value"]
+        self._counts[table].writes += 1
+        if value is None:
+            self._rows[table].pop(key, None)
+        else:
+            self._rows[table][key] = (value, self._revision)
+        if table not in HISTORY_TABLES:
+            return
+        self._history.append(
+            {
+                "table": table,
+                "key": key,
+                "revision": self._revision,
+                "operation_id": operation_id,
+                "at_s": time.time(),
+                "value": value,
+            }
+        )
+
+    def record(self) -> dict[str, Any]:
+        """Return counts per table and the history of the recorded tables."""
+        return {
+            "revision": self._revision,
+            "refused_writes": self.refused_writes,
+            "refused_reads": self.refused_reads,
+            "tables": {
+                name: dataclasses.asdict(counts)
+                for name, counts in sorted(self._counts.items())
+            },
+            "history": self._history,
+        }
--- /dev/null
+++ b/tools/fleet_plan.py
@@ -0,0 +1,200 @@
+"""What a fleet consists of, and the files that follow from it."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import pathlib
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from tools import toml_text
+
+MODEL_SERVICE = "answers"
+PLAIN_SERVICE = "desk"
+OPERATOR_KEY = "operator-key"
+_SUFFIX = ".endivevane.toml"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Zone:
+    """An availability zone."""
+
+    name: str
+    region: str
+
+
+DEFAULT_ZONES = (
+    Zone("zone-a", "west"),
+    Zone("zone-b", "west"),
+    Zone("zone-c", "east"),
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetPlan:
+    """What to start; daemons, engines and services are spread over the zones in turn.
+
+    :param model: model that every engine has loaded
+    :param slots: requests that an engine runs together
+    :param engine_arguments: further arguments of ``standins.engine``
+    :param platform_arguments: further arguments of ``standins.platform``
+    :param service_arguments: further arguments of ``standins.service``
+    :param model_service: changes to the document of the model service
+    :param plain_service: changes to the document of the plain service
+    :param daemon_settings: changes to the settings file of every daemon
+    :param has_balancer: whether a balancer is started in front of the daemons
+    :param confirm_s: after the daemons are ready, how long to wait for the zones to
+        confirm the configuration; 0 does not wait
+    """
+
+    daemons: int = 2
+    engines: int = 2
+    services: int = 0
+    zones: tuple[Zone, ...] = DEFAULT_ZONES
+    organisations: tuple[str, ...] = ("acme",)
+    model: str = "small-lm"
+    slots: int = 16
+    token_ms: float = 5.0
+    prefill_ms: float = 5.0
+    engine_arguments: tuple[str, ...] = ()
+    platform_arguments: tuple[str, ...] = ()
+    service_arguments: tuple[str, ...] = ()
+    model_service: Mapping[str, Any] = dataclasses.field(default_factory=dict)
+    plain_service: Mapping[str, Any] = dataclasses.field(default_factory=dict)
+    daemon_settings: Mapping[str, Any] = dataclasses.field(default_factory=dict)
+    has_balancer: bool = False
+    ready_timeout_s: float = 30.0
+    confirm_s: float = 0.0
+
+    def zone_of(self, index: int) -> Zone:
+        """Return the zone of a daemon, engine or service by its index."""
+        return self.zones[index % len(self.zones)]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlannedTarget:
+    """Name and place of a target."""
+
+    name: str
+    address: str
+    zone: str
+
+
+def caller_key(organisation: str) -> str:
+    """Return the API key of an organisation's callers."""
+    return f"key-of-{organisation}"
+
+
+def merge(base: Mapping[str, Any], changes: Mapping[str, Any]) -> dict[str, Any]:
+    """Return a copy of a nested dictionary with changes applied."""
+    merged = dict(base)
+    for key, value in changes.items():
+        if isinstance(value, Mapping) and isinstance(merged.get(key), Mapping):
+            merged[key] = merge(merged[key], value)
+        else:
+            merged[key] = value
+    return merged
+
+
+def write_documents(
+    folder: pathlib.Path,
+    plan: FleetPlan,
+    engines: Sequence[PlannedTarget],
+    services: Sequence[PlannedTarget],
+) -> None:
+    """Write the configuration files of a fleet into a folder."""
+    folder.mkdir(exist_ok=True)
+    documents = [_make_fleet(plan)]
+    documents.extend(
+        _make_organisation(plan, index) for index in range(len(plan.organisations))
+    )
+    if engines:
+        documents.append(_make_model_service(plan, engines))
+    if services:
+        documents.append(_make_plain_service(plan, services))
+    for document in documents:
+        path = folder / f"{document['name']}{_SUFFIX}"
+        path.write_text(toml_text.render(document))
+
+
+def _make_fleet(plan: FleetPlan) -> dict[str, Any]:
+    zones = [dataclasses.asdict(zone) for zone in plan.zones]
+    return {"kind": "fleet", "name": "fleet", "zones": zones}
+
+
+def _make_organisation(plan: FleetPlan, index: int) -> dict[str, Any]:
+    name = plan.organisations[index]
+    keys = [{"id": "caller", "sha256": _digest(caller_key(name)), "role": "caller"}]
+    if index == 0:
+        digest = _digest(OPERATOR_KEY)
+        keys.append({"id": "operator", "sha256": digest, "role": "operator"})
+    return {"kind": "organisation", "name": name, "keys": keys}
+
+
+def _make_model_service(
+    plan: FleetPlan, engines: Sequence[PlannedTarget]
+) -> dict[str, Any]:
+    document = {
+        "kind": "service",
+        "name": MODEL_SERVICE,
+        "type": "model",
+        "organisations": list(plan.organisations),
+        "models": [{"name": plan.model}],
+        "targets": [
+            {**dataclasses.asdict(target), "slots": plan.slots, "checks_fencing": True}
+            for target in engines
+        ],
+    }
+    return merge(document, plan.model_service)
+
+
+def _make_plain_service(
+    plan: FleetPlan, services: Sequence[PlannedTarget]
+) -> dict[str, Any]:
+    document = {
+        "kind": "service",
+        "name": PLAIN_SERVICE,
+        "type": "plain",
+        "organisations": list(plan.organisations),
+        "routes": [
+            {"path": "/status", "methods": ["GET"], "idempotent": True},
+            {"path": "/orders", "methods": ["POST"], "idempotent": False},
+        ],
+        "targets": [dataclasses.asdict(target) for target in services],
+    }
+    return merge(document, plan.plain_service)
+
+
+def make_settings(
+    plan: FleetPlan, index: int, addresses: Mapping[str, Any]
+) -> dict[str, Any]:
+    """Return the settings of a daemon.
+
+    :param addresses: ``listen``, ``cluster_listen``, ``platform``, ``seeds`` and
+        ``keys``
+    """
+    zone = plan.zone_of(index)
+    platform = addresses["platform"]
+    settings = {
+        "daemon": {
+            "name": f"daemon-{index}",
+            "zone": zone.name,
+            "region": zone.region,
+            "listen": addresses["listen"],
+            "cluster_listen": addresses["cluster_listen"],
+        },
+        "platform": {
+            "table_service": platform,
+            "object_store": platform,
+            "vm_list": platform,
+        },
+        "keys": addresses["keys"],
+        "membership": {"seeds": addresses["seeds"]},
+        "drain": {"grace_s": 1.0, "timeout_s": 30.0},
+    }
+    return merge(settings, plan.daemon_settings)
+
+
+def _digest(text: str) -> str:
+    return hashlib.sha256(text.encode()).hexdigest()
--- /dev/null
+++ b/tools/processes.py
@@ -0,0 +1,207 @@
+"""Starts Python modules as processes and always ends them."""
+
+from __future__ import annotations
+
+import atexit
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import typing
+import urllib.error
+import urllib.request
+from collections.abc import Callable, Sequence
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_POLL_S = 0.02
+_STOP_TIMEOUT_S = 5.0
+_LOG_TAIL_BYTES = 4000
+
+
+class NotReady(Exception):
+    """A process did not become ready in time, or ended before it was ready."""
+
+
+class Process:
+    """A Python module that runs as a process of its own.
+
+    :param module: for example ``standins.engine``
+    :param arguments: command line of the module
+    :param log_path: file for standard output and standard error
+    """
+
+    def __init__(
+        self, module: str, arguments: Sequence[str], log_path: pathlib.Path
+    ) -> None:
+        self.module = module
+        self.arguments = list(arguments)
+        self.log_path = log_path
+        self._popen: subprocess.Popen[bytes] | None = None
+        self._is_stopped = False
+
+    @property
+    def pid(self) -> int:
+        """Process id of the current or last run."""
+        if self._popen is None:
+            raise NotReady(f"{self.module} was never started")
+        return self._popen.pid
+
+    @property
+    def status(self) -> int | None:
+        """Exit status; ``None`` while the process runs."""
+        return None if self._popen is None else self._popen.poll()
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process runs, paused or not."""
+        return self._popen is not None and self._popen.poll() is None
+
+    def start(self) -> None:
+        """Start the process; the log is appended to."""
+        environment = {**os.environ, "PYTHONUNBUFFERED": "1", "PYTHONPATH": str(_ROOT)}
+        with self.log_path.open("ab") as log:
+            self._popen = subprocess.Popen(
+                [sys.executable, "-m", self.module, *self.arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                cwd=_ROOT,
+                env=environment,
+            )
+        self._is_stopped = False
+
+    def wait_for_line(self, text: str, timeout_s: float = 10.0) -> None:
+        """Wait until the log of this run has a line that begins with the text.
+
+        :raises NotReady: when it does not come in time
+        """
+
+        def has_line() -> bool:
+            lines = self.log_path.read_bytes().decode("utf-8", "replace").splitlines()
+            return any(line.startswith(text) for line in lines)
+
+        self._wait(has_line, f"no line {text!r}", timeout_s)
+
+    def wait_for_url(self, url: str, timeout_s: float = 15.0) -> None:
+        """Wait until a URL answers with status 200.
+
+        :raises NotReady: when it does not in time
+        """
+        self._wait(lambda: answers_ok(url), f"{url} not ready", timeout_s)
+
+    def kill(self) -> None:
+        """End the process at once with SIGKILL."""
+        if self._popen is not None:
+            self._popen.kill()
+            self._popen.wait()
+
+    def terminate(self) -> None:
+        """Ask the process to end with SIGTERM and return at once."""
+        if self._popen is not None:
+            self._popen.terminate()
+
+    def wait(self, timeout_s: float) -> int:
+        """Wait for the end of the process and return its status.
+
+        :raises subprocess.TimeoutExpired: when it runs longer
+        """
+        if self._popen is None:
+            raise NotReady(f"{self.module} was never started")
+        return self._popen.wait(timeout_s)
+
+    def pause(self) -> None:
+        """Pause the process with SIGSTOP."""
+        os.kill(self.pid, signal.SIGSTOP)
+        self._is_stopped = True
+
+    def resume(self) -> None:
+        """Let a paused process go on with SIGCONT."""
+        os.kill(self.pid, signal.SIGCONT)
+        self._is_stopped = False
+
+    def end(self) -> None:
+        """End the process, gently first."""
+        if self._popen is None or self._popen.poll() is not None:
+            return
+        if self._is_stopped:
+            self.resume()
+        self._popen.terminate()
+        try:
+            self._popen.wait(_STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            self.kill()
+
+    def read_log(self) -> str:
+        """Return the end of the log."""
+        data = self.log_path.read_bytes() if self.log_path.exists() else b""
+        return data[-_LOG_TAIL_BYTES:].decode("utf-8", "replace")
+
+    def _wait(self, is_done: Callable[[], bool], problem: str, limit_s: float) -> None:
+        deadline_s = time.monotonic() + limit_s
+        while not is_done():
+            if not self.is_running:
+                problem = f"ended with status {self.status}"
+                break
+            if time.monotonic() > deadline_s:
+                problem = f"{problem} within {limit_s} s"
+                break
+            time.sleep(_POLL_S)
+        else:
+            return
+        raise NotReady(f"{self.module}: {problem}; its log ends:\n{self.read_log()}")
+
+
+class Processes:
+    """All processes of a test, demo or measurement; ends them on :meth:`close`.
+
+    :param folder: for logs and files; a temporary folder when ``None``
+    """
+
+    def __init__(self, folder: pathlib.Path | None = None) -> None:
+        self._temporary: tempfile.TemporaryDirectory[str] | None = None
+        if folder is None:
+            self._temporary = tempfile.TemporaryDirectory(prefix="endivevane-")
+            folder = pathlib.Path(self._temporary.name)
+        self.folder = folder
+        self._processes: list[Process] = []
+        # Covers a test run that is interrupted before its own clean-up.
+        atexit.register(self.close)
+
+    def __enter__(self) -> typing.Self:
+        return self
+
+    def __exit__(self, *_error: object) -> None:
+        self.close()
+
+    def start(self, module: str, arguments: Sequence[str], name: str) -> Process:
+        """Start a module; its log is ``NAME.log`` in the folder."""
+        process = Process(module, arguments, self.folder / f"{name}.log")
+        self._processes.append(process)
+        process.start()
+        return process
+
+    def close(self) -> None:
+        """End all processes, the last one started first, and remove the folder."""
+        atexit.unregister(self.close)
+        running = [item for item in reversed(self._processes) if item.is_running]
+        for process in running:
+            if process._is_stopped:
+                process.resume()
+            process.terminate()
+        for process in running:
+            process.end()
+        self._processes.clear()
+        if self._temporary is not None:
+            self._temporary.cleanup()
+
+
+def answers_ok(url: str, timeout_s: float = 1.0) -> bool:
+    """Return whether a URL answers with status 200."""
+    try:
+        with urllib.request.urlopen(url, timeout=timeout_s) as response:
+            return bool(response.status == 200)
+    except (urllib.error.URLError, OSError):
+        return False
--- /dev/null
+++ b/tools/toml_text.py
@@ -0,0 +1,44 @@
+"""Writes dictionaries as TOML."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+
+def render(data: Mapping[str, Any], path: str = "") -> str:
+    """Return a dictionary as TOML text; lists of dictionaries become ``[[tables]]``."""
+    lines = []
+    nested = []
+    for key, value in data.items():
+        full = f"{path}.{key}" if path else key
+        if value is None:
+            continue
+        if isinstance(value, Mapping):
+            nested.append(f"\n[{full}]\n{render(value, full)}")
+        elif _is_table_list(value):
+            nested.extend(f"\n[[{full}]]\n{render(item, full)}" for item in value)
+        else:
+            lines.append(f"{key} = {_render_value(value)}\n")
+    return "".join(lines) + "".join(nested)
+
+
+def _is_table_list(value: Any) -> bool:
+    return (
+        isinstance(value, Sequence)
+        and not isinstance(value, str)
+        and len(value) > 0
+        and isinstance(value[0], Mapping)
+    )
+
+
+def _render_value(value: Any) -> str:
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if isinstance(value, int | float):
+        return repr(value)
+    if isinstance(value, str):
+        # JSON strings are TOML basic strings.
+        return json.dumps(value)
+    return "[" + ", ".join(_render_value(item) for item in value) + "]"
