Add the decisions for online requests

Cause: the relay needs a scheduler that sends, queues, refuses and retries. An avoided target is probed by single requests; a broken stream is resumed on a new connection before its target is blamed. Conclusion: the interface is usable by the relay; its proof is still missing.

--- /dev/null
+++ b/src/endivevane/coordination/admission.py
@@ -0,0 +1,116 @@
+"""Estimates and limits that decide whether a request is taken on."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitSettings:
+    """Bounds and pace of an adaptive concurrency limit.
+
+    :param tolerance: ratio of latency to its baseline that counts as no queueing
+    :param min_latency_s: latencies below this never count as queueing, because
+        scheduling noise is of that size
+    :param smoothing: weight of a new sample in the limit and the recent latency
+    :param baseline_drift: weight of a slower sample in the baseline, so that the
+        baseline follows a lasting change such as longer prompts
+    """
+
+    minimum: int = 1
+    tolerance: float = 2.0
+    min_latency_s: float = 0.05
+    smoothing: float = 0.2
+    baseline_drift: float = 0.002
+
+
+class ConcurrencyLimit:
+    """Requests that this process may have in flight at one target.
+
+    The limit follows the ratio of the baseline latency to the recent latency, so it
+    falls when the target queues work of any sender, also of processes unknown here.
+
+    :param maximum: upper bound and first value
+    """
+
+    def __init__(self, settings: LimitSettings, maximum: int) -> None:
+        self._settings = settings
+        self._maximum = maximum
+        self._limit = float(maximum)
+        self._baseline_s = math.inf
+        self._recent_s = 0.0
+
+    @property
+    def limit(self) -> int:
+        """The current limit, at least the minimum."""
+        return max(self._settings.minimum, int(self._limit))
+
+    def set_maximum(self, maximum: int) -> None:
+        """Change the upper bound, for example after a change of slots."""
+        grows = maximum > self._maximum and self._limit >= self._maximum
+        self._maximum = maximum
+        self._limit = float(maximum) if grows else min(self._limit, maximum)
+
+    def record_latency(self, latency_s: float, in_flight: int) -> None:
+        """Adjust the limit by one measured latency.
+
+        :param in_flight: requests in flight when the measured one was sent
+        """
+        settings = self._settings
+        if latency_s < self._baseline_s:
+            self._baseline_s = latency_s
+        else:
+            drift = settings.baseline_drift * (latency_s - self._baseline_s)
+            self._baseline_s += drift
+        if self._recent_s == 0.0:
+            self._recent_s = latency_s
+        self._recent_s += settings.smoothing * (latency_s - self._recent_s)
+        calm_s = settings.tolerance * max(self._baseline_s, settings.min_latency_s)
+        gradient = min(1.0, max(0.5, calm_s / max(self._recent_s, 1e-9)))
+        wanted = self._limit * gradient
+        if gradient == 1.0 and in_flight * 2 >= self._limit:
+            wanted += math.sqrt(self._limit)
+        self._set(self._limit + settings.smoothing * (wanted - self._limit))
+
+    def record_overload(self) -> None:
+        """Lower the limit after the target refused or timed out."""
+        self._set(self._limit * 0.8)
+
+    def _set(self, value: float) -> None:
+        self._limit = min(self._maximum, max(self._settings.minimum, value))
+
+
+class ServiceTime:
+    """Moving average of how long requests occupy a target.
+
+    :param initial_s: assumed before the first measurement
+    """
+
+    def __init__(self, initial_s: float, smoothing: float = 0.1) -> None:
+        self.mean_s = initial_s
+        self._smoothing = smoothing
+        self._has_sample = False
+
+    def record(self, duration_s: float) -> None:
+        """Take one measured duration into the average."""
+        if not self._has_sample:
+            self._has_sample = True
+            self.mean_s = duration_s
+            return
+        self.mean_s += self._smoothing * (duration_s - self.mean_s)
+
+
+def estimate_wait_s(
+    queued_ahead: int, concurrency: int, service_time_s: float
+) -> float:
+    """Return how long a request waits until it can be sent.
+
+    :param queued_ahead: requests that go first
+    :param concurrency: requests that run together at all usable targets
+    :param service_time_s: mean time that a request occupies its place
+    :returns: infinity when nothing can run
+    """
+    if concurrency <= 0:
+        return math.inf
+    return (queued_ahead + 1) * service_time_s / concurrency
--- /dev/null
+++ b/src/endivevane/coordination/deadlines.py
@@ -0,0 +1,180 @@
+"""A bounded queue ordered by priority and deadline, fair among organisations."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import itertools
+from collections.abc import Iterator
+from typing import Generic, TypeVar
+
+import sortedcontainers  # type: ignore[import-untyped]
+
+ItemT = TypeVar("ItemT")
+
+
+class QueueFull(enum.StrEnum):
+    """Which bound a new entry would break."""
+
+    ENTRIES = "entries"
+    BYTES = "bytes"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry(Generic[ItemT]):
+    """Something that waits.
+
+    :param priority: lower values go first
+    :param deadline_s: monotonic time after which the entry is useless
+    """
+
+    entry_id: str
+    organisation: str
+    priority: int
+    deadline_s: float
+    size_bytes: int
+    item: ItemT
+
+
+@dataclasses.dataclass(slots=True)
+class _PriorityClass(Generic[ItemT]):
+    """Entries of one priority.
+
+    :param turns: (virtual time, organisation) of organisations that have entries
+    :param times: virtual time by organisation; an organisation of twice the weight
+        ages half as much for each entry that it takes out
+    """
+
+    entries: dict[str, sortedcontainers.SortedDict] = dataclasses.field(
+        default_factory=dict
+    )
+    turns: sortedcontainers.SortedList = dataclasses.field(
+        default_factory=sortedcontainers.SortedList
+    )
+    times: dict[str, float] = dataclasses.field(default_factory=dict)
+    virtual_time: float = 0.0
+
+
+class FairQueue(Generic[ItemT]):
+    """Strict priorities; fair shares among organisations; earliest deadline first.
+
+    :param max_entries: bound on the number of entries
+    :param max_bytes: bound on the sum of their sizes
+    """
+
+    def __init__(self, max_entries: int, max_bytes: int) -> None:
+        self.max_entries = max_entries
+        self.max_bytes = max_bytes
+        self.size_bytes = 0
+        self._classes = sortedcontainers.SortedDict()
+        self._entries: dict[str, tuple[int, Entry[ItemT]]] = {}
+        self._by_deadline = sortedcontainers.SortedDict()
+        self._weights: dict[str, float] = {}
+        self._numbers = itertools.count()
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def __contains__(self, entry_id: object) -> bool:
+        return entry_id in self._entries
+
+    def set_weights(self, weights: dict[str, float]) -> None:
+        """Set the weights of organisations; others weigh 1."""
+        self._weights = dict(weights)
+
+    def push(self, entry: Entry[ItemT]) -> QueueFull | None:
+        """Add an entry; return the bound that forbids it, if any."""
+        if len(self._entries) >= self.max_entries:
+            return QueueFull.ENTRIES
+        if self.size_bytes + entry.size_bytes > self.max_bytes:
+            return QueueFull.BYTES
+        number = next(self._numbers)
+        self._entries[entry.entry_id] = (number, entry)
+        self._by_deadline[entry.deadline_s, number] = entry
+        self.size_bytes += entry.size_bytes
+        group: _PriorityClass[ItemT] = self._classes.setdefault(
+            entry.priority, _PriorityClass()
+        )
+        name = entry.organisation
+        if name not in group.entries:
+            group.entries[name] = sortedcontainers.SortedDict()
+            # An organisation that was idle has no claim on the time it missed.
+            start = max(group.virtual_time, group.times.get(name, 0.0))
+            group.times[name] = start
+            group.turns.add((start, name))
+        group.entries[name][entry.deadline_s, number] = entry
+        return None
+
+    def peek(self) -> Entry[ItemT] | None:
+        """Return the entry that ``pop`` would take out."""
+        for group in self._classes.values():
+            entries = group.entries[group.turns[0][1]]
+            entry: Entry[ItemT] = entries.peekitem(0)[1]
+            return entry
+        return None
+
+    def pop(self) -> Entry[ItemT] | None:
+        """Take out the next entry and charge its organisation."""
+        entry = self.peek()
+        if entry is None:
+            return None
+        group = self._classes[entry.priority]
+        virtual_time, name = group.turns[0]
+        group.virtual_time = virtual_time
+        group.turns.remove((virtual_time, name))
+        later = virtual_time + 1.0 / self._weights.get(name, 1.0)
+        group.times[name] = later
+        group.turns.add((later, name))
+        self.remove(entry.entry_id)
+        return entry
+
+    def remove(self, entry_id: str) -> Entry[ItemT] | None:
+        """Take out an entry by its id without charging its organisation."""
+        found = self._entries.pop(entry_id, None)
+        if found is None:
+            return None
+        number, entry = found
+        self.size_bytes -= entry.size_bytes
+        del self._by_deadline[entry.deadline_s, number]
+        group = self._classes[entry.priority]
+        entries = group.entries[entry.organisation]
+        del entries[entry.deadline_s, number]
+        if entries:
+            return entry
+        del group.entries[entry.organisation]
+        group.turns.remove((group.times[entry.organisation], entry.organisation))
+        if not group.entries:
+            del self._classes[entry.priority]
+        return entry
+
+    def pop_expired(self, now_s: float) -> list[Entry[ItemT]]:
+        """Take out the entries whose deadline has come."""
+        expired: list[Entry[ItemT]] = []
+        while self._by_deadline:
+            (deadline_s, _), entry = self._by_deadline.peekitem(0)
+            if deadline_s > now_s:
+                break
+            self.remove(entry.entry_id)
+            expired.append(entry)
+        return expired
+
+    def first_deadline_s(self) -> float | None:
+        """Return the earliest deadline of all entries."""
+        if not self._by_deadline:
+            return None
+        deadline_s: float = self._by_deadline.peekitem(0)[0][0]
+        return deadline_s
+
+    def count_ahead(self, priority: int) -> int:
+        """Return how many entries have this priority or a higher one."""
+        return sum(
+            len(entries)
+            for value, group in self._classes.items()
+            if value <= priority
+            for entries in group.entries.values()
+        )
+
+    def __iter__(self) -> Iterator[Entry[ItemT]]:
+        """Iterate over the entries by priority and deadline."""
+        listed = [entry for _, entry in self._entries.values()]
+        return iter(sorted(listed, key=lambda item: (item.priority, item.deadline_s)))
--- /dev/null
+++ b/src/endivevane/online/prefixes.py
@@ -0,0 +1,109 @@
+"""An approximate index of the prompt prefixes that targets have cached."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any
+
+from endivevane.coordination import clock
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PrefixSettings:
+    """Bounds of the index.
+
+    :param max_hashes: prefixes kept per target, least recently seen evicted first
+    :param max_age_s: prefixes not seen for this long are taken for evicted
+    :param event_lag_s: an eviction does not remove a prefix that was sent this
+        recently, because events are late and the eviction may be older than the send
+    :param doubtful_s: what remains of a prefix's age after a gap in the events
+    """
+
+    max_hashes: int = 4096
+    max_age_s: float = 600.0
+    event_lag_s: float = 2.0
+    doubtful_s: float = 30.0
+
+
+class PrefixIndex:
+    """Prefixes that one target probably has in its cache."""
+
+    def __init__(self, settings: PrefixSettings, index_clock: clock.Clock) -> None:
+        self._settings = settings
+        self._clock = index_clock
+        # Prefix hash -> (time of the last own send, time when it is taken for evicted).
+        self._prefixes: collections.OrderedDict[int, tuple[float, float]] = (
+            collections.OrderedDict()
+        )
+        self._last_event = 0
+        self._doubt_until_s = 0.0
+
+    def __len__(self) -> int:
+        return len(self._prefixes)
+
+    @property
+    def last_event(self) -> int:
+        """Number of the last event taken in."""
+        return self._last_event
+
+    def record_send(self, hashes: Sequence[int]) -> None:
+        """Assume that the target caches the prefixes of a request sent to it."""
+        now_s = self._clock.monotonic_s()
+        # The shortest prefix is put in last, so that it outlives its extensions.
+        for prefix in reversed(hashes):
+            self._put(prefix, now_s, now_s)
+
+    def apply_events(self, events: Iterable[Mapping[str, Any]]) -> None:
+        """Take in cache events of the target, in any order and with gaps."""
+        now_s = self._clock.monotonic_s()
+        for event in sorted(events, key=lambda item: int(item["n"])):
+            number = int(event["n"])
+            if number <= self._last_event:
+                continue
+            if number != self._last_event + 1:
+                self._doubt_all(now_s)
+            self._last_event = number
+            for prefix in event["prefix_hashes"]:
+                if event["kind"] == "stored":
+                    self._put(prefix, None, now_s)
+                    continue
+                self._evict(prefix, now_s)
+
+    def restart(self) -> None:
+        """Forget everything, because the target lost its cache."""
+        self._prefixes.clear()
+        self._last_event = 0
+
+    def match(self, hashes: Sequence[int]) -> int:
+        """Return how many leading prefixes are cached, the longest match counting."""
+        now_s = self._clock.monotonic_s()
+        for length in range(len(hashes), 0, -1):
+            entry = self._prefixes.get(hashes[length - 1])
+            if entry is not None and entry[1] > now_s:
+                return length
+        return 0
+
+    def _put(self, prefix: int, sent_s: float | None, now_s: float) -> None:
+        if sent_s is None:
+            sent_s = self._prefixes.get(prefix, (float("-inf"), 0.0))[0]
+        self._prefixes[prefix] = (sent_s, now_s + self._settings.max_age_s)
+        self._prefixes.move_to_end(prefix)
+        if len(self._prefixes) > self._settings.max_hashes:
+            self._prefixes.popitem(last=False)
+
+    def _evict(self, prefix: int, now_s: float) -> None:
+        entry = self._prefixes.get(prefix)
+        if entry is not None and now_s - entry[0] > self._settings.event_lag_s:
+            del self._prefixes[prefix]
+
+    def _doubt_all(self, now_s: float) -> None:
+        """Shorten the life of all entries; evictions may be among the lost events."""
+        if now_s < self._doubt_until_s:
+            return
+        self._doubt_until_s = now_s + self._settings.doubtful_s / 2
+        limit_s = now_s + self._settings.doubtful_s
+        for prefix, (sent_s, until_s) in self._prefixes.items():
+            if until_s > limit_s:
+                self._prefixes[prefix] = (sent_s, limit_s)
--- /dev/null
+++ b/src/endivevane/online/quarantine.py
@@ -0,0 +1,150 @@
+"""Requests whose execution kills targets, known by their fingerprint."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+from endivevane.coordination import clock
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuarantineSettings:
+    """When a fingerprint is quarantined.
+
+    :param deaths: deaths of targets that quarantine a fingerprint
+    :param memory_s: how long a death counts
+    :param duration_s: length of the quarantine
+    :param same_death_s: deaths of one target closer than this are one death, seen by
+        several requests with the same fingerprint
+    :param max_entries: fingerprints remembered, the oldest are dropped first
+    """
+
+    deaths: int = 2
+    memory_s: float = 600.0
+    duration_s: float = 300.0
+    same_death_s: float = 2.0
+    max_entries: int = 4096
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Death:
+    """One death of a target.
+
+    :param target: its name, empty when another daemon saw the death
+    :param wall_ms: when it died, by the clock of the daemon that saw it
+    :param seen_s: when this daemon learnt of it
+    """
+
+    target: str
+    wall_ms: int
+    seen_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Record:
+    """What is known of one fingerprint."""
+
+    deaths: list[_Death] = dataclasses.field(default_factory=list)
+    until_wall_ms: int = 0
+
+
+class Quarantine:
+    """Counts deaths per fingerprint and refuses the quarantined ones.
+
+    A published entry is (fingerprint, end of the quarantine in milliseconds since the
+    epoch). A negative end reports a single death at that time, so that daemons which
+    see one death each still come to two; an echo of an own report is recognised.
+    """
+
+    def __init__(
+        self, settings: QuarantineSettings, quarantine_clock: clock.Clock
+    ) -> None:
+        self._settings = settings
+        self._clock = quarantine_clock
+        self._records: collections.OrderedDict[str, _Record] = collections.OrderedDict()
+        self._unpublished: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def remaining_s(self, fingerprint: str) -> float:
+        """Return how long a fingerprint stays quarantined, zero when it is not."""
+        record = self._records.get(fingerprint)
+        if record is None:
+            return 0.0
+        return max(0.0, (record.until_wall_ms - self._clock.wall_ms()) / 1000)
+
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Return whether a death counts against the fingerprint."""
+        record = self._records.get(fingerprint)
+        return record is not None and self._count(record) > 0
+
+    def record_death(self, fingerprint: str, target_name: str) -> None:
+        """Count the death of a target that was running the fingerprint."""
+        now_s, now_ms = self._clock.monotonic_s(), self._clock.wall_ms()
+        record = self._touch(fingerprint)
+        for death in record.deaths:
+            is_recent = now_s - death.seen_s < self._settings.same_death_s
+            if death.target == target_name and is_recent:
+                return
+        self._add(fingerprint, record, _Death(target_name, now_ms, now_s))
+        if fingerprint not in self._unpublished:
+            self._unpublished[fingerprint] = -now_ms
+
+    def receive(self, fingerprint: str, until_wall_ms: int) -> None:
+        """Take in an entry that another daemon has published.
+
+        Entries may come repeatedly. The end is bounded by the local clock, so that a
+        daemon with a wrong clock can't quarantine a fingerprint for good.
+        """
+        if until_wall_ms <= 0:
+            self._receive_death(fingerprint, -until_wall_ms)
+            return
+        now_ms = self._clock.wall_ms()
+        if until_wall_ms <= now_ms:
+            return
+        latest_ms = now_ms + int(self._settings.duration_s * 1000)
+        record = self._touch(fingerprint)
+        record.until_wall_ms = max(record.until_wall_ms, min(until_wall_ms, latest_ms))
+
+    def take_unpublished(self) -> list[tuple[str, int]]:
+        """Return the entries to publish and forget that they are due."""
+        entries = list(self._unpublished.items())
+        self._unpublished.clear()
+        return entries
+
+    def _touch(self, fingerprint: str) -> _Record:
+        record = self._records.setdefault(fingerprint, _Record())
+        self._records.move_to_end(fingerprint)
+        if len(self._records) > self._settings.max_entries:
+            self._records.popitem(last=False)
+        return record
+
+    def _receive_death(self, fingerprint: str, wall_ms: int) -> None:
+        """Count a death that another daemon saw, unless it is known already.
+
+        Two daemons that run the same request at one target see the same death, so
+        reports of nearly the same time count once.
+        """
+        record = self._touch(fingerprint)
+        same_ms = self._settings.same_death_s * 1000
+        if any(abs(death.wall_ms - wall_ms) < same_ms for death in record.deaths):
+            return
+        if wall_ms < self._clock.wall_ms() - self._settings.memory_s * 1000:
+            return
+        self._add(fingerprint, record, _Death("", wall_ms, self._clock.monotonic_s()))
+
+    def _add(self, fingerprint: str, record: _Record, death: _Death) -> None:
+        record.deaths.append(death)
+        record.deaths = record.deaths[-self._settings.deaths :]
+        if self._count(record) < self._settings.deaths:
+            return
+        until_ms = self._clock.wall_ms() + int(self._settings.duration_s * 1000)
+        record.until_wall_ms = max(record.until_wall_ms, until_ms)
+        self._unpublished[fingerprint] = record.until_wall_ms
+
+    def _count(self, record: _Record) -> int:
+        """Return how many deaths still count."""
+        oldest_s = self._clock.monotonic_s() - self._settings.memory_s
+        return sum(death.seen_s >= oldest_s for death in record.deaths)
--- /dev/null
+++ b/src/endivevane/online/routing.py
@@ -0,0 +1,164 @@
+"""Choice of a target for a request."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Collection, Sequence
+
+from endivevane.configuration import snapshot
+from endivevane.coordination import rendezvous
+from endivevane.online import contract, target_state
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """Where a daemon runs.
+
+    :param daemon: its name, the key of its candidate subset
+    """
+
+    daemon: str
+    zone: str
+    region: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutingSettings:
+    """Weights of the score, in units of a whole target's load.
+
+    :param local_candidates: bound of the subset in the daemon's own region
+    :param remote_candidates: bound of the subset in other regions
+    :param strong_affinity: share of the prompt that makes affinity strong
+    :param affinity_weight: how much a fully cached prompt is worth; 0.6 lets a target
+        with the whole prompt win until its load is 60% of its slots higher
+    :param zone_cost: cost of another zone of the same region
+    :param region_cost: cost of another region
+    :param model_cost: cost of a target that would have to load the model first
+    """
+
+    local_candidates: int = 16
+    remote_candidates: int = 4
+    strong_affinity: float = 0.5
+    affinity_weight: float = 0.6
+    zone_cost: float = 0.05
+    region_cost: float = 1.0
+    model_cost: float = 4.0
+
+
+def choose_candidates(
+    place: Place,
+    service: snapshot.Service,
+    leaving: Collection[str],
+    settings: RoutingSettings,
+) -> list[snapshot.Target]:
+    """Return the targets that a daemon sends a service's requests to.
+
+    Each daemon keeps few connections and load reports; the rendezvous hash spreads
+    the daemons evenly over the targets and changes little when targets come and go.
+
+    :param leaving: names of targets that get no new work
+    """
+    local: dict[str, float] = {}
+    remote: dict[str, float] = {}
+    by_name: dict[str, snapshot.Target] = {}
+    for target in service.targets:
+        if target.name in leaving:
+            continue
+        by_name[target.name] = target
+        group = local if target.region == place.region else remote
+        group[target.name] = float(target.slots)
+    key = f"{place.daemon}/{service.name}"
+    names = rendezvous.choose_subset(key, local, settings.local_candidates)
+    names += rendezvous.choose_subset(key, remote, settings.remote_candidates)
+    return [by_name[name] for name in names]
+
+
+class Router:
+    """Scores targets and chooses one for a request."""
+
+    def __init__(
+        self, place: Place, settings: RoutingSettings, generator: random.Random
+    ) -> None:
+        self._place = place
+        self._settings = settings
+        self._random = generator
+
+    def choose(
+        self,
+        request: contract.OnlineRequest,
+        states: Sequence[target_state.TargetState],
+    ) -> target_state.TargetState | None:
+        """Return the target to send to.
+
+        A target with a strong affinity is chosen from all; otherwise the better of
+        two sampled ones is, because the best of all would draw the requests of all
+        daemons between two load reports.
+
+        :param states: targets that may be used now, in any order
+        """
+        pool = self._narrow(request, states)
+        if not pool:
+            return None
+        best = self._find_affine(request, pool)
+        if best is not None:
+            return best
+        sampled = pool if len(pool) <= 2 else self._random.sample(pool, 2)
+        return min(sampled, key=lambda state: self.compute_cost(request, state))
+
+    def compute_cost(
+        self, request: contract.OnlineRequest, state: target_state.TargetState
+    ) -> float:
+        """Return the cost of a target for a request; lower is better."""
+        settings = self._settings
+        cost = state.estimate_load() / state.target.slots
+        if state.target.region != self._place.region:
+            cost += settings.region_cost
+        elif state.target.zone != self._place.zone:
+            cost += settings.zone_cost
+        if not state.has_model(request.model):
+            cost += settings.model_cost
+        return cost - settings.affinity_weight * _match_share(request, state)
+
+    def _narrow(
+        self,
+        request: contract.OnlineRequest,
+        states: Sequence[target_state.TargetState],
+    ) -> list[target_state.TargetState]:
+        """Prefer targets with the model, and among them those of the own region."""
+        ready = [state for state in states if state.has_model(request.model)]
+        pool = ready or list(states)
+        local = [state for state in pool if state.target.region == self._place.region]
+        return local or pool
+
+    def _find_affine(
+        self,
+        request: contract.OnlineRequest,
+        pool: Sequence[target_state.TargetState],
+    ) -> target_state.TargetState | None:
+        """Return the target with a strong affinity that is worth its load."""
+        if not request.prefix_hashes:
+            return None
+        affine = [
+            state
+            for state in pool
+            if _match_share(request, state) >= self._settings.strong_affinity
+            and state.estimate_load() < state.target.slots
+        ]
+        if not affine:
+            return None
+        best = min(affine, key=lambda state: self.compute_cost(request, state))
+        lightest = min(state.estimate_load() / state.target.slots for state in pool)
+        load = best.estimate_load() / best.target.slots
+        if load - lightest > self._settings.affinity_weight:
+            return None
+        return best
+
+
+def _match_share(
+    request: contract.OnlineRequest, state: target_state.TargetState
+) -> float:
+    """Return the share of the prompt that the target has cached."""
+    if not request.prefix_hashes:
+        return 0.0
+    return state.prefixes.match(request.prefix_hashes) / len(request.prefix_hashes)
--- /dev/null
+++ b/src/endivevane/online/scheduler.py
@@ -0,0 +1,364 @@
+"""Decisions for online requests: send, queue, refuse, retry."""
+
+from __future__ import annotations
+
+import collections
+import random
+from collections.abc import Collection, Iterable, Mapping
+from typing import Any
+
+from endivevane import metrics, types
+from endivevane.configuration import snapshot
+from endivevane.coordination import clock
+from endivevane.online import (
+    contract,
+    fleet,
+    flights,
+    quarantine,
+    routing,
+    service_state,
+    target_state,
+)
+from endivevane.platform import engine
+from endivevane.web import errors
+
+# Queued requests are looked at again this often, besides after each completion.
+_TICK_S = 0.25
+# Free slots per target below which batch work is asked to yield.
+_ONLINE_HEADROOM_SLOTS = 2
+_RETRY_AFTER_S = 1.0
+_OVERLOAD = frozenset(
+    (
+        contract.AttemptFailure.FIRST_TOKEN_TIMEOUT,
+        contract.AttemptFailure.REFUSED_NOT_RUN,
+    )
+)
+
+
+class Scheduler:
+    """Decides where and when online requests run.
+
+    Not thread-safe and without sockets: one thread calls it, with the clock and the
+    random generator passed in.
+
+    :param place: name, zone and region of the daemon
+    """
+
+    def __init__(
+        self,
+        place: routing.Place,
+        scheduler_clock: clock.Clock,
+        generator: random.Random,
+        routing_settings: routing.RoutingSettings | None = None,
+    ) -> None:
+        settings = routing_settings or routing.RoutingSettings()
+        self._clock = scheduler_clock
+        self._fleet = fleet.Fleet(place, settings, scheduler_clock, generator)
+        self._router = routing.Router(place, settings, generator)
+        self._quarantine = quarantine.Quarantine(
+            quarantine.QuarantineSettings(), scheduler_clock
+        )
+        self._flights: dict[str, flights.Flight] = {}
+        self._active: collections.Counter[str] = collections.Counter()
+        self._yields: dict[str, contract.YieldRequest] = {}
+
+    def set_snapshot(self, current: snapshot.Snapshot) -> None:
+        """Put a configuration into force."""
+        self._fleet.set_snapshot(current)
+
+    def set_leaving(self, target_names: Iterable[str]) -> None:
+        """Set the targets that get no new work; replaces the former set."""
+        self._fleet.set_leaving(target_names)
+
+    def set_load(self, target_name: str, report: engine.LoadReport) -> None:
+        """Take in the load report of a target."""
+        state = self._fleet.targets.get(target_name)
+        if state is not None:
+            state.set_report(report)
+
+    def set_cache_events(
+        self, target_name: str, events: Iterable[Mapping[str, Any]]
+    ) -> None:
+        """Take in cache events of a target."""
+        state = self._fleet.targets.get(target_name)
+        if state is not None:
+            state.prefixes.apply_events(events)
+
+    def set_quarantine(self, fingerprint: str, until_wall_ms: int) -> None:
+        """Take in a quarantine entry of another daemon."""
+        self._quarantine.receive(fingerprint, until_wall_ms)
+
+    def submit(self, request: contract.OnlineRequest) -> contract.SubmitDecision:
+        """Decide on a new request: send it, queue it or refuse it."""
+        error = self._check_request(request)
+        if error is not None:
+            return contract.Refuse(request, error)
+        state = self._fleet.services[request.service.name]
+        if not state.queue.count_ahead(request.priority):
+            chosen = self._choose(state.candidates, request)
+            if chosen is not None:
+                self._active[request.organisation] += 1
+                return self._send_first(state, request, chosen)
+        error = state.find_outage() or state.check_wait(request)
+        error = error or state.enqueue(request)
+        if error is not None:
+            return contract.Refuse(request, error)
+        self._active[request.organisation] += 1
+        self._ask_for_slots(state.candidates)
+        return contract.Queued(request)
+
+    def poll(self) -> list[contract.Send | contract.Refuse]:
+        """Return what to do with queued requests now."""
+        actions: list[contract.Send | contract.Refuse] = []
+        for state in self._fleet.services.values():
+            if not len(state.queue):
+                continue
+            for refusal in state.take_hopeless():
+                self._end_request(refusal.request)
+                actions.append(refusal)
+            while (entry := state.queue.peek()) is not None:
+                chosen = self._choose(state.candidates, entry.item)
+                if chosen is None:
+                    break
+                state.queue.pop()
+                actions.append(self._send_first(state, entry.item, chosen))
+        return actions
+
+    def next_timer_s(self) -> float | None:
+        """Return the monotonic time when ``poll`` is due, ``None`` if nothing waits."""
+        timers = [
+            state.next_timer_s(_TICK_S) for state in self._fleet.services.values()
+        ]
+        return min((item for item in timers if item is not None), default=None)
+
+    def record_first_token(self, attempt: contract.Attempt) -> None:
+        """Note that the target has begun to answer."""
+        state = self._fleet.targets.get(attempt.target.name)
+        if state is None or attempt.attempt_id not in state.in_flight:
+            return
+        latency_s = self._clock.monotonic_s() - attempt.started_s
+        state.limit.record_latency(latency_s, state.in_flight[attempt.attempt_id])
+        state.health.record_success(attempt.attempt_id, attempt.started_s)
+
+    def finish(
+        self, attempt: contract.Attempt, outcome: contract.AttemptOutcome
+    ) -> None:
+        """Note that an attempt ended for good; unknown attempts are ignored."""
+        flight = self._flights.get(attempt.request.request_id)
+        if flight is None or flight.attempt.attempt_id != attempt.attempt_id:
+            return
+        if outcome is contract.AttemptOutcome.COMPLETED:
+            self._record_completion(attempt)
+        self._fleet.end_attempt(attempt.target.name, attempt.attempt_id)
+        self._end_request(attempt.request)
+
+    def retry(
+        self,
+        attempt: contract.Attempt,
+        failure: contract.AttemptFailure,
+        delivered_offset: int,
+    ) -> contract.RetryDecision:
+        """Decide what follows a failed attempt.
+
+        After a :class:`contract.Refuse` the request is over for the scheduler.
+
+        :param delivered_offset: offset of the last event that the caller got, -1 when
+            it got none
+        """
+        flight = self._flights.get(attempt.request.request_id)
+        if flight is None or flight.attempt.attempt_id != attempt.attempt_id:
+            error = errors.TargetFailed(
+                "the attempt is not known", run_state=types.RunState.MAY_HAVE_RUN
+            )
+            return contract.Refuse(attempt.request, error)
+        flight.record_failure(failure)
+        if flight.try_resume(failure, delivered_offset):
+            return contract.Resume(attempt, delivered_offset)
+        self._blame(flight, failure)
+        self._fleet.end_attempt(attempt.target.name, attempt.attempt_id)
+        decision = self._try_elsewhere(flight, failure, delivered_offset)
+        if isinstance(decision, contract.Refuse):
+            self._end_request(attempt.request)
+        return decision
+
+    def abandon(self, request: contract.OnlineRequest) -> None:
+        """Forget a queued request whose caller left."""
+        state = self._fleet.services.get(request.service.name)
+        if state is not None and state.queue.remove(request.request_id) is not None:
+            self._end_request(request)
+
+    def take_yield_requests(self) -> list[contract.YieldRequest]:
+        """Return the requests to batch senders since the last call."""
+        taken = list(self._yields.values())
+        self._yields.clear()
+        return taken
+
+    def take_quarantined(self) -> list[tuple[str, int]]:
+        """Return the quarantine entries to publish since the last call."""
+        return self._quarantine.take_unpublished()
+
+    def _check_request(self, request: contract.OnlineRequest) -> errors.ApiError | None:
+        """Return why a request can't be taken on whatever the load is."""
+        if request.service.name not in self._fleet.services:
+            return errors.Unavailable(f"service {request.service.name} is not served")
+        remaining_s = self._quarantine.remaining_s(request.fingerprint)
+        if remaining_s > 0:
+            return errors.Quarantined(
+                "requests like this one have crashed targets; change the request",
+                retry_after_s=remaining_s,
+            )
+        if request.deadline_s <= self._clock.monotonic_s():
+            return errors.DeadlineExceeded(
+                "the deadline has passed", retry_after_s=_RETRY_AFTER_S
+            )
+        organisation = self._fleet.snapshot.organisations.get(request.organisation)
+        if organisation is None:
+            return None
+        limit = organisation.max_concurrent_requests
+        if self._active[request.organisation] < limit:
+            return None
+        return errors.Overloaded(
+            f"{request.organisation} has {limit} requests in flight already",
+            retry_after_s=_RETRY_AFTER_S,
+        )
+
+    def _choose(
+        self,
+        candidates: Iterable[target_state.TargetState],
+        request: contract.OnlineRequest,
+    ) -> target_state.TargetState | None:
+        now_s = self._clock.monotonic_s()
+        usable = [state for state in candidates if state.is_usable(now_s)]
+        return self._router.choose(request, usable)
+
+    def _send_first(
+        self,
+        state: service_state.ServiceState,
+        request: contract.OnlineRequest,
+        chosen: target_state.TargetState,
+    ) -> contract.Send:
+        state.budget.record_request()
+        attempt = self._begin_attempt(request, chosen, 1)
+        self._flights[request.request_id] = flights.Flight(request, attempt)
+        return contract.Send(attempt)
+
+    def _begin_attempt(
+        self,
+        request: contract.OnlineRequest,
+        chosen: target_state.TargetState,
+        number: int,
+    ) -> contract.Attempt:
+        attempt = contract.Attempt(
+            attempt_id=f"{request.request_id}.{number}",
+            request=request,
+            target=chosen.target,
+            number=number,
+            started_s=self._clock.monotonic_s(),
+        )
+        chosen.begin(attempt.attempt_id)
+        chosen.prefixes.record_send(request.prefix_hashes)
+        self._ask_for_slots([chosen])
+        return attempt
+
+    def _end_request(self, request: contract.OnlineRequest) -> None:
+        self._flights.pop(request.request_id, None)
+        self._active[request.organisation] -= 1
+        if self._active[request.organisation] <= 0:
+            del self._active[request.organisation]
+
+    def _record_completion(self, attempt: contract.Attempt) -> None:
+        target = self._fleet.targets.get(attempt.target.name)
+        if target is not None:
+            target.health.record_success(attempt.attempt_id, attempt.started_s)
+        service = self._fleet.services.get(attempt.request.service.name)
+        if service is not None:
+            duration_s = self._clock.monotonic_s() - attempt.started_s
+            service.service_time.record(duration_s)
+
+    def _blame(self, flight: flights.Flight, failure: contract.AttemptFailure) -> None:
+        """Count a failure against the target, and a death against the request."""
+        attempt = flight.attempt
+        if flight.is_death(failure):
+            self._quarantine.record_death(
+                attempt.request.fingerprint, attempt.target.name
+            )
+        state = self._fleet.targets.get(attempt.target.name)
+        if state is None or failure is contract.AttemptFailure.DEADLINE:
+            return
+        if failure in _OVERLOAD:
+            state.limit.record_overload()
+        # A failed resume is the second failure in a row: connection, then target.
+        weight = 1 if flight.resumed_at is None else 2
+        state.health.record_failure(
+            attempt.attempt_id, attempt.started_s, self._clock.monotonic_s(), weight
+        )
+
+    def _try_elsewhere(
+        self,
+        flight: flights.Flight,
+        failure: contract.AttemptFailure,
+        delivered_offset: int,
+    ) -> contract.Send | contract.Refuse:
+        """Return a further attempt at another target, or the final answer."""
+        request, number = flight.request, flight.attempt.number
+        is_late = self._clock.monotonic_s() >= request.deadline_s
+        if is_late or failure is contract.AttemptFailure.DEADLINE:
+            return flight.make_late_refusal()
+        remaining_s = self._quarantine.remaining_s(request.fingerprint)
+        if remaining_s > 0:
+            metrics.RETRIES_DENIED.labels("quarantined").inc()
+            return flight.make_quarantine_refusal(remaining_s)
+        if delivered_offset >= 0 and not request.is_deterministic:
+            metrics.RETRIES_DENIED.labels("partly_delivered").inc()
+            return flight.make_refusal("a part of the answer is delivered already")
+        if number >= request.service.model.online.max_attempts:
+            metrics.RETRIES_DENIED.labels("max_attempts").inc()
+            return flight.make_refusal("no further attempt is allowed")
+        chosen = self._choose_other(flight)
+        if chosen is None:
+            metrics.RETRIES_DENIED.labels("no_target").inc()
+            return flight.make_refusal("there is no other target")
+        if not self._fleet.services[request.service.name].budget.try_retry():
+            metrics.RETRIES_DENIED.labels("budget").inc()
+            return flight.make_refusal("the retry budget is used up")
+        metrics.RETRIES.labels(failure.value).inc()
+        flight.begin(self._begin_attempt(request, chosen, number + 1))
+        return contract.Send(flight.attempt)
+
+    def _choose_other(self, flight: flights.Flight) -> target_state.TargetState | None:
+        """Return a target that has not failed this request.
+
+        After a death all requests that ran at the target are suspects. They are kept
+        apart, so that the guilty one does not bring a second death upon the others.
+        """
+        state = self._fleet.services.get(flight.request.service.name)
+        if state is None:
+            return None
+        request, now_s = flight.request, self._clock.monotonic_s()
+        # Room is not asked for: a retry can't be queued, and the budget bounds them.
+        others = [
+            item
+            for item in state.candidates
+            if item.target.name not in flight.failed and item.health.is_usable(now_s)
+        ]
+        if self._quarantine.is_suspect(request.fingerprint):
+            suspects = {
+                other.attempt.target.name
+                for other in self._flights.values()
+                if other.failed
+                and self._quarantine.is_suspect(other.request.fingerprint)
+            }
+            apart = [item for item in others if item.target.name not in suspects]
+            others = apart or others
+        return self._router.choose(request, others)
+
+    def _ask_for_slots(self, states: Iterable[target_state.TargetState]) -> None:
+        """Ask batch senders for slots where online load comes close to the slots."""
+        for state in states:
+            slots = state.take_wanted_slots(_ONLINE_HEADROOM_SLOTS)
+            if slots <= 0:
+                continue
+            name = state.target.name
+            if name in self._yields:
+                slots += self._yields[name].slots
+            self._yields[name] = contract.YieldRequest(state.target, slots)
--- /dev/null
+++ b/src/endivevane/online/service_state.py
@@ -0,0 +1,150 @@
+"""What a daemon keeps per service: candidates, queue, budget and measured times."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from endivevane import utils
+from endivevane.configuration import snapshot
+from endivevane.coordination import admission, clock, deadlines, retry
+from endivevane.online import contract, target_state
+from endivevane.web import errors
+
+# A service whose targets are all avoided keeps requests when a probe is this near.
+_PROBE_WAIT_S = 1.0
+_QUEUE_BYTES = 16 << 20
+_INITIAL_SERVICE_TIME_S = 1.0
+_MAX_RETRY_AFTER_S = 60.0
+# A queued request is refused early only if its deadline would be missed even with
+# an estimate of the wait that is wrong by this factor.
+_HOPELESS_FACTOR = 2.0
+
+
+class ServiceState:
+    """A service with its candidates, queue and retry budget.
+
+    :param service: its configuration; replaced when the configuration changes
+    """
+
+    def __init__(self, service: snapshot.Service, service_clock: clock.Clock) -> None:
+        self.service = service
+        self.candidates: list[target_state.TargetState] = []
+        self.queue: deadlines.FairQueue[contract.OnlineRequest] = deadlines.FairQueue(
+            service.model.online.max_queue, _QUEUE_BYTES
+        )
+        self.budget = retry.RetryBudget(retry.RetrySettings(), service_clock)
+        self.service_time = admission.ServiceTime(_INITIAL_SERVICE_TIME_S)
+        self._clock = service_clock
+
+    def set_service(
+        self, service: snapshot.Service, weights: Mapping[str, float]
+    ) -> None:
+        """Take over a changed configuration.
+
+        :param weights: weights of the organisations
+        """
+        self.service = service
+        self.queue.max_entries = service.model.online.max_queue
+        self.queue.set_weights(dict(weights))
+
+    def find_outage(self) -> errors.ApiError | None:
+        """Return an error when no target can take a request soon."""
+        name = self.service.name
+        if not self.candidates:
+            return errors.Unavailable(f"{name} has no target", retry_after_s=5.0)
+        now_s = self._clock.monotonic_s()
+        waits: list[float] = []
+        for candidate in self.candidates:
+            if not candidate.health.is_avoided:
+                return None
+            probe_s = candidate.health.next_probe_s()
+            waits.append(_PROBE_WAIT_S if probe_s is None else probe_s - now_s)
+        if min(waits) <= _PROBE_WAIT_S:
+            return None
+        return errors.Unavailable(
+            f"all targets of {name} are failing", retry_after_s=min(waits)
+        )
+
+    def check_wait(self, request: contract.OnlineRequest) -> errors.ApiError | None:
+        """Return an error when the request would wait past its deadline."""
+        ahead = self.queue.count_ahead(request.priority)
+        return self._check_wait(request, self._estimate_wait_s(ahead))
+
+    def enqueue(self, request: contract.OnlineRequest) -> errors.ApiError | None:
+        """Queue a request; return an error when the queue is full."""
+        entry = deadlines.Entry(
+            entry_id=request.request_id,
+            organisation=request.organisation,
+            priority=int(request.priority),
+            deadline_s=request.deadline_s,
+            size_bytes=len(utils.encode_json(request.body)),
+            item=request,
+        )
+        full = self.queue.push(entry)
+        if full is None:
+            return None
+        wait_s = self._estimate_wait_s(len(self.queue))
+        return errors.Overloaded(
+            f"the queue of {self.service.name} is full ({full.value})",
+            retry_after_s=min(wait_s, _MAX_RETRY_AFTER_S),
+        )
+
+    def take_hopeless(self) -> list[contract.Refuse]:
+        """Take out the queued requests that can't be run before their deadline."""
+        refusals = [
+            contract.Refuse(
+                entry.item,
+                errors.DeadlineExceeded(
+                    "no target became free before the deadline", retry_after_s=1.0
+                ),
+            )
+            for entry in self.queue.pop_expired(self._clock.monotonic_s())
+        ]
+        outage = self.find_outage()
+        for ahead, entry in enumerate(list(self.queue)):
+            wait_s = self._estimate_wait_s(ahead) / _HOPELESS_FACTOR
+            error = outage or self._check_wait(entry.item, wait_s)
+            if error is None:
+                continue
+            self.queue.remove(entry.entry_id)
+            refusals.append(contract.Refuse(entry.item, error))
+        return refusals
+
+    def next_timer_s(self, tick_s: float) -> float | None:
+        """Return when the queue has to be looked at, ``None`` when it is empty.
+
+        :param tick_s: longest time between two looks
+        """
+        first_s = self.queue.first_deadline_s()
+        if first_s is None:
+            return None
+        now_s = self._clock.monotonic_s()
+        due_s = min(now_s + tick_s, first_s)
+        for candidate in self.candidates:
+            probe_s = candidate.health.next_probe_s()
+            # A probe that is due already waits for something else than time.
+            if probe_s is not None and probe_s > now_s:
+                due_s = min(due_s, probe_s)
+        return due_s
+
+    def _estimate_wait_s(self, ahead: int) -> float:
+        places = sum(
+            candidate.limit.limit
+            for candidate in self.candidates
+            if not candidate.health.is_avoided
+        )
+        # With all targets avoided a probe is near, so one place is expected.
+        return admission.estimate_wait_s(
+            ahead, max(1, places), self.service_time.mean_s
+        )
+
+    def _check_wait(
+        self, request: contract.OnlineRequest, wait_s: float
+    ) -> errors.ApiError | None:
+        remaining_s = request.deadline_s - self._clock.monotonic_s()
+        if wait_s <= remaining_s:
+            return None
+        return errors.Overloaded(
+            f"the wait of about {wait_s:.1f} s passes the deadline",
+            retry_after_s=min(wait_s - remaining_s, _MAX_RETRY_AFTER_S),
+        )
