Add the at-most-once register

Cause: a call that must not run twice needs a claim that outlives its daemon. Change: Register inserts a claim before the call, stores the outcome after it and puts changes off in a bounded backlog while the store is down. A claim whose insert outcome stays unknown is never sent; its row is freed later, because nobody ran it.

--- /dev/null
+++ b/src/endivevane/coordination/register.py
@@ -0,0 +1,243 @@
+"""A register that lets a call run at most once per key."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import enum
+import threading
+from collections.abc import Callable
+from typing import Any
+
+import result
+
+from endivevane.coordination import store
+
+TABLE = "register"
+_CLAIMED, _DONE = "claimed", "done"
+_DEFAULT_BACKLOG = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claim:
+    """The right to send a call, once.
+
+    :param revision: row revision of the claim, ``None`` while it is not known
+    """
+
+    row_key: str
+    digest: str
+    claimed_ms: int
+    operation_id: str
+    revision: int | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finished:
+    """The call was made before; this is its stored outcome."""
+
+    outcome: dict[str, Any]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MayHaveRun:
+    """The key is claimed and no outcome is stored.
+
+    :param claimed_ms: wall time of the claim, by the claimer's clock
+    """
+
+    claimed_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyReused:
+    """The key belongs to a call with another content."""
+
+
+Sight = Claim | Finished | MayHaveRun | KeyReused
+
+
+class Recording(enum.StrEnum):
+    """Where an outcome or a release is now."""
+
+    STORED = "stored"
+    LATER = "later"
+    LOST = "lost"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Pending:
+    """A change of a claimed row; ``outcome`` is ``None`` for a release."""
+
+    claim: Claim
+    outcome: dict[str, Any] | None
+
+
+class Register:
+    """Claims keys before calls are sent and keeps the outcomes.
+
+    Only the caller of :meth:`claim` that gets a :class:`Claim` may send, and it sends
+    once. A process that dies after its claim leaves the key as ``MayHaveRun`` for good,
+    because nobody can tell whether it had sent. Thread-safe.
+
+    :param table_store: where the rows are
+    :param make_operation_id: returns a new unique id
+    :param backlog_size: changes that may wait for the store to come back
+    """
+
+    def __init__(
+        self,
+        table_store: store.TableStore,
+        make_operation_id: Callable[[], str],
+        backlog_size: int = _DEFAULT_BACKLOG,
+    ) -> None:
+        self._store = table_store
+        self._make_operation_id = make_operation_id
+        self._backlog_size = backlog_size
+        self._backlog: collections.deque[_Pending] = collections.deque()
+        self._lock = threading.Lock()
+
+    def claim(
+        self, organisation: str, key: str, digest: str, now_ms: int
+    ) -> result.Result[Sight, store.StoreError]:
+        """Claim a key, or say what is known of it.
+
+        :param digest: digest of the call's content
+        :param now_ms: wall time, kept for people
+        :returns: an error when the key is not claimed for the caller, who must not
+            send; then nothing was run on its behalf
+        """
+        claim = Claim(
+            row_key=f"{organisation}/{key}",
+            digest=digest,
+            claimed_ms=now_ms,
+            operation_id=self._make_operation_id(),
+            revision=None,
+        )
+        condition = store.Condition(TABLE, claim.row_key, None)
+        outcome = store.transact_settled(
+            self._store,
+            claim.operation_id,
+            [condition],
+            [store.Write(TABLE, claim.row_key, _make_value(claim, None))],
+        )
+        if isinstance(outcome, result.Ok):
+            return result.Ok(dataclasses.replace(claim, revision=outcome.ok_value))
+        error = outcome.err_value
+        if isinstance(error, store.StoreConflict):
+            return self._describe(error, claim)
+        if isinstance(error, store.StoreOutcomeUnknown):
+            # The row may be there without a call behind it: free the key later.
+            self._put_off(_Pending(claim, None))
+        return result.Err(error)
+
+    def record(self, claim: Claim, outcome: dict[str, Any]) -> Recording:
+        """Store the outcome of a call, now or later.
+
+        :param outcome: JSON object that a later sight of the key returns
+        """
+        return self._change(_Pending(claim, outcome))
+
+    def release(self, claim: Claim) -> Recording:
+        """Give up a claim whose call provably did not run, now or later."""
+        return self._change(_Pending(claim, None))
+
+    def flush(self) -> int:
+        """Try to make the changes that were put off; return how many still wait.
+
+        Stops at the first change that fails, because the store is down then.
+        """
+        for _ in range(self.count_pending()):
+            with self._lock:
+                if not self._backlog:
+                    break
+                pending = self._backlog.popleft()
+            if not self._apply(pending):
+                with self._lock:
+                    self._backlog.appendleft(pending)
+                break
+        return self.count_pending()
+
+    def count_pending(self) -> int:
+        """Return how many changes wait for the store."""
+        with self._lock:
+            return len(self._backlog)
+
+    def _describe(
+        self, error: store.StoreConflict, claim: Claim
+    ) -> result.Result[Sight, store.StoreError]:
+        """Tell what another claim of the key means for this one."""
+        row = error.rows.get((TABLE, claim.row_key))
+        if row is None:
+            # The row was released between the write and the answer.
+            return result.Err(store.StoreUnavailable("the claim changed; try again"))
+        if row.value["digest"] != claim.digest:
+            return result.Ok(KeyReused())
+        if row.value["state"] == _DONE:
+            return result.Ok(Finished(row.value["outcome"]))
+        return result.Ok(MayHaveRun(row.value["claimed_ms"]))
+
+    def _change(self, pending: _Pending) -> Recording:
+        if self._apply(pending):
+            return Recording.STORED
+        return self._put_off(pending)
+
+    def _put_off(self, pending: _Pending) -> Recording:
+        with self._lock:
+            if len(self._backlog) >= self._backlog_size:
+                return Recording.LOST
+            self._backlog.append(pending)
+            return Recording.LATER
+
+    def _apply(self, pending: _Pending) -> bool:
+        """Make a change; return whether nothing is left to do."""
+        claim = pending.claim
+        revision = claim.revision
+        if revision is None:
+            reading = self._store.read(TABLE, claim.row_key)
+            if isinstance(reading, result.Err):
+                return False
+            row = reading.ok_value
+            if row is None or not _is_own_claim(row, claim):
+                return True
+            revision = row.revision
+        if pending.outcome is None:
+            return self._delete(claim, revision)
+        outcome = store.transact_settled(
+            self._store,
+            f"{claim.operation_id}.outcome",
+            [store.Condition(TABLE, claim.row_key, revision)],
+            [store.Write(TABLE, claim.row_key, _make_value(claim, pending.outcome))],
+        )
+        # A conflict can't go away, so there is nothing left to try.
+        return isinstance(outcome, result.Ok) or isinstance(
+            outcome.err_value, store.StoreConflict
+        )
+
+    def _delete(self, claim: Claim, revision: int) -> bool:
+        """Delete a claimed row; the revision makes a second delete harmless."""
+        outcome = self._store.transact(
+            f"{claim.operation_id}.release",
+            [store.Condition(TABLE, claim.row_key, revision)],
+            [store.Write(TABLE, claim.row_key, None)],
+        )
+        return isinstance(outcome, result.Ok) or isinstance(
+            outcome.err_value, store.StoreConflict
+        )
+
+
+def _make_value(claim: Claim, outcome: dict[str, Any] | None) -> dict[str, Any]:
+    value: dict[str, Any] = {
+        "state": _CLAIMED if outcome is None else _DONE,
+        "digest": claim.digest,
+        "claimed_ms": claim.claimed_ms,
+        "claim_id": claim.operation_id,
+    }
+    if outcome is not None:
+        value["outcome"] = outcome
+    return value
+
+
+def _is_own_claim(row: store.Row, claim: Claim) -> bool:
+    is_claimed: bool = row.value["state"] == _CLAIMED
+    return is_claimed and row.value["claim_id"] == claim.operation_id
--- a/src/endivevane/online/scheduler.py
+++ b/src/endivevane/online/scheduler.py
@@ -4,7 +4,7 @@
 
 import collections
 import random
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 from endivevane import metrics, types
