Add batch jobs: files, claims, commits, results

Cause: jobs and their results need a path from upload to result file. Change: uploads are split into segments while they arrive, chunks are claimed and committed by conditional writes, items run within the slack of each target.

--- /dev/null
+++ b/src/endivevane/batch/items.py
@@ -0,0 +1,169 @@
+"""Items of an input file and the lines of result files."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+from endivevane import utils
+
+ENDPOINT = "/v1/chat/completions"
+_MAX_CUSTOM_ID_CHARACTERS = 512
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Problem:
+    """Why an item can't succeed.
+
+    :param code: stable word for programs
+    :param message: text for people
+    """
+
+    code: str
+    message: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Item:
+    """One line of an input file.
+
+    :param index: position among the items of its segment
+    :param problem: set when the line is invalid; such an item is never sent
+    """
+
+    index: int
+    custom_id: str | None
+    body: dict[str, Any]
+    problem: Problem | None = None
+
+    @property
+    def model(self) -> str:
+        """Name of the model, empty when the item names none."""
+        value = self.body.get("model")
+        return value if isinstance(value, str) else ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResultLine:
+    """The result of one item as a line of the output or the error file."""
+
+    is_success: bool
+    data: bytes
+
+
+def parse_item(index: int, line: bytes) -> Item:
+    """Parse and check one line.
+
+    :param index: position among the items of its segment
+    """
+    try:
+        value = utils.decode_json(line)
+    except ValueError as error:
+        return Item(index, None, {}, Problem("invalid_json", str(error)))
+    if not isinstance(value, dict):
+        problem = Problem("invalid_item", "the line must be a JSON object")
+        return Item(index, None, {}, problem)
+    custom_id = value.get("custom_id")
+    if not isinstance(custom_id, str) or not custom_id:
+        problem = Problem("invalid_custom_id", "custom_id must be a string")
+        return Item(index, None, {}, problem)
+    if len(custom_id) > _MAX_CUSTOM_ID_CHARACTERS:
+        text = f"custom_id is longer than {_MAX_CUSTOM_ID_CHARACTERS} characters"
+        return Item(index, None, {}, Problem("invalid_custom_id", text))
+    found = _find_problem(value)
+    if found is not None:
+        return Item(index, custom_id, {}, found)
+    return Item(index, custom_id, value["body"])
+
+
+def _find_problem(value: dict[str, Any]) -> Problem | None:
+    """Return what is wrong with the call that a line describes."""
+    if value.get("method") != "POST":
+        return Problem("invalid_method", "method must be POST")
+    if value.get("url") != ENDPOINT:
+        return Problem("invalid_url", f"url must be {ENDPOINT}")
+    body = value.get("body")
+    if not isinstance(body, dict):
+        return Problem("invalid_body", "body must be an object")
+    if not isinstance(body.get("model"), str):
+        return Problem("invalid_body", "body.model must be a string")
+    return None
+
+
+def parse_segment(data: bytes, duplicates: frozenset[int], model: str) -> list[Item]:
+    """Return the items of a segment, each checked.
+
+    :param duplicates: positions whose ``custom_id`` appeared on an earlier line
+    :param model: the model that all items of the file must name
+    """
+    items: list[Item] = []
+    for line in data.split(b"\n"):
+        if not line.strip():
+            continue
+        item = parse_item(len(items), line)
+        if item.problem is None and item.index in duplicates:
+            problem = Problem("duplicate_custom_id", "custom_id appeared before")
+            item = dataclasses.replace(item, problem=problem)
+        if item.problem is None and item.model != model:
+            text = f"all items must name the model of the first, {model!r}"
+            item = dataclasses.replace(item, problem=Problem("model_mismatch", text))
+        items.append(item)
+    return items
+
+
+def make_answer_line(
+    job_id: str, number: int, item: Item, request_id: str, status: int, body: Any
+) -> ResultLine:
+    """Return the line of an item that an engine has answered."""
+    line = {
+        "id": _make_line_id(job_id, number, item.index),
+        "custom_id": item.custom_id,
+        "response": {"status_code": status, "request_id": request_id, "body": body},
+        "error": None,
+    }
+    return ResultLine(status == 200, utils.encode_json(line) + b"\n")
+
+
+def make_failure_line(
+    job_id: str, number: int, item: Item, problem: Problem
+) -> ResultLine:
+    """Return the line of an item that has failed without an answer."""
+    line = {
+        "id": _make_line_id(job_id, number, item.index),
+        "custom_id": item.custom_id,
+        "response": None,
+        "error": {"code": problem.code, "message": problem.message},
+    }
+    return ResultLine(False, utils.encode_json(line) + b"\n")
+
+
+def encode_results(lines: dict[int, ResultLine]) -> bytes:
+    """Return a result object: one line per ended item in input order.
+
+    Each line starts with its position and ``+`` for the output file or ``-`` for the
+    error file, so that reading back needs no parsing of the JSON.
+    """
+    parts: list[bytes] = []
+    for index in sorted(lines):
+        line = lines[index]
+        mark = b"+" if line.is_success else b"-"
+        parts.append(str(index).encode() + mark + line.data)
+    return b"".join(parts)
+
+
+def decode_results(data: bytes) -> dict[int, ResultLine]:
+    """Return the lines of a result object by position.
+
+    :raises ValueError: when the data is not a result object
+    """
+    lines: dict[int, ResultLine] = {}
+    for raw in data.splitlines(keepends=True):
+        start = raw.index(b"{")
+        lines[int(raw[: start - 1])] = ResultLine(
+            raw[start - 1 : start] == b"+", raw[start:]
+        )
+    return lines
+
+
+def _make_line_id(job_id: str, number: int, index: int) -> str:
+    return f"batch_req_{job_id.removeprefix('batch_')}_{number}_{index}"
--- /dev/null
+++ b/src/endivevane/batch/jobs.py
@@ -0,0 +1,299 @@
+"""Jobs: create, read, cancel and finish, each one conditional write."""
+
+from __future__ import annotations
+
+import dataclasses
+import re
+from typing import Any
+
+import result
+
+from endivevane import utils
+from endivevane.batch import chunks, failures, items, records
+from endivevane.coordination import clock, store
+from endivevane.web import errors
+
+_WINDOW = re.compile(r"^([1-9][0-9]{0,5})([smhd])$")
+_UNIT_MS = {"s": 1000, "m": 60_000, "h": 3_600_000, "d": 86_400_000}
+_MAX_METADATA = 16
+_MAX_WINDOW_MS = 30 * _UNIT_MS["d"]
+_PAGE = 500
+_CREATE_TRIES = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobRequest:
+    """A validated request to create a job.
+
+    :param window_ms: time until the deadline
+    """
+
+    organisation: str
+    input_file_id: str
+    endpoint: str
+    completion_window: str
+    window_ms: int
+    metadata: dict[str, str] | None
+    idempotency_key: str
+
+
+def parse_request(
+    organisation: str, body: dict[str, Any], idempotency_key: str, deadline_text: str
+) -> JobRequest:
+    """Check the body of a create call.
+
+    :param deadline_text: value of ``X-Deadline-Ms``, empty when absent
+    :raises errors.InvalidRequest: with the name of the wrong parameter
+    """
+    file_id = body.get("input_file_id")
+    if not isinstance(file_id, str) or not file_id:
+        raise errors.InvalidRequest("name an input file", param="input_file_id")
+    if body.get("endpoint") != items.ENDPOINT:
+        text = f"endpoint must be {items.ENDPOINT}"
+        raise errors.InvalidRequest(text, param="endpoint")
+    window = body.get("completion_window", "24h")
+    match = _WINDOW.match(window) if isinstance(window, str) else None
+    if match is None:
+        text = "completion_window must be a number and s, m, h or d, such as 24h"
+        raise errors.InvalidRequest(text, param="completion_window")
+    window_ms = int(match[1]) * _UNIT_MS[match[2]]
+    if deadline_text:
+        if not deadline_text.isdigit() or int(deadline_text) == 0:
+            raise errors.InvalidRequest("X-Deadline-Ms must be a positive integer")
+        window_ms = int(deadline_text)
+    if window_ms > _MAX_WINDOW_MS:
+        text = "the deadline is more than 30 days away"
+        raise errors.InvalidRequest(text, param="completion_window")
+    return JobRequest(
+        organisation,
+        file_id,
+        items.ENDPOINT,
+        str(window),
+        window_ms,
+        _parse_metadata(body.get("metadata")),
+        idempotency_key,
+    )
+
+
+def make_job_id(request: JobRequest) -> str:
+    """Return the same identifier for the same request, sent to whichever daemon."""
+    if request.idempotency_key:
+        digest = utils.digest_text("key", request.organisation, request.idempotency_key)
+    else:
+        digest = utils.digest_text(
+            "file",
+            request.organisation,
+            request.input_file_id,
+            request.endpoint,
+            request.completion_window,
+            utils.encode_json(request.metadata).decode(),
+        )
+    prefix = records.make_organisation_prefix(request.organisation)
+    return f"batch_{prefix}{digest[:24]}"
+
+
+class JobService:
+    """Creates, reads, cancels and finishes jobs.
+
+    :param table_store: rows of files, jobs and chunks
+    """
+
+    def __init__(
+        self, table_store: store.TableStore, service_clock: clock.Clock
+    ) -> None:
+        self._store = table_store
+        self._clock = service_clock
+
+    def create(self, request: JobRequest) -> records.Job:
+        """Insert a job, or return the one that the same request made before.
+
+        :raises errors.ApiError: when the file can't be used or the store fails
+        """
+        job_id = make_job_id(request)
+        for _ in range(_CREATE_TRIES):
+            earlier = failures.unwrap(self._store.read(records.JOBS, job_id))
+            if earlier is not None:
+                return _check_same(request, records.decode_job(earlier).job)
+            job = self._insert(request, job_id)
+            if job is not None:
+                return job
+        raise errors.Unavailable("the file is being changed; try again")
+
+    def get(self, organisation: str, job_id: str) -> records.StoredJob:
+        """Return a job of the organisation.
+
+        :raises errors.NotFound: when it has no such job
+        """
+        row = failures.unwrap(self._store.read(records.JOBS, job_id))
+        if row is None or row.value["organisation"] != organisation:
+            raise errors.NotFound(f"there is no batch {job_id}")
+        return records.decode_job(row)
+
+    def list(
+        self, organisation: str, after: str, limit: int
+    ) -> tuple[list[records.Job], bool]:
+        """Return jobs in order of their identifiers and whether there are more."""
+        prefix = "batch_" + records.make_organisation_prefix(organisation)
+        rows = failures.unwrap(self._store.scan(records.JOBS, prefix, after, limit + 1))
+        found = [records.decode_job(row).job for row in rows]
+        own = [item for item in found if item.organisation == organisation]
+        return own[:limit], len(rows) > limit
+
+    def cancel(self, organisation: str, job_id: str) -> records.Job:
+        """Cancel a job; once this returns, nothing is claimed or committed.
+
+        :raises errors.Conflict: when the job has completed
+        """
+        stored = self.get(organisation, job_id)
+        if stored.job.state == records.JobState.IN_PROGRESS:
+            ended = dataclasses.replace(
+                stored.job,
+                state=records.JobState.CANCELLED,
+                ended_ms=self._clock.wall_ms(),
+            )
+            outcome = end_job(self._store, stored, ended)
+            if isinstance(outcome, result.Err):
+                raise failures.make_api_error(outcome.err_value)
+            if outcome.ok_value is chunks.WriteOutcome.APPLIED:
+                return ended
+            stored = self.get(organisation, job_id)
+        if stored.job.state == records.JobState.COMPLETED:
+            raise errors.Conflict("the batch has completed and can't be cancelled")
+        return stored.job
+
+    def count(self, job: records.Job) -> records.Tally:
+        """Return the committed items of a job."""
+        if job.tally is not None:
+            return records.decode(records.Tally, dict(job.tally))
+        rows = failures.unwrap(scan_chunks(self._store, job.job_id))
+        return records.sum_tallies(
+            [records.decode(records.Chunk, row.value) for row in rows]
+        )
+
+    def _insert(self, request: JobRequest, job_id: str) -> records.Job | None:
+        """Insert the rows; return ``None`` when another writer was faster."""
+        row = failures.unwrap(self._store.read(records.FILES, request.input_file_id))
+        if row is None or row.value["organisation"] != request.organisation:
+            raise errors.NotFound(f"there is no file {request.input_file_id}")
+        source = records.decode(records.InputFile, row.value)
+        if source.state != records.FileState.READY:
+            raise errors.Conflict("the file is being deleted", param="input_file_id")
+        if source.lines == 0:
+            raise errors.InvalidRequest("the file is empty", param="input_file_id")
+        job = self._build(request, job_id, source)
+        outcome = store.transact_settled(
+            self._store,
+            utils.make_id("create"),
+            [
+                store.Condition(records.JOBS, job_id, None),
+                store.Condition(records.FILES, source.file_id, row.revision),
+            ],
+            [
+                store.Write(records.JOBS, job_id, records.encode(job)),
+                store.Write(
+                    records.OPEN,
+                    records.make_open_key(job),
+                    records.encode(records.make_open_row(job)),
+                ),
+            ],
+        )
+        if isinstance(outcome, result.Ok):
+            return job
+        if isinstance(outcome.err_value, store.StoreConflict):
+            return None
+        raise failures.make_api_error(outcome.err_value)
+
+    def _build(
+        self, request: JobRequest, job_id: str, source: records.InputFile
+    ) -> records.Job:
+        now_ms = self._clock.wall_ms()
+        return records.Job(
+            job_id=job_id,
+            organisation=request.organisation,
+            input_file_id=source.file_id,
+            endpoint=request.endpoint,
+            completion_window=request.completion_window,
+            metadata=request.metadata,
+            created_ms=now_ms,
+            deadline_ms=now_ms + request.window_ms,
+            item_count=source.lines,
+            chunk_count=source.segments,
+            upload=source.upload,
+            model=source.model,
+            duplicates=source.duplicates,
+        )
+
+
+def scan_chunks(
+    table_store: store.TableStore, job_id: str, after: str = ""
+) -> result.Result[list[store.Row], store.StoreError]:
+    """Return the chunk rows of a job in order."""
+    rows: list[store.Row] = []
+    while True:
+        page = table_store.scan(records.CHUNKS, f"{job_id}/", after, _PAGE)
+        if isinstance(page, result.Err):
+            return page
+        rows += page.ok_value
+        if len(page.ok_value) < _PAGE:
+            return result.Ok(rows)
+        after = rows[-1].key
+
+
+def finish(
+    table_store: store.TableStore,
+    stored: records.StoredJob,
+    rows: list[store.Row],
+    now_ms: int,
+) -> result.Result[chunks.WriteOutcome, store.StoreError]:
+    """Complete a job whose chunks are all done.
+
+    :param rows: the chunk rows; a done row is final, so an old scan is good enough
+    """
+    if not chunks.is_all_done(rows, stored.job.chunk_count):
+        raise ValueError(f"job {stored.job.job_id} has chunks that are not done")
+    tally = records.sum_tallies(
+        [records.decode(records.Chunk, row.value) for row in rows]
+    )
+    ended = dataclasses.replace(
+        stored.job,
+        state=records.JobState.COMPLETED,
+        ended_ms=now_ms,
+        tally=dataclasses.asdict(tally),
+    )
+    return end_job(table_store, stored, ended)
+
+
+def end_job(
+    table_store: store.TableStore, stored: records.StoredJob, ended: records.Job
+) -> result.Result[chunks.WriteOutcome, store.StoreError]:
+    """Write the final row of a job and delete its ``open`` row."""
+    job_id = ended.job_id
+    outcome = store.transact_settled(
+        table_store,
+        utils.make_id("end"),
+        [store.Condition(records.JOBS, job_id, stored.revision)],
+        [
+            store.Write(records.JOBS, job_id, records.encode(ended)),
+            store.Write(records.OPEN, records.make_open_key(ended), None),
+        ],
+    )
+    if isinstance(outcome, result.Ok):
+        return result.Ok(chunks.WriteOutcome.APPLIED)
+    if isinstance(outcome.err_value, store.StoreConflict):
+        return result.Ok(chunks.WriteOutcome.FENCED)
+    return outcome
+
+
+def _check_same(request: JobRequest, job: records.Job) -> records.Job:
+    if job.input_file_id != request.input_file_id:
+        raise errors.Conflict("the Idempotency-Key was used for another batch")
+    return job
+
+
+def _parse_metadata(value: Any) -> dict[str, str] | None:
+    if value is None:
+        return None
+    if not isinstance(value, dict) or len(value) > _MAX_METADATA:
+        text = f"metadata must be an object with at most {_MAX_METADATA} entries"
+        raise errors.InvalidRequest(text, param="metadata")
+    return {str(key): str(item) for key, item in value.items()}
--- /dev/null
+++ b/src/endivevane/batch/picking.py
@@ -0,0 +1,215 @@
+"""Which job a daemon works on next."""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+from collections.abc import Collection, Mapping, Sequence
+
+import prometheus_client
+
+from endivevane import logs
+from endivevane.batch import records
+from endivevane.coordination import rendezvous
+
+JOBS_BY_RISK = prometheus_client.Gauge(
+    "endivevane_batch_jobs",
+    "Open jobs that this daemon watches, by whether they can end in time.",
+    ["risk"],
+)
+# A job is reported while the rest of its window still leaves time to add capacity.
+_RISK_SHARE = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """An open job with an estimate of the work left.
+
+    :param items_left: items that are not committed
+    """
+
+    job: records.OpenJob
+    items_left: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """Jobs in the order in which they should get capacity.
+
+    :param on_time: jobs that can all end in time, earliest deadline first
+    :param late: jobs that can't, after the others
+    """
+
+    on_time: tuple[Candidate, ...]
+    late: tuple[Candidate, ...]
+
+    @property
+    def all(self) -> tuple[Candidate, ...]:
+        """Every job, best first."""
+        return self.on_time + self.late
+
+
+def order_jobs(
+    candidates: Sequence[Candidate],
+    items_per_s: float,
+    now_ms: int,
+    weights: Mapping[str, float],
+) -> Order:
+    """Order jobs so that as many as possible end in time.
+
+    Earliest deadline first alone fails under overload: a large job that can't end in
+    time would make all jobs behind it late too. As in the rule of Moore and Hodgson,
+    whenever the jobs so far don't fit, one of them is put behind the others: the
+    largest one, first of all among organisations that have more than their share.
+
+    :param items_per_s: estimate of the fleet's speed for these jobs
+    :param weights: weights of the organisations; 1 when missing
+    """
+    rate = max(items_per_s, 1e-6)
+    accepted: list[Candidate] = []
+    late: list[Candidate] = []
+    accepted_items = 0
+    items_by_organisation: dict[str, int] = {}
+    for candidate in sorted(candidates, key=_get_deadline):
+        organisation = candidate.job.organisation
+        accepted.append(candidate)
+        accepted_items += candidate.items_left
+        items_by_organisation[organisation] = (
+            items_by_organisation.get(organisation, 0) + candidate.items_left
+        )
+        if now_ms + accepted_items / rate * 1000 <= candidate.job.deadline_ms:
+            continue
+        victim = _choose_late(accepted, items_by_organisation, weights)
+        accepted.remove(victim)
+        accepted_items -= victim.items_left
+        items_by_organisation[victim.job.organisation] -= victim.items_left
+        late.append(victim)
+    late.sort(key=lambda item: (item.items_left, item.job.deadline_ms))
+    return Order(tuple(accepted), tuple(late))
+
+
+def _get_deadline(candidate: Candidate) -> tuple[int, str]:
+    return candidate.job.deadline_ms, candidate.job.job_id
+
+
+def _choose_late(
+    accepted: Sequence[Candidate],
+    items_by_organisation: Mapping[str, int],
+    weights: Mapping[str, float],
+) -> Candidate:
+    """Return the largest job of the organisations above their share."""
+    present = {item.job.organisation for item in accepted}
+    total_weight = sum(weights.get(name, 1.0) for name in present)
+    total_items = sum(items_by_organisation[name] for name in present)
+    above = {
+        name
+        for name in present
+        if items_by_organisation[name] * total_weight
+        > total_items * weights.get(name, 1.0)
+    }
+    from_above = [item for item in accepted if item.job.organisation in above]
+    return max(from_above or accepted, key=lambda item: item.items_left)
+
+
+def prefer_jobs(
+    order: Order, daemon: str, members: Collection[str], chunk_items: int
+) -> list[Candidate]:
+    """Return the jobs that a daemon should try, best first.
+
+    A job with few chunks left is first tried by as many daemons as it has chunks, the
+    ones with the highest rendezvous ranks; the others try it last. So daemons that
+    look at the same moment rarely collide on one claim.
+    """
+    preferred: list[Candidate] = []
+    others: list[Candidate] = []
+    weights = dict.fromkeys(members, 1.0)
+    for candidate in order.all:
+        chunks_left = -(-candidate.items_left // chunk_items)
+        if chunks_left >= len(weights):
+            preferred.append(candidate)
+            continue
+        near = rendezvous.choose_subset(candidate.job.job_id, weights, chunks_left)
+        (preferred if daemon in near else others).append(candidate)
+    return preferred + others
+
+
+def share_turns(
+    candidates: Sequence[Candidate],
+    held_items: Mapping[str, int],
+    weights: Mapping[str, float],
+) -> list[Candidate]:
+    """Return late jobs in turns over organisations, the one furthest behind first.
+
+    :param held_items: items of claimed chunks by organisation
+    """
+    queues: dict[str, list[Candidate]] = {}
+    for candidate in candidates:
+        queues.setdefault(candidate.job.organisation, []).append(candidate)
+    used = {name: float(held_items.get(name, 0)) for name in queues}
+    heap = [(used[name] / weights.get(name, 1.0), name) for name in queues]
+    heapq.heapify(heap)
+    ordered: list[Candidate] = []
+    while heap:
+        _, name = heapq.heappop(heap)
+        candidate = queues[name].pop(0)
+        ordered.append(candidate)
+        used[name] += candidate.items_left
+        if queues[name]:
+            heapq.heappush(heap, (used[name] / weights.get(name, 1.0), name))
+    return ordered
+
+
+class RiskReporter:
+    """Reports jobs by log and metric before they are late, each once.
+
+    One daemon per job reports it, the one with the highest rendezvous rank.
+    """
+
+    def __init__(self) -> None:
+        self._reported: dict[str, str] = {}
+
+    def report(
+        self,
+        order: Order,
+        items_per_s: float,
+        now_ms: int,
+        daemon: str,
+        members: Collection[str],
+    ) -> dict[str, str]:
+        """Report the jobs whose risk has changed; return the risk by job."""
+        weights = dict.fromkeys(members, 1.0)
+        risks: dict[str, str] = {}
+        items_before = 0
+        for candidate in order.all:
+            items_before += candidate.items_left
+            job_id = candidate.job.job_id
+            if rendezvous.choose_member(f"risk/{job_id}", weights) != daemon:
+                continue
+            end_ms = now_ms + int(items_before / max(items_per_s, 1e-6) * 1000)
+            risks[job_id] = _classify(candidate, end_ms, now_ms)
+            if risks[job_id] != self._reported.get(job_id, "on_time"):
+                _log_risk(candidate, risks[job_id], end_ms, now_ms)
+        self._reported = risks
+        for risk in ("on_time", "at_risk", "late"):
+            JOBS_BY_RISK.labels(risk).set(sum(item == risk for item in risks.values()))
+        return risks
+
+
+def _classify(candidate: Candidate, end_ms: int, now_ms: int) -> str:
+    job = candidate.job
+    if now_ms > job.deadline_ms:
+        return "late"
+    margin_ms = _RISK_SHARE * (job.deadline_ms - job.created_ms)
+    return "at_risk" if end_ms > job.deadline_ms - margin_ms else "on_time"
+
+
+def _log_risk(candidate: Candidate, risk: str, end_ms: int, now_ms: int) -> None:
+    logs.warning(
+        "batch_job_risk",
+        job_id=candidate.job.job_id,
+        organisation=candidate.job.organisation,
+        risk=risk,
+        items_left=candidate.items_left,
+        deadline_in_s=(candidate.job.deadline_ms - now_ms) / 1000,
+        expected_in_s=(end_ms - now_ms) / 1000,
+    )
--- /dev/null
+++ b/src/endivevane/batch/records.py
@@ -0,0 +1,234 @@
+"""Rows of batch work as data classes."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import typing
+from collections.abc import Sequence
+from typing import Any
+
+from endivevane import utils
+from endivevane.coordination import store
+
+FILES = "files"
+JOBS = "jobs"
+OPEN = "open"
+CHUNKS = "chunks"
+
+OUTPUT_SUFFIX = "-output"
+ERRORS_SUFFIX = "-errors"
+
+_T = typing.TypeVar("_T")
+
+
+class FileState(enum.StrEnum):
+    """State of an input file."""
+
+    READY = "ready"
+    DELETING = "deleting"
+
+
+class JobState(enum.StrEnum):
+    """State of a job; all but ``IN_PROGRESS`` are final."""
+
+    IN_PROGRESS = "in_progress"
+    COMPLETED = "completed"
+    CANCELLED = "cancelled"
+
+
+class ChunkState(enum.StrEnum):
+    """State of a chunk row; ``DONE`` is final."""
+
+    CLAIMED = "claimed"
+    RELEASED = "released"
+    DONE = "done"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InputFile:
+    """An uploaded input file.
+
+    :param upload: prefix of the keys of its segments in the object store
+    :param lines: items, that is lines that are not blank
+    :param model: model of the first valid item, which all items must name
+    :param duplicates: items whose ``custom_id`` appeared on an earlier line
+    """
+
+    file_id: str
+    organisation: str
+    name: str
+    purpose: str
+    size_bytes: int
+    lines: int
+    segments: int
+    digest: str
+    created_ms: int
+    upload: str
+    model: str
+    duplicates: int
+    state: str = FileState.READY
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tally:
+    """Ended items and the size of their lines in the two result files."""
+
+    completed: int = 0
+    failed: int = 0
+    output_bytes: int = 0
+    error_bytes: int = 0
+
+    def add(self, other: Tally) -> Tally:
+        """Return the sum of two tallies."""
+        return Tally(
+            self.completed + other.completed,
+            self.failed + other.failed,
+            self.output_bytes + other.output_bytes,
+            self.error_bytes + other.error_bytes,
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Job:
+    """A batch job; its row changes on accept, cancel and finish only.
+
+    :param upload: prefix of the keys of the input segments
+    :param tally: totals of a job that has ended
+    """
+
+    job_id: str
+    organisation: str
+    input_file_id: str
+    endpoint: str
+    completion_window: str
+    metadata: dict[str, str] | None
+    created_ms: int
+    deadline_ms: int
+    item_count: int
+    chunk_count: int
+    upload: str
+    model: str
+    duplicates: int
+    state: str = JobState.IN_PROGRESS
+    ended_ms: int | None = None
+    tally: dict[str, int] | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredJob:
+    """A job and the revision of its row."""
+
+    job: Job
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenJob:
+    """What the ``open`` row says of a job that has not ended.
+
+    :param input_file_id: lets the delete of a file find the jobs that use it
+    """
+
+    job_id: str
+    organisation: str
+    deadline_ms: int
+    created_ms: int
+    item_count: int
+    chunk_count: int
+    model: str
+    input_file_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Chunk:
+    """A part of a job that one daemon runs.
+
+    :param result: key of the result object, set when done
+    :param partial: key of the results that a released claim had finished
+    """
+
+    state: str
+    owner: str
+    owner_epoch: int
+    claim_epoch: int
+    result: str = ""
+    partial: str = ""
+    completed: int = 0
+    failed: int = 0
+    output_bytes: int = 0
+    error_bytes: int = 0
+
+    @property
+    def tally(self) -> Tally:
+        """Ended items of the chunk."""
+        return Tally(self.completed, self.failed, self.output_bytes, self.error_bytes)
+
+
+def decode(kind: type[_T], value: dict[str, Any]) -> _T:
+    """Build a data class from a row's value and ignore other fields.
+
+    :raises TypeError: when a field without a default is missing
+    """
+    fields = dataclasses.fields(typing.cast("Any", kind))
+    known = {item.name: value[item.name] for item in fields if item.name in value}
+    return kind(**known)
+
+
+def encode(record: Any) -> dict[str, Any]:
+    """Return the value of a row."""
+    return dataclasses.asdict(record)
+
+
+def decode_job(row: store.Row) -> StoredJob:
+    """Return the job of a row of the table ``jobs``."""
+    return StoredJob(decode(Job, row.value), row.revision)
+
+
+def make_open_row(job: Job) -> OpenJob:
+    """Return the value of the ``open`` row of a job."""
+    return decode(OpenJob, dataclasses.asdict(job))
+
+
+def make_open_key(job: Job | OpenJob) -> str:
+    """Return the key of the ``open`` row, which sorts by deadline."""
+    return f"{job.deadline_ms:015d}-{job.job_id}"
+
+
+def make_chunk_key(job_id: str, number: int) -> str:
+    """Return the key of a chunk row."""
+    return f"{job_id}/{number:06d}"
+
+
+def parse_chunk_number(key: str) -> int:
+    """Return the number in the key of a chunk row."""
+    return int(key.rpartition("/")[2])
+
+
+def make_segment_key(upload: str, number: int) -> str:
+    """Return the key of an input segment."""
+    return f"{upload}/{number:06d}"
+
+
+def make_duplicates_key(upload: str, number: int) -> str:
+    """Return the key of the list of duplicate items of a segment."""
+    return f"{upload}/{number:06d}.duplicates"
+
+
+def make_result_key(job_id: str, number: int, claim_epoch: int) -> str:
+    """Return the key of the results that one claim of a chunk produced."""
+    return f"results/{job_id}/{number:06d}/{claim_epoch}"
+
+
+def make_organisation_prefix(organisation: str) -> str:
+    """Return the part of identifiers that lets a scan find an organisation's rows."""
+    return utils.digest_text(organisation)[:12]
+
+
+def sum_tallies(chunks: Sequence[Chunk]) -> Tally:
+    """Return the tally over the chunks that are done."""
+    total = Tally()
+    for chunk in chunks:
+        if chunk.state == ChunkState.DONE:
+            total = total.add(chunk.tally)
+    return total
--- /dev/null
+++ b/src/endivevane/batch/runner.py
@@ -0,0 +1,327 @@
+"""The task that claims chunks, runs their items and commits the results."""
+
+from __future__ import annotations
+
+import functools
+import queue
+import random
+import threading
+from typing import Any
+
+import result
+
+from endivevane import logs
+from endivevane.batch import (
+    chunks,
+    committing,
+    items,
+    looking,
+    messages,
+    ports,
+    records,
+    sending,
+    work,
+)
+from endivevane.coordination import clock, store
+from endivevane.daemon import settings
+
+_TICK_S = 0.05
+# A chunk that this daemon can't run is handed back after this time.
+_IDLE_RELEASE_S = 20.0
+_NO_TARGET_RELEASE_S = 3.0
+_DRAIN_DEFAULT_S = 10.0
+
+
+class BatchRunner:
+    """Runs batch work on behalf of one daemon.
+
+    One thread decides; calls to engines, table service and object store run in pools,
+    so that a request for slots is served at once even while the store is silent.
+
+    :param cluster: membership, session, configuration and messages
+    :param loads: load reports of the engines
+    """
+
+    def __init__(
+        self,
+        batch_settings: settings.BatchSection,
+        table_store: store.TableStore,
+        object_store: ports.ObjectStore,
+        cluster: ports.Cluster,
+        loads: ports.Loads,
+        runner_clock: clock.Clock,
+    ) -> None:
+        self._settings = batch_settings
+        self._cluster = cluster
+        self._clock = runner_clock
+        self._inbox: queue.SimpleQueue[messages.Message] = queue.SimpleQueue()
+        self._held: dict[tuple[str, int], work.HeldChunk] = {}
+        self._drain_at_s: float | None = None
+        self._is_stopped = False
+        self._poll_at_s = 0.0
+        self._sender = sending.ItemSender(
+            loads, runner_clock, batch_settings.concurrent_items, self.post
+        )
+        self._looker = looking.Looker(
+            batch_settings, table_store, object_store, cluster, runner_clock, self.post
+        )
+        self._committer = committing.Committer(
+            table_store, object_store, runner_clock, self.post
+        )
+        self._thread = threading.Thread(target=self._run, name="batch", daemon=True)
+        cluster.register(ports.YIELD_SLOTS, self._receive_yield)
+        cluster.register(ports.JOB_CANCELLED, self._receive_cancelled)
+
+    def start(self) -> None:
+        """Start the task."""
+        if self._settings.enabled:
+            self._thread.start()
+
+    def post(self, message: messages.Message) -> None:
+        """Give a message to the task; may be called from any thread."""
+        self._inbox.put(message)
+
+    def notify_cancelled(self, job_id: str) -> None:
+        """Tell all daemons that a job was cancelled."""
+        self.post(messages.JobCancelled(job_id))
+        own = self._cluster.session().daemon
+        for member in self._cluster.live_members():
+            if member.name != own:
+                self._cluster.send(member.name, ports.JOB_CANCELLED, {"job_id": job_id})
+
+    def drain(self, deadline_s: float | None = None) -> None:
+        """Take no new work, hand back what is not finished and return.
+
+        :param deadline_s: how long running items may go on
+        """
+        if not self._thread.is_alive():
+            return
+        limit_s = _DRAIN_DEFAULT_S if deadline_s is None else deadline_s
+        at_s = self._clock.monotonic_s() + limit_s
+        self.post(messages.DrainRequested(at_s))
+        self._thread.join(limit_s + _DRAIN_DEFAULT_S)
+
+    def stop(self) -> None:
+        """End the task at once; claims are left to be taken over."""
+        self.post(messages.StopRequested())
+        if self._thread.is_alive():
+            self._thread.join(_DRAIN_DEFAULT_S)
+
+    def _receive_yield(self, _sender: str, body: dict[str, Any]) -> None:
+        self.post(messages.SlotsWanted(str(body["target"]), int(body["slots"])))
+
+    def _receive_cancelled(self, _sender: str, body: dict[str, Any]) -> None:
+        self.post(messages.JobCancelled(str(body["job_id"])))
+
+    def _run(self) -> None:
+        while not self._is_stopped:
+            try:
+                self._step()
+            except Exception as error:
+                logs.error("batch_step_crashed", error=repr(error))
+                threading.Event().wait(_TICK_S)
+        self._sender.stop()
+        self._looker.stop()
+        self._committer.stop()
+
+    def _step(self) -> None:
+        try:
+            message = self._inbox.get(timeout=self._compute_wait_s())
+            self._handle(message)
+            while True:
+                self._handle(self._inbox.get_nowait())
+        except queue.Empty:
+            pass
+        now_s = self._clock.monotonic_s()
+        session = self._cluster.session()
+        if now_s >= self._poll_at_s:
+            self._poll(now_s)
+        self._sender.update(
+            self._cluster.snapshot(), session.daemon, self._cluster.live_members()
+        )
+        self._sender.repeat_cancels()
+        self._renew_claims(session)
+        self._end_chunks(now_s)
+        if self._drain_at_s is not None:
+            self._drain(now_s)
+            return
+        self._sender.send(self._sort_running())
+        self._release_idle(now_s)
+        if session.is_valid:
+            self._looker.look(self._held, self._sender, now_s)
+
+    def _compute_wait_s(self) -> float:
+        if self._held or self._sender.running_count:
+            return _TICK_S
+        if self._looker.has_candidates or self._drain_at_s is not None:
+            return 2 * _TICK_S
+        return max(0.0, min(1.0, self._poll_at_s - self._clock.monotonic_s()))
+
+    def _poll(self, now_s: float) -> None:
+        """Read the open jobs; the jitter keeps daemons from reading together."""
+        interval_s = self._settings.poll_interval_s
+        self._poll_at_s = now_s + interval_s * random.uniform(0.8, 1.1)
+        self._looker.list_open({key[0] for key in self._held})
+
+    def _sort_running(self) -> list[work.HeldChunk]:
+        running = [
+            chunk for chunk in self._held.values() if chunk.phase is work.Phase.RUNNING
+        ]
+        return sorted(running, key=lambda chunk: self._looker.get_rank(chunk.job))
+
+    def _renew_claims(self, session: ports.Session) -> None:
+        """Renew claims of an earlier epoch; others see their owner as gone."""
+        if not session.is_valid:
+            return
+        owner = chunks.Owner(session.daemon, session.epoch)
+        for chunk in self._held.values():
+            if chunk.claim.owner != owner and chunk.phase is work.Phase.RUNNING:
+                self._looker.reclaim(chunk.claim, owner)
+
+    def _end_chunks(self, now_s: float) -> None:
+        """Commit the chunks whose items have all ended."""
+        for chunk in self._held.values():
+            if chunk.phase is not work.Phase.RUNNING:
+                continue
+            service = self._sender.find_service(chunk.job)
+            if service is None and chunk.pending_count and self._is_configured():
+                text = f"no service offers {chunk.job.model!r} to the organisation"
+                chunk.fail_pending(items.Problem("model_not_found", text))
+            if chunk.is_complete:
+                chunk.phase = work.Phase.ENDING
+                self._committer.commit(chunk)
+        self._committer.retry(now_s)
+
+    def _is_configured(self) -> bool:
+        return self._cluster.snapshot().revision > 0
+
+    def _release_idle(self, now_s: float) -> None:
+        """Hand back chunks that other daemons can run and this one can't."""
+        if len(self._cluster.live_members()) < 2:
+            return
+        busy = self._sender.list_running_keys()
+        for chunk in self._held.values():
+            if chunk.phase is not work.Phase.RUNNING or chunk.key in busy:
+                continue
+            service = self._sender.find_service(chunk.job)
+            if service is None:
+                continue
+            has_targets = self._sender.has_targets(service)
+            limit_s = _IDLE_RELEASE_S if has_targets else _NO_TARGET_RELEASE_S
+            if now_s - chunk.progress_at_s > limit_s:
+                chunk.phase = work.Phase.ENDING
+                self._committer.release(chunk)
+
+    def _drain(self, now_s: float) -> None:
+        if self._drain_at_s is not None and now_s >= self._drain_at_s:
+            self._sender.withdraw(None)
+        busy = self._sender.list_running_keys()
+        for chunk in self._held.values():
+            if chunk.phase is work.Phase.RUNNING and chunk.key not in busy:
+                chunk.phase = work.Phase.ENDING
+                self._committer.release(chunk)
+        if not self._held and not busy and not self._looker.is_looking:
+            self._is_stopped = True
+
+    def _drop_job(self, job_id: str) -> None:
+        """Stop all items of a job that has ended."""
+        keys = {key for key in self._held if key[0] == job_id}
+        for key in keys:
+            del self._held[key]
+        self._sender.withdraw(keys)
+        self._looker.forget(job_id)
+        if keys:
+            logs.info("job_dropped", job_id=job_id, chunks=len(keys))
+
+    def _drop_chunk(self, key: tuple[str, int], reason: str) -> None:
+        if self._held.pop(key, None) is not None:
+            self._sender.withdraw({key})
+            logs.info("chunk_dropped", job_id=key[0], number=key[1], reason=reason)
+
+    @functools.singledispatchmethod
+    def _handle(self, message: messages.Message) -> None:
+        raise TypeError(f"unknown message {message!r}")
+
+    @_handle.register
+    def _(self, message: messages.ItemEnded) -> None:
+        attempt = message.attempt
+        self._sender.note_ended(attempt, message.outcome)
+        chunk = self._held.get((attempt.job_id, attempt.number))
+        if chunk is None or chunk.phase is not work.Phase.RUNNING:
+            return
+        # The chunk may have been dropped and claimed again in between.
+        if attempt.item.index in chunk.lines:
+            return
+        limit = self._get_max_attempts(chunk.job)
+        now_s = self._clock.monotonic_s()
+        sending.settle_item(chunk, attempt, message.outcome, now_s, limit)
+
+    @_handle.register
+    def _(self, message: messages.OpenListed) -> None:
+        self._looker.note_listing_ended()
+        if isinstance(message.outcome, result.Err):
+            text = message.outcome.err_value.format_message()
+            logs.warning("open_jobs_not_read", error=text)
+            return
+        self._committer.retry_now()
+        listed = message.outcome.ok_value
+        self._looker.note_open(listed, self._sender)
+        for job_id in listed.ended:
+            self._drop_job(job_id)
+
+    @_handle.register
+    def _(self, message: messages.LookEnded) -> None:
+        now_s = self._clock.monotonic_s()
+        self._looker.note_ended(message, now_s)
+        loaded = message.loaded
+        if loaded is not None and not self._looker.has_ended(
+            loaded.claim.stored_job.job.job_id
+        ):
+            chunk = work.HeldChunk(loaded, now_s)
+            self._held[chunk.key] = chunk
+
+    @_handle.register
+    def _(self, message: messages.Reclaimed) -> None:
+        self._looker.note_reclaimed(message.key)
+        chunk = self._held.get(message.key)
+        if chunk is None or message.error is not None:
+            return
+        if message.claim is None:
+            self._drop_chunk(message.key, "taken over")
+            return
+        chunk.claim = message.claim
+
+    @_handle.register
+    def _(self, message: messages.ChunkEnded) -> None:
+        if message.outcome is None:
+            return
+        key = message.chunk.key
+        if self._held.get(key) is message.chunk:
+            del self._held[key]
+        if message.outcome is chunks.WriteOutcome.APPLIED and not message.is_release:
+            self._looker.finish_if_done(key[0])
+
+    @_handle.register
+    def _(self, message: messages.SlotsWanted) -> None:
+        self._sender.yield_slots(message.target_name, message.slots)
+
+    @_handle.register
+    def _(self, message: messages.JobCancelled) -> None:
+        self._drop_job(message.job_id)
+
+    @_handle.register
+    def _(self, message: messages.MembersChanged) -> None:
+        self._looker.note_members_changed()
+
+    @_handle.register
+    def _(self, message: messages.DrainRequested) -> None:
+        self._drain_at_s = message.deadline_s
+
+    @_handle.register
+    def _(self, message: messages.StopRequested) -> None:
+        self._is_stopped = True
+
+    def _get_max_attempts(self, job: records.Job) -> int:
+        current = self._cluster.snapshot()
+        service = sending.find_service(current, job.organisation, job.model)
+        return service.model.batch.max_item_attempts if service is not None else 1
--- /dev/null
+++ b/src/endivevane/batch/sending.py
@@ -0,0 +1,390 @@
+"""Sending of batch items to the targets that this daemon is the sender for."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import dataclasses
+from collections.abc import Callable, Collection, Iterable, Sequence
+
+from endivevane import logs, metrics
+from endivevane.batch import attempts, items, messages, ports, records, slack, work
+from endivevane.configuration import snapshot
+from endivevane.coordination import clock
+from endivevane.platform import engine, http_pool
+
+_CANCEL_THREADS = 4
+_REPEAT_CANCEL_S = 0.3
+_REFUSED_PAUSE_S = 0.2
+# The mean follows a change of the items' length within about 50 items.
+_MEAN_WEIGHT = 0.05
+
+Post = Callable[[messages.Message], None]
+
+
+@dataclasses.dataclass(slots=True)
+class _Cancelling:
+    attempt: attempts.Attempt
+    repeat_at_s: float
+
+
+class ItemSender:
+    """Keeps the targets, their items in flight and the threads that wait for them.
+
+    All methods but the ones of the threads are called by the runner's thread.
+
+    :param concurrent_items: items in flight in this daemon
+    :param post: gives a message to the runner's thread
+    """
+
+    def __init__(
+        self,
+        loads: ports.Loads,
+        sender_clock: clock.Clock,
+        concurrent_items: int,
+        post: Post,
+    ) -> None:
+        self._loads = loads
+        self._clock = sender_clock
+        self._concurrent_items = concurrent_items
+        self._post = post
+        self._snapshot = snapshot.EMPTY
+        self._states: dict[str, work.TargetState] = {}
+        self._own: dict[str, list[work.TargetState]] = {}
+        self._pools: dict[str, http_pool.HttpPool] = {}
+        self._cancelling: dict[str, _Cancelling] = {}
+        self._attempt_count = 0
+        self._mean_item_s = 0.0
+        self._executor = concurrent.futures.ThreadPoolExecutor(
+            concurrent_items, "batch-item"
+        )
+        self._cancel_executor = concurrent.futures.ThreadPoolExecutor(
+            _CANCEL_THREADS, "batch-cancel"
+        )
+
+    @property
+    def running_count(self) -> int:
+        """Items in flight."""
+        return sum(len(state.running) for state in self._states.values())
+
+    def update(
+        self,
+        current: snapshot.Snapshot,
+        daemon: str,
+        members: Sequence[ports.Member],
+    ) -> None:
+        """Work out which targets this daemon sends to."""
+        self._snapshot = current
+        self._own = {}
+        for service in current.services.values():
+            if service.is_plain or not service.model.batch.enabled:
+                continue
+            for target in service.targets:
+                if slack.choose_sender(target, members) != daemon:
+                    continue
+                state = self._get_state(target)
+                self._own.setdefault(service.name, []).append(state)
+
+    def find_service(self, job: records.Job | records.OpenJob) -> str | None:
+        """Return the service that offers a job's model to its organisation."""
+        service = find_service(self._snapshot, job.organisation, job.model)
+        return service.name if service is not None else None
+
+    def compute_room(self, service_name: str, model: str) -> int:
+        """Return how many more items of a model may be sent now."""
+        now_s = self._clock.monotonic_s()
+        room = sum(
+            self._compute_room(service_name, state, model, now_s)
+            for state in self._own.get(service_name, ())
+        )
+        return min(room, self._concurrent_items - self.running_count)
+
+    def has_targets(self, service_name: str) -> bool:
+        """Tell whether this daemon sends to any target of a service."""
+        return bool(self._own.get(service_name))
+
+    def list_running_keys(self) -> set[tuple[str, int]]:
+        """Return the chunks that have items in flight."""
+        return {
+            (attempt.job_id, attempt.number)
+            for state in self._states.values()
+            for attempt in state.running.values()
+        }
+
+    def estimate_items_per_s(self, item_s: float) -> float:
+        """Return an estimate of the fleet's speed for batch items when it is idle.
+
+        :param item_s: time of one item, used until own items have been measured
+        """
+        slots = 0.0
+        for service in self._snapshot.services.values():
+            if service.is_plain or not service.model.batch.enabled:
+                continue
+            reserve = service.model.batch.online_reserve_slots
+            for target in service.targets:
+                slots += max(0, target.slots - reserve)
+        return slots / (self._mean_item_s or item_s)
+
+    def send(self, held: Sequence[work.HeldChunk]) -> int:
+        """Send as many items as the targets have room for.
+
+        :param held: running chunks, best first
+        :returns: how many were sent
+        """
+        now_s = self._clock.monotonic_s()
+        sent = 0
+        for service_name, states in self._own.items():
+            offered = [item for item in held if self._is_for(item, service_name)]
+            for state in states if offered else ():
+                sent += self._fill(service_name, state, offered, now_s)
+        return sent
+
+    def note_ended(self, attempt: attempts.Attempt, outcome: attempts.Outcome) -> None:
+        """Take an attempt off its target."""
+        state = self._states[attempt.target.name]
+        del state.running[attempt.attempt_id]
+        state.use.change(self._clock.wall_ms(), -1)
+        self._cancelling.pop(attempt.attempt_id, None)
+        metrics.BATCH_ITEMS.labels(outcome.kind.value).inc()
+        now_s = self._clock.monotonic_s()
+        if outcome.kind is attempts.Kind.UNREACHABLE:
+            state.note_unreachable(now_s)
+            return
+        if outcome.kind is attempts.Kind.REFUSED:
+            state.retry_at_s = now_s + _REFUSED_PAUSE_S
+            return
+        if outcome.kind is attempts.Kind.BROKEN:
+            # The engine may still run it, for example after a read timeout.
+            self._cancel_executor.submit(
+                attempts.cancel, self._get_pool(attempt), attempt
+            )
+            return
+        state.note_reachable()
+        if outcome.kind is attempts.Kind.ANSWERED:
+            duration_s = now_s - attempt.started_s
+            previous_s = self._mean_item_s or duration_s
+            self._mean_item_s = previous_s + _MEAN_WEIGHT * (duration_s - previous_s)
+
+    def yield_slots(self, target_name: str, slots: int) -> int:
+        """Stop items at a target at once; return how many."""
+        state = self._states.get(target_name)
+        if state is None or slots <= 0:
+            return 0
+        state.hold.add(self._clock.monotonic_s(), slots)
+        running = [
+            (attempt.started_s, attempt_id)
+            for attempt_id, attempt in state.running.items()
+            if not attempt.withdrawn.is_set()
+        ]
+        victims = slack.choose_victims(running, slots)
+        self._withdraw([state.running[attempt_id] for attempt_id in victims])
+        logs.info("slots_yielded", target=target_name, asked=slots, given=len(victims))
+        return len(victims)
+
+    def withdraw(self, keys: Collection[tuple[str, int]] | None) -> None:
+        """Stop the items of some chunks, or all items for ``None``."""
+        self._withdraw(
+            [
+                attempt
+                for state in self._states.values()
+                for attempt in state.running.values()
+                if keys is None or (attempt.job_id, attempt.number) in keys
+            ]
+        )
+
+    def repeat_cancels(self) -> None:
+        """Cancel again what the engine may not have known at the first call."""
+        now_s = self._clock.monotonic_s()
+        for entry in self._cancelling.values():
+            if now_s >= entry.repeat_at_s:
+                entry.repeat_at_s = now_s + _REPEAT_CANCEL_S
+                self._submit_cancel(entry.attempt)
+
+    def stop(self) -> None:
+        """Let go of the threads; those that still wait end with their calls."""
+        self._executor.shutdown(wait=False, cancel_futures=True)
+        self._cancel_executor.shutdown(wait=False)
+
+    def _withdraw(self, victims: Iterable[attempts.Attempt]) -> None:
+        now_s = self._clock.monotonic_s()
+        for attempt in victims:
+            if attempt.withdrawn.is_set():
+                continue
+            attempt.withdrawn.set()
+            self._cancelling[attempt.attempt_id] = _Cancelling(
+                attempt, now_s + _REPEAT_CANCEL_S
+            )
+            self._submit_cancel(attempt)
+
+    def _submit_cancel(self, attempt: attempts.Attempt) -> None:
+        pool = self._get_pool(attempt)
+        self._cancel_executor.submit(attempts.cancel, pool, attempt)
+
+    def _is_for(self, chunk: work.HeldChunk, service_name: str) -> bool:
+        return self.find_service(chunk.job) == service_name
+
+    def _compute_room(
+        self, service_name: str, state: work.TargetState, model: str, now_s: float
+    ) -> int:
+        if now_s < state.retry_at_s:
+            return 0
+        report = self._loads.load_report(state.target.name)
+        if report is not None and not offers_model(report, model):
+            return 0
+        service = self._snapshot.services[service_name]
+        return slack.compute_room(
+            report,
+            service.model.batch.online_reserve_slots,
+            state.use,
+            self._clock.wall_ms(),
+            state.hold.count(now_s),
+        )
+
+    def _fill(
+        self,
+        service_name: str,
+        state: work.TargetState,
+        offered: Sequence[work.HeldChunk],
+        now_s: float,
+    ) -> int:
+        batch = self._snapshot.services[service_name].model.batch
+        sent = 0
+        by_model: dict[str, list[work.HeldChunk]] = {}
+        for chunk in offered:
+            by_model.setdefault(chunk.job.model, []).append(chunk)
+        for model, chunk_list in by_model.items():
+            room = self._compute_room(service_name, state, model, now_s)
+            room = min(room, self._concurrent_items - self.running_count)
+            for _ in range(room):
+                choice = work.choose_item(
+                    chunk_list, state, now_s, batch.max_item_attempts
+                )
+                if choice is None:
+                    break
+                self._start(choice, state, batch.item_timeout_s)
+                sent += 1
+        return sent
+
+    def _start(
+        self, choice: work.Choice, state: work.TargetState, timeout_s: float
+    ) -> None:
+        self._attempt_count += 1
+        job_id, number = choice.chunk.key
+        pending = choice.pending
+        attempt = attempts.Attempt(
+            attempt_id=f"{job_id}-{number}-{pending.item.index}"
+            f"-{choice.chunk.claim.claim_epoch}-{self._attempt_count}",
+            job_id=job_id,
+            number=number,
+            item=pending.item,
+            target=state.target,
+            started_s=self._clock.monotonic_s(),
+            breaks=pending.breaks,
+            refusals=pending.refusals,
+            is_exclusive=choice.is_exclusive,
+        )
+        state.running[attempt.attempt_id] = attempt
+        state.use.change(self._clock.wall_ms(), 1)
+        pool = self._get_pool(attempt)
+        self._executor.submit(self._run, pool, attempt, timeout_s)
+
+    def _run(
+        self, pool: http_pool.HttpPool, attempt: attempts.Attempt, timeout_s: float
+    ) -> None:
+        try:
+            outcome = attempts.run(pool, attempt, timeout_s)
+        except Exception as error:
+            logs.error("attempt_crashed", attempt=attempt.attempt_id, error=repr(error))
+            outcome = attempts.Outcome(attempts.Kind.BROKEN, repr(error))
+        self._post(messages.ItemEnded(attempt, outcome))
+
+    def _get_state(self, target: snapshot.Target) -> work.TargetState:
+        state = self._states.get(target.name)
+        if state is None:
+            state = work.TargetState(target)
+            self._states[target.name] = state
+        state.target = target
+        return state
+
+    def _get_pool(self, attempt: attempts.Attempt) -> http_pool.HttpPool:
+        address = attempt.target.address
+        pool = self._pools.get(str(address))
+        if pool is None:
+            pool = http_pool.HttpPool(address, http_pool.PoolSettings(), self._clock)
+            self._pools[str(address)] = pool
+        return pool
+
+
+def find_service(
+    current: snapshot.Snapshot, organisation: str, model: str
+) -> snapshot.Service | None:
+    """Return the service that offers a model or adapter to an organisation."""
+    service = current.services_by_model.get(model)
+    if service is None:
+        for candidate in current.services.values():
+            offered = [
+                name for item in candidate.model.models for name in item.adapters
+            ]
+            if model in offered:
+                service = candidate
+                break
+    if service is None or organisation not in service.model.organisations:
+        return None
+    return service
+
+
+def offers_model(report: engine.LoadReport, model: str) -> bool:
+    """Tell whether an engine has a model or adapter loaded."""
+    return any(
+        model == loaded.model or model in loaded.adapters for loaded in report.models
+    )
+
+
+def settle_item(
+    chunk: work.HeldChunk,
+    attempt: attempts.Attempt,
+    outcome: attempts.Outcome,
+    now_s: float,
+    max_attempts: int,
+) -> None:
+    """Keep the result of an attempt, or let its item wait for the next one."""
+    pending = work.PendingItem(attempt.item, attempt.breaks, attempt.refusals)
+    job_id, number = chunk.key
+    if outcome.kind in (attempts.Kind.ANSWERED, attempts.Kind.REJECTED):
+        line = items.make_answer_line(
+            job_id,
+            number,
+            attempt.item,
+            attempt.attempt_id,
+            outcome.status,
+            outcome.body,
+        )
+        chunk.lines[attempt.item.index] = line
+        chunk.progress_at_s = now_s
+        return
+    problem: items.Problem | None = None
+    if outcome.kind is attempts.Kind.BROKEN:
+        pending.breaks += 1
+        pending.ready_at_s = now_s + work.compute_pause_s(pending.breaks - 1)
+        metrics.RETRIES.labels("batch_broken").inc()
+        if pending.breaks >= max_attempts:
+            text = f"given up after {pending.breaks} attempts: {outcome.detail}"
+            problem = items.Problem("attempts_exhausted", text)
+    if outcome.kind is attempts.Kind.REFUSED:
+        pending.refusals += 1
+        pending.ready_at_s = now_s + work.compute_pause_s(pending.refusals - 1)
+        if pending.refusals >= work.MAX_REFUSALS:
+            text = f"refused {pending.refusals} times: {outcome.detail}"
+            problem = items.Problem("refused", text)
+    if problem is None:
+        chunk.put_back(pending)
+        return
+    logs.warning(
+        "item_failed",
+        job_id=job_id,
+        custom_id=attempt.item.custom_id,
+        code=problem.code,
+    )
+    chunk.lines[attempt.item.index] = items.make_failure_line(
+        job_id, number, attempt.item, problem
+    )
+    chunk.progress_at_s = now_s
