Add membership, leases, the configuration feed and ClusterTask

Cause: daemons need to notice dead peers, to hold sessions and to follow the configuration head without depending on a single table service call. Change: a failure detector over three hash rings per region, session leases with an observer, ownership of engine groups, feed rules, a pyzmq transport with CURVE keys, and ClusterTask, which joins them on one thread.

--- a/src/endivevane/cluster/__init__.py
+++ b/src/endivevane/cluster/__init__.py
@@ -1,1 +1,1 @@
-"""Messages between daemons and the tasks that exchange them."""
+"""Messages between daemons and the task that owns them."""
--- /dev/null
+++ b/src/endivevane/cluster/counts.py
@@ -0,0 +1,47 @@
+"""Counters of messages between daemons."""
+
+from __future__ import annotations
+
+import collections
+
+import prometheus_client
+
+_MESSAGES = prometheus_client.Counter(
+    "endivevane_cluster_messages",
+    "Messages between daemons, by kind and direction.",
+    ["kind", "direction"],
+)
+_BYTES = prometheus_client.Counter(
+    "endivevane_cluster_bytes",
+    "Bytes of messages between daemons, by kind and direction.",
+    ["kind", "direction"],
+)
+_DROPPED = prometheus_client.Counter(
+    "endivevane_cluster_dropped",
+    "Messages between daemons that were dropped, by reason.",
+    ["reason"],
+)
+
+
+class MessageCounts:
+    """Messages and bytes of one transport, by direction and kind."""
+
+    def __init__(self) -> None:
+        self.messages: collections.Counter[tuple[str, str]] = collections.Counter()
+        self.size_bytes: collections.Counter[tuple[str, str]] = collections.Counter()
+        self.dropped: collections.Counter[str] = collections.Counter()
+
+    def record(self, direction: str, kind: str, size_bytes: int) -> None:
+        """Count one message.
+
+        :param direction: ``in`` or ``out``
+        """
+        self.messages[direction, kind] += 1
+        self.size_bytes[direction, kind] += size_bytes
+        _MESSAGES.labels(kind, direction).inc()
+        _BYTES.labels(kind, direction).inc(size_bytes)
+
+    def record_dropped(self, reason: str) -> None:
+        """Count a message that was not processed or not sent."""
+        self.dropped[reason] += 1
+        _DROPPED.labels(reason).inc()
--- /dev/null
+++ b/src/endivevane/cluster/messages.py
@@ -0,0 +1,343 @@
+"""Messages between daemons and their codec."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import orjson
+
+from endivevane import exceptions
+from endivevane.coordination import exchange, members
+
+MAX_MESSAGE_BYTES = 2 << 20
+_MAX_UPDATES = 2000
+_MAX_NAME = 64
+_MAX_NUMBER = 1 << 62
+
+APPLICATION_KINDS = frozenset({"yield_slots", "job_cancelled", "quarantine"})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigAsk:
+    """Asks which revision the receiver has in force."""
+
+    header: exchange.Header
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigStatus:
+    """Answers :class:`ConfigAsk`; the revision is in the header.
+
+    :param is_current: whether the sender knows its revision to be current
+    """
+
+    header: exchange.Header
+    is_current: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigGet:
+    """Asks for documents that are newer than those known.
+
+    :param versions: version by document key that the sender has
+    """
+
+    header: exchange.Header
+    versions: Mapping[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigRows:
+    """Documents of one revision.
+
+    :param versions: version of every document of the revision
+    :param documents: content of those that the receiver lacked
+    """
+
+    header: exchange.Header
+    revision: int
+    state: str
+    versions: Mapping[str, int]
+    documents: Mapping[str, dict[str, Any]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigApplied:
+    """Tells the gateway of the zone which revision is in force at the sender.
+
+    :param is_answer: whether this is the gateway's answer
+    :param revision: in an answer, the revision that the gateway has recorded
+    """
+
+    header: exchange.Header
+    is_answer: bool
+    revision: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VmsLeaving:
+    """Names of leaving VMs, from a daemon that reads the platform's list.
+
+    :param as_of_s: wall time of the list, on the platform's clock
+    """
+
+    header: exchange.Header
+    as_of_s: float
+    names: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Application:
+    """A message of another part of the daemon.
+
+    :param origin: the daemon that sent it first
+    :param broadcast_id: names a broadcast, which every receiver passes on once; empty
+        for a message to one daemon
+    """
+
+    header: exchange.Header
+    kind: str
+    body: dict[str, Any]
+    origin: str
+    broadcast_id: str = ""
+
+
+Message = (
+    exchange.Message
+    | ConfigAsk
+    | ConfigStatus
+    | ConfigGet
+    | ConfigRows
+    | ConfigApplied
+    | VmsLeaving
+    | Application
+)
+
+
+def encode(message: Message) -> tuple[str, bytes]:
+    """Return the kind and the bytes of a message."""
+    kind, fields = _list_fields(message)
+    header = message.header
+    envelope = [
+        kind,
+        header.sender,
+        header.incarnation,
+        header.known_revision,
+        header.applied_revision,
+        [_encode_update(update) for update in header.updates],
+        *fields,
+    ]
+    return kind, orjson.dumps(envelope)
+
+
+def decode(data: bytes) -> tuple[str, Message]:
+    """Return the kind and the message.
+
+    :raises exceptions.ProtocolError: when the bytes are not a valid message
+    """
+    if len(data) > MAX_MESSAGE_BYTES:
+        raise exceptions.ProtocolError("peer", f"{len(data)} bytes")
+    try:
+        envelope = orjson.loads(data)
+        kind, sender, incarnation, known, applied, updates, *fields = envelope
+        header = exchange.Header(
+            _check_name(sender),
+            _check_number(incarnation),
+            _check_number(known),
+            _check_number(applied),
+            tuple(_decode_update(item) for item in _check_list(updates)),
+        )
+        if kind in APPLICATION_KINDS:
+            body, origin, broadcast_id = fields
+            return kind, Application(
+                header,
+                kind,
+                _check_dict(body),
+                _check_name(origin),
+                _check_text(broadcast_id),
+            )
+        return kind, _DECODERS[kind](header, *fields)
+    except (ValueError, TypeError, KeyError, IndexError) as error:
+        detail = f"{type(error).__name__}: {error}"
+        raise exceptions.ProtocolError("peer", detail) from error
+
+
+@functools.singledispatch
+def _list_fields(message: Message) -> tuple[str, list[Any]]:
+    raise TypeError(type(message).__name__)
+
+
+@_list_fields.register
+def _(message: exchange.Ping) -> tuple[str, list[Any]]:
+    return "ping", [message.sequence]
+
+
+@_list_fields.register
+def _(message: exchange.Ack) -> tuple[str, list[Any]]:
+    return "ack", [message.sequence]
+
+
+@_list_fields.register
+def _(message: exchange.ProbeRequest) -> tuple[str, list[Any]]:
+    return "ping_req", [message.sequence, message.target]
+
+
+@_list_fields.register
+def _(message: exchange.Gossip) -> tuple[str, list[Any]]:
+    return "gossip", []
+
+
+@_list_fields.register
+def _(message: exchange.SyncRequest) -> tuple[str, list[Any]]:
+    return "sync", [message.digest]
+
+
+@_list_fields.register
+def _(message: exchange.SyncRows) -> tuple[str, list[Any]]:
+    return "sync_rows", [message.is_answer_wanted]
+
+
+@_list_fields.register
+def _(message: ConfigAsk) -> tuple[str, list[Any]]:
+    return "config_ask", []
+
+
+@_list_fields.register
+def _(message: ConfigStatus) -> tuple[str, list[Any]]:
+    return "config_status", [message.is_current]
+
+
+@_list_fields.register
+def _(message: ConfigGet) -> tuple[str, list[Any]]:
+    return "config_get", [message.versions]
+
+
+@_list_fields.register
+def _(message: ConfigRows) -> tuple[str, list[Any]]:
+    return "config_rows", [
+        message.revision,
+        message.state,
+        message.versions,
+        message.documents,
+    ]
+
+
+@_list_fields.register
+def _(message: ConfigApplied) -> tuple[str, list[Any]]:
+    return "config_applied", [message.is_answer, message.revision]
+
+
+@_list_fields.register
+def _(message: VmsLeaving) -> tuple[str, list[Any]]:
+    return "vms_leaving", [message.as_of_s, message.names]
+
+
+@_list_fields.register
+def _(message: Application) -> tuple[str, list[Any]]:
+    return message.kind, [message.body, message.origin, message.broadcast_id]
+
+
+def _encode_update(update: members.Update) -> list[Any]:
+    fields: list[Any] = [update.name, update.incarnation, int(update.state)]
+    place = update.description
+    if place is not None:
+        fields += [place.address, place.zone, place.region, place.public_key]
+    return fields
+
+
+def _decode_update(item: list[Any]) -> members.Update:
+    name, incarnation, state, *place = item
+    description = None
+    if place:
+        address, zone, region, public_key = place
+        description = members.Description(
+            _check_name(address),
+            _check_name(zone),
+            _check_name(region),
+            _check_text(public_key),
+        )
+    return members.Update(
+        _check_name(name),
+        _check_number(incarnation),
+        members.MemberState(state),
+        description,
+    )
+
+
+def _decode_rows(
+    header: exchange.Header, revision: Any, state: Any, versions: Any, documents: Any
+) -> ConfigRows:
+    return ConfigRows(
+        header,
+        _check_number(revision),
+        _check_name(state),
+        _check_versions(versions),
+        {key: _check_dict(item) for key, item in _check_dict(documents).items()},
+    )
+
+
+def _decode_leaving(header: exchange.Header, as_of_s: Any, names: Any) -> VmsLeaving:
+    checked = tuple(_check_name(name) for name in _check_list(names))
+    return VmsLeaving(header, float(as_of_s), checked)
+
+
+_DECODERS: dict[str, Callable[..., Message]] = {
+    "ping": lambda header, number: exchange.Ping(header, _check_number(number)),
+    "ack": lambda header, number: exchange.Ack(header, _check_number(number)),
+    "ping_req": lambda header, number, target: exchange.ProbeRequest(
+        header, _check_number(number), _check_name(target)
+    ),
+    "gossip": exchange.Gossip,
+    "sync": lambda header, digest: exchange.SyncRequest(
+        header, _check_number(digest, 1 << 64)
+    ),
+    "sync_rows": lambda header, wanted: exchange.SyncRows(header, wanted is True),
+    "config_ask": ConfigAsk,
+    "config_status": lambda header, current: ConfigStatus(header, current is True),
+    "config_get": lambda header, versions: ConfigGet(header, _check_versions(versions)),
+    "config_rows": _decode_rows,
+    "config_applied": lambda header, answer, revision: ConfigApplied(
+        header, answer is True, _check_number(revision)
+    ),
+    "vms_leaving": _decode_leaving,
+}
+
+
+def _check_text(value: Any, longest: int = _MAX_NAME) -> str:
+    if not isinstance(value, str) or len(value) > longest:
+        raise TypeError("not a short text")
+    return value
+
+
+def _check_name(value: Any) -> str:
+    if not _check_text(value):
+        raise ValueError("empty name")
+    return str(value)
+
+
+def _check_number(value: Any, bound: int = _MAX_NUMBER) -> int:
+    if type(value) is not int or not 0 <= value < bound:
+        raise TypeError("not a number in range")
+    return value
+
+
+def _check_list(value: Any) -> list[Any]:
+    if not isinstance(value, list) or len(value) > _MAX_UPDATES:
+        raise TypeError("not a bounded list")
+    return value
+
+
+def _check_dict(value: Any) -> dict[str, Any]:
+    if not isinstance(value, dict):
+        raise TypeError("not an object")
+    return value
+
+
+def _check_versions(value: Any) -> dict[str, int]:
+    return {
+        _check_text(key, 128): _check_number(version)
+        for key, version in _check_dict(value).items()
+    }
--- /dev/null
+++ b/src/endivevane/cluster/node.py
@@ -0,0 +1,234 @@
+"""State of the cluster thread: membership, session and configuration together."""
+
+from __future__ import annotations
+
+import collections
+import functools
+import random
+from collections.abc import Callable
+from typing import Any
+
+import result
+
+from endivevane import metrics, utils
+from endivevane.cluster import (
+    calls,
+    confirmations,
+    events,
+    follower,
+    messages,
+    neighbours,
+    sessions,
+    transport,
+    vm_watch,
+)
+from endivevane.coordination import clock, exchange, members, store
+from endivevane.daemon import settings as daemon_settings
+from endivevane.platform import vms
+
+_SEEN_BROADCASTS = 4096
+_ASK_INTERVAL_S = 0.5
+_ASK_BATCH = 12
+
+
+class Node:
+    """What the cluster thread owns; every method runs on that thread.
+
+    :param publish: called with each event
+    """
+
+    def __init__(
+        self,
+        settings: daemon_settings.Settings,
+        node_clock: clock.Clock,
+        table_store: store.TableStore,
+        vm_list: vms.VmListClient | None,
+        generator: random.Random,
+        node_transport: transport.Transport,
+        background: calls.BackgroundCalls,
+        publish: Callable[[events.Event], None],
+    ) -> None:
+        self._clock = node_clock
+        self._random = generator
+        self._background = background
+        self._publish = publish
+        self.keeper = sessions.SessionKeeper(
+            settings, node_clock, table_store, background
+        )
+        self.follower = follower.ConfigurationFollower(
+            settings.daemon.zone,
+            node_clock,
+            table_store,
+            background,
+            generator,
+            settings.session.term_s,
+        )
+        self._peers = neighbours.Neighbours(
+            settings, node_clock, table_store, background, generator, node_transport
+        )
+        self._confirmations = confirmations.ZoneConfirmations(
+            self._peers, table_store, background
+        )
+        self._vms = vm_watch.VmWatch(vm_list, background, self._peers)
+        self._seen: collections.OrderedDict[str, None] = collections.OrderedDict()
+        self._ask_at_s = 0.0
+        self._is_leaving = False
+        self.members: tuple[members.Member, ...] = (self._peers.detector.me,)
+        self.is_ready = False
+
+    def tick(self) -> None:
+        """Run everything that is due, then send and report."""
+        now_s = self._clock.monotonic_s()
+        detector = self._peers.detector
+        detector.tick()
+        self.follower.feed.learn(detector.known_revision)
+        self.keeper.run(now_s)
+        self.follower.run(now_s, len(detector.table))
+        self._peers.run(now_s)
+        self._confirmations.run(now_s)
+        self._vms.run(now_s)
+        self._ask_peers(now_s)
+        self._peers.flush()
+        self._report_members()
+        self.is_ready = self.follower.feed.is_current() and not self._is_leaving
+
+    def leave(self) -> None:
+        """Announce that this daemon is about to stop."""
+        self._is_leaving = True
+        self._peers.detector.leave()
+
+    def send_application(self, daemon: str, kind: str, body: dict[str, Any]) -> None:
+        """Send a message of another part to one daemon."""
+        header = self._peers.make_header()
+        message = messages.Application(header, kind, body, header.sender)
+        self._peers.send(daemon, message)
+
+    def broadcast_application(self, kind: str, body: dict[str, Any]) -> None:
+        """Send a message of another part to all daemons."""
+        header = self._peers.make_header()
+        broadcast_id = utils.make_id("cast")
+        self._seen[broadcast_id] = None
+        message = messages.Application(header, kind, body, header.sender, broadcast_id)
+        self._peers.send_to_links(message)
+
+    def handle(self, message: messages.Message) -> None:
+        """Process one received message."""
+        self._confirmations.record_applied(message.header)
+        if isinstance(message, exchange.Message):
+            self._peers.detector.handle(message)
+            return
+        self._peers.detector.learn_revision(message.header.known_revision)
+        self._react(message)
+
+    def finish_call(self, finished: calls.CallFinished) -> None:
+        """Apply the outcome of a background call."""
+        self._background.finish(finished.kind)
+        match finished.kind:
+            case sessions.RENEW:
+                self.keeper.record(finished.outcome)
+            case sessions.SCAN:
+                self._peers.record_scan(finished.outcome)
+            case follower.HEAD:
+                self.follower.record_head(finished.outcome)
+                self._peers.detector.learn_revision(self.follower.feed.known_revision)
+            case follower.FETCH | follower.BUILD:
+                self._apply(finished.outcome)
+            case confirmations.WRITE:
+                self._confirmations.record_written(finished.outcome)
+            case vm_watch.LIST:
+                self._report_vms(self._vms.record(finished.outcome))
+
+    @functools.singledispatchmethod
+    def _react(self, message: messages.Message) -> None:
+        """Do what a message of the configuration or application asks for."""
+
+    @_react.register
+    def _react_to_ask(self, message: messages.ConfigAsk) -> None:
+        is_current = self.follower.feed.is_current()
+        answer = messages.ConfigStatus(self._peers.make_header(), is_current)
+        self._peers.send(message.header.sender, answer, prefer_route=True)
+
+    @_react.register
+    def _react_to_status(self, message: messages.ConfigStatus) -> None:
+        header = message.header
+        self.follower.feed.record_answer(
+            header.sender, header.applied_revision, message.is_current
+        )
+        if header.applied_revision > self.follower.feed.applied_revision:
+            self._request_rows(header.sender)
+
+    @_react.register
+    def _react_to_get(self, message: messages.ConfigGet) -> None:
+        if self.follower.feed.applied_revision == 0:
+            return
+        rows = self.follower.make_rows(self._peers.make_header(), message.versions)
+        self._peers.send(message.header.sender, rows, prefer_route=True)
+
+    @_react.register
+    def _react_to_rows(self, message: messages.ConfigRows) -> None:
+        self.follower.accept_rows(message)
+
+    @_react.register
+    def _react_to_applied(self, message: messages.ConfigApplied) -> None:
+        self._confirmations.handle(message)
+
+    @_react.register
+    def _react_to_vms(self, message: messages.VmsLeaving) -> None:
+        self._report_vms(self._vms.handle(message))
+
+    @_react.register
+    def _react_to_application(self, message: messages.Application) -> None:
+        if message.broadcast_id:
+            if message.broadcast_id in self._seen:
+                return
+            self._seen[message.broadcast_id] = None
+            if len(self._seen) > _SEEN_BROADCASTS:
+                self._seen.popitem(last=False)
+            self._peers.forward(message)
+        self._publish(events.PeerMessage(message.origin, message.kind, message.body))
+
+    def _apply(
+        self, outcome: result.Result[follower.Built, store.StoreError] | None
+    ) -> None:
+        if not self.follower.record_built(outcome):
+            return
+        self._peers.detector.set_applied(self.follower.feed.applied_revision)
+        self._publish(events.ConfigurationChanged(self.follower.snapshot))
+
+    def _ask_peers(self, now_s: float) -> None:
+        """Turn to peers for the revision and documents while the store is down."""
+        feed = self.follower.feed
+        if not self.follower.has_store_failed or now_s < self._ask_at_s:
+            return
+        self._ask_at_s = now_s + _ASK_INTERVAL_S
+        if feed.needs_fetch():
+            holders = self._confirmations.list_holders(feed.known_revision)
+            if holders:
+                self._request_rows(self._random.choice(holders))
+        if feed.is_current():
+            return
+        feed.set_listed(self._peers.list_zones())
+        waiting = feed.list_unanswered()
+        for name in self._random.sample(waiting, min(_ASK_BATCH, len(waiting))):
+            self._peers.send(name, messages.ConfigAsk(self._peers.make_header()))
+
+    def _request_rows(self, name: str) -> None:
+        header = self._peers.make_header()
+        versions = self.follower.list_versions()
+        self._peers.send(name, messages.ConfigGet(header, versions))
+
+    def _report_members(self) -> None:
+        changes = self._peers.detector.take_events()
+        if not changes:
+            return
+        table = self._peers.detector.table
+        self.members = tuple(table)
+        counts = collections.Counter(member.state for member in self.members)
+        for state in members.MemberState:
+            metrics.MEMBERS.labels(state.name.lower()).set(counts[state])
+        changed = {change.member.name: change.member for change in changes}
+        self._publish(events.MembersChanged(tuple(changed.values())))
+
+    def _report_vms(self, leaving: frozenset[str] | None) -> None:
+        if leaving is not None:
+            self._publish(events.VmsChanged(leaving))
--- /dev/null
+++ b/src/endivevane/cluster/sessions.py
@@ -0,0 +1,141 @@
+"""The session of this daemon and the sessions of others, over the table service."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import result
+
+from endivevane import logs
+from endivevane.cluster import calls
+from endivevane.coordination import clock, lease, store
+from endivevane.daemon import settings as daemon_settings
+
+RENEW = "session_renew"
+SCAN = "session_scan"
+CLOSE = "session_close"
+_RETRY_S = 0.5
+_SCAN_LIMIT = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Session:
+    """The session of this daemon at one moment.
+
+    :param epoch: ``None`` while there is none
+    :param expires_s: monotonic time at which the term ends
+    """
+
+    daemon: str
+    epoch: int | None
+    is_valid: bool
+    expires_s: float
+
+
+class SessionKeeper:
+    """Renews the session; runs on the cluster thread except where noted.
+
+    :param settings: the daemon's settings
+    :param keeper_clock: the clock that the lease counts on
+    :param table_store: where the row is
+    :param background: runs the blocking calls
+    """
+
+    def __init__(
+        self,
+        settings: daemon_settings.Settings,
+        keeper_clock: clock.Clock,
+        table_store: store.TableStore,
+        background: calls.BackgroundCalls,
+    ) -> None:
+        self._settings = settings
+        self._clock = keeper_clock
+        self._store = table_store
+        self._background = background
+        self._term_s = settings.session.term_s
+        self._lease = lease.SessionLease(
+            settings.daemon.name, _make_fields(settings), self._term_s, keeper_clock
+        )
+        self._due_s = keeper_clock.monotonic_s()
+        self._is_closing = False
+        self._view: tuple[int | None, float] = (None, 0.0)
+
+    def read(self) -> Session:
+        """Return the session; safe on any thread."""
+        epoch, expires_s = self._view
+        is_valid = epoch is not None and self._clock.monotonic_s() < expires_s
+        name = self._settings.daemon.name
+        return Session(name, epoch if is_valid else None, is_valid, expires_s)
+
+    def run(self, now_s: float) -> None:
+        """Start a renewal when it is due."""
+        if now_s < self._due_s or self._is_closing:
+            return
+        attempt = self._lease.start_attempt()
+        if not self._background.start(
+            RENEW, lambda: lease.run_attempt(self._store, attempt)
+        ):
+            return
+        self._due_s = now_s + self._term_s / 3
+
+    def record(
+        self, outcome: result.Result[lease.Renewed, store.StoreError] | None
+    ) -> None:
+        """Apply the outcome of a renewal."""
+        before = self._view[0]
+        if outcome is None:
+            outcome = result.Err(store.StoreUnavailable("call failed"))
+        self._lease.record(outcome)
+        if isinstance(outcome, result.Err):
+            self._due_s = self._clock.monotonic_s() + _RETRY_S
+            logs.warning("session_renewal_failed", error=outcome.err_value)
+        now_s = self._clock.monotonic_s()
+        remaining_s = self._lease.compute_remaining_s()
+        self._view = (self._lease.epoch, now_s + remaining_s)
+        if self._view[0] != before:
+            logs.info("session_epoch", epoch=self._view[0], before=before)
+
+    def close(self) -> None:
+        """Stop renewing and delete the row; blocks on the table service."""
+        self._is_closing = True
+        epoch = self._view[0]
+        self._view = (None, 0.0)
+        name = self._settings.daemon.name
+        reading = self._store.read(lease.TABLE, name)
+        if isinstance(reading, result.Err) or reading.ok_value is None:
+            return
+        row = reading.ok_value
+        if epoch is None or row.value.get(lease.EPOCH_FIELD) != epoch:
+            return
+        self._store.transact(
+            f"close-{name}-{epoch}",
+            [store.Condition(lease.TABLE, name, row.revision)],
+            [store.Write(lease.TABLE, name, None)],
+        )
+
+
+def scan_sessions(
+    table_store: store.TableStore,
+) -> result.Result[list[store.Row], store.StoreError]:
+    """Return all session rows; blocks on the table service."""
+    rows: list[store.Row] = []
+    after = ""
+    while True:
+        outcome = table_store.scan(lease.TABLE, "", after, _SCAN_LIMIT)
+        if isinstance(outcome, result.Err):
+            return outcome
+        rows += outcome.ok_value
+        if len(outcome.ok_value) < _SCAN_LIMIT:
+            return result.Ok(rows)
+        after = rows[-1].key
+
+
+def _make_fields(settings: daemon_settings.Settings) -> dict[str, str]:
+    daemon = settings.daemon
+    return {
+        "address": daemon.listen,
+        "gossip_address": daemon.cluster_listen,
+        "zone": daemon.zone,
+        "region": daemon.region,
+        "public_key": settings.keys.public if settings.keys is not None else "",
+    }
--- /dev/null
+++ b/src/endivevane/cluster/transport.py
@@ -0,0 +1,269 @@
+"""Connections between daemons: two ROUTER sockets with CURVE keys.
+
+One socket is bound and answers on the connections that peers opened; the other holds
+the connections that this daemon opened, each under its own routing id. Two sockets
+for all peers keep the cost of a poll independent of the number of connections.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import itertools
+from collections.abc import Callable, Iterator
+
+import zmq
+from zmq.utils import z85
+
+from endivevane import exceptions
+from endivevane.cluster import counts, messages
+from endivevane.daemon import settings as daemon_settings
+
+SEED_PREFIX = "seed:"
+_ZAP_ENDPOINT = "inproc://zeromq.zap.01"
+_ZAP_DOMAIN = b"endivevane"
+_MAX_ROUTES = 1024
+_MAX_BATCH = 200
+_QUEUE_MESSAGES = 256
+_HANDSHAKE_MS = 2000
+_CONNECT_MS = 1000
+_RECONNECT_MS = 200
+_RECONNECT_MAX_MS = 3000
+# Unacknowledged data ends a connection, so that a silent one is opened anew.
+_RETRANSMIT_MS = 4000
+
+
+@dataclasses.dataclass(slots=True)
+class _Connection:
+    routing_id: bytes
+    endpoint: str
+    public_key: str
+
+
+class Transport:
+    """Sends and receives messages; used by one thread only.
+
+    :param settings: the daemon's settings; without keys, connections are plain
+    :param max_connections: connections that this daemon opens; the one used least
+        recently is closed for a new one
+    """
+
+    def __init__(
+        self, settings: daemon_settings.Settings, max_connections: int
+    ) -> None:
+        self._settings = settings
+        self._max_connections = max_connections
+        self.counts = counts.MessageCounts()
+        self._context = zmq.Context(io_threads=1)
+        self._zap = self._context.socket(zmq.REP)
+        self._zap.setsockopt(zmq.LINGER, 0)
+        self._zap.bind(_ZAP_ENDPOINT)
+        self._allowed = _read_allowed_keys(settings.keys)
+        self._server = self._make_socket()
+        self._client = self._make_socket()
+        self._secure_server()
+        self._server.bind(f"tcp://{settings.daemon.cluster_listen}")
+        self._connections: collections.OrderedDict[str, _Connection]
+        self._connections = collections.OrderedDict()
+        self._routes: collections.OrderedDict[str, bytes] = collections.OrderedDict()
+        self._numbers = itertools.count(1)
+        self._poller = zmq.Poller()
+        for socket in (self._zap, self._server, self._client):
+            self._poller.register(socket, zmq.POLLIN)
+
+    def register_wake(self, descriptor: int) -> None:
+        """Let a readable file descriptor end a wait."""
+        self._poller.register(descriptor, zmq.POLLIN)
+
+    def wait(self, timeout_s: float) -> None:
+        """Wait for a message, a handshake or the wake-up descriptor."""
+        self._poller.poll(max(0, round(timeout_s * 1000)))
+        self._answer_handshakes()
+
+    def receive(self) -> Iterator[messages.Message]:
+        """Yield the messages that have arrived, up to a bound."""
+        for socket, is_inbound in ((self._server, True), (self._client, False)):
+            for _ in range(_MAX_BATCH):
+                try:
+                    frames = socket.recv_multipart(zmq.NOBLOCK)
+                except zmq.Again:
+                    break
+                message = self._decode(frames)
+                if message is None:
+                    continue
+                if is_inbound:
+                    self._remember_route(message.header.sender, frames[0])
+                else:
+                    self._name_seed(frames[0], message.header.sender)
+                yield message
+
+    def is_connected(self, name: str) -> bool:
+        """Tell whether this daemon holds a connection to a peer."""
+        return name in self._connections
+
+    def connect(self, name: str, address: str, public_key: str) -> None:
+        """Open a connection unless the same one is open.
+
+        :param public_key: CURVE key of the peer; must be in the allow-list
+        """
+        if self._settings.keys is not None and public_key not in self._allowed:
+            self.counts.record_dropped("unknown_key")
+            return
+        endpoint = f"tcp://{address}"
+        known = self._connections.get(name)
+        if known is not None:
+            if known.endpoint == endpoint and known.public_key == public_key:
+                self._connections.move_to_end(name)
+                return
+            self.disconnect(name)
+        self._close_endpoint(endpoint)
+        while len(self._connections) >= self._max_connections:
+            self.disconnect(next(iter(self._connections)))
+        routing_id = f"{name}#{next(self._numbers)}".encode()
+        self._client.setsockopt(zmq.CONNECT_ROUTING_ID, routing_id)
+        self._secure_client(public_key)
+        self._client.connect(endpoint)
+        self._connections[name] = _Connection(routing_id, endpoint, public_key)
+
+    def disconnect(self, name: str) -> None:
+        """Close the connection that this daemon holds to a peer."""
+        connection = self._connections.pop(name, None)
+        if connection is None:
+            return
+        try:
+            self._client.disconnect(connection.endpoint)
+        except zmq.ZMQError:
+            self.counts.record_dropped("disconnect")
+
+    def send(
+        self, name: str, message: messages.Message, prefer_route: bool = False
+    ) -> bool:
+        """Send over an open connection, and tell whether there is one.
+
+        :param prefer_route: answer on the connection that the peer opened, if any
+        """
+        connection = self._connections.get(name)
+        route = self._routes.get(name)
+        kind, data = messages.encode(message)
+        if len(data) > messages.MAX_MESSAGE_BYTES:
+            self.counts.record_dropped("oversized")
+            return False
+        if route is not None and (prefer_route or connection is None):
+            socket, target = self._server, route
+        elif connection is not None:
+            socket, target = self._client, connection.routing_id
+            self._connections.move_to_end(name)
+        else:
+            return False
+        try:
+            socket.send_multipart([target, data], zmq.NOBLOCK)
+        except zmq.ZMQError:
+            self.counts.record_dropped("send")
+            return False
+        self.counts.record("out", kind, len(data))
+        return True
+
+    def close(self) -> None:
+        """Close all sockets without waiting for unsent messages."""
+        for socket in (self._client, self._server, self._zap):
+            socket.close(0)
+        self._context.term()
+
+    def _decode(self, frames: list[bytes]) -> messages.Message | None:
+        if len(frames) != 2:
+            self.counts.record_dropped("frames")
+            return None
+        try:
+            kind, message = messages.decode(frames[1])
+        except exceptions.ProtocolError:
+            self.counts.record_dropped("malformed")
+            return None
+        self.counts.record("in", kind, len(frames[1]))
+        return message
+
+    def _remember_route(self, name: str, routing_id: bytes) -> None:
+        self._routes[name] = routing_id
+        self._routes.move_to_end(name)
+        if len(self._routes) > _MAX_ROUTES:
+            self._routes.popitem(last=False)
+
+    def _name_seed(self, routing_id: bytes, name: str) -> None:
+        """Keep a connection to a seed under the name of the daemon that answers."""
+        label = routing_id.rpartition(b"#")[0].decode()
+        if not label.startswith(SEED_PREFIX) or label not in self._connections:
+            return
+        connection = self._connections.pop(label)
+        if name not in self._connections:
+            self._connections[name] = connection
+            return
+        self._connections[label] = connection
+        self.disconnect(label)
+
+    def _close_endpoint(self, endpoint: str) -> None:
+        """Close other connections to an endpoint.
+
+        The library closes all connections to an endpoint together, so that there must
+        never be two.
+        """
+        for name, connection in list(self._connections.items()):
+            if connection.endpoint == endpoint:
+                self.disconnect(name)
+
+    def _make_socket(self) -> zmq.Socket[bytes]:
+        socket = self._context.socket(zmq.ROUTER)
+        for option, value in (
+            (zmq.LINGER, 0),
+            (zmq.SNDHWM, _QUEUE_MESSAGES),
+            (zmq.RCVHWM, _QUEUE_MESSAGES),
+            (zmq.MAXMSGSIZE, messages.MAX_MESSAGE_BYTES),
+            (zmq.HANDSHAKE_IVL, _HANDSHAKE_MS),
+            (zmq.CONNECT_TIMEOUT, _CONNECT_MS),
+            (zmq.RECONNECT_IVL, _RECONNECT_MS),
+            (zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS),
+            (zmq.TCP_KEEPALIVE, 1),
+            (zmq.TCP_KEEPALIVE_IDLE, 10),
+            (zmq.TCP_KEEPALIVE_INTVL, 3),
+            (zmq.TCP_KEEPALIVE_CNT, 3),
+            (zmq.TCP_MAXRT, _RETRANSMIT_MS),
+            (zmq.BACKLOG, 512),
+        ):
+            socket.setsockopt(option, value)
+        return socket
+
+    def _secure_server(self) -> None:
+        keys = self._settings.keys
+        if keys is None:
+            return
+        self._server.setsockopt(zmq.CURVE_SERVER, 1)
+        self._server.setsockopt(zmq.ZAP_DOMAIN, _ZAP_DOMAIN)
+        secret = keys.secret.get_secret_value().encode()
+        self._server.setsockopt(zmq.CURVE_SECRETKEY, secret)
+        self._client.setsockopt(zmq.CURVE_SECRETKEY, secret)
+        self._client.setsockopt(zmq.CURVE_PUBLICKEY, keys.public.encode())
+
+    def _secure_client(self, public_key: str) -> None:
+        if self._settings.keys is not None:
+            self._client.setsockopt(zmq.CURVE_SERVERKEY, public_key.encode())
+
+    def _answer_handshakes(self) -> None:
+        """Answer ZAP requests: a peer is admitted by its public key alone."""
+        for _ in range(_MAX_BATCH):
+            try:
+                frames = self._zap.recv_multipart(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            version, request_id, *_ = [*frames, b"", b""]
+            is_allowed = len(frames) == 7 and frames[6] in self._allowed.values()
+            status = [b"200", b"OK"] if is_allowed else [b"400", b"unknown key"]
+            if not is_allowed:
+                self.counts.record_dropped("handshake")
+            self._zap.send_multipart([version, request_id, *status, b"", b""])
+
+
+def _read_allowed_keys(keys: daemon_settings.KeysSection | None) -> dict[str, bytes]:
+    """Return the binary form of each allowed key; the own key is one of them."""
+    if keys is None:
+        return {}
+    texts = {keys.public, *keys.peer_public}
+    decode: Callable[[bytes], bytes] = z85.decode
+    return {text: decode(text.encode()) for text in texts}
--- /dev/null
+++ b/src/endivevane/cluster/vm_watch.py
@@ -0,0 +1,88 @@
+"""Watch over the platform's list of VMs, for those that are leaving."""
+
+from __future__ import annotations
+
+import result
+
+from endivevane.cluster import calls, messages, neighbours
+from endivevane.platform import vms
+
+LIST = "vm_list"
+_INTERVAL_S = 1.0
+# The list names every VM, so that a large cluster lets two daemons of each zone read it
+# and pass on the few names that matter.
+_SMALL_CLUSTER = 16
+_READERS_PER_ZONE = 2
+
+
+class VmWatch:
+    """Reads the list or learns from those who do; runs on the cluster thread.
+
+    :param vm_list: the platform's list; ``None`` does without
+    :param background: runs the blocking calls
+    :param peers: members and connections
+    """
+
+    def __init__(
+        self,
+        vm_list: vms.VmListClient | None,
+        background: calls.BackgroundCalls,
+        peers: neighbours.Neighbours,
+    ) -> None:
+        self._vm_list = vm_list
+        self._background = background
+        self._peers = peers
+        self._due_s = 0.0
+        self._as_of_s = 0.0
+        self._leaving: frozenset[str] = frozenset()
+
+    def run(self, now_s: float) -> None:
+        """Read the list when it is due and this daemon is one of the readers."""
+        if self._vm_list is None or now_s < self._due_s or not self._is_reader():
+            return
+        self._due_s = now_s + _INTERVAL_S
+        self._background.start(LIST, self._vm_list.fetch)
+
+    def record(
+        self, outcome: result.Result[vms.VmList, vms.VmListError] | None
+    ) -> frozenset[str] | None:
+        """Apply a list; return the leaving VMs if they changed."""
+        if outcome is None or isinstance(outcome, result.Err):
+            return None
+        listed = outcome.ok_value
+        leaving = frozenset(
+            vm.name for vm in listed.vms if vm.state is vms.VmState.LEAVING
+        )
+        if not self._accept(listed.as_of_s, leaving):
+            return None
+        names = tuple(sorted(leaving))
+        message = messages.VmsLeaving(self._peers.make_header(), listed.as_of_s, names)
+        self._peers.send_to_links(message)
+        return leaving
+
+    def handle(self, message: messages.VmsLeaving) -> frozenset[str] | None:
+        """Apply the list that another daemon read; return leaving VMs on a change."""
+        leaving = frozenset(message.names)
+        if not self._accept(message.as_of_s, leaving):
+            return None
+        self._peers.forward(message)
+        return leaving
+
+    def _accept(self, as_of_s: float, leaving: frozenset[str]) -> bool:
+        if as_of_s < self._as_of_s:
+            return False
+        self._as_of_s = as_of_s
+        if leaving == self._leaving:
+            return False
+        self._leaving = leaving
+        for name in leaving:
+            self._peers.detector.report_leaving(name)
+        return True
+
+    def _is_reader(self) -> bool:
+        detector = self._peers.detector
+        if len(detector.table) <= _SMALL_CLUSTER:
+            return True
+        me = detector.me
+        readers = detector.table.list_zone(me.description.zone)[:_READERS_PER_ZONE]
+        return me.name in readers
--- /dev/null
+++ b/src/endivevane/coordination/members.py
@@ -0,0 +1,177 @@
+"""Members of the cluster and the rules by which reports about them are merged."""
+
+from __future__ import annotations
+
+import bisect
+import dataclasses
+import enum
+import hashlib
+from collections.abc import Iterator, Mapping
+
+
+class MemberState(enum.IntEnum):
+    """State of a member; for one incarnation the higher value wins."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    LEAVING = 2
+    DEAD = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Description:
+    """Where a member runs and how it is reached.
+
+    :param address: ``host:port`` for messages between daemons
+    :param public_key: CURVE key in Z85 text; empty for plain connections
+    """
+
+    address: str
+    zone: str
+    region: str
+    public_key: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """A member as this process knows it.
+
+    :param since_s: monotonic time at which the state was set here
+    """
+
+    name: str
+    incarnation: int
+    state: MemberState
+    description: Description
+    since_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Update:
+    """A report about a member.
+
+    :param description: present in reports that may introduce the member
+    """
+
+    name: str
+    incarnation: int
+    state: MemberState
+    description: Description | None = None
+
+
+def supersedes(update: Update, member: Member) -> bool:
+    """Tell whether a report is newer than what is known."""
+    if update.incarnation != member.incarnation:
+        return update.incarnation > member.incarnation
+    return update.state > member.state
+
+
+def make_update(member: Member, with_description: bool = True) -> Update:
+    """Return a report that repeats what is known of a member."""
+    description = member.description if with_description else None
+    return Update(member.name, member.incarnation, member.state, description)
+
+
+def rank_name(name: str, salt: str) -> int:
+    """Return the position of a name in the hash order that the salt selects."""
+    digest = hashlib.blake2b(f"{salt}:{name}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+class MemberTable:
+    """All known members, with hash rings over those of one region.
+
+    Each ring is another hash order. A member watches its successor in each ring, so
+    that every member has as many watchers as there are rings, and the union of the
+    rings is a random graph whose diameter grows with the logarithm of its size.
+
+    :param region: region whose members form the rings
+    :param rings: number of rings
+    """
+
+    def __init__(self, region: str, rings: int) -> None:
+        self._region = region
+        self._members: dict[str, Member] = {}
+        self._rings: list[list[tuple[int, str]]] = [[] for _ in range(rings)]
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def __iter__(self) -> Iterator[Member]:
+        return iter(self._members.values())
+
+    def get(self, name: str) -> Member | None:
+        """Return a member, or ``None`` when the name is unknown."""
+        return self._members.get(name)
+
+    def put(self, member: Member) -> None:
+        """Add or replace a member."""
+        before = self._members.get(member.name)
+        self._members[member.name] = member
+        was_ringed = before is not None and self._is_ringed(before)
+        if self._is_ringed(member) == was_ringed:
+            return
+        self._change_rings(member.name, not was_ringed)
+
+    def remove(self, name: str) -> None:
+        """Forget a member."""
+        member = self._members.pop(name, None)
+        if member is not None and self._is_ringed(member):
+            self._change_rings(name, False)
+
+    def walk_ring(self, ring: int, name: str) -> Iterator[str]:
+        """Yield the names after a name in a ring, once around."""
+        order = self._rings[ring]
+        if not order:
+            return
+        start = bisect.bisect_right(order, (rank_name(name, str(ring)), name))
+        for offset in range(len(order)):
+            other = order[(start + offset) % len(order)][1]
+            if other == name:
+                return
+            yield other
+
+    def list_zone(self, zone: str) -> list[str]:
+        """Return names of the zone's live members in gateway order."""
+        names = [
+            member.name
+            for member in self._members.values()
+            if member.description.zone == zone and member.state <= MemberState.SUSPECT
+        ]
+        return sorted(names, key=lambda name: rank_name(name, "gateway"))
+
+    def zones_by_region(self) -> Mapping[str, str]:
+        """Return the region of each zone that has a member which is not dead."""
+        return {
+            member.description.zone: member.description.region
+            for member in self._members.values()
+            if member.state is not MemberState.DEAD
+        }
+
+    def compute_digest(self) -> int:
+        """Return a number that is equal when two tables agree on who is there.
+
+        Suspicion is left out, since it is temporary and differs between members.
+        """
+        digest = 0
+        for member in self._members.values():
+            if member.state is MemberState.DEAD:
+                continue
+            is_leaving = member.state is MemberState.LEAVING
+            digest ^= rank_name(member.name, f"{member.incarnation}:{is_leaving}")
+        return digest
+
+    def _is_ringed(self, member: Member) -> bool:
+        return (
+            member.state is not MemberState.DEAD
+            and member.description.region == self._region
+        )
+
+    def _change_rings(self, name: str, is_added: bool) -> None:
+        for ring, order in enumerate(self._rings):
+            entry = (rank_name(name, str(ring)), name)
+            if is_added:
+                bisect.insort(order, entry)
+                continue
+            index = bisect.bisect_left(order, entry)
+            del order[index]
--- /dev/null
+++ b/src/endivevane/coordination/membership.py
@@ -0,0 +1,316 @@
+"""Failure detector in the manner of SWIM, as plain code over messages and a clock."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import random
+from collections.abc import Iterable
+
+from endivevane.coordination import (
+    clock,
+    exchange,
+    links,
+    members,
+    probes,
+    roster,
+)
+
+_SYNC_MESSAGES = (exchange.SyncRequest, exchange.SyncRows)
+_ACCUSED = (members.MemberState.SUSPECT, members.MemberState.DEAD)
+
+
+class FailureDetector:
+    """Membership state of one daemon.
+
+    The caller passes received messages to :meth:`handle`, calls :meth:`tick` at least
+    every ``max_tick_gap_s`` after it has passed on everything that was received, and
+    then sends what :meth:`take_outgoing` returns.
+
+    :param name: name of this daemon
+    :param description: how others reach it
+    :param settings: times and bounds
+    :param detector_clock: only its monotonic part is used
+    :param generator: source of all random choices
+    """
+
+    def __init__(
+        self,
+        name: str,
+        description: members.Description,
+        settings: probes.DetectorSettings,
+        detector_clock: clock.Clock,
+        generator: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._clock = detector_clock
+        self._random = generator
+        now_s = detector_clock.monotonic_s()
+        me = members.Member(name, 0, members.MemberState.ALIVE, description, now_s)
+        self._view = roster.Roster(me, settings)
+        self._book = probes.ProbeBook(settings)
+        self._links = links.LinkChooser(self._view, self._book, settings, generator)
+        self._outgoing: list[exchange.Outgoing] = []
+        self._broken: list[str] = []
+        self._has_news = False
+        self._last_call_s = now_s
+        self._push_at_s = now_s
+        self._sync_at_s = now_s + self._jitter(settings.sync_interval_s)
+        self._ring_at_s = [
+            now_s + settings.probe_interval_s * generator.random()
+            for _ in range(settings.rings)
+        ]
+        self.known_revision = 0
+        self.applied_revision = 0
+
+    @property
+    def me(self) -> members.Member:
+        """This daemon as a member."""
+        return self._view.me
+
+    @property
+    def table(self) -> members.MemberTable:
+        """All members; not to be changed by the caller."""
+        return self._view.table
+
+    def find_gateway(self, zone: str) -> str | None:
+        """Return the member that acts for a zone, or ``None`` for an empty one."""
+        return self._links.find_gateway(zone)
+
+    def is_gateway(self) -> bool:
+        """Tell whether this daemon acts for its own zone."""
+        return self._links.is_gateway()
+
+    def list_links(self) -> list[str]:
+        """Return members that this daemon exchanges probes with at present."""
+        return self._links.list_links(self._last_call_s)
+
+    def is_region_heard(self, region: str) -> bool:
+        """Tell whether a member of a region has sent something lately."""
+        return self._links.is_region_heard(region, self._last_call_s)
+
+    def take_outgoing(self) -> list[exchange.Outgoing]:
+        """Return the messages to send, in order."""
+        outgoing, self._outgoing = self._outgoing, []
+        return outgoing
+
+    def take_events(self) -> list[roster.MemberChanged]:
+        """Return the changes since the last call."""
+        return self._view.take_events()
+
+    def take_broken(self) -> list[str]:
+        """Return members whose connection should be opened anew."""
+        broken, self._broken = self._broken, []
+        return broken
+
+    def leave(self) -> None:
+        """Announce that this daemon is about to stop."""
+        self._view.leave()
+
+    def report_leaving(self, name: str) -> None:
+        """Record that the platform lists a member as leaving."""
+        self._view.report(name, members.MemberState.LEAVING, self._last_call_s)
+
+    def report_lapsed(self, name: str) -> None:
+        """Record that the session of a member that can't be heard has lapsed."""
+        self._view.report(name, members.MemberState.DEAD, self._last_call_s)
+
+    def report_member(self, update: members.Update) -> None:
+        """Add a member that another source names, if it is unknown or older here."""
+        self._view.merge([update], self._last_call_s)
+
+    def learn_revision(self, revision: int) -> None:
+        """Record a configuration revision and pass it on if it is new."""
+        if revision <= self.known_revision:
+            return
+        self.known_revision = revision
+        self._has_news = True
+
+    def set_applied(self, revision: int) -> None:
+        """Record the revision in force here."""
+        self.applied_revision = revision
+        self.learn_revision(revision)
+
+    def join(self, receiver: str) -> None:
+        """Ask a member, known or not, for its table."""
+        self._send_sync_request(receiver)
+
+    def handle(self, message: exchange.Message) -> None:
+        """Process one received message."""
+        self._detect_pause()
+        header = message.header
+        if header.sender == self.me.name:
+            return
+        self._links.record_heard(header.sender, self._last_call_s)
+        self.learn_revision(header.known_revision)
+        self._view.merge(header.updates, self._last_call_s)
+        self._react(message)
+        sender = self.table.get(header.sender)
+        is_known = sender is not None and header.incarnation <= sender.incarnation
+        if not is_known and not isinstance(message, _SYNC_MESSAGES):
+            self._send_sync_request(header.sender)
+
+    @functools.singledispatchmethod
+    def _react(self, message: exchange.Message) -> None:
+        """Do what a message asks for beyond its header."""
+
+    @_react.register
+    def _react_to_ping(self, message: exchange.Ping) -> None:
+        header = message.header
+        reply = self._make_header(header.sender)
+        if any(update.name == self.me.name for update in header.updates):
+            own = members.make_update(self.me)
+            reply = dataclasses.replace(reply, updates=(own, *reply.updates))
+        self._send(header.sender, exchange.Ack(reply, message.sequence))
+
+    @_react.register
+    def _react_to_ack(self, message: exchange.Ack) -> None:
+        relay = self._book.finish_relay(message.sequence)
+        if relay is not None:
+            header = self._make_header(relay.origin)
+            self._send(relay.origin, exchange.Ack(header, relay.sequence))
+            return
+        name = self._book.resolve(message.sequence)
+        if name is not None:
+            self._view.clear_unannounced(name)
+
+    @_react.register
+    def _react_to_request(self, message: exchange.ProbeRequest) -> None:
+        if self.table.get(message.target) is None:
+            return
+        origin = message.header.sender
+        number = self._book.start_relay(origin, message.sequence, self._last_call_s)
+        if number is not None:
+            self._send_ping(message.target, number)
+
+    @_react.register
+    def _react_to_sync(self, message: exchange.SyncRequest) -> None:
+        if message.digest != self.table.compute_digest():
+            self._send_rows(message.header.sender, is_answer_wanted=True)
+
+    @_react.register
+    def _react_to_rows(self, message: exchange.SyncRows) -> None:
+        if message.is_answer_wanted:
+            self._send_rows(message.header.sender, is_answer_wanted=False)
+
+    def tick(self) -> None:
+        """Run all timers that are due."""
+        self._detect_pause()
+        now_s = self._last_call_s
+        self._expire_probes(now_s)
+        self._view.expire(now_s)
+        for ring, due_s in enumerate(self._ring_at_s):
+            if due_s > now_s:
+                continue
+            interval_s = self._jitter(self._settings.probe_interval_s)
+            self._ring_at_s[ring] = now_s + interval_s
+            names = self._links.list_targets(ring)
+            if ring == 0:
+                names += self._links.list_contacts()
+            for name in names:
+                self._start_probe(name)
+        if self._sync_at_s <= now_s:
+            self._sync_at_s = now_s + self._jitter(self._settings.sync_interval_s)
+            partner = self._links.choose_sync_partner()
+            if partner is not None:
+                self._send_sync_request(partner)
+            self._view.purge(now_s)
+            self._links.purge(now_s)
+        self._push(now_s)
+
+    def _detect_pause(self) -> None:
+        """Extend all own timers by the time in which this process was not running."""
+        now_s = self._clock.monotonic_s()
+        pause_s = now_s - self._last_call_s - self._settings.max_tick_gap_s
+        self._last_call_s = now_s
+        if pause_s > 0:
+            self._book.extend(pause_s)
+            self._view.extend(pause_s)
+
+    # Probes
+
+    def _expire_probes(self, now_s: float) -> None:
+        for name in self._book.list_expired(now_s):
+            member = self.table.get(name)
+            if member is None or member.state is members.MemberState.DEAD:
+                self._book.close(name)
+                continue
+            if not self._book.is_silent(name):
+                self._probe_indirectly(name, now_s)
+                continue
+            self._book.close(name)
+            if member.description.region != self.me.description.region:
+                # A cut link between regions says nothing about a single member.
+                self._links.advance_contact(member.description.zone)
+                continue
+            self._view.suspect(member, now_s)
+            self._start_probe(name)
+
+    def _probe_indirectly(self, name: str, now_s: float) -> None:
+        sequence = self._book.make_indirect(name, now_s)
+        self._broken.append(name)
+        self._send_ping(name, sequence)
+        for helper in self._links.choose_helpers(name, now_s):
+            header = self._make_header(helper)
+            self._send(helper, exchange.ProbeRequest(header, sequence, name))
+        # The successors of one that may be dead have one watcher less.
+        for ring in range(self._settings.rings):
+            targets = self._links.list_targets(ring)
+            if name in targets:
+                self._start_probe(targets[-1])
+
+    def _start_probe(self, name: str) -> None:
+        sequence = self._book.start(name, self._last_call_s)
+        if sequence is not None:
+            self._send_ping(name, sequence)
+
+    # Sending
+
+    def _send(self, receiver: str, message: exchange.Message) -> None:
+        self._outgoing.append(exchange.Outgoing(receiver, message))
+
+    def _take_updates(self) -> tuple[members.Update, ...]:
+        return self._view.queue.take(self._settings.max_updates, len(self.table))
+
+    def _make_header(
+        self, receiver: str, updates: Iterable[members.Update] | None = None
+    ) -> exchange.Header:
+        """Return a header; one to an accused member tells it of the accusation."""
+        chosen = list(self._take_updates() if updates is None else updates)
+        member = self.table.get(receiver)
+        if member is not None and member.state in _ACCUSED:
+            chosen.append(members.make_update(member, with_description=False))
+        return exchange.Header(
+            self.me.name,
+            self.me.incarnation,
+            self.known_revision,
+            self.applied_revision,
+            tuple(chosen),
+        )
+
+    def _send_ping(self, receiver: str, sequence: int) -> None:
+        self._send(receiver, exchange.Ping(self._make_header(receiver), sequence))
+
+    def _send_sync_request(self, receiver: str) -> None:
+        header = self._make_header(receiver, [members.make_update(self.me)])
+        digest = self.table.compute_digest()
+        self._send(receiver, exchange.SyncRequest(header, digest))
+
+    def _send_rows(self, receiver: str, is_answer_wanted: bool) -> None:
+        rows = [members.make_update(member) for member in self.table]
+        header = self._make_header(receiver, rows)
+        self._send(receiver, exchange.SyncRows(header, is_answer_wanted))
+
+    def _push(self, now_s: float) -> None:
+        """Send new updates to all links at once instead of with the next probes."""
+        is_due = self._has_news or self._view.queue.has_fresh()
+        if not is_due or now_s < self._push_at_s:
+            return
+        self._push_at_s = now_s + self._settings.push_interval_s
+        self._has_news = False
+        updates = self._take_updates()
+        for name in self.list_links():
+            self._send(name, exchange.Gossip(self._make_header(name, updates)))
+
+    def _jitter(self, interval_s: float) -> float:
+        return interval_s * self._random.uniform(0.9, 1.1)
