Add plain-service calls and load polling

Cause: calls to plain services need forwarding, and some must run at most once. Change: Forwarder matches routes, retries idempotent calls within the budget and runs the others through the register; answers above 64 KB go to the object store. LoadsTask polls reports and cache events of the candidate engines at a bounded rate. Conclusion: the routes work on a single target; scenarios with faults follow.

--- /dev/null
+++ b/src/endivevane/online/at_most_once.py
@@ -0,0 +1,191 @@
+"""Outcomes of calls that run at most once: storing, replaying, waiting."""
+
+from __future__ import annotations
+
+import base64
+import collections
+import dataclasses
+import threading
+from collections.abc import Mapping
+from typing import Any
+
+import result
+
+from endivevane import logs, utils
+from endivevane.coordination import register
+from endivevane.platform import objects
+from endivevane.web import errors
+
+# Rows of the table service stay small; larger bodies go to the object store.
+_MAX_INLINE_BYTES = 64 << 10
+_KEPT_HEADERS = (
+    "cache-control",
+    "content-disposition",
+    "content-encoding",
+    "content-language",
+    "content-type",
+    "etag",
+    "last-modified",
+    "location",
+    "retry-after",
+)
+
+
+class KeyReused(errors.InvalidRequest):
+    """The idempotency key belongs to a call with another content."""
+
+    status, code = 422, "idempotency_key_reused"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """The answer of a target as it is passed on and stored.
+
+    :param headers: header names in lower case, without hop-by-hop headers
+    """
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Waiting:
+    """A large answer whose object could not be written yet."""
+
+    claim: register.Claim
+    answer: Answer
+
+
+class OutcomeKeeper:
+    """Stores answers in the register, and later what can't be stored now.
+
+    Thread-safe.
+
+    :param max_waiting_bytes: bodies kept in memory while the object store is down
+    """
+
+    def __init__(
+        self,
+        call_register: register.Register,
+        object_client: objects.ObjectClient,
+        max_waiting_bytes: int = 8 << 20,
+    ) -> None:
+        self._register = call_register
+        self._objects = object_client
+        self._max_waiting_bytes = max_waiting_bytes
+        self._waiting: collections.deque[_Waiting] = collections.deque()
+        self._waiting_bytes = 0
+        self._lock = threading.Lock()
+
+    def keep(self, claim: register.Claim, answer: Answer) -> register.Recording:
+        """Store an answer, now or later."""
+        if len(answer.body) > _MAX_INLINE_BYTES and not self._put(claim, answer):
+            recording = self._put_off(_Waiting(claim, answer))
+        else:
+            recording = self._register.record(claim, _describe(claim, answer))
+        if recording is register.Recording.LOST:
+            logs.error("outcome_lost", key=claim.row_key)
+        return recording
+
+    def restore(
+        self, outcome: Mapping[str, Any]
+    ) -> result.Result[Answer, objects.ObjectStoreError]:
+        """Return a stored answer; an error when its object can't be read."""
+        name = outcome.get("object")
+        if name is None:
+            body = base64.b64decode(outcome["body"])
+            return result.Ok(Answer(outcome["status"], outcome["headers"], body))
+        reading = self._objects.get(name)
+        if isinstance(reading, result.Err):
+            return reading
+        return result.Ok(
+            Answer(outcome["status"], outcome["headers"], reading.ok_value)
+        )
+
+    def flush(self) -> int:
+        """Try to store what waits; return how much still does."""
+        for _ in range(len(self._waiting)):
+            with self._lock:
+                if not self._waiting:
+                    break
+                waiting = self._waiting.popleft()
+                self._waiting_bytes -= len(waiting.answer.body)
+            if not self._put(waiting.claim, waiting.answer):
+                self._put_off(waiting)
+                break
+            self._register.record(
+                waiting.claim, _describe(waiting.claim, waiting.answer)
+            )
+        return self._register.flush() + len(self._waiting)
+
+    def _put(self, claim: register.Claim, answer: Answer) -> bool:
+        outcome = self._objects.put(_name_object(claim), answer.body)
+        return isinstance(outcome, result.Ok)
+
+    def _put_off(self, waiting: _Waiting) -> register.Recording:
+        size_bytes = len(waiting.answer.body)
+        with self._lock:
+            if self._waiting_bytes + size_bytes > self._max_waiting_bytes:
+                return register.Recording.LOST
+            self._waiting.append(waiting)
+            self._waiting_bytes += size_bytes
+            return register.Recording.LATER
+
+
+class FlushTask:
+    """A thread that stores outcomes once the stores are back.
+
+    :param interval_s: time between two tries
+    """
+
+    def __init__(self, keeper: OutcomeKeeper, interval_s: float = 0.5) -> None:
+        self._keeper = keeper
+        self._interval_s = interval_s
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="outcomes", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def drain(self, deadline_s: float) -> None:
+        """Do nothing: the last calls still store their outcomes; see :meth:`stop`."""
+
+    def stop(self) -> None:
+        """End the thread after a last try."""
+        self._stopped.set()
+        if self._thread.is_alive():
+            self._thread.join()
+        remaining = self._keeper.flush()
+        if remaining:
+            logs.error("outcomes_lost", count=remaining)
+
+    def _run(self) -> None:
+        while not self._stopped.wait(self._interval_s):
+            try:
+                self._keeper.flush()
+            except Exception as error:
+                logs.error("flush_failed", error=repr(error))
+
+
+def _describe(claim: register.Claim, answer: Answer) -> dict[str, Any]:
+    """Return the JSON object that stands for an answer in the register."""
+    outcome: dict[str, Any] = {
+        "status": answer.status,
+        "headers": {
+            name: value
+            for name, value in answer.headers.items()
+            if name in _KEPT_HEADERS
+        },
+    }
+    if len(answer.body) > _MAX_INLINE_BYTES:
+        outcome["object"] = _name_object(claim)
+    else:
+        outcome["body"] = base64.b64encode(answer.body).decode()
+    return outcome
+
+
+def _name_object(claim: register.Claim) -> str:
+    """Return the key of a large body; the claim makes it unique."""
+    return f"register/{utils.digest_text(claim.row_key)}/{claim.operation_id}"
--- /dev/null
+++ b/src/endivevane/online/forward.py
@@ -0,0 +1,380 @@
+"""Calls to plain services: matching, forwarding, retries, at-most-once execution."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import urllib.parse
+
+import result
+import werkzeug.wrappers
+
+from endivevane import exceptions, logs, metrics, types, utils
+from endivevane.configuration import models, snapshot
+from endivevane.coordination import clock, register, store
+from endivevane.online import at_most_once, plain_targets, proxy_headers
+from endivevane.platform import http_pool
+from endivevane.web import app, errors
+
+_METHODS = ("GET", "POST", "PUT", "DELETE")
+_MAX_KEY_LENGTH = 255
+_MAX_DEADLINE_MS = 24 * 3600 * 1000
+_RETRY_AFTER_S = 1.0
+
+
+class AttemptError(exceptions.EndivevaneError):
+    """One try of a call failed.
+
+    :param is_not_run: whether the target provably did not run the call
+    :param answer: what the target said, if it answered
+    :param detail: what happened
+    """
+
+    def __init__(
+        self, is_not_run: bool, answer: at_most_once.Answer | None, detail: str
+    ) -> None:
+        super().__init__()
+        self.is_not_run = is_not_run
+        self.answer = answer
+        self.detail = detail
+
+    def format_message(self) -> str:
+        """Return what happened."""
+        return self.detail
+
+
+@dataclasses.dataclass(slots=True)
+class _PlainCall:
+    """A call to a plain service while it is served.
+
+    :param path: path and query as they go to the target
+    :param headers: headers that go to the target
+    :param attempts: how often it was sent
+    :param failed: names of targets that failed it
+    """
+
+    call: app.Call
+    service: snapshot.Service
+    route: models.RouteModel
+    path: str
+    body: bytes
+    headers: dict[str, str]
+    deadline_s: float
+    attempts: int = 0
+    failed: set[str] = dataclasses.field(default_factory=set)
+    may_have_run: bool = False
+
+    @property
+    def method(self) -> str:
+        """The HTTP method."""
+        return self.call.request.method
+
+    def digest(self) -> str:
+        """Return the digest that tells calls with the same key apart."""
+        content = hashlib.sha256(self.body).hexdigest()
+        return utils.digest_text(self.service.name, self.method, self.path, content)
+
+
+class Forwarder:
+    """Serves ``/services/{name}/...`` in the worker threads of the HTTP server.
+
+    :param targets: choice, health and connections of targets
+    :param call_register: keys of calls that run at most once
+    :param keeper: stores and returns their outcomes
+    :param max_body_bytes: largest body of a call
+    """
+
+    def __init__(
+        self,
+        targets: plain_targets.PlainTargets,
+        call_register: register.Register,
+        keeper: at_most_once.OutcomeKeeper,
+        forward_clock: clock.Clock,
+        max_body_bytes: int,
+    ) -> None:
+        self._targets = targets
+        self._register = call_register
+        self._keeper = keeper
+        self._clock = forward_clock
+        self._max_body_bytes = max_body_bytes
+
+    def routes(self) -> list[app.Route]:
+        """Return the routes of plain services."""
+        return [
+            app.Route(method, rule, self._handle, max_body_bytes=self._max_body_bytes)
+            for method in _METHODS
+            for rule in ("/services/<name>", "/services/<name>/<path:rest>")
+        ]
+
+    def _handle(self, call: app.Call) -> werkzeug.wrappers.Response:
+        plain = self._parse(call)
+        if plain.route.idempotent:
+            return _make_response(self._call_idempotent(plain))
+        return self._call_once(plain)
+
+    def _parse(self, call: app.Call) -> _PlainCall:
+        name = call.arguments["name"]
+        service = call.snapshot.services.get(name)
+        if service is None or not service.is_plain:
+            raise errors.NotFound(f"there is no plain service {name!r}")
+        if call.organisation not in service.model.organisations:
+            raise errors.NotFound(f"there is no plain service {name!r}")
+        path = "/" + call.arguments.get("rest", "")
+        route = match_route(service.model.routes, path, call.request.method)
+        body = call.request.get_data(cache=False)
+        if len(body) > self._max_body_bytes:
+            raise errors.BodyTooLarge(
+                f"the body is larger than {self._max_body_bytes} bytes"
+            )
+        query = call.request.query_string.decode("latin-1")
+        quoted = urllib.parse.quote(path, safe="/:@!$&'()*+,;=~")
+        headers = proxy_headers.filter_request(call.request.headers.items())
+        headers["x-request-id"] = call.request_id
+        headers["x-endivevane-organisation"] = call.organisation
+        return _PlainCall(
+            call=call,
+            service=service,
+            route=route,
+            path=f"{quoted}?{query}" if query else quoted,
+            body=body,
+            headers=headers,
+            deadline_s=self._clock.monotonic_s() + _read_deadline_s(call, service),
+        )
+
+    def _call_idempotent(self, plain: _PlainCall) -> at_most_once.Answer:
+        """Send a call, and again after a failure as far as the budget allows."""
+        self._targets.record_request(plain.service.name)
+        while True:
+            outcome = self._send(plain, is_repeatable=True)
+            if isinstance(outcome, result.Ok):
+                return outcome.ok_value
+            failure = outcome.err_value
+            denied = self._deny_retry(plain)
+            if denied is None:
+                metrics.RETRIES.labels("plain_call").inc()
+                continue
+            if failure.answer is not None:
+                return failure.answer
+            raise self._make_error(plain, failure, denied)
+
+    def _call_once(self, plain: _PlainCall) -> werkzeug.wrappers.Response:
+        """Serve a call that must not run twice."""
+        key = _read_key(plain.call)
+        if not self._targets.has_target(plain.service):
+            raise errors.Unavailable(
+                f"{plain.service.name} has no target", retry_after_s=_RETRY_AFTER_S
+            )
+        claimed = self._register.claim(
+            plain.call.organisation, key, plain.digest(), self._clock.wall_ms()
+        )
+        if isinstance(claimed, result.Err):
+            raise _make_store_error(claimed.err_value)
+        sight = claimed.ok_value
+        if isinstance(sight, register.KeyReused):
+            raise at_most_once.KeyReused(
+                "the Idempotency-Key was used for another call; use a new key"
+            )
+        if isinstance(sight, register.MayHaveRun):
+            raise errors.Conflict(
+                "a call with this Idempotency-Key was accepted before and its outcome "
+                "is not known; it is not sent again",
+                run_state=types.RunState.MAY_HAVE_RUN,
+                retry_after_s=_RETRY_AFTER_S,
+            )
+        if isinstance(sight, register.Finished):
+            return self._replay(sight)
+        return _make_response(self._send_claimed(plain, sight))
+
+    def _replay(self, finished: register.Finished) -> werkzeug.wrappers.Response:
+        restored = self._keeper.restore(finished.outcome)
+        if isinstance(restored, result.Err):
+            logs.warning("replay_failed", error=str(restored.err_value))
+            raise errors.Unavailable(
+                "the call has run, but its stored answer can't be read now",
+                run_state=types.RunState.RAN,
+                retry_after_s=_RETRY_AFTER_S,
+            )
+        response = _make_response(restored.ok_value)
+        response.headers["X-Replayed"] = "true"
+        return response
+
+    def _send_claimed(
+        self, plain: _PlainCall, claim: register.Claim
+    ) -> at_most_once.Answer:
+        """Send a claimed call; again only while it provably did not run."""
+        self._targets.record_request(plain.service.name)
+        while True:
+            outcome = self._send(plain, is_repeatable=False)
+            if isinstance(outcome, result.Ok):
+                self._keeper.keep(claim, outcome.ok_value)
+                return outcome.ok_value
+            failure = outcome.err_value
+            if not failure.is_not_run:
+                raise self._make_error(plain, failure, "it must not be sent twice")
+            denied = self._deny_retry(plain)
+            if denied is None:
+                metrics.RETRIES.labels("plain_call").inc()
+                continue
+            self._register.release(claim)
+            raise self._make_error(plain, failure, denied)
+
+    def _send(
+        self, plain: _PlainCall, is_repeatable: bool
+    ) -> result.Result[at_most_once.Answer, AttemptError]:
+        """Send a call once to a chosen target."""
+        if self._clock.monotonic_s() >= plain.deadline_s:
+            return result.Err(AttemptError(True, None, "the call was not sent in time"))
+        plain.attempts += 1
+        attempt_id = f"{plain.call.request_id}.{plain.attempts}"
+        started_s = self._clock.monotonic_s()
+        target = self._targets.begin(plain.service, attempt_id, plain.failed)
+        if target is None:
+            return result.Err(AttemptError(True, None, "no target can take the call"))
+        is_answered: bool | None = None
+        try:
+            outcome = self._exchange(plain, target, is_repeatable)
+            is_answered = isinstance(outcome, result.Ok) or (
+                outcome.err_value.answer is not None
+                and not outcome.err_value.is_not_run
+            )
+        finally:
+            self._targets.end(target, attempt_id, started_s, is_answered)
+        if isinstance(outcome, result.Err):
+            plain.failed.add(target.name)
+            plain.may_have_run |= not outcome.err_value.is_not_run
+        return outcome
+
+    def _exchange(
+        self, plain: _PlainCall, target: snapshot.Target, is_repeatable: bool
+    ) -> result.Result[at_most_once.Answer, AttemptError]:
+        remaining_s = max(0.01, plain.deadline_s - self._clock.monotonic_s())
+        # The pool may send a repeatable call a second time on a new connection.
+        limit_s = remaining_s / 2 if is_repeatable else remaining_s
+        headers = {**plain.headers, "x-deadline-ms": str(int(remaining_s * 1000))}
+        outcome = self._targets.get_pool(target).request(
+            plain.method,
+            plain.path,
+            plain.body or None,
+            headers,
+            timeout_s=min(plain.route.timeout_s, limit_s),
+            is_repeatable=is_repeatable,
+        )
+        if isinstance(outcome, result.Err):
+            error = outcome.err_value
+            # A repeatable call may have failed on a reused connection before that.
+            is_not_run = not is_repeatable and error.stage is http_pool.Stage.CONNECT
+            return result.Err(AttemptError(is_not_run, None, error.format_message()))
+        response = outcome.ok_value
+        self._targets.count_bytes(target, len(plain.body) + len(response.body))
+        headers = proxy_headers.filter_response(response.headers)
+        if response.status >= 500:
+            headers.setdefault("x-run-state", types.RunState.MAY_HAVE_RUN.value)
+        answer = at_most_once.Answer(response.status, headers, response.body)
+        if response.status != 503:
+            return result.Ok(answer)
+        is_not_run = headers.get("x-run-state") == types.RunState.NOT_RUN.value
+        if not is_not_run and not plain.route.idempotent:
+            return result.Ok(answer)
+        return result.Err(AttemptError(is_not_run, answer, "the target answered 503"))
+
+    def _deny_retry(self, plain: _PlainCall) -> str | None:
+        """Return why a failed call is not sent again, ``None`` when it is."""
+        if self._clock.monotonic_s() >= plain.deadline_s:
+            reason, text = "deadline", "its deadline has passed"
+        elif plain.attempts >= plain.service.model.online.max_attempts:
+            reason, text = "max_attempts", "no further attempt is allowed"
+        elif not self._targets.has_target(plain.service, plain.failed):
+            reason, text = "no_target", "there is no other target"
+        elif not self._targets.try_retry(plain.service.name):
+            reason, text = "budget", "the retry budget is used up"
+        else:
+            return None
+        metrics.RETRIES_DENIED.labels(reason).inc()
+        return text
+
+    def _make_error(
+        self, plain: _PlainCall, failure: AttemptError, denied: str
+    ) -> errors.ApiError:
+        """Return the final answer of a call that got none from a target."""
+        message = f"{failure.format_message()}; {denied}"
+        kind: type[errors.ApiError] = errors.Unavailable
+        run_state = types.RunState.NOT_RUN
+        if plain.may_have_run:
+            kind, run_state = errors.TargetFailed, types.RunState.MAY_HAVE_RUN
+        if self._clock.monotonic_s() >= plain.deadline_s:
+            kind = errors.DeadlineExceeded
+        return kind(message, run_state=run_state, retry_after_s=_RETRY_AFTER_S)
+
+
+def match_route(
+    routes: tuple[models.RouteModel, ...], path: str, method: str
+) -> models.RouteModel:
+    """Return the route with the longest prefix of the path that allows the method.
+
+    A prefix ends at a slash: ``/tickets`` covers ``/tickets/7`` but not ``/ticketsx``.
+
+    :raises errors.NotFound: when no route covers the path
+    :raises errors.MethodNotAllowed: when none of them allows the method
+    """
+    parts = path.split("/")[1:]
+    if any(part in (".", "..") for part in parts) or "" in parts[:-1]:
+        # The target might resolve such a path to one of another route.
+        raise errors.InvalidRequest(
+            "the path must not contain empty, '.' or '..' segments"
+        )
+    covering = [
+        route
+        for route in routes
+        if path == route.path or path.startswith(route.path.rstrip("/") + "/")
+    ]
+    if not covering:
+        raise errors.NotFound(f"the service has no route for {path}")
+    allowing = [route for route in covering if method in route.methods]
+    if not allowing:
+        raise errors.MethodNotAllowed(f"{method} is not allowed on {path}")
+    return max(allowing, key=lambda route: len(route.path))
+
+
+def _read_key(call: app.Call) -> str:
+    key = call.request.headers.get("Idempotency-Key", "").strip()
+    if not key:
+        raise errors.InvalidRequest(
+            "this call may run only once: send an Idempotency-Key header",
+            param="Idempotency-Key",
+        )
+    if len(key) > _MAX_KEY_LENGTH or not key.isprintable() or not key.isascii():
+        raise errors.InvalidRequest(
+            f"Idempotency-Key must be at most {_MAX_KEY_LENGTH} printable ASCII "
+            "characters",
+            param="Idempotency-Key",
+        )
+    return key
+
+
+def _read_deadline_s(call: app.Call, service: snapshot.Service) -> float:
+    """Return the time that the call may take."""
+    text = call.request.headers.get("X-Deadline-Ms", "").strip()
+    if not text:
+        return service.model.online.deadline_s
+    if not text.isdecimal() or not 0 < int(text) <= _MAX_DEADLINE_MS:
+        raise errors.InvalidRequest(
+            "X-Deadline-Ms must be a number of milliseconds", param="X-Deadline-Ms"
+        )
+    return int(text) / 1000
+
+
+def _make_store_error(error: store.StoreError) -> errors.ApiError:
+    """Return the refusal of a call whose key could not be claimed."""
+    retry_after_s = _RETRY_AFTER_S
+    if isinstance(error, store.StoreOverloaded):
+        retry_after_s = error.retry_after_s
+    return errors.Unavailable(
+        f"the call was not sent, because its key could not be claimed: {error}",
+        retry_after_s=retry_after_s,
+    )
+
+
+def _make_response(answer: at_most_once.Answer) -> werkzeug.wrappers.Response:
+    return werkzeug.wrappers.Response(
+        answer.body, status=answer.status, headers=dict(answer.headers)
+    )
--- /dev/null
+++ b/src/endivevane/online/loads.py
@@ -0,0 +1,212 @@
+"""Polls load reports and cache events of the engines that this daemon sends to."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import dataclasses
+import threading
+from collections.abc import Callable, Iterable, Mapping
+
+import result
+
+from endivevane import logs, metrics
+from endivevane.configuration import snapshot
+from endivevane.coordination import clock
+from endivevane.online import messages, routing
+from endivevane.platform import engine, http_pool
+
+# Request line, status line and headers of a call, which the pool does not count.
+_HEADER_BYTES = 300
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadsSettings:
+    """Rate and limits of the polls.
+
+    :param interval_s: time between two reports of one target
+    :param events_every: cache events are fetched with every so many reports
+    :param max_targets_per_s: bound on the whole rate; with more candidates each is
+        polled less often, so that the polls do not grow with the deployment
+    :param threads: calls under way at a time
+    :param timeout_s: limit for each call
+    """
+
+    interval_s: float = 1.0
+    events_every: int = 2
+    max_targets_per_s: float = 20.0
+    threads: int = 8
+    timeout_s: float = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Polled:
+    """A candidate target and its connection."""
+
+    target: snapshot.Target
+    pool: _CountingPool
+    due_s: float
+    reports: int = 0
+    last_event: int = 0
+    is_busy: bool = False
+
+
+class _CountingPool(http_pool.HttpPool):
+    """Counts the bytes of its calls when they cross the link between regions."""
+
+    crosses_link = False
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+        timeout_s: float | None = None,
+        is_repeatable: bool = True,
+    ) -> result.Result[http_pool.Response, http_pool.TransportError]:
+        """Send a request, see :meth:`http_pool.HttpPool.request`."""
+        outcome = super().request(method, path, body, headers, timeout_s, is_repeatable)
+        if self.crosses_link:
+            size_bytes = _HEADER_BYTES + len(body or b"")
+            if isinstance(outcome, result.Ok):
+                size_bytes += len(outcome.ok_value.body)
+            metrics.LINK_BYTES.labels("control").inc(size_bytes)
+        return outcome
+
+
+class LoadsTask:
+    """A thread that polls and posts what the targets report.
+
+    :param place: name, zone and region of the daemon
+    :param get_snapshot: returns the configuration in force
+    :param post: takes :class:`messages.LoadReported` and
+        :class:`messages.CacheEventsReported`; called on several threads
+    """
+
+    def __init__(
+        self,
+        place: routing.Place,
+        settings: LoadsSettings,
+        task_clock: clock.Clock,
+        get_snapshot: Callable[[], snapshot.Snapshot],
+        post: Callable[[object], None],
+        routing_settings: routing.RoutingSettings | None = None,
+    ) -> None:
+        self._place = place
+        self._settings = settings
+        self._clock = task_clock
+        self._get_snapshot = get_snapshot
+        self._post = post
+        self._routing = routing_settings or routing.RoutingSettings()
+        self._leaving: frozenset[str] = frozenset()
+        self._polled: dict[str, _Polled] = {}
+        self._seen: tuple[snapshot.Snapshot, frozenset[str]] | None = None
+        self._stopped = threading.Event()
+        self._executor = concurrent.futures.ThreadPoolExecutor(
+            settings.threads, thread_name_prefix="loads"
+        )
+        self._thread = threading.Thread(target=self._run, name="loads", daemon=True)
+
+    def start(self) -> None:
+        """Start polling."""
+        self._thread.start()
+
+    def drain(self, deadline_s: float) -> None:
+        """Do nothing: requests in flight still need the reports."""
+
+    def stop(self) -> None:
+        """Stop polling and close the connections."""
+        self._stopped.set()
+        if self._thread.is_alive():
+            self._thread.join()
+        self._executor.shutdown(wait=True, cancel_futures=True)
+        for polled in self._polled.values():
+            polled.pool.close_idle()
+
+    def set_leaving(self, target_names: Iterable[str]) -> None:
+        """Set the targets that get no new work; replaces the former set."""
+        self._leaving = frozenset(target_names)
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            self._refresh()
+            self._stopped.wait(self._poll_due())
+
+    def _refresh(self) -> None:
+        """Follow changes of the configuration and of the leaving targets."""
+        seen = (self._get_snapshot(), self._leaving)
+        if self._seen is not None and _is_same(self._seen, seen):
+            return
+        self._seen = seen
+        wanted: dict[str, snapshot.Target] = {}
+        for service in seen[0].services.values():
+            if service.is_plain:
+                continue
+            for target in routing.choose_candidates(
+                self._place, service, seen[1], self._routing
+            ):
+                wanted[target.name] = target
+        for name in [name for name in self._polled if name not in wanted]:
+            self._polled.pop(name).pool.close_idle()
+        for name, target in wanted.items():
+            known = self._polled.get(name)
+            if known is None or known.target.address != target.address:
+                self._polled[name] = self._make_polled(target)
+
+    def _make_polled(self, target: snapshot.Target) -> _Polled:
+        limits = http_pool.PoolSettings(
+            connect_timeout_s=self._settings.timeout_s,
+            read_timeout_s=self._settings.timeout_s,
+            max_idle_connections=1,
+        )
+        pool = _CountingPool(target.address, limits, self._clock)
+        pool.crosses_link = target.region != self._place.region
+        return _Polled(target, pool, self._clock.monotonic_s())
+
+    def _poll_due(self) -> float:
+        """Start the calls that are due; return the time until the next one."""
+        settings = self._settings
+        now_s = self._clock.monotonic_s()
+        slowed_s = len(self._polled) / settings.max_targets_per_s
+        interval_s = max(settings.interval_s, slowed_s)
+        for polled in self._polled.values():
+            if polled.is_busy or polled.due_s > now_s:
+                continue
+            polled.is_busy = True
+            polled.due_s = now_s + interval_s
+            self._executor.submit(self._poll, polled)
+        next_s = min((item.due_s for item in self._polled.values()), default=now_s)
+        return min(max(next_s - now_s, 0.02), settings.interval_s)
+
+    def _poll(self, polled: _Polled) -> None:
+        try:
+            self._fetch(polled)
+        except Exception as error:
+            # One malformed answer must not end the polls of this target.
+            logs.warning("poll_failed", target=polled.target.name, error=repr(error))
+        finally:
+            polled.is_busy = False
+
+    def _fetch(self, polled: _Polled) -> None:
+        client = engine.EngineClient(polled.pool)
+        name = polled.target.name
+        report = client.fetch_load()
+        if isinstance(report, result.Err):
+            logs.info("load_missing", target=name, error=str(report.err_value))
+            return
+        self._post(messages.LoadReported(name, report.ok_value))
+        polled.reports += 1
+        if polled.reports % self._settings.events_every:
+            return
+        events = client.fetch_cache_events(polled.last_event)
+        if isinstance(events, result.Err) or not events.ok_value:
+            return
+        polled.last_event = max(int(item["n"]) for item in events.ok_value)
+        self._post(messages.CacheEventsReported(name, events.ok_value))
+
+
+def _is_same(
+    first: tuple[snapshot.Snapshot, frozenset[str]],
+    second: tuple[snapshot.Snapshot, frozenset[str]],
+) -> bool:
+    return first[0] is second[0] and first[1] == second[1]
--- /dev/null
+++ b/src/endivevane/online/plain_targets.py
@@ -0,0 +1,171 @@
+"""Targets of plain services, shared by the threads that serve calls."""
+
+from __future__ import annotations
+
+import random
+import threading
+from collections.abc import Collection, Iterable
+
+from endivevane import metrics
+from endivevane.configuration import snapshot
+from endivevane.coordination import clock, retry
+from endivevane.online import routing, target_state
+from endivevane.platform import http_pool
+
+
+class PlainTargets:
+    """Chooses targets, keeps their connections, health and limits. Thread-safe."""
+
+    def __init__(
+        self,
+        place: routing.Place,
+        targets_clock: clock.Clock,
+        generator: random.Random,
+        settings: routing.RoutingSettings | None = None,
+    ) -> None:
+        self._place = place
+        self._clock = targets_clock
+        self._random = generator
+        self._settings = settings or routing.RoutingSettings()
+        self._states: dict[str, target_state.TargetState] = {}
+        self._pools: dict[str, http_pool.HttpPool] = {}
+        self._budgets: dict[str, retry.RetryBudget] = {}
+        self._candidates: dict[str, tuple[snapshot.Service, list[str]]] = {}
+        self._leaving: frozenset[str] = frozenset()
+        self._lock = threading.Lock()
+
+    def set_leaving(self, target_names: Iterable[str]) -> None:
+        """Set the targets that get no new work; replaces the former set."""
+        with self._lock:
+            self._leaving = frozenset(target_names)
+            self._candidates.clear()
+
+    def record_request(self, service: str) -> None:
+        """Count a call that is sent for the first time."""
+        with self._lock:
+            self._get_budget(service).record_request()
+
+    def try_retry(self, service: str) -> bool:
+        """Take a retry from the service's budget; return whether there was one."""
+        with self._lock:
+            return self._get_budget(service).try_retry()
+
+    def has_target(
+        self, service: snapshot.Service, excluded: Collection[str] = ()
+    ) -> bool:
+        """Return whether a call could be sent now.
+
+        :param excluded: names of targets that failed this call
+        """
+        with self._lock:
+            return bool(self._find_usable(service, excluded))
+
+    def begin(
+        self, service: snapshot.Service, attempt_id: str, excluded: Collection[str]
+    ) -> snapshot.Target | None:
+        """Choose a target and note that a call is sent to it.
+
+        :param excluded: names of targets that failed this call
+        """
+        with self._lock:
+            usable = self._find_usable(service, excluded)
+            local = [
+                state for state in usable if state.target.region == self._place.region
+            ]
+            pool = local or usable
+            if not pool:
+                return None
+            sampled = pool if len(pool) <= 2 else self._random.sample(pool, 2)
+            chosen = min(sampled, key=self._compute_cost)
+            chosen.begin(attempt_id)
+            return chosen.target
+
+    def end(
+        self,
+        target: snapshot.Target,
+        attempt_id: str,
+        started_s: float,
+        is_answered: bool | None,
+    ) -> None:
+        """Note how a call ended.
+
+        :param is_answered: ``None`` when the end says nothing about the target
+        """
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            state = self._states.get(target.name)
+            if state is None or attempt_id not in state.in_flight:
+                return
+            if is_answered:
+                before = state.in_flight[attempt_id]
+                state.limit.record_latency(now_s - started_s, before)
+                state.health.record_success(attempt_id, started_s)
+            elif is_answered is not None:
+                state.health.record_failure(attempt_id, started_s, now_s)
+            state.end(attempt_id)
+
+    def get_pool(self, target: snapshot.Target) -> http_pool.HttpPool:
+        """Return the connections to a target."""
+        key = str(target.address)
+        with self._lock:
+            pool = self._pools.get(key)
+            if pool is None:
+                pool = http_pool.HttpPool(
+                    target.address, http_pool.PoolSettings(), self._clock
+                )
+                self._pools[key] = pool
+            return pool
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        with self._lock:
+            pools = list(self._pools.values())
+        for pool in pools:
+            pool.close_idle()
+
+    def count_bytes(self, target: snapshot.Target, size_bytes: int) -> None:
+        """Count bytes of a call if it crosses the link between the regions."""
+        if target.region != self._place.region:
+            metrics.LINK_BYTES.labels("online").inc(size_bytes)
+
+    def _get_budget(self, service: str) -> retry.RetryBudget:
+        return self._budgets.setdefault(
+            service, retry.RetryBudget(retry.RetrySettings(), self._clock)
+        )
+
+    def _find_usable(
+        self, service: snapshot.Service, excluded: Collection[str]
+    ) -> list[target_state.TargetState]:
+        now_s = self._clock.monotonic_s()
+        return [
+            state
+            for state in self._get_candidates(service)
+            if state.target.name not in excluded and state.is_usable(now_s)
+        ]
+
+    def _get_candidates(
+        self, service: snapshot.Service
+    ) -> list[target_state.TargetState]:
+        known = self._candidates.get(service.name)
+        if known is None or known[0] is not service:
+            chosen = routing.choose_candidates(
+                self._place, service, self._leaving, self._settings
+            )
+            for target in chosen:
+                self._update_state(target)
+            known = (service, [target.name for target in chosen])
+            self._candidates[service.name] = known
+        return [self._states[name] for name in known[1]]
+
+    def _update_state(self, target: snapshot.Target) -> None:
+        state = self._states.get(target.name)
+        if state is None or state.target.address != target.address:
+            state = target_state.TargetState(target, self._clock, self._random)
+            self._states[target.name] = state
+        state.set_target(target)
+
+    def _compute_cost(self, state: target_state.TargetState) -> float:
+        cost = state.estimate_load() / state.target.slots
+        if state.target.zone != self._place.zone:
+            cost += self._settings.zone_cost
+        return cost
