Prove the faults and protocols of the stand-ins

Scenarios rely on the stand-ins' faults, so a fault that drops a write, or a record that counts a run twice, would hide real errors in the daemon. Add 22 scenarios on the table service, object store, VM list, engine, plain service and balancer; mend held calls that ran after the fault 'silent' ended, steps that drifted by the timer's lateness, and readiness checks that queued behind slow calls. The stand-ins are fit for the scenarios of the daemon's parts.

--- /dev/null
+++ b/features/standins.feature
@@ -0,0 +1,181 @@
+Feature: Stand-ins for the outside systems
+
+  Other scenarios trust the records of the stand-ins and the faults that they bring
+  about. A stand-in that loses a write, or counts one twice, would hide real faults.
+
+  Scenario: A lost answer takes effect
+    Guards against a fault switch that drops the write together with its answer.
+    Given a stand-in platform
+    When the platform is told to lose 1 answer
+    And a client inserts the row "jobs/j1" as operation "op-1"
+    Then the client does not know whether the write took effect
+    And the row "jobs/j1" was written by operation "op-1"
+    And the record shows 1 write of the table "jobs"
+
+  Scenario: Only the answers of the named table are lost
+    Guards against a lost answer that hits another write than the one under test.
+    Given a stand-in platform
+    When the platform is told to lose 1 answer of the table "jobs"
+    And a client inserts the row "chunks/c1" as operation "op-1"
+    Then the client knows that the write took effect
+    When a client inserts the row "jobs/j1" as operation "op-2"
+    Then the client does not know whether the write took effect
+
+  Scenario: A conflict reports the actual row and nothing is applied
+    Guards against a transaction that applies some of its writes.
+    Given a stand-in platform
+    When a client inserts the row "jobs/j1" as operation "op-1"
+    And a client inserts the rows "jobs/j0" and "jobs/j1" as operation "op-2"
+    Then the client gets a conflict on "jobs/j1" with the row of operation "op-1"
+    And the row "jobs/j0" is absent
+    And the record shows 1 write of the table "jobs"
+
+  Scenario: Writes above the rate are refused without effect
+    Guards against a store without limits, on which any design would hold.
+    Given a stand-in platform that allows 5 row writes a second
+    When a client inserts 8 rows of the table "open" at once
+    Then between 1 and 3 of them are refused with a wait of at most 1 second
+    And the record shows as many writes of the table "open" as succeeded
+
+  Scenario: Scans return rows in key order, with quoted keys
+    Guards against keys that are cut at a slash and against rows left out of a page.
+    Given a stand-in platform
+    When a client inserts the rows "chunks/j2/000001" and "chunks/j1/000002" as operation "op-1"
+    And a client inserts the rows "chunks/j1/000001" and "chunks/j11/000001" as operation "op-2"
+    Then pages of 1 row of "chunks" with the prefix "j1/" are "j1/000001, j1/000002"
+
+  Scenario: A platform that is down refuses connections and breaks open ones
+    Guards against an outage that kept connections do not notice.
+    Given a stand-in platform
+    And a client with an open connection to the platform
+    When the platform goes down
+    Then the open connection breaks
+    And the client knows that the store is unavailable
+    When the platform comes back
+    And a client inserts the row "jobs/j1" as operation "op-1"
+    Then the client knows that the write took effect
+
+  Scenario: The list of VMs lags
+    Guards against a list that is always up to date.
+    Given a stand-in platform whose list of VMs lags 0.5 seconds
+    When the VM "vm-1" is listed as "leaving"
+    Then the list of VMs is still empty
+    And within 3 seconds the list shows "vm-1" as "leaving"
+
+  Scenario: An object is created only once
+    Guards against a second writer that replaces a result.
+    Given a stand-in platform
+    When a client creates the object "results/j/0/1" with "first"
+    And a client creates the object "results/j/0/1" with "second"
+    Then the second creation is refused
+    And the object "results/j/0/1" is "first"
+    And bytes 1 to 3 of the object "results/j/0/1" are "irs"
+
+  Scenario: The answer of an engine can be computed
+    Guards against a changed or shortened answer that a test could not notice.
+    Given a stand-in engine with 4 slots
+    When a caller asks for 20 tokens streamed and unstreamed
+    Then both answers are the expected text of 20 tokens
+    And the usage counts 20 tokens
+
+  Scenario: A resumed stream continues exactly after its offset
+    Guards against an engine that repeats or skips tokens at a resume.
+    Given a stand-in engine with 4 slots
+    When a caller reads 5 events of a stream of 40 tokens and its connection breaks
+    And the caller resumes the stream after offset 4
+    Then the next event has offset 5
+    And both parts together are the expected text of 40 tokens
+    And the record has 1 run, which is "finished"
+
+  Scenario: A stream that is not resumed is cancelled
+    Guards against runs of callers that have left and keep their slot.
+    Given a stand-in engine that keeps broken streams 0.3 seconds
+    When a caller reads 5 events of a stream of 2000 tokens and its connection breaks
+    Then within 5 seconds the record has 1 run, which is "cancelled"
+    And resuming the stream after offset 4 is refused with status 404
+
+  Scenario: A cancelled run frees its slot
+    Guards against a cancellation that leaves the waiting request behind.
+    Given a stand-in engine with 1 slot
+    When a caller opens the stream "first" of 5000 tokens
+    And a caller opens the stream "second" of 3 tokens
+    Then the second stream waits
+    When the stream "first" is cancelled
+    Then the stream "second" ends with the expected text
+    And the run "first" is "cancelled" with fewer than 5000 tokens
+
+  Scenario: An unstreamed request is cancelled when its connection breaks
+    Guards against batch items that keep their slot after the sender gave way.
+    Given a stand-in engine with 1 slot
+    When a caller sends an unstreamed request for 5000 tokens and breaks the connection
+    Then within 5 seconds the record has 1 run, which is "cancelled"
+
+  Scenario: Open streams go silent while new connections work
+    Guards against a fault that breaks the connection, which any client would notice.
+    Given a stand-in engine with 4 slots
+    When a caller reads 2 events of a stream of 300 tokens
+    And open streams go silent after 0 more tokens
+    Then the open stream sends nothing for 0.5 seconds and stays open
+    And a new stream of 10 tokens is answered in full
+
+  Scenario: A stream breaks once after a number of tokens
+    Guards against a fault that hits the resumed connection again.
+    Given a stand-in engine with 4 slots
+    When the engine breaks the next stream after 7 tokens
+    And a caller reads a stream of 30 tokens until it breaks
+    Then the caller has 7 events
+    When the caller resumes the stream after offset 6
+    Then both parts together are the expected text of 30 tokens
+
+  Scenario: A poison prompt ends the engine
+    Guards against a crash that leaves the process alive.
+    Given a stand-in engine with 4 slots
+    When the engine crashes on "poison pill"
+    And a caller sends the prompt "one poison pill please"
+    Then the engine's process has ended
+
+  Scenario Outline: An old fencing number is <verdict>
+    Guards against a stand-in that always checks, on which unfenced orders would pass.
+    Given a stand-in engine that <checks> fencing numbers
+    When the order "load_model" for "extra-lm" with number 7 is sent
+    And the order "unload_model" for "extra-lm" with number 3 is sent
+    Then the last order is answered with status <status>
+    And the engine finally has the models "<models>"
+
+    Examples:
+      | verdict | checks  | status | models             |
+      | refused | checks  | 409    | extra-lm, small-lm |
+      | ignored | ignores | 202    | small-lm           |
+
+  Scenario: A refusal by the engine did not run
+    Guards against a refusal that is counted as a run.
+    Given a stand-in engine with 4 slots
+    When the engine rejects 1 request
+    And a caller sends the prompt "refused"
+    Then the answer has status 503 and the run state "not-run"
+    And the record has no run
+    When a caller asks for the model "unknown-lm"
+    Then the answer has status 404 and the error code "model_not_found"
+
+  Scenario: Cached prefixes shorten the first token and are reported late
+    Guards against cache events that show at once, and against a cache without effect.
+    Given a stand-in engine with a slow prefill
+    When the same long prompt is sent twice
+    Then the second run found all whole blocks cached
+    And the cache events appear only after the first answer
+
+  Scenario: A plain service counts a call whose answer was lost
+    Guards against a lost answer that hides a second execution.
+    Given a stand-in service
+    When the service is told to lose 1 answer
+    And a caller posts "/orders/1" with the key "k-1" and gets no answer
+    And a caller posts "/orders/1" with the key "k-1"
+    Then the record has 2 calls with the key "k-1"
+
+  Scenario: The balancer leaves out a daemon that is not ready
+    Guards against a balancer that breaks connections of a daemon that drains.
+    Given a balancer in front of 2 stand-in services
+    When a slow call goes through the balancer to each service
+    And the service 0 reports that it is not ready
+    Then new calls go to the service 1 only
+    And both slow calls are answered
--- a/standins/balancer.py
+++ b/standins/balancer.py
@@ -59,6 +59,8 @@
         await asyncio.gather(
             _copy(reader, backend_writer), _copy(backend_reader, writer)
         )
+        backend_writer.close()
+        writer.close()
 
     async def _open_backend(
         self,
--- a/standins/batching.py
+++ b/standins/batching.py
@@ -146,9 +146,11 @@
         due_s = loop.time()
         while True:
             token_ms = self._faults.token_ms or self._pace.token_ms
-            due_s += token_ms / 1000 / len(self._groups)
-            # After a pause of the process the missed steps are not made up for.
-            due_s = max(due_s, loop.time())
+            interval_s = token_ms / 1000 / len(self._groups)
+            due_s += interval_s
+            # A late step is made up for; the steps missed in a pause are not.
+            if due_s < loop.time() - interval_s:
+                due_s = loop.time()
             await asyncio.sleep(due_s - loop.time())
             self._step(self._groups[number % len(self._groups)])
             number += 1
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -66,6 +66,7 @@
         )
         self._slots = arguments.slots
         self._lag_s = arguments.lag_s
+        self._keep_s = arguments.keep_s
         self.batcher = batching.Batcher(pace, self._cache, current)
         self.loaded = loaded.LoadedModels(arguments, current)
         self._runs: list[batching.Run] = []
@@ -73,6 +74,7 @@
         self._active: dict[str, batching.Run] = {}
         self._loads: list[tuple[float, dict[str, Any]]] = []
         self.batcher.on_change(self._note_load)
+        self.loaded.on_change(self._note_load)
         self._note_load()
 
     def add(self, app: web.Application) -> None:
@@ -209,7 +211,7 @@
         for since_s, load in self._loads:
             if since_s <= as_of_s:
                 shown = load
-        return web.json_response({"as_of_s": as_of_s, **shown, **self.loaded.report()})
+        return web.json_response({"as_of_s": as_of_s, **shown})
 
     async def show_cache_events(self, request: web.Request) -> web.Response:
         """Return cache events, late and with gaps."""
@@ -238,6 +240,7 @@
             "waiting": self.batcher.waiting,
             "slots": self._slots,
             "kv_used_share": round(self._cache.used_share, 4),
+            **self.loaded.report(),
         }
         self._loads.append((now_s, load))
         if self._loads[0][0] < now_s - 2 * _KEPT_LOADS_S:
@@ -259,7 +262,7 @@
         while True:
             await asyncio.sleep(_SWEEP_INTERVAL_S)
             for attempt_id, stream in list(self._streams.items()):
-                if not stream.is_expired:
+                if not stream.is_expired(self._keep_s):
                     continue
                 self.batcher.cancel(stream.run)
                 del self._streams[attempt_id]
@@ -299,6 +302,9 @@
     parser.add_argument("--event-lag-s", type=float, default=0.5)
     parser.add_argument("--gap-share", type=float, default=0.05)
     parser.add_argument("--lag-s", type=float, default=0.2, help="of load reports")
+    parser.add_argument(
+        "--keep-s", type=float, default=10.0, help="time for resuming a broken stream"
+    )
     parser.add_argument("--load-ms", type=float, default=500.0, help="of an order")
     parser.add_argument("--ignore-fencing", action="store_true")
     parser.add_argument("--role", default="both", choices=("prefill", "decode", "both"))
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -23,6 +23,7 @@
     :param unavailable: every call is answered with 503 and is not applied
     :param latency_ms: delay before a call is handled
     :param lose_answer: next N writes take effect and get no answer
+    :param lose_answer_on: only writes to this table count, or to ``objects``
     :param silent: new calls are accepted and never answered
     :param silent_after: streams open now send N more tokens, then nothing
     :param drop_after: the next stream that has sent N tokens loses its connection
@@ -37,6 +38,7 @@
     unavailable: bool = False
     latency_ms: float = 0.0
     lose_answer: int = 0
+    lose_answer_on: str = ""
     silent: bool = False
     silent_after: int | None = None
     drop_after: int | None = None
@@ -69,6 +71,12 @@
         setattr(self, name, value - 1)
         return True
 
+    def take_lost_answer(self, tables: set[str]) -> bool:
+        """Return whether the answer of a write to these tables gets lost."""
+        if self.lose_answer_on and self.lose_answer_on not in tables:
+            return False
+        return self.take("lose_answer")
+
 
 def break_connection(request: web.Request) -> None:
     """Close the connection of a request without an answer."""
@@ -86,6 +94,7 @@
         await asyncio.sleep(faults.latency_ms / 1000)
     if faults.silent:
         await _stay_silent(request)
+        return web.Response(status=503)
     if faults.down:
         break_connection(request)
         return web.Response(status=503)
--- a/standins/loaded.py
+++ b/standins/loaded.py
@@ -5,6 +5,7 @@
 import argparse
 import asyncio
 import time
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
@@ -31,6 +32,7 @@
         self._lock = asyncio.Lock()
         self._tasks: set[asyncio.Task[None]] = set()
         self.orders: list[dict[str, Any]] = []
+        self._changed: list[Callable[[], None]] = []
         for text in arguments.model:
             name, _, version = text.partition("@")
             self._models[name, version or "1"] = []
@@ -44,6 +46,10 @@
         app.router.add_get("/v1/state", self.show)
         app.router.add_get("/v1/models", self.list)
 
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Call a function after each change."""
+        self._changed.append(callback)
+
     def offers(self, name: str) -> bool:
         """Return whether requests for a model or an adapter can run."""
         return any(
@@ -91,11 +97,16 @@
             return web.json_response(body, status=409)
         self._fencing_number = max(number, self._fencing_number)
         self._in_progress += 1
+        self._notify()
         task = asyncio.create_task(self._carry_out(order))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return web.json_response({"state": "accepted"}, status=202)
 
+    def _notify(self) -> None:
+        for callback in self._changed:
+            callback()
+
     def _ignores_old_numbers(self) -> bool:
         if self._faults.ignore_fencing is not None:
             return self._faults.ignore_fencing
@@ -110,6 +121,7 @@
                 await asyncio.sleep(self._load_ms / 1000 * _ADAPTER_LOAD_SHARE)
             self._apply(order)
             self._in_progress -= 1
+            self._notify()
 
     def _apply(self, order: dict[str, Any]) -> None:
         action, model = order["action"], order.get("model", "")
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -41,15 +41,19 @@
 
     async def transact(self, request: web.Request) -> web.Response:
         """Apply a transaction."""
-        body = await request.json()
-        wait_s = self._writes.take(len(body["writes"]))
+        try:
+            transaction = tables.parse_transaction(await request.json())
+        except (ValueError, KeyError, TypeError) as error:
+            return web.json_response({"error": f"malformed: {error!r}"}, status=400)
+        wait_s = self._writes.take(len(transaction.writes))
         if wait_s:
             self._tables.refused_writes += 1
             return _refuse(wait_s)
-        revision, conflicts = self._tables.transact(body)
+        revision, conflicts = self._tables.transact(transaction)
         if conflicts:
             return web.json_response({"conflicts": conflicts}, status=409)
-        if request.app[faults.FAULTS].take("lose_answer"):
+        written = {write.table for write in transaction.writes}
+        if request.app[faults.FAULTS].take_lost_answer(written):
             faults.break_connection(request)
         return web.json_response({"revision": revision})
 
@@ -110,7 +114,7 @@
             return web.Response(status=412)
         self._objects[key] = data
         self._writes.append({"key": key, "size_bytes": len(data), "at_s": time.time()})
-        if request.app[faults.FAULTS].take("lose_answer"):
+        if request.app[faults.FAULTS].take_lost_answer({"objects"}):
             faults.break_connection(request)
         return web.Response(status=201)
 
--- a/standins/service.py
+++ b/standins/service.py
@@ -26,6 +26,7 @@
 
     def add(self, app: web.Application) -> None:
         """Add the routes."""
+        app.router.add_get("/readyz", self.show_ready)
         for method in ("GET", "POST", "PUT", "DELETE"):
             app.router.add_route(method, "/{path:(?!_).*}", self.call)
 
@@ -33,6 +34,10 @@
         """Return the calls in the order in which they took effect."""
         return {"name": self._name, "calls": self._calls}
 
+    async def show_ready(self, _request: web.Request) -> web.Response:
+        """Answer a readiness check, which is not recorded as a call."""
+        return web.Response(text="ready\n")
+
     async def call(self, request: web.Request) -> web.Response:
         """Record the call, then answer with a digest of its body."""
         body = await request.read()
--- a/standins/streams.py
+++ b/standins/streams.py
@@ -11,8 +11,6 @@
 
 from standins import batching, completions, faults
 
-KEEP_AFTER_BREAK_S = 10.0
-
 
 class Stream:
     """The events of a run; a connection can be replaced by a new one.
@@ -38,12 +36,11 @@
         """The attached connection, if any."""
         return self._connection
 
-    @property
-    def is_expired(self) -> bool:
-        """Whether the time for resuming is over."""
+    def is_expired(self, keep_s: float) -> bool:
+        """Return whether there has been no connection for the given time."""
         if self.detached_at_s is None:
             return False
-        return time.monotonic() - self.detached_at_s > KEEP_AFTER_BREAK_S
+        return time.monotonic() - self.detached_at_s > keep_s
 
     def attach(self, connection: Connection) -> None:
         """Write to a connection from now on, beginning with its next event."""
--- a/standins/tables.py
+++ b/standins/tables.py
@@ -41,6 +41,45 @@
         return (needed - self._tokens) / self._rate_per_s
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Condition:
+    """What a row must look like; revision ``None`` means absent."""
+
+    table: str
+    key: str
+    revision: int | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Write:
+    """A change of one row; value ``None`` deletes it."""
+
+    table: str
+    key: str
+    value: dict[str, Any] | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Transaction:
+    """All conditions and writes of one call."""
+
+    operation_id: str
+    conditions: list[Condition]
+    writes: list[Write]
+
+
+def parse_transaction(body: dict[str, Any]) -> Transaction:
+    """Return the transaction in a request body.
+
+    :raises KeyError, TypeError: when a field is missing or unknown
+    """
+    return Transaction(
+        operation_id=body["operation_id"],
+        conditions=[Condition(**item) for item in body["conditions"]],
+        writes=[Write(**item) for item in body["writes"]],
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class Counts:
     """What was done to one table."""
@@ -87,25 +126,25 @@
             found.append({"key": key, "value": value, "revision": revision})
         return found
 
-    def transact(self, body: dict[str, Any]) -> tuple[int, list[dict[str, Any]]]:
+    def transact(self, transaction: Transaction) -> tuple[int, list[dict[str, Any]]]:
         """Apply all writes if all conditions hold.
 
         :returns: new revision and no conflicts, or the conflicts
         """
-        conflicts = self._find_conflicts(body["conditions"])
+        conflicts = self._find_conflicts(transaction.conditions)
         if conflicts:
             return 0, conflicts
         self._revision += 1
-        for write in body["writes"]:
-            self._apply(write, body["operation_id"])
+        for write in transaction.writes:
+            self._apply(write, transaction.operation_id)
         return self._revision, []
 
-    def _find_conflicts(self, conditions: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    def _find_conflicts(self, conditions: list[Condition]) -> list[dict[str, Any]]:
         conflicts = []
         for condition in conditions:
-            table, key = condition["table"], condition["key"]
+            table, key = condition.table, condition.key
             value, revision = self._rows[table].get(key, (None, None))
-            if revision == condition["revision"]:
+            if revision == condition.revision:
                 continue
             self._counts[table].conflicts += 1
             conflicts.append(
@@ -113,23 +152,21 @@
             )
         return conflicts
 
-    def _apply(self, write: dict[str, Any], operation_id: str) -> None:
-        table, key, value = write["table"], write["key"], write["value"]
-        self._counts[table].writes += 1
-        if value is None:
-            self._rows[table].pop(key, None)
+    def _apply(self, write: Write, operation_id: str) -> None:
+        rows = self._rows[write.table]
+        self._counts[write.table].writes += 1
+        if write.value is None:
+            rows.pop(write.key, None)
         else:
-            self._rows[table][key] = (value, self._revision)
-        if table not in HISTORY_TABLES:
+            rows[write.key] = (write.value, self._revision)
+        if write.table not in HISTORY_TABLES:
             return
         self._history.append(
             {
-                "table": table,
-                "key": key,
+                **dataclasses.asdict(write),
                 "revision": self._revision,
                 "operation_id": operation_id,
                 "at_s": time.time(),
-                "value": value,
             }
         )
 
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -262,7 +262,13 @@
         if plan.confirm_s and not self.publish(plan.confirm_s):
             raise RuntimeError("some zone did not confirm the configuration")
         if plan.has_balancer:
-            self._start_balancer(listens)
+            self.start_balancer(listens)
+
+    def start_balancer(self, addresses: typing.Iterable[str]) -> None:
+        """Start a balancer in front of some addresses."""
+        arguments = [text for item in addresses for text in ("--backend", item)]
+        self.balancer = self._start_stand_in("balancer", "balancer", "", arguments)
+        self.balancer.process.wait_for_line("listening")
 
     def set_vms(self, states: dict[str, str] | None = None) -> None:
         """Publish the list of VMs, which takes effect after the platform's lag.
@@ -295,11 +301,6 @@
         )
         return Daemon(process, name, self.plan.zone_of(index).name, listen, path)
 
-    def _start_balancer(self, listens: list[str]) -> None:
-        arguments = [text for item in listens for text in ("--backend", item)]
-        self.balancer = self._start_stand_in("balancer", "balancer", "", arguments)
-        self.balancer.process.wait_for_line("listening")
-
     def _start_stand_in(
         self, module: str, name: str, zone: str, arguments: typing.Iterable[str]
     ) -> StandIn:
