Add the path of online requests from callers to engines

Cause: one thread per stream can't hold the pacing of many streams, so the streams need one task that owns their sockets. Change: waitress hands a caller's socket over after it has parsed the request; the relay thread owns callers and engines with one selector, resumes broken streams and retries by the scheduler's decision.

--- /dev/null
+++ b/src/endivevane/online/delivery.py
@@ -0,0 +1,131 @@
+"""The answer of one request as its caller gets it."""
+
+from __future__ import annotations
+
+import xxhash
+
+from endivevane.online import answers, caller, contract, sse
+from endivevane.web import errors
+
+
+class Delivery:
+    """Composes the answer from events in the order of their offsets.
+
+    A streamed answer goes out event by event, an unstreamed one is collected.
+
+    :ivar last_offset: last offset taken in, -1 for none
+    """
+
+    def __init__(
+        self, request: contract.OnlineRequest, connection: caller.CallerConnection
+    ) -> None:
+        self.last_offset = -1
+        self.collected_bytes = 0
+        self._request = request
+        self._caller = connection
+        self._has_head = False
+        self._ready: list[bytes] = []
+        self._collected: list[bytes] = []
+        self._sent_digest = xxhash.xxh3_128()
+        self._rerun_digest = xxhash.xxh3_128()
+
+    @property
+    def caller_offset(self) -> int:
+        """Last offset that the caller has; -1 while an answer is collected.
+
+        The scheduler decides by it whether another run has to be the same.
+        """
+        return self.last_offset if self._request.is_streamed else -1
+
+    @property
+    def can_rerun(self) -> bool:
+        """Whether another run can't contradict what the caller has."""
+        return self.caller_offset < 0 or self._request.is_deterministic
+
+    def begin_run(self) -> None:
+        """Expect a run of the request from its first event."""
+        self._rerun_digest = xxhash.xxh3_128()
+        if not self._request.is_streamed:
+            # Nothing has reached the caller, so the new answer replaces the old one.
+            self.last_offset = -1
+            self._collected, self.collected_bytes = [], 0
+
+    def take(self, offset: int, payload: bytes) -> bool:
+        """Take in the next event of the run under way.
+
+        An event that the caller has from an earlier run is compared and withheld.
+
+        :return: ``False`` when the two runs are found to differ
+        """
+        if not self._request.is_streamed:
+            self.last_offset = offset
+            self._collected.append(payload)
+            self.collected_bytes += len(payload)
+            return True
+        if self._request.is_deterministic:
+            choices = sse.extract_choices(payload)
+            self._rerun_digest.update(choices)
+            if offset > self.last_offset:
+                self._sent_digest.update(choices)
+        if offset > self.last_offset:
+            self.last_offset = offset
+            self._ready.append(sse.encode_event(payload))
+            return True
+        if offset < self.last_offset:
+            return True
+        return self._rerun_digest.digest() == self._sent_digest.digest()
+
+    def forward(self, now_s: float) -> None:
+        """Write the events taken in since the last call."""
+        if self._ready:
+            data = b"".join(self._ready)
+            self._ready = []
+            self._write(data, now_s, is_last=False)
+
+    def complete(self, now_s: float) -> None:
+        """Write the end of a whole answer.
+
+        :raises ValueError: when an unstreamed answer can't be composed
+        """
+        if self._request.is_streamed:
+            self._ready.append(sse.encode_event(sse.DONE))
+            data = b"".join(self._ready)
+            self._ready = []
+            self._write(data, now_s, is_last=True)
+            return
+        try:
+            body = sse.make_completion(self._collected)
+        except (TypeError, AttributeError, KeyError) as error:
+            raise ValueError(f"malformed chunk: {error!r}") from error
+        self.write_whole(200, body, {}, now_s)
+
+    def write_whole(
+        self, status: int, body: bytes, headers: dict[str, str], now_s: float
+    ) -> None:
+        """Write a whole answer with a JSON body; nothing may be written before."""
+        data = answers.make_whole(status, self._request.request_id, body, headers)
+        self._caller.write(data, now_s)
+
+    def write_error(self, error: errors.ApiError, now_s: float) -> None:
+        """Write an error: an HTTP answer, or an event after the head was sent.
+
+        The stream is not ended properly then, so that nobody takes it for whole.
+        """
+        if not self._has_head:
+            headers = error.make_headers()
+            self.write_whole(error.status, error.encode_body(), headers, now_s)
+            return
+        self.forward(now_s)
+        self._write(answers.make_error_event(error), now_s, is_last=False)
+
+    def _write(self, data: bytes, now_s: float, is_last: bool) -> None:
+        is_chunked = self._caller.is_http11
+        if is_chunked:
+            data = answers.make_chunk(data)
+            if is_last:
+                data += answers.LAST_CHUNK
+        if not self._has_head:
+            self._has_head = True
+            head = answers.make_stream_head(self._request.request_id, is_chunked)
+            data = head + data
+        self._caller.write(data, now_s)
--- /dev/null
+++ b/src/endivevane/online/front.py
@@ -0,0 +1,189 @@
+"""Routes of online model requests: parse, validate and hand over to the relay."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import werkzeug.wrappers
+
+from endivevane import types
+from endivevane.configuration import snapshot
+from endivevane.coordination import clock
+from endivevane.online import bodies, contract, messages, relay
+from endivevane.web import app, errors, server
+
+_MAX_DEADLINE_MS = 86_400_000
+_MAX_KEY_LENGTH = 255
+
+
+class Front:
+    """Handlers of the online routes.
+
+    :param relay_task: takes over the requests and their callers
+    """
+
+    def __init__(self, relay_task: relay.RelayTask, front_clock: clock.Clock) -> None:
+        self._relay = relay_task
+        self._clock = front_clock
+
+    def complete(self, call: app.Call) -> werkzeug.wrappers.Response:
+        """Hand a chat completion over to the relay."""
+        received_s = self._clock.monotonic_s()
+        request = self._make_request(call, received_s)
+        if self._relay.is_draining:
+            raise errors.Unavailable("the daemon is stopping", retry_after_s=1.0)
+        try:
+            caller = server.detach(call.request.environ)
+        except server.NotDetachable:
+            # The caller is gone, so nobody reads this answer.
+            return werkzeug.wrappers.Response(status=499)
+        self._relay.post(messages.SubmitRequest(request, caller))
+        return werkzeug.wrappers.Response()
+
+    def list_models(self, call: app.Call) -> werkzeug.wrappers.Response:
+        """List the models and adapters that the organisation may use."""
+        models = find_models(call.snapshot, call.organisation)
+        return app.make_json_response({"object": "list", "data": models})
+
+    def show_model(self, call: app.Call) -> werkzeug.wrappers.Response:
+        """Return one model."""
+        name = call.arguments["model"]
+        for model in find_models(call.snapshot, call.organisation):
+            if model["id"] == name:
+                return app.make_json_response(model)
+        raise errors.ModelNotFound(f"there is no model {name!r}", param="model")
+
+    def _make_request(
+        self, call: app.Call, received_s: float
+    ) -> contract.OnlineRequest:
+        fields, body = bodies.parse_body(call.request)
+        service = find_service(call.snapshot, call.organisation, fields.model)
+        check_idempotency_key(call.request)
+        return contract.OnlineRequest(
+            request_id=call.request_id,
+            organisation=call.organisation,
+            service=service,
+            model=fields.model,
+            priority=read_priority(call.request, service),
+            body=body,
+            is_streamed=bool(fields.stream),
+            is_deterministic=fields.is_deterministic,
+            received_s=received_s,
+            deadline_s=received_s + read_deadline_s(call.request, service),
+            fingerprint=bodies.make_fingerprint(fields.model, body),
+            prefix_hashes=bodies.hash_prefixes(fields.model, body["messages"]),
+        )
+
+
+def routes(
+    relay_task: relay.RelayTask, front_clock: clock.Clock | None = None
+) -> list[app.Route]:
+    """Return the routes of the online part."""
+    front = Front(relay_task, front_clock or clock.SystemClock())
+    return [
+        app.Route("POST", "/v1/chat/completions", front.complete),
+        app.Route("GET", "/v1/models", front.list_models),
+        app.Route("GET", "/v1/models/<path:model>", front.show_model),
+    ]
+
+
+def find_service(
+    current: snapshot.Snapshot, organisation: str, model: str
+) -> snapshot.Service:
+    """Return the service that offers a model to an organisation.
+
+    :param model: name, or ``name:adapter``
+    :raises errors.ModelNotFound: when there is none
+    """
+    name, _, adapter = model.partition(":")
+    service = current.services_by_model.get(name)
+    if service is None or organisation not in service.model.organisations:
+        raise errors.ModelNotFound(f"there is no model {model!r}", param="model")
+    offered = next(item for item in service.model.models if item.name == name)
+    if ":" in model and adapter not in offered.adapters:
+        raise errors.ModelNotFound(
+            f"model {name!r} has no adapter {adapter!r}", param="model"
+        )
+    return service
+
+
+def find_models(current: snapshot.Snapshot, organisation: str) -> list[dict[str, Any]]:
+    """Return what an organisation may name as a model, in the OpenAI format."""
+    models = []
+    for service in current.services.values():
+        if organisation not in service.model.organisations:
+            continue
+        for item in service.model.models:
+            names = [item.name, *(f"{item.name}:{name}" for name in item.adapters)]
+            models += [
+                {"id": name, "object": "model", "created": 0, "owned_by": service.name}
+                for name in names
+            ]
+    return sorted(models, key=lambda model: str(model["id"]))
+
+
+def read_deadline_s(
+    request: werkzeug.wrappers.Request, service: snapshot.Service
+) -> float:
+    """Return the time that the request has, from ``X-Deadline-Ms`` or the service.
+
+    :raises errors.ApiError: when the header is no number or the time is over
+    """
+    text = request.headers.get("X-Deadline-Ms")
+    if text is None:
+        return service.model.online.deadline_s
+    digits = text.strip()
+    negative = digits.startswith("-")
+    digits = digits.removeprefix("-")
+    if not (digits.isascii() and digits.isdigit() and len(digits) <= 18):
+        raise errors.InvalidRequest(
+            "X-Deadline-Ms must be a whole number of milliseconds from now",
+            param="X-Deadline-Ms",
+        )
+    deadline_ms = int(digits)
+    if negative or deadline_ms == 0:
+        raise errors.DeadlineExceeded(
+            "the deadline in X-Deadline-Ms has passed", param="X-Deadline-Ms"
+        )
+    if deadline_ms > _MAX_DEADLINE_MS:
+        raise errors.InvalidRequest(
+            f"X-Deadline-Ms is larger than {_MAX_DEADLINE_MS}", param="X-Deadline-Ms"
+        )
+    return deadline_ms / 1000
+
+
+def read_priority(
+    request: werkzeug.wrappers.Request, service: snapshot.Service
+) -> types.Priority:
+    """Return the priority from ``X-Priority`` or the service.
+
+    :raises errors.InvalidRequest: when the header names no priority
+    """
+    text = request.headers.get("X-Priority", service.model.online.priority)
+    names = [item.name.lower() for item in types.Priority]
+    if text.strip().lower() not in names:
+        raise errors.InvalidRequest(
+            "X-Priority must be one of " + ", ".join(names), param="X-Priority"
+        )
+    return types.Priority[text.strip().upper()]
+
+
+def check_idempotency_key(request: werkzeug.wrappers.Request) -> None:
+    """Check the form of ``Idempotency-Key``.
+
+    Completions are idempotent, so the key decides nothing here.
+
+    :raises errors.InvalidRequest: when it is empty, too long or not printable
+    """
+    key = request.headers.get("Idempotency-Key")
+    if key is None:
+        return
+    if (
+        not key
+        or len(key) > _MAX_KEY_LENGTH
+        or not (key.isascii() and key.isprintable())
+    ):
+        raise errors.InvalidRequest(
+            f"Idempotency-Key must have 1 to {_MAX_KEY_LENGTH} printable characters",
+            param="Idempotency-Key",
+        )
--- /dev/null
+++ b/src/endivevane/online/messages.py
@@ -0,0 +1,104 @@
+"""Messages that other tasks post to the relay."""
+
+from __future__ import annotations
+
+import dataclasses
+import socket
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from endivevane import types
+from endivevane.configuration import snapshot
+from endivevane.online import contract
+from endivevane.platform import engine
+from endivevane.web import server
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SubmitRequest:
+    """Serve a request; the relay owns the caller's connection from now on."""
+
+    request: contract.OnlineRequest
+    caller: server.DetachedCaller
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SnapshotChanged:
+    """A new configuration is in force."""
+
+    snapshot: snapshot.Snapshot
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetsLeaving:
+    """The targets that must get no new work; replaces the earlier set."""
+
+    names: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReported:
+    """A target has reported its load."""
+
+    target_name: str
+    report: engine.LoadReport
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheEventsReported:
+    """A target has published events of its prefix cache."""
+
+    target_name: str
+    events: Sequence[Mapping[str, Any]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuarantineChanged:
+    """A fingerprint was quarantined by this or another daemon."""
+
+    fingerprint: str
+    until_wall_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Opened:
+    """A connection to an engine is open and the call has been sent on it.
+
+    :param ticket: number of the call, to recognise one that is no longer wanted
+    """
+
+    attempt: contract.Attempt
+    ticket: int
+    sock: socket.socket
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenFailed:
+    """A call to an engine could not be sent.
+
+    :param was_sent: whether a part of the call may have reached the engine
+    """
+
+    attempt: contract.Attempt
+    ticket: int
+    was_sent: bool
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelMissed:
+    """An engine does not know an attempt yet that is to be cancelled."""
+
+    address: types.Address
+    attempt_id: str
+    tries: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Drain:
+    """Take no new requests."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stop:
+    """Break what is open and end the thread."""
--- /dev/null
+++ b/src/endivevane/online/poller.py
@@ -0,0 +1,75 @@
+"""Selector and timers of the relay's thread."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import selectors
+import socket
+from collections.abc import Callable
+
+READ = selectors.EVENT_READ
+WRITE = selectors.EVENT_WRITE
+
+# Gets the events and the monotonic time of the round.
+Callback = Callable[[int, float], None]
+
+
+class Poller:
+    """Calls a function when a socket is ready.
+
+    One thread uses it.
+    """
+
+    def __init__(self) -> None:
+        self._selector = selectors.DefaultSelector()
+
+    def set_events(self, sock: socket.socket, events: int, callback: Callback) -> None:
+        """Watch a socket, replacing what was watched; no events ends the watch."""
+        is_known = sock in self._selector.get_map()
+        if not events:
+            if is_known:
+                self._selector.unregister(sock)
+            return
+        if is_known:
+            self._selector.modify(sock, events, callback)
+            return
+        self._selector.register(sock, events, callback)
+
+    def wait(self, timeout_s: float | None) -> list[tuple[Callback, int]]:
+        """Wait for events and return the functions to call.
+
+        A function may be returned for a socket that another one of the same round
+        closes; it has to check that its socket is still open.
+        """
+        return [(key.data, events) for key, events in self._selector.select(timeout_s)]
+
+    def close(self) -> None:
+        """Release the selector."""
+        self._selector.close()
+
+
+class Timers:
+    """Functions to call at times; a heap, without cancellation.
+
+    A function that is called although its time has moved must find out by itself.
+    """
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+
+    def schedule(self, when_s: float, function: Callable[[], None]) -> None:
+        """Call a function at a monotonic time."""
+        heapq.heappush(self._heap, (when_s, next(self._numbers), function))
+
+    def next_s(self) -> float | None:
+        """Return the earliest time, if any."""
+        return self._heap[0][0] if self._heap else None
+
+    def take_due(self, now_s: float) -> list[Callable[[], None]]:
+        """Remove and return the functions whose time has come."""
+        due = []
+        while self._heap and self._heap[0][0] <= now_s:
+            due.append(heapq.heappop(self._heap)[2])
+        return due
--- /dev/null
+++ b/src/endivevane/online/reader.py
@@ -0,0 +1,169 @@
+"""Decodes what an engine sends on one connection."""
+
+from __future__ import annotations
+
+import dataclasses
+import http.client
+import io
+import typing
+from collections.abc import Mapping
+from typing import Any
+
+import waitress.receiver
+
+from endivevane import exceptions
+from endivevane.online import sse
+
+_MAX_HEAD_BYTES = 32 << 10
+_MAX_BODY_BYTES = 64 << 10
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """Status and headers of an engine's response.
+
+    :param headers: header names in lower case
+    """
+
+    status: int
+    headers: Mapping[str, str]
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether events follow."""
+        kind = self.headers.get("content-type", "").partition(";")[0].strip()
+        return self.status == 200 and kind.lower() == "text/event-stream"
+
+    @property
+    def says_not_run(self) -> bool:
+        """Whether the engine states that it has not run the request."""
+        return self.headers.get("x-run-state", "").lower() == "not-run"
+
+
+class _Parts:
+    """Collects decoded chunks; has the part of a buffer that the receiver uses."""
+
+    __slots__ = ("parts",)
+
+    def __init__(self) -> None:
+        self.parts: list[bytes] = []
+
+    def append(self, data: bytes) -> None:
+        self.parts.append(data)
+
+    def take(self) -> bytes:
+        parts, self.parts = self.parts, []
+        return parts[0] if len(parts) == 1 else b"".join(parts)
+
+
+class ResponseReader:
+    """Decodes head, transfer encoding and events of one response.
+
+    :param source: name of the engine, for errors
+    """
+
+    __slots__ = (
+        "_chunks",
+        "_events",
+        "_head",
+        "_left",
+        "_parts",
+        "_source",
+        "body",
+        "reply",
+    )
+
+    def __init__(self, source: str) -> None:
+        self._source = source
+        self._head = b""
+        self._parts = _Parts()
+        self._chunks: waitress.receiver.ChunkedReceiver | None = None
+        self._left: int | None = None
+        self._events = sse.EventParser(source)
+        self.reply: Reply | None = None
+        self.body = b""
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the framing says that the response has ended."""
+        if self._chunks is not None:
+            return bool(self._chunks.completed)
+        return self._left == 0
+
+    def feed(self, data: bytes) -> list[sse.Event]:
+        """Return the events that are complete with this data.
+
+        A response that is no stream is collected in ``body``.
+
+        :raises exceptions.ProtocolError: when the response is malformed
+        """
+        if self.reply is None:
+            self._head += data
+            rest = self._parse_head()
+            if rest is None:
+                return []
+            data = rest
+        data = self._decode(data)
+        if not data or self.reply is None:
+            return []
+        if self.reply.is_stream:
+            return self._events.feed(data)
+        self.body += data
+        if len(self.body) > _MAX_BODY_BYTES:
+            raise exceptions.ProtocolError(self._source, "error body too large")
+        return []
+
+    def _decode(self, data: bytes) -> bytes:
+        if self._chunks is not None:
+            self._chunks.received(data)
+            if self._chunks.error is not None:
+                raise exceptions.ProtocolError(self._source, "bad chunked encoding")
+            return self._parts.take()
+        if self._left is not None:
+            data = data[: self._left]
+            self._left -= len(data)
+        return data
+
+    def _parse_head(self) -> bytes | None:
+        """Parse the head when it is complete and return what follows it."""
+        while True:
+            head, separator, rest = self._head.partition(b"\r\n\r\n")
+            if len(head) > _MAX_HEAD_BYTES:
+                raise exceptions.ProtocolError(self._source, "head too large")
+            if not separator:
+                return None
+            reply = self._parse_reply(head)
+            if reply.status >= 200:
+                break
+            self._head = rest
+        self.reply = reply
+        self._head = b""
+        self._choose_framing(reply)
+        return rest
+
+    def _parse_reply(self, head: bytes) -> Reply:
+        line, _, fields = head.partition(b"\r\n")
+        version, _, status = line.partition(b" ")
+        code = status[:3]
+        if not version.startswith(b"HTTP/1.") or not code.isdigit():
+            raise exceptions.ProtocolError(self._source, f"not HTTP: {line[:60]!r}")
+        try:
+            parsed = http.client.parse_headers(io.BytesIO(fields + b"\r\n\r\n"))
+        except http.client.HTTPException as error:
+            raise exceptions.ProtocolError(self._source, repr(error)) from error
+        headers = {name.lower(): value for name, value in parsed.items()}
+        return Reply(int(code), headers)
+
+    def _choose_framing(self, reply: Reply) -> None:
+        coding = reply.headers.get("transfer-encoding", "identity").lower()
+        length = reply.headers.get("content-length")
+        if coding == "chunked":
+            self._chunks = waitress.receiver.ChunkedReceiver(
+                typing.cast(Any, self._parts)
+            )
+        elif coding != "identity":
+            raise exceptions.ProtocolError(self._source, f"coding {coding!r}")
+        elif length is not None:
+            if not length.isdigit():
+                raise exceptions.ProtocolError(self._source, f"length {length!r}")
+            self._left = int(length)
--- /dev/null
+++ b/src/endivevane/online/sse.py
@@ -0,0 +1,171 @@
+"""Server-sent events of the OpenAI HTTP API."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from endivevane import exceptions, utils
+
+DONE = b"[DONE]"
+_MAX_EVENT_BYTES = 1 << 20
+
+# Offset of the ``id:`` line, ``None`` without one, and the content of the data lines.
+Event = tuple[int | None, bytes]
+
+
+class EventParser:
+    """Splits a byte stream into events.
+
+    :param source: name of the sender, for errors
+    """
+
+    __slots__ = ("_rest", "_source")
+
+    def __init__(self, source: str) -> None:
+        self._source = source
+        self._rest = b""
+
+    def feed(self, data: bytes) -> list[Event]:
+        """Return the events that are complete with this data.
+
+        :raises exceptions.ProtocolError: when the data is not a stream of events
+        """
+        if self._rest:
+            data = self._rest + data
+        if b"\r" in data:
+            data = data.replace(b"\r\n", b"\n")
+        blocks = data.split(b"\n\n")
+        self._rest = blocks.pop()
+        if len(self._rest) > _MAX_EVENT_BYTES:
+            raise exceptions.ProtocolError(self._source, "event too large")
+        events = []
+        for block in blocks:
+            event = self._parse(block)
+            if event is not None:
+                events.append(event)
+        return events
+
+    def _parse(self, block: bytes) -> Event | None:
+        if block.startswith(b"id: "):
+            head, separator, body = block.partition(b"\n")
+            # Nearly all events are one id line and one data line.
+            if separator and body.startswith(b"data: ") and b"\n" not in body:
+                return self._parse_offset(head[4:]), body[6:]
+        return self._parse_lines(block)
+
+    def _parse_lines(self, block: bytes) -> Event | None:
+        offset = None
+        parts = []
+        for line in block.split(b"\n"):
+            name, _, value = line.partition(b":")
+            value = value.removeprefix(b" ")
+            if name == b"data":
+                parts.append(value)
+            elif name == b"id":
+                offset = self._parse_offset(value)
+        if not parts:
+            return None
+        return offset, b"\n".join(parts)
+
+    def _parse_offset(self, text: bytes) -> int:
+        if not text.isdigit() or len(text) > 15:
+            raise exceptions.ProtocolError(self._source, f"bad offset {text[:40]!r}")
+        return int(text)
+
+
+def encode_event(payload: bytes) -> bytes:
+    """Return an event without an id."""
+    if b"\n" in payload:
+        payload = payload.replace(b"\n", b"\ndata: ")
+    return b"data: " + payload + b"\n\n"
+
+
+def is_error(payload: bytes) -> bool:
+    """Return whether an event reports an error instead of a piece of the answer."""
+    return b'"error"' in payload[:24] and b'"choices"' not in payload
+
+
+def extract_choices(payload: bytes) -> bytes:
+    """Return the part of an event that two runs of a request have in common.
+
+    The identifier and the time of creation differ between runs.
+    """
+    try:
+        return utils.encode_json(utils.decode_json(payload)["choices"])
+    except (ValueError, KeyError, TypeError):
+        return payload
+
+
+def make_completion(payloads: list[bytes]) -> bytes:
+    """Return the ``chat.completion`` body for the events of a whole answer.
+
+    :raises ValueError: when an event is not a chunk of an answer
+    """
+    answer: dict[str, Any] = {}
+    choices: dict[int, dict[str, Any]] = {}
+    for payload in payloads:
+        chunk = utils.decode_json(payload)
+        if not isinstance(chunk, dict):
+            raise ValueError("an event is not a JSON object")
+        for key, value in chunk.items():
+            if key != "choices" and value is not None:
+                answer.setdefault(key, value)
+        if chunk.get("usage") is not None:
+            answer["usage"] = chunk["usage"]
+        for item in chunk.get("choices") or []:
+            index = item.get("index", 0)
+            choice = choices.setdefault(index, _make_choice(index))
+            _merge_choice(choice, item)
+    answer["object"] = "chat.completion"
+    answer["choices"] = [choices[index] for index in sorted(choices)]
+    for choice in answer["choices"]:
+        calls = choice["message"].get("tool_calls")
+        if calls:
+            choice["message"]["tool_calls"] = [calls[key] for key in sorted(calls)]
+    return utils.encode_json(answer)
+
+
+def _make_choice(index: int) -> dict[str, Any]:
+    message = {"role": "assistant", "content": None}
+    return {"index": index, "message": message, "finish_reason": None}
+
+
+def _merge_choice(choice: dict[str, Any], item: dict[str, Any]) -> None:
+    for key, value in item.items():
+        if key in ("index", "delta") or value is None:
+            continue
+        if key == "logprobs" and isinstance(choice.get(key), dict):
+            for name, entries in value.items():
+                _append(choice[key], name, entries)
+            continue
+        choice[key] = value
+    for key, value in (item.get("delta") or {}).items():
+        if value is None:
+            continue
+        if key == "tool_calls":
+            _merge_calls(choice["message"].setdefault(key, {}), value)
+        elif key == "role":
+            choice["message"][key] = value
+        else:
+            _append(choice["message"], key, value)
+
+
+def _merge_calls(calls: dict[int, Any], pieces: list[dict[str, Any]]) -> None:
+    for piece in pieces:
+        call = calls.setdefault(piece.get("index", len(calls)), {"function": {}})
+        for key, value in piece.items():
+            if key == "function":
+                for name, text in (value or {}).items():
+                    _append(call["function"], name, text)
+            elif key != "index" and value is not None:
+                call[key] = value
+
+
+def _append(holder: dict[str, Any], key: str, value: Any) -> None:
+    """Add a piece of text or of a list; other values replace the earlier one."""
+    present = holder.get(key)
+    is_same_kind = type(present) is type(value)
+    if is_same_kind and isinstance(value, str | list):
+        holder[key] += value
+    elif value is not None:
+        holder[key] = value
--- /dev/null
+++ b/src/endivevane/online/stream.py
@@ -0,0 +1,376 @@
+"""State of one relayed request, from its submission to the end of its answer."""
+
+from __future__ import annotations
+
+import itertools
+import socket
+import typing
+
+import orjson
+
+from endivevane import types
+from endivevane.online import (
+    caller,
+    contract,
+    delivery,
+    engine_connection,
+    messages,
+    poller,
+    reader,
+    relay_settings,
+    sse,
+    stream_states,
+)
+from endivevane.web import errors
+
+_FINAL_STATUSES = frozenset((400, 404, 405, 413, 415, 422))
+_tickets = itertools.count(1)
+
+
+class Host(typing.Protocol):
+    """What a stream needs of the relay.
+
+    :ivar now_s: monotonic time of the current round of events
+    """
+
+    settings: relay_settings.RelaySettings
+    poller: poller.Poller
+    now_s: float
+
+    def open_attempt(self, stream: Stream, body: bytes) -> None:
+        """Start the stream's attempt at its target."""
+
+    def resume_attempt(self, stream: Stream) -> None:
+        """Continue the stream's attempt on a new connection."""
+
+    def cancel_attempt(self, attempt: contract.Attempt) -> None:
+        """Cancel an attempt at its target."""
+
+    def record_first_event(self, stream: Stream) -> None:
+        """Note the first event of an attempt."""
+
+    def fail_attempt(
+        self, stream: Stream, failure: contract.AttemptFailure, detail: str
+    ) -> None:
+        """Decide what follows a failed attempt."""
+
+    def watch_limit(self, stream: Stream) -> None:
+        """Look at the stream again at its time limit."""
+
+    def end_stream(self, stream: Stream) -> None:
+        """Forget the stream."""
+
+
+class Stream:
+    """Copies the answer of a request from engines to its caller.
+
+    :ivar attempts: number of attempts, the current one included
+    :ivar received: last offset received from the current attempt
+    :ivar ticket: number of the call to the engine that is under way
+    :ivar timer_at_s: earliest timer that is set for the stream
+    :ivar detail: what led to the outcome
+    """
+
+    def __init__(self, message: messages.SubmitRequest, host: Host) -> None:
+        self.request = message.request
+        self.attempt: contract.Attempt | None = None
+        self.attempts = 0
+        self.received = -1
+        self.phase = stream_states.Phase.QUEUED
+        self.first_event_s: float | None = None
+        self.ticket = 0
+        self.timer_at_s = float("inf")
+        self.outcome: stream_states.Outcome | None = None
+        self.detail = ""
+        self._host = host
+        self._engine: engine_connection.EngineConnection | None = None
+        self._is_resuming = False
+        # Whether the current attempt, and whether an earlier one, may have run.
+        self._may_run = False
+        self._may_have_run = False
+        self._progress_s = host.now_s
+        self._caller = caller.CallerConnection(
+            message.caller, host.poller, self._on_caller_left, self._on_caller_writable
+        )
+        self.delivery = delivery.Delivery(message.request, self._caller)
+
+    @property
+    def is_ended(self) -> bool:
+        """Whether the caller's connection is closed and nothing follows."""
+        return self.phase is stream_states.Phase.ENDED
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an engine may have run the request, in whole or in part."""
+        return self._may_run or self._may_have_run
+
+    @property
+    def _is_paused(self) -> bool:
+        return self._engine is not None and self._engine.is_paused
+
+    def begin(self, attempt: contract.Attempt) -> None:
+        """Start an attempt from the first event."""
+        self.attempt = attempt
+        self.attempts += 1
+        self.received = -1
+        self._may_have_run = self.may_have_run
+        self._may_run = True
+        self.delivery.begin_run()
+        self._start_call(is_resuming=False)
+        self._host.open_attempt(self, self._encode_body())
+
+    def resume(self) -> None:
+        """Continue the current attempt on a new connection."""
+        self._start_call(is_resuming=True)
+        self._host.resume_attempt(self)
+
+    def take_connection(self, sock: socket.socket) -> None:
+        """Read the engine's answer from a connection."""
+        name = self.attempt.target.name if self.attempt else ""
+        self._engine = engine_connection.EngineConnection(
+            sock, name, self._host.poller, self
+        )
+
+    def fail_call(self, was_sent: bool, detail: str) -> None:
+        """Handle a call to the engine that could not be sent.
+
+        :param was_sent: whether a part of the call may have reached the engine
+        """
+        if was_sent:
+            self._fail_attempt(contract.AttemptFailure.BROKEN, detail)
+            return
+        if not self._is_resuming:
+            self._may_run = False
+        self._fail_attempt(contract.AttemptFailure.CONNECT_FAILED, detail)
+
+    def limit_s(self) -> float:
+        """Return the monotonic time at which the stream must be looked at again."""
+        online = self.request.service.model.online
+        slow_s = self._caller.progress_s + self._host.settings.slow_caller_timeout_s
+        if self.phase is stream_states.Phase.FLUSHING:
+            return slow_s
+        deadline_s = self.request.deadline_s
+        if self.phase is stream_states.Phase.QUEUED:
+            return deadline_s
+        if self._is_paused:
+            return min(deadline_s, slow_s)
+        wait_s = online.inactivity_timeout_s
+        if self.received < 0:
+            wait_s = online.first_token_timeout_s
+        return min(deadline_s, self._progress_s + wait_s)
+
+    def check_limits(self) -> None:
+        """End or fail what has taken too long."""
+        now_s = self._host.now_s
+        if self.phase is stream_states.Phase.ENDED or now_s < self.limit_s():
+            return
+        if self.phase is stream_states.Phase.FLUSHING:
+            self._finish()
+            return
+        if now_s >= self.request.deadline_s:
+            error = errors.DeadlineExceeded(
+                "the deadline of the request has passed", retry_after_s=1.0
+            )
+            self.fail(error, stream_states.Outcome.DEADLINE)
+            return
+        if self._is_paused:
+            self._caller.close()
+            self._abandon_attempt()
+            self._end(stream_states.Outcome.SLOW_CALLER, "the caller does not read")
+            return
+        failure = contract.AttemptFailure.SILENT
+        if self.received < 0:
+            failure = contract.AttemptFailure.FIRST_TOKEN_TIMEOUT
+        self._fail_attempt(failure, "no event in time")
+
+    def fail(self, error: errors.ApiError, outcome: stream_states.Outcome) -> None:
+        """Answer with an error and give up the attempt."""
+        if self.may_have_run and error.run_state is types.RunState.NOT_RUN:
+            error.run_state = types.RunState.MAY_HAVE_RUN
+        self._abandon_attempt()
+        self.delivery.write_error(error, self._host.now_s)
+        self._end(outcome, error.code)
+
+    def stop(self) -> None:
+        """Break the answer because the daemon ends."""
+        if self.phase is not stream_states.Phase.FLUSHING:
+            error = errors.Unavailable("the daemon is stopping", retry_after_s=1.0)
+            self.fail(error, stream_states.Outcome.STOPPED)
+        self._finish()
+
+    def _start_call(self, is_resuming: bool) -> None:
+        self._is_resuming = is_resuming
+        self.ticket = next(_tickets)
+        self.phase = stream_states.Phase.RUNNING
+        self._progress_s = self._host.now_s
+        self._host.watch_limit(self)
+
+    def _encode_body(self) -> bytes:
+        body = dict(self.request.body)
+        body["stream"] = True
+        if not self.request.is_streamed:
+            # An unstreamed answer always has its usage.
+            body["stream_options"] = {"include_usage": True}
+        return orjson.dumps(body)
+
+    def take_break(self, failure: contract.AttemptFailure, detail: str) -> None:
+        """Handle the end of a connection to the engine."""
+        self._fail_attempt(failure, detail)
+
+    def take_refusal(self, reply: reader.Reply, body: bytes) -> None:
+        """Handle an answer of the engine that is not a stream."""
+        detail = f"status {reply.status}"
+        if self._is_resuming:
+            failure = contract.AttemptFailure.TARGET_ERROR
+            self._fail_attempt(failure, f"resume answered with {detail}")
+            return
+        if reply.says_not_run:
+            self._may_run = False
+        is_unwritten = self.delivery.caller_offset < 0
+        if reply.status in _FINAL_STATUSES and is_unwritten:
+            # The engine says that the request itself is wrong.
+            self._may_run = False
+            state = types.RunState.NOT_RUN
+            if self._may_have_run:
+                state = types.RunState.MAY_HAVE_RUN
+            self._close_engine()
+            headers = {"X-Run-State": state.value}
+            self.delivery.write_whole(reply.status, body, headers, self._host.now_s)
+            self._end(stream_states.Outcome.REJECTED, detail)
+            return
+        failure = contract.AttemptFailure.TARGET_ERROR
+        if reply.says_not_run:
+            failure = contract.AttemptFailure.REFUSED_NOT_RUN
+        self._fail_attempt(failure, detail)
+
+    def take_events(self, events: list[sse.Event], now_s: float) -> None:
+        """Pass on events in the order of their offsets."""
+        for offset, payload in events:
+            if payload == sse.DONE:
+                self._complete(now_s)
+                return
+            number = self.received + 1 if offset is None else offset
+            if number <= self.received:
+                continue
+            failure = _find_failure(number, self.received, payload)
+            if failure is not None:
+                self.delivery.forward(now_s)
+                self._fail_attempt(failure, f"bad event after {self.received}")
+                return
+            if self.received < 0:
+                self._note_first_event(now_s)
+            self.received = number
+            if not self.delivery.take(number, payload):
+                self._fail_rerun()
+                return
+        self._progress_s = now_s
+        self.delivery.forward(now_s)
+        self._limit_buffers()
+
+    def _note_first_event(self, now_s: float) -> None:
+        if self.first_event_s is None:
+            self.first_event_s = now_s
+        self._host.record_first_event(self)
+        self._progress_s = now_s
+        self.received = 0
+        self._host.watch_limit(self)
+
+    def _complete(self, now_s: float) -> None:
+        """End the answer; the engine has sent ``[DONE]`` after the last offset."""
+        if self.received < self.delivery.caller_offset:
+            self._fail_rerun()
+            return
+        self._close_engine()
+        try:
+            self.delivery.complete(now_s)
+        except ValueError as error:
+            failure = contract.AttemptFailure.TARGET_ERROR
+            self._fail_attempt(failure, str(error))
+            return
+        self._end(stream_states.Outcome.COMPLETED, "")
+
+    def _fail_rerun(self) -> None:
+        error = errors.TargetFailed(
+            "the answer was interrupted and another run of it differs",
+            run_state=types.RunState.MAY_HAVE_RUN,
+        )
+        self.fail(error, stream_states.Outcome.FAILED)
+
+    def _limit_buffers(self) -> None:
+        limit_bytes = self._host.settings.max_collected_bytes
+        if self.delivery.collected_bytes > limit_bytes:
+            error = errors.TargetFailed(
+                f"the answer is larger than {limit_bytes} bytes; ask for a stream",
+                run_state=types.RunState.MAY_HAVE_RUN,
+            )
+            self.fail(error, stream_states.Outcome.FAILED)
+            return
+        is_full = self._caller.pending_bytes > self._host.settings.high_watermark_bytes
+        if is_full and self._engine is not None:
+            self._engine.pause()
+            self._host.watch_limit(self)
+
+    def _on_caller_left(self, detail: str) -> None:
+        if self.outcome is None:
+            self._abandon_attempt()
+            self._end(stream_states.Outcome.CALLER_LEFT, detail)
+            return
+        self._finish()
+
+    def _on_caller_writable(self) -> None:
+        if self.phase is stream_states.Phase.FLUSHING:
+            if not self._caller.pending_bytes:
+                self._finish()
+            return
+        is_low = self._caller.pending_bytes <= self._host.settings.low_watermark_bytes
+        if self._is_paused and is_low and self._engine is not None:
+            self._progress_s = self._host.now_s
+            self._engine.unpause()
+
+    def _fail_attempt(self, failure: contract.AttemptFailure, detail: str) -> None:
+        self._close_engine()
+        self._host.fail_attempt(self, failure, detail)
+
+    def _abandon_attempt(self) -> None:
+        """Stop the attempt at the engine."""
+        self._close_engine()
+        if (
+            self.phase is stream_states.Phase.RUNNING
+            and self.attempt is not None
+            and self._may_run
+        ):
+            self._host.cancel_attempt(self.attempt)
+
+    def _close_engine(self) -> None:
+        """Close the connection to the engine and ignore one that is being opened."""
+        self.ticket = 0
+        if self._engine is not None:
+            self._engine.close()
+            self._engine = None
+
+    def _end(self, outcome: stream_states.Outcome, detail: str) -> None:
+        """Note the outcome and wait until the caller has taken the answer."""
+        if self.outcome is None:
+            self.outcome, self.detail = outcome, detail
+        if self._caller.is_open and self._caller.pending_bytes:
+            self.phase = stream_states.Phase.FLUSHING
+            self._host.watch_limit(self)
+            return
+        self._finish()
+
+    def _finish(self) -> None:
+        if self.phase is stream_states.Phase.ENDED:
+            return
+        self.phase = stream_states.Phase.ENDED
+        self._caller.close()
+        self._host.end_stream(self)
+
+
+def _find_failure(
+    number: int, received: int, payload: bytes
+) -> contract.AttemptFailure | None:
+    if number != received + 1:
+        return contract.AttemptFailure.BROKEN
+    if sse.is_error(payload):
+        return contract.AttemptFailure.TARGET_ERROR
+    return None
--- /dev/null
+++ b/src/endivevane/online/upstream.py
@@ -0,0 +1,147 @@
+"""Blocking calls to engines, run by executors on behalf of the relay."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import dataclasses
+import http.client
+from collections.abc import Callable, Mapping
+
+import result
+
+from endivevane import logs, types
+from endivevane.online import contract, messages
+from endivevane.platform import http_pool
+
+CALL_PATH = "/v1/chat/completions"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamSettings:
+    """Limits of the calls to engines.
+
+    :param connect_timeout_s: limit for the TCP handshake
+    :param send_timeout_s: limit for each part of the request to be taken
+    :param user_timeout_s: how long sent data may stay unacknowledged
+    :param open_threads: threads that open connections; each is busy for a round trip,
+        or for the connect timeout when a VM has vanished
+    """
+
+    connect_timeout_s: float = 1.0
+    send_timeout_s: float = 5.0
+    user_timeout_s: float = 10.0
+    open_threads: int = 32
+    cancel_threads: int = 4
+    cancel_timeout_s: float = 2.0
+
+
+class Upstream:
+    """Opens, resumes and cancels streams at engines.
+
+    Threads of an executor connect and send. They do not wait for the response,
+    because an engine that accepts connections and stays silent would hold all of
+    them; the relay's thread reads the response head like the rest.
+
+    :param post: takes the outcomes, thread-safe
+    """
+
+    def __init__(
+        self, settings: UpstreamSettings, post: Callable[[object], None]
+    ) -> None:
+        self._settings = settings
+        self._post = post
+        self._openers = concurrent.futures.ThreadPoolExecutor(
+            settings.open_threads, thread_name_prefix="engine-open"
+        )
+        self._cancellers = concurrent.futures.ThreadPoolExecutor(
+            settings.cancel_threads, thread_name_prefix="engine-cancel"
+        )
+
+    def open(self, ticket: int, attempt: contract.Attempt, body: bytes) -> None:
+        """Start an attempt."""
+        headers = {
+            "Content-Type": "application/json",
+            "Accept": "text/event-stream",
+            "X-Request-Id": attempt.attempt_id,
+            "X-Endivevane-Key": attempt.request.request_id,
+            "X-Endivevane-Class": "online",
+        }
+        self._submit(ticket, attempt, ("POST", CALL_PATH), body, headers)
+
+    def resume(self, ticket: int, attempt: contract.Attempt, after_offset: int) -> None:
+        """Continue an attempt on a new connection.
+
+        :param after_offset: last offset received, -1 for none
+        """
+        headers = {"Accept": "text/event-stream"}
+        if after_offset >= 0:
+            headers["Last-Event-ID"] = str(after_offset)
+        path = f"/v1/streams/{attempt.attempt_id}"
+        self._submit(ticket, attempt, ("GET", path), None, headers)
+
+    def cancel(self, address: types.Address, attempt_id: str, tries: int = 1) -> None:
+        """Cancel an attempt at its engine.
+
+        :param tries: number of this try
+        """
+        self._cancellers.submit(self._cancel, address, attempt_id, tries)
+
+    def stop(self) -> None:
+        """End the threads after the calls that have begun."""
+        self._openers.shutdown(wait=True, cancel_futures=True)
+        self._cancellers.shutdown(wait=True, cancel_futures=False)
+
+    def _submit(
+        self,
+        ticket: int,
+        attempt: contract.Attempt,
+        call: tuple[str, str],
+        body: bytes | None,
+        headers: Mapping[str, str],
+    ) -> None:
+        self._openers.submit(self._send, ticket, attempt, call, body, headers)
+
+    def _send(
+        self,
+        ticket: int,
+        attempt: contract.Attempt,
+        call: tuple[str, str],
+        body: bytes | None,
+        headers: Mapping[str, str],
+    ) -> None:
+        settings = self._settings
+        try:
+            connection = http_pool.open_connection(
+                attempt.target.address,
+                settings.connect_timeout_s,
+                settings.user_timeout_s,
+            )
+        except OSError as error:
+            self._post(messages.OpenFailed(attempt, ticket, False, str(error)))
+            return
+        try:
+            connection.sock.settimeout(settings.send_timeout_s)
+            connection.request(*call, body, {**headers, "Connection": "close"})
+        except (OSError, http.client.HTTPException) as error:
+            connection.close()
+            self._post(messages.OpenFailed(attempt, ticket, True, str(error)))
+            return
+        sock = connection.sock
+        sock.setblocking(False)
+        self._post(messages.Opened(attempt, ticket, sock))
+
+    def _cancel(self, address: types.Address, attempt_id: str, tries: int) -> None:
+        settings = self._settings
+        limits = http_pool.PoolSettings(
+            connect_timeout_s=settings.connect_timeout_s,
+            read_timeout_s=settings.cancel_timeout_s,
+            max_idle_connections=0,
+        )
+        pool = http_pool.HttpPool(address, limits)
+        outcome = pool.request("DELETE", f"/v1/streams/{attempt_id}")
+        if isinstance(outcome, result.Err):
+            detail = outcome.err_value.format_message()
+            logs.info("cancel_failed", attempt_id=attempt_id, error=detail)
+            return
+        if outcome.ok_value.status == 404:
+            self._post(messages.CancelMissed(address, attempt_id, tries))
--- /dev/null
+++ b/src/endivevane/web/server.py
@@ -0,0 +1,233 @@
+"""The HTTP server: waitress with JSON errors, a planned stop and detachable sockets."""
+
+from __future__ import annotations
+
+import dataclasses
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import waitress.adjustments
+import waitress.server
+import waitress.task
+
+from endivevane import exceptions, logs, types
+from endivevane.web import app, channel
+
+# The type stubs of waitress lack most attributes of this class.
+_BaseServer: Any = waitress.server.TcpWSGIServer
+
+WsgiApplication = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
+
+
+class NotDetachable(exceptions.EndivevaneError):
+    """The request did not come through this server or its caller is gone."""
+
+    def format_message(self) -> str:
+        """Return what is missing."""
+        return "the request has no open connection that can be detached"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DetachedCaller:
+    """A caller's connection that waitress no longer owns.
+
+    :param sock: non-blocking socket; the request has been read from it
+    :param host: IP number of the caller
+    :param is_http11: whether the caller accepts chunked transfer encoding
+    """
+
+    sock: socket.socket
+    host: str
+    is_http11: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerSettings:
+    """Limits of the HTTP server.
+
+    :param listen: address for callers; port 0 chooses a free one
+    :param worker_threads: threads that run handlers
+    :param max_connections: connections that waitress owns at a time
+    :param max_body_bytes: largest body
+    :param max_upload_bytes: largest body on the upload paths
+    :param upload_paths: paths whose bodies may be as large as an upload
+    :param idle_timeout_s: a connection without a request in progress, or whose
+        answer makes no progress, is closed after this time
+    :param receive_timeout_s: limit for receiving one whole request
+    :param drain_idle_s: how long an idle connection stays open during a planned
+        stop, so that a request already on its way is still answered
+    """
+
+    listen: types.Address
+    worker_threads: int = 16
+    max_connections: int = 4000
+    max_header_bytes: int = 32 << 10
+    max_body_bytes: int = 4 << 20
+    max_upload_bytes: int = 200 << 20
+    upload_paths: tuple[str, ...] = ("/v1/files",)
+    idle_timeout_s: float = 75.0
+    receive_timeout_s: float = 60.0
+    drain_idle_s: float = 1.0
+
+
+def detach(environ: dict[str, Any]) -> DetachedCaller:
+    """Take the caller's socket away from waitress.
+
+    Afterwards waitress neither reads, writes nor closes the socket, and the response
+    that the handler returns is not written.
+
+    :param environ: WSGI environment of the request in progress
+    :raises NotDetachable: when the caller is gone
+    """
+    owner = environ.get(app.CHANNEL_KEY)
+    if not isinstance(owner, channel.Channel):
+        raise NotDetachable()
+    sock = owner.release_socket()
+    if sock is None:
+        raise NotDetachable()
+    is_http11 = environ.get("SERVER_PROTOCOL") == "HTTP/1.1"
+    return DetachedCaller(sock, environ.get("REMOTE_ADDR", ""), is_http11)
+
+
+class HttpServer:
+    """Runs the HTTP server on a thread of its own.
+
+    :param settings: address and limits
+    :param application: WSGI application
+    """
+
+    def __init__(self, settings: ServerSettings, application: WsgiApplication) -> None:
+        self._settings = settings
+        self._dispatcher = waitress.task.ThreadedTaskDispatcher()
+        self._server = _Server(settings, application, self._dispatcher)
+        self._thread = threading.Thread(target=self._run, name="http", daemon=True)
+        self.address = types.Address(
+            self._server.effective_host, int(self._server.effective_port)
+        )
+
+    def start(self) -> None:
+        """Start to serve."""
+        self._dispatcher.set_thread_count(self._settings.worker_threads)
+        self._thread.start()
+
+    def begin_drain(self) -> None:
+        """Accept no new connection and answer with ``Connection: close``."""
+        self._server.pull_trigger_with(self._server.begin_drain)
+
+    def drain(self, deadline_s: float) -> bool:
+        """Wait until every request that waitress owns is answered or detached.
+
+        :param deadline_s: monotonic time after which the wait ends
+        :return: whether no connection is left
+        """
+        self.begin_drain()
+        return self._server.drained.wait(max(0.0, deadline_s - time.monotonic()))
+
+    def stop(self) -> None:
+        """Close all connections and end the threads."""
+        self._server.pull_trigger_with(self._server.request_stop)
+        self._thread.join(timeout=10.0)
+        self._dispatcher.shutdown(timeout=5)
+
+    def _run(self) -> None:
+        while not self._server.is_stopped:
+            try:
+                self._server.run_once()
+            except Exception as error:
+                logs.error("http_loop_failed", error=repr(error))
+                time.sleep(0.05)
+        self._server.close_everything()
+
+
+class _Server(_BaseServer):  # type: ignore[misc]
+    """Waitress's server with drain, stop and stricter time limits."""
+
+    socket: Any
+    channel_class = channel.Channel
+
+    def __init__(
+        self,
+        settings: ServerSettings,
+        application: WsgiApplication,
+        dispatcher: waitress.task.ThreadedTaskDispatcher,
+    ) -> None:
+        adjustments = _make_adjustments(settings)
+        self.settings = settings
+        self.is_draining = False
+        self.is_stopped = False
+        self.drained = threading.Event()
+        super().__init__(application, {}, dispatcher=dispatcher, adj=adjustments)
+
+    def pull_trigger_with(self, function: Callable[[], None]) -> None:
+        """Run a function on the server's thread."""
+        if not self.is_stopped:
+            self.trigger.pull_trigger(function)
+
+    def run_once(self) -> None:
+        """Wait for events once and handle them."""
+        idle = 0.2 if self.is_draining else self.adj.asyncore_loop_timeout
+        self.asyncore.poll2(idle, self._map)
+        if self.is_draining and not self.active_channels:
+            self.drained.set()
+
+    def begin_drain(self) -> None:
+        """Stop accepting; connections that the kernel already accepted are served."""
+        if self.is_draining:
+            return
+        while self._has_pending_connection():
+            self.handle_accept()
+        self.is_draining = True
+        self.accepting = False
+        self.del_channel()
+        self.socket.close()
+        self.socket = None
+
+    def request_stop(self) -> None:
+        """End the loop after the current round."""
+        self.is_stopped = True
+
+    def close_everything(self) -> None:
+        """Close every socket that the server still owns."""
+        for item in list(self._map.values()):
+            if item is not self.trigger:
+                item.close()
+        self.trigger.close()
+        self.drained.set()
+
+    def maintenance(self, now: float) -> None:
+        """Close idle, stalled and slow connections.
+
+        Works on a copy, because workers remove the channels that they detach.
+        """
+        for item in list(self.active_channels.values()):
+            item.check_limits(now)
+
+    def _has_pending_connection(self) -> bool:
+        before = len(self.active_channels)
+        self.handle_accept()
+        return len(self.active_channels) > before
+
+
+def _make_adjustments(settings: ServerSettings) -> channel.Adjustments:
+    # Waitress refuses a body that is as large as its limit, hence one byte more.
+    adjustments = channel.Adjustments(
+        host=settings.listen.host,
+        port=settings.listen.port,
+        threads=settings.worker_threads,
+        connection_limit=settings.max_connections,
+        max_request_header_size=settings.max_header_bytes,
+        max_request_body_size=settings.max_upload_bytes + 1,
+        channel_timeout=max(1, int(settings.idle_timeout_s)),
+        cleanup_interval=1,
+        # select() can't handle descriptors above 1023.
+        asyncore_use_poll=True,
+        asyncore_loop_timeout=1,
+        log_socket_errors=False,
+        clear_untrusted_proxy_headers=False,
+        ident=None,
+    )
+    adjustments.set_body_limit(settings.max_body_bytes + 1, settings.upload_paths)
+    return adjustments
