Connect the parts into a running daemon

Cause: the parts existed but no program ran them together. Change: wiring, the main program with a planned stop, operators' routes and a board of load reports; polls also cover the engines that this daemon sends batch items to.

--- a/src/endivevane/ctl/daemon_commands.py
+++ b/src/endivevane/ctl/daemon_commands.py
@@ -76,7 +76,7 @@
     def print_text(value: dict[str, Any]) -> None:
         members = value.pop("members")
         output.print_fields(value)
-        output.print_table(("name", "zone", "state", "revision"), members)
+        output.print_table(("name", "zone", "region", "state"), members)
 
     return _print(arguments, status, print_text)
 
--- /dev/null
+++ b/src/endivevane/daemon/admin.py
@@ -0,0 +1,150 @@
+"""Routes for operators: status, services, targets, drain, explain."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+from collections.abc import Callable
+from typing import Any
+
+import werkzeug.wrappers
+
+from endivevane import types
+from endivevane.cluster import tasks
+from endivevane.configuration import snapshot
+from endivevane.daemon import history, load_board, settings
+from endivevane.web import app, errors
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdminParts:
+    """What the operators' routes read and call.
+
+    :param count_streams: returns the online requests in flight or waiting
+    :param get_leaving: returns the names of targets that get no new work
+    :param get_obstacles: returns why the daemon is not ready
+    :param request_drain: starts the planned stop of the daemon
+    """
+
+    settings: settings.Settings
+    cluster: tasks.ClusterTask
+    loads: load_board.LoadBoard
+    history: history.RequestHistory
+    count_streams: Callable[[], int]
+    get_leaving: Callable[[], frozenset[str]]
+    get_obstacles: Callable[[], list[str]]
+    request_drain: Callable[[], None]
+
+
+class AdminApi:
+    """Handlers of the operators' routes."""
+
+    def __init__(self, parts: AdminParts) -> None:
+        self._parts = parts
+
+    def routes(self) -> list[app.Route]:
+        """Return the routes; all need a key with the operator role."""
+        role = types.Role.OPERATOR
+        explain = "/admin/explain/<request_id>"
+        return [
+            app.Route("GET", "/admin/status", self._show_status, role=role),
+            app.Route("GET", "/admin/services", self._list_services, role=role),
+            app.Route("GET", "/admin/targets", self._list_targets, role=role),
+            app.Route("POST", "/admin/drain", self._drain, role=role),
+            app.Route("GET", explain, self._explain, role=role),
+        ]
+
+    def _show_status(self, call: app.Call) -> werkzeug.wrappers.Response:
+        parts = self._parts
+        session = parts.cluster.session()
+        obstacles = parts.get_obstacles()
+        members = [
+            {
+                "name": item.name,
+                "zone": item.description.zone,
+                "region": item.description.region,
+                "state": item.state.name.lower(),
+                "incarnation": item.incarnation,
+            }
+            for item in parts.cluster.members()
+        ]
+        return app.make_json_response(
+            {
+                "daemon": parts.settings.daemon.name,
+                "zone": parts.settings.daemon.zone,
+                "ready": not obstacles,
+                "obstacles": obstacles,
+                "revision": call.snapshot.revision,
+                "session_epoch": session.epoch,
+                "session_valid": session.is_valid,
+                "open_streams": parts.count_streams(),
+                "members": members,
+            }
+        )
+
+    def _list_services(self, call: app.Call) -> werkzeug.wrappers.Response:
+        rows = [
+            {
+                "name": service.name,
+                "type": service.model.type,
+                "models": [item.name for item in service.model.models],
+                "organisations": list(service.model.organisations),
+                "targets": len(service.targets),
+            }
+            for _, service in sorted(call.snapshot.services.items())
+        ]
+        return app.make_json_response(
+            {"revision": call.snapshot.revision, "services": rows}
+        )
+
+    def _list_targets(self, call: app.Call) -> werkzeug.wrappers.Response:
+        leaving = self._parts.get_leaving()
+        rows = [
+            self._describe_target(target, leaving)
+            for _, service in sorted(call.snapshot.services.items())
+            for target in service.targets
+        ]
+        return app.make_json_response({"targets": rows})
+
+    def _describe_target(
+        self, target: snapshot.Target, leaving: frozenset[str]
+    ) -> dict[str, Any]:
+        report = self._parts.loads.load_report(target.name)
+        state = "leaving" if target.name in leaving else "reported"
+        if report is None and target.name not in leaving:
+            state = "no report"
+        return {
+            "name": target.name,
+            "service": target.service,
+            "zone": target.zone,
+            "address": str(target.address),
+            "state": state,
+            "running": report.running if report else None,
+            "waiting": report.waiting if report else None,
+            "slots": report.slots if report else target.slots,
+            "checks_orders": target.checks_orders,
+            "checks_fencing": target.checks_fencing,
+        }
+
+    def _drain(self, call: app.Call) -> werkzeug.wrappers.Response:
+        self._parts.request_drain()
+        name = self._parts.settings.daemon.name
+        return app.make_json_response({"daemon": name, "draining": True}, status=202)
+
+    def _explain(self, call: app.Call) -> werkzeug.wrappers.Response:
+        request_id = str(call.arguments["request_id"])
+        events = self._parts.history.find(request_id)
+        if not events:
+            name = self._parts.settings.daemon.name
+            raise errors.NotFound(f"{name} has no record of {request_id}")
+        rows = [
+            {
+                "time": datetime.datetime.fromtimestamp(
+                    item.wall_ms / 1000, datetime.UTC
+                ).isoformat(timespec="milliseconds"),
+                "event": item.event,
+                "detail": item.detail,
+            }
+            for item in events
+        ]
+        return app.make_json_response({"request_id": request_id, "events": rows})
--- a/src/endivevane/daemon/health.py
+++ b/src/endivevane/daemon/health.py
@@ -22,7 +22,9 @@
     def answer_ready(call: app.Call) -> werkzeug.wrappers.Response:
         obstacles = get_obstacles()
         if obstacles:
-            raise errors.Unavailable("not ready: " + "; ".join(obstacles))
+            # Not raised, so that a probe is neither logged nor counted as a refusal.
+            error = errors.Unavailable("not ready: " + "; ".join(obstacles))
+            return app.make_error_response(error)
         return app.make_json_response({"status": "ready"})
 
     def answer_metrics(call: app.Call) -> werkzeug.wrappers.Response:
--- /dev/null
+++ b/src/endivevane/daemon/wiring.py
@@ -0,0 +1,312 @@
+"""Builds the tasks of a daemon and connects them."""
+
+from __future__ import annotations
+
+import random
+import threading
+from collections.abc import Callable
+
+from endivevane import logs, metrics, types, utils
+from endivevane.batch import api as batch_api
+from endivevane.batch import ports, runner, slack
+from endivevane.cluster import events, tasks
+from endivevane.configuration import snapshot
+from endivevane.coordination import clock, members, register
+from endivevane.daemon import (
+    admin,
+    batch_port,
+    health,
+    history,
+    load_board,
+    settings,
+)
+from endivevane.online import (
+    at_most_once,
+    contract,
+    forward,
+    front,
+    loads,
+    messages,
+    plain_targets,
+    relay,
+    relay_settings,
+    routing,
+    scheduler,
+)
+from endivevane.platform import http_pool, objects, table, vms
+from endivevane.web import app, server
+
+_FLUSH_INTERVAL_S = 1.0
+# An operator's drain request is answered before the server begins to stop.
+_DRAIN_ANSWER_S = 0.2
+
+
+class Daemon:
+    """All tasks of one daemon.
+
+    :param daemon_settings: the settings file
+    :param daemon_clock: clock for all tasks
+    """
+
+    def __init__(
+        self, daemon_settings: settings.Settings, daemon_clock: clock.Clock
+    ) -> None:
+        self._settings = daemon_settings
+        self._clock = daemon_clock
+        self._is_draining = False
+        self._leaving: frozenset[str] = frozenset()
+        self._stop_requested = threading.Event()
+        self._stopped = threading.Event()
+        self._build_platform()
+        self._build_cluster()
+        self._build_online()
+        self._build_batch()
+        self._build_server()
+
+    def start(self) -> None:
+        """Start all tasks; the HTTP server last."""
+        self.cluster.subscribe(self._handle_event)
+        self.relay.start()
+        self.cluster.start()
+        self._loads.start()
+        self._runner.start()
+        self._flusher.start()
+        self._server.start()
+        logs.info(
+            "daemon_started",
+            daemon=self._settings.daemon.name,
+            zone=self._settings.daemon.zone,
+            listen=self._server.address,
+        )
+
+    def request_stop(self) -> None:
+        """Ask for the planned stop; returns at once."""
+        self._stop_requested.set()
+
+    def wait_stop_requested(self) -> None:
+        """Block until somebody has asked for the planned stop."""
+        # A bounded wait lets the main thread run signal handlers.
+        while not self._stop_requested.wait(1.0):
+            continue
+
+    def run_planned_stop(self) -> bool:
+        """Finish everything and end all tasks.
+
+        Not ready first, so that the balancer sends no new connection; then no new work;
+        then wait for what is open.
+
+        :returns: whether every request could be finished
+        """
+        drain = self._settings.drain
+        self._is_draining = True
+        logs.info("drain_started", grace_s=drain.grace_s, timeout_s=drain.timeout_s)
+        deadline_s = self._clock.monotonic_s() + drain.grace_s + drain.timeout_s
+        self.cluster.drain(deadline_s)
+        self._stopped.wait(max(drain.grace_s, _DRAIN_ANSWER_S))
+        self._server.begin_drain()
+        batch_stop = threading.Thread(
+            target=self._runner.drain, args=(drain.timeout_s,), name="batch-drain"
+        )
+        batch_stop.start()
+        is_answered = self._server.drain(deadline_s)
+        is_finished = self.relay.drain(deadline_s) and is_answered
+        batch_stop.join()
+        self._stop_tasks()
+        logs.info("drain_ended", finished=is_finished)
+        return is_finished
+
+    def list_obstacles(self) -> list[str]:
+        """Return why the daemon is not ready; empty when it is."""
+        obstacles = []
+        if self._is_draining:
+            obstacles.append("the daemon is stopping")
+        if not self.cluster.is_ready():
+            obstacles.append("the configuration is not known to be current")
+        return obstacles
+
+    def _build_platform(self) -> None:
+        platform = self._settings.platform
+        limits = http_pool.PoolSettings(read_timeout_s=platform.timeout_s)
+
+        def make_pool(address: str) -> http_pool.HttpPool:
+            parsed = types.parse_address(address)
+            return http_pool.HttpPool(parsed, limits, self._clock)
+
+        self._table = table.TableClient(make_pool(platform.table_service))
+        self._objects = objects.ObjectClient(make_pool(platform.object_store))
+        self._vms = vms.VmListClient(make_pool(platform.vm_list))
+
+    def _build_cluster(self) -> None:
+        self.cluster = tasks.ClusterTask(
+            self._settings, self._clock, self._table, self._vms
+        )
+        self._port = batch_port.ClusterPort(self.cluster, self._table, self._clock)
+        self._history = history.RequestHistory(self._clock)
+        logs.add_observer(self._history.observe)
+
+    def _build_online(self) -> None:
+        section = self._settings.daemon
+        place = routing.Place(section.name, section.zone, section.region)
+        self.relay = relay.RelayTask(
+            relay_settings.RelaySettings(max_streams=self._settings.limits.max_streams),
+            self._clock,
+            scheduler.Scheduler(place, self._clock, random.Random()),
+            self._publish,
+        )
+        self._plain = plain_targets.PlainTargets(place, self._clock, random.Random())
+        call_register = register.Register(
+            self._table, lambda: utils.make_id("register")
+        )
+        self._keeper = at_most_once.OutcomeKeeper(call_register, self._objects)
+        self._forwarder = forward.Forwarder(
+            self._plain,
+            call_register,
+            self._keeper,
+            self._clock,
+            self._settings.limits.max_request_bytes,
+        )
+        self._register = call_register
+        self._board = load_board.LoadBoard(self.relay.post)
+        self._loads = loads.LoadsTask(
+            place,
+            loads.LoadsSettings(),
+            self._clock,
+            self._get_snapshot,
+            self._board.post,
+            get_further_targets=self._list_batch_targets,
+        )
+        self._flusher = threading.Thread(
+            target=self._flush_outcomes, name="outcomes", daemon=True
+        )
+
+    def _build_batch(self) -> None:
+        self._runner = runner.BatchRunner(
+            self._settings.batch,
+            self._table,
+            self._objects,
+            self._port,
+            self._board,
+            self._clock,
+        )
+        self._batch_api = batch_api.BatchApi(
+            self._table,
+            self._objects,
+            self._clock,
+            self._settings.limits.max_upload_bytes,
+            self._runner.notify_cancelled,
+        )
+
+    def _build_server(self) -> None:
+        limits = self._settings.limits
+        parts = admin.AdminParts(
+            settings=self._settings,
+            cluster=self.cluster,
+            loads=self._board,
+            history=self._history,
+            count_streams=lambda: self.relay.open_streams,
+            get_leaving=lambda: self._leaving,
+            get_obstacles=self.list_obstacles,
+            request_drain=self.request_stop,
+        )
+        routes = [
+            *front.routes(self.relay, self._clock),
+            *self._forwarder.routes(),
+            *self._batch_api.routes(),
+            *admin.AdminApi(parts).routes(),
+            *health.routes(self.list_obstacles),
+        ]
+        application = app.Application(
+            routes, self._get_snapshot, limits.max_request_bytes
+        )
+        server_settings = server.ServerSettings(
+            listen=types.parse_address(self._settings.daemon.listen),
+            worker_threads=self._settings.daemon.worker_threads,
+            max_connections=limits.max_connections,
+            max_body_bytes=limits.max_request_bytes,
+            max_upload_bytes=limits.max_upload_bytes,
+        )
+        self._server = server.HttpServer(server_settings, application)
+
+    def _get_snapshot(self) -> snapshot.Snapshot:
+        return self.cluster.snapshot
+
+    def _handle_event(self, event: events.Event) -> None:
+        """Pass an event of the cluster on; runs on the cluster thread."""
+        match event:
+            case events.ConfigurationChanged():
+                metrics.CONFIG_REVISION.set(event.snapshot.revision)
+                self.relay.post(messages.SnapshotChanged(event.snapshot))
+            case events.VmsChanged():
+                self._set_leaving(event.leaving)
+            case events.MembersChanged():
+                self._count_members()
+            case events.PeerMessage(kind="quarantine"):
+                entry = messages.QuarantineChanged(
+                    str(event.body["fingerprint"]), int(event.body["until_ms"])
+                )
+                self.relay.post(entry)
+
+    def _set_leaving(self, names: frozenset[str]) -> None:
+        self._leaving = names
+        self.relay.post(messages.TargetsLeaving(names))
+        self._plain.set_leaving(names)
+        self._loads.set_leaving(names)
+
+    def _count_members(self) -> None:
+        states = [item.state for item in self.cluster.members()]
+        for state in members.MemberState:
+            metrics.MEMBERS.labels(state.name.lower()).set(states.count(state))
+
+    def _publish(
+        self, message: contract.YieldRequest | messages.QuarantineChanged
+    ) -> None:
+        """Tell the daemons concerned what the relay found out."""
+        if isinstance(message, messages.QuarantineChanged):
+            body = {
+                "fingerprint": message.fingerprint,
+                "until_ms": message.until_wall_ms,
+            }
+            self.cluster.broadcast("quarantine", body)
+            return
+        sender = slack.choose_sender(message.target, self._port.live_members())
+        if sender is None:
+            return
+        body = {"target": message.target.name, "slots": message.slots}
+        if sender == self._settings.daemon.name:
+            self._runner.receive_yield(sender, body)
+            return
+        self.cluster.send(sender, ports.YIELD_SLOTS, body)
+
+    def _list_batch_targets(self) -> list[snapshot.Target]:
+        """Return the engines that this daemon sends batch items to."""
+        live = self._port.live_members()
+        name = self._settings.daemon.name
+        return [
+            target
+            for service in self.cluster.snapshot.services.values()
+            if not service.is_plain and service.model.batch.enabled
+            for target in service.targets
+            if slack.choose_sender(target, live) == name
+        ]
+
+    def _flush_outcomes(self) -> None:
+        """Store outcomes that waited for the table service or the object store."""
+        while not self._stopped.wait(_FLUSH_INTERVAL_S):
+            self._run_safely(self._register.flush)
+            self._run_safely(self._keeper.flush)
+
+    def _run_safely(self, function: Callable[[], object]) -> None:
+        try:
+            function()
+        except Exception as error:
+            logs.error("flush_failed", error=repr(error))
+
+    def _stop_tasks(self) -> None:
+        self._stopped.set()
+        self._run_safely(self._register.flush)
+        self._run_safely(self._keeper.flush)
+        self._loads.stop()
+        self._runner.stop()
+        self.relay.stop()
+        self._server.stop()
+        self.cluster.stop()
--- a/src/endivevane/logs.py
+++ b/src/endivevane/logs.py
@@ -6,7 +6,7 @@
 import sys
 from collections.abc import Callable, Mapping
 
-from absl import logging
+from absl import flags, logging
 
 _NEEDS_QUOTES = frozenset(' "=\n\t')
 
@@ -83,6 +83,9 @@
 
     :param level: ``debug``, ``info``, ``warning`` or ``error``
     """
+    # The daemon parses its arguments with argparse; without this absl warns that its
+    # flags are not parsed and ignores the handler's stream.
+    flags.FLAGS.mark_as_parsed()
     handler = logging.get_absl_handler()
     handler.python_handler.stream = sys.stderr
     handler.setFormatter(_LineFormatter())
--- a/src/endivevane/online/loads.py
+++ b/src/endivevane/online/loads.py
@@ -4,6 +4,7 @@
 
 import concurrent.futures
 import dataclasses
+import math
 import threading
 from collections.abc import Callable, Iterable, Mapping
 
@@ -17,6 +18,8 @@
 
 # Request line, status line and headers of a call, which the pool does not count.
 _HEADER_BYTES = 300
+# The further targets follow the members, for which there is no event here.
+_FURTHER_INTERVAL_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,6 +84,8 @@
     :param get_snapshot: returns the configuration in force
     :param post: takes :class:`messages.LoadReported` and
         :class:`messages.CacheEventsReported`; called on several threads
+    :param get_further_targets: targets to poll besides the candidates, such as those
+        that this daemon sends batch items to
     """
 
     def __init__(
@@ -91,8 +96,11 @@
         get_snapshot: Callable[[], snapshot.Snapshot],
         post: Callable[[object], None],
         routing_settings: routing.RoutingSettings | None = None,
+        get_further_targets: Callable[[], Iterable[snapshot.Target]] | None = None,
     ) -> None:
         self._place = place
+        self._get_further_targets = get_further_targets or tuple
+        self._refreshed_s = -math.inf
         self._settings = settings
         self._clock = task_clock
         self._get_snapshot = get_snapshot
@@ -135,9 +143,12 @@
     def _refresh(self) -> None:
         """Follow changes of the configuration and of the leaving targets."""
         seen = (self._get_snapshot(), self._leaving)
-        if self._seen is not None and _is_same(self._seen, seen):
+        now_s = self._clock.monotonic_s()
+        is_due = now_s - self._refreshed_s >= _FURTHER_INTERVAL_S
+        if self._seen is not None and _is_same(self._seen, seen) and not is_due:
             return
         self._seen = seen
+        self._refreshed_s = now_s
         wanted: dict[str, snapshot.Target] = {}
         for service in seen[0].services.values():
             if service.is_plain:
@@ -146,6 +157,8 @@
                 self._place, service, seen[1], self._routing
             ):
                 wanted[target.name] = target
+        for target in self._get_further_targets():
+            wanted[target.name] = target
         for name in [name for name in self._polled if name not in wanted]:
             self._polled.pop(name).pool.close_idle()
         for name, target in wanted.items():
