--- /dev/null
+++ b/bench/bars.py
@@ -0,0 +1,43 @@
+"""Bars: a measured value, its target and whether the target holds."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bar:
+    """A value that must not exceed its target.
+
+    :param unit: unit of value and target, for the printed line
+    """
+
+    name: str
+    value: float
+    target: float
+    unit: str = ""
+
+    @property
+    def holds(self) -> bool:
+        """Whether the value is within the target."""
+        return self.value <= self.target
+
+    def format_line(self) -> str:
+        """Return one line: verdict, name, value and target."""
+        verdict = "holds" if self.holds else "DOES NOT HOLD"
+        return (
+            f"{verdict:13}  {self.name}: {self.value:.3f} {self.unit}"
+            f" (target at most {self.target:g} {self.unit})"
+        )
+
+    def describe(self) -> dict[str, Any]:
+        """Return the bar as a JSON object."""
+        return {**dataclasses.asdict(self), "holds": self.holds}
+
+
+def print_bars(bars: list[Bar]) -> bool:
+    """Print all bars and return whether all hold."""
+    for bar in bars:
+        print(bar.format_line(), flush=True)
+    return all(bar.holds for bar in bars)
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -10,7 +10,6 @@
 from aiohttp import web
 
 CONTROL_PREFIX = "/_"
-FAULTS = web.AppKey("faults", "Faults")
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 Listener = Callable[["Faults"], Awaitable[None]]
 
@@ -78,6 +77,9 @@
         return self.take("lose_answer")
 
 
+FAULTS = web.AppKey("faults", Faults)
+
+
 def break_connection(request: web.Request) -> None:
     """Close the connection of a request without an answer."""
     if request.transport is not None:
