--- a/src/endivevane/coordination/admission.py
+++ b/src/endivevane/coordination/admission.py
@@ -15,14 +15,15 @@
         scheduling noise is of that size
     :param smoothing: weight of a new sample in the limit and the recent latency
     :param baseline_drift: weight of a slower sample in the baseline, so that the
-        baseline follows a lasting change such as longer prompts
+        baseline follows a lasting change such as longer prompts; at ten times the
+        value 300 samples of a lasting overload became the baseline
     """
 
     minimum: int = 1
     tolerance: float = 2.0
     min_latency_s: float = 0.05
     smoothing: float = 0.2
-    baseline_drift: float = 0.002
+    baseline_drift: float = 0.0002
 
 
 class ConcurrencyLimit:
--- a/src/endivevane/online/scheduler.py
+++ b/src/endivevane/online/scheduler.py
@@ -113,7 +113,7 @@
         for state in self._fleet.services.values():
             if not len(state.queue):
                 continue
-            for refusal in state.take_hopeless():
+            for refusal in state.take_hopeless(self._check_quarantine):
                 self._end_request(refusal.request)
                 actions.append(refusal)
             while (entry := state.queue.peek()) is not None:
@@ -201,12 +201,9 @@
         """Return why a request can't be taken on whatever the load is."""
         if request.service.name not in self._fleet.services:
             return errors.Unavailable(f"service {request.service.name} is not served")
-        remaining_s = self._quarantine.remaining_s(request.fingerprint)
-        if remaining_s > 0:
-            return errors.Quarantined(
-                "requests like this one have crashed targets; change the request",
-                retry_after_s=remaining_s,
-            )
+        error = self._check_quarantine(request)
+        if error is not None:
+            return error
         if request.deadline_s <= self._clock.monotonic_s():
             return errors.DeadlineExceeded(
                 "the deadline has passed", retry_after_s=_RETRY_AFTER_S
@@ -222,6 +219,17 @@
             retry_after_s=_RETRY_AFTER_S,
         )
 
+    def _check_quarantine(
+        self, request: contract.OnlineRequest
+    ) -> errors.ApiError | None:
+        remaining_s = self._quarantine.remaining_s(request.fingerprint)
+        if remaining_s <= 0:
+            return None
+        return errors.Quarantined(
+            "requests like this one have crashed targets; change the request",
+            retry_after_s=remaining_s,
+        )
+
     def _choose(
         self,
         candidates: Iterable[target_state.TargetState],
--- a/src/endivevane/online/service_state.py
+++ b/src/endivevane/online/service_state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from endivevane import utils
 from endivevane.configuration import snapshot
@@ -16,8 +16,9 @@
 _INITIAL_SERVICE_TIME_S = 1.0
 _MAX_RETRY_AFTER_S = 60.0
 # A queued request is refused early only if its deadline would be missed even with
-# an estimate of the wait that is wrong by this factor.
-_HOPELESS_FACTOR = 2.0
+# an estimate of the wait that is too long by this factor: the mean of the last ten
+# durations is easily off by a third.
+_HOPELESS_FACTOR = 1.5
 
 
 class ServiceState:
@@ -89,8 +90,13 @@
             retry_after_s=min(wait_s, _MAX_RETRY_AFTER_S),
         )
 
-    def take_hopeless(self) -> list[contract.Refuse]:
-        """Take out the queued requests that can't be run before their deadline."""
+    def take_hopeless(
+        self, check: Callable[[contract.OnlineRequest], errors.ApiError | None]
+    ) -> list[contract.Refuse]:
+        """Take out the queued requests that will not be run, with their answers.
+
+        :param check: returns an error when a request must not be run any more
+        """
         refusals = [
             contract.Refuse(
                 entry.item,
@@ -103,7 +109,8 @@
         outage = self.find_outage()
         for ahead, entry in enumerate(list(self.queue)):
             wait_s = self._estimate_wait_s(ahead) / _HOPELESS_FACTOR
-            error = outage or self._check_wait(entry.item, wait_s)
+            error = outage or check(entry.item)
+            error = error or self._check_wait(entry.item, wait_s)
             if error is None:
                 continue
             self.queue.remove(entry.entry_id)
