Prove at-most-once calls with processes and fuzzing

Cause: the register and the calls over it were tried by hand only. Change: features/at_most_once.feature kills and pauses daemons while a call runs, takes the table service down before and after the send and loses its answers; the unused flush thread goes, because the daemon's wiring flushes the outcomes itself.

--- /dev/null
+++ b/features/steps/at_most_once_steps.py
@@ -0,0 +1,421 @@
+import concurrent.futures
+import http.client
+import itertools
+import json
+import threading
+import time
+import urllib.request
+
+import result
+from behave import given, then, when
+
+from endivevane import testing, types
+from endivevane.coordination import register, store
+from endivevane.online import at_most_once
+from endivevane.platform import http_pool, objects
+from features.support import fuzz_register, fuzzing
+from tools import fleet
+
+_PATH = "/services/desk/orders"
+_TIMEOUT_S = 15.0
+
+
+# In memory.
+
+
+def _make_register(context, backlog_size=1000):
+    return register.Register(
+        context.memory, lambda: f"op{next(context.numbers)}", backlog_size
+    )
+
+
+@given("a register over a store in memory")
+def step_register(context):
+    context.memory = testing.MemoryTableStore()
+    context.numbers = itertools.count()
+    context.register = _make_register(context)
+
+
+@given("a register over a store in memory with a backlog of {size:d}")
+def step_register_backlog(context, size):
+    step_register(context)
+    context.register = _make_register(context, size)
+
+
+@when("the answer to the insert is lost after it took effect")
+def step_lost_insert(context):
+    context.memory.script(testing.Fault.LOST_AFTER)
+    context.claimed = context.register.claim("acme", "k", "digest", 0)
+
+
+@then("the register gives the right to send")
+def step_check_right(context):
+    assert isinstance(context.claimed.ok_value, register.Claim), context.claimed
+
+
+@then("a second claim of the key says that it may have run")
+def step_check_second(context):
+    sight = context.register.claim("acme", "k", "digest", 0).ok_value
+    assert isinstance(sight, register.MayHaveRun), sight
+
+
+@when("the insert is {fault} and the store then stays down")
+def step_unknown_insert(context, fault):
+    context.memory.script(testing.Fault(fault), delay_calls=2)
+    context.memory.is_down = True
+    context.claimed = context.register.claim("acme", "k", "digest", 0)
+
+
+@then("the register gives no right to send")
+def step_check_no_right(context):
+    assert isinstance(context.claimed, result.Err), context.claimed
+    assert isinstance(context.claimed.err_value, store.StoreOutcomeUnknown)
+
+
+@then("once the store is back the key can be claimed by one daemon only")
+def step_check_one_claim(context):
+    context.memory.is_down = False
+    context.memory.apply_delayed()
+    assert context.register.flush() == 0
+    rivals = [_make_register(context) for _ in range(3)]
+    sights = [item.claim("acme", "k", "digest", 0).ok_value for item in rivals]
+    claims = [item for item in sights if isinstance(item, register.Claim)]
+    assert len(claims) == 1, sights
+
+
+@when("{count:d} calls end while the store is down")
+def step_end_calls(context, count):
+    claims = [
+        context.register.claim("acme", f"k{number}", "digest", 0).ok_value
+        for number in range(count)
+    ]
+    context.memory.is_down = True
+    context.recordings = [
+        context.register.record(claim, {"status": 200}) for claim in claims
+    ]
+
+
+@then("{later:d} outcomes wait and {lost:d} is lost")
+def step_check_waiting(context, later, lost):
+    counts = [
+        context.recordings.count(item)
+        for item in (register.Recording.LATER, register.Recording.LOST)
+    ]
+    assert counts == [later, lost], context.recordings
+
+
+@then(
+    "after the store is back {done:d} keys return their outcome and {open_count:d} may "
+    "have run"
+)
+def step_check_flushed(context, done, open_count):
+    context.memory.is_down = False
+    assert context.register.flush() == 0
+    sights = [
+        context.register.claim("acme", f"k{number}", "digest", 0).ok_value
+        for number in range(done + open_count)
+    ]
+    kinds = [type(item) for item in sights]
+    assert kinds.count(register.Finished) == done, sights
+    assert kinds.count(register.MayHaveRun) == open_count, sights
+
+
+@given("a register over a store in memory and an object store")
+def step_register_objects(context):
+    step_register(context)
+    plan = fleet.FleetPlan(daemons=0, engines=0, services=0)
+    context.fleet = fleet.Fleet(plan)
+    context.cleanups.append(context.fleet.close)
+    context.fleet.start_stand_ins()
+    address = types.parse_address(context.fleet.store.address)
+    pool = http_pool.HttpPool(address, http_pool.PoolSettings())
+    context.keeper = at_most_once.OutcomeKeeper(
+        context.register, objects.ObjectClient(pool)
+    )
+
+
+@when("an answer of {size:d} bytes is kept while the object store is down")
+def step_keep_large(context, size):
+    claim = context.register.claim("acme", "k", "digest", 0).ok_value
+    context.answer = at_most_once.Answer(200, {"etag": "x"}, bytes(range(250)) * 800)
+    assert len(context.answer.body) == size
+    context.fleet.store.set_faults(down=True)
+    recording = context.keeper.keep(claim, context.answer)
+    assert recording is register.Recording.LATER, recording
+
+
+@then("it is not restored before the object store is back")
+def step_check_not_restored(context):
+    assert context.keeper.flush() == 1
+    sight = context.register.claim("acme", "k", "digest", 0).ok_value
+    assert isinstance(sight, register.MayHaveRun), sight
+
+
+@then("afterwards it is restored with the same bytes")
+def step_check_restored(context):
+    context.fleet.store.set_faults(down=False)
+    assert context.keeper.flush() == 0
+    sight = context.register.claim("acme", "k", "digest", 0).ok_value
+    assert isinstance(sight, register.Finished), sight
+    assert context.keeper.restore(sight.outcome).ok_value == context.answer
+
+
+_BROKEN = {
+    "sends when the outcome is unknown": fuzz_register.EagerMachine,
+    "trusts a row that was absent before": fuzz_register.TrustingMachine,
+    "frees the key of a call with lost answer": fuzz_register.ForgivingMachine,
+}
+
+
+@then("fuzzing of the register runs at least {count:d} steps without a fault")
+def step_fuzz_register(context, count):
+    assert fuzzing.run_machine(fuzz_register.RegisterMachine, 150, 40) >= count
+
+
+@then("fuzzing finds that the register which {fault} is broken")
+def step_fuzz_broken_register(context, fault):
+    error = fuzzing.find_failure(_BROKEN[fault], 150, 40)
+    assert error is not None, "the oracle does not see the fault"
+    assert "ran" in str(error), error
+
+
+# With processes.
+
+
+@given("an order fleet whose services work {work_ms:d} ms")
+def step_fleet(context, work_ms):
+    plan = fleet.FleetPlan(
+        daemons=2,
+        engines=0,
+        services=2,
+        service_arguments=("--work-ms", str(work_ms)),
+        plain_service={"online": {"deadline_s": 10.0}},
+        daemon_settings={"platform": {"timeout_s": 1.0}},
+    )
+    context.fleet = fleet.Fleet(plan)
+    context.cleanups.append(context.fleet.close)
+    context.fleet.start()
+    context.answers = []
+
+
+class _Answer:
+    def __init__(self, response):
+        self.status = response.status
+        self.state = response.headers.get("X-Run-State")
+        self.is_replayed = response.headers.get("X-Replayed") == "true"
+        self.body = response.read()
+        self.at_s = time.monotonic()
+
+
+def _call(context, daemon, method="POST", path=_PATH, key=None, body=b"{}"):
+    host, _, port = context.fleet.daemons[daemon].address.rpartition(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=_TIMEOUT_S)
+    headers = {"Authorization": f"Bearer {context.fleet.caller_key()}"}
+    if key is not None:
+        headers["Idempotency-Key"] = key
+    try:
+        connection.request(method, path, body if method == "POST" else None, headers)
+        return _Answer(connection.getresponse())
+    finally:
+        connection.close()
+
+
+def _runs(context, key=None):
+    calls = [call for item in context.fleet.services for call in item.record()["calls"]]
+    return [call for call in calls if call["key"] == key or key is None]
+
+
+def _wait_until(condition, problem, limit_s=10.0):
+    deadline_s = time.monotonic() + limit_s
+    while not condition():
+        assert time.monotonic() < deadline_s, problem
+        time.sleep(0.02)
+
+
+@when('the order "{key}" is sent to daemon {daemon:d}')
+def step_send(context, key, daemon):
+    context.answers.append(_call(context, daemon, key=key))
+
+
+@when('the order "{key}" with another body is sent to daemon {daemon:d}')
+def step_send_other(context, key, daemon):
+    context.answers.append(_call(context, daemon, key=key, body=b'{"other": 1}'))
+
+
+@when("an order without a key is sent to daemon {daemon:d}")
+def step_send_bare(context, daemon):
+    context.answers.append(_call(context, daemon))
+
+
+@when("the same order is sent {count:d} times to each daemon at once")
+def step_send_many(context, count):
+    barrier = threading.Barrier(2 * count)
+
+    def send(number):
+        barrier.wait()
+        return _call(context, number % 2, key="same")
+
+    with concurrent.futures.ThreadPoolExecutor(2 * count) as executor:
+        context.answers = list(executor.map(send, range(2 * count)))
+
+
+@then("each answer is the stored one or says that it may have run")
+def step_check_many(context):
+    bodies = {item.body for item in context.answers if item.status == 200}
+    assert len(bodies) == 1, bodies
+    first = [
+        item for item in context.answers if item.status == 200 and not item.is_replayed
+    ]
+    assert len(first) == 1, f"{len(first)} answers that are not replayed"
+    for answer in context.answers:
+        if answer.status != 200:
+            assert (answer.status, answer.state) == (409, "may-have-run")
+
+
+@then("the services have run it once")
+def step_check_once(context):
+    assert len(_runs(context)) == 1, _runs(context)
+
+
+@then("the services have run it {count:d} times")
+def step_check_runs(context, count):
+    assert len(_runs(context)) == count, _runs(context)
+
+
+@then("the order answer is {status:d}")
+def step_check_status(context, status):
+    answer = context.answers[-1]
+    assert answer.status == status, (answer.status, answer.body)
+
+
+@then('the order answer is {status:d} and "{state}"')
+def step_check_state(context, status, state):
+    step_check_status(context, status)
+    assert context.answers[-1].state == state, context.answers[-1].state
+
+
+@then("the order answer is {status:d} and replayed")
+def step_check_replayed(context, status):
+    step_check_status(context, status)
+    assert context.answers[-1].is_replayed
+
+
+@when("the next {count:d} answers to writes of the register are lost")
+def step_lose_store(context, count):
+    context.fleet.store.set_faults(lose_answer=count, lose_answer_on="register")
+
+
+@when("the services lose their next answer")
+def step_lose_service(context):
+    for item in context.fleet.services:
+        item.set_faults(lose_answer=1)
+
+
+@when("the table service is down")
+def step_store_down(context):
+    context.fleet.store.set_faults(down=True)
+
+
+@when("the table service is back")
+def step_store_back(context):
+    context.fleet.store.set_faults(down=False)
+
+
+def _send_in_background(context, key):
+    """Send an order to daemon 0 and return once a service runs it."""
+
+    def send():
+        try:
+            context.background = _call(context, 0, key=key)
+        except (OSError, http.client.HTTPException) as error:
+            context.background = error
+
+    context.sender = threading.Thread(target=send)
+    context.sender.start()
+    context.cleanups.append(context.sender.join)
+    _wait_until(lambda: _runs(context, key), "no service runs the order")
+
+
+@when('the order "{key}" is sent to daemon 0 and the daemon is killed while it runs')
+def step_kill(context, key):
+    _send_in_background(context, key)
+    context.fleet.daemons[0].kill()
+
+
+@when('the order "{key}" is sent to daemon 0 and the daemon is paused while it runs')
+def step_pause(context, key):
+    _send_in_background(context, key)
+    context.fleet.daemons[0].pause()
+
+
+@when("daemon 0 goes on")
+def step_resume(context):
+    context.fleet.daemons[0].resume()
+
+
+@when(
+    'the order "{key}" is sent to daemon 0 and the table service goes down while it '
+    "runs"
+)
+def step_store_down_late(context, key):
+    _send_in_background(context, key)
+    context.fleet.store.set_faults(down=True)
+
+
+@then("the answer came while the call still ran")
+def step_check_at_once(context):
+    assert not _runs(context)[0]["answered"], "the answer was delayed to the end"
+
+
+@then("the order that daemon 0 was running gets the answer {status:d}")
+def step_check_background(context, status):
+    context.sender.join(_TIMEOUT_S)
+    assert getattr(context.background, "status", None) == status, context.background
+
+
+@then('within {limit_s:d} seconds daemon 1 replays the order "{key}"')
+def step_check_late_replay(context, limit_s, key):
+    def is_replayed():
+        answer = _call(context, 1, key=key)
+        assert answer.status in (200, 409, 503), answer.status
+        return answer.status == 200 and answer.is_replayed
+
+    _wait_until(is_replayed, "the outcome was not stored", limit_s)
+
+
+@when("the service in the zone of daemon 0 refuses its next call as not run")
+def step_reject(context):
+    """The daemon prefers this service while both are idle."""
+    assert context.fleet.services[0].zone == context.fleet.daemons[0].zone
+    context.fleet.services[0].set_faults(reject=1)
+
+
+@then("the service in another zone has run it once")
+def step_check_other(context):
+    assert _read_faults(context.fleet.services[0])["reject"] == 0, "never refused"
+    assert not context.fleet.services[0].record()["calls"]
+    assert len(context.fleet.services[1].record()["calls"]) == 1
+
+
+def _read_faults(member):
+    url = f"http://{member.control}/_control/faults"
+    with urllib.request.urlopen(url, timeout=5) as response:
+        return json.load(response)
+
+
+@then("the register's faults have happened")
+def step_check_faults(context):
+    assert _read_faults(context.fleet.store)["lose_answer"] == 0
+
+
+@when("a service is killed and {count:d} status calls are sent")
+def step_kill_service(context, count):
+    path = "/services/desk/status"
+    context.statuses = [_call(context, 0, "GET", path).status for _ in range(4)]
+    context.fleet.services[0].kill()
+    context.statuses += [_call(context, 0, "GET", path).status for _ in range(count)]
+
+
+@then("all status calls are answered with {status:d}")
+def step_check_statuses(context, status):
+    assert set(context.statuses) == {status}, json.dumps(context.statuses)
--- a/src/endivevane/online/at_most_once.py
+++ b/src/endivevane/online/at_most_once.py
@@ -133,42 +133,6 @@
             return register.Recording.LATER
 
 
-class FlushTask:
-    """A thread that stores outcomes once the stores are back.
-
-    :param interval_s: time between two tries
-    """
-
-    def __init__(self, keeper: OutcomeKeeper, interval_s: float = 0.5) -> None:
-        self._keeper = keeper
-        self._interval_s = interval_s
-        self._stopped = threading.Event()
-        self._thread = threading.Thread(target=self._run, name="outcomes", daemon=True)
-
-    def start(self) -> None:
-        """Start the thread."""
-        self._thread.start()
-
-    def drain(self, deadline_s: float) -> None:
-        """Do nothing: the last calls still store their outcomes; see :meth:`stop`."""
-
-    def stop(self) -> None:
-        """End the thread after a last try."""
-        self._stopped.set()
-        if self._thread.is_alive():
-            self._thread.join()
-        remaining = self._keeper.flush()
-        if remaining:
-            logs.error("outcomes_lost", count=remaining)
-
-    def _run(self) -> None:
-        while not self._stopped.wait(self._interval_s):
-            try:
-                self._keeper.flush()
-            except Exception as error:
-                logs.error("flush_failed", error=repr(error))
-
-
 def _describe(claim: register.Claim, answer: Answer) -> dict[str, Any]:
     """Return the JSON object that stands for an answer in the register."""
     outcome: dict[str, Any] = {
