--- a/src/endivevane/online/prefixes.py
+++ b/src/endivevane/online/prefixes.py
@@ -78,13 +78,22 @@
 
     def match(self, hashes: Sequence[int]) -> int:
         """Return how many leading prefixes are cached, the longest match counting."""
+        if not hashes:
+            return 0
         now_s = self._clock.monotonic_s()
+        # Most targets have nothing of a prompt, so two look-ups settle them.
+        first, middle = hashes[0], hashes[len(hashes) // 2]
+        if not self._is_cached(first, now_s) and not self._is_cached(middle, now_s):
+            return 0
         for length in range(len(hashes), 0, -1):
-            entry = self._prefixes.get(hashes[length - 1])
-            if entry is not None and entry[1] > now_s:
+            if self._is_cached(hashes[length - 1], now_s):
                 return length
         return 0
 
+    def _is_cached(self, prefix: int, now_s: float) -> bool:
+        entry = self._prefixes.get(prefix)
+        return entry is not None and entry[1] > now_s
+
     def _put(self, prefix: int, sent_s: float | None, now_s: float) -> None:
         if sent_s is None:
             sent_s = self._prefixes.get(prefix, (float("-inf"), 0.0))[0]
--- a/src/endivevane/online/target_state.py
+++ b/src/endivevane/online/target_state.py
@@ -122,6 +122,7 @@
         self.in_flight: dict[str, int] = {}
         self._clock = state_clock
         self._report: engine.LoadReport | None = None
+        self._models: frozenset[str] = frozenset()
         self._report_as_of_s = 0.0
         # Own sends (+1) and ends (-1) that the report may not contain yet.
         self._changes: collections.deque[tuple[float, int]] = collections.deque()
@@ -144,6 +145,9 @@
         if self._report is not None and report.as_of_s < self._report.as_of_s:
             return
         self._report = report
+        self._models = frozenset(
+            name for item in report.models for name in (item.model, *item.adapters)
+        )
         self._report_as_of_s = as_of_s
         if as_of_s > self._asked_at_s:
             self._asked_slots = 0
@@ -191,12 +195,7 @@
 
     def has_model(self, model: str) -> bool:
         """Return whether the target has the model loaded, as far as is known."""
-        if self._report is None or not self._report.models:
-            return True
-        return any(
-            item.model == model or model in item.adapters
-            for item in self._report.models
-        )
+        return not self._models or model in self._models
 
     def has_room(self) -> bool:
         """Return whether the concurrency limit allows one more request."""
