--- a/bench/bars.py
+++ b/bench/bars.py
@@ -26,9 +26,10 @@
     def format_line(self) -> str:
         """Return one line: verdict, name, value and target."""
         verdict = "holds" if self.holds else "DOES NOT HOLD"
+        unit = f" {self.unit}" if self.unit else ""
         return (
-            f"{verdict:13}  {self.name}: {self.value:.3f} {self.unit}"
-            f" (target at most {self.target:g} {self.unit})"
+            f"{verdict:13}  {self.name}: {self.value:.3f}{unit}"
+            f" (target at most {self.target:g}{unit})"
         )
 
     def describe(self) -> dict[str, Any]:
--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -18,14 +18,31 @@
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
 
+class Phase(_Model):
+    """A rate that applies from a time on."""
+
+    from_s: float = pydantic.Field(gt=0)
+    rate_per_s: float = pydantic.Field(gt=0)
+
+
 class Arrivals(_Model):
     """When calls arrive.
 
     :param kind: exponential gaps from the seed, or equal gaps
+    :param rate_per_s: rate from the start
+    :param phases: later rates, in the order of their times
     """
 
     kind: Literal["exponential", "fixed"] = "exponential"
     rate_per_s: float = pydantic.Field(gt=0)
+    phases: tuple[Phase, ...] = ()
+
+    @pydantic.model_validator(mode="after")
+    def _check_phases(self) -> typing.Self:
+        times = [phase.from_s for phase in self.phases]
+        if times != sorted(set(times)):
+            raise ValueError("phases must be in the order of their times")
+        return self
 
 
 class CallKind(_Model):
@@ -98,7 +115,7 @@
     arrivals: list[Arrival] = []
     at_s = 0.0
     while True:
-        at_s += _draw_gap_s(experiment.arrivals, generator)
+        at_s = _find_next_s(experiment.arrivals, generator, at_s)
         if at_s >= experiment.duration_s:
             return arrivals
         kind = generator.choices(experiment.calls, weights)[0]
@@ -107,10 +124,23 @@
         arrivals.append(Arrival(index, at_s, kind, prompt))
 
 
-def _draw_gap_s(arrivals: Arrivals, generator: random.Random) -> float:
-    if arrivals.kind == "fixed":
-        return 1 / arrivals.rate_per_s
-    return generator.expovariate(arrivals.rate_per_s)
+def _find_next_s(arrivals: Arrivals, generator: random.Random, at_s: float) -> float:
+    """Return the time of the next arrival after ``at_s``.
+
+    The gap is drawn for a rate of 1 and used up at the rate of each phase, so that a
+    change of the rate takes effect in the middle of a gap.
+    """
+    left = 1.0 if arrivals.kind == "fixed" else generator.expovariate(1.0)
+    rate_per_s = arrivals.rate_per_s
+    for phase in arrivals.phases:
+        if phase.from_s > at_s:
+            used = (phase.from_s - at_s) * rate_per_s
+            if used >= left:
+                break
+            left -= used
+            at_s = phase.from_s
+        rate_per_s = phase.rate_per_s
+    return at_s + left / rate_per_s
 
 
 def _make_prompt(
--- a/bench/load.py
+++ b/bench/load.py
@@ -156,12 +156,14 @@
 @contextlib.contextmanager
 def _paused_collector() -> Any:
     """Keep pauses of the garbage collector out of the measured times."""
+    was_enabled = gc.isenabled()
     gc.collect()
     gc.disable()
     try:
         yield
     finally:
-        gc.enable()
+        if was_enabled:
+            gc.enable()
 
 
 class _Caller:
@@ -251,7 +253,7 @@
         result.start_delay.record(outcome.late_s)
         if outcome.arrival.at_s < experiment.warm_up_s:
             continue
-        _check_answer(outcome)
+        check_answer(outcome)
         _count(result.kinds[outcome.arrival.kind.name], outcome)
     return result
 
@@ -273,14 +275,14 @@
         kind.gap.record(gap_s)
 
 
-def _check_answer(outcome: CallOutcome) -> None:
+def check_answer(outcome: CallOutcome) -> None:
     """Compare the answer with the one that the stand-in's engines give."""
     if outcome.problem or outcome.status != 200:
         return
     kind = outcome.arrival.kind
     expected = completions.expected_text(outcome.arrival.messages, kind.max_tokens)
     try:
-        text = _join_text(outcome) if kind.streamed else _read_text(outcome)
+        text = join_text(outcome) if kind.streamed else _read_text(outcome)
     except (ValueError, KeyError, IndexError, TypeError):
         outcome.problem = "malformed answer"
         return
@@ -288,7 +290,8 @@
         outcome.problem = "wrong answer"
 
 
-def _join_text(outcome: CallOutcome) -> str:
+def join_text(outcome: CallOutcome) -> str:
+    """Return the text of a streamed answer and note what is wrong with its form."""
     parts = []
     if not outcome.events or outcome.events[-1] != _DONE:
         outcome.problem = "no [DONE]"
