--- a/tools/processes.py
+++ b/tools/processes.py
@@ -41,6 +41,7 @@
         self.log_path = log_path
         self._popen: subprocess.Popen[bytes] | None = None
         self._is_stopped = False
+        self._log_start = 0
 
     @property
     def pid(self) -> int:
@@ -63,6 +64,7 @@
         """Start the process; the log is appended to."""
         environment = {**os.environ, "PYTHONUNBUFFERED": "1", "PYTHONPATH": str(_ROOT)}
         with self.log_path.open("ab") as log:
+            self._log_start = log.tell()
             self._popen = subprocess.Popen(
                 [sys.executable, "-m", self.module, *self.arguments],
                 stdin=subprocess.DEVNULL,
@@ -80,7 +82,8 @@
         """
 
         def has_line() -> bool:
-            lines = self.log_path.read_bytes().decode("utf-8", "replace").splitlines()
+            data = self.log_path.read_bytes()[self._log_start :]
+            lines = data.decode("utf-8", "replace").splitlines()
             return any(line.startswith(text) for line in lines)
 
         self._wait(has_line, f"no line {text!r}", timeout_s)
