Prove the failure detector by a message pump and fuzzing

Cause: detection time and false accusations were only assumed; views of halves that were cut from each other never met again; an observer could end an epoch that began after its last read of the session row. Change: a seeded message pump and fuzzing over the real detectors; updates that were never sent go first and pushes carry 32; new contacts in other regions compare tables; dead members are asked now and then; an observer judges an epoch only by a read that began after the first question for it.

--- /dev/null
+++ b/features/steps/membership_steps.py
@@ -0,0 +1,185 @@
+import statistics
+
+from behave import given, then, when
+
+from endivevane.coordination import members
+from features.support import fuzz_membership, fuzzing, pump
+
+_ZONES = {
+    3: [("z1", "r1"), ("z2", "r1"), ("z3", "r2")],
+    4: [("z1", "r1"), ("z2", "r1"), ("z3", "r2"), ("z4", "r2")],
+}
+# A pause of 200 ms every 10 s on average, at 10 ticks a second.
+_PAUSE_SHARE = 0.01
+
+
+@given(
+    "{count:d} members in {zones:d} zones of 2 regions with {loss:d}% loss "
+    "and {pause:d} ms pauses, seed {seed:d}"
+)
+def step_build(context, count, zones, loss, pause, seed):
+    print(f"pump seed {seed}")
+    share = _PAUSE_SHARE if pause else 0.0
+    context.pump = pump.Pump(seed, loss / 100, pause / 1000, share)
+    context.pump.build(count, _ZONES[zones])
+
+
+@when("{count:d} members in turn are killed")
+def step_kill_in_turn(context, count):
+    for _ in range(count):
+        # Each zone keeps members, since nobody in its region could notice otherwise.
+        running = context.pump.running()
+        context.pump.kill(running[context.pump.random.randrange(len(running) // 2)])
+        context.pump.run(8.0)
+
+
+@when("{duration:d} simulated seconds pass")
+def step_pass(context, duration):
+    context.pump.run(duration)
+    print(f"{context.pump.suspicions} suspicions were noted")
+
+
+@when("a member is paused for {duration:g} seconds 20 times")
+def step_pause_often(context, duration):
+    names = context.pump.running()
+    for number in range(20):
+        context.pump.pause(names[number % len(names)], duration)
+        context.pump.run(duration + 3.0)
+
+
+@when("a member is paused for {duration:g} seconds")
+def step_pause(context, duration):
+    context.paused = context.pump.running()[0]
+    context.pump.pause(context.paused, duration)
+    context.pump.run(duration)
+
+
+@when("half of the members are killed and as many join")
+def step_replace_half(context):
+    running = context.pump.running()
+    half = sorted(context.pump.random.sample(running, len(running) // 2))
+    rest = [name for name in running if name not in half]
+    for name in half:
+        context.pump.kill(name)
+    for number in range(len(half)):
+        zone, region = _ZONES[4][number % 4]
+        seeds = context.pump.random.sample(rest, 2)
+        context.pump.add(f"n{number:03d}", zone, region, seeds)
+    context.pump.run(8.0)
+
+
+@when(
+    "the link between the regions is cut for {duration:d} seconds "
+    "and a member of each region dies"
+)
+def step_cut(context, duration):
+    context.pump.cut_regions = True
+    context.pump.run(duration / 2)
+    for region in ("r1", "r2"):
+        nodes = context.pump.nodes
+        names = [
+            name for name in context.pump.running() if nodes[name].region == region
+        ]
+        context.pump.kill(names[0])
+    context.pump.run(duration / 2)
+    context.pump.cut_regions = False
+
+
+@when("a member announces that it is leaving")
+def step_leave(context):
+    context.leaving = context.pump.running()[0]
+    context.pump.nodes[context.leaving].detector.leave()
+
+
+@when("the membership machine is fuzzed with {examples:d} examples of {steps:d} steps")
+def step_fuzz(context, examples, steps):
+    machine = fuzz_membership.MembershipMachine
+    context.steps_run = fuzzing.run_machine(machine, examples, steps)
+
+
+@then("every running member has noticed each death within {limit:g} seconds")
+def step_check_detection(context, limit):
+    for name in context.pump.killed_s:
+        # A member that was killed later is not asked, but its successors are.
+        times = context.pump.detection_s(name)
+        missing = [observer for observer, time_s in times.items() if time_s is None]
+        assert not missing, f"{name} is not dead for {missing[:5]}"
+        worst = max(times.values())
+        middle = statistics.median(times.values())
+        print(f"{name}: median {middle:.2f} s, worst {worst:.2f} s")
+        assert worst <= limit, f"{name} was noticed after {worst:.2f} s"
+
+
+@then("each death was noticed somewhere within {limit:g} seconds")
+def step_check_first(context, limit):
+    first, last = [], []
+    for name in context.pump.killed_s:
+        times = context.pump.detection_s(name).values()
+        known = [time_s for time_s in times if time_s is not None]
+        assert known, f"nobody noticed {name}"
+        first.append(min(known))
+        last.append(max(known))
+    late = sum(time_s > limit for time_s in last)
+    print(
+        f"first notice: worst {max(first):.2f} s; everywhere: worst {max(last):.2f} s"
+    )
+    print(
+        f"{late} of {len(last)} deaths took longer than {limit:g} s to reach everyone"
+    )
+    assert max(first) <= limit, max(first)
+
+
+@then("nobody running was declared dead")
+def step_check_false(context):
+    assert not context.pump.false_deaths(), context.pump.false_deaths()[:5]
+
+
+@then("the paused member was declared dead, and nobody else")
+def step_check_paused(context):
+    assert {item[2] for item in context.pump.false_deaths()} == {context.paused}
+
+
+@then("every running member sees exactly the running members")
+def step_check_views(context):
+    expected = frozenset(context.pump.running())
+    views = context.pump.views()
+    wrong = {name for name, view in views.items() if view != expected}
+    assert not wrong, f"{len(wrong)} views differ, for example of {min(wrong)}"
+
+
+@then("within {limit:g} seconds every running member sees exactly the running members")
+def step_check_views_within(context, limit):
+    expected = frozenset(context.pump.running())
+    for step in range(int(limit * 2)):
+        if all(view == expected for view in context.pump.views().values()):
+            print(f"views agreed after {step / 2:g} s")
+            return
+        context.pump.run(0.5)
+    step_check_views(context)
+
+
+@then("within {limit:g} seconds every running member sees it leaving")
+def step_check_leaving(context, limit):
+    context.pump.run(limit)
+    for name in context.pump.running():
+        member = context.pump.nodes[name].detector.table.get(context.leaving)
+        assert member.state is members.MemberState.LEAVING, (name, member)
+
+
+@then("it is not seen as alive in the next {duration:d} seconds")
+def step_check_still_leaving(context, duration):
+    for _ in range(duration):
+        context.pump.run(1.0)
+        for name in context.pump.running():
+            member = context.pump.nodes[name].detector.table.get(context.leaving)
+            assert member.state is members.MemberState.LEAVING, (name, member)
+
+
+@then("the fuzzing ran at least {count:d} steps")
+def step_check_steps(context, count):
+    assert context.steps_run >= count, context.steps_run
+
+
+@then("the fuzzing finds a table that takes old reports for new")
+def step_check_forgetful(context):
+    assert fuzzing.find_failure(fuzz_membership.ForgetfulMachine, 25, 30) is not None
--- a/src/endivevane/cluster/neighbours.py
+++ b/src/endivevane/cluster/neighbours.py
@@ -7,7 +7,6 @@
 
 import result
 
-from endivevane import logs
 from endivevane.cluster import calls, messages, sessions, transport
 from endivevane.coordination import (
     clock,
@@ -20,6 +19,7 @@
 )
 from endivevane.daemon import settings as daemon_settings
 
+_DEAD = members.MemberState.DEAD
 _JOIN_INTERVAL_S = 0.5
 _JOIN_CONTACTS = 3
 _OBSERVER_MARGIN_SHARE = 0.2
@@ -64,9 +64,10 @@
         self._scan_at_s = self._join_at_s
         self._key_turn = 0
         self._observer = lease.SessionObserver(
-            settings.session.term_s * _OBSERVER_MARGIN_SHARE
+            settings.session.term_s * _OBSERVER_MARGIN_SHARE, peer_clock
         )
         self._rows: list[store.Row] = []
+        self._seen: set[str] = set()
         daemon = settings.daemon
         public_key = settings.keys.public if settings.keys is not None else ""
         self.detector = membership.FailureDetector(
@@ -96,14 +97,16 @@
         if scan is None or isinstance(scan.outcome, result.Err):
             return
         self._rows = scan.outcome.ok_value
-        self._observer.forget_absent()
+        present = {row.key for row in self._rows}
+        for name in self._seen - present:
+            self._observer.forget(name)
+        self._seen = present
         for row in self._rows:
-            try:
-                self._observer.observe(row.key, row, scan.started_s, scan.finished_s)
-            except (KeyError, TypeError, ValueError):
-                logs.warning("session_row_invalid", key=row.key)
-        for name in self._observer.list_lapsed():
+            self._observer.observe(row.key, row, scan.started_s, scan.finished_s)
+        lapsed = self._observer.list_lapsed()
+        for name in lapsed:
             self._report_lapsed(name)
+        self._meet_strangers(lapsed)
 
     def list_zones(self) -> dict[str, str]:
         """Return the zone of every other listed daemon.
@@ -115,7 +118,7 @@
         addresses = {me.description.address}
         for member in self.detector.table:
             addresses.add(member.description.address)
-            if member.name == me.name or member.state is members.MemberState.DEAD:
+            if member.name == me.name or member.state is _DEAD:
                 continue
             zones[member.name] = member.description.zone
         for seed in self._settings.membership.seeds:
@@ -197,15 +200,32 @@
         others = sorted({address for address in addresses if address not in ("", own)})
         count = min(_JOIN_CONTACTS, len(others))
         for address in self._random.sample(others, count):
-            name = transport.SEED_PREFIX + address
-            # A wrong key shows as silence, so each try may need another connection.
-            self._transport.disconnect(name)
-            self.detector.join(name)
+            self._contact(address)
+
+    def _meet_strangers(self, lapsed: list[str]) -> None:
+        """Contact daemons that renew their session but are not known as alive."""
+        strangers: list[str] = []
+        for row in self._rows:
+            member = self.detector.table.get(row.key)
+            is_known = member is not None and member.state is not _DEAD
+            if is_known or row.key in lapsed or row.key == self.detector.me.name:
+                continue
+            strangers.append(str(row.value.get("gossip_address", "")))
+        count = min(_JOIN_CONTACTS, len(strangers))
+        for address in self._random.sample(strangers, count):
+            self._contact(address)
+
+    def _contact(self, address: str) -> None:
+        """Ask a daemon for its table by its address alone."""
+        name = transport.SEED_PREFIX + address
+        # A wrong key shows as silence, so each try may need another connection.
+        self._transport.disconnect(name)
+        self.detector.join(name)
 
     def _report_lapsed(self, name: str) -> None:
         """Report a lapse as death where no watcher of its region can be heard."""
         member = self.detector.table.get(name)
-        if member is None or member.state is members.MemberState.DEAD:
+        if member is None or member.state is _DEAD:
             return
         if member.description.region == self.detector.me.description.region:
             return
--- a/src/endivevane/coordination/gossip.py
+++ b/src/endivevane/coordination/gossip.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import math
 
@@ -17,42 +18,47 @@
 class UpdateQueue:
     """Newest update per member, each handed out a bounded number of times.
 
+    Updates that were never sent go first, in order of arrival; the others take turns.
+
     :param multiplier: transmissions of an update per binary digit of the cluster size
-    :param max_entries: updates that may wait; those sent most often are dropped first
+    :param max_entries: updates that may wait; the oldest sent one is dropped first
     """
 
-    def __init__(self, multiplier: int = 3, max_entries: int = 512) -> None:
+    def __init__(self, multiplier: int = 3, max_entries: int = 1024) -> None:
         self._multiplier = multiplier
         self._max_entries = max_entries
-        self._entries: dict[str, _Entry] = {}
+        self._fresh: collections.OrderedDict[str, _Entry] = collections.OrderedDict()
+        self._sent: collections.OrderedDict[str, _Entry] = collections.OrderedDict()
 
     def __len__(self) -> int:
-        return len(self._entries)
+        return len(self._fresh) + len(self._sent)
 
     def has_fresh(self) -> bool:
         """Tell whether an update has never been sent."""
-        return any(entry.sent == 0 for entry in self._entries.values())
+        return bool(self._fresh)
 
     def put(self, update: members.Update) -> None:
         """Queue an update in place of an earlier one about the same member."""
-        self._entries.pop(update.name, None)
-        if len(self._entries) >= self._max_entries:
-            most_sent = max(self._entries.values(), key=lambda entry: entry.sent)
-            del self._entries[most_sent.update.name]
-        self._entries[update.name] = _Entry(update)
+        self._fresh.pop(update.name, None)
+        self._sent.pop(update.name, None)
+        self._fresh[update.name] = _Entry(update)
+        if len(self) > self._max_entries:
+            (self._sent or self._fresh).popitem(last=False)
 
     def take(self, count: int, cluster_size: int) -> tuple[members.Update, ...]:
-        """Return the updates sent least often and count them as sent.
+        """Return the next updates and count them as sent.
 
         :param count: how many at most
         :param cluster_size: number of members, for the bound on transmissions
         """
-        if not self._entries:
+        if not self._fresh and not self._sent:
             return ()
         limit = self._multiplier * math.ceil(math.log2(cluster_size + 2))
-        chosen = sorted(self._entries.values(), key=lambda entry: entry.sent)[:count]
-        for entry in chosen:
+        taken: list[members.Update] = []
+        for _ in range(min(count, len(self))):
+            name, entry = (self._fresh or self._sent).popitem(last=False)
+            taken.append(entry.update)
             entry.sent += 1
-            if entry.sent >= limit:
-                del self._entries[entry.update.name]
-        return tuple(entry.update for entry in chosen)
+            if entry.sent < limit:
+                self._sent[name] = entry
+        return tuple(taken)
--- a/src/endivevane/coordination/lease.py
+++ b/src/endivevane/coordination/lease.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import enum
 from collections.abc import Mapping
@@ -14,6 +15,7 @@
 TABLE = "sessions"
 EPOCH_FIELD = "epoch"
 TERM_FIELD = "term_s"
+_MAX_ASKED = 4096
 
 
 class Action(enum.Enum):
@@ -206,9 +208,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Sighting:
-    epoch: int
-    revision: int
-    term_s: float
+    """What reads of a session row have shown.
+
+    :param row: the row; ``None`` when it was absent
+    :param first_s: end of the first read that returned this revision
+    :param last_s: start of the last read that returned this revision
+    """
+
+    row: store.Row | None
     first_s: float
     last_s: float
 
@@ -221,62 +228,79 @@
     Time in which this process did not read proves nothing.
 
     :param margin_s: allowance for clocks that run at different rates
+    :param observer_clock: the clock of the times that :meth:`observe` gets
     """
 
-    def __init__(self, margin_s: float) -> None:
+    def __init__(
+        self, margin_s: float, observer_clock: clock.Clock | None = None
+    ) -> None:
         self._margin_s = margin_s
-        self._sightings: dict[str, _Sighting | None] = {}
+        self._clock = observer_clock or clock.SystemClock()
+        self._sightings: dict[str, _Sighting] = {}
+        self._asked: collections.OrderedDict[tuple[str, int], float]
+        self._asked = collections.OrderedDict()
 
     def observe(
         self, daemon: str, row: store.Row | None, started_s: float, finished_s: float
     ) -> None:
         """Record one read of a session row.
 
-        :param row: the row, ``None`` when it is absent
+        :param row: the row, ``None`` when it is absent; one without epoch and term
+            proves nothing
         :param started_s: monotonic time before the read
         :param finished_s: monotonic time after the read
         """
-        if row is None:
-            self._sightings[daemon] = None
+        if row is not None and not _is_session(row):
             return
         known = self._sightings.get(daemon)
-        if known is not None and known.revision == row.revision:
+        if known is not None and _is_same_revision(known.row, row):
             last_s = max(known.last_s, started_s)
             self._sightings[daemon] = dataclasses.replace(known, last_s=last_s)
             return
-        if known is not None and known.revision > row.revision:
+        if known is not None and started_s < known.last_s:
             return
-        self._sightings[daemon] = _Sighting(
-            epoch=int(row.value[EPOCH_FIELD]),
-            revision=row.revision,
-            term_s=float(row.value[TERM_FIELD]),
-            first_s=finished_s,
-            last_s=started_s,
-        )
+        self._sightings[daemon] = _Sighting(row, finished_s, started_s)
 
     def is_lapsed(self, daemon: str, epoch: int) -> bool:
         """Tell whether an epoch of a daemon is certainly over.
 
-        An absent row and another epoch in the row are certain at once. A daemon that
-        was never observed has not lapsed.
+        An absent row and another epoch in the row are certain when they were read
+        after the first question for this epoch: an earlier read may have come before
+        the epoch began.
         """
-        if daemon not in self._sightings:
+        asked_s = self._asked.setdefault((daemon, epoch), self._clock.monotonic_s())
+        if len(self._asked) > _MAX_ASKED:
+            self._asked.popitem(last=False)
+        sighting = self._sightings.get(daemon)
+        if sighting is None:
             return False
-        sighting = self._sightings[daemon]
-        if sighting is None or sighting.epoch != epoch:
-            return True
-        return sighting.last_s - sighting.first_s > sighting.term_s + self._margin_s
+        if sighting.row is None or int(sighting.row.value[EPOCH_FIELD]) != epoch:
+            return sighting.last_s > asked_s
+        return self._is_unchanged(sighting.row, sighting)
 
     def list_lapsed(self) -> list[str]:
         """Return daemons whose row is present but unchanged for too long."""
         return [
             daemon
             for daemon, sighting in self._sightings.items()
-            if sighting is not None and self.is_lapsed(daemon, sighting.epoch)
+            if sighting.row is not None and self._is_unchanged(sighting.row, sighting)
         ]
 
-    def forget_absent(self) -> None:
-        """Forget daemons whose row was absent at the last read."""
-        for daemon, sighting in list(self._sightings.items()):
-            if sighting is None:
-                del self._sightings[daemon]
+    def forget(self, daemon: str) -> None:
+        """Forget a daemon that nobody asks about any more."""
+        self._sightings.pop(daemon, None)
+
+    def _is_unchanged(self, row: store.Row, sighting: _Sighting) -> bool:
+        term_s = float(row.value[TERM_FIELD])
+        return sighting.last_s - sighting.first_s > term_s + self._margin_s
+
+
+def _is_session(row: store.Row) -> bool:
+    epoch, term_s = row.value.get(EPOCH_FIELD), row.value.get(TERM_FIELD)
+    return isinstance(epoch, int) and isinstance(term_s, int | float)
+
+
+def _is_same_revision(known: store.Row | None, row: store.Row | None) -> bool:
+    if known is None or row is None:
+        return known is row
+    return known.revision == row.revision
--- a/src/endivevane/coordination/links.py
+++ b/src/endivevane/coordination/links.py
@@ -6,6 +6,9 @@
 
 from endivevane.coordination import members, probes, roster
 
+_HEARD_INTERVALS = 10
+_REJOIN_SHARE = 0.25
+
 
 class LinkChooser:
     """Chooses members to watch, helpers for indirect probes and remote contacts.
@@ -37,12 +40,16 @@
     def purge(self, now_s: float) -> None:
         """Forget members that have been silent for long."""
         for name, heard_s in list(self._heard_s.items()):
-            if now_s - heard_s > self._settings.tombstone_s:
+            if now_s - heard_s > _HEARD_INTERVALS * self._settings.probe_interval_s:
                 del self._heard_s[name]
 
     def find_gateway(self, zone: str) -> str | None:
         """Return the member that acts for a zone, or ``None`` for an empty one."""
         names = self._view.table.list_zone(zone)
+        for name in names:
+            member = self._view.table.get(name)
+            if member is not None and member.state is members.MemberState.ALIVE:
+                return name
         return names[0] if names else None
 
     def is_gateway(self) -> bool:
@@ -63,7 +70,7 @@
     def list_contacts(self) -> list[str]:
         """Return one member in each zone of other regions, for a gateway."""
         region = self._view.me.description.region
-        zones = self._view.table.zones_by_region()
+        zones = self._view.table.map_zones()
         remote = [zone for zone in sorted(zones) if zones[zone] != region]
         if not remote or not self.is_gateway():
             return []
@@ -77,7 +84,7 @@
 
     def is_region_heard(self, region: str, now_s: float) -> bool:
         """Tell whether a member of a region has sent something lately."""
-        horizon_s = now_s - 10 * self._settings.probe_interval_s
+        horizon_s = now_s - _HEARD_INTERVALS * self._settings.probe_interval_s
         for name, heard_s in self._heard_s.items():
             member = self._view.table.get(name)
             if heard_s < horizon_s or member is None:
@@ -115,8 +122,19 @@
         return self._random.sample(names, count)
 
     def choose_sync_partner(self) -> str | None:
-        """Return a random member to compare tables with."""
+        """Return a random member to compare tables with.
+
+        Now and then it is one that is held for dead, since two halves of a cluster
+        that were cut from each other would otherwise never meet again.
+        """
         names = self.list_peers() + self.list_contacts()
+        dead = [
+            member.name
+            for member in self._view.table
+            if member.state is members.MemberState.DEAD
+        ]
+        if dead and (not names or self._random.random() < _REJOIN_SHARE):
+            return self._random.choice(dead)
         return self._random.choice(names) if names else None
 
     def list_peers(self) -> list[str]:
--- a/src/endivevane/coordination/members.py
+++ b/src/endivevane/coordination/members.py
@@ -5,6 +5,7 @@
 import bisect
 import dataclasses
 import enum
+import functools
 import hashlib
 from collections.abc import Iterator, Mapping
 
@@ -72,10 +73,14 @@
     return Update(member.name, member.incarnation, member.state, description)
 
 
+@functools.lru_cache(maxsize=8192)
 def rank_name(name: str, salt: str) -> int:
     """Return the position of a name in the hash order that the salt selects."""
-    digest = hashlib.blake2b(f"{salt}:{name}".encode(), digest_size=8).digest()
-    return int.from_bytes(digest, "big")
+    return int.from_bytes(_hash_text(f"{salt}:{name}"), "big")
+
+
+def _hash_text(text: str) -> bytes:
+    return hashlib.blake2b(text.encode(), digest_size=8).digest()
 
 
 class MemberTable:
@@ -93,6 +98,9 @@
         self._region = region
         self._members: dict[str, Member] = {}
         self._rings: list[list[tuple[int, str]]] = [[] for _ in range(rings)]
+        self._zones: dict[str, list[str]] = {}
+        self._zone_regions: dict[str, str] = {}
+        self._digest: int | None = None
 
     def __len__(self) -> int:
         return len(self._members)
@@ -108,6 +116,7 @@
         """Add or replace a member."""
         before = self._members.get(member.name)
         self._members[member.name] = member
+        self._forget_derived()
         was_ringed = before is not None and self._is_ringed(before)
         if self._is_ringed(member) == was_ringed:
             return
@@ -116,6 +125,7 @@
     def remove(self, name: str) -> None:
         """Forget a member."""
         member = self._members.pop(name, None)
+        self._forget_derived()
         if member is not None and self._is_ringed(member):
             self._change_rings(name, False)
 
@@ -133,34 +143,51 @@
 
     def list_zone(self, zone: str) -> list[str]:
         """Return names of the zone's live members in gateway order."""
-        names = [
-            member.name
-            for member in self._members.values()
-            if member.description.zone == zone and member.state <= MemberState.SUSPECT
-        ]
-        return sorted(names, key=lambda name: rank_name(name, "gateway"))
-
-    def zones_by_region(self) -> Mapping[str, str]:
+        names = self._zones.get(zone)
+        if names is None:
+            names = [
+                member.name
+                for member in self._members.values()
+                if member.description.zone == zone
+                and member.state <= MemberState.SUSPECT
+            ]
+            names.sort(key=lambda name: rank_name(name, "gateway"))
+            self._zones[zone] = names
+        return names
+
+    def map_zones(self) -> Mapping[str, str]:
         """Return the region of each zone that has a member which is not dead."""
-        return {
-            member.description.zone: member.description.region
-            for member in self._members.values()
-            if member.state is not MemberState.DEAD
-        }
+        if not self._zone_regions:
+            self._zone_regions = {
+                member.description.zone: member.description.region
+                for member in self._members.values()
+                if member.state is not MemberState.DEAD
+            }
+        return self._zone_regions
 
     def compute_digest(self) -> int:
         """Return a number that is equal when two tables agree on who is there.
 
         Suspicion is left out, since it is temporary and differs between members.
         """
+        if self._digest is not None:
+            return self._digest
         digest = 0
         for member in self._members.values():
             if member.state is MemberState.DEAD:
                 continue
             is_leaving = member.state is MemberState.LEAVING
-            digest ^= rank_name(member.name, f"{member.incarnation}:{is_leaving}")
+            text = f"{member.name}:{member.incarnation}:{is_leaving}"
+            digest ^= int.from_bytes(_hash_text(text), "big")
+        self._digest = digest
         return digest
 
+    def _forget_derived(self) -> None:
+        """Drop what was computed from the members, after a change."""
+        self._zones.clear()
+        self._zone_regions = {}
+        self._digest = None
+
     def _is_ringed(self, member: Member) -> bool:
         return (
             member.state is not MemberState.DEAD
--- a/src/endivevane/coordination/membership.py
+++ b/src/endivevane/coordination/membership.py
@@ -16,6 +16,7 @@
     roster,
 )
 
+_REPAIR_PUSHES = 3
 _SYNC_MESSAGES = (exchange.SyncRequest, exchange.SyncRows)
 _ACCUSED = (members.MemberState.SUSPECT, members.MemberState.DEAD)
 
@@ -55,6 +56,8 @@
         self._has_news = False
         self._last_call_s = now_s
         self._push_at_s = now_s
+        self._repair_at_s = now_s
+        self._contacts: list[str] = []
         self._sync_at_s = now_s + self._jitter(settings.sync_interval_s)
         self._ring_at_s = [
             now_s + settings.probe_interval_s * generator.random()
@@ -206,7 +209,7 @@
             self._ring_at_s[ring] = now_s + interval_s
             names = self._links.list_targets(ring)
             if ring == 0:
-                names += self._links.list_contacts()
+                names += self._meet_contacts()
             for name in names:
                 self._start_probe(name)
         if self._sync_at_s <= now_s:
@@ -246,6 +249,15 @@
             self._view.suspect(member, now_s)
             self._start_probe(name)
 
+    def _meet_contacts(self) -> list[str]:
+        """Return the contacts in other regions and compare tables with new ones."""
+        contacts = self._links.list_contacts()
+        for name in contacts:
+            if name not in self._contacts:
+                self._send_sync_request(name)
+        self._contacts = contacts
+        return contacts
+
     def _probe_indirectly(self, name: str, now_s: float) -> None:
         sequence = self._book.make_indirect(name, now_s)
         self._broken.append(name)
@@ -303,14 +315,22 @@
 
     def _push(self, now_s: float) -> None:
         """Send new updates to all links at once instead of with the next probes."""
-        is_due = self._has_news or self._view.queue.has_fresh()
-        if not is_due or now_s < self._push_at_s:
+        if now_s < self._push_at_s:
+            return
+        queue = self._view.queue
+        # Piggybacking alone takes seconds to repair losses when many members change.
+        is_backlogged = len(queue) > 2 * self._settings.max_updates
+        is_repair_due = is_backlogged and now_s >= self._repair_at_s
+        if not (self._has_news or queue.has_fresh() or is_repair_due):
             return
         self._push_at_s = now_s + self._settings.push_interval_s
+        self._repair_at_s = now_s + _REPAIR_PUSHES * self._settings.push_interval_s
         self._has_news = False
-        updates = self._take_updates()
+        updates = self._view.queue.take(
+            self._settings.max_pushed_updates, len(self.table)
+        )
         for name in self.list_links():
             self._send(name, exchange.Gossip(self._make_header(name, updates)))
 
     def _jitter(self, interval_s: float) -> float:
-        return interval_s * self._random.uniform(0.9, 1.1)
+        return interval_s * self._random.uniform(0.8, 1.0)
--- a/src/endivevane/coordination/probes.py
+++ b/src/endivevane/coordination/probes.py
@@ -17,7 +17,9 @@
     :param rings: members that each member watches
     :param indirect_probes: members asked to probe one that does not answer
     :param max_probes: pings in flight at most
-    :param max_updates: updates in one message at most
+    :param max_updates: updates piggybacked on a probe or its answer at most
+    :param max_pushed_updates: updates in one unsolicited message at most; eight of them
+        needed seconds to spread the loss of half of 340 members
     :param max_tick_gap_s: longest time between two calls in normal operation; what
         exceeds it was a pause of this process
     :param push_interval_s: shortest time between two rounds of unsolicited gossip
@@ -27,11 +29,12 @@
 
     probe_interval_s: float = 1.0
     probe_timeout_s: float = 0.5
-    suspect_timeout_s: float = 2.5
+    suspect_timeout_s: float = 2.0
     rings: int = 3
     indirect_probes: int = 2
     max_probes: int = 24
     max_updates: int = 8
+    max_pushed_updates: int = 32
     max_tick_gap_s: float = 0.15
     push_interval_s: float = 0.1
     sync_interval_s: float = 20.0
