Prove the path of online requests by scenarios

Cause: the path had been run with good cases only, and nothing showed what callers get when engines, connections or callers fail. Change: scenarios with the official client, engine processes that are killed, break and go silent, scripted engines with truncated and odd answers, slow and leaving callers, malformed bodies, headers and HTTP, and a planned stop. The HTTP server now looks at idle connections during a planned stop; its closed listening socket used to trigger that, so a stop waited for its whole time limit.

--- /dev/null
+++ b/features/streams.feature
@@ -0,0 +1,184 @@
+Feature: Online requests get one whole answer, or an error that tells the truth
+
+  Scenario Outline: The official client gets the whole answer
+    Given 2 engines that make a token every 5 ms, behind the front end
+    When the official client asks "count the crates" for 40 tokens <way>
+    Then the client has the engine's whole text
+    And the engines have run it once
+
+    Examples:
+      | way      |
+      | streamed |
+      | whole    |
+
+  Scenario: An adapter is named to the engine as the caller names it
+    Given 1 engine that makes a token every 5 ms, behind the front end
+    When "adapters" is asked of model "small-lm:tuned" for 5 tokens
+    Then the answer has status 404 and code "model_not_found"
+    And the engine's refusal says that the adapter is not loaded
+
+  # Guards against lost or repeated tokens when a connection breaks.
+  Scenario Outline: A connection that breaks in the middle is resumed
+    Given 2 engines that make a token every 5 ms, behind the front end
+    And the next stream of each engine loses its connection after <tokens> tokens
+    When the official client asks "broken belt" for 60 tokens <way>
+    Then the client has the engine's whole text
+    And the engines have run it once
+
+    Examples:
+      | tokens | way      |
+      | 1      | streamed |
+      | 25     | streamed |
+      | 25     | whole    |
+
+  # Guards against waiting for ever on a connection that a network device forgot.
+  Scenario: A stream that goes silent is resumed on a new connection
+    Given 1 engine that makes a token every 10 ms, behind the front end
+    And streams are taken for silent after 0.5 s
+    When a caller streams "silent shed" for 100 tokens
+    And the open streams of all engines go silent after 10 tokens
+    Then the caller has the engine's whole text
+    And the engines have run it once
+
+  # Guards against loss of accepted requests with their engine.
+  Scenario: A deterministic answer is completed elsewhere when its engine dies
+    Given 2 engines that make a token every 10 ms, behind the front end
+    When a caller streams "dead engine" for 100 tokens with temperature 0
+    And the engine that runs it is killed after 20 tokens
+    Then the caller has the engine's whole text
+
+  Scenario: An answer that can't be repeated ends with an error when its engine dies
+    Given 2 engines that make a token every 10 ms, behind the front end
+    When a caller streams "dead engine" for 100 tokens
+    And the engine that runs it is killed after 20 tokens
+    Then the stream ends with an error that says "may-have-run"
+    And the stream has no [DONE] and its framing is cut
+
+  Scenario: An unstreamed answer starts afresh elsewhere when its engine dies
+    Given 2 engines that make a token every 10 ms, behind the front end
+    When a caller asks "dead engine" for 100 tokens unstreamed
+    And the engine that runs it is killed after 20 tokens
+    Then the caller has the engine's whole text
+
+  # Guards against two different answers glued together.
+  Scenario: A second run that differs ends the answer with an error
+    Given scripted engines, each breaking or answering with its own text
+    When a caller streams "differs" with temperature 0
+    Then the stream ends with an error that says "may-have-run"
+    And the stream has no [DONE] and its framing is cut
+    And the stream has only text of the first engine
+
+  # Guards against engines that go on computing for nobody.
+  Scenario Outline: The engine stops when the caller leaves
+    Given 1 engine that makes a token every 10 ms after <prefill> ms, behind the front end
+    When a caller asks "left alone" for 1000 tokens <way> and leaves after <wait> s
+    Then the engine's record says cancelled within 2 s
+    And no request is open
+
+    Examples:
+      | prefill | way        | wait |
+      | 5       | streamed   | 0.5  |
+      | 5       | unstreamed | 0.5  |
+      | 3000    | streamed   | 0.3  |
+
+  # Guards against one caller's full buffers holding up the others.
+  Scenario: A caller that does not read does not disturb others and is cut off
+    Given a scripted engine with the answer "12 MB at once"
+    And callers that take nothing for 1 s are cut off
+    When 3 callers stream and do not read, and one caller reads
+    Then the reading caller has the whole answer within 10 s
+    And at most 256 KB were buffered for each caller
+    And no request is open within 10 s
+
+  # Guards against answers that look whole but are not.
+  Scenario Outline: A truncated or faulty answer is never passed off as whole
+    Given a scripted engine with the answer "<answer>"
+    When a caller streams "truncated"
+    Then the stream ends with an error that says "may-have-run"
+    And the stream has no [DONE] and its framing is cut
+    And the caller got the tokens "t0 t1 t2"
+    When the front end is started afresh
+    And a caller asks "truncated" unstreamed
+    Then the answer has status 502 and says "may-have-run"
+
+    Examples:
+      | answer                |
+      | end without DONE      |
+      | closed in a chunk     |
+      | reset                 |
+      | an offset is left out |
+      | an error event        |
+      | lines without data    |
+      | bad chunk size        |
+
+  Scenario Outline: Unusual but correct framing is understood
+    Given a scripted engine with the answer "<answer>"
+    When a caller streams "framing"
+    Then the caller got the tokens "t0 t1 t2 t3 t4"
+    And the stream is whole
+
+    Examples:
+      | answer                    |
+      | one byte at a time        |
+      | all in one chunk          |
+      | no chunks                 |
+      | CRLF lines                |
+      | repeated offsets          |
+      | comments between events   |
+      | an interim response first |
+      | no offsets                |
+
+  Scenario Outline: A refusal by the engine is sent elsewhere
+    Given 2 engines that make a token every 5 ms, behind the front end
+    And the first engine <fault>
+    When the official client asks "refused" for 5 tokens streamed 6 times
+    Then each time the client has the engine's whole text
+
+    Examples:
+      | fault                      |
+      | refuses every request      |
+      | is not running             |
+      | accepts and never answers  |
+
+  # Guards against a delay of the final answer, and against a false "not-run".
+  Scenario: A request that no engine takes is refused at once
+    Given 2 engines that make a token every 5 ms, behind the front end
+    And all engines refuse every request
+    When a caller asks "nobody" for 5 tokens unstreamed
+    Then the answer has status 503 and says "not-run"
+    And the answer has Retry-After
+    And the answer came within 2 s
+
+  Scenario: What the engine says of a wrong request reaches the caller
+    Given a scripted engine with the answer "status 400"
+    When a caller asks "too long" unstreamed
+    Then the answer has status 400 and says "not-run"
+    And the scripted engine got 1 request
+
+  Scenario Outline: The deadline ends a request
+    Given 1 engine that makes a token every 20 ms, behind the front end
+    When a caller asks "late" for 400 tokens <way> with 600 ms to go
+    Then the request ends with code "deadline_exceeded" after 0.6 to 3 s
+    And the engine's record says cancelled within 2 s
+
+    Examples:
+      | way        |
+      | streamed   |
+      | unstreamed |
+
+  Scenario: More requests than the bound are refused
+    Given 1 engine that makes a token every 10 ms, behind the front end
+    And at most 3 requests may be open
+    When 4 callers stream 150 tokens each
+    Then 3 answers are whole and 1 is refused with 429 and "not-run"
+
+  # Guards against planned stops that cut requests.
+  Scenario: A planned stop finishes open streams and closes idle connections
+    Given 1 engine that makes a token every 10 ms, behind the front end
+    And an idle connection that has been used once
+    When a caller streams "planned stop" for 150 tokens
+    And the planned stop begins after 0.3 s
+    Then a new connection is refused
+    And a call on the idle connection is answered and the connection is closed
+    And the caller has the engine's whole text
+    And the planned stop finished everything
--- a/src/endivevane/web/server.py
+++ b/src/endivevane/web/server.py
@@ -16,6 +16,9 @@
 from endivevane import exceptions, logs, types
 from endivevane.web import app, channel
 
+# How often connections are looked at during a planned stop.
+_DRAIN_WAIT_S = 0.2
+
 # The type stubs of waitress lack most attributes of this class.
 _BaseServer: Any = waitress.server.TcpWSGIServer
 
@@ -168,9 +171,13 @@
 
     def run_once(self) -> None:
         """Wait for events once and handle them."""
-        idle = 0.2 if self.is_draining else self.adj.asyncore_loop_timeout
-        self.asyncore.poll2(idle, self._map)
-        if self.is_draining and not self.active_channels:
+        wait_s = _DRAIN_WAIT_S if self.is_draining else self.adj.asyncore_loop_timeout
+        self.asyncore.poll2(wait_s, self._map)
+        if not self.is_draining:
+            return
+        # The closed listening socket no longer triggers the maintenance.
+        self.maintenance(time.time())
+        if not self.active_channels:
             self.drained.set()
 
     def begin_drain(self) -> None:
