Add links that can be cut, silenced, delayed and rate-limited

Add standins.link, a TCP link with latency, rate and byte counts, Fleet.start_link and FleetPlan.has_store_links; the balancer passes connections on by the same code. A lease that runs out while its holder is alive can now be brought about.

--- a/features/standins.feature
+++ b/features/standins.feature
@@ -179,3 +179,35 @@
     And the service 0 reports that it is not ready
     Then new calls go to the service 1 only
     And both slow calls are answered
+
+  Scenario: A silent link passes nothing on and goes on afterwards
+    Guards against a partition that breaks connections, which every client notices.
+    Given a stand-in platform behind a link
+    And a client with an open connection through the link
+    When the link goes silent
+    Then the open connection gets no answer within 0.5 seconds
+    When the link passes bytes again
+    Then the open connection gets its answer
+    And the link's record counts the bytes of both directions
+
+  Scenario: Connections that were open stay silent while new ones work
+    Guards against clients that wait on a dead connection while the store is well.
+    Given a stand-in platform behind a link
+    And a client with an open connection through the link
+    When the connections that are open now go silent
+    Then the open connection gets no answer within 0.5 seconds
+    And a new connection through the link is answered
+
+  Scenario: A link has a latency and a rate
+    Guards against a link between regions that costs nothing.
+    Given a stand-in platform behind a link of 20 milliseconds and 4 Mbit/s
+    Then a call through the link takes at least 40 milliseconds
+    And an object of 100000 bytes takes at least 200 milliseconds
+
+  Scenario: A link that is down refuses and breaks connections
+    Guards against a cut that open connections survive.
+    Given a stand-in platform behind a link
+    And a client with an open connection through the link
+    When the link goes down
+    Then the open connection breaks
+    And a new connection through the link is refused
--- a/standins/balancer.py
+++ b/standins/balancer.py
@@ -9,11 +9,10 @@
 import aiohttp
 from aiohttp import web
 
-from standins import serving
+from standins import piping, serving
 
 _CHECK_INTERVAL_S = 0.5
 _CHECK_TIMEOUT_S = 1.0
-_READ_BYTES = 64 << 10
 
 
 @dataclasses.dataclass(slots=True)
@@ -36,6 +35,9 @@
         self._backends = [Backend(address) for address in addresses]
         self._next = 0
         self._refused = 0
+        self._conditions = piping.Conditions()
+        self._outward = piping.Direction(bytes_per_s=0)
+        self._inward = piping.Direction(bytes_per_s=0)
 
     def add(self, app: web.Application) -> None:
         """Add the tasks that run while the application runs."""
@@ -55,12 +57,8 @@
             self._refused += 1
             writer.transport.abort()
             return
-        backend_reader, backend_writer = opened
-        await asyncio.gather(
-            _copy(reader, backend_writer), _copy(backend_reader, writer)
-        )
-        backend_writer.close()
-        writer.close()
+        pipe = piping.Pipe((reader, writer), opened, self._conditions)
+        await pipe.run(self._outward, self._inward)
 
     async def _open_backend(
         self,
@@ -106,48 +104,18 @@
         await asyncio.sleep(_CHECK_INTERVAL_S)
 
 
-async def _copy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    """Copy bytes until the end of one side; a broken side breaks the other."""
-    try:
-        while data := await reader.read(_READ_BYTES):
-            writer.write(data)
-            await writer.drain()
-        if writer.can_write_eof():
-            writer.write_eof()
-    except OSError:
-        writer.transport.abort()
-
-
-class BalancerServer:
-    """Listens for callers; the control address is a separate HTTP server."""
-
-    def __init__(self, balancer: Balancer, listen: str) -> None:
-        self._balancer = balancer
-        self._host, self._port = serving.split_address(listen)
-
-    async def run(self, _app: web.Application) -> Any:
-        """Listen while the application runs."""
-        server = await asyncio.start_server(
-            self._balancer.serve_connection, self._host, self._port, backlog=1024
-        )
-        print(f"listening {self._host}:{self._port}", flush=True)
-        yield
-        server.close()
-
-
 def main() -> None:
     """Serve the balancer."""
     parser = serving.make_parser(__doc__)
     parser.add_argument("--backend", action="append", required=True)
     arguments = parser.parse_args()
-    if not arguments.control:
-        parser.error("--control is required, since --listen passes everything on")
     balancer = Balancer(arguments.backend)
     app = serving.make_app()
     balancer.add(app)
-    app.cleanup_ctx.append(BalancerServer(balancer, arguments.listen).run)
-    arguments.listen, arguments.control = arguments.control, None
-    serving.run(app, arguments, balancer.record)
+    listener = piping.TcpListener(
+        serving.split_address(arguments.listen), balancer.serve_connection
+    )
+    serving.run_behind_tcp(app, arguments, balancer.record, listener)
 
 
 if __name__ == "__main__":
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -10,7 +10,7 @@
 
 from aiohttp import web
 
-from standins import faults
+from standins import faults, piping
 
 LISTENERS = web.AppKey("listeners", list)
 # Whether a handler is cancelled when its caller's connection breaks.
@@ -44,9 +44,13 @@
     """
 
     def __init__(
-        self, app: web.Application, listen: str, control: str | None = None
+        self,
+        app: web.Application,
+        listen: str,
+        control: str | None = None,
+        prints_ready: bool = True,
     ) -> None:
-        self._app = app
+        self._prints_ready = prints_ready
         self._listen = split_address(listen)
         self._control = split_address(control) if control else None
         # A short limit: connections that the fault 'silent' holds never finish.
@@ -64,7 +68,8 @@
         if self._control is not None:
             await web.TCPSite(self._runner, *self._control).start()
         await self._open()
-        print(f"listening {self._listen[0]}:{self._listen[1]}", flush=True)
+        if self._prints_ready:
+            print(f"listening {self._listen[0]}:{self._listen[1]}", flush=True)
 
     async def stop(self) -> None:
         """Close everything."""
@@ -128,6 +133,32 @@
     asyncio.run(run_until_signalled(server))
 
 
+def run_behind_tcp(
+    app: web.Application,
+    arguments: argparse.Namespace,
+    record: Callable[[], Any],
+    listener: piping.TcpListener,
+) -> None:
+    """Serve a stand-in that passes TCP connections on.
+
+    Its control routes have an address of their own, since ``--listen`` has no HTTP.
+    """
+    if not arguments.control:
+        raise SystemExit("--control is required, since --listen passes everything on")
+
+    async def listen(_app: web.Application) -> Any:
+        await listener.open()
+        print(f"listening {arguments.listen}", flush=True)
+        yield
+        listener.close()
+
+    app.cleanup_ctx.append(listen)
+    server = Server(app, arguments.control, prints_ready=False)
+    app[faults.FAULTS] = faults.Faults()
+    faults.add_control_routes(app, app.get(LISTENERS, []), record)
+    asyncio.run(run_until_signalled(server))
+
+
 def make_app(client_max_bytes: int = 256 << 20) -> web.Application:
     """Return an application that applies the faults to each call."""
     return web.Application(
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -140,6 +140,7 @@
         self.engines: list[StandIn] = []
         self.services: list[StandIn] = []
         self.daemons: list[Daemon] = []
+        self.store_links: list[StandIn] = []
         self.balancer: StandIn | None = None
         self._ports = ports.Ports()
         self._processes = processes.Processes(folder)
@@ -243,11 +244,15 @@
         keys = {"public": public.decode(), "secret": secret.decode()}
         listens = [self._ports.reserve_address() for _ in range(plan.daemons)]
         clusters = [self._ports.reserve_address() for _ in range(plan.daemons)]
+        if plan.has_store_links:
+            for index in range(plan.daemons):
+                name = f"store-link-{index}"
+                self.store_links.append(self.start_link(name, self.store.address))
         for index in range(plan.daemons):
             addresses = {
                 "listen": listens[index],
                 "cluster_listen": clusters[index],
-                "platform": self.store.address,
+                "platform": self._find_store_address(index),
                 "seeds": [item for item in clusters if item != clusters[index]],
                 "keys": {**keys, "peer_public": [keys["public"]]},
             }
@@ -270,6 +275,17 @@
         self.balancer = self._start_stand_in("balancer", "balancer", "", arguments)
         self.balancer.process.wait_for_line("listening")
 
+    def start_link(
+        self, name: str, target: str, arguments: typing.Iterable[str] = ()
+    ) -> StandIn:
+        """Start a link to an address; calls go to the link's address instead.
+
+        :param arguments: further arguments of ``standins.link``
+        """
+        link = self._start_stand_in("link", name, "", ("--to", target, *arguments))
+        link.process.wait_for_line("listening")
+        return link
+
     def set_vms(self, states: dict[str, str] | None = None) -> None:
         """Publish the list of VMs, which takes effect after the platform's lag.
 
@@ -282,6 +298,10 @@
         ]
         self.store.post_control("/_control/vms", {"vms": vms})
 
+    def _find_store_address(self, index: int) -> str:
+        member = self.store_links[index] if self.store_links else self.store
+        return member.address
+
     def _list_vms(self, listens: list[str]) -> None:
         vms = [
             _make_vm(f"daemon-{index}", listen, self.plan.zone_of(index).name)
--- a/tools/fleet_plan.py
+++ b/tools/fleet_plan.py
@@ -44,6 +44,8 @@
     :param plain_service: changes to the document of the plain service
     :param daemon_settings: changes to the settings file of every daemon
     :param has_balancer: whether a balancer is started in front of the daemons
+    :param has_store_links: whether each daemon reaches the platform over a link of its
+        own, which can be cut, slowed or silenced
     :param confirm_s: after the daemons are ready, how long to wait for the zones to
         confirm the configuration; 0 does not wait
     """
@@ -64,6 +66,7 @@
     plain_service: Mapping[str, Any] = dataclasses.field(default_factory=dict)
     daemon_settings: Mapping[str, Any] = dataclasses.field(default_factory=dict)
     has_balancer: bool = False
+    has_store_links: bool = False
     ready_timeout_s: float = 30.0
     confirm_s: float = 0.0
 
