Take every 5xx answer to a transaction as an unknown outcome

Cause: a 503 to a transaction counted as proof that nothing was applied, but an intermediary can answer 503 after the write took effect; a malformed answer raised ValueError in the caller. Change: any 5xx or malformed answer to a transaction is an unknown outcome and is settled by reading back; calls are counted by kind and outcome. Conclusion: only a failed connect or 429 proves that nothing was applied.

--- a/src/endivevane/daemon/wiring.py
+++ b/src/endivevane/daemon/wiring.py
@@ -11,7 +11,7 @@
 from endivevane.batch import ports, runner, slack
 from endivevane.cluster import events, tasks
 from endivevane.configuration import snapshot
-from endivevane.coordination import clock, members, register
+from endivevane.coordination import clock, register
 from endivevane.daemon import (
     admin,
     batch_port,
@@ -238,8 +238,6 @@
                 self.relay.post(messages.SnapshotChanged(event.snapshot))
             case events.VmsChanged():
                 self._set_leaving(event.leaving)
-            case events.MembersChanged():
-                self._count_members()
             case events.PeerMessage(kind="quarantine"):
                 entry = messages.QuarantineChanged(
                     str(event.body["fingerprint"]), int(event.body["until_ms"])
@@ -252,11 +250,6 @@
         self._plain.set_leaving(names)
         self._loads.set_leaving(names)
 
-    def _count_members(self) -> None:
-        states = [item.state for item in self.cluster.members()]
-        for state in members.MemberState:
-            metrics.MEMBERS.labels(state.name.lower()).set(states.count(state))
-
     def _publish(
         self, message: contract.YieldRequest | messages.QuarantineChanged
     ) -> None:
--- a/src/endivevane/platform/table.py
+++ b/src/endivevane/platform/table.py
@@ -2,17 +2,27 @@
 
 from __future__ import annotations
 
+import typing
 import urllib.parse
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import result
 
-from endivevane import utils
+from endivevane import metrics, utils
 from endivevane.coordination import store
 from endivevane.platform import http_pool
 
 _DEFAULT_RETRY_AFTER_S = 1.0
+_OUTCOME_NAMES: dict[type[store.StoreError], str] = {
+    store.StoreConflict: "conflict",
+    store.StoreUnavailable: "unavailable",
+    store.StoreOverloaded: "overloaded",
+    store.StoreOutcomeUnknown: "unknown",
+}
+
+_T = typing.TypeVar("_T")
+_U = typing.TypeVar("_U")
 
 
 class TableClient:
@@ -28,17 +38,15 @@
         self, table: str, key: str
     ) -> result.Result[store.Row | None, store.StoreError]:
         """Return a row, or ``None`` when it is absent."""
-        path = f"/v1/rows/{_quote(table)}/{_quote(key)}"
-        outcome = self._get(path)
-        if isinstance(outcome, result.Err):
-            return outcome
-        response = outcome.ok_value
-        if response.status == 404:
-            return result.Ok(None)
-        if response.status != 200:
-            return result.Err(_convert_status(response))
-        body = utils.decode_json(response.body)
-        return result.Ok(store.Row(table, key, body["value"], body["revision"]))
+        outcome = self._get(f"/v1/rows/{_quote(table)}/{_quote(key)}")
+        if isinstance(outcome, result.Ok) and outcome.ok_value is None:
+            return _count("read", result.Ok(None))
+        return _count(
+            "read",
+            _decode(
+                outcome, lambda body: store.Row(table, key, *_read_row(body or {}))
+            ),
+        )
 
     def scan(
         self, table: str, prefix: str, after: str = "", limit: int = 500
@@ -48,17 +56,15 @@
             {"prefix": prefix, "after": after, "limit": limit}
         )
         outcome = self._get(f"/v1/rows/{_quote(table)}?{query}")
-        if isinstance(outcome, result.Err):
-            return outcome
-        response = outcome.ok_value
-        if response.status != 200:
-            return result.Err(_convert_status(response))
-        rows = utils.decode_json(response.body)["rows"]
-        return result.Ok(
-            [
-                store.Row(table, row["key"], row["value"], row["revision"])
-                for row in rows
-            ]
+        return _count(
+            "scan",
+            _decode(
+                outcome,
+                lambda body: [
+                    store.Row(table, item["key"], *_read_row(item))
+                    for item in (body or {})["rows"]
+                ],
+            ),
         )
 
     def transact(
@@ -88,23 +94,68 @@
             is_repeatable=False,
         )
         if isinstance(outcome, result.Err):
-            return result.Err(_convert_transport(outcome.err_value, operation_id))
-        response = outcome.ok_value
-        if response.status == 200:
-            return result.Ok(int(utils.decode_json(response.body)["revision"]))
-        if response.status == 409:
-            return result.Err(_decode_conflict(utils.decode_json(response.body)))
-        if response.status >= 500 and response.status != 503:
-            detail = f"status {response.status}"
-            return result.Err(store.StoreOutcomeUnknown(operation_id, detail))
-        return result.Err(_convert_status(response))
+            error = _convert_transport(outcome.err_value, operation_id)
+            return _count("transact", result.Err(error))
+        return _count("transact", _decode_transaction(outcome.ok_value, operation_id))
 
-    def _get(self, path: str) -> result.Result[http_pool.Response, store.StoreError]:
+    def _get(self, path: str) -> result.Result[dict[str, Any] | None, store.StoreError]:
+        """Return the JSON body of an answer, ``None`` for status 404."""
         outcome = self._pool.request("GET", path)
         if isinstance(outcome, result.Err):
             detail = outcome.err_value.format_message()
             return result.Err(store.StoreUnavailable(detail))
+        response = outcome.ok_value
+        if response.status == 404:
+            return result.Ok(None)
+        if response.status != 200:
+            return result.Err(_convert_status(response))
+        return _decode(result.Ok(response.body), utils.decode_json)
+
+
+def _count(
+    kind: str, outcome: result.Result[_T, store.StoreError]
+) -> result.Result[_T, store.StoreError]:
+    """Count a call by kind and outcome and return the outcome."""
+    name = "ok"
+    if isinstance(outcome, result.Err):
+        name = _OUTCOME_NAMES[type(outcome.err_value)]
+    metrics.STORE_CALLS.labels(kind, name).inc()
+    return outcome
+
+
+def _decode(
+    outcome: result.Result[_T, store.StoreError], function: Callable[[_T], _U]
+) -> result.Result[_U, store.StoreError]:
+    """Decode the body of an answer; one that is malformed counts as no answer."""
+    if isinstance(outcome, result.Err):
         return outcome
+    try:
+        return result.Ok(function(outcome.ok_value))
+    except (ValueError, KeyError, TypeError) as error:
+        return result.Err(store.StoreUnavailable(f"malformed answer: {error!r}"))
+
+
+def _read_row(body: dict[str, Any]) -> tuple[dict[str, Any], int]:
+    return body["value"], int(body["revision"])
+
+
+def _decode_transaction(
+    response: http_pool.Response, operation_id: str
+) -> result.Result[int, store.StoreError]:
+    """Return the revision or the error that the answer to a transaction means."""
+    try:
+        if response.status == 200:
+            return result.Ok(int(utils.decode_json(response.body)["revision"]))
+        if response.status == 409:
+            return result.Err(_decode_conflict(utils.decode_json(response.body)))
+    except (ValueError, KeyError, TypeError) as error:
+        detail = f"malformed answer: {error!r}"
+        return result.Err(store.StoreOutcomeUnknown(operation_id, detail))
+    if response.status >= 500:
+        # An intermediary may answer 502 to 504 after the write took effect.
+        detail = f"status {response.status}"
+        return result.Err(store.StoreOutcomeUnknown(operation_id, detail))
+    return result.Err(_convert_status(response))
 
 
 def _quote(text: str) -> str:
