Prove sessions, fencing and a holder that wakes after its lease

Cause: the lease code had only been run in a healthy cluster. Change: fuzzing of one and two holders of a name over a store that fails in every way, two broken holders that the fuzzing must reject, scenarios of engine group ownership, and a member process that is stopped with SIGSTOP past its lease.

--- /dev/null
+++ b/features/steps/leases_steps.py
@@ -0,0 +1,237 @@
+import itertools
+import time
+
+from behave import given, then, when
+
+from endivevane import testing
+from endivevane.coordination import clock, fencing, lease
+from features.support import cluster_members, fuzz_lease, fuzzing
+
+_MACHINES = {
+    "two holders": fuzz_lease.LeaseMachine,
+    "one holder": fuzz_lease.SingleHolderMachine,
+    "late": fuzz_lease.LateMachine,
+    "reviving": fuzz_lease.RevivingMachine,
+}
+_TERM_S = 9.0
+_MARGIN_S = 1.0
+_LONGEST_ORDER_S = 20.0
+_operations = itertools.count()
+
+
+def _renew(context, name):
+    session = context.leases[name]
+    session.record(lease.run_attempt(context.store, session.start_attempt()))
+
+
+def _watch(context):
+    now_s = context.clock.monotonic_s()
+    row = context.store.rows(lease.TABLE).get("d1")
+    context.observer.observe("d1", row, now_s, now_s)
+
+
+def _acquire(context, name):
+    row = context.store.rows(fencing.TABLE).get("g1")
+    epoch = context.leases[name].epoch
+    assert epoch is not None
+    if not fencing.may_acquire(row, name, epoch, context.observer):
+        return False
+    operation_id = f"acquire-{next(_operations)}"
+    outcome = fencing.acquire(context.store, "g1", row, name, epoch, operation_id)
+    context.fences[name].record_acquired("g1", epoch, outcome.unwrap())
+    return True
+
+
+def _build_group(context):
+    context.clock = clock.ManualClock(wall_ms=1_000_000)
+    context.store = testing.MemoryTableStore()
+    context.observer = lease.SessionObserver(_MARGIN_S, context.clock)
+    context.leases, context.fences = {}, {}
+    for name in ("d1", "d2"):
+        session = lease.SessionLease(name, {}, _TERM_S, context.clock)
+        context.leases[name] = session
+        context.fences[name] = fencing.GroupFences(
+            session, _TERM_S, _LONGEST_ORDER_S, context.clock
+        )
+        _renew(context, name)
+    assert _acquire(context, "d1")
+    context.old = context.fences["d1"].find("g1")
+
+
+@when(
+    "the {name} machine of leases is fuzzed with {examples:d} examples "
+    "of {steps:d} steps"
+)
+def step_fuzz(context, name, examples, steps):
+    context.steps_run = fuzzing.run_machine(_MACHINES[name], examples, steps)
+
+
+@then("the fuzzing of leases ran at least {count:d} steps")
+def step_check_steps(context, count):
+    assert context.steps_run >= count, context.steps_run
+
+
+@when("the {name} machine of leases is fuzzed for a failure")
+def step_fuzz_broken(context, name):
+    context.failure = fuzzing.find_failure(_MACHINES[name], 60, 40)
+
+
+@then("the fuzzing of leases fails")
+def step_check_failure(context):
+    assert context.failure is not None
+
+
+@then(
+    '"{action}" is {with_lease} with a lease and a silent store, '
+    "{without} without both, and {lapsed} with a store but no lease"
+)
+def step_check_action(context, action, with_lease, without, lapsed):
+    wanted = lease.Action[action]
+    cases = (
+        (True, False, with_lease),
+        (False, False, without),
+        (False, True, lapsed),
+        (True, True, "allowed"),
+    )
+    for has_lease, has_store, expected in cases:
+        found = lease.is_allowed(wanted, has_lease, has_store)
+        assert found == (expected == "allowed"), (has_lease, has_store)
+
+
+@given("an engine group owned by a daemon whose session has lapsed")
+def step_lapsed_owner(context):
+    _build_group(context)
+    _watch(context)
+    context.clock.advance(_TERM_S + _MARGIN_S + 0.1)
+    _watch(context)
+    _renew(context, "d2")
+
+
+@given("an engine group owned by a daemon whose session is valid")
+def step_valid_owner(context):
+    _build_group(context)
+    assert context.fences["d1"].may_send_order("g1", is_fencing_checked=True)
+
+
+@when("another daemon acquires the group")
+def step_take_over(context):
+    assert _acquire(context, "d2")
+
+
+@then("it may order engines that check fencing at once")
+def step_check_at_once(context):
+    assert context.fences["d2"].may_send_order("g1", is_fencing_checked=True)
+
+
+@then(
+    "it may order engines that ignore fencing only after the old term "
+    "and the longest order"
+)
+def step_check_quiet(context):
+    fences = context.fences["d2"]
+    started_s = context.clock.monotonic_s()
+    while not fences.may_send_order("g1", is_fencing_checked=False):
+        context.clock.advance(0.5)
+        _renew(context, "d2")
+        assert context.clock.monotonic_s() - started_s < 100
+    waited_s = context.clock.monotonic_s() - started_s
+    assert waited_s >= _TERM_S + _LONGEST_ORDER_S, waited_s
+
+
+@then("the fencing number is higher than the old one")
+def step_check_number(context):
+    number = context.fences["d2"].find("g1").fencing_number
+    assert number > context.old.fencing_number, (number, context.old)
+
+
+@when("the owner is paused past its term")
+def step_pause_owner(context):
+    context.clock.advance(_TERM_S + 0.01)
+
+
+@then("it may not order any engine")
+def step_check_no_order(context):
+    for is_checked in (True, False):
+        assert not context.fences["d1"].may_send_order("g1", is_checked)
+
+
+@then("it may not after it has a new epoch")
+def step_check_new_epoch(context):
+    before = context.old.epoch
+    _renew(context, "d1")
+    assert context.leases["d1"].epoch > before
+    step_check_no_order(context)
+
+
+@when("the owner renews its session for a minute while another daemon watches")
+def step_renew_long(context):
+    for _ in range(60):
+        context.clock.advance(1.0)
+        _renew(context, "d1")
+        _renew(context, "d2")
+        _watch(context)
+
+
+@then("the other daemon may not acquire the group")
+def step_check_not_taken(context):
+    assert not _acquire(context, "d2")
+    assert context.fences["d1"].find("g1") == context.old
+
+
+@given(
+    "a stand-in platform and {count:d} member processes "
+    "with sessions of {term:g} seconds"
+)
+def step_start_processes(context, count, term):
+    context.group = cluster_members.ProcessGroup(count, term)
+    context.cleanups.append(context.group.close)
+    context.group.start()
+
+
+@when(
+    "the first member is stopped for {duration:g} seconds "
+    "while a configuration is published"
+)
+def step_stop_member(context, duration):
+    first = context.group.members[0]
+    context.group.publish(1)
+    context.group.wait_for_revision(1, 10.0)
+    context.before = context.group.read_lines(first)
+    first.pause()
+    context.group.publish(2)
+    time.sleep(duration)
+    context.woken_at_s = time.monotonic()
+    first.resume()
+
+
+@then("the first member acts again under a higher epoch within {limit:g} seconds")
+def step_check_acts(context, limit):
+    old = max(line["epoch"] for line in context.before if line["epoch"])
+    deadline_s = time.monotonic() + limit
+    while time.monotonic() < deadline_s:
+        lines = context.group.read_lines(context.group.members[0])
+        if any((line["epoch"] or 0) > old for line in lines):
+            return
+        time.sleep(0.1)
+    raise AssertionError(f"no epoch above {old}: {lines[-3:]}")
+
+
+@then("no action of the first member after it woke carries its old epoch")
+def step_check_no_old_epoch(context):
+    time.sleep(2.0)
+    first = context.group.members[0]
+    old = {line["epoch"] for line in context.before if line["epoch"]}
+    lines = context.group.read_lines(first)
+    after = [line for line in lines if line["at_s"] > context.woken_at_s]
+    assert old and after, "the member did not act before, or did not wake"
+    wrong = [line for line in after if line["epoch"] in old]
+    assert not wrong, wrong[:3]
+
+
+@then("the first member never went back to an older configuration and has the new one")
+def step_check_revisions(context):
+    context.group.wait_for_revision(2, 10.0)
+    lines = context.group.read_lines(context.group.members[0])
+    revisions = [line["revision"] for line in lines]
+    assert revisions == sorted(revisions), revisions
+    assert revisions[-1] == 2, revisions[-1]
--- /dev/null
+++ b/features/support/member_process.py
@@ -0,0 +1,39 @@
+"""A cluster task in a process of its own that prints what it would act on."""
+
+import json
+import pathlib
+import sys
+import time
+
+from endivevane import types
+from endivevane.cluster import tasks
+from endivevane.coordination import clock
+from endivevane.daemon import settings as daemon_settings
+from endivevane.platform import http_pool, table
+
+_INTERVAL_S = 0.02
+
+
+def main():
+    settings = daemon_settings.load_settings(pathlib.Path(sys.argv[1]))
+    address = types.parse_address(settings.platform.table_service)
+    client = table.TableClient(http_pool.HttpPool(address, http_pool.PoolSettings()))
+    task = tasks.ClusterTask(settings, clock.SystemClock(), client)
+    task.start()
+    while True:
+        # The time comes first: what follows was read at or after it, also after a stop.
+        at_s = time.monotonic()
+        session = task.session()
+        line = {
+            "at_s": at_s,
+            "epoch": session.epoch if session.is_valid else None,
+            "revision": task.snapshot.revision,
+            "members": len(task.members()),
+            "is_ready": task.is_ready(),
+        }
+        print("act " + json.dumps(line), flush=True)
+        time.sleep(_INTERVAL_S)
+
+
+if __name__ == "__main__":
+    main()
