Prove the configuration feed with real members, and ask peers at a start

Cause: a daemon that restarted while the store and the rest of its zone were down became ready, because dead daemons no longer counted as listed; each new daemon read every document from the store; daemons tried to renew every 0.5 s during an outage. Change: dead daemons count until the platform's list drops them; a daemon without documents gets them from a peer first; renewals back off to a sixth of the term with jitter; scenarios with real sockets for changes, restarts, keys and bad input.

--- /dev/null
+++ b/features/configuration_feed.feature
@@ -0,0 +1,76 @@
+Feature: A configuration takes effect everywhere within seconds and never goes back
+
+  Scenario: Fuzzing finds no feed that goes back or is current without a reason
+    # Guards against old messages, late answers, restarts and pauses.
+    When the feed machine is fuzzed with 60 examples of 40 steps
+    Then the fuzzing of the feed ran at least 1000 steps
+
+  Scenario Outline: The fuzzing rejects a broken feed
+    # Guards against a fuzzing that would pass whatever the code did.
+    When the <machine> feed machine is fuzzed for a failure
+    Then the fuzzing of the feed fails
+
+    Examples:
+      | machine  |
+      | obedient |
+      | hasty    |
+
+  Scenario: A change reaches 9 real members within 3 seconds
+    # Guards against slow polling, lost gossip and slow fetches.
+    Given 9 members with CURVE keys that have joined
+    When a configuration is published 3 times
+    Then each revision was in force in all members within 3 seconds
+    And all zones confirm the last revision within 5 seconds
+
+  Scenario: An old message does not put an old configuration back
+    # Guards against a peer that sends documents of an earlier revision.
+    Given 3 members with CURVE keys that have joined
+    When a configuration is published 2 times
+    And a peer sends the documents of revision 1 to all members
+    Then all members keep revision 2
+
+  Scenario: A member that restarts while the store is down asks its peers
+    # Guards against a daemon that starts with no or an old configuration.
+    Given 9 members with CURVE keys that have joined
+    When a configuration is published 2 times
+    And the store goes down and the member 4 restarts
+    Then the member 4 is ready with revision 2 within 10 seconds
+
+  Scenario: A member that restarts while the store and most of its zone are down waits
+    # Guards against a stale answer of the only peer that can be reached.
+    Given 9 members with CURVE keys that have joined
+    When a configuration is published 2 times
+    And the store goes down, the other members of its zone stop, and the member 4 restarts
+    Then the member 4 is not ready within 5 seconds
+    And the member 4 is ready with revision 2 within 10 seconds after the store is back
+
+  Scenario: A zone is confirmed only when every live daemon has the revision
+    # Guards against a publish that is reported accepted too early.
+    Given 3 live daemons of a zone of which one has applied an older revision
+    Then the zone confirms the older revision
+    And a zone with a daemon that has not reported confirms nothing
+    And a later confirmation never lowers an earlier one, whatever the store does
+
+  Scenario: A peer with an unknown key gets nothing
+    # Guards against messages from a host that is not one of the daemons.
+    Given 3 members with CURVE keys that have joined
+    When a peer with an unknown key and a plain peer send to each member for 2 seconds
+    Then neither gets an answer and the members' tables are unchanged
+
+  Scenario: Malformed and oversized messages are counted and dropped
+    # Guards against a cluster thread that ends on bad input.
+    Given 3 members with CURVE keys that have joined
+    When an allowed peer sends 200 malformed messages
+    Then the messages are counted as malformed and the member still answers
+
+  Scenario: A slow store delays no probes
+    # Guards against store calls on the thread that answers probes.
+    Given 3 members with CURVE keys that have joined
+    When every store call takes 6 seconds for 12 seconds
+    Then no member was declared dead
+
+  Scenario: A broadcast reaches every member once
+    # Guards against floods that repeat or miss members.
+    Given 9 members with CURVE keys that have joined
+    When the member 0 broadcasts 5 messages
+    Then every other member gets each of them once within 3 seconds
--- /dev/null
+++ b/features/steps/configuration_feed_steps.py
@@ -0,0 +1,363 @@
+import itertools
+import time
+
+import result
+import zmq
+from behave import given, then, when
+
+from endivevane import testing
+from endivevane.cluster import messages, transport
+from endivevane.configuration import publishing
+from endivevane.coordination import exchange, feed, members
+from endivevane.daemon import settings as daemon_settings
+from features.support import cluster_members, fuzz_feed, fuzzing
+
+_MACHINES = {"obedient": fuzz_feed.ObedientMachine, "hasty": fuzz_feed.HastyMachine}
+_operations = itertools.count()
+
+
+class SlowStore:
+    """Passes calls on after a delay."""
+
+    def __init__(self, inner):
+        self.inner = inner
+        self.delay_s = 0.0
+
+    def __getattr__(self, name):
+        return getattr(self.inner, name)
+
+    def read(self, *arguments):
+        time.sleep(self.delay_s)
+        return self.inner.read(*arguments)
+
+    def scan(self, *arguments):
+        time.sleep(self.delay_s)
+        return self.inner.scan(*arguments)
+
+    def transact(self, *arguments):
+        time.sleep(self.delay_s)
+        return self.inner.transact(*arguments)
+
+
+class Probe:
+    """A transport of a peer that is none of the members."""
+
+    def __init__(self, context, keys):
+        self.address = context.group._ports.reserve_address()
+        document = cluster_members.make_settings(
+            "outsider", ("z1", "r1"), self.address, self.address, (), keys
+        )
+        settings = daemon_settings.Settings.model_validate(document)
+        self.transport = transport.Transport(settings, 8)
+        self.received = []
+        context.cleanups.append(self.transport.close)
+
+    def greet(self, task, address, public_key):
+        self.transport.connect(task.session().daemon, address, public_key)
+        header = exchange.Header("outsider", 0)
+        place = members.Description(self.address, "z1", "r1")
+        update = members.Update("outsider", 0, members.MemberState.ALIVE, place)
+        greeting = exchange.Header("outsider", 0, updates=(update,))
+        self.transport.send(task.session().daemon, exchange.SyncRequest(greeting, 0))
+        self.transport.send(task.session().daemon, messages.ConfigGet(header, {}))
+
+    def listen(self, duration_s):
+        until_s = time.monotonic() + duration_s
+        while time.monotonic() < until_s:
+            self.transport.wait(0.05)
+            self.received += self.transport.receive()
+
+
+@when("the feed machine is fuzzed with {examples:d} examples of {steps:d} steps")
+def step_fuzz(context, examples, steps):
+    machine = fuzz_feed.FeedMachine
+    context.steps_run = fuzzing.run_machine(machine, examples, steps)
+
+
+@then("the fuzzing of the feed ran at least {count:d} steps")
+def step_check_steps(context, count):
+    assert context.steps_run >= count, context.steps_run
+
+
+@when("the {name} feed machine is fuzzed for a failure")
+def step_fuzz_broken(context, name):
+    context.failure = fuzzing.find_failure(_MACHINES[name], 60, 40)
+
+
+@then("the fuzzing of the feed fails")
+def step_check_failure(context):
+    assert context.failure is not None
+
+
+@given("{count:d} members with CURVE keys that have joined")
+def step_start_members(context, count):
+    context.store = SlowStore(testing.MemoryTableStore())
+    context.group = cluster_members.LocalGroup(count, context.store)
+    context.cleanups.append(context.group.close)
+    context.group.start()
+    waited_s = context.group.wait_joined()
+    assert waited_s is not None, [len(task.members()) for task in context.group.tasks]
+
+
+@when("a configuration is published {count:d} times")
+def step_publish(context, count):
+    context.delays = []
+    for number in range(count):
+        context.group.publish(number)
+        revision = context.group.documents.revision
+        context.delays.append(
+            cluster_members.wait_until(
+                lambda revision=revision: all(
+                    task.snapshot.revision >= revision for task in context.group.tasks
+                ),
+                10.0,
+            )
+        )
+
+
+@then("each revision was in force in all members within {limit:g} seconds")
+def step_check_delays(context, limit):
+    print(f"in force after {context.delays}")
+    assert all(delay is not None and delay <= limit for delay in context.delays)
+
+
+@then("all zones confirm the last revision within {limit:g} seconds")
+def step_check_confirmed(context, limit):
+    expected = {zone: len(context.delays) for zone, _ in cluster_members.ZONES}
+
+    def is_confirmed():
+        return publishing.read_confirmations(context.store).unwrap() == expected
+
+    assert cluster_members.wait_until(is_confirmed, limit) is not None
+
+
+@when("a peer sends the documents of revision 1 to all members")
+def step_send_old(context):
+    keys = context.group.keys[0]
+    probe = Probe(context, keys)
+    header = exchange.Header("outsider", 0, 1, 1)
+    old = cluster_members.make_documents(0).documents["fleet"]
+    rows = messages.ConfigRows(header, 1, "accepted", {"fleet": 1}, {"fleet": old})
+    for number, task in enumerate(context.group.tasks):
+        key = context.group.keys[number]["public"]
+        name = task.session().daemon
+        probe.transport.connect(name, context.group.addresses[number], key)
+        probe.transport.send(name, rows)
+    probe.listen(1.0)
+    for task in context.group.tasks:
+        assert task.transport.counts.messages["in", "config_rows"] >= 1
+
+
+@then("all members keep revision {revision:d}")
+def step_check_kept(context, revision):
+    found = [task.snapshot.revision for task in context.group.tasks]
+    assert found == [revision] * len(found), found
+
+
+def _restart(context, number):
+    group = context.group
+    group.tasks[number].stop()
+    group.tasks[number] = group.make_task(number)
+    group.tasks[number].start()
+
+
+@when("the store goes down and the member {number:d} restarts")
+def step_restart(context, number):
+    context.store.inner.is_down = True
+    _restart(context, number)
+
+
+@when(
+    "the store goes down, the other members of its zone stop, "
+    "and the member {number:d} restarts"
+)
+def step_restart_alone(context, number):
+    context.store.inner.is_down = True
+    zones = len(cluster_members.ZONES)
+    for other, task in enumerate(context.group.tasks):
+        if other % zones == number % zones and other != number:
+            task.stop()
+    _restart(context, number)
+
+
+@then(
+    "the member {number:d} is ready with revision {revision:d} within {limit:g} seconds"
+)
+def step_check_ready(context, number, revision, limit):
+    task = context.group.tasks[number]
+    waited_s = cluster_members.wait_until(
+        lambda: task.is_ready() and task.snapshot.revision == revision, limit
+    )
+    assert waited_s is not None, (task.is_ready(), task.snapshot.revision)
+    print(f"ready after {waited_s:.2f} s")
+
+
+@then("the member {number:d} is not ready within {limit:g} seconds")
+def step_check_not_ready(context, number, limit):
+    task = context.group.tasks[number]
+    assert cluster_members.wait_until(task.is_ready, limit) is None
+
+
+@then(
+    "the member {number:d} is ready with revision {revision:d} "
+    "within {limit:g} seconds after the store is back"
+)
+def step_check_ready_later(context, number, revision, limit):
+    context.store.inner.is_down = False
+    step_check_ready(context, number, revision, limit)
+
+
+@given("3 live daemons of a zone of which one has applied an older revision")
+def step_zone(context):
+    context.applied = {"d1": 7, "d2": 5, "d3": 7, "gone": 1}
+    context.live = ["d1", "d2", "d3"]
+
+
+@then("the zone confirms the older revision")
+def step_check_older(context):
+    assert feed.compute_confirmation(context.live, context.applied) == 5
+
+
+@then("a zone with a daemon that has not reported confirms nothing")
+def step_check_unreported(context):
+    assert feed.compute_confirmation(["d1", "d4"], context.applied) is None
+    assert feed.compute_confirmation([], context.applied) is None
+
+
+@then("a later confirmation never lowers an earlier one, whatever the store does")
+def step_check_not_lowered(context):
+    memory = testing.MemoryTableStore()
+    highest = 0
+    faults = [None, *testing.Fault]
+    for first, second, revision in itertools.product(faults, faults, (3, 9, 4)):
+        memory.script(first, second)
+        outcome = feed.write_confirmation(
+            memory, "z1", revision, f"ack-{next(_operations)}"
+        )
+        memory.apply_delayed()
+        row = memory.rows(feed.TABLE).get("acks/z1")
+        found = row.value["revision"] if row else 0
+        assert found >= highest, (first, second, revision, found, highest)
+        if isinstance(outcome, result.Ok):
+            assert found >= revision, (first, second, revision, found)
+        highest = found
+    assert highest == 9, highest
+
+
+@when("a peer with an unknown key and a plain peer send to each member for 2 seconds")
+def step_send_unknown(context):
+    public, secret = (key.decode() for key in zmq.curve_keypair())
+    allowed = [item["public"] for item in context.group.keys]
+    stranger = {"public": public, "secret": secret, "peer_public": allowed}
+    context.probes = [Probe(context, stranger), Probe(context, None)]
+    context.views = [task.members() for task in context.group.tasks]
+    for _ in range(4):
+        for probe in context.probes:
+            for number, task in enumerate(context.group.tasks):
+                address = context.group.addresses[number]
+                probe.greet(task, address, allowed[number])
+            probe.listen(0.25)
+
+
+@then("neither gets an answer and the members' tables are unchanged")
+def step_check_nothing(context):
+    for probe in context.probes:
+        assert not probe.received, probe.received
+    views = [{member.name for member in task.members()} for task in context.group.tasks]
+    assert all("outsider" not in view for view in views), views
+    refused = [
+        task.transport.counts.dropped["handshake"] for task in context.group.tasks
+    ]
+    assert all(count >= 1 for count in refused), refused
+    # The same greeting with an allowed key is answered, so silence meant refusal.
+    friend = Probe(context, context.group.keys[0])
+    friend.greet(
+        context.group.tasks[1],
+        context.group.addresses[1],
+        context.group.keys[1]["public"],
+    )
+    friend.listen(1.0)
+    assert friend.received
+
+
+@when("an allowed peer sends {count:d} malformed messages")
+def step_send_malformed(context, count):
+    probe = Probe(context, context.group.keys[0])
+    context.probe = probe
+    key = context.group.keys[1]["public"]
+    probe.transport.connect("d1", context.group.addresses[1], key)
+    target = probe.transport._connections["d1"].routing_id
+    bad = [
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        b"{}",
+        b'["ping"]',
+        b'["ping","x",-1,0,0,[],1]',
+        b'["ping","x",0,0,0,[["y"]],1]',
+        b'["ping","x",0,0,0,[],"1"]',
+        b'["unknown","x",0,0,0,[]]',
+        b'["quarantine","x",0,0,0,[],[],"x",""]',
+        b'["config_rows","x",0,0,0,[],1,"accepted",{"a":"b"},{}]',
+        b"[" * 2000,
+    ]
+    for number in range(count):
+        frames = [target, bad[number % len(bad)]]
+        if number % 50 == 49:
+            frames.append(b"extra")
+        probe.transport._client.send_multipart(frames)
+    probe.listen(1.0)
+
+
+@then("the messages are counted as malformed and the member still answers")
+def step_check_counted(context):
+    counts = context.group.tasks[1].transport.counts
+    dropped = counts.dropped["malformed"] + counts.dropped["frames"]
+    assert dropped == 200, counts.dropped
+    context.probe.greet(
+        context.group.tasks[1],
+        context.group.addresses[1],
+        context.group.keys[1]["public"],
+    )
+    context.probe.listen(1.0)
+    assert context.probe.received
+
+
+@when("every store call takes {delay:g} seconds for {duration:g} seconds")
+def step_slow(context, delay, duration):
+    context.store.delay_s = delay
+    deaths = []
+    until_s = time.monotonic() + duration
+    while time.monotonic() < until_s:
+        for task in context.group.tasks:
+            deaths += [
+                member.name
+                for member in task.members()
+                if member.state is members.MemberState.DEAD
+            ]
+        time.sleep(0.05)
+    context.store.delay_s = 0.0
+    context.deaths = deaths
+
+
+@then("no member was declared dead")
+def step_check_no_deaths(context):
+    assert not context.deaths, context.deaths[:5]
+
+
+@when("the member 0 broadcasts {count:d} messages")
+def step_broadcast(context, count):
+    for number in range(count):
+        context.group.tasks[0].broadcast("job_cancelled", {"number": number})
+    context.count = count
+
+
+@then("every other member gets each of them once within {limit:g} seconds")
+def step_check_broadcast(context, limit):
+    expected = context.count * (len(context.group.tasks) - 1)
+    received = context.group.received
+    cluster_members.wait_until(lambda: len(received) >= expected, limit)
+    time.sleep(0.5)
+    numbers = sorted(event.body["number"] for event in received)
+    wanted = sorted(list(range(context.count)) * (len(context.group.tasks) - 1))
+    assert numbers == wanted, f"{len(numbers)} of {len(wanted)}"
--- a/src/endivevane/cluster/confirmations.py
+++ b/src/endivevane/cluster/confirmations.py
@@ -35,6 +35,7 @@
         self._repeat_at_s = 0.0
         self._check_at_s = 0.0
         self._written = 0
+        self._has_failed = False
 
     def record_applied(self, header: exchange.Header) -> None:
         """Remember the revision in force at the sender of a message."""
@@ -90,8 +91,12 @@
     ) -> None:
         """Apply the outcome of writing the confirmation."""
         if outcome is None or isinstance(outcome, result.Err):
-            logs.warning("config_ack_failed", error=outcome and outcome.err_value)
+            if not self._has_failed:
+                logs.warning("config_ack_failed", error=outcome and outcome.err_value)
+            self._has_failed = True
+            self._check_at_s += _REPEAT_S
             return
+        self._has_failed = False
         self._written = max(self._written, outcome.ok_value)
 
     def _confirm(self) -> None:
--- a/src/endivevane/cluster/follower.py
+++ b/src/endivevane/cluster/follower.py
@@ -26,6 +26,9 @@
 # quarter of the table service's limit.
 _CLUSTER_FETCHES_PER_S = 170.0
 _RETRY_S = 1.0
+# Reading hundreds of documents one by one costs the table service as many reads for
+# each daemon that starts; a peer sends them in one message.
+_PEER_HEAD_START_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,8 +87,12 @@
         self._poll_at_s = follower_clock.monotonic_s()
         self._fetch_at_s: float | None = None
 
-    def run(self, now_s: float, cluster_size: int) -> None:
-        """Start the calls that are due."""
+    def run(self, now_s: float, cluster_size: int, has_holder: bool) -> None:
+        """Start the calls that are due.
+
+        :param has_holder: whether a peer has the highest known revision in force; a
+            daemon that has no document yet gives it time to send all of them at once
+        """
         self.feed.check_pause()
         if now_s >= self._poll_at_s and self._background.start(HEAD, self._read_head):
             interval_s = max(_SHORTEST_POLL_S, cluster_size / _CLUSTER_POLLS_PER_S)
@@ -96,6 +103,8 @@
         if self._fetch_at_s is None:
             window_s = cluster_size / _CLUSTER_FETCHES_PER_S
             self._fetch_at_s = now_s + self._random.uniform(0, window_s)
+            if has_holder and self.feed.applied_revision == 0:
+                self._fetch_at_s += _PEER_HEAD_START_S
         if now_s >= self._fetch_at_s:
             known = self.documents
             if self._background.start(FETCH, lambda: self._fetch(known)):
--- a/src/endivevane/cluster/messages.py
+++ b/src/endivevane/cluster/messages.py
@@ -17,7 +17,9 @@
 _MAX_NAME = 64
 _MAX_NUMBER = 1 << 62
 
-APPLICATION_KINDS = frozenset({"yield_slots", "job_cancelled", "quarantine"})
+APPLICATION_KINDS = frozenset(
+    {"yield_slots", "online_use", "job_cancelled", "quarantine"}
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/endivevane/cluster/neighbours.py
+++ b/src/endivevane/cluster/neighbours.py
@@ -108,17 +108,23 @@
             self._report_lapsed(name)
         self._meet_strangers(lapsed)
 
-    def list_zones(self) -> dict[str, str]:
+    def list_zones(self, listed: frozenset[str] | None) -> dict[str, str]:
         """Return the zone of every other listed daemon.
 
-        A seed that no member is known for counts as one of the own zone.
+        A dead daemon counts until the platform no longer lists it, and a seed that no
+        member is known for counts as one of the own zone: either may hold a higher
+        configuration revision.
+
+        :param listed: names in the platform's list of VMs; ``None`` when unknown
         """
         me = self.detector.me
         zones: dict[str, str] = {}
         addresses = {me.description.address}
         for member in self.detector.table:
             addresses.add(member.description.address)
-            if member.name == me.name or member.state is _DEAD:
+            is_unlisted = listed is not None and member.name not in listed
+            is_gone = member.state is _DEAD and is_unlisted
+            if member.name == me.name or is_gone:
                 continue
             zones[member.name] = member.description.zone
         for seed in self._settings.membership.seeds:
--- a/src/endivevane/cluster/node.py
+++ b/src/endivevane/cluster/node.py
@@ -53,7 +53,7 @@
         self._background = background
         self._publish = publish
         self.keeper = sessions.SessionKeeper(
-            settings, node_clock, table_store, background
+            settings, node_clock, table_store, background, generator
         )
         self.follower = follower.ConfigurationFollower(
             settings.daemon.zone,
@@ -83,10 +83,10 @@
         detector.tick()
         self.follower.feed.learn(detector.known_revision)
         self.keeper.run(now_s)
-        self.follower.run(now_s, len(detector.table))
+        self.follower.run(now_s, len(detector.table), self._has_holder())
         self._peers.run(now_s)
         self._confirmations.run(now_s)
-        self._vms.run(now_s)
+        self._vms.run(now_s, self.is_ready)
         self._ask_peers(now_s)
         self._peers.flush()
         self._report_members()
@@ -196,22 +196,27 @@
         self._publish(events.ConfigurationChanged(self.follower.snapshot))
 
     def _ask_peers(self, now_s: float) -> None:
-        """Turn to peers for the revision and documents while the store is down."""
+        """Turn to peers while the store is down, and for all documents at a start."""
         feed = self.follower.feed
-        if not self.follower.has_store_failed or now_s < self._ask_at_s:
+        is_start = feed.applied_revision == 0 and feed.needs_fetch()
+        if now_s < self._ask_at_s or not (self.follower.has_store_failed or is_start):
             return
         self._ask_at_s = now_s + _ASK_INTERVAL_S
         if feed.needs_fetch():
             holders = self._confirmations.list_holders(feed.known_revision)
             if holders:
                 self._request_rows(self._random.choice(holders))
-        if feed.is_current():
+        if feed.is_current() or not self.follower.has_store_failed:
             return
-        feed.set_listed(self._peers.list_zones())
+        feed.set_listed(self._peers.list_zones(self._vms.listed))
         waiting = feed.list_unanswered()
         for name in self._random.sample(waiting, min(_ASK_BATCH, len(waiting))):
             self._peers.send(name, messages.ConfigAsk(self._peers.make_header()))
 
+    def _has_holder(self) -> bool:
+        revision = self.follower.feed.known_revision
+        return bool(self._confirmations.list_holders(revision))
+
     def _request_rows(self, name: str) -> None:
         header = self._peers.make_header()
         versions = self.follower.list_versions()
--- a/src/endivevane/cluster/sessions.py
+++ b/src/endivevane/cluster/sessions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import random
 
 import result
 
@@ -13,7 +14,6 @@
 
 RENEW = "session_renew"
 SCAN = "session_scan"
-CLOSE = "session_close"
 _RETRY_S = 0.5
 _SCAN_LIMIT = 500
 
@@ -39,6 +39,7 @@
     :param keeper_clock: the clock that the lease counts on
     :param table_store: where the row is
     :param background: runs the blocking calls
+    :param generator: source of jitter
     """
 
     def __init__(
@@ -47,7 +48,10 @@
         keeper_clock: clock.Clock,
         table_store: store.TableStore,
         background: calls.BackgroundCalls,
+        generator: random.Random,
     ) -> None:
+        self._random = generator
+        self._failures = 0
         self._settings = settings
         self._clock = keeper_clock
         self._store = table_store
@@ -76,7 +80,7 @@
             RENEW, lambda: lease.run_attempt(self._store, attempt)
         ):
             return
-        self._due_s = now_s + self._term_s / 3
+        self._due_s = now_s + self._term_s / 3 * self._random.uniform(0.9, 1.0)
 
     def record(
         self, outcome: result.Result[lease.Renewed, store.StoreError] | None
@@ -86,15 +90,27 @@
         if outcome is None:
             outcome = result.Err(store.StoreUnavailable("call failed"))
         self._lease.record(outcome)
-        if isinstance(outcome, result.Err):
-            self._due_s = self._clock.monotonic_s() + _RETRY_S
-            logs.warning("session_renewal_failed", error=outcome.err_value)
         now_s = self._clock.monotonic_s()
+        if isinstance(outcome, result.Err):
+            self._due_s = now_s + self._choose_delay_s(outcome.err_value)
+            if self._failures == 0:
+                logs.warning("session_renewal_failed", error=outcome.err_value)
+            self._failures += 1
+        else:
+            self._failures = 0
         remaining_s = self._lease.compute_remaining_s()
         self._view = (self._lease.epoch, now_s + remaining_s)
         if self._view[0] != before:
             logs.info("session_epoch", epoch=self._view[0], before=before)
 
+    def _choose_delay_s(self, error: store.StoreError) -> float:
+        """Return the wait before the next try, so that all daemons spread theirs."""
+        longest_s = self._term_s / 6
+        delay_s = min(longest_s, _RETRY_S * float(1 << min(self._failures, 8)))
+        if isinstance(error, store.StoreOverloaded):
+            delay_s = max(delay_s, min(error.retry_after_s, longest_s))
+        return delay_s * self._random.uniform(0.7, 1.3)
+
     def close(self) -> None:
         """Stop renewing and delete the row; blocks on the table service."""
         self._is_closing = True
--- a/src/endivevane/cluster/vm_watch.py
+++ b/src/endivevane/cluster/vm_watch.py
@@ -35,10 +35,16 @@
         self._due_s = 0.0
         self._as_of_s = 0.0
         self._leaving: frozenset[str] = frozenset()
+        self.listed: frozenset[str] | None = None
 
-    def run(self, now_s: float) -> None:
-        """Read the list when it is due and this daemon is one of the readers."""
-        if self._vm_list is None or now_s < self._due_s or not self._is_reader():
+    def run(self, now_s: float, is_ready: bool) -> None:
+        """Read the list when it is due and this daemon is one of the readers.
+
+        A daemon that is not ready reads it too, to know whom to ask.
+        """
+        if self._vm_list is None or now_s < self._due_s:
+            return
+        if is_ready and not self._is_reader():
             return
         self._due_s = now_s + _INTERVAL_S
         self._background.start(LIST, self._vm_list.fetch)
@@ -50,6 +56,7 @@
         if outcome is None or isinstance(outcome, result.Err):
             return None
         listed = outcome.ok_value
+        self.listed = frozenset(vm.name for vm in listed.vms)
         leaving = frozenset(
             vm.name for vm in listed.vms if vm.state is vms.VmState.LEAVING
         )
