Let the candidate subsets cover the targets

Cause: 9 daemons with 16 candidates each would never have sent to most of 600 targets. Change: the subset grows with targets per daemon until each target is in four subsets on average; the count of daemons is passed in as a function and is 9 by default.

--- a/bench/decision_parts.py
+++ b/bench/decision_parts.py
@@ -99,10 +99,12 @@
     current: snapshot.Snapshot,
     run_clock: clock.ManualClock,
     seed: int,
-    settings: routing.RoutingSettings | None = None,
+    daemons: int = 9,
 ) -> scheduler.Scheduler:
-    """Return the scheduler of a daemon."""
+    """Return the scheduler of one of so many daemons."""
     place = routing.Place(daemon, "zone-a", "west")
-    made = scheduler.Scheduler(place, run_clock, random.Random(seed), settings)
+    made = scheduler.Scheduler(
+        place, run_clock, random.Random(seed), count_daemons=lambda: daemons
+    )
     made.set_snapshot(current)
     return made
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -14,7 +14,7 @@
 
 from bench import bars, decision_parts, routing_model
 from endivevane.coordination import clock
-from endivevane.online import contract, routing
+from endivevane.online import contract
 
 _DECISIONS = 3000
 _ROUNDS = 5
@@ -34,7 +34,7 @@
         print(
             f"{name:10} " + " ".join(f"{key}={value:.4f}" for key, value in row.items())
         )
-    costs = [_measure_quietest(9, 200), _measure_quietest(340, 16)]
+    costs = [_measure_quietest(9), _measure_quietest(340)]
     for cost in costs:
         print(" ".join(f"{key}={value:.1f}" for key, value in cost.items()))
     found = _make_bars(policies, costs)
@@ -66,23 +66,18 @@
     return found
 
 
-def _measure_quietest(daemons: int, candidates: int) -> dict[str, float]:
+def _measure_quietest(daemons: int) -> dict[str, float]:
     """Return the cheapest of a few rounds; other work can only make one dearer."""
-    rounds = [_measure_cost(daemons, candidates) for _ in range(_ROUNDS)]
+    rounds = [_measure_cost(daemons) for _ in range(_ROUNDS)]
     return min(rounds, key=lambda row: row["decision_us"])
 
 
-def _measure_cost(daemons: int, candidates: int) -> dict[str, float]:
-    """Return the time of a decision with the load of one of so many daemons.
-
-    :param candidates: subset of the daemon; with nine daemons it must be larger, or
-        the subsets would not cover the targets
-    """
+def _measure_cost(daemons: int) -> dict[str, float]:
+    """Return the time of a decision with the load of one of so many daemons."""
     run_clock = clock.ManualClock(1000.0, decision_parts.WALL_MS)
     current = decision_parts.make_snapshot(_TARGETS, _SLOTS, {"max_queue": 10_000})
-    settings = routing.RoutingSettings(local_candidates=candidates)
     began_s = time.thread_time()
-    made = decision_parts.make_scheduler("daemon-1", current, run_clock, 1, settings)
+    made = decision_parts.make_scheduler("daemon-1", current, run_clock, 1, daemons)
     refresh_s = time.thread_time() - began_s
     requests = decision_parts.Requests(current, run_clock)
     rate = _REQUESTS_S / daemons
@@ -109,7 +104,7 @@
         spent_s += time.thread_time() - began_s
     return {
         "daemons": daemons,
-        "candidates": candidates,
+        "candidates": len(made._fleet.targets),
         "decision_us": spent_s / _DECISIONS * 1e6,
         "refresh_us": refresh_s * 1e6,
     }
--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -186,6 +186,18 @@
     And a weight of 2 doubles a member's share within 15 percent
     And adding a member changes at most one place
 
+  Scenario Outline: The subsets of all daemons cover the targets
+    Guards against targets that no daemon ever sends to.
+    Then <daemons> daemons with <targets> targets leave at most <unused> unused and keep at most <kept>
+
+    Examples:
+      | daemons | targets | unused | kept |
+      | 9       | 9       | 0      | 9    |
+      | 9       | 100     | 5      | 45   |
+      | 9       | 600     | 30     | 267  |
+      | 340     | 21      | 0      | 16   |
+      | 340     | 600     | 30     | 16   |
+
   Scenario: Fuzzing of the decisions against oracles
     Then fuzzing finds no fault in these parts
       | part       | examples | steps |
--- a/features/steps/decisions_steps.py
+++ b/features/steps/decisions_steps.py
@@ -4,7 +4,7 @@
 from behave import given, then, when
 
 from endivevane.coordination import admission, clock, deadlines, rendezvous
-from endivevane.online import contract, prefixes, quarantine, target_state
+from endivevane.online import contract, prefixes, quarantine, routing, target_state
 from features.support import fuzz_parts, fuzz_scheduler, fuzzing, scheduling
 
 FAILURE = contract.AttemptFailure
@@ -822,3 +822,22 @@
         before = set(rendezvous.choose_subset(key, context.members, context.size))
         after = set(rendezvous.choose_subset(key, grown, context.size))
         assert len(before - after) <= 1
+
+
+@then(
+    "{daemons:d} daemons with {targets:d} targets leave at most {unused:d} unused and "
+    "keep at most {kept:d}"
+)
+def step_check_coverage(context, daemons, targets, unused, kept):
+    """With 4 subsets a target on average, 2% are in none; 5% allow for chance."""
+    names = [scheduling.make_target(f"t{number}") for number in range(targets)]
+    service = scheduling.make_snapshot(names).services["answers"]
+    covered = set()
+    for number in range(daemons):
+        place = routing.Place(f"daemon-{number}", "zone-a", "west")
+        chosen = routing.choose_candidates(
+            place, service, (), routing.RoutingSettings(), daemons
+        )
+        assert len(chosen) <= kept, len(chosen)
+        covered.update(item.name for item in chosen)
+    assert targets - len(covered) <= unused, targets - len(covered)
--- a/src/endivevane/online/fleet.py
+++ b/src/endivevane/online/fleet.py
@@ -8,7 +8,13 @@
 from endivevane import utils
 from endivevane.configuration import snapshot
 from endivevane.coordination import clock
-from endivevane.online import contract, routing, service_state, target_state
+from endivevane.online import (
+    contract,
+    routing,
+    service_state,
+    target_state,
+    use_notices,
+)
 
 # Assumed size of a streamed answer: 300 tokens in events of about 200 bytes.
 _ANSWER_BYTES = 60_000
@@ -21,7 +27,7 @@
     its state.
 
     :param place: name, zone and region of the daemon
-    :param count_daemons: returns how many daemons share the link between the regions
+    :param count_daemons: returns how many daemons share the targets and the link
     """
 
     def __init__(
@@ -40,6 +46,8 @@
         self._clock = fleet_clock
         self._random = generator
         self._leaving: frozenset[str] = frozenset()
+        self._count_daemons = count_daemons
+        self.use_notices = use_notices.UseNotices(fleet_clock)
         self._link = routing.LinkBudget(fleet_clock, count_daemons)
 
     def set_snapshot(self, current: snapshot.Snapshot) -> None:
@@ -59,7 +67,10 @@
 
     def set_leaving(self, target_names: Iterable[str]) -> None:
         """Set the targets that get no new work; replaces the former set."""
-        self._leaving = frozenset(target_names)
+        leaving = frozenset(target_names)
+        if leaving == self._leaving:
+            return
+        self._leaving = leaving
         self._refresh()
 
     def find_sendable(
@@ -76,6 +87,7 @@
     ) -> None:
         """Note that an attempt is sent, and charge the link if it crosses it."""
         state.begin(attempt.attempt_id)
+        self.use_notices.note(state)
         state.prefixes.record_send(attempt.request.prefix_hashes)
         if state.target.region != self._place.region:
             body_bytes = len(utils.encode_json(attempt.request.body))
@@ -86,17 +98,19 @@
         state = self.targets.get(target_name)
         if state is not None:
             state.end(attempt_id)
+            self.use_notices.note(state)
 
     def _refresh(self) -> None:
         """Choose the candidates of all services again and drop unused targets."""
         used: set[str] = set()
+        daemons = self._count_daemons()
         for name, state in self.services.items():
             service = self.snapshot.services.get(name)
             state.candidates = []
             if service is None or service.is_plain:
                 continue
             for target in routing.choose_candidates(
-                self._place, service, self._leaving, self._settings
+                self._place, service, self._leaving, self._settings, daemons
             ):
                 used.add(target.name)
                 state.candidates.append(self._get_target(target))
--- a/src/endivevane/online/loads.py
+++ b/src/endivevane/online/loads.py
@@ -89,6 +89,7 @@
         :class:`messages.CacheEventsReported`; called on several threads
     :param get_further_targets: targets to poll besides the candidates, such as those
         that this daemon sends batch items to
+    :param count_daemons: returns how many daemons share the targets
     """
 
     def __init__(
@@ -100,8 +101,10 @@
         post: Callable[[object], None],
         routing_settings: routing.RoutingSettings | None = None,
         get_further_targets: Callable[[], Iterable[snapshot.Target]] | None = None,
+        count_daemons: Callable[[], int] | None = None,
     ) -> None:
         self._place = place
+        self._count_daemons = count_daemons or (lambda: routing.DEFAULT_DAEMONS)
         self._get_further_targets = get_further_targets or tuple
         self._refreshed_s = -math.inf
         self._settings = settings
@@ -157,7 +160,7 @@
             if service.is_plain:
                 continue
             for target in routing.choose_candidates(
-                self._place, service, seen[1], self._routing
+                self._place, service, seen[1], self._routing, self._count_daemons()
             ):
                 wanted[target.name] = target
         for target in self._get_further_targets():
--- a/src/endivevane/online/plain_targets.py
+++ b/src/endivevane/online/plain_targets.py
@@ -4,7 +4,7 @@
 
 import random
 import threading
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from endivevane import metrics
 from endivevane.configuration import snapshot
@@ -14,7 +14,11 @@
 
 
 class PlainTargets:
-    """Chooses targets, keeps their connections, health and limits. Thread-safe."""
+    """Chooses targets, keeps their connections, health and limits. Thread-safe.
+
+    :param count_daemons: returns how many daemons share the targets; called under the
+        lock when the configuration or the set of leaving targets changes
+    """
 
     def __init__(
         self,
@@ -22,8 +26,10 @@
         targets_clock: clock.Clock,
         generator: random.Random,
         settings: routing.RoutingSettings | None = None,
+        count_daemons: Callable[[], int] | None = None,
     ) -> None:
         self._place = place
+        self._count_daemons = count_daemons or (lambda: routing.DEFAULT_DAEMONS)
         self._clock = targets_clock
         self._random = generator
         self._settings = settings or routing.RoutingSettings()
@@ -149,7 +155,11 @@
         known = self._candidates.get(service.name)
         if known is None or known[0] is not service:
             chosen = routing.choose_candidates(
-                self._place, service, self._leaving, self._settings
+                self._place,
+                service,
+                self._leaving,
+                self._settings,
+                self._count_daemons(),
             )
             for target in chosen:
                 self._update_state(target)
--- a/src/endivevane/online/routing.py
+++ b/src/endivevane/online/routing.py
@@ -11,6 +11,8 @@
 from endivevane.coordination import clock, rendezvous
 from endivevane.online import contract, target_state
 
+# Daemons of each current deployment, assumed when the count is not known.
+DEFAULT_DAEMONS = 9
 # Lets a short burst cross the link at once.
 _LINK_BURST_S = 2.0
 
@@ -31,7 +33,10 @@
 class RoutingSettings:
     """Weights of the score, in units of a whole target's load.
 
-    :param local_candidates: bound of the subset in the daemon's own region
+    :param local_candidates: bound of the subset in the daemon's own region, as long
+        as the subsets of all daemons cover the targets
+    :param coverage: subsets that each target should be in on average; with 4 of them
+        and independent choices 2% of the targets are in none
     :param remote_candidates: bound of the subset in other regions
     :param strong_affinity: share of the prompt that makes affinity strong
     :param affinity_weight: how much a fully cached prompt is worth; 0.6 lets a target
@@ -43,6 +48,7 @@
 
     local_candidates: int = 16
     remote_candidates: int = 4
+    coverage: float = 4.0
     strong_affinity: float = 0.5
     affinity_weight: float = 0.6
     zone_cost: float = 0.05
@@ -95,6 +101,7 @@
     service: snapshot.Service,
     leaving: Collection[str],
     settings: RoutingSettings,
+    daemons: int = DEFAULT_DAEMONS,
 ) -> list[snapshot.Target]:
     """Return the targets that a daemon sends a service's requests to.
 
@@ -102,6 +109,7 @@
     the daemons evenly over the targets and changes little when targets come and go.
 
     :param leaving: names of targets that get no new work
+    :param daemons: daemons that share the targets
     """
     local: dict[str, float] = {}
     remote: dict[str, float] = {}
@@ -113,7 +121,9 @@
         group = local if target.region == place.region else remote
         group[target.name] = float(target.slots)
     key = f"{place.daemon}/{service.name}"
-    names = rendezvous.choose_subset(key, local, settings.local_candidates)
+    needed = math.ceil(settings.coverage * len(local) / max(1, daemons))
+    bound = max(settings.local_candidates, needed)
+    names = rendezvous.choose_subset(key, local, bound)
     names += rendezvous.choose_subset(key, remote, settings.remote_candidates)
     return [by_name[name] for name in names]
 
--- a/src/endivevane/online/scheduler.py
+++ b/src/endivevane/online/scheduler.py
@@ -27,8 +27,6 @@
 # Free slots per target below which batch work is asked to yield.
 _ONLINE_HEADROOM_SLOTS = 2
 _RETRY_AFTER_S = 1.0
-# Daemons of the current deployments.
-_DEFAULT_DAEMONS = 9
 _OVERLOAD = frozenset(
     (
         contract.AttemptFailure.FIRST_TOKEN_TIMEOUT,
@@ -44,8 +42,9 @@
     random generator passed in.
 
     :param place: name, zone and region of the daemon
-    :param count_daemons: returns how many daemons share the link between the regions;
-        called on the scheduler's thread when the configuration changes
+    :param count_daemons: returns how many daemons share the targets and the link
+        between the regions; called on the scheduler's thread when the configuration
+        or the set of leaving targets changes
     """
 
     def __init__(
@@ -63,7 +62,7 @@
             settings,
             scheduler_clock,
             generator,
-            count_daemons or (lambda: _DEFAULT_DAEMONS),
+            count_daemons or (lambda: routing.DEFAULT_DAEMONS),
         )
         self._router = routing.Router(place, settings, generator)
         self._quarantine = quarantine.Quarantine(
@@ -140,6 +139,7 @@
         timers = [
             state.next_timer_s(_TICK_S) for state in self._fleet.services.values()
         ]
+        timers.append(self._fleet.use_notices.next_due_s())
         return min((item for item in timers if item is not None), default=None)
 
     def record_first_token(self, attempt: contract.Attempt) -> None:
@@ -198,6 +198,10 @@
         if state is not None and state.queue.remove(request.request_id) is not None:
             self._end_request(request)
 
+    def take_use_notices(self) -> list[contract.UseNotice]:
+        """Return the notices to batch senders that are due."""
+        return self._fleet.use_notices.take_due()
+
     def take_yield_requests(self) -> list[contract.YieldRequest]:
         """Return the requests to batch senders since the last call."""
         taken = list(self._yields.values())
@@ -276,7 +280,6 @@
             started_s=self._clock.monotonic_s(),
         )
         self._fleet.begin_attempt(chosen, attempt)
-        self._ask_for_slots([chosen])
         return attempt
 
     def _end_request(self, request: contract.OnlineRequest) -> None:
