--- a/tools/fleet_plan.py
+++ b/tools/fleet_plan.py
@@ -70,6 +70,10 @@
     ready_timeout_s: float = 30.0
     confirm_s: float = 0.0
 
+    def __post_init__(self) -> None:
+        if self.confirm_s and self.daemons < len(self.zones):
+            raise ValueError("a zone without a daemon can't confirm; use fewer zones")
+
     def zone_of(self, index: int) -> Zone:
         """Return the zone of a daemon, engine or service by its index."""
         return self.zones[index % len(self.zones)]
