--- a/standins/engine.py
+++ b/standins/engine.py
@@ -306,6 +306,9 @@
         "--keep-s", type=float, default=10.0, help="time for resuming a broken stream"
     )
     parser.add_argument("--load-ms", type=float, default=500.0, help="of an order")
+    parser.add_argument(
+        "--weights", metavar="HOST:PORT", help="weight store to load models from"
+    )
     parser.add_argument("--ignore-fencing", action="store_true")
     parser.add_argument("--role", default="both", choices=("prefill", "decode", "both"))
     parser.add_argument("--seed", type=int, default=1)
--- a/standins/loaded.py
+++ b/standins/loaded.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import aiohttp
 from aiohttp import web
 
 from standins import faults
@@ -16,6 +17,7 @@
     {"load_model", "unload_model", "load_adapter", "unload_adapter", "set_role"}
 )
 _ADAPTER_LOAD_SHARE = 0.2
+_RETRY_S = 0.2
 
 
 class LoadedModels:
@@ -25,6 +27,7 @@
         self._faults = current
         self._ignores_fencing = bool(arguments.ignore_fencing)
         self._load_ms = arguments.load_ms
+        self._weights = arguments.weights
         self._role = arguments.role
         self._fencing_number = 0
         self._models: dict[tuple[str, str], list[str]] = {}
@@ -116,6 +119,7 @@
         async with self._lock:
             action = order["action"]
             if action == "load_model":
+                await self._fetch_weights(order)
                 await asyncio.sleep(self._load_ms / 1000)
             elif action == "load_adapter":
                 await asyncio.sleep(self._load_ms / 1000 * _ADAPTER_LOAD_SHARE)
@@ -123,6 +127,21 @@
             self._in_progress -= 1
             self._notify()
 
+    async def _fetch_weights(self, order: dict[str, Any]) -> None:
+        """Read the weights, at the rate that the weight store allows."""
+        if not self._weights:
+            return
+        name, version = order.get("model", ""), order.get("version") or "1"
+        url = f"http://{self._weights}/v1/weights/{name}/{version}"
+        while True:
+            try:
+                async with aiohttp.request("GET", url, raise_for_status=True) as found:
+                    async for _ in found.content.iter_any():
+                        pass
+                return
+            except (aiohttp.ClientError, TimeoutError, OSError):
+                await asyncio.sleep(_RETRY_S)
+
     def _apply(self, order: dict[str, Any]) -> None:
         action, model = order["action"], order.get("model", "")
         version, adapter = order.get("version"), order.get("adapter", "")
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -185,6 +185,8 @@
         engine_arguments = ["--model", plan.model, "--slots", str(plan.slots)]
         engine_arguments += ["--token-ms", str(plan.token_ms)]
         engine_arguments += ["--prefill-ms", str(plan.prefill_ms)]
+        if plan.loads_weights:
+            engine_arguments += ["--weights", self.store.address]
         engine_arguments += plan.engine_arguments
         for index in range(plan.engines):
             zone = plan.zone_of(index).name
--- a/tools/fleet_plan.py
+++ b/tools/fleet_plan.py
@@ -38,6 +38,8 @@
     :param model: model that every engine has loaded
     :param slots: requests that an engine runs together
     :param engine_arguments: further arguments of ``standins.engine``
+    :param loads_weights: whether engines read the weights of a model that they are told
+        to load from the weight store
     :param platform_arguments: further arguments of ``standins.platform``
     :param service_arguments: further arguments of ``standins.service``
     :param model_service: changes to the document of the model service
@@ -60,6 +62,7 @@
     token_ms: float = 5.0
     prefill_ms: float = 5.0
     engine_arguments: tuple[str, ...] = ()
+    loads_weights: bool = False
     platform_arguments: tuple[str, ...] = ()
     service_arguments: tuple[str, ...] = ()
     model_service: Mapping[str, Any] = dataclasses.field(default_factory=dict)
