Contain faults of the decision code and prove the hand-over of connections

Cause: an exception of the scheduler outside a stream's own events would have ended the relay's thread, and the hand-over from waitress was tried on new connections only. Change: each call into the scheduler is contained and ends at most the stream that it belongs to. Scenarios ask for streams on used, pipelined, chunked, waiting and HTTP/1.0 connections, mix short streams with kept connections, reach the bound of connections, and check that the idle relay does not wake up. Conclusion: a fault in one decision costs one request.

--- /dev/null
+++ b/features/connections.feature
@@ -0,0 +1,43 @@
+Feature: Callers' connections go from the HTTP server to the relay and harm no others
+
+  Background:
+    Given 1 engine that makes a token every 2 ms, behind the front end
+
+  # Guards against requests of a connection that get lost or answered out of order.
+  Scenario Outline: A stream is asked for <how>
+    When a stream of 20 tokens is asked for <how>
+    Then the answers before it are "<before>"
+    And the stream brings the engine's whole text
+
+    Examples:
+      | how                                     | before  |
+      | on a connection that was used before    | 200     |
+      | right behind another request            | 200     |
+      | right behind two other requests         | 200 404 |
+      | with a body in chunks                   |         |
+      | with a body that waits for 100-continue | 100     |
+      | one byte at a time                      |         |
+      | by HTTP/1.0                             |         |
+
+  # Guards against descriptors that two parts of the daemon use at once.
+  Scenario: Short streams and kept connections at the same time
+    When 6 callers make 40 short streams each while 4 callers make 150 calls each
+    Then every stream is whole and every call is answered
+
+  # Guards against running out of descriptors.
+  Scenario: More connections than the bound wait until others close
+    Given at most 8 connections are served at a time
+    When 12 connections are opened
+    Then at least 1 of them gets no answer
+    When the other connections are closed
+    Then the waiting connections are answered
+
+  Scenario: A request behind a stream on the same connection is not run
+    When a stream of 20 tokens is asked for with a second request behind it
+    Then the stream brings the engine's whole text
+    And the engines have run it once
+
+  Scenario: The relay is idle when nothing happens
+    Given a stream was served
+    When nothing happens for 1 s
+    Then the relay's thread has not woken up
--- a/features/steps/streams_result_steps.py
+++ b/features/steps/streams_result_steps.py
@@ -2,7 +2,13 @@
 
 from behave import then
 
-from features.support import engine_caller, online_calls, raw_http, scripts
+from features.support import (
+    engine_caller,
+    online_calls,
+    online_machine,
+    raw_http,
+    scripts,
+)
 
 
 @then("the client has the engine's whole text")
@@ -170,3 +176,18 @@
     answer = context.answer
     assert answer.status == status, (answer.status, answer.body)
     assert answer.error["code"] == code, answer.body
+
+
+@then('"{prompt}" is answered in full')
+def step_check_full(context, prompt):
+    answer = context.answers[prompt]
+    assert answer.is_whole
+    assert answer.text == online_machine.expected_text(prompt, 30)
+
+
+@then('"{prompt}" gets an error that says "{run_state}"')
+def step_check_failed(context, prompt, run_state):
+    answer = context.answers[prompt]
+    assert answer.status == 500, (answer.status, answer.body)
+    assert answer.headers["x-run-state"] == run_state
+    assert answer.error["code"] == "internal_error"
--- a/features/steps/streams_steps.py
+++ b/features/steps/streams_steps.py
@@ -269,3 +269,26 @@
     context.stop = online_machine.Background(context.front.drain, 15.0)
     server = context.front.server._server
     engine_caller.wait_until(lambda: server.is_draining, 5.0, "no drain")
+
+
+@given('the scheduler raises an exception in "{function}" for the prompt "{prompt}"')
+def step_break_scheduler(context, function, prompt):
+    decider = online_calls.get_front(context).scheduler
+    original = getattr(decider, function)
+
+    def fail_sometimes(item):
+        request = getattr(item, "request", item)
+        if request.body["messages"][0]["content"] == prompt:
+            raise RuntimeError("a fault on purpose")
+        return original(item)
+
+    setattr(decider, function, fail_sometimes)
+
+
+@when('"{first}" and "{second}" are streamed at the same time')
+def step_stream_two(context, first, second):
+    running = {
+        prompt: online_machine.Background(online_calls.call, context, prompt, 30)
+        for prompt in (first, second)
+    }
+    context.answers = {prompt: run.result() for prompt, run in running.items()}
--- a/features/streams.feature
+++ b/features/streams.feature
@@ -182,3 +182,16 @@
     And a call on the idle connection is answered and the connection is closed
     And the caller has the engine's whole text
     And the planned stop finished everything
+
+  # Guards against one faulty request that ends the thread of all streams.
+  Scenario Outline: A fault in the decision code ends one request only
+    Given 1 engine that makes a token every 5 ms, behind the front end
+    And the scheduler raises an exception in "<function>" for the prompt "bad luck"
+    When "bad luck" and "good luck" are streamed at the same time
+    Then "good luck" is answered in full
+    And "bad luck" gets an error that says "may-have-run"
+
+    Examples:
+      | function           |
+      | submit             |
+      | record_first_token |
--- a/src/endivevane/online/dispatcher.py
+++ b/src/endivevane/online/dispatcher.py
@@ -143,14 +143,12 @@
         )
         current.fail(error, stream_states.Outcome.FAILED)
 
-    def break_request(self, message: object) -> None:
-        """End the stream that a message belongs to, if it belongs to one."""
+    def find_stream(self, message: object) -> stream.Stream | None:
+        """Return the stream that a message belongs to, if there is one."""
         request = getattr(message, "request", None)
         if isinstance(message, messages.Opened | messages.OpenFailed):
             request = message.attempt.request
-        current = self.streams.get(getattr(request, "request_id", ""))
-        if current is not None:
-            self.break_stream(current)
+        return self.streams.get(getattr(request, "request_id", ""))
 
     def stop_all(self) -> None:
         """Break all streams."""
--- a/src/endivevane/online/relay.py
+++ b/src/endivevane/online/relay.py
@@ -21,6 +21,9 @@
     upstream,
 )
 
+# Pause after a fault of the scheduler, so that it does not come in every round.
+_FAULT_PAUSE_S = 0.25
+
 
 class RelayTask:
     """Serves the online requests that are posted to it.
@@ -120,10 +123,17 @@
             except Exception as error:
                 self._contain(check, error)
         if now_s >= current.poll_at_s:
-            current.poll_scheduler()
+            self._poll_scheduler()
         if current.is_draining and not current.streams:
             self._drained.set()
 
+    def _poll_scheduler(self) -> None:
+        try:
+            self._dispatcher.poll_scheduler()
+        except Exception as error:
+            logs.error("relay_fault", function="poll", error=repr(error))
+            self._dispatcher.poll_at_s = self._clock.monotonic_s() + _FAULT_PAUSE_S
+
     def _find_timeout_s(self) -> float | None:
         at_s = self._dispatcher.poll_at_s
         timer_s = self._dispatcher.timers.next_s()
@@ -140,7 +150,14 @@
         if isinstance(owner, engine_connection.EngineConnection):
             owner = owner.listener
         if isinstance(owner, stream.Stream):
-            self._dispatcher.break_stream(owner)
+            self._break(owner)
+
+    def _break(self, current: stream.Stream) -> None:
+        try:
+            self._dispatcher.break_stream(current)
+        except Exception as error:
+            request_id = current.request.request_id
+            logs.error("relay_fault", request_id=request_id, error=repr(error))
 
     def _on_wake(self, _events: int, _now_s: float) -> None:
         with contextlib.suppress(OSError):
@@ -155,8 +172,11 @@
             try:
                 self._handle(message)
             except Exception as error:
-                logs.error("relay_fault", message=repr(message), error=repr(error))
-                self._dispatcher.break_request(message)
+                kind = type(message).__name__
+                logs.error("relay_fault", message=kind, error=repr(error))
+                owner = self._dispatcher.find_stream(message)
+                if owner is not None:
+                    self._break(owner)
 
     @functools.singledispatchmethod
     def _handle(self, message: object) -> None:
--- a/src/endivevane/web/server.py
+++ b/src/endivevane/web/server.py
@@ -14,7 +14,7 @@
 import waitress.task
 
 from endivevane import exceptions, logs, types
-from endivevane.web import app, channel
+from endivevane.web import app, channel, upload_body
 
 # The kernel would grow the send buffer of a slow caller to 4 MB, for each of some
 # thousand streams; this is enough for 6 MB/s over a round trip of 40 ms.
@@ -158,7 +158,7 @@
     """Waitress's server with drain, stop and stricter time limits."""
 
     socket: Any
-    channel_class = channel.Channel
+    channel_class = upload_body.UploadChannel
 
     def __init__(
         self,
@@ -236,6 +236,8 @@
         connection_limit=settings.max_connections,
         max_request_header_size=settings.max_header_bytes,
         max_request_body_size=settings.max_upload_bytes + 1,
+        # Below the 1 MB at which waitress moves an answer to a temporary file.
+        outbuf_high_watermark=512 << 10,
         channel_timeout=max(1, int(settings.idle_timeout_s)),
         cleanup_interval=1,
         # select() can't handle descriptors above 1023.
