--- a/src/endivevane/batch/api.py
+++ b/src/endivevane/batch/api.py
@@ -4,7 +4,7 @@
 
 import itertools
 import threading
-from collections.abc import Callable, Collection, Iterator, Sequence
+from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
 from typing import Any
 
 import werkzeug.wrappers
@@ -18,6 +18,7 @@
 _DEFAULT_LIST = 20
 # An upload holds up to two segments and its custom ids in memory, about 12 MB.
 _MAX_UPLOADS = 3
+_PIECE_BYTES = 64 << 10
 
 
 class BatchApi:
@@ -217,6 +218,14 @@
 def _make_stream(parts: Iterator[bytes]) -> werkzeug.wrappers.Response:
     """Return a streamed response; a failure on the first part is still an error."""
     first = next(parts, b"")
+    whole = itertools.chain([first], parts)
     return werkzeug.wrappers.Response(
-        itertools.chain([first], parts), content_type="application/jsonl"
+        _split_parts(whole), content_type="application/jsonl"
     )
+
+
+def _split_parts(parts: Iterable[bytes]) -> Iterator[bytes]:
+    """Yield small pieces: the server moves larger ones to a temporary file."""
+    for part in parts:
+        for start in range(0, len(part), _PIECE_BYTES):
+            yield part[start : start + _PIECE_BYTES]
--- a/src/endivevane/batch/looking.py
+++ b/src/endivevane/batch/looking.py
@@ -74,6 +74,7 @@
         self._look_at_s = 0.0
         self._look_count = 0
         self._page_at_s = 0.0
+        self._load_at_s = 0.0
         self._skipped: dict[str, float] = {}
 
     @property
@@ -178,8 +179,9 @@
             return
         self._look_at_s = now_s + self._settings.poll_interval_s / 2
         if message.claim is not None:
+            # Other jobs go on meanwhile: one lost segment must not stop them.
             self._unloaded.append(message.claim)
-            self._look_at_s = now_s + _LOAD_PAUSE_S
+            self._load_at_s = now_s + _LOAD_PAUSE_S
         if message.error is not None:
             logs.warning("look_failed", error=message.error.format_message())
 
--- a/src/endivevane/batch/runner.py
+++ b/src/endivevane/batch/runner.py
@@ -99,17 +99,16 @@
         """
         self._notifier.notify(job_id, owners)
 
-    def drain(self, deadline_s: float | None = None) -> None:
+    def drain(self, timeout_s: float = _DRAIN_DEFAULT_S) -> None:
         """Take no new work, hand back what is not finished and return.
 
-        :param deadline_s: how long running items may go on
+        :param timeout_s: how long running items may go on
         """
         if not self._thread.is_alive():
             return
-        limit_s = _DRAIN_DEFAULT_S if deadline_s is None else deadline_s
-        at_s = self._clock.monotonic_s() + limit_s
+        at_s = self._clock.monotonic_s() + timeout_s
         self.post(messages.DrainRequested(at_s))
-        self._thread.join(limit_s + _DRAIN_DEFAULT_S)
+        self._thread.join(timeout_s + _DRAIN_DEFAULT_S)
 
     def stop(self) -> None:
         """End the task at once; claims are left to be taken over."""
