Bound the written rows by the rate in the scenario of the rate limit

The scenario allowed 1 to 3 refusals of 8 inserts, which a machine slow enough to take 0.6 s for them would miss, although the store is right. Insert 20 rows and bound those written by burst plus rate times the elapsed time; the old check also passed with a rate up to three rows too high, the new one does not. The replaced check is at least as strict and does not depend on the machine's speed.

--- a/features/standins.feature
+++ b/features/standins.feature
@@ -33,8 +33,9 @@
   Scenario: Writes above the rate are refused without effect
     Guards against a store without limits, on which any design would hold.
     Given a stand-in platform that allows 5 row writes a second
-    When a client inserts 8 rows of the table "open" at once
-    Then between 1 and 3 of them are refused with a wait of at most 1 second
+    When a client inserts 20 rows of the table "open" at once
+    Then at least 5 are written and at most what the rate allows
+    And the others are refused with a wait of at most 1 second
     And the record shows as many writes of the table "open" as succeeded
 
   Scenario: Scans return rows in key order, with quoted keys
--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -1,6 +1,7 @@
 import concurrent.futures
 import http.client
 import json
+import time
 
 import result
 from behave import given, then, when
@@ -81,9 +82,11 @@
 @when('a client inserts {count:d} rows of the table "{name}" at once')
 def step_insert_many(context, count, name):
     context.outcomes = []
+    started_s = time.monotonic()
     for number in range(count):
         _insert(context, [f"{name}/{number}"], f"op-{number}")
         context.outcomes.append(context.outcome)
+    context.elapsed_s = time.monotonic() - started_s
 
 
 @then("the client does not know whether the write took effect")
@@ -128,12 +131,17 @@
     assert error.rows[pair].revision == 1
 
 
-@then("between 1 and 3 of them are refused with a wait of at most 1 second")
+@then("at least {rate:d} are written and at most what the rate allows")
+def step_check_rate(context, rate):
+    # The burst is one second's worth; the rest comes at the rate.
+    written = sum(item.is_ok() for item in context.outcomes)
+    assert rate <= written <= rate + rate * context.elapsed_s, written
+    assert written < len(context.outcomes), written
+
+
+@then("the others are refused with a wait of at most 1 second")
 def step_check_refused(context):
-    # The burst is one second's worth, 5 rows. Of the 3 others some may pass on a slow
-    # machine, one for each 0.2 s that the calls take.
     errors = [item.err_value for item in context.outcomes if item.is_err()]
-    assert 1 <= len(errors) <= 3, errors
     assert all(isinstance(item, store.StoreOverloaded) for item in errors), errors
     assert all(0 < item.retry_after_s <= 1 for item in errors), errors
 
