Bound the messages that suspicion causes

Cause: 100 members on a busy machine never settled: connections were closed after a missed ping before their handshake had ended, each new incarnation asked for whole tables, and every suspicion was flooded, which made more answers late.

--- a/bench/member_worker.py
+++ b/bench/member_worker.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import argparse
+import collections
 import json
 import pathlib
 import random
 import sys
 import threading
 import time
+from collections.abc import Iterable, Mapping
 
 import psutil
 
@@ -66,6 +68,11 @@
             "bytes": sum(sum(item.size_bytes.values()) for item in counts),
             "busiest": max(messages),
             "dropped": sum(sum(item.dropped.values()) for item in counts),
+            "reasons": _add_up(item.dropped for item in counts),
+            "kinds": _add_up(
+                {f"{direction} {kind}": number for (direction, kind), number in pairs}
+                for pairs in (item.messages.items() for item in counts)
+            ),
             "members": len(members),
             "least_known": min(known),
             "most_known": max(known),
@@ -79,6 +86,13 @@
         print("report " + json.dumps(line), flush=True)
 
 
+def _add_up(parts: Iterable[Mapping[str, int]]) -> dict[str, int]:
+    total: collections.Counter[str] = collections.Counter()
+    for part in parts:
+        total.update(part)
+    return dict(total)
+
+
 def _make_task(document: object, times: RevisionTimes) -> tasks.ClusterTask:
     settings = daemon_settings.Settings.model_validate(document)
     address = types.parse_address(settings.platform.table_service)
--- a/bench/members.py
+++ b/bench/members.py
@@ -8,6 +8,8 @@
 
 import argparse
 import json
+import math
+import os
 import pathlib
 import sys
 import time
@@ -32,7 +34,7 @@
 # Ethernet, IP, TCP with timestamps, ZMTP and CURVE framing around one small message;
 # an estimate, since the payload alone is counted.
 _FRAME_BYTES = 66 + 35
-_WORKERS = 8
+_MEMBERS_PER_WORKER = 10
 _ORGANISATIONS = 40
 _JOIN_LIMIT_S = 120.0
 _IN_FORCE_LIMIT_S = 60.0
@@ -70,7 +72,7 @@
         """Start all members and return how long it took until they were ready."""
         started_s = time.monotonic()
         settings = self._make_settings()
-        count = min(_WORKERS, self.size)
+        count = math.ceil(self.size / _MEMBERS_PER_WORKER)
         for number in range(count):
             plan = {"members": settings[number::count], "start_gap_s": 0.1}
             path = self._processes.folder / f"plan-{number}.json"
@@ -209,6 +211,7 @@
         "confirmed_after_s": confirmed_s,
         "dead_reports": sum(line["dead"] for line in end),
         "dropped": sum(line["dropped"] for line in end),
+        "machine_load": os.getloadavg()[0],
     }
 
 
--- a/src/endivevane/cluster/neighbours.py
+++ b/src/endivevane/cluster/neighbours.py
@@ -145,7 +145,7 @@
     def flush(self) -> None:
         """Send what the failure detector wants to send."""
         for name in self.detector.take_broken():
-            self._transport.disconnect(name)
+            self._transport.drop_silent(name)
         for outgoing in self.detector.take_outgoing():
             prefer_route = isinstance(
                 outgoing.message, exchange.Ack | exchange.SyncRows
@@ -225,7 +225,7 @@
         """Ask a daemon for its table by its address alone."""
         name = transport.SEED_PREFIX + address
         # A wrong key shows as silence, so each try may need another connection.
-        self._transport.disconnect(name)
+        self._transport.drop_silent(name)
         self.detector.join(name)
 
     def _report_lapsed(self, name: str) -> None:
--- a/src/endivevane/cluster/transport.py
+++ b/src/endivevane/cluster/transport.py
@@ -10,6 +10,7 @@
 import collections
 import dataclasses
 import itertools
+import time
 from collections.abc import Callable, Iterator
 
 import zmq
@@ -31,6 +32,9 @@
 _RECONNECT_MAX_MS = 3000
 # Unacknowledged data ends a connection, so that a silent one is opened anew.
 _RETRANSMIT_MS = 4000
+# A handshake takes more than one probe timeout on a busy machine. Closing connections
+# before it ended kept 100 members from ever connecting.
+_SILENCE_S = 2.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,6 +42,7 @@
     routing_id: bytes
     endpoint: str
     public_key: str
+    heard_s: float
 
 
 class Transport:
@@ -94,7 +99,7 @@
                 if is_inbound:
                     self._remember_route(message.header.sender, frames[0])
                 else:
-                    self._name_seed(frames[0], message.header.sender)
+                    self._note_answer(frames[0], message.header.sender)
                 yield message
 
     def is_connected(self, name: str) -> bool:
@@ -123,7 +128,17 @@
         self._client.setsockopt(zmq.CONNECT_ROUTING_ID, routing_id)
         self._secure_client(public_key)
         self._client.connect(endpoint)
-        self._connections[name] = _Connection(routing_id, endpoint, public_key)
+        self._connections[name] = _Connection(
+            routing_id, endpoint, public_key, time.monotonic()
+        )
+
+    def drop_silent(self, name: str) -> None:
+        """Close a connection that has carried nothing to this daemon for a while."""
+        connection = self._connections.get(name)
+        if connection is None:
+            return
+        if time.monotonic() - connection.heard_s >= _SILENCE_S:
+            self.disconnect(name)
 
     def disconnect(self, name: str) -> None:
         """Close the connection that this daemon holds to a peer."""
@@ -187,17 +202,19 @@
         if len(self._routes) > _MAX_ROUTES:
             self._routes.popitem(last=False)
 
-    def _name_seed(self, routing_id: bytes, name: str) -> None:
-        """Keep a connection to a seed under the name of the daemon that answers."""
+    def _note_answer(self, routing_id: bytes, name: str) -> None:
+        """Note that a connection works; one to a seed gets the name that answers."""
         label = routing_id.rpartition(b"#")[0].decode()
-        if not label.startswith(SEED_PREFIX) or label not in self._connections:
+        connection = self._connections.get(label)
+        if connection is None or connection.routing_id != routing_id:
+            return
+        connection.heard_s = time.monotonic()
+        if not label.startswith(SEED_PREFIX):
             return
-        connection = self._connections.pop(label)
-        if name not in self._connections:
-            self._connections[name] = connection
+        if name in self._connections:
+            self.disconnect(label)
             return
-        self._connections[label] = connection
-        self.disconnect(label)
+        self._connections[name] = self._connections.pop(label)
 
     def _close_endpoint(self, endpoint: str) -> None:
         """Close other connections to an endpoint.
--- /dev/null
+++ b/src/endivevane/coordination/budget.py
@@ -0,0 +1,28 @@
+"""A budget for messages that a failure detector sends beyond its regular probes."""
+
+from __future__ import annotations
+
+
+class MessageBudget:
+    """Token bucket on a monotonic clock.
+
+    :param rate_per_s: messages a second in the long run
+    :param burst: messages at once after a quiet time
+    :param now_s: current monotonic time
+    """
+
+    def __init__(self, rate_per_s: float, burst: float, now_s: float) -> None:
+        self._rate_per_s = rate_per_s
+        self._burst = burst
+        self._tokens = burst
+        self._updated_s = now_s
+
+    def take(self, count: int, now_s: float) -> bool:
+        """Take tokens if there are as many."""
+        passed_s = now_s - self._updated_s
+        self._updated_s = now_s
+        self._tokens = min(self._burst, self._tokens + passed_s * self._rate_per_s)
+        if self._tokens < count:
+            return False
+        self._tokens -= count
+        return True
--- a/src/endivevane/coordination/links.py
+++ b/src/endivevane/coordination/links.py
@@ -35,6 +35,7 @@
 
     def record_heard(self, name: str, now_s: float) -> None:
         """Record that a member sent something."""
+        self._heard_s.pop(name, None)
         self._heard_s[name] = now_s
 
     def purge(self, now_s: float) -> None:
@@ -101,11 +102,15 @@
         """Return members that this daemon exchanges probes with at present."""
         names: dict[str, None] = {}
         for ring in range(self._settings.rings):
-            names.update(dict.fromkeys(self.list_targets(ring)))
+            for name in self.list_targets(ring)[-1:]:
+                names[name] = None
         names.update(dict.fromkeys(self.list_contacts()))
         horizon_s = now_s - 3 * self._settings.probe_interval_s
-        for name, heard_s in self._heard_s.items():
-            if heard_s >= horizon_s and self._view.table.get(name) is not None:
+        for name in reversed(self._heard_s):
+            is_recent = self._heard_s[name] >= horizon_s
+            if not is_recent or len(names) >= self._settings.max_links:
+                break
+            if self._view.table.get(name) is not None:
                 names[name] = None
         return list(names)
 
--- a/src/endivevane/coordination/membership.py
+++ b/src/endivevane/coordination/membership.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 
 from endivevane.coordination import (
+    budget,
     clock,
     exchange,
     links,
@@ -17,6 +18,16 @@
 )
 
 _REPAIR_PUSHES = 3
+# Whole tables are the largest messages. Without a limit, 100 members on an overloaded
+# machine sent 80 KB/s each.
+_ROWS_PER_S = 2.0
+_ROWS_BURST = 10.0
+# Suspicion causes messages, and on an overloaded machine messages cause suspicion. Both
+# budgets bound that circle; the bursts cover the loss of half of 340 members at once.
+_PUSHES_PER_S = 6.0
+_PUSHES_BURST = 240.0
+_CHECKS_PER_S = 3.0
+_CHECKS_BURST = 60.0
 _SYNC_MESSAGES = (exchange.SyncRequest, exchange.SyncRows)
 _ACCUSED = (members.MemberState.SUSPECT, members.MemberState.DEAD)
 
@@ -58,6 +69,9 @@
         self._push_at_s = now_s
         self._repair_at_s = now_s
         self._contacts: list[str] = []
+        self._rows_budget = budget.MessageBudget(_ROWS_PER_S, _ROWS_BURST, now_s)
+        self._push_budget = budget.MessageBudget(_PUSHES_PER_S, _PUSHES_BURST, now_s)
+        self._check_budget = budget.MessageBudget(_CHECKS_PER_S, _CHECKS_BURST, now_s)
         self._sync_at_s = now_s + self._jitter(settings.sync_interval_s)
         self._ring_at_s = [
             now_s + settings.probe_interval_s * generator.random()
@@ -149,9 +163,15 @@
         self._view.merge(header.updates, self._last_call_s)
         self._react(message)
         sender = self.table.get(header.sender)
-        is_known = sender is not None and header.incarnation <= sender.incarnation
-        if not is_known and not isinstance(message, _SYNC_MESSAGES):
-            self._send_sync_request(header.sender)
+        if sender is None:
+            if not isinstance(message, _SYNC_MESSAGES):
+                self._send_sync_request(header.sender)
+        elif sender.state is not members.MemberState.LEAVING:
+            # A sender that has refuted something is heard even if its update was lost.
+            update = members.Update(
+                sender.name, header.incarnation, members.MemberState.ALIVE
+            )
+            self._view.merge([update], self._last_call_s)
 
     @functools.singledispatchmethod
     def _react(self, message: exchange.Message) -> None:
@@ -173,7 +193,7 @@
             header = self._make_header(relay.origin)
             self._send(relay.origin, exchange.Ack(header, relay.sequence))
             return
-        name = self._book.resolve(message.sequence)
+        name = self._book.resolve(message.sequence, self._last_call_s)
         if name is not None:
             self._view.clear_unannounced(name)
 
@@ -188,12 +208,13 @@
 
     @_react.register
     def _react_to_sync(self, message: exchange.SyncRequest) -> None:
-        if message.digest != self.table.compute_digest():
+        is_different = message.digest != self.table.compute_digest()
+        if is_different and self._rows_budget.take(1, self._last_call_s):
             self._send_rows(message.header.sender, is_answer_wanted=True)
 
     @_react.register
     def _react_to_rows(self, message: exchange.SyncRows) -> None:
-        if message.is_answer_wanted:
+        if message.is_answer_wanted and self._rows_budget.take(1, self._last_call_s):
             self._send_rows(message.header.sender, is_answer_wanted=False)
 
     def tick(self) -> None:
@@ -239,7 +260,11 @@
                 self._book.close(name)
                 continue
             if not self._book.is_silent(name):
-                self._probe_indirectly(name, now_s)
+                count = 1 + self._settings.indirect_probes
+                if self._check_budget.take(count, now_s):
+                    self._probe_indirectly(name, now_s)
+                else:
+                    self._book.close(name)
                 continue
             self._book.close(name)
             if member.description.region != self.me.description.region:
@@ -323,13 +348,16 @@
         is_repair_due = is_backlogged and now_s >= self._repair_at_s
         if not (self._has_news or queue.has_fresh() or is_repair_due):
             return
+        names = self.list_links()
+        if not self._push_budget.take(len(names), now_s):
+            return
         self._push_at_s = now_s + self._settings.push_interval_s
         self._repair_at_s = now_s + _REPAIR_PUSHES * self._settings.push_interval_s
         self._has_news = False
         updates = self._view.queue.take(
             self._settings.max_pushed_updates, len(self.table)
         )
-        for name in self.list_links():
+        for name in names:
             self._send(name, exchange.Gossip(self._make_header(name, updates)))
 
     def _jitter(self, interval_s: float) -> float:
--- a/src/endivevane/coordination/probes.py
+++ b/src/endivevane/coordination/probes.py
@@ -5,6 +5,8 @@
 import dataclasses
 
 _MAX_RELAYS = 64
+_ANSWER_WEIGHT = 0.125
+_ANSWER_FACTOR = 4.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -12,10 +14,13 @@
     """Times and bounds of the detector.
 
     :param probe_interval_s: time in which each watched member is pinged once
-    :param probe_timeout_s: wait for a direct answer, and again for an indirect one
+    :param probe_timeout_s: wait for an indirect answer, and longest wait for a direct
+        one; the shortest is half of it, which covers a pause of 200 ms at the watched
+        member
     :param suspect_timeout_s: time from suspicion to death without a refutation
     :param rings: members that each member watches
     :param indirect_probes: members asked to probe one that does not answer
+    :param max_links: members that unsolicited gossip goes to at most
     :param max_probes: pings in flight at most
     :param max_updates: updates piggybacked on a probe or its answer at most
     :param max_pushed_updates: updates in one unsolicited message at most; eight of them
@@ -29,9 +34,10 @@
 
     probe_interval_s: float = 1.0
     probe_timeout_s: float = 0.5
-    suspect_timeout_s: float = 2.0
+    suspect_timeout_s: float = 2.5
     rings: int = 3
     indirect_probes: int = 2
+    max_links: int = 8
     max_probes: int = 24
     max_updates: int = 8
     max_pushed_updates: int = 32
@@ -49,6 +55,7 @@
     """
 
     sequence: int
+    sent_s: float
     deadline_s: float
     is_indirect: bool = False
 
@@ -77,6 +84,7 @@
         self._probes: dict[str, Probe] = {}
         self._relays: dict[int, Relay] = {}
         self._sequence = 0
+        self._answer_s = 0.0
 
     def __contains__(self, name: object) -> bool:
         return name in self._probes
@@ -91,10 +99,15 @@
         if name in self._probes or len(self._probes) >= self._settings.max_probes:
             return None
         self._sequence += 1
-        probe = Probe(self._sequence, now_s + self._settings.probe_timeout_s)
+        probe = Probe(self._sequence, now_s, now_s + self._compute_wait_s())
         self._probes[name] = probe
         return probe.sequence
 
+    def _compute_wait_s(self) -> float:
+        """Return the wait for a direct answer, longer when answers have been slow."""
+        longest_s = self._settings.probe_timeout_s
+        return min(longest_s, max(longest_s / 2, _ANSWER_FACTOR * self._answer_s))
+
     def list_expired(self, now_s: float) -> list[str]:
         """Return names whose probe has waited long enough."""
         return [
@@ -112,11 +125,13 @@
         """Forget the probe to a member."""
         self._probes.pop(name, None)
 
-    def resolve(self, sequence: int) -> str | None:
+    def resolve(self, sequence: int, now_s: float) -> str | None:
         """Close the probe with this number and return whom it was sent to."""
         for name, probe in self._probes.items():
             if probe.sequence == sequence:
                 del self._probes[name]
+                passed_s = now_s - probe.sent_s
+                self._answer_s += _ANSWER_WEIGHT * (passed_s - self._answer_s)
                 return name
         return None
 
