Keep the relay's thread alive when a report of a fault fails

Cause: an observer of the log that raised an exception ended the relay's thread, and with it every stream; a scenario whose observer outlived it brought this about. Change: a last guard around each round counts the fault and goes on, since the selector reports unhandled sockets again; faults have a counter of their own. A new scenario makes observers of the log raise, another checks the one line per request. Conclusion: a fault costs at most the request that it belongs to.

--- a/features/steps/streams_result_steps.py
+++ b/features/steps/streams_result_steps.py
@@ -30,6 +30,7 @@
 def step_check_caller_text(context):
     answer = online_calls.finish_call(context)
     assert answer.status == 200, (answer.status, answer.body)
+    assert answer.headers["x-request-id"].startswith("req-")
     assert online_calls.read_text(answer) == context.expected, (
         answer.body,
         context.expected,
@@ -191,3 +192,18 @@
     assert answer.status == 500, (answer.status, answer.body)
     assert answer.headers["x-run-state"] == run_state
     assert answer.error["code"] == "internal_error"
+
+
+@then("the log has one line about the end of the request with")
+def step_check_log(context):
+    def find_ends():
+        return [fields for event, fields in context.events if event == "request_ended"]
+
+    engine_caller.wait_until(find_ends, 5.0, "no line about the end")
+    ends = find_ends()
+    assert len(ends) == 1, ends
+    for row in context.table:
+        assert str(ends[0][row["field"]]) == row["value"], ends[0]
+    assert ends[0]["request_id"] == context.answer.headers["x-request-id"]
+    assert 0 < ends[0]["first_token_ms"] <= ends[0]["duration_ms"]
+    assert ends[0]["tokens"] == len(context.answer.payloads) - 1
--- a/features/steps/streams_steps.py
+++ b/features/steps/streams_steps.py
@@ -4,6 +4,7 @@
 import openai
 from behave import given, when
 
+from endivevane import logs
 from features.support import (
     engine_caller,
     online_calls,
@@ -292,3 +293,23 @@
         for prompt in (first, second)
     }
     context.answers = {prompt: run.result() for prompt, run in running.items()}
+
+
+@given("the events of the log are recorded")
+def step_record_log(context):
+    # The observer outlives the scenario, so it must not use the context.
+    context.events = events = []
+    logs.add_observer(lambda event, fields: events.append((event, fields)))
+
+
+@given("the next {count:d} events of the log raise an exception")
+def step_break_log(context, count):
+    online_calls.get_front(context)
+    left = [None] * count
+
+    def fail_sometimes(event, fields):
+        if left:
+            left.pop()
+            raise RuntimeError("a fault on purpose")
+
+    logs.add_observer(fail_sometimes)
--- a/features/streams.feature
+++ b/features/streams.feature
@@ -195,3 +195,29 @@
       | function           |
       | submit             |
       | record_first_token |
+
+  # Guards against an observer of the log that ends the thread of all streams.
+  Scenario: A fault in the log does not end the relay
+    Given 1 engine that makes a token every 5 ms, behind the front end
+    And the next 3 events of the log raise an exception
+    When a caller streams "first"
+    And a caller streams "second" for 30 tokens
+    Then the caller has the engine's whole text
+
+  # Guards against requests that leave no trace, or several, in the log.
+  Scenario Outline: Each request ends with one line in the log
+    Given 1 engine that makes a token every 10 ms, behind the front end
+    And the events of the log are recorded
+    When a caller asks "in the log" for <tokens> tokens streamed with <limit> ms to go
+    Then the log has one line about the end of the request with
+      | field        | value     |
+      | organisation | orchard   |
+      | model        | small-lm  |
+      | target       | engine-0  |
+      | attempts     | 1         |
+      | outcome      | <outcome> |
+
+    Examples:
+      | tokens | limit | outcome   |
+      | 20     | 5000  | completed |
+      | 400    | 500   | deadline  |
--- a/src/endivevane/metrics.py
+++ b/src/endivevane/metrics.py
@@ -26,6 +26,9 @@
 STREAMS_OPEN = prometheus_client.Gauge(
     "endivevane_streams_open", "Online requests in flight or waiting."
 )
+RELAY_FAULTS = prometheus_client.Counter(
+    "endivevane_relay_faults", "Unexpected exceptions in the relay's thread."
+)
 BATCH_ITEMS = prometheus_client.Counter(
     "endivevane_batch_items", "Batch items ended, by outcome.", ["outcome"]
 )
--- a/src/endivevane/online/relay.py
+++ b/src/endivevane/online/relay.py
@@ -7,8 +7,9 @@
 import queue
 import socket
 import threading
+import time
 
-from endivevane import logs
+from endivevane import logs, metrics
 from endivevane.coordination import clock
 from endivevane.online import (
     dispatcher,
@@ -103,7 +104,13 @@
             self._wake_receiver, poller.READ, self._on_wake
         )
         while not self._is_stopping:
-            self._run_round()
+            try:
+                self._run_round()
+            except Exception:
+                # Even the report of a fault may fail, in an observer of the log. The
+                # selector reports again what this round has not handled.
+                metrics.RELAY_FAULTS.inc()
+                time.sleep(_FAULT_PAUSE_S)
         self._dispatcher.stop_all()
         self._dispatcher.poller.close()
         self._drained.set()
@@ -131,8 +138,9 @@
         try:
             self._dispatcher.poll_scheduler()
         except Exception as error:
-            logs.error("relay_fault", function="poll", error=repr(error))
             self._dispatcher.poll_at_s = self._clock.monotonic_s() + _FAULT_PAUSE_S
+            metrics.RELAY_FAULTS.inc()
+            logs.error("relay_fault", function="poll", error=repr(error))
 
     def _find_timeout_s(self) -> float | None:
         at_s = self._dispatcher.poll_at_s
@@ -145,6 +153,7 @@
 
     def _contain(self, function: object, error: Exception) -> None:
         """Keep a fault in one stream from ending the others."""
+        metrics.RELAY_FAULTS.inc()
         logs.error("relay_fault", function=repr(function), error=repr(error))
         owner = getattr(function, "__self__", None)
         if isinstance(owner, engine_connection.EngineConnection):
@@ -173,6 +182,7 @@
                 self._handle(message)
             except Exception as error:
                 kind = type(message).__name__
+                metrics.RELAY_FAULTS.inc()
                 logs.error("relay_fault", message=kind, error=repr(error))
                 owner = self._dispatcher.find_stream(message)
                 if owner is not None:
--- a/src/endivevane/web/server.py
+++ b/src/endivevane/web/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import socket
 import threading
@@ -96,10 +97,12 @@
     sock = owner.release_socket()
     if sock is None:
         raise NotDetachable()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES)
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(_USER_TIMEOUT_S * 1000)
-    )
+    # A connection that is broken already is noticed by whoever uses it next.
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES)
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(_USER_TIMEOUT_S * 1000)
+        )
     is_http11 = environ.get("SERVER_PROTOCOL") == "HTTP/1.1"
     return DetachedCaller(sock, environ.get("REMOTE_ADDR", ""), is_http11)
 
