Keep a silent table service from holding worker threads

Cause: a store that accepts calls and never answers held one worker thread per at-most-once call, up to all of them, and the answers of calls that had run. Change: at most 4 claims are under way, others are refused as not run after 0.2 s; outcomes are written on own threads and an answer is held back for 0.5 s at most.

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -140,3 +140,15 @@
     And the settings are sent to daemon 0
     Then the order answer is 503 and "may-have-run"
     And both planned faults have happened
+
+  Scenario: A silent table service holds up neither other calls nor answers
+    Guards against a store that accepts calls and never answers, one worker thread each.
+    Given an order fleet whose services work 800 ms
+    When the order "a" is sent to daemon 0 and the table service goes silent while it runs
+    Then the order that daemon 0 was running gets the answer 200 within 3 seconds
+    When 24 orders are sent to daemon 0 at once
+    Then a status call to daemon 0 is answered within 3 seconds
+    And every one of the 24 orders is answered 503 and "not-run"
+    When the table service answers again
+    Then within 10 seconds daemon 1 replays the order "a"
+    And the order "a" has run once and none of the 24 orders
--- a/features/steps/at_most_once_steps.py
+++ b/features/steps/at_most_once_steps.py
@@ -451,3 +451,62 @@
 @then("all status calls are answered with {status:d}")
 def step_check_statuses(context, status):
     assert set(context.statuses) == {status}, json.dumps(context.statuses)
+
+
+@when(
+    'the order "{key}" is sent to daemon 0 and the table service goes silent while it '
+    "runs"
+)
+def step_store_silent(context, key):
+    _send_in_background(context, key)
+    context.silent_at_s = time.monotonic()
+    context.fleet.store.set_faults(silent=True)
+
+
+@then(
+    "the order that daemon 0 was running gets the answer {status:d} within {limit_s:d} "
+    "seconds"
+)
+def step_check_prompt(context, status, limit_s):
+    """The call takes 0.8 s and the answer is held back for 0.5 s at most."""
+    step_check_background(context, status)
+    assert context.background.at_s - context.silent_at_s < limit_s
+
+
+@when("{count:d} orders are sent to daemon 0 at once")
+def step_flood(context, count):
+    """More orders than the daemon has worker threads, which are 16."""
+    executor = concurrent.futures.ThreadPoolExecutor(count)
+    context.cleanups.append(executor.shutdown)
+    context.flood = [
+        executor.submit(_call, context, 0, key=f"flood-{number}")
+        for number in range(count)
+    ]
+    time.sleep(0.1)
+
+
+@then("a status call to daemon 0 is answered within {limit_s:d} seconds")
+def step_check_unblocked(context, limit_s):
+    began_s = time.monotonic()
+    answer = _call(context, 0, "GET", "/services/desk/status")
+    assert answer.status == 200, answer.status
+    assert answer.at_s - began_s < limit_s, answer.at_s - began_s
+
+
+@then('every one of the {count:d} orders is answered {status:d} and "{state}"')
+def step_check_flood(context, count, status, state):
+    answers = [item.result() for item in context.flood]
+    assert {(item.status, item.state) for item in answers} == {(status, state)}
+    assert len(answers) == count
+
+
+@when("the table service answers again")
+def step_store_answers(context):
+    context.fleet.store.set_faults(silent=False)
+
+
+@then('the order "{key}" has run once and none of the {count:d} orders')
+def step_check_flood_runs(context, key, count):
+    assert len(_runs(context, key)) == 1
+    for number in range(count):
+        assert not _runs(context, f"flood-{number}")
--- a/src/endivevane/coordination/register.py
+++ b/src/endivevane/coordination/register.py
@@ -142,6 +142,13 @@
         """Give up a claim whose call provably did not run, now or later."""
         return self._change(_Pending(claim, None))
 
+    def record_later(self, claim: Claim, outcome: dict[str, Any] | None) -> Recording:
+        """Put an outcome off without trying the store.
+
+        :param outcome: ``None`` releases the claim
+        """
+        return self._put_off(_Pending(claim, outcome))
+
     def flush(self) -> int:
         """Try to make the changes that were put off; return how many still wait.
 
--- a/src/endivevane/online/at_most_once.py
+++ b/src/endivevane/online/at_most_once.py
@@ -4,6 +4,7 @@
 
 import base64
 import collections
+import concurrent.futures
 import dataclasses
 import threading
 from collections.abc import Mapping
@@ -12,12 +13,15 @@
 import result
 
 from endivevane import logs, utils
-from endivevane.coordination import register
+from endivevane.coordination import register, store
 from endivevane.platform import objects
 from endivevane.web import errors
 
 # Rows of the table service stay small; larger bodies go to the object store.
 _MAX_INLINE_BYTES = 64 << 10
+# Threads that write outcomes, and writes that may wait for them.
+_WRITERS = 4
+_MAX_WRITES = 16
 _KEPT_HEADERS = (
     "cache-control",
     "content-disposition",
@@ -57,12 +61,46 @@
     answer: Answer
 
 
+class ClaimGate:
+    """Claims keys on a few threads at a time.
+
+    A table service that accepts calls and never answers would otherwise hold all
+    worker threads of the HTTP server, and with them the calls that need no store.
+
+    :param max_concurrent: claims under way at a time
+    :param wait_s: how long a further claim waits for its turn
+    """
+
+    def __init__(
+        self,
+        call_register: register.Register,
+        max_concurrent: int = 4,
+        wait_s: float = 0.2,
+    ) -> None:
+        self._register = call_register
+        self._wait_s = wait_s
+        self._turns = threading.BoundedSemaphore(max_concurrent)
+
+    def claim(
+        self, organisation: str, key: str, digest: str, now_ms: int
+    ) -> result.Result[register.Sight, store.StoreError]:
+        """Claim a key, see :meth:`register.Register.claim`."""
+        if not self._turns.acquire(timeout=self._wait_s):
+            return result.Err(store.StoreUnavailable("too many claims are waiting"))
+        try:
+            return self._register.claim(organisation, key, digest, now_ms)
+        finally:
+            self._turns.release()
+
+
 class OutcomeKeeper:
     """Stores answers in the register, and later what can't be stored now.
 
-    Thread-safe.
+    Thread-safe. The writes run on threads of their own, because the caller gets its
+    answer soon even when the store is silent.
 
     :param max_waiting_bytes: bodies kept in memory while the object store is down
+    :param patience_s: how long an answer is held back until it is stored
     """
 
     def __init__(
@@ -70,6 +108,7 @@
         call_register: register.Register,
         object_client: objects.ObjectClient,
         max_waiting_bytes: int = 8 << 20,
+        patience_s: float = 0.5,
     ) -> None:
         self._register = call_register
         self._objects = object_client
@@ -77,9 +116,61 @@
         self._waiting: collections.deque[_Waiting] = collections.deque()
         self._waiting_bytes = 0
         self._lock = threading.Lock()
+        self._patience_s = patience_s
+        self._writes = 0
+        self._executor = concurrent.futures.ThreadPoolExecutor(
+            _WRITERS, thread_name_prefix="outcomes"
+        )
 
     def keep(self, claim: register.Claim, answer: Answer) -> register.Recording:
         """Store an answer, now or later."""
+        return self._run(claim, answer)
+
+    def release(self, claim: register.Claim) -> register.Recording:
+        """Give up a claim whose call provably did not run, now or later."""
+        return self._run(claim, None)
+
+    def _run(self, claim: register.Claim, answer: Answer | None) -> register.Recording:
+        """Write on an executor's thread and wait for a short time only."""
+        with self._lock:
+            has_room = self._writes < _MAX_WRITES
+            self._writes += has_room
+        if not has_room:
+            return self._write_later(claim, answer)
+        future = self._executor.submit(self._write, claim, answer)
+        try:
+            return future.result(self._patience_s)
+        except concurrent.futures.TimeoutError:
+            return register.Recording.LATER
+
+    def _write(
+        self, claim: register.Claim, answer: Answer | None
+    ) -> register.Recording:
+        try:
+            if answer is None:
+                return self._register.release(claim)
+            return self._store(claim, answer)
+        except Exception as error:
+            logs.error("outcome_failed", key=claim.row_key, error=repr(error))
+            raise
+        finally:
+            with self._lock:
+                self._writes -= 1
+
+    def _write_later(
+        self, claim: register.Claim, answer: Answer | None
+    ) -> register.Recording:
+        if answer is None:
+            return self._register.record_later(claim, None)
+        if len(answer.body) > _MAX_INLINE_BYTES:
+            recording = self._put_off(_Waiting(claim, answer))
+        else:
+            recording = self._register.record_later(claim, _describe(claim, answer))
+        if recording is register.Recording.LOST:
+            logs.error("outcome_lost", key=claim.row_key)
+        return recording
+
+    def _store(self, claim: register.Claim, answer: Answer) -> register.Recording:
         if len(answer.body) > _MAX_INLINE_BYTES and not self._put(claim, answer):
             recording = self._put_off(_Waiting(claim, answer))
         else:
--- a/src/endivevane/online/forward.py
+++ b/src/endivevane/online/forward.py
@@ -93,7 +93,7 @@
         max_body_bytes: int,
     ) -> None:
         self._targets = targets
-        self._register = call_register
+        self._gate = at_most_once.ClaimGate(call_register)
         self._keeper = keeper
         self._clock = forward_clock
         self._max_body_bytes = max_body_bytes
@@ -164,7 +164,7 @@
             raise errors.Unavailable(
                 f"{plain.service.name} has no target", retry_after_s=_RETRY_AFTER_S
             )
-        claimed = self._register.claim(
+        claimed = self._gate.claim(
             plain.call.organisation, key, plain.digest(), self._clock.wall_ms()
         )
         if isinstance(claimed, result.Err):
@@ -215,7 +215,7 @@
             if denied is None:
                 metrics.RETRIES.labels("plain_call").inc()
                 continue
-            self._register.release(claim)
+            self._keeper.release(claim)
             raise self._make_error(plain, failure, denied)
 
     def _send(
