Count each copy of a pushed update

Cause: a push to 8 members counted as one transmission, so that the introductions of 200 members that start at once were sent 41 KB/s for more than a minute.

--- a/src/endivevane/coordination/gossip.py
+++ b/src/endivevane/coordination/gossip.py
@@ -45,11 +45,14 @@
         if len(self) > self._max_entries:
             (self._sent or self._fresh).popitem(last=False)
 
-    def take(self, count: int, cluster_size: int) -> tuple[members.Update, ...]:
+    def take(
+        self, count: int, cluster_size: int, copies: int = 1
+    ) -> tuple[members.Update, ...]:
         """Return the next updates and count them as sent.
 
         :param count: how many at most
         :param cluster_size: number of members, for the bound on transmissions
+        :param copies: to how many members they are sent
         """
         if not self._fresh and not self._sent:
             return ()
@@ -58,7 +61,7 @@
         for _ in range(min(count, len(self))):
             name, entry = (self._fresh or self._sent).popitem(last=False)
             taken.append(entry.update)
-            entry.sent += 1
+            entry.sent += copies
             if entry.sent < limit:
                 self._sent[name] = entry
         return tuple(taken)
--- a/src/endivevane/coordination/membership.py
+++ b/src/endivevane/coordination/membership.py
@@ -354,9 +354,8 @@
         self._push_at_s = now_s + self._settings.push_interval_s
         self._repair_at_s = now_s + _REPAIR_PUSHES * self._settings.push_interval_s
         self._has_news = False
-        updates = self._view.queue.take(
-            self._settings.max_pushed_updates, len(self.table)
-        )
+        count = self._settings.max_pushed_updates
+        updates = queue.take(count, len(self.table), copies=len(names))
         for name in names:
             self._send(name, exchange.Gossip(self._make_header(name, updates)))
 
