Retain the open jobs that a daemon can run

Cause: a look shows two pages of open jobs. With thousands of them, a dead daemon's chunks in a job off these pages would have been found only when a page came to it. Change: a daemon keeps up to 100 jobs of its own models in mind, and begins its pages at a random place, so that the daemons of one model find each other's chunks at once. Conclusion: takeover does not depend on the place of a job among the open ones.

--- a/features/batch_decisions.feature
+++ b/features/batch_decisions.feature
@@ -85,3 +85,11 @@
     When the runner is drained after some items have ended
     Then the chunk is released with the finished part
     And another runner completes the job without running finished items again
+
+  Scenario: A daemon keeps jobs in mind that are not on the pages that it reads
+    # Guards against chunks of a dead daemon that nobody finds, since a look shows only a
+    # part of the open jobs.
+    Given a runner that serves one of two models and 400 open jobs
+    When it has looked at the open jobs as often as there are pages
+    Then all 20 open jobs of its model are candidates
+    And a job that has ended is no candidate after the next looks
--- a/features/steps/batch_decisions_steps.py
+++ b/features/steps/batch_decisions_steps.py
@@ -9,12 +9,14 @@
     chunks,
     items,
     jobs,
+    looking,
     picking,
     ports,
     records,
     runner,
     segments,
     slack,
+    work_source,
 )
 from endivevane.configuration import snapshot
 from endivevane.coordination import clock, store
@@ -383,3 +385,108 @@
     _await(is_done, 20, "the job does not end")
     finished = [run["attempt_id"].split("-")[2] for run in world.runs("finished")]
     assert len(finished) == len(set(finished)) == 60, len(finished)
+
+
+class _OneModelSender:
+    """Serves one model only."""
+
+    def find_service(self, job):
+        return "own" if job.model == "own" else "other"
+
+    def has_targets(self, service):
+        return service == "own"
+
+    def estimate_items_per_s(self, _item_s):
+        return 100.0
+
+
+@given("a runner that serves one of two models and {count:d} open jobs")
+def step_two_models(context, count):
+    context.store = testing.MemoryTableStore()
+    context.clock = clock.ManualClock(wall_ms=1_000_000)
+    for index in range(count):
+        # Every 20th job is for the own model, from the middle of the list on.
+        is_own = index >= 5 and index % 20 == 5
+        job = records.Job(
+            f"job{index}",
+            "org",
+            "f",
+            items.ENDPOINT,
+            "1h",
+            None,
+            1,
+            2_000_000 + index,
+            100,
+            1,
+            "u",
+            "own" if is_own else "x",
+            0,
+        )
+        row = records.make_open_row(job)
+        context.store.transact(
+            "setup",
+            [],
+            [
+                store.Write("jobs", job.job_id, records.encode(job)),
+                store.Write("open", records.make_open_key(row), records.encode(row)),
+            ],
+        )
+    hub = batch_local.Hub(batch_local.make_snapshot([("127.0.0.1:1", 8)]))
+    context.inbox = []
+    context.looker = looking.Looker(
+        settings.BatchSection(),
+        context.store,
+        batch_local.MemoryObjects(),
+        batch_local.LocalCluster(hub, "d1"),
+        context.clock,
+        context.inbox.append,
+    )
+    context.cleanups.append(context.looker.stop)
+
+
+def _look_once(context):
+    context.clock.advance(20.0)
+    context.looker.list_open((), True, context.clock.monotonic_s())
+    _await(lambda: context.inbox, 5, "no listing")
+    listed = context.inbox.pop().outcome.ok_value
+    context.looker.note_listing_ended()
+    for job_id in listed.ended:
+        context.looker.forget(job_id)
+    context.looker.note_open(listed, _OneModelSender())
+
+
+def _list_own(context):
+    candidates = context.looker._order.all
+    return sorted(item.job.job_id for item in candidates if item.job.model == "own")
+
+
+@when("it has looked at the open jobs as often as there are pages")
+def step_look_often(context):
+    for _ in range(-(-400 // work_source.PAGE) + 1):
+        _look_once(context)
+
+
+@then("all {count:d} open jobs of its model are candidates")
+def step_check_candidates(context, count):
+    own = _list_own(context)
+    assert len(own) == count, own
+
+
+@then("a job that has ended is no candidate after the next looks")
+def step_check_ended(context):
+    job_id = "job205"
+    row = context.store.rows("jobs")[job_id]
+    ended = {**row.value, "state": "completed"}
+    key = next(
+        key
+        for key, item in context.store.rows("open").items()
+        if item.value["job_id"] == job_id
+    )
+    context.store.transact(
+        "end", [], [store.Write("jobs", job_id, ended), store.Write("open", key, None)]
+    )
+    owner = chunks.Owner("d1", 1)
+    outcome = context.looker._source.claim_from(job_id, owner, set())
+    assert outcome.ok_value is None
+    _look_once(context)
+    assert job_id not in _list_own(context)
--- a/src/endivevane/batch/looking.py
+++ b/src/endivevane/batch/looking.py
@@ -31,6 +31,7 @@
 _BUSY_PAGE_S = 10.0
 # Rendezvous ranks over all daemons are computed for so many jobs per look.
 _JOBS_RANKED = 16
+_JOBS_RETAINED = 100
 # Jobs without a free chunk are looked at again after this time; the death of a daemon
 # ends it.
 _SKIP_S = 2.0
@@ -78,6 +79,7 @@
         self.is_looking = False
         self._look_at_s = 0.0
         self._look_count = 0
+        self._retained: dict[str, records.OpenJob] = {}
         self._paged_at_s = -_BUSY_PAGE_S
         self._load_at_s = 0.0
         self._skipped: dict[str, float] = {}
@@ -128,8 +130,8 @@
         now_ms = self._clock.wall_ms()
         weights = self._get_weights()
         candidates = [
-            picking.Candidate(job, listed.items_left[job.job_id])
-            for job in listed.jobs
+            picking.Candidate(job, listed.items_left.get(job.job_id, job.item_count))
+            for job in self._retain(listed.jobs, sender)
             if job.job_id not in self._ended
         ]
         rate = sender.estimate_items_per_s(_ITEM_S)
@@ -146,6 +148,25 @@
         daemon = self._cluster.session().daemon
         self._risks.report(self._order, rate, now_ms, daemon, names)
 
+    def _retain(
+        self, listed: Sequence[records.OpenJob], sender: sending.ItemSender
+    ) -> list[records.OpenJob]:
+        """Return the listed jobs and those seen before that this daemon can run.
+
+        The pages of one look show a part of the open jobs only. Retained jobs let the
+        daemons that serve a model take over each other's chunks within seconds.
+        """
+        for job in listed:
+            service = sender.find_service(job)
+            if service is not None and sender.has_targets(service):
+                self._retained[job.job_id] = job
+        kept = sorted(
+            (job for job in self._retained.values() if job.job_id not in self._ended),
+            key=lambda job: job.deadline_ms,
+        )[:_JOBS_RETAINED]
+        self._retained = {job.job_id: job for job in kept}
+        return list({job.job_id: job for job in [*listed, *kept]}.values())
+
     def look(
         self,
         held: Mapping[tuple[str, int], work.HeldChunk],
--- a/src/endivevane/batch/work_source.py
+++ b/src/endivevane/batch/work_source.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import random
 from collections.abc import Collection, Sequence
 
 import result
@@ -15,6 +16,7 @@
 # At 300 bytes a row, two pages are 24 KB; a busy daemon reads them every 10 s.
 PAGE = 40
 _MAX_KNOWN = 200
+_CURSOR_SPAN_MS = 86_400_000
 _CLAIM_TRIES = 3
 
 
@@ -75,7 +77,10 @@
         self._is_gone = is_gone
         self._clock = source_clock
         self._known: dict[str, _KnownJob] = {}
-        self._cursor = ""
+        self._found_ended: set[str] = set()
+        # Daemons begin at different places, so that together they see all jobs soon.
+        start_ms = source_clock.wall_ms() + random.randrange(_CURSOR_SPAN_MS)
+        self._cursor = f"{start_ms:015d}"
 
     def list_open(
         self, active: Collection[str], needs_page: bool
@@ -96,7 +101,7 @@
                 return pages
             rows = pages.ok_value
         found = [records.decode(records.OpenJob, row.value) for row in rows]
-        ended: set[str] = set()
+        ended, self._found_ended = self._found_ended, set()
         for job_id in set(active) - {job.job_id for job in found}:
             row = self._store.read(records.JOBS, job_id)
             if isinstance(row, result.Err):
@@ -245,6 +250,7 @@
             if isinstance(row, result.Err):
                 return row
             if row.ok_value is None or not _is_open(row.ok_value):
+                self._found_ended.add(job_id)
                 return result.Ok(None)
             known = _KnownJob(records.decode_job(row.ok_value), {})
             self._known[job_id] = known
