--- a/bench/routing_model.py
+++ b/bench/routing_model.py
@@ -89,6 +89,7 @@
         self._reported = dict.fromkeys(self._engines, 0)
         self._agenda: list[tuple[float, int, Any]] = []
         self._order = itertools.count()
+        self._jobs: dict[str, Any] = {}
         self._waits: list[float] = []
         self._blocks = self._hits = 0
         self._spreads: list[float] = []
@@ -129,7 +130,6 @@
             return
         daemon = self._schedulers[number % _DAEMONS]
         request = self._requests.make(shared + own, deadline_s=600.0)
-        self._jobs = getattr(self, "_jobs", {})
         self._jobs[request.request_id] = job
         self._act(daemon, daemon.submit(request))
 
--- /dev/null
+++ b/features/steps/decisions_quarantine_steps.py
@@ -0,0 +1,133 @@
+from behave import given, then, when
+
+from endivevane.coordination import clock
+from endivevane.online import contract, quarantine
+from features.support import bench_steps, scheduling
+
+
+@when('a request with fingerprint "{fingerprint}" kills each target that runs it')
+def step_poison(context, fingerprint):
+    context.killed = []
+    decision = context.bench.submit(fingerprint=fingerprint)
+    while isinstance(decision, contract.Send):
+        context.killed.append(decision.attempt.target.name)
+        context.bench.clock.advance(3.0)
+        decision = bench_steps.kill_target_of(context.bench, decision.attempt)
+    context.decision = decision
+
+
+@then(
+    "it has killed {count:d} targets and is refused with status {status:d} and "
+    '"{state}"'
+)
+def step_check_killed(context, count, status, state):
+    assert len(set(context.killed)) == len(context.killed) == count, context.killed
+    bench_steps.check_refusal(context.decision, status, state)
+
+
+@then(
+    'a resent request with fingerprint "{fingerprint}" is refused with status '
+    '{status:d} and "{state}"'
+)
+def step_check_resent(context, fingerprint, status, state):
+    refusal = context.bench.submit(fingerprint=fingerprint)
+    bench_steps.check_refusal(refusal, status, state)
+    context.fingerprint = fingerprint
+
+
+@then("another daemon that receives the entry refuses it too")
+def step_check_published(context):
+    entries = context.bench.scheduler.take_quarantined()
+    other = scheduling.Bench(context.bench.snapshot)
+    other.clock.advance(context.bench.clock.monotonic_s() - 1000.0)
+    for fingerprint, until_wall_ms in entries:
+        other.scheduler.set_quarantine(fingerprint, until_wall_ms)
+    refusal = other.submit(fingerprint=context.fingerprint)
+    bench_steps.check_refusal(refusal, 422, "not-run")
+
+
+@then("it is accepted again after {seconds:d} seconds")
+def step_check_expired(context, seconds):
+    context.bench.clock.advance(seconds)
+    decision = context.bench.submit(fingerprint=context.fingerprint)
+    assert isinstance(decision, contract.Send), decision
+
+
+@when("{count:d} innocent requests run beside a poison at the same target")
+def step_passengers(context, count):
+    bench = context.bench
+    prefix = tuple(range(10))
+    first = bench.submit(fingerprint="poison", prefix_hashes=prefix)
+    context.poison = first.attempt
+    context.innocent = [
+        bench.submit(fingerprint=f"innocent-{number}", prefix_hashes=prefix).attempt
+        for number in range(count)
+    ]
+    names = {item.target.name for item in context.innocent}
+    assert names == {context.poison.target.name}, names
+
+
+@when("the poison kills each target that runs it")
+def step_poison_kills(context):
+    """Whatever runs at a target that dies is moved; the poison kills again."""
+    bench = context.bench
+    running = [context.poison, *context.innocent]
+    for _ in range(2):
+        dead = next(
+            item.target.name for item in running if item.request.fingerprint == "poison"
+        )
+        victims = [item for item in running if item.target.name == dead]
+        running = [item for item in running if item.target.name != dead]
+        for victim in victims:
+            decision = bench_steps.kill_target_of(bench, victim)
+            if isinstance(decision, contract.Send):
+                running.append(decision.attempt)
+            else:
+                assert victim.request.fingerprint == "poison", decision.error
+        bench.clock.advance(3.0)
+
+
+@then("only the poison is quarantined")
+def step_check_only_poison(context):
+    for attempt in context.innocent:
+        decision = context.bench.submit(fingerprint=attempt.request.fingerprint)
+        assert not isinstance(decision, contract.Refuse), decision.error
+    refusal = context.bench.submit(fingerprint="poison")
+    bench_steps.check_refusal(refusal, 422, "not-run")
+
+
+@given("two quarantines that exchange their entries")
+def step_two_quarantines(context):
+    context.clock = clock.ManualClock(1000.0, scheduling.WALL_MS)
+    context.pair = [
+        quarantine.Quarantine(quarantine.QuarantineSettings(), context.clock)
+        for _ in range(2)
+    ]
+
+
+def _exchange(context):
+    entries = [entry for item in context.pair for entry in item.take_unpublished()]
+    for receiver in context.pair:
+        for entry in entries * 3:
+            receiver.receive(*entry)
+
+
+@when("a fingerprint kills one target in the sight of each")
+def step_two_deaths(context):
+    for index, item in enumerate(context.pair):
+        item.record_death("shared", f"t{index}")
+        context.clock.advance(3.0)
+    _exchange(context)
+
+
+@then("both quarantine it")
+def step_check_both(context):
+    assert all(item.remaining_s("shared") > 0 for item in context.pair)
+
+
+@then("echoes of a single death quarantine nothing")
+def step_check_echo(context):
+    context.pair[0].record_death("single", "t1")
+    _exchange(context)
+    assert all(item.remaining_s("single") == 0 for item in context.pair)
+    assert all(item.is_suspect("single") for item in context.pair)
--- a/src/endivevane/online/forward.py
+++ b/src/endivevane/online/forward.py
@@ -12,7 +12,7 @@
 from endivevane import exceptions, logs, metrics, types, utils
 from endivevane.configuration import models, snapshot
 from endivevane.coordination import clock, register, store
-from endivevane.online import at_most_once, plain_targets, proxy_headers
+from endivevane.online import at_most_once, contract, plain_targets, proxy_headers
 from endivevane.platform import http_pool
 from endivevane.web import app, errors
 
@@ -38,6 +38,15 @@
         self.answer = answer
         self.detail = detail
 
+    @property
+    def reason(self) -> contract.AttemptFailure:
+        """Reason label of the retry counters."""
+        if self.answer is not None:
+            return contract.AttemptFailure.REFUSED_NOT_RUN
+        if self.is_not_run:
+            return contract.AttemptFailure.CONNECT_FAILED
+        return contract.AttemptFailure.BROKEN
+
     def format_message(self) -> str:
         """Return what happened."""
         return self.detail
@@ -151,7 +160,7 @@
             failure = outcome.err_value
             denied = self._deny_retry(plain)
             if denied is None:
-                metrics.RETRIES.labels("plain_call").inc()
+                metrics.RETRIES.labels(failure.reason.value).inc()
                 continue
             if failure.answer is not None:
                 return _correct_run_state(failure.answer, plain.may_have_run)
@@ -213,7 +222,7 @@
                 raise self._make_error(plain, failure, "it must not be sent twice")
             denied = self._deny_retry(plain)
             if denied is None:
-                metrics.RETRIES.labels("plain_call").inc()
+                metrics.RETRIES.labels(failure.reason.value).inc()
                 continue
             self._keeper.release(claim)
             raise self._make_error(plain, failure, denied)
