--- a/src/endivevane/online/contract.py
+++ b/src/endivevane/online/contract.py
@@ -111,5 +111,16 @@
     slots: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UseNotice:
+    """Tell the batch sender of a target how many online requests run there.
+
+    :param in_flight: requests of this daemon in flight at the target
+    """
+
+    target: snapshot.Target
+    in_flight: int
+
+
 SubmitDecision = Send | Queued | Refuse
 RetryDecision = Send | Resume | Refuse
