Decode batch items when they are sent

Cause: a claimed chunk held its items decoded; eight chunks of 4 MiB with structured messages would have taken more than the 128 MB of a daemon. Change: an item keeps its line and is decoded in the thread that sends it.

--- a/src/endivevane/batch/attempts.py
+++ b/src/endivevane/batch/attempts.py
@@ -81,7 +81,7 @@
     """
     if attempt.withdrawn.is_set():
         return Outcome(Kind.WITHDRAWN)
-    body = utils.encode_json({**attempt.item.body, "stream": False})
+    body = utils.encode_json({**attempt.item.decode_body(), "stream": False})
     headers = {**_CLASS_HEADERS, "X-Request-Id": attempt.attempt_id}
     outcome = pool.request(
         "POST", items.ENDPOINT, body, headers, timeout_s, is_repeatable=False
--- a/src/endivevane/batch/items.py
+++ b/src/endivevane/batch/items.py
@@ -27,20 +27,24 @@
 class Item:
     """One line of an input file.
 
+    The line is kept as it is and decoded when it is sent: decoded, the items of the
+    claimed chunks would take several times the memory.
+
     :param index: position among the items of its segment
+    :param model: name of the model, empty when the line is invalid
     :param problem: set when the line is invalid; such an item is never sent
     """
 
     index: int
     custom_id: str | None
-    body: dict[str, Any]
+    line: bytes
+    model: str = ""
     problem: Problem | None = None
 
-    @property
-    def model(self) -> str:
-        """Name of the model, empty when the item names none."""
-        value = self.body.get("model")
-        return value if isinstance(value, str) else ""
+    def decode_body(self) -> dict[str, Any]:
+        """Return the body of the call; only for a valid item."""
+        body: dict[str, Any] = utils.decode_json(self.line)["body"]
+        return body
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,21 +63,23 @@
     try:
         value = utils.decode_json(line)
     except ValueError as error:
-        return Item(index, None, {}, Problem("invalid_json", str(error)))
+        problem = Problem("invalid_json", str(error))
+        return Item(index, None, line, problem=problem)
     if not isinstance(value, dict):
         problem = Problem("invalid_item", "the line must be a JSON object")
-        return Item(index, None, {}, problem)
+        return Item(index, None, line, problem=problem)
     custom_id = value.get("custom_id")
     if not isinstance(custom_id, str) or not custom_id:
         problem = Problem("invalid_custom_id", "custom_id must be a string")
-        return Item(index, None, {}, problem)
+        return Item(index, None, line, problem=problem)
     if len(custom_id) > _MAX_CUSTOM_ID_CHARACTERS:
         text = f"custom_id is longer than {_MAX_CUSTOM_ID_CHARACTERS} characters"
-        return Item(index, None, {}, Problem("invalid_custom_id", text))
+        problem = Problem("invalid_custom_id", text)
+        return Item(index, None, line, problem=problem)
     found = _find_problem(value)
     if found is not None:
-        return Item(index, custom_id, {}, found)
-    return Item(index, custom_id, value["body"])
+        return Item(index, custom_id, line, problem=found)
+    return Item(index, custom_id, line, model=value["body"]["model"])
 
 
 def _find_problem(value: dict[str, Any]) -> Problem | None:
