Try other targets when a model or adapter is not loaded

Cause: an engine's 404 went to the caller as final, although another engine may have the model or the adapter loaded; an engine's own words on the run state of a refusal were lost, and a refusal without JSON reached the caller as it was. Change: 404 counts as not run and is sent elsewhere; other refusals of the request keep the engine's run state and always have the JSON error shape. Scenarios also check how an unstreamed answer is composed of pieces, and the list of models.

--- a/features/steps/streams_steps.py
+++ b/features/steps/streams_steps.py
@@ -118,12 +118,7 @@
     way, _, times = way.partition(" ")
     context.expected = online_machine.expected_text(prompt, tokens)
     context.texts = []
-    client = openai.OpenAI(
-        base_url=f"http://{online_calls.get_front(context).address}/v1",
-        api_key=online_machine.KEY,
-        max_retries=0,
-    )
-    context.cleanups.append(client.close)
+    client = _make_client(context)
     for _ in range(int(times.split(" ")[0]) if times else 1):
         context.texts.append(_ask_officially(client, prompt, tokens, way))
 
@@ -146,9 +141,29 @@
     return whole.choices[0].message.content
 
 
-@when('"{prompt}" is asked of model "{model}" for {tokens:d} tokens')
-def step_ask_model(context, prompt, model, tokens):
-    context.answer = online_calls.call(context, prompt, tokens, model=model)
+@given(
+    '{count:d} engines, of which the second has the adapter "{adapter}", '
+    "behind the front end"
+)
+def step_start_adapter(context, count, adapter):
+    online_calls.start_engines(context, count, 5)
+    order = {"action": "load_adapter", "adapter": adapter, "model": online_calls.MODEL}
+    engine = context.engines[1]
+    engine_caller.post(engine.address, "/v1/orders", {"fencing_number": 1, **order})
+    engine_caller.wait_until(
+        lambda: adapter in str(engine_caller.get(engine.address, "/v1/state")[2]),
+        5.0,
+        "the adapter is not loaded",
+    )
+
+
+@when('"{prompt}" is asked of model "{model}" for {tokens:d} tokens {times:d} times')
+def step_ask_model(context, prompt, model, tokens, times):
+    context.answers = [
+        online_calls.call(context, f"{prompt} {number}", tokens, model=model)
+        for number in range(times)
+    ]
+    context.answer = context.answers[-1]
 
 
 @when('a caller streams "{prompt}" for {tokens:d} tokens with temperature 0')
@@ -313,3 +328,25 @@
             raise RuntimeError("a fault on purpose")
 
     logs.add_observer(fail_sometimes)
+
+
+def _make_client(context, key=online_machine.KEY):
+    client = openai.OpenAI(
+        base_url=f"http://{online_calls.get_front(context).address}/v1",
+        api_key=key,
+        max_retries=0,
+    )
+    context.cleanups.append(client.close)
+    return client
+
+
+@when("the official client asks the scripted engine unstreamed")
+def step_official_scripted(context):
+    context.completion = _make_client(context).chat.completions.create(
+        model=online_calls.MODEL, messages=engine_caller.make_messages("pieces")
+    )
+
+
+@when('the owner of the key "{key}" lists the models')
+def step_list_models(context, key):
+    context.models = [model.id for model in _make_client(context, key).models.list()]
--- a/features/streams.feature
+++ b/features/streams.feature
@@ -11,11 +11,18 @@
       | streamed |
       | whole    |
 
-  Scenario: An adapter is named to the engine as the caller names it
-    Given 1 engine that makes a token every 5 ms, behind the front end
-    When "adapters" is asked of model "small-lm:tuned" for 5 tokens
-    Then the answer has status 404 and code "model_not_found"
-    And the engine's refusal says that the adapter is not loaded
+  # Guards against refusals while only some engines have loaded an adapter.
+  Scenario: A request for an adapter is run where the adapter is loaded
+    Given 2 engines, of which the second has the adapter "small-lm:tuned", behind the front end
+    When "adapters" is asked of model "small-lm:tuned" for 5 tokens 4 times
+    Then each answer is whole
+    And the second engine has run "small-lm:tuned" 4 times
+
+  Scenario: A request for an adapter that is loaded nowhere may be sent again later
+    Given 2 engines that make a token every 5 ms, behind the front end
+    When "adapters" is asked of model "small-lm:tuned" for 5 tokens 1 times
+    Then the answer has status 503 and says "not-run"
+    And the answer has Retry-After
 
   # Guards against lost or repeated tokens when a connection breaks.
   Scenario Outline: A connection that breaks in the middle is resumed
@@ -149,12 +156,19 @@
     And the answer has Retry-After
     And the answer came within 2 s
 
-  Scenario: What the engine says of a wrong request reaches the caller
-    Given a scripted engine with the answer "status 400"
+  Scenario Outline: What the engine says of a wrong request reaches the caller
+    Given a scripted engine with the answer "<answer>"
     When a caller asks "too long" unstreamed
-    Then the answer has status 400 and says "not-run"
+    Then the answer has status 400 and says "<state>"
+    And the answer has an error that mentions "<text>"
     And the scripted engine got 1 request
 
+    Examples:
+      | answer                   | state        | text             |
+      | status 400               | not-run      | context too long |
+      | status 400 after a run   | may-have-run | context too long |
+      | status 400 without JSON  | not-run      | status 400       |
+
   Scenario Outline: The deadline ends a request
     Given 1 engine that makes a token every 20 ms, behind the front end
     When a caller asks "late" for 400 tokens <way> with 600 ms to go
@@ -221,3 +235,35 @@
       | tokens | limit | outcome   |
       | 20     | 5000  | completed |
       | 400    | 500   | deadline  |
+
+  # Guards against pieces of an unstreamed answer that are lost or mixed up.
+  Scenario: An unstreamed answer is composed of all its pieces
+    Given a scripted engine with the answer "many kinds of pieces"
+    When the official client asks the scripted engine unstreamed
+    Then the answer has these parts
+      | part                                         | value            |
+      | choices.0.message.content                    | red green        |
+      | choices.0.message.role                       | assistant        |
+      | choices.0.finish_reason                      | stop             |
+      | choices.0.logprobs.content.0.token           | red              |
+      | choices.0.logprobs.content.1.token           | green            |
+      | choices.1.message.content                    | None             |
+      | choices.1.finish_reason                      | tool_calls       |
+      | choices.1.message.tool_calls.0.id            | call-1           |
+      | choices.1.message.tool_calls.0.function.name | sort             |
+      | choices.1.message.tool_calls.0.function.arguments | {"lane": 4} |
+      | choices.1.message.tool_calls.1.id            | call-2           |
+      | choices.1.message.tool_calls.1.function.arguments | {}          |
+      | usage.completion_tokens                      | 7                |
+      | model                                        | small-lm         |
+      | object                                       | chat.completion  |
+
+  Scenario Outline: Each organisation sees the models that it may use
+    Given 1 engine that makes a token every 5 ms, behind the front end
+    When the owner of the key "<key>" lists the models
+    Then the models are "<models>"
+
+    Examples:
+      | key        | models                  |
+      | caller-key | small-lm small-lm:tuned |
+      | other-key  |                         |
--- a/features/support/scripts.py
+++ b/features/support/scripts.py
@@ -1,5 +1,7 @@
 """Answers of scripted engines by name, as lists for posts and for resumes."""
 
+import json
+
 from features.support import scripted_engine
 
 LARGE_EVENTS = 1200
@@ -39,6 +41,62 @@
     return b"\n".join(line for line in lines if not line.startswith(b"id:"))
 
 
+def _make_piece(offset, **fields):
+    body = {
+        "id": "chatcmpl-1",
+        "object": "chat.completion.chunk",
+        "created": 1,
+        "model": "small-lm",
+        **fields,
+    }
+    return scripted_engine.make_chunk(
+        f"id: {offset}\ndata: {json.dumps(body)}\n\n".encode()
+    )
+
+
+def _make_choice(index, delta, **fields):
+    return {"index": index, "delta": delta, "finish_reason": None, **fields}
+
+
+def _make_logprobs(token):
+    entry = {"token": token, "logprob": -0.1, "bytes": None, "top_logprobs": []}
+    return {"content": [entry], "refusal": None}
+
+
+def _make_call(index, arguments, **fields):
+    function = {"arguments": arguments}
+    if "name" in fields:
+        function["name"] = fields.pop("name")
+    return {"tool_calls": [{"index": index, "function": function, **fields}]}
+
+
+def _make_pieces():
+    """Return chunks of two choices, one with text and one with two tool calls."""
+    first = {"role": "assistant", "content": "red "}
+    choices = [
+        [_make_choice(0, first, logprobs=_make_logprobs("red"))],
+        [_make_choice(1, {"role": "assistant", "content": None})],
+        [
+            _make_choice(
+                1, _make_call(0, '{"la', id="call-1", type="function", name="sort")
+            ),
+            _make_choice(0, {"content": "green"}, logprobs=_make_logprobs("green")),
+        ],
+        [_make_choice(1, _make_call(0, 'ne": 4}'))],
+        [
+            _make_choice(
+                1, _make_call(1, "{}", id="call-2", type="function", name="stop")
+            )
+        ],
+        [_make_choice(0, {}, finish_reason="stop")],
+        [_make_choice(1, {}, finish_reason="tool_calls")],
+    ]
+    parts = [_make_piece(n, choices=item) for n, item in enumerate(choices)]
+    usage = {"prompt_tokens": 3, "completion_tokens": 7, "total_tokens": 10}
+    parts.append(_make_piece(len(choices), choices=[], usage=usage))
+    return ([[HEAD, *parts, DONE, LAST]],)
+
+
 _ERROR = b'data: {"error":{"message":"out of memory"}}\n\n'
 _COMMENT = scripted_engine.make_chunk(b": still here\n\n")
 _chunk = scripted_engine.make_chunk
@@ -79,5 +137,17 @@
             400, "Bad Request", b'{"error":{"message":"context too long"}}'
         )
     ),
+    "status 400 after a run": _answer(
+        scripted_engine.make_status(
+            400,
+            "Bad Request",
+            b'{"error":{"message":"context too long"}}',
+            b"X-Run-State: ran\r\n",
+        )
+    ),
+    "status 400 without JSON": _answer(
+        scripted_engine.make_status(400, "Bad Request", b"<html>no</html>")
+    ),
     "12 MB at once": _make_large,
+    "many kinds of pieces": _make_pieces,
 }
--- a/src/endivevane/online/reader.py
+++ b/src/endivevane/online/reader.py
@@ -12,8 +12,9 @@
 
 import waitress.receiver
 
-from endivevane import exceptions
+from endivevane import exceptions, types, utils
 from endivevane.online import sse
+from endivevane.web import errors
 
 _MAX_HEAD_BYTES = 32 << 10
 _MAX_BODY_BYTES = 64 << 10
@@ -40,10 +41,17 @@
         kind = self.headers.get("content-type", "").partition(";")[0].strip()
         return self.status == 200 and kind.lower() == "text/event-stream"
 
+    @property
+    def says_run(self) -> bool:
+        """Whether the engine states that it has run the request, or may have."""
+        states = (types.RunState.MAY_HAVE_RUN.value, types.RunState.RAN.value)
+        return self.headers.get("x-run-state", "").lower() in states
+
     @property
     def says_not_run(self) -> bool:
         """Whether the engine states that it has not run the request."""
-        return self.headers.get("x-run-state", "").lower() == "not-run"
+        state = self.headers.get("x-run-state", "").lower()
+        return state == types.RunState.NOT_RUN.value
 
 
 class _Parts:
@@ -62,6 +70,17 @@
         return parts[0] if len(parts) == 1 else b"".join(parts)
 
 
+def describe_refusal(reply: Reply, body: bytes) -> bytes:
+    """Return the JSON error of a refusal; one of our own if the engine sent none."""
+    try:
+        if "error" in utils.decode_json(body):
+            return body
+    except (ValueError, TypeError):
+        pass
+    message = f"the engine refused the request with status {reply.status}"
+    return errors.InvalidRequest(message).encode_body()
+
+
 class ResponseReader:
     """Decodes head, transfer encoding and events of one response.
 
--- a/src/endivevane/online/stream.py
+++ b/src/endivevane/online/stream.py
@@ -23,7 +23,10 @@
 )
 from endivevane.web import errors
 
-_FINAL_STATUSES = frozenset((400, 404, 405, 413, 415, 422))
+# The engine says that the request itself is wrong.
+_FINAL_STATUSES = frozenset((400, 413, 415, 422))
+# The engine has not loaded the model or the adapter, which another one may have.
+_NOT_LOADED_STATUS = 404
 _tickets = itertools.count(1)
 
 
@@ -230,22 +233,23 @@
             failure = contract.AttemptFailure.TARGET_ERROR
             self._fail_attempt(failure, f"resume answered with {detail}")
             return
-        if reply.says_not_run:
+        is_not_run = reply.says_not_run or reply.status == _NOT_LOADED_STATUS
+        if is_not_run:
             self._may_run = False
         is_unwritten = self.delivery.caller_offset < 0
         if reply.status in _FINAL_STATUSES and is_unwritten:
-            # The engine says that the request itself is wrong.
-            self._may_run = False
+            self._may_run = reply.says_run
             state = types.RunState.NOT_RUN
-            if self._may_have_run:
+            if self.may_have_run:
                 state = types.RunState.MAY_HAVE_RUN
             self._close_engine()
             headers = {"X-Run-State": state.value}
-            self.delivery.write_whole(reply.status, body, headers, self._host.now_s)
+            error = reader.describe_refusal(reply, body)
+            self.delivery.write_whole(reply.status, error, headers, self._host.now_s)
             self._end(stream_states.Outcome.REJECTED, detail)
             return
         failure = contract.AttemptFailure.TARGET_ERROR
-        if reply.says_not_run:
+        if is_not_run:
             failure = contract.AttemptFailure.REFUSED_NOT_RUN
         self._fail_attempt(failure, detail)
 
