Tell batch senders each change of online use at targets that fill up

Cause: batch filled targets from load reports that are a second old, and each request for slots was held for 2 s; harm and idle capacity both were large. Processes take the source of their own tree now.

--- a/src/endivevane/daemon/batch_port.py
+++ b/src/endivevane/daemon/batch_port.py
@@ -96,9 +96,15 @@
         """Call a function with sender and body of each message of a kind."""
         self._handlers[kind] = handler
 
+    def deliver(self, sender: str, kind: str, body: dict[str, Any]) -> None:
+        """Hand a message to the handler of its kind, if there is one."""
+        handler = self._handlers.get(kind)
+        if handler is not None:
+            handler(sender, body)
+
     def _receive(self, event: events.Event) -> None:
-        if isinstance(event, events.PeerMessage) and event.kind in self._handlers:
-            self._handlers[event.kind](event.sender, event.body)
+        if isinstance(event, events.PeerMessage):
+            self.deliver(event.sender, event.kind, event.body)
 
     def _scan(self) -> None:
         """Read all sessions unless they were read a short time ago."""
--- a/src/endivevane/daemon/wiring.py
+++ b/src/endivevane/daemon/wiring.py
@@ -8,13 +8,14 @@
 
 from endivevane import logs, metrics, types, utils
 from endivevane.batch import api as batch_api
-from endivevane.batch import ports, runner, slack
+from endivevane.batch import ports, runner
 from endivevane.cluster import events, tasks
 from endivevane.configuration import snapshot
 from endivevane.coordination import clock, register
 from endivevane.daemon import (
     admin,
     batch_port,
+    batch_senders,
     health,
     history,
     load_board,
@@ -141,6 +142,7 @@
             self._settings, self._clock, self._table, self._vms
         )
         self._port = batch_port.ClusterPort(self.cluster, self._table, self._clock)
+        self._senders = batch_senders.BatchSenders(self._port.live_members)
         self._history = history.RequestHistory(self._clock)
         logs.add_observer(self._history.observe)
 
@@ -236,6 +238,8 @@
             case events.ConfigurationChanged():
                 metrics.CONFIG_REVISION.set(event.snapshot.revision)
                 self.relay.post(messages.SnapshotChanged(event.snapshot))
+            case events.MembersChanged():
+                self._senders.forget()
             case events.VmsChanged():
                 self._set_leaving(event.leaving)
             case events.PeerMessage(kind="quarantine"):
@@ -251,35 +255,43 @@
         self._loads.set_leaving(names)
 
     def _publish(
-        self, message: contract.YieldRequest | messages.QuarantineChanged
+        self,
+        message: (
+            contract.UseNotice | contract.YieldRequest | messages.QuarantineChanged
+        ),
     ) -> None:
         """Tell the daemons concerned what the relay found out."""
         if isinstance(message, messages.QuarantineChanged):
-            body = {
+            entry = {
                 "fingerprint": message.fingerprint,
                 "until_ms": message.until_wall_ms,
             }
-            self.cluster.broadcast("quarantine", body)
+            self.cluster.broadcast("quarantine", entry)
             return
-        sender = slack.choose_sender(message.target, self._port.live_members())
+        sender = self._senders.find(message.target)
         if sender is None:
             return
-        body = {"target": message.target.name, "slots": message.slots}
+        body: dict[str, object] = {"target": message.target.name}
+        if isinstance(message, contract.UseNotice):
+            kind = ports.ONLINE_USE
+            body["in_flight"] = message.in_flight
+        else:
+            kind = ports.YIELD_SLOTS
+            body["slots"] = message.slots
         if sender == self._settings.daemon.name:
-            self._runner.receive_yield(sender, body)
+            self._port.deliver(sender, kind, body)
             return
-        self.cluster.send(sender, ports.YIELD_SLOTS, body)
+        self.cluster.send(sender, kind, body)
 
     def _list_batch_targets(self) -> list[snapshot.Target]:
         """Return the engines that this daemon sends batch items to."""
-        live = self._port.live_members()
         name = self._settings.daemon.name
         return [
             target
             for service in self.cluster.snapshot.services.values()
             if not service.is_plain and service.model.batch.enabled
             for target in service.targets
-            if slack.choose_sender(target, live) == name
+            if self._senders.find(target) == name
         ]
 
     def _flush_outcomes(self) -> None:
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -62,7 +62,9 @@
 
     def start(self) -> None:
         """Start the process; the log is appended to."""
-        environment = {**os.environ, "PYTHONUNBUFFERED": "1", "PYTHONPATH": str(_ROOT)}
+        # The source of this tree goes before an installed copy of another tree.
+        path = os.pathsep.join((str(_ROOT / "src"), str(_ROOT)))
+        environment = {**os.environ, "PYTHONUNBUFFERED": "1", "PYTHONPATH": path}
         with self.log_path.open("ab") as log:
             self._log_start = log.tell()
             self._popen = subprocess.Popen(
