Tell routing and polls how many daemons share the targets

Cause: candidate subsets and the share of the link assumed 9 daemons. Change: the parts get the number of live daemons. Conclusion: subsets follow the deployment.

--- a/src/endivevane/daemon/wiring.py
+++ b/src/endivevane/daemon/wiring.py
@@ -152,10 +152,17 @@
         self.relay = relay.RelayTask(
             relay_settings.RelaySettings(max_streams=self._settings.limits.max_streams),
             self._clock,
-            scheduler.Scheduler(place, self._clock, random.Random()),
+            scheduler.Scheduler(
+                place,
+                self._clock,
+                random.Random(),
+                count_daemons=self._count_daemons,
+            ),
             self._publish,
         )
-        self._plain = plain_targets.PlainTargets(place, self._clock, random.Random())
+        self._plain = plain_targets.PlainTargets(
+            place, self._clock, random.Random(), count_daemons=self._count_daemons
+        )
         call_register = register.Register(
             self._table, lambda: utils.make_id("register")
         )
@@ -176,6 +183,7 @@
             self._get_snapshot,
             self._board.post,
             get_further_targets=self._list_batch_targets,
+            count_daemons=self._count_daemons,
         )
         self._flusher = threading.Thread(
             target=self._flush_outcomes, name="outcomes", daemon=True
@@ -248,6 +256,10 @@
                 )
                 self.relay.post(entry)
 
+    def _count_daemons(self) -> int:
+        """Return the live daemons, this one included."""
+        return max(1, len(self._port.live_members()))
+
     def _set_leaving(self, names: frozenset[str]) -> None:
         self._leaving = names
         self.relay.post(messages.TargetsLeaving(names))
