--- a/bench/bars.py
+++ b/bench/bars.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import argparse
 import dataclasses
+import json
+import pathlib
+from collections.abc import Callable
 from typing import Any
 
 
@@ -37,6 +41,23 @@
         return {**dataclasses.asdict(self), "holds": self.holds}
 
 
+def run_main(run: Callable[[], dict[str, Any]], description: str | None) -> int:
+    """Run a measurement as a program and return its exit status.
+
+    :param run: returns the figures with the key ``bars``
+    """
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument("--output", type=pathlib.Path, help="JSON file for the figures")
+    return finish(run(), parser.parse_args().output)
+
+
+def finish(figures: dict[str, Any], output: pathlib.Path | None) -> int:
+    """Write the figures and return 1 when a bar does not hold."""
+    if output is not None:
+        output.write_text(json.dumps(figures, indent=2) + "\n")
+    return 0 if all(bar["holds"] for bar in figures["bars"]) else 1
+
+
 def print_bars(bars: list[Bar]) -> bool:
     """Print all bars and return whether all hold."""
     for bar in bars:
--- a/bench/batch.py
+++ b/bench/batch.py
@@ -197,7 +197,7 @@
     parser.add_argument("parts", nargs="*", default=["large", "kill", "order"])
     parser.add_argument("--items", type=int, default=_ITEMS)
     parser.add_argument("--kill-items", type=int, default=8192)
-    parser.add_argument("--json", type=pathlib.Path, help="file for the figures")
+    parser.add_argument("--output", type=pathlib.Path, help="file for the figures")
     arguments = parser.parse_args()
     parts: dict[str, Callable[[], tuple[dict[str, Any], list[str]]]] = {
         "large": lambda: run_large(arguments.items),
@@ -210,8 +210,8 @@
         figures[name], found = parts[name]()
         problems += found
     print(json.dumps(figures, indent=2))
-    if arguments.json is not None:
-        arguments.json.write_text(json.dumps(figures, indent=2) + "\n")
+    if arguments.output is not None:
+        arguments.output.write_text(json.dumps(figures, indent=2) + "\n")
     for problem in problems:
         print(f"problem: {problem}")
     return 1 if problems else 0
--- a/bench/isolation.py
+++ b/bench/isolation.py
@@ -11,6 +11,8 @@
 import asyncio
 import dataclasses
 import json
+import pathlib
+import sys
 import threading
 import time
 from typing import Any
@@ -274,14 +276,16 @@
     }
 
 
-def main() -> None:
+def main() -> int:
     """Run the measurement alone."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--no-baseline", action="store_true")
     parser.add_argument("--reserve-slots", type=int)
+    parser.add_argument("--output", type=pathlib.Path)
     arguments = parser.parse_args()
-    run(not arguments.no_baseline, arguments.reserve_slots)
+    figures = run(not arguments.no_baseline, arguments.reserve_slots)
+    return bars.finish(figures, arguments.output)
 
 
 if __name__ == "__main__":
-    main()
+    sys.exit(main())
--- a/bench/retries.py
+++ b/bench/retries.py
@@ -76,7 +76,7 @@
 
 def main() -> int:
     """Run the measurement; the status tells whether all targets hold."""
-    return 0 if all(bar["holds"] for bar in run()["bars"]) else 1
+    return bars.run_main(run, __doc__)
 
 
 if __name__ == "__main__":
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -133,7 +133,7 @@
 
 def main() -> int:
     """Run the measurement; the status tells whether all targets hold."""
-    return 0 if all(bar["holds"] for bar in run()["bars"]) else 1
+    return bars.run_main(run, __doc__)
 
 
 if __name__ == "__main__":
