Leave out cancellations at engines that can't be reached

Cause: each cancellation at a lost VM held one of four threads for the connect timeout, so the streams of one lost VM delayed the cancellations of all others. Change: after one could not connect, cancellations at the same address are left out for 2 s; the engine drops streams without a connection by itself. Conclusion: a lost VM costs the other engines one connect timeout.

--- a/features/steps/streams_result_steps.py
+++ b/features/steps/streams_result_steps.py
@@ -239,3 +239,11 @@
 @then('the answer has an error that mentions "{text}"')
 def step_check_error_text(context, text):
     assert text in context.answer.error["message"], context.answer.body
+
+
+@then("the second engine is asked to cancel within {limit_s:g} s")
+def step_check_asked(context, limit_s):
+    # One connect timeout of 1 s, and the rest for a busy machine.
+    engine_caller.wait_until(
+        lambda: context.engines[0].count("DELETE"), limit_s, "no cancellation came"
+    )
--- a/features/steps/streams_steps.py
+++ b/features/steps/streams_steps.py
@@ -1,10 +1,12 @@
 import functools
+import socket
 import time
 
 import openai
 from behave import given, when
 
-from endivevane import logs
+from endivevane import logs, types
+from endivevane.online import upstream
 from features.support import (
     engine_caller,
     online_calls,
@@ -350,3 +352,32 @@
 @when('the owner of the key "{key}" lists the models')
 def step_list_models(context, key):
     context.models = [model.id for model in _make_client(context, key).models.list()]
+
+
+@given("an engine that accepts no connection and a scripted engine")
+def step_start_lost(context):
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(0)
+    context.cleanups.append(listener.close)
+    context.lost = f"127.0.0.1:{listener.getsockname()[1]}"
+    # A full queue makes the kernel ignore further connections, like a lost VM.
+    for _ in range(4):
+        filler = socket.socket()
+        filler.setblocking(False)
+        filler.connect_ex(listener.getsockname())
+        context.cleanups.append(filler.close)
+    engine = scripted_engine.ScriptedEngine([[b""]])
+    context.cleanups.append(engine.close)
+    context.engines = [engine]
+
+
+@when("{count:d} streams are cancelled at the first and one at the second")
+def step_cancel_many(context, count):
+    settings = upstream.UpstreamSettings()
+    engines = upstream.Upstream(settings, lambda message: None)
+    context.cleanups.append(engines.stop)
+    for number in range(count):
+        engines.cancel(types.parse_address(context.lost), f"lost-{number}")
+    engines.cancel(types.parse_address(context.engines[0].address), "well")
+    context.begun_s = time.monotonic()
--- a/features/streams.feature
+++ b/features/streams.feature
@@ -267,3 +267,9 @@
       | key        | models                  |
       | caller-key | small-lm small-lm:tuned |
       | other-key  |                         |
+
+  # Guards against cancellations at a lost VM that hold up all others.
+  Scenario: Cancellations at a lost engine do not delay those at others
+    Given an engine that accepts no connection and a scripted engine
+    When 100 streams are cancelled at the first and one at the second
+    Then the second engine is asked to cancel within 3 s
--- a/src/endivevane/online/upstream.py
+++ b/src/endivevane/online/upstream.py
@@ -5,6 +5,7 @@
 import concurrent.futures
 import dataclasses
 import http.client
+import time
 from collections.abc import Callable, Mapping
 
 import result
@@ -25,6 +26,8 @@
     :param user_timeout_s: how long sent data may stay unacknowledged
     :param open_threads: threads that open connections; each is busy for a round trip,
         or for the connect timeout when a VM has vanished
+    :param unreachable_s: cancellations at an address are left out for this time after
+        one could not connect; the engine drops streams without a connection itself
     """
 
     connect_timeout_s: float = 1.0
@@ -33,6 +36,7 @@
     open_threads: int = 32
     cancel_threads: int = 4
     cancel_timeout_s: float = 2.0
+    unreachable_s: float = 2.0
 
 
 class Upstream:
@@ -53,6 +57,7 @@
         self._openers = concurrent.futures.ThreadPoolExecutor(
             settings.open_threads, thread_name_prefix="engine-open"
         )
+        self._unreachable_until_s: dict[types.Address, float] = {}
         self._cancellers = concurrent.futures.ThreadPoolExecutor(
             settings.cancel_threads, thread_name_prefix="engine-cancel"
         )
@@ -137,9 +142,17 @@
             read_timeout_s=settings.cancel_timeout_s,
             max_idle_connections=0,
         )
+        if time.monotonic() < self._unreachable_until_s.get(address, 0.0):
+            logs.info("cancel_skipped", attempt_id=attempt_id, target=address)
+            return
         pool = http_pool.HttpPool(address, limits)
         outcome = pool.request("DELETE", f"/v1/streams/{attempt_id}")
         if isinstance(outcome, result.Err):
+            if outcome.err_value.stage is http_pool.Stage.CONNECT:
+                # A lost VM may have had hundreds of streams, and each cancellation
+                # would hold a thread for the connect timeout.
+                until_s = time.monotonic() + settings.unreachable_s
+                self._unreachable_until_s[address] = until_s
             detail = outcome.err_value.format_message()
             logs.info("cancel_failed", attempt_id=attempt_id, error=detail)
             return
