Show that the loss of half of all members is noticed late by some

Cause: the target of 5 s was only checked for the first notice when half of 340 members are lost at once. The measurement starts members at 8 a second. Conclusion: open; a shorter suspicion would trade against false accusations.

--- a/bench/member_worker.py
+++ b/bench/member_worker.py
@@ -50,10 +50,9 @@
     times = RevisionTimes()
     base_bytes = process.memory_info().rss
     members = [_make_task(document, times) for document in plan["members"]]
-    for number, member in enumerate(members):
+    for member in members:
         member.start()
-        if number % 4 == 3:
-            time.sleep(plan["start_gap_s"])
+        time.sleep(plan["start_gap_s"])
     while True:
         time.sleep(_REPORT_S)
         counts = [member.transport.counts for member in members]
--- a/bench/members.py
+++ b/bench/members.py
@@ -36,9 +36,9 @@
 _FRAME_BYTES = 66 + 35
 _MEMBERS_PER_WORKER = 10
 _ORGANISATIONS = 40
+# All members share one machine here; more starts a second would measure its overload.
+_STARTS_PER_S = 8.0
 _JOIN_LIMIT_S = 120.0
-# All members start at once here, and their introductions have to spread first.
-_SETTLE_S = 25.0
 _IN_FORCE_LIMIT_S = 60.0
 _ZONES = (("z1", "r1"), ("z2", "r1"), ("z3", "r2"), ("z4", "r2"))
 
@@ -76,7 +76,10 @@
         settings = self._make_settings()
         count = math.ceil(self.size / _MEMBERS_PER_WORKER)
         for number in range(count):
-            plan = {"members": settings[number::count], "start_gap_s": 0.1}
+            plan = {
+                "members": settings[number::count],
+                "start_gap_s": count / _STARTS_PER_S,
+            }
             path = self._processes.folder / f"plan-{number}.json"
             path.write_text(json.dumps(plan))
             worker = self._processes.start(
@@ -178,13 +181,19 @@
         return settings
 
 
-def measure(size: int, duration_s: float, has_keys: bool = True) -> dict[str, Any]:
-    """Return the figures of one cluster size."""
+def measure(
+    size: int, duration_s: float, settle_s: float, has_keys: bool = True
+) -> dict[str, Any]:
+    """Return the figures of one cluster size.
+
+    :param settle_s: wait before the measurement; all members start at once here, and
+        their introductions have to spread first
+    """
     cluster = Cluster(size, has_keys)
     try:
         ready_s = cluster.start()
         first_s = cluster.publish(0)
-        time.sleep(_SETTLE_S)
+        time.sleep(settle_s)
         before = cluster.report()
         time.sleep(duration_s)
         after = cluster.report()
@@ -244,12 +253,15 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--sizes", type=int, nargs="*", default=list(SIZES))
     parser.add_argument("--duration-s", type=float, default=30.0)
+    parser.add_argument("--settle-s", type=float, default=60.0)
     parser.add_argument("--plain", action="store_true", help="without CURVE keys")
     parser.add_argument("--output", type=pathlib.Path)
     arguments = parser.parse_args()
     rows = []
     for size in arguments.sizes:
-        row = measure(size, arguments.duration_s, not arguments.plain)
+        row = measure(
+            size, arguments.duration_s, arguments.settle_s, not arguments.plain
+        )
         rows.append(row)
         print({**row, "holds": compare(row)}, flush=True)
     summary: dict[str, Any] = {"targets": TARGETS, "rows": rows, "lines": {}}
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -47,6 +47,12 @@
     And within 20 seconds every running member sees exactly the running members
     And nobody running was declared dead
 
+  Scenario: The loss of half of 340 members is known to each member in time
+    # Guards against gossip that leaves out members whose links have mostly died.
+    Given 340 members in 4 zones of 2 regions with 5% loss and 200 ms pauses, seed 42
+    When half of the members are killed at once
+    Then every running member has noticed each death within 5 seconds
+
   Scenario: A region is cut off and comes back
     # Guards against accusations across a cut link, and against views that stay apart.
     Given 9 members in 3 zones of 2 regions with 0% loss and 0 ms pauses, seed 51
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -68,6 +68,14 @@
     context.pump.run(8.0)
 
 
+@when("half of the members are killed at once")
+def step_kill_half(context):
+    running = context.pump.running()
+    for name in context.pump.random.sample(running, len(running) // 2):
+        context.pump.kill(name)
+    context.pump.run(10.0)
+
+
 @when(
     "the link between the regions is cut for {duration:d} seconds "
     "and a member of each region dies"
@@ -99,15 +107,19 @@
 
 @then("every running member has noticed each death within {limit:g} seconds")
 def step_check_detection(context, limit):
+    late = {}
     for name in context.pump.killed_s:
-        # A member that was killed later is not asked, but its successors are.
         times = context.pump.detection_s(name)
         missing = [observer for observer, time_s in times.items() if time_s is None]
         assert not missing, f"{name} is not dead for {missing[:5]}"
         worst = max(times.values())
         middle = statistics.median(times.values())
-        print(f"{name}: median {middle:.2f} s, worst {worst:.2f} s")
-        assert worst <= limit, f"{name} was noticed after {worst:.2f} s"
+        if worst > limit:
+            late[name] = round(worst, 2)
+        elif len(context.pump.killed_s) < 10:
+            print(f"{name}: median {middle:.2f} s, worst {worst:.2f} s")
+    count = len(context.pump.killed_s)
+    assert not late, f"{len(late)} of {count} were noticed late: {late}"
 
 
 @then("each death was noticed somewhere within {limit:g} seconds")
