Keep resumes at a lost VM from delaying new requests

Cause: resumes and new requests shared the threads that open connections, and each resume at a lost VM held one for the connect timeout. Change: resumes have threads of their own, and after a call could not connect, further resumes at the same address fail at once for 2 s, so that the scheduler goes on.

--- a/features/steps/streams_result_steps.py
+++ b/features/steps/streams_result_steps.py
@@ -2,6 +2,7 @@
 
 from behave import then
 
+from endivevane.online import messages
 from features.support import (
     engine_caller,
     online_calls,
@@ -247,3 +248,23 @@
     engine_caller.wait_until(
         lambda: context.engines[0].count("DELETE"), limit_s, "no cancellation came"
     )
+
+
+@then("the second engine gets the request within {limit_s:g} s")
+def step_check_opened(context, limit_s):
+    # Less than the connect timeout of 1 s, which every resume would take.
+    engine_caller.wait_until(
+        lambda: context.engines[0].count("POST"), limit_s, "no request came"
+    )
+
+
+@then("all {count:d} resumes have failed within {limit_s:g} s")
+def step_check_resumes(context, count, limit_s):
+    def find_failed():
+        found = context.messages
+        return [item for item in found if isinstance(item, messages.OpenFailed)]
+
+    engine_caller.wait_until(
+        lambda: len(find_failed()) == count, limit_s, "resumes are still waiting"
+    )
+    assert not any(item.was_sent for item in find_failed())
--- a/features/steps/streams_steps.py
+++ b/features/steps/streams_steps.py
@@ -381,3 +381,15 @@
         engines.cancel(types.parse_address(context.lost), f"lost-{number}")
     engines.cancel(types.parse_address(context.engines[0].address), "well")
     context.begun_s = time.monotonic()
+
+
+@when("{count:d} streams are resumed at the first and one is opened at the second")
+def step_resume_many(context, count):
+    context.messages = []
+    engines = upstream.Upstream(upstream.UpstreamSettings(), context.messages.append)
+    context.cleanups.append(engines.stop)
+    lost = online_machine.make_attempt(context.lost)
+    for number in range(count):
+        engines.resume(number, lost, 5)
+    context.begun_s = time.monotonic()
+    engines.open(count, online_machine.make_attempt(context.engines[0].address), b"{}")
--- a/features/streams.feature
+++ b/features/streams.feature
@@ -273,3 +273,10 @@
     Given an engine that accepts no connection and a scripted engine
     When 100 streams are cancelled at the first and one at the second
     Then the second engine is asked to cancel within 3 s
+
+  # Guards against broken streams of a lost VM that hold up new requests.
+  Scenario: Resumes at a lost engine do not delay requests at others
+    Given an engine that accepts no connection and a scripted engine
+    When 100 streams are resumed at the first and one is opened at the second
+    Then the second engine gets the request within 0.8 s
+    And all 100 resumes have failed within 3 s
--- a/features/support/online_machine.py
+++ b/features/support/online_machine.py
@@ -11,6 +11,7 @@
 from endivevane.coordination import clock
 from endivevane.daemon import health
 from endivevane.online import (
+    contract,
     front,
     messages,
     relay,
@@ -100,6 +101,25 @@
     return snapshot.build_snapshot(1, documents)
 
 
+def make_attempt(address):
+    """Return an attempt at an address."""
+    service = make_snapshot({"target": address}, {}).services["small"]
+    request = contract.OnlineRequest(
+        request_id="req-1",
+        organisation="orchard",
+        service=service,
+        model=MODEL,
+        priority=types.Priority.NORMAL,
+        body={},
+        is_streamed=True,
+        is_deterministic=False,
+        received_s=0.0,
+        deadline_s=60.0,
+        fingerprint="f",
+    )
+    return contract.Attempt("req-1.1", request, service.targets[0], 1, 0.0)
+
+
 class Front:
     """HTTP server, routes and relay with a fixed configuration."""
 
--- a/src/endivevane/online/upstream.py
+++ b/src/endivevane/online/upstream.py
@@ -26,14 +26,18 @@
     :param user_timeout_s: how long sent data may stay unacknowledged
     :param open_threads: threads that open connections; each is busy for a round trip,
         or for the connect timeout when a VM has vanished
-    :param unreachable_s: cancellations at an address are left out for this time after
-        one could not connect; the engine drops streams without a connection itself
+    :param resume_threads: threads for new connections of broken streams; the streams
+        of a lost VM must not hold up new requests
+    :param unreachable_s: after a call could not connect, resumes at the same address
+        fail at once for this time and cancellations are left out; the engine drops
+        streams without a connection itself
     """
 
     connect_timeout_s: float = 1.0
     send_timeout_s: float = 5.0
     user_timeout_s: float = 10.0
     open_threads: int = 32
+    resume_threads: int = 16
     cancel_threads: int = 4
     cancel_timeout_s: float = 2.0
     unreachable_s: float = 2.0
@@ -57,6 +61,9 @@
         self._openers = concurrent.futures.ThreadPoolExecutor(
             settings.open_threads, thread_name_prefix="engine-open"
         )
+        self._resumers = concurrent.futures.ThreadPoolExecutor(
+            settings.resume_threads, thread_name_prefix="engine-resume"
+        )
         self._unreachable_until_s: dict[types.Address, float] = {}
         self._cancellers = concurrent.futures.ThreadPoolExecutor(
             settings.cancel_threads, thread_name_prefix="engine-cancel"
@@ -71,7 +78,8 @@
             "X-Endivevane-Key": attempt.request.request_id,
             "X-Endivevane-Class": "online",
         }
-        self._submit(ticket, attempt, ("POST", CALL_PATH), body, headers)
+        call = ("POST", CALL_PATH)
+        self._openers.submit(self._send, ticket, attempt, call, body, headers)
 
     def resume(self, ticket: int, attempt: contract.Attempt, after_offset: int) -> None:
         """Continue an attempt on a new connection.
@@ -81,8 +89,8 @@
         headers = {"Accept": "text/event-stream"}
         if after_offset >= 0:
             headers["Last-Event-ID"] = str(after_offset)
-        path = f"/v1/streams/{attempt.attempt_id}"
-        self._submit(ticket, attempt, ("GET", path), None, headers)
+        call = ("GET", f"/v1/streams/{attempt.attempt_id}")
+        self._resumers.submit(self._resume, ticket, attempt, call, headers)
 
     def cancel(self, address: types.Address, attempt_id: str, tries: int = 1) -> None:
         """Cancel an attempt at its engine.
@@ -94,17 +102,33 @@
     def stop(self) -> None:
         """End the threads after the calls that have begun."""
         self._openers.shutdown(wait=True, cancel_futures=True)
+        self._resumers.shutdown(wait=True, cancel_futures=True)
         self._cancellers.shutdown(wait=True, cancel_futures=False)
 
-    def _submit(
+    def _is_unreachable(self, address: types.Address) -> bool:
+        return time.monotonic() < self._unreachable_until_s.get(address, 0.0)
+
+    def _note_unreachable(self, address: types.Address) -> None:
+        """Remember a failed connect.
+
+        A lost VM may have had hundreds of streams, and each further call would hold a
+        thread for the connect timeout.
+        """
+        until_s = time.monotonic() + self._settings.unreachable_s
+        self._unreachable_until_s[address] = until_s
+
+    def _resume(
         self,
         ticket: int,
         attempt: contract.Attempt,
         call: tuple[str, str],
-        body: bytes | None,
         headers: Mapping[str, str],
     ) -> None:
-        self._openers.submit(self._send, ticket, attempt, call, body, headers)
+        if self._is_unreachable(attempt.target.address):
+            detail = "an earlier call could not connect"
+            self._post(messages.OpenFailed(attempt, ticket, False, detail))
+            return
+        self._send(ticket, attempt, call, None, headers)
 
     def _send(
         self,
@@ -122,6 +146,7 @@
                 settings.user_timeout_s,
             )
         except OSError as error:
+            self._note_unreachable(attempt.target.address)
             self._post(messages.OpenFailed(attempt, ticket, False, str(error)))
             return
         try:
@@ -142,17 +167,14 @@
             read_timeout_s=settings.cancel_timeout_s,
             max_idle_connections=0,
         )
-        if time.monotonic() < self._unreachable_until_s.get(address, 0.0):
+        if self._is_unreachable(address):
             logs.info("cancel_skipped", attempt_id=attempt_id, target=address)
             return
         pool = http_pool.HttpPool(address, limits)
         outcome = pool.request("DELETE", f"/v1/streams/{attempt_id}")
         if isinstance(outcome, result.Err):
             if outcome.err_value.stage is http_pool.Stage.CONNECT:
-                # A lost VM may have had hundreds of streams, and each cancellation
-                # would hold a thread for the connect timeout.
-                until_s = time.monotonic() + settings.unreachable_s
-                self._unreachable_until_s[address] = until_s
+                self._note_unreachable(address)
             detail = outcome.err_value.format_message()
             logs.info("cancel_failed", attempt_id=attempt_id, error=detail)
             return
