Expect a runner to fill all 8 slots of its engine

Cause: the scenario counted on the former default of 2 reserved slots; since the default is 0, the runner fills 8 of 8 and the step waited for exactly 6. Change: the scenario names 8 running items; 4 of them are still taken back. Conclusion: the default of the reserve is part of what the scenario shows.

--- a/features/batch_decisions.feature
+++ b/features/batch_decisions.feature
@@ -30,7 +30,7 @@
   Scenario: Running items stop at once when slots are taken back
     # Guards against online requests that wait for batch items to end.
     Given a runner with an engine of 8 slots and items of 5000 ms
-    When items run in 6 slots and 4 of them are taken back
+    When items run in 8 slots and 4 of them are taken back
     Then the engine has cancelled 4 runs within 1 s
     And the cancelled items are not failed
 
