Keep the declared models loaded on the engines

Cause: min_replicas, versions and adapters of a document had no effect; a model whose engines went stayed away until an operator loaded it by hand. Change: a daemon owns the engines of each service through a fenced row, reads back what they hold and orders the difference to a plan. The plan loads models without a replica first, spreads replicas over zones, changes a bounded share of the engines at a time and keeps a model for a residence time. A new owner raises the number on engines that check it, and waits out the old term and the longest order on engines that ignore it. Orders use connections of their own, since the pool repeats a call on a reused one that breaks.

--- /dev/null
+++ b/features/support/engine_groups.py
@@ -0,0 +1,167 @@
+"""Engines in memory for the scenarios of the placement decisions."""
+
+import dataclasses
+
+from endivevane.configuration import models
+from endivevane.orders import placement
+from endivevane.platform import engine
+
+ZONES = ("zone-a", "zone-b", "zone-c")
+# Two rounds of the group's owner, within which an ordered load ends here.
+LOAD_ROUNDS = 2
+ROUND_S = 2.0
+
+
+def make_model(name, min_replicas, version="1", adapters=()):
+    return models.LanguageModelModel(
+        name=name, version=version, adapters=adapters, min_replicas=min_replicas
+    )
+
+
+@dataclasses.dataclass
+class MemoryEngine:
+    """An engine that carries out orders after some rounds, one after the other."""
+
+    name: str
+    zone: str
+    held: dict = dataclasses.field(default_factory=dict)
+    queue: list = dataclasses.field(default_factory=list)
+    waits: int = 0
+    is_live: bool = True
+
+    def view(self):
+        loaded = tuple(
+            engine.LoadedModel(name, version, tuple(sorted(adapters)))
+            for (name, version), adapters in sorted(self.held.items())
+        )
+        loading = frozenset(
+            (item.model, item.version)
+            for item in self.queue
+            if item.action == "load_model"
+        )
+        is_busy = bool(self.queue)
+        return placement.EngineView(
+            self.name,
+            self.zone,
+            loaded,
+            loading - set(self.held),
+            is_busy=is_busy,
+            is_steady=not is_busy,
+        )
+
+    def step(self):
+        """Carry out one round of the queue."""
+        while self.queue:
+            order = self.queue[0]
+            if order.action == "load_model" and self.waits < LOAD_ROUNDS:
+                self.waits += 1
+                return
+            self.waits = 0
+            self._apply(self.queue.pop(0))
+
+    def _apply(self, order):
+        key = (order.model, order.version)
+        match order.action:
+            case "load_model":
+                self.held.setdefault(key, set())
+            case "unload_model":
+                self.held.pop(key, None)
+            case "load_adapter":
+                self.held[key].add(order.adapter)
+            case "unload_adapter":
+                self.held[key].discard(order.adapter)
+
+
+class MemoryGroup:
+    """A service with engines in memory; checks the limits after every round.
+
+    :param declared: models of the document
+    """
+
+    def __init__(self, count, declared, settings=None):
+        self.settings = settings or placement.PlacementSettings()
+        self.declared = tuple(declared)
+        self.engines = {
+            f"e{index}": MemoryEngine(f"e{index}", ZONES[index % len(ZONES)])
+            for index in range(count)
+        }
+        self.residence = placement.Residence()
+        self.demand = {}
+        self.now_s = 0.0
+        self.orders = []
+        self.loaded_s = {}
+
+    def live(self):
+        return [item for item in self.engines.values() if item.is_live]
+
+    def lose(self, names):
+        for name in names:
+            self.engines[name].is_live = False
+            self.engines[name].held.clear()
+            self.engines[name].queue.clear()
+
+    def bring_back(self, names):
+        for name in names:
+            self.engines[name].is_live = True
+
+    def count(self, model):
+        return sum(any(key[0] == model for key in item.held) for item in self.live())
+
+    def run_round(self):
+        """Run one round and return its orders."""
+        self.now_s += ROUND_S
+        before = {item.name: self.count(item.name) for item in self.declared}
+        for item in self.live():
+            item.step()
+        for item in self.declared:
+            if before[item.name]:
+                assert self.count(item.name), f"the last replica of {item.name} went"
+        views = [item.view() for item in self.live()]
+        self.residence.observe(views, self.now_s)
+        group = placement.Group(
+            self.declared,
+            views,
+            demand=self.demand,
+            since_s=dict(self.residence.since_s),
+        )
+        plan = placement.compute(group, self.settings, self.now_s)
+        sent = []
+        for view in views:
+            if view.is_busy:
+                continue
+            sent += placement.list_orders(view, plan.wanted[view.name])
+        for order in sent:
+            self.engines[order.target].queue.append(order)
+        self._check_bounds(views)
+        unserved = {
+            item.name
+            for item in self.declared
+            if not any(
+                key[0] == item.name
+                for view in views
+                for key in (*placement.list_keys(view), *view.loading)
+            )
+        }
+        self.orders += [(self.now_s, order, unserved) for order in sent]
+        return sent
+
+    def _check_bounds(self, views):
+        busy = [item for item in self.live() if item.queue]
+        limit = max(1, int(self.settings.max_reloading_share * len(views)))
+        # Engines that went meanwhile lower the limit, but loads under way go on.
+        limit = max(limit, sum(view.is_busy for view in views))
+        assert len(busy) <= limit, (len(busy), limit)
+        loading = sum(
+            any(order.action.startswith("load") for order in item.queue)
+            for item in busy
+        )
+        allowed = max(self.settings.max_loads, sum(view.is_busy for view in views))
+        assert loading <= allowed, (loading, allowed)
+
+    def run_until_quiet(self, limit):
+        """Run rounds until one has no order and nothing is under way."""
+        for count in range(limit):
+            sent = self.run_round()
+            if not sent and not any(item.queue for item in self.live()):
+                return count
+        raise AssertionError(f"still orders after {limit} rounds: {self.orders[-4:]}")
--- a/src/endivevane/daemon/wiring.py
+++ b/src/endivevane/daemon/wiring.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 import threading
 from collections.abc import Callable
@@ -34,10 +35,13 @@
     routing,
     scheduler,
 )
-from endivevane.platform import http_pool, objects, table, vms
+from endivevane.orders import orders as engine_orders
+from endivevane.orders import task as orders_task
+from endivevane.platform import http_pool, link, objects, table, vms
 from endivevane.web import app, server
 
 _FLUSH_INTERVAL_S = 1.0
+_BULK_SHARE = 0.5
 # An operator's drain request is answered before the server begins to stop.
 _DRAIN_ANSWER_S = 0.2
 
@@ -62,6 +66,7 @@
         self._build_cluster()
         self._build_online()
         self._build_batch()
+        self._build_orders()
         self._build_server()
 
     def start(self) -> None:
@@ -71,6 +76,7 @@
         self.cluster.start()
         self._loads.start()
         self._runner.start()
+        self._orders.start()
         self._flusher.start()
         self._server.start()
         logs.info(
@@ -103,6 +109,7 @@
         logs.info("drain_started", grace_s=drain.grace_s, timeout_s=drain.timeout_s)
         deadline_s = self._clock.monotonic_s() + drain.grace_s + drain.timeout_s
         self.cluster.drain(deadline_s)
+        self._orders.drain(deadline_s)
         self._stopped.wait(max(drain.grace_s, _DRAIN_ANSWER_S))
         self._server.begin_drain()
         batch_stop = threading.Thread(
@@ -128,14 +135,33 @@
     def _build_platform(self) -> None:
         platform = self._settings.platform
         limits = http_pool.PoolSettings(read_timeout_s=platform.timeout_s)
+        is_remote = platform.region not in ("", self._settings.daemon.region)
+        share = link.LinkShare(self._clock, self._compute_bulk_rate_bytes_s)
 
-        def make_pool(address: str) -> http_pool.HttpPool:
+        def make_pool(
+            address: str, purpose: str, bound: link.LinkShare | None = None
+        ) -> http_pool.HttpPool:
             parsed = types.parse_address(address)
+            if is_remote:
+                return link.LinkPool(parsed, limits, purpose, bound)
             return http_pool.HttpPool(parsed, limits, self._clock)
 
-        self._table = table.TableClient(make_pool(platform.table_service))
-        self._objects = objects.ObjectClient(make_pool(platform.object_store))
-        self._vms = vms.VmListClient(make_pool(platform.vm_list))
+        self._table = table.TableClient(make_pool(platform.table_service, "store"))
+        self._objects = objects.ObjectClient(
+            make_pool(platform.object_store, "batch", share)
+        )
+        self._vms = vms.VmListClient(make_pool(platform.vm_list, "control"))
+
+    def _compute_bulk_rate_bytes_s(self) -> float:
+        """Return this daemon's share of the link for input and results of batch jobs.
+
+        Half of what data may use; the other half is for online requests.
+        """
+        bounds = self.cluster.snapshot.link
+        region = self._settings.daemon.region
+        near = [item for item in self._port.live_members() if item.region == region]
+        rate_bytes_s = bounds.capacity_bytes_s * bounds.data_share * _BULK_SHARE
+        return rate_bytes_s / max(1, len(near))
 
     def _build_cluster(self) -> None:
         self.cluster = tasks.ClusterTask(
@@ -206,6 +232,21 @@
             self._runner.notify_cancelled,
         )
 
+    def _build_orders(self) -> None:
+        settings = engine_orders.OrdersSettings()
+        longest_term_s = max(settings.longest_term_s, self._settings.session.term_s)
+        self._orders = orders_task.OrdersTask(
+            self._settings.daemon.name,
+            dataclasses.replace(settings, longest_term_s=longest_term_s),
+            self._clock,
+            self._table,
+            self.cluster.session,
+            self._get_snapshot,
+            lambda: [item.name for item in self._port.live_members()],
+            lambda: self._leaving,
+            self._find_load_share,
+        )
+
     def _build_server(self) -> None:
         limits = self._settings.limits
         parts = admin.AdminParts(
@@ -256,6 +297,11 @@
                 )
                 self.relay.post(entry)
 
+    def _find_load_share(self, target_name: str) -> float:
+        """Return the used share of an engine's slots, 0 when nothing is known."""
+        report = self._board.load_report(target_name)
+        return report.running / max(1, report.slots) if report is not None else 0.0
+
     def _count_daemons(self) -> int:
         """Return the live daemons, this one included."""
         return max(1, len(self._port.live_members()))
@@ -322,6 +368,7 @@
         self._stopped.set()
         self._run_safely(self._register.flush)
         self._run_safely(self._keeper.flush)
+        self._orders.stop()
         self._loads.stop()
         self._runner.stop()
         self.relay.stop()
--- /dev/null
+++ b/src/endivevane/orders/task.py
@@ -0,0 +1,206 @@
+"""The task that keeps the declared models loaded on the engines."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import threading
+from collections.abc import Callable, Collection, Mapping, Sequence
+
+from endivevane import logs, types
+from endivevane.cluster import sessions
+from endivevane.configuration import snapshot
+from endivevane.coordination import clock, rendezvous, store
+from endivevane.orders import counts, orders
+from endivevane.platform import engine, http_pool
+
+# The second choice tries to own a group this many rounds later than the first, so that
+# two daemons rarely compete when both see the group free.
+_SECOND_CHOICE_ROUNDS = 8
+
+
+class _SessionView:
+    """The session of the cluster task as orders see it."""
+
+    def __init__(
+        self, read: Callable[[], sessions.Session], view_clock: clock.Clock
+    ) -> None:
+        self._read = read
+        self._clock = view_clock
+
+    @property
+    def epoch(self) -> int | None:
+        """The epoch in force, ``None`` after a lapse."""
+        return self._read().epoch
+
+    def compute_remaining_s(self) -> float:
+        """Return the rest of the term, 0 after a lapse."""
+        current = self._read()
+        if not current.is_valid:
+            return 0.0
+        return max(0.0, current.expires_s - self._clock.monotonic_s())
+
+
+class OrdersTask:
+    """A thread that gives orders to the engine groups that this daemon owns.
+
+    :param daemon: name of this daemon
+    :param read_session: returns this daemon's session
+    :param get_snapshot: returns the configuration in force
+    :param list_daemons: returns the names of the live daemons
+    :param get_leaving: returns the names of VMs that are leaving
+    :param get_load_share: returns the used share of an engine's slots
+    :param get_demand: returns recent requests per second by model
+    """
+
+    def __init__(
+        self,
+        daemon: str,
+        settings: orders.OrdersSettings,
+        task_clock: clock.Clock,
+        table_store: store.TableStore,
+        read_session: Callable[[], sessions.Session],
+        get_snapshot: Callable[[], snapshot.Snapshot],
+        list_daemons: Callable[[], Collection[str]],
+        get_leaving: Callable[[], Collection[str]],
+        get_load_share: Callable[[str], float] | None = None,
+        get_demand: Callable[[], Mapping[str, float]] | None = None,
+    ) -> None:
+        self._daemon = daemon
+        self._settings = settings
+        self._clock = task_clock
+        self._store = table_store
+        self._session = _SessionView(read_session, task_clock)
+        self._get_snapshot = get_snapshot
+        self._list_daemons = list_daemons
+        self._get_leaving = get_leaving
+        self._get_load_share = get_load_share or (lambda _name: 0.0)
+        self._get_demand = get_demand or dict
+        self._owners: dict[str, orders.GroupOwner] = {}
+        self._skipped_rounds: dict[str, int] = {}
+        self._stopped = threading.Event()
+        self._executor = concurrent.futures.ThreadPoolExecutor(
+            settings.threads, thread_name_prefix="orders"
+        )
+        self._thread = threading.Thread(target=self._run, name="orders", daemon=True)
+
+    def start(self) -> None:
+        """Start the rounds."""
+        self._thread.start()
+
+    def drain(self, deadline_s: float) -> None:
+        """Start no further round.
+
+        :param deadline_s: unused; a round takes a few calls at most
+        """
+        self._stopped.set()
+
+    def stop(self) -> None:
+        """End the rounds; waits for the calls of the current one."""
+        self._stopped.set()
+        if self._thread.is_alive():
+            self._thread.join()
+        self._executor.shutdown(wait=True, cancel_futures=True)
+
+    def _run(self) -> None:
+        while not self._stopped.wait(self._settings.interval_s):
+            try:
+                self._run_rounds()
+            except Exception as error:
+                # One malformed answer must not end the orders of this daemon.
+                logs.error("orders_round_failed", error=repr(error))
+
+    def _run_rounds(self) -> None:
+        current = self._get_snapshot()
+        groups = {
+            name: service
+            for name, service in current.services.items()
+            if not service.is_plain
+        }
+        for name in [name for name in self._owners if name not in groups]:
+            del self._owners[name]
+        daemons = dict.fromkeys(self._list_daemons(), 1.0)
+        for name, service in groups.items():
+            if self._stopped.is_set():
+                return
+            owner = self._owners.get(name) or self._make_owner(name)
+            self._owners[name] = owner
+            if owner.ownership is None and not self._is_my_turn(name, daemons):
+                continue
+            owner.run_round(self._make_request(current, service))
+        owned = sum(item.ownership is not None for item in self._owners.values())
+        counts.GROUPS_OWNED.set(owned)
+
+    def _is_my_turn(self, group: str, daemons: Mapping[str, float]) -> bool:
+        """Tell whether this daemon should try to own a group in this round."""
+        ranked = rendezvous.choose_subset(group, daemons, 2)
+        if self._daemon not in ranked:
+            self._skipped_rounds.pop(group, None)
+            return False
+        if ranked[0] == self._daemon:
+            return True
+        skipped = self._skipped_rounds.get(group, 0) + 1
+        self._skipped_rounds[group] = skipped
+        return skipped > _SECOND_CHOICE_ROUNDS
+
+    def _make_owner(self, group: str) -> orders.GroupOwner:
+        return orders.GroupOwner(
+            group,
+            self._daemon,
+            self._session,
+            self._store,
+            self._make_client,
+            self._executor,
+            self._settings,
+            self._clock,
+        )
+
+    def _make_client(self, target: snapshot.Target) -> engine.EngineClient:
+        return make_client(target.address, self._settings, self._clock)
+
+    def _make_request(
+        self, current: snapshot.Snapshot, service: snapshot.Service
+    ) -> orders.Request:
+        leaving = frozenset(self._get_leaving())
+        targets = _list_targets(current, service)
+        targets = [target for target in targets if target.name not in leaving]
+        kept = frozenset(
+            item.name
+            for other in current.services.values()
+            if other.name != service.name
+            for item in other.model.models
+        )
+        shares = {target.name: self._get_load_share(target.name) for target in targets}
+        return orders.Request(service, targets, kept, self._get_demand(), shares)
+
+
+def make_client(
+    address: types.Address, settings: orders.OrdersSettings, client_clock: clock.Clock
+) -> engine.EngineClient:
+    """Return a client that sends each order once.
+
+    A pool repeats a call on a reused connection that breaks, so none is reused: an
+    order without an answer must be read back instead.
+    """
+    limits = http_pool.PoolSettings(
+        connect_timeout_s=settings.call_timeout_s,
+        read_timeout_s=settings.call_timeout_s,
+        max_idle_connections=0,
+    )
+    return engine.EngineClient(http_pool.HttpPool(address, limits, client_clock))
+
+
+def _list_targets(
+    current: snapshot.Snapshot, service: snapshot.Service
+) -> Sequence[snapshot.Target]:
+    """Return the engines that the group of a service owns.
+
+    An engine that several services name belongs to the first of them by name: two
+    groups have different fencing numbers, and the engine would refuse one of them.
+    """
+    taken = {
+        target.address
+        for name, other in current.services.items()
+        if name < service.name and not other.is_plain
+        for target in other.targets
+    }
+    return [target for target in service.targets if target.address not in taken]
