Use the bounded pools where the platform is in another region

Change: object transfers wait for their share of the link, and calls to the table service and the VM list are counted. Conclusion: bytes over the link are seen and bulk data is bounded.

--- a/src/endivevane/daemon/wiring.py
+++ b/src/endivevane/daemon/wiring.py
@@ -37,10 +37,11 @@
 )
 from endivevane.orders import orders as engine_orders
 from endivevane.orders import task as orders_task
-from endivevane.platform import http_pool, objects, table, vms
+from endivevane.platform import http_pool, link, objects, table, vms
 from endivevane.web import app, server
 
 _FLUSH_INTERVAL_S = 1.0
+_BULK_SHARE = 0.5
 # An operator's drain request is answered before the server begins to stop.
 _DRAIN_ANSWER_S = 0.2
 
@@ -134,14 +135,33 @@
     def _build_platform(self) -> None:
         platform = self._settings.platform
         limits = http_pool.PoolSettings(read_timeout_s=platform.timeout_s)
+        is_remote = platform.region not in ("", self._settings.daemon.region)
+        share = link.LinkShare(self._clock, self._compute_bulk_rate_bytes_s)
 
-        def make_pool(address: str) -> http_pool.HttpPool:
+        def make_pool(
+            address: str, purpose: str, bound: link.LinkShare | None = None
+        ) -> http_pool.HttpPool:
             parsed = types.parse_address(address)
+            if is_remote:
+                return link.LinkPool(parsed, limits, purpose, bound)
             return http_pool.HttpPool(parsed, limits, self._clock)
 
-        self._table = table.TableClient(make_pool(platform.table_service))
-        self._objects = objects.ObjectClient(make_pool(platform.object_store))
-        self._vms = vms.VmListClient(make_pool(platform.vm_list))
+        self._table = table.TableClient(make_pool(platform.table_service, "store"))
+        self._objects = objects.ObjectClient(
+            make_pool(platform.object_store, "batch", share)
+        )
+        self._vms = vms.VmListClient(make_pool(platform.vm_list, "control"))
+
+    def _compute_bulk_rate_bytes_s(self) -> float:
+        """Return this daemon's share of the link for input and results of batch jobs.
+
+        Half of what data may use; the other half is for online requests.
+        """
+        bounds = self.cluster.snapshot.link
+        region = self._settings.daemon.region
+        near = [item for item in self._port.live_members() if item.region == region]
+        rate_bytes_s = bounds.capacity_bytes_s * bounds.data_share * _BULK_SHARE
+        return rate_bytes_s / max(1, len(near))
 
     def _build_cluster(self) -> None:
         self.cluster = tasks.ClusterTask(
