Look models and adapters up in one place

Cause: the HTTP interface finds an adapter as model:adapter, the batch runner looked for the bare adapter name, so a job for an adapter was accepted and its items were never sent.

--- a/features/publishing.feature
+++ b/features/publishing.feature
@@ -74,3 +74,17 @@
       | duplicate-target.endivevane.toml | 'chat-1' appears twice        |
       | no-kind.endivevane.toml        | kind                            |
       | bad-address.endivevane.toml    | targets.0.address               |
+
+  Scenario Outline: Online requests and batch jobs find an adapter by the same name
+    Guards against a batch job that is accepted and never run, because the runner looked
+    for the adapter under another name than the HTTP interface.
+    Given publisher 1 has put service "chat" with the adapter "tuned" into force
+    Then "<organisation>" finds "<model>" at service "<service>"
+
+    Examples:
+      | organisation | model             | service |
+      | orchard      | chat-model        | chat    |
+      | orchard      | chat-model:tuned  | chat    |
+      | orchard      | chat-model:other  | none    |
+      | orchard      | tuned             | none    |
+      | nobody       | chat-model:tuned  | none    |
--- a/features/steps/publishing_steps.py
+++ b/features/steps/publishing_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 
 from endivevane import exceptions, testing
-from endivevane.configuration import models, publishing
+from endivevane.configuration import models, publishing, snapshot
 
 _BROKEN_FILES = {
     "malformed.endivevane.toml": "kind = service",
@@ -253,3 +253,22 @@
 def step_stderr(context, file, text):
     assert file in context.run.stderr, context.run.stderr
     assert text in context.run.stderr, context.run.stderr
+
+
+@given('publisher 1 has put service "{name}" with the adapter "{adapter}" into force')
+def step_adapter(context, name, adapter):
+    ((key, document),) = make_service(name, 1).items()
+    document["models"][0]["adapters"] = [adapter]
+    change = publishing.Change({key: document})
+    publishing.publish(context.store, change, _fetch(context)).unwrap()
+
+
+@then('"{organisation}" finds "{model}" at service "{service}"')
+def step_find(context, organisation, model, service):
+    documents = _fetch(context)
+    current = snapshot.build_snapshot(
+        documents.revision,
+        {key: item.document for key, item in documents.documents.items()},
+    )
+    found = current.find_service(organisation, model)
+    assert (found.name if found is not None else "none") == service, found
--- a/src/endivevane/batch/runner.py
+++ b/src/endivevane/batch/runner.py
@@ -384,5 +384,5 @@
 
     def _get_max_attempts(self, job: records.Job) -> int:
         current = self._cluster.snapshot()
-        service = sending.find_service(current, job.organisation, job.model)
+        service = current.find_service(job.organisation, job.model)
         return service.model.batch.max_item_attempts if service is not None else 1
--- a/src/endivevane/batch/sending.py
+++ b/src/endivevane/batch/sending.py
@@ -86,7 +86,7 @@
 
     def find_service(self, job: records.Job | records.OpenJob) -> str | None:
         """Return the service that offers a job's model to its organisation."""
-        service = find_service(self._snapshot, job.organisation, job.model)
+        service = self._snapshot.find_service(job.organisation, job.model)
         return service.name if service is not None else None
 
     def compute_room(self, service_name: str, model: str) -> int:
@@ -347,24 +347,6 @@
         return pool
 
 
-def find_service(
-    current: snapshot.Snapshot, organisation: str, model: str
-) -> snapshot.Service | None:
-    """Return the service that offers a model or adapter to an organisation."""
-    service = current.services_by_model.get(model)
-    if service is None:
-        for candidate in current.services.values():
-            offered = [
-                name for item in candidate.model.models for name in item.adapters
-            ]
-            if model in offered:
-                service = candidate
-                break
-    if service is None or organisation not in service.model.organisations:
-        return None
-    return service
-
-
 def offers_model(report: engine.LoadReport, model: str) -> bool:
     """Tell whether an engine has a model or adapter loaded."""
     return any(
--- a/src/endivevane/configuration/snapshot.py
+++ b/src/endivevane/configuration/snapshot.py
@@ -87,6 +87,23 @@
     zones: Mapping[str, Zone]
     link: Link
 
+    def find_service(self, organisation: str, model: str) -> Service | None:
+        """Return the service that offers a model to an organisation.
+
+        :param model: name of a model, or ``model:adapter``
+        :returns: ``None`` when there is none, or when it lacks the adapter
+        """
+        name, separator, adapter = model.partition(":")
+        service = self.services_by_model.get(name)
+        if service is None or organisation not in service.model.organisations:
+            return None
+        if not separator:
+            return service
+        for offered in service.model.models:
+            if offered.name == name and adapter in offered.adapters:
+                return service
+        return None
+
 
 EMPTY = Snapshot(0, {}, {}, {}, {}, {}, Link(15e6 / 8, 0.6))
 
--- a/src/endivevane/online/front.py
+++ b/src/endivevane/online/front.py
@@ -96,16 +96,14 @@
     :param model: name, or ``name:adapter``
     :raises errors.ModelNotFound: when there is none
     """
-    name, _, adapter = model.partition(":")
-    service = current.services_by_model.get(name)
-    if service is None or organisation not in service.model.organisations:
-        raise errors.ModelNotFound(f"there is no model {model!r}", param="model")
-    offered = next(item for item in service.model.models if item.name == name)
-    if ":" in model and adapter not in offered.adapters:
-        raise errors.ModelNotFound(
-            f"model {name!r} has no adapter {adapter!r}", param="model"
-        )
-    return service
+    service = current.find_service(organisation, model)
+    if service is not None:
+        return service
+    name, separator, adapter = model.partition(":")
+    if separator and current.find_service(organisation, name) is not None:
+        text = f"model {name!r} has no adapter {adapter!r}"
+        raise errors.ModelNotFound(text, param="model")
+    raise errors.ModelNotFound(f"there is no model {model!r}", param="model")
 
 
 def find_models(current: snapshot.Snapshot, organisation: str) -> list[dict[str, Any]]:
