Poll fewer reports in large deployments; add the capacity slopes

Cause: 10 reports a second of about 650 bytes are 6.5 KB/s, twice what all control of a daemon may use at 340 daemons; and the polls counted link bytes in a second way of their own. Change: the rate for candidates falls with the number of daemons, down to 1 a second; engines that the daemon sends batch items to keep their rate; the pool that counts link bytes serves the polls too. Conclusion: at 340 daemons reports take about 2 KB/s (estimate from the rate).

--- a/bench/members.py
+++ b/bench/members.py
@@ -17,6 +17,7 @@
 
 import zmq
 
+from bench import lines
 from endivevane import types
 from endivevane.configuration import publishing
 from endivevane.platform import http_pool, table
@@ -231,16 +232,6 @@
     }
 
 
-def fit_line(points: list[tuple[float, float]]) -> tuple[float, float]:
-    """Return intercept and slope of the least-squares line."""
-    count = len(points)
-    mean_x = sum(x for x, _ in points) / count
-    mean_y = sum(y for _, y in points) / count
-    spread = sum((x - mean_x) ** 2 for x, _ in points)
-    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
-    return mean_y - slope * mean_x, slope
-
-
 def compare(row: dict[str, Any]) -> dict[str, bool]:
     """Return which targets hold for one size."""
     limit_s = _IN_FORCE_SMALL_S if row["members"] <= 9 else TARGETS["in_force_s"]
@@ -273,11 +264,11 @@
     if len(rows) > 1:
         for key in ("messages_per_s", "bytes_per_s", "cpu_share", "memory_bytes"):
             points = [(float(row["members"]), float(row[key])) for row in rows]
-            summary["lines"][key] = fit_line(points)
+            summary["lines"][key] = lines.fit(points)
     print(summary)
     if arguments.output is not None:
         arguments.output.write_text(json.dumps(summary, indent=1))
-    return 0
+    return 0 if all(all(compare(row).values()) for row in rows) else 1
 
 
 def _platform_arguments(host: str, port: str) -> list[str]:
--- a/bench/plots.py
+++ b/bench/plots.py
@@ -52,15 +52,13 @@
 
 def _draw_members(figures: dict[str, Any], path: pathlib.Path) -> None:
     figure, axes = pyplot.subplots(figsize=(6, 3.5))
-    rows = figures.get("sizes", [])
+    rows = figures["rows"]
     sizes = [row["members"] for row in rows]
     for key, label in (
         ("bytes_per_s", "bytes a second"),
         ("messages_per_s", "messages a second"),
     ):
-        values = [row.get(key) for row in rows]
-        if all(value is not None for value in values):
-            axes.plot(sizes, values, marker="o", label=label)
+        axes.plot(sizes, [row[key] for row in rows], marker="o", label=label)
     axes.set_xlabel("members")
     axes.set_yscale("log")
     axes.legend()
--- a/bench/run.py
+++ b/bench/run.py
@@ -23,13 +23,18 @@
 _RESULTS = _ROOT / "docs" / "measurements"
 _BUILD = _ROOT / "build"
 _TIMEOUT_S = 700
-_MEASUREMENTS: dict[str, tuple[str, ...]] = {
-    "routing": (),
-    "retries": (),
-    "relay": (),
-    "isolation": (),
-    "batch": (),
-    "members": (),
+_SHORT_RELAY = ("--rounds", "1", "--tokens", "240")
+# Name of the measurement, module and arguments.
+_MEASUREMENTS: dict[str, tuple[str, tuple[str, ...]]] = {
+    "routing": ("routing", ()),
+    "retries": ("retries", ()),
+    "relay": ("relay", ()),
+    "relay_110": ("relay", ("--streams", "110", *_SHORT_RELAY)),
+    "relay_55": ("relay", ("--streams", "55", *_SHORT_RELAY)),
+    "requests": ("requests", ()),
+    "isolation": ("isolation", ()),
+    "batch": ("batch", ()),
+    "members": ("members", ()),
 }
 
 
@@ -61,13 +66,14 @@
     """Run one measurement; return its status and figures."""
     output = _BUILD / f"bench-{name}.json"
     output.unlink(missing_ok=True)
-    command = [sys.executable, "-m", f"bench.{name}", "--output", str(output)]
+    module, options = _MEASUREMENTS[name]
+    command = [sys.executable, "-m", f"bench.{module}", "--output", str(output)]
     path = os.pathsep.join((str(_ROOT / "src"), str(_ROOT)))
     started_s = time.monotonic()
     print(f"== {name}", flush=True)
     try:
         status = subprocess.run(
-            [*command, *_MEASUREMENTS[name]],
+            [*command, *options],
             cwd=_ROOT,
             env={**os.environ, "PYTHONPATH": path},
             timeout=_TIMEOUT_S,
--- a/src/endivevane/online/loads.py
+++ b/src/endivevane/online/loads.py
@@ -7,18 +7,16 @@
 import math
 import random
 import threading
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 
 import result
 
-from endivevane import logs, metrics
+from endivevane import logs
 from endivevane.configuration import snapshot
 from endivevane.coordination import clock
 from endivevane.online import messages, routing
-from endivevane.platform import engine, http_pool
+from endivevane.platform import engine, http_pool, link
 
-# Request line, status line and headers of a call, which the pool does not count.
-_HEADER_BYTES = 300
 # Shortest wait between two looks at what is due.
 _BUSY_WAIT_S = 0.05
 # The further targets follow the members, for which there is no event here.
@@ -31,8 +29,10 @@
 
     :param interval_s: time between two reports of one target
     :param events_every: cache events are fetched with every so many reports
-    :param max_targets_per_s: bound on the whole rate; with more candidates each is
-        polled less often, so that the polls do not grow with the deployment
+    :param max_targets_per_s: bound on the rate for candidates in a deployment of up
+        to 9 daemons; with more candidates each is polled less often
+    :param min_targets_per_s: the bound falls with the number of daemons down to this,
+        since control may cost a daemon 3 KB/s and a report is about 650 bytes
     :param threads: calls under way at a time
     :param timeout_s: limit for each call
     """
@@ -40,6 +40,7 @@
     interval_s: float = 1.0
     events_every: int = 2
     max_targets_per_s: float = 10.0
+    min_targets_per_s: float = 1.0
     threads: int = 8
     timeout_s: float = 1.0
 
@@ -49,35 +50,12 @@
     """A candidate target and its connection."""
 
     target: snapshot.Target
-    pool: _CountingPool
+    pool: http_pool.HttpPool
     due_s: float
     reports: int = 0
     last_event: int = 0
     is_busy: bool = False
-
-
-class _CountingPool(http_pool.HttpPool):
-    """Counts the bytes of its calls when they cross the link between regions."""
-
-    crosses_link = False
-
-    def request(
-        self,
-        method: str,
-        path: str,
-        body: bytes | None = None,
-        headers: Mapping[str, str] | None = None,
-        timeout_s: float | None = None,
-        is_repeatable: bool = True,
-    ) -> result.Result[http_pool.Response, http_pool.TransportError]:
-        """Send a request, see :meth:`http_pool.HttpPool.request`."""
-        outcome = super().request(method, path, body, headers, timeout_s, is_repeatable)
-        if self.crosses_link:
-            size_bytes = _HEADER_BYTES + len(body or b"")
-            if isinstance(outcome, result.Ok):
-                size_bytes += len(outcome.ok_value.body)
-            metrics.LINK_BYTES.labels("control").inc(size_bytes)
-        return outcome
+    is_further: bool = False
 
 
 class LoadsTask:
@@ -163,14 +141,15 @@
                 self._place, service, seen[1], self._routing, self._count_daemons()
             ):
                 wanted[target.name] = target
-        for target in self._get_further_targets():
-            wanted[target.name] = target
+        further = {item.name: item for item in self._get_further_targets()}
+        wanted.update(further)
         for name in [name for name in self._polled if name not in wanted]:
             self._polled.pop(name).pool.close_idle()
         for name, target in wanted.items():
             known = self._polled.get(name)
             if known is None or known.target.address != target.address:
                 self._polled[name] = self._make_polled(target)
+            self._polled[name].is_further = name in further
 
     def _make_polled(self, target: snapshot.Target) -> _Polled:
         limits = http_pool.PoolSettings(
@@ -178,20 +157,21 @@
             read_timeout_s=self._settings.timeout_s,
             max_idle_connections=1,
         )
-        pool = _CountingPool(target.address, limits, self._clock)
-        pool.crosses_link = target.region != self._place.region
+        pool = http_pool.HttpPool(target.address, limits, self._clock)
+        if target.region != self._place.region:
+            pool = link.LinkPool(target.address, limits, "control")
         return _Polled(target, pool, self._clock.monotonic_s())
 
     def _poll_due(self) -> float:
         """Start the calls that are due; return the time until the next one."""
         settings = self._settings
         now_s = self._clock.monotonic_s()
-        slowed_s = len(self._polled) / settings.max_targets_per_s
-        interval_s = max(settings.interval_s, slowed_s)
+        slowed_s = self._compute_interval_s()
         for polled in self._polled.values():
             if polled.is_busy or polled.due_s > now_s:
                 continue
             polled.is_busy = True
+            interval_s = settings.interval_s if polled.is_further else slowed_s
             # The spread keeps the polls of all targets from coming in one burst.
             polled.due_s = now_s + interval_s * random.uniform(0.9, 1.1)
             self._executor.submit(self._poll, polled)
@@ -200,6 +180,15 @@
         next_s = min(idle, default=now_s + _BUSY_WAIT_S)
         return min(max(next_s - now_s, _BUSY_WAIT_S), settings.interval_s)
 
+    def _compute_interval_s(self) -> float:
+        """Return the time between two reports of a candidate."""
+        settings = self._settings
+        known = routing.DEFAULT_DAEMONS
+        share = known / max(known, self._count_daemons())
+        rate = max(settings.min_targets_per_s, settings.max_targets_per_s * share)
+        count = sum(not item.is_further for item in self._polled.values())
+        return max(settings.interval_s, count / rate)
+
     def _poll(self, polled: _Polled) -> None:
         try:
             self._fetch(polled)
