--- a/features/orders.feature
+++ b/features/orders.feature
@@ -113,6 +113,13 @@
     When the answer to its acquisition is lost after it took effect
     Then it owns the group with the number of the row and has written the row once
 
+  Scenario: A live owner keeps its group
+    Guards against daemons that take a group from each other in turn, so that engines
+    that ignore numbers never get an order.
+    Given an owner of engines in memory that check numbers
+    When two owners renew their sessions and try over 100 rounds
+    Then the first keeps the group and its row is written once
+
   Scenario Outline: Two owners in competition never share a number
     Guards against two owners whose orders engines can't tell apart, and against orders
     of an old owner that take effect after those of a new one, while answers of the
@@ -145,3 +152,30 @@
     Then the model is gone and the new owner gives no order before the quiet time
     And after the quiet time the new owner loads the model again
     And the old owner gives no order when it goes on
+
+  Scenario: The last replicas of models never make room
+    Guards against trading one unserved model for another.
+    Given 2 engines in memory, of which one holds "a" and "b" and one "c" and "d"
+    When "e" of 1 replica is declared as well
+    Then no order follows in 300 rounds and "e" lacks 1 replica
+
+  Scenario: Few engines load at the same time
+    Guards against loads that share the weight store's rate until none ends in time.
+    Given 30 engines in memory, which all hold "a" of 1 replica
+    When "c" of 12 replicas is declared and placed
+    Then 4 engines loaded at the same time and never more
+
+  Scenario: A replica under doubt does not stand in for another
+    Guards against unloading a replica while an order of somebody may unload the other.
+    Given an engine full with "a" and "b", and another one with "a" and "d"
+    When "c" without any replica is planned while the other engine is under doubt
+    Then the full engine keeps "a"
+    When "c" without any replica is planned while the other engine is steady
+    Then the full engine gives "a" up for "c"
+
+  Scenario: Old versions stay until the new one has arrived
+    Guards against engines without the model while others load its new version.
+    Given 6 engines in memory, which all hold "a" of 1 replica
+    And one engine loads at a time while all may change
+    When the document declares version "2" of "a" with adapter "tuned"
+    Then 6 engines hold the model in each of the 60 rounds until all have version "2"
--- a/features/steps/orders_fencing_steps.py
+++ b/features/steps/orders_fencing_steps.py
@@ -33,17 +33,6 @@
     return [item for target in context.rivals.engines for item in target.sent]
 
 
-def _wait_quiet(context):
-    """Let the time pass after which engines that ignore numbers get orders."""
-    settings = engine_owners.SETTINGS
-    quiet_s = settings.longest_term_s + settings.longest_order_s
-    for _ in range(int(quiet_s / settings.interval_s) + 1):
-        context.rivals.clock.advance(settings.interval_s)
-        for owner in context.rivals.owners[:1]:
-            owner.renew()
-        context.rivals.run(0)
-
-
 @given("an owner of engines in memory that check numbers")
 def step_make_owner(context):
     _make_memory(context, (True, True))
@@ -110,8 +99,9 @@
     context.rivals.store.script(*lost)
     context.rivals.run(0)
     assert context.rivals.owners[0].owner.ownership is None
-    while context.rivals.owners[0].owner.ownership is None:
+    for _ in range(10):
         context.rivals.run(0)
+    assert context.rivals.owners[0].owner.ownership is not None
 
 
 @then("it owns the group with the number of the row and has written the row once")
@@ -123,6 +113,25 @@
     assert written == 1, written
 
 
+@when("two owners renew their sessions and try over {count:d} rounds")
+def step_try_both(context, count):
+    for _ in range(count):
+        context.rivals.clock.advance(engine_owners.SETTINGS.interval_s)
+        for index in (0, 1):
+            context.rivals.owners[index].renew()
+            context.rivals.run(index)
+
+
+@then("the first keeps the group and its row is written once")
+def step_check_kept(context):
+    first, second = context.rivals.owners
+    assert first.owner.ownership is not None
+    assert second.owner.ownership is None
+    written = context.rivals.store.count_writes(fencing.TABLE, engine_owners.GROUP)
+    assert written == 1, written
+    assert {item.owner for item in _sent(context)} == {"d1"}
+
+
 @when("two owners compete over {count:d} rounds with faults and seed {seed:d}")
 def step_compete(context, count, seed):
     print(f"seed={seed}")
--- a/features/steps/orders_fleet_steps.py
+++ b/features/steps/orders_fleet_steps.py
@@ -88,9 +88,16 @@
 @then("within {limit:d} seconds every daemon answers a completion of {model}")
 def step_check_answers(context, limit, model):
     name = {"it": _SECOND, "its adapter": f"{_SECOND}:tuned"}[model]
-    engine_caller.wait_until(
-        lambda: set(_ask(context, name)) == {200}, limit, f"{name} is not answered"
-    )
+    statuses = []
+
+    def is_answered():
+        statuses.append(_ask(context, name))
+        return set(statuses[-1]) == {200}
+
+    try:
+        engine_caller.wait_until(is_answered, limit, f"{name} is not answered")
+    except AssertionError as error:
+        raise AssertionError(f"{error}: statuses {statuses[-1]}") from error
 
 
 @when("all engines that hold it are killed")
