Dispatch events and messages of the wiring by their type

Cause: the wiring chose by match and isinstance where the house convention is singledispatch. Change: one handler per event and message class. Conclusion: a new kind of message needs a handler and no change elsewhere.

--- a/src/endivevane/daemon/wiring.py
+++ b/src/endivevane/daemon/wiring.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import random
 import threading
 from collections.abc import Callable
+from typing import Any
 
 from endivevane import logs, metrics, types, utils
 from endivevane.batch import api as batch_api
@@ -281,21 +283,32 @@
     def _get_snapshot(self) -> snapshot.Snapshot:
         return self.cluster.snapshot
 
+    @functools.singledispatchmethod
     def _handle_event(self, event: events.Event) -> None:
         """Pass an event of the cluster on; runs on the cluster thread."""
-        match event:
-            case events.ConfigurationChanged():
-                metrics.CONFIG_REVISION.set(event.snapshot.revision)
-                self.relay.post(messages.SnapshotChanged(event.snapshot))
-            case events.MembersChanged():
-                self._senders.forget()
-            case events.VmsChanged():
-                self._set_leaving(event.leaving)
-            case events.PeerMessage(kind="quarantine"):
-                entry = messages.QuarantineChanged(
-                    str(event.body["fingerprint"]), int(event.body["until_ms"])
-                )
-                self.relay.post(entry)
+
+    @_handle_event.register
+    def _(self, event: events.ConfigurationChanged) -> None:
+        metrics.CONFIG_REVISION.set(event.snapshot.revision)
+        self.relay.post(messages.SnapshotChanged(event.snapshot))
+
+    @_handle_event.register
+    def _(self, event: events.MembersChanged) -> None:
+        self._senders.forget()
+
+    @_handle_event.register
+    def _(self, event: events.VmsChanged) -> None:
+        self._leaving = event.leaving
+        self.relay.post(messages.TargetsLeaving(event.leaving))
+        self._plain.set_leaving(event.leaving)
+        self._loads.set_leaving(event.leaving)
+
+    @_handle_event.register
+    def _(self, event: events.PeerMessage) -> None:
+        if event.kind == "quarantine":
+            fingerprint = str(event.body["fingerprint"])
+            until_ms = int(event.body["until_ms"])
+            self.relay.post(messages.QuarantineChanged(fingerprint, until_ms))
 
     def _find_load_share(self, target_name: str) -> float:
         """Return the used share of an engine's slots, 0 when nothing is known."""
@@ -306,40 +319,35 @@
         """Return the live daemons, this one included."""
         return max(1, len(self._port.live_members()))
 
-    def _set_leaving(self, names: frozenset[str]) -> None:
-        self._leaving = names
-        self.relay.post(messages.TargetsLeaving(names))
-        self._plain.set_leaving(names)
-        self._loads.set_leaving(names)
-
-    def _publish(
-        self,
-        message: (
-            contract.UseNotice | contract.YieldRequest | messages.QuarantineChanged
-        ),
-    ) -> None:
+    @functools.singledispatchmethod
+    def _publish(self, message: object) -> None:
         """Tell the daemons concerned what the relay found out."""
-        if isinstance(message, messages.QuarantineChanged):
-            entry = {
-                "fingerprint": message.fingerprint,
-                "until_ms": message.until_wall_ms,
-            }
-            self.cluster.broadcast("quarantine", entry)
-            return
-        sender = self._senders.find(message.target)
-        if sender is None:
-            return
-        body: dict[str, object] = {"target": message.target.name}
-        if isinstance(message, contract.UseNotice):
-            kind = ports.ONLINE_USE
-            body["in_flight"] = message.in_flight
-        else:
-            kind = ports.YIELD_SLOTS
-            body["slots"] = message.slots
+        raise TypeError(f"the relay published {message!r}")
+
+    @_publish.register
+    def _(self, message: messages.QuarantineChanged) -> None:
+        body = {"fingerprint": message.fingerprint, "until_ms": message.until_wall_ms}
+        self.cluster.broadcast("quarantine", body)
+
+    @_publish.register
+    def _(self, message: contract.UseNotice) -> None:
+        body = {"target": message.target.name, "in_flight": message.in_flight}
+        self._tell_sender(message.target, ports.ONLINE_USE, body)
+
+    @_publish.register
+    def _(self, message: contract.YieldRequest) -> None:
+        body = {"target": message.target.name, "slots": message.slots}
+        self._tell_sender(message.target, ports.YIELD_SLOTS, body)
+
+    def _tell_sender(
+        self, target: snapshot.Target, kind: str, body: dict[str, Any]
+    ) -> None:
+        """Send a message to the batch sender of a target, which may be this daemon."""
+        sender = self._senders.find(target)
         if sender == self._settings.daemon.name:
             self._port.deliver(sender, kind, body)
-            return
-        self.cluster.send(sender, kind, body)
+        elif sender is not None:
+            self.cluster.send(sender, kind, body)
 
     def _list_batch_targets(self) -> list[snapshot.Target]:
         """Return the engines that this daemon sends batch items to."""
