Share the steps of the fuzzing, follow the members in the link's share

Cause: three step files had the same steps to fuzz a machine; the daemon's share of the link kept the number of daemons of the last configuration; the number of daemons was counted anew for each decision. Change: one step file names the machines; the share follows the members; the count is kept until the members change.

--- a/features/configuration_feed.feature
+++ b/features/configuration_feed.feature
@@ -2,18 +2,17 @@
 
   Scenario: Fuzzing finds no feed that goes back or is current without a reason
     # Guards against old messages, late answers, restarts and pauses.
-    When the feed machine is fuzzed with 60 examples of 40 steps
-    Then the fuzzing of the feed ran at least 1000 steps
+    When "feed" is fuzzed with 60 examples of 40 steps
+    Then the fuzzing ran at least 1000 steps
 
   Scenario Outline: The fuzzing rejects a broken feed
     # Guards against a fuzzing that would pass whatever the code did.
-    When the <machine> feed machine is fuzzed for a failure
-    Then the fuzzing of the feed fails
+    Then the fuzzing rejects the broken "<machine>" within 60 examples
 
     Examples:
-      | machine  |
-      | obedient |
-      | hasty    |
+      | machine       |
+      | obedient feed |
+      | hasty feed    |
 
   Scenario: A change reaches 9 real members within 3 seconds
     # Guards against slow polling, lost gossip and slow fetches.
--- a/features/leases.feature
+++ b/features/leases.feature
@@ -3,8 +3,8 @@
   Scenario Outline: Fuzzing finds no holder that acts outside its term
     # Guards against a term counted from the answer, an epoch that comes back, and an
     # observer that ends an epoch which is still valid.
-    When the <machine> machine of leases is fuzzed with 60 examples of 40 steps
-    Then the fuzzing of leases ran at least 1000 steps
+    When "<machine>" is fuzzed with 60 examples of 40 steps
+    Then the fuzzing ran at least 1000 steps
 
     Examples:
       | machine      |
@@ -13,13 +13,12 @@
 
   Scenario Outline: The fuzzing rejects a broken holder
     # Guards against a fuzzing that would pass whatever the code did.
-    When the <machine> machine of leases is fuzzed for a failure
-    Then the fuzzing of leases fails
+    Then the fuzzing rejects the broken "<machine>" within 60 examples
 
     Examples:
-      | machine   |
-      | late      |
-      | reviving  |
+      | machine         |
+      | late holder     |
+      | reviving holder |
 
   Scenario Outline: What a daemon may still do when it can't renew
     # Guards against orders to engines, claims and calls that need the lease or the store.
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -75,6 +75,6 @@
     And it is not seen as alive in the next 30 seconds
 
   Scenario: Messages that are lost, repeated and late do not confuse the views
-    When the membership machine is fuzzed with 60 examples of 30 steps
+    When "membership" is fuzzed with 60 examples of 30 steps
     Then the fuzzing ran at least 1000 steps
-    And the fuzzing finds a table that takes old reports for new
+    And the fuzzing rejects the broken "forgetful membership" within 25 examples
--- a/features/steps/configuration_feed_steps.py
+++ b/features/steps/configuration_feed_steps.py
@@ -10,9 +10,8 @@
 from endivevane.configuration import publishing
 from endivevane.coordination import exchange, feed, members
 from endivevane.daemon import settings as daemon_settings
-from features.support import cluster_members, fuzz_feed, fuzzing
+from features.support import cluster_members
 
-_MACHINES = {"obedient": fuzz_feed.ObedientMachine, "hasty": fuzz_feed.HastyMachine}
 _operations = itertools.count()
 
 
@@ -68,27 +67,6 @@
             self.received += self.transport.receive()
 
 
-@when("the feed machine is fuzzed with {examples:d} examples of {steps:d} steps")
-def step_fuzz(context, examples, steps):
-    machine = fuzz_feed.FeedMachine
-    context.steps_run = fuzzing.run_machine(machine, examples, steps)
-
-
-@then("the fuzzing of the feed ran at least {count:d} steps")
-def step_check_steps(context, count):
-    assert context.steps_run >= count, context.steps_run
-
-
-@when("the {name} feed machine is fuzzed for a failure")
-def step_fuzz_broken(context, name):
-    context.failure = fuzzing.find_failure(_MACHINES[name], 60, 40)
-
-
-@then("the fuzzing of the feed fails")
-def step_check_failure(context):
-    assert context.failure is not None
-
-
 @given("{count:d} members with CURVE keys that have joined")
 def step_start_members(context, count):
     context.store = SlowStore(testing.MemoryTableStore())
--- a/features/steps/leases_steps.py
+++ b/features/steps/leases_steps.py
@@ -5,14 +5,8 @@
 
 from endivevane import testing
 from endivevane.coordination import clock, fencing, lease
-from features.support import cluster_members, fuzz_lease, fuzzing
-
-_MACHINES = {
-    "two holders": fuzz_lease.LeaseMachine,
-    "one holder": fuzz_lease.SingleHolderMachine,
-    "late": fuzz_lease.LateMachine,
-    "reviving": fuzz_lease.RevivingMachine,
-}
+from features.support import cluster_members
+
 _TERM_S = 9.0
 _MARGIN_S = 1.0
 _LONGEST_ORDER_S = 20.0
@@ -58,29 +52,6 @@
     context.old = context.fences["d1"].find("g1")
 
 
-@when(
-    "the {name} machine of leases is fuzzed with {examples:d} examples "
-    "of {steps:d} steps"
-)
-def step_fuzz(context, name, examples, steps):
-    context.steps_run = fuzzing.run_machine(_MACHINES[name], examples, steps)
-
-
-@then("the fuzzing of leases ran at least {count:d} steps")
-def step_check_steps(context, count):
-    assert context.steps_run >= count, context.steps_run
-
-
-@when("the {name} machine of leases is fuzzed for a failure")
-def step_fuzz_broken(context, name):
-    context.failure = fuzzing.find_failure(_MACHINES[name], 60, 40)
-
-
-@then("the fuzzing of leases fails")
-def step_check_failure(context):
-    assert context.failure is not None
-
-
 @then(
     '"{action}" is {with_lease} with a lease and a silent store, '
     "{without} without both, and {lapsed} with a store but no lease"
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 
 from endivevane.coordination import members
-from features.support import fuzz_membership, fuzzing, pump
+from features.support import pump
 
 _ZONES = {
     3: [("z1", "r1"), ("z2", "r1"), ("z3", "r2")],
@@ -105,12 +105,6 @@
     context.pump.nodes[reader].detector.report_leaving(context.leaving)
 
 
-@when("the membership machine is fuzzed with {examples:d} examples of {steps:d} steps")
-def step_fuzz(context, examples, steps):
-    machine = fuzz_membership.MembershipMachine
-    context.steps_run = fuzzing.run_machine(machine, examples, steps)
-
-
 @then("every running member has noticed each death within {limit:g} seconds")
 def step_check_detection(context, limit):
     late = {}
@@ -191,13 +185,3 @@
         for name in context.pump.running():
             member = context.pump.nodes[name].detector.table.get(context.leaving)
             assert member.state is members.MemberState.LEAVING, (name, member)
-
-
-@then("the fuzzing ran at least {count:d} steps")
-def step_check_steps(context, count):
-    assert context.steps_run >= count, context.steps_run
-
-
-@then("the fuzzing finds a table that takes old reports for new")
-def step_check_forgetful(context):
-    assert fuzzing.find_failure(fuzz_membership.ForgetfulMachine, 25, 30) is not None
--- a/src/endivevane/daemon/wiring.py
+++ b/src/endivevane/daemon/wiring.py
@@ -61,6 +61,7 @@
         self._settings = daemon_settings
         self._clock = daemon_clock
         self._is_draining = False
+        self._daemon_count: int | None = None
         self._leaving: frozenset[str] = frozenset()
         self._stop_requested = threading.Event()
         self._stopped = threading.Event()
@@ -295,6 +296,7 @@
     @_handle_event.register
     def _(self, event: events.MembersChanged) -> None:
         self._senders.forget()
+        self._daemon_count = None
 
     @_handle_event.register
     def _(self, event: events.VmsChanged) -> None:
@@ -316,8 +318,10 @@
         return report.running / max(1, report.slots) if report is not None else 0.0
 
     def _count_daemons(self) -> int:
-        """Return the live daemons, this one included."""
-        return max(1, len(self._port.live_members()))
+        """Return the live daemons, this one included; asked for each decision."""
+        if self._daemon_count is None:
+            self._daemon_count = max(1, len(self._port.live_members()))
+        return self._daemon_count
 
     @functools.singledispatchmethod
     def _publish(self, message: object) -> None:
--- a/src/endivevane/online/routing.py
+++ b/src/endivevane/online/routing.py
@@ -70,24 +70,24 @@
     ) -> None:
         self._clock = budget_clock
         self._count_daemons = count_daemons
-        self._rate_bytes_s = 0.0
+        self._share_bytes_s = 0.0
         self._tokens_bytes = 0.0
         self._filled_s = budget_clock.monotonic_s()
 
     def set_link(self, link: snapshot.Link) -> None:
         """Take over the capacity; the bucket starts full."""
-        share = link.capacity_bytes_s * link.data_share
-        rate_bytes_s = share / max(1, self._count_daemons())
-        if rate_bytes_s != self._rate_bytes_s:
-            self._rate_bytes_s = rate_bytes_s
-            self._tokens_bytes = rate_bytes_s * _LINK_BURST_S
+        share_bytes_s = link.capacity_bytes_s * link.data_share
+        if share_bytes_s != self._share_bytes_s:
+            self._share_bytes_s = share_bytes_s
+            self._tokens_bytes = self._compute_rate_bytes_s() * _LINK_BURST_S
 
     def has_room(self) -> bool:
         """Return whether another request may cross the link."""
         now_s = self._clock.monotonic_s()
-        gained = (now_s - self._filled_s) * self._rate_bytes_s
+        rate_bytes_s = self._compute_rate_bytes_s()
+        gained = (now_s - self._filled_s) * rate_bytes_s
         self._filled_s = now_s
-        limit = self._rate_bytes_s * _LINK_BURST_S
+        limit = rate_bytes_s * _LINK_BURST_S
         self._tokens_bytes = min(limit, self._tokens_bytes + gained)
         return self._tokens_bytes > 0
 
@@ -95,6 +95,10 @@
         """Take the bytes of a request; the bucket may go below zero once."""
         self._tokens_bytes -= size_bytes
 
+    def _compute_rate_bytes_s(self) -> float:
+        """Return the share of this daemon, which changes with the members."""
+        return self._share_bytes_s / max(1, self._count_daemons())
+
 
 def choose_candidates(
     place: Place,
