--- a/bench/run.py
+++ b/bench/run.py
@@ -23,6 +23,9 @@
 _RESULTS = _ROOT / "docs" / "measurements"
 _BUILD = _ROOT / "build"
 _TIMEOUT_S = 700
+# Keeps the whole run under 20 minutes.
+_MEMBER_SIZES = ("--sizes", "50", "100", "200", "340")
+_MEMBER_TIMES = ("--settle-s", "40", "--duration-s", "20")
 _SHORT_RELAY = ("--rounds", "1", "--tokens", "240")
 # Name of the measurement, module and arguments.
 _MEASUREMENTS: dict[str, tuple[str, tuple[str, ...]]] = {
@@ -34,7 +37,7 @@
     "requests": ("requests", ()),
     "isolation": ("isolation", ()),
     "batch": ("batch", ()),
-    "members": ("members", ()),
+    "members": ("members", (*_MEMBER_SIZES, *_MEMBER_TIMES)),
 }
 
 
