--- a/bench/isolation.py
+++ b/bench/isolation.py
@@ -20,7 +20,7 @@
 import aiohttp
 
 from bench import bars, experiment, histograms, load
-from tools import fleet
+from tools import fleet, jobs
 
 _ENGINES = 4
 _SLOTS = 16
@@ -209,23 +209,11 @@
         self._job_id = ""
 
     def __enter__(self) -> None:
-        lines = [
-            json.dumps(
-                {
-                    "custom_id": f"item-{number}",
-                    "method": "POST",
-                    "url": "/v1/chat/completions",
-                    "body": _make_body(self._running, f"{time.time()} {number}"),
-                }
-            )
-            for number in range(_ITEMS)
-        ]
-        path = self._running.folder / "isolation.jsonl"
-        path.write_text("\n".join(lines))
-        run = self._running.run_ctl("--output", "json", "jobs", "submit", str(path))
-        if run.returncode:
-            raise RuntimeError(f"the job was refused: {run.stderr}")
-        self._job_id = json.loads(run.stdout)["id"]
+        model = self._running.plan.model
+        # The time keeps a second job apart from the first, whose key would be the same.
+        text = f"record {time.time()}"
+        bodies = jobs.make_bodies(model, _ITEMS, _ITEM_TOKENS, text)
+        self._job_id = jobs.submit(self._running, bodies)
 
     def __exit__(self, *_error: object) -> None:
         self._running.run_ctl("jobs", "cancel", self._job_id)
--- a/features/steps/link_steps.py
+++ b/features/steps/link_steps.py
@@ -1,4 +1,3 @@
-import json
 import time
 import urllib.request
 
@@ -6,7 +5,7 @@
 
 from endivevane.coordination import clock
 from endivevane.platform import link
-from tools import fleet
+from tools import fleet, jobs
 
 _JOB_BOUND_S = 30.0
 
@@ -61,32 +60,13 @@
 
 @when("a batch job of {count:d} items has completed")
 def step_job(context, count):
-    lines = [
-        json.dumps(
-            {
-                "custom_id": f"i{number}",
-                "method": "POST",
-                "url": "/v1/chat/completions",
-                "body": {
-                    "model": context.fleet.plan.model,
-                    "messages": [{"role": "user", "content": f"item {number}"}],
-                    "max_tokens": 2,
-                },
-            }
-        )
-        for number in range(count)
-    ]
-    path = context.fleet.folder / "items.jsonl"
-    path.write_text("\n".join(lines))
-    run = context.fleet.run_ctl("--output", "json", "jobs", "submit", str(path))
-    assert run.returncode == 0, run
-    job_id = json.loads(run.stdout)["id"]
+    bodies = jobs.make_bodies(context.fleet.plan.model, count, 2, "item")
+    job_id = jobs.submit(context.fleet, bodies)
     deadline_s = time.monotonic() + _JOB_BOUND_S
     status = ""
     while status != "completed" and time.monotonic() < deadline_s:
         time.sleep(0.5)
-        run = context.fleet.run_ctl("--output", "json", "jobs", "show", job_id)
-        status = json.loads(run.stdout)["status"]
+        status = jobs.read_status(context.fleet, job_id) or status
     assert status == "completed", status
 
 
--- a/src/endivevane/batch/settling.py
+++ b/src/endivevane/batch/settling.py
@@ -13,45 +13,49 @@
     now_s: float,
     max_attempts: int,
 ) -> None:
-    """Keep the result of an attempt, or let its item wait for the next one."""
-    pending = work.PendingItem(attempt.item, attempt.breaks, attempt.refusals)
+    """Keep the result of an attempt, or let its item wait for the next one.
+
+    :param max_attempts: attempts that broke off before the item is given up
+    """
     job_id, number = chunk.key
+    item = attempt.item
     if outcome.kind in (attempts.Kind.ANSWERED, attempts.Kind.REJECTED):
-        line = items.make_answer_line(
-            job_id,
-            number,
-            attempt.item,
-            attempt.attempt_id,
-            outcome.status,
-            outcome.body,
+        chunk.lines[item.index] = items.make_answer_line(
+            job_id, number, item, attempt.attempt_id, outcome.status, outcome.body
         )
-        chunk.lines[attempt.item.index] = line
         chunk.progress_at_s = now_s
         return
-    problem: items.Problem | None = None
+    pending = work.PendingItem(item, attempt.breaks, attempt.refusals)
+    problem = _note_failure(pending, outcome, now_s, max_attempts)
+    if problem is None:
+        chunk.put_back(pending)
+        return
+    logs.warning(
+        "item_failed", job_id=job_id, custom_id=item.custom_id, code=problem.code
+    )
+    chunk.lines[item.index] = items.make_failure_line(job_id, number, item, problem)
+    chunk.progress_at_s = now_s
+
+
+def _note_failure(
+    pending: work.PendingItem,
+    outcome: attempts.Outcome,
+    now_s: float,
+    max_attempts: int,
+) -> items.Problem | None:
+    """Count a failed attempt; return why the item is given up, if it is."""
     if outcome.kind is attempts.Kind.BROKEN:
         pending.breaks += 1
         pending.ready_at_s = now_s + work.compute_pause_s(pending.breaks - 1)
         metrics.RETRIES.labels("batch_broken").inc()
         if pending.breaks >= max_attempts:
             text = f"given up after {pending.breaks} attempts: {outcome.detail}"
-            problem = items.Problem("attempts_exhausted", text)
+            return items.Problem("attempts_exhausted", text)
     if outcome.kind is attempts.Kind.REFUSED:
         pending.refusals += 1
         pending.ready_at_s = now_s + work.compute_pause_s(pending.refusals - 1)
+        metrics.RETRIES.labels("batch_refused").inc()
         if pending.refusals >= work.MAX_REFUSALS:
             text = f"refused {pending.refusals} times: {outcome.detail}"
-            problem = items.Problem("refused", text)
-    if problem is None:
-        chunk.put_back(pending)
-        return
-    logs.warning(
-        "item_failed",
-        job_id=job_id,
-        custom_id=attempt.item.custom_id,
-        code=problem.code,
-    )
-    chunk.lines[attempt.item.index] = items.make_failure_line(
-        job_id, number, attempt.item, problem
-    )
-    chunk.progress_at_s = now_s
+            return items.Problem("refused", text)
+    return None
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -20,7 +20,7 @@
 import openai
 
 from standins import completions
-from tools import audit, fleet
+from tools import audit, fleet, jobs
 
 _MODEL = "small-lm"
 _ITEMS = 2400
@@ -186,8 +186,8 @@
     alone = [item.first_token_ms for item in list(load.results) if item.first_token_ms]
     count_alone = len(load.results)
     _say("online requests alone: done", started_s)
-    bodies = _make_items()
-    job_id = _submit(running, bodies)
+    bodies = jobs.make_bodies(_MODEL, _ITEMS, _ITEM_TOKENS, "summarise record")
+    job_id = jobs.submit(running, bodies)
     _say(f"batch job {job_id} of {len(bodies)} items: accepted", started_s)
     job_started_s = time.monotonic()
     time.sleep(_KILL_DAEMON_S)
@@ -222,45 +222,11 @@
     }
 
 
-def _make_items() -> dict[str, dict[str, object]]:
-    return {
-        f"item-{number}": {
-            "model": _MODEL,
-            "messages": [{"role": "user", "content": f"summarise record {number}"}],
-            "max_tokens": _ITEM_TOKENS,
-        }
-        for number in range(_ITEMS)
-    }
-
-
-def _submit(running: fleet.Fleet, bodies: dict[str, dict[str, object]]) -> str:
-    lines = [
-        json.dumps(
-            {
-                "custom_id": name,
-                "method": "POST",
-                "url": "/v1/chat/completions",
-                "body": body,
-            }
-        )
-        for name, body in bodies.items()
-    ]
-    path = running.folder / "items.jsonl"
-    path.write_text("\n".join(lines) + "\n")
-    run = running.run_ctl("--output", "json", "jobs", "submit", str(path))
-    if run.returncode:
-        raise RuntimeError(f"the job was refused: {run.stderr}")
-    job_id: str = json.loads(run.stdout)["id"]
-    return job_id
-
-
 def _await_job(running: fleet.Fleet, job_id: str, since_s: float) -> str:
     status = "in_progress"
     while status == "in_progress" and time.monotonic() - since_s < _JOB_LIMIT_S:
         time.sleep(_POLL_S)
-        run = running.run_ctl("--output", "json", "jobs", "show", job_id)
-        if run.returncode == 0:
-            status = json.loads(run.stdout)["status"]
+        status = jobs.read_status(running, job_id) or status
     return status
 
 
