Move the runner's test world into the support folder

Cause: two step files used it, one by importing the other's private names. Change: features/support/batch_world.py. Conclusion: step files import support modules only.

--- a/features/steps/batch_decisions_steps.py
+++ b/features/steps/batch_decisions_steps.py
@@ -8,12 +8,10 @@
 from endivevane.batch import (
     chunks,
     items,
-    jobs,
     looking,
     picking,
     ports,
     records,
-    runner,
     segments,
     slack,
     work_source,
@@ -23,8 +21,7 @@
 from endivevane.daemon import settings
 from endivevane.platform import engine
 from endivevane.types import parse_address
-from features.support import batch_fleet, batch_local
-from tools import fleet
+from features.support import batch_fleet, batch_local, batch_world
 
 _NOW_MS = 1_000_000
 
@@ -260,72 +257,18 @@
     assert b"".join(context.objects.parts) == context.file
 
 
-class _World:
-    """A runner in this process with one real engine."""
-
-    def __init__(self, context, slots, item_ms):
-        plan = fleet.FleetPlan(daemons=0, engines=1, slots=slots, token_ms=item_ms / 8)
-        self.fleet = fleet.Fleet(plan)
-        context.cleanups.append(self.fleet.close)
-        self.fleet.start()
-        address = self.fleet.engines[0].address
-        current = batch_local.make_snapshot([(address, slots)], model=plan.model)
-        self.hub = batch_local.Hub(current)
-        self.store = testing.MemoryTableStore()
-        self.objects = batch_local.MemoryObjects()
-        self.clock = clock.SystemClock()
-        self.target = current.services["s"].targets[0]
-        self.job_id = self._create(plan.model)
-
-    def _create(self, model):
-        data = ("\n".join(batch_fleet.make_lines(60, model)) + "\n").encode()
-        self.objects.put("u/000000", data)
-        record = records.InputFile(
-            "file-1", "org", "f", "batch", len(data), 60, 1, "d", 1, "u", model, 0
-        )
-        write = store.Write("files", "file-1", records.encode(record))
-        self.store.transact("setup", [], [write])
-        request = jobs.JobRequest(
-            "org", "file-1", items.ENDPOINT, "1h", 3_600_000, None, ""
-        )
-        return jobs.JobService(self.store, self.clock).create(request).job_id
-
-    def start_runner(self, context, name):
-        cluster = batch_local.LocalCluster(self.hub, name)
-        task = runner.BatchRunner(
-            settings.BatchSection(poll_interval_s=0.2),
-            self.store,
-            self.objects,
-            cluster,
-            batch_local.PolledLoads([self.target]),
-            self.clock,
-        )
-        context.cleanups.append(task.stop)
-        task.start()
-        return task
-
-    def runs(self, *states):
-        found = self.fleet.engines[0].record()["runs"]
-        return [run for run in found if not states or run["state"] in states]
-
-
-def _await(check, timeout_s, problem):
-    deadline_s = time.monotonic() + timeout_s
-    while not check():
-        assert time.monotonic() < deadline_s, problem
-        time.sleep(0.02)
-
-
 @given("a runner with an engine of {slots:d} slots and items of {item_ms:d} ms")
 def step_runner(context, slots, item_ms):
-    context.world = _World(context, slots, item_ms)
+    context.world = batch_world.World(context, slots, item_ms)
     context.runner = context.world.start_runner(context, "d1")
 
 
 @when("items run in {running:d} slots and {count:d} of them are taken back")
 def step_take_back(context, running, count):
     world = context.world
-    _await(lambda: len(world.runs("started")) == running, 15, "items do not run")
+    batch_world.wait_until(
+        lambda: len(world.runs("started")) == running, 15, "items do not run"
+    )
     body = {"target": world.target.name, "slots": count}
     context.runner.receive_yield("d2", body)
     context.asked_at_s = time.time()
@@ -334,7 +277,7 @@
 @then("the engine has cancelled {count:d} runs within {limit_s:d} s")
 def step_check_taken(context, count, limit_s):
     world = context.world
-    _await(
+    batch_world.wait_until(
         lambda: len(world.runs("cancelled")) == count,
         limit_s,
         f"cancelled: {len(world.runs('cancelled'))}",
@@ -357,7 +300,9 @@
 @when("the runner is drained after some items have ended")
 def step_drain(context):
     world = context.world
-    _await(lambda: len(world.runs("finished")) >= 12, 15, "no item has ended")
+    batch_world.wait_until(
+        lambda: len(world.runs("finished")) >= 12, 15, "no item has ended"
+    )
     context.runner.drain(5.0)
     context.finished = len(world.runs("finished"))
 
@@ -382,7 +327,7 @@
     def is_done():
         return world.store.rows("jobs")[world.job_id].value["state"] == "completed"
 
-    _await(is_done, 20, "the job does not end")
+    batch_world.wait_until(is_done, 20, "the job does not end")
     finished = [run["attempt_id"].split("-")[2] for run in world.runs("finished")]
     assert len(finished) == len(set(finished)) == 60, len(finished)
 
@@ -447,7 +392,7 @@
 def _look_once(context):
     context.clock.advance(20.0)
     context.looker.list_open((), True, context.clock.monotonic_s())
-    _await(lambda: context.inbox, 5, "no listing")
+    batch_world.wait_until(lambda: context.inbox, 5, "no listing")
     listed = context.inbox.pop().outcome.ok_value
     context.looker.note_listing_ended()
     for job_id in listed.ended:
--- a/features/steps/late_configuration_steps.py
+++ b/features/steps/late_configuration_steps.py
@@ -3,13 +3,12 @@
 from behave import given, then, when
 
 from endivevane.configuration import snapshot
-from features.steps import batch_decisions_steps
-from features.support import batch_local
+from features.support import batch_local, batch_world
 
 
 @given("a runner that starts with {first} and a job of {count:d} items")
 def step_start(context, first, count):
-    context.world = batch_decisions_steps._World(context, 8, 8)
+    context.world = batch_world.World(context, 8, 8)
     context.wanted = context.world.hub.current
     context.world.hub.current = {
         "no configuration": snapshot.EMPTY,
@@ -29,7 +28,7 @@
     def read():
         return context.world.store.rows("jobs")[context.world.job_id].value
 
-    batch_decisions_steps._await(
+    batch_world.wait_until(
         lambda: read()["state"] == "completed", 20, "the job does not end"
     )
     tally = read()["tally"]
