--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -12,6 +12,7 @@
 import pathlib
 import subprocess
 import sys
+from typing import Any
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _BUILD = _ROOT / "build"
@@ -31,10 +32,16 @@
     summary_path = _BUILD / "features-summary.txt"
     summary_path.unlink(missing_ok=True)
     counts = {"passed": 0, "failed": 0, "skipped": 0}
+    failed_names: list[str] = []
     with concurrent.futures.ThreadPoolExecutor(_PARALLEL_RUNS) as executor:
-        for outcome in executor.map(_run_feature, files):
+        for path, outcome in zip(files, executor.map(_run_feature, files), strict=True):
             for key in counts:
                 counts[key] += outcome[key]
+            if outcome["failed"]:
+                failed_names += _describe_failures(path)
+    # A log that is cut at the front still ends with what failed.
+    for name in failed_names:
+        print(f"failed: {name}")
     line = ", ".join(f"{count} {name}" for name, count in counts.items())
     summary_path.write_text(line + "\n")
     print(line)
@@ -71,6 +78,34 @@
     return counts
 
 
+def _describe_failures(path: pathlib.Path) -> list[str]:
+    """Return one line for each failed step of one feature file."""
+    report_path = _BUILD / f"{path.stem}.json"
+    if not report_path.exists() or not report_path.read_text().strip():
+        return [f"{path.name}: no report"]
+    lines = []
+    for feature in json.loads(report_path.read_text()):
+        for element in feature.get("elements", []):
+            if element.get("status") != "failed":
+                continue
+            lines.append(f"{path.name}: {element['name']}")
+            lines += _describe_steps(element)
+    return lines
+
+
+def _describe_steps(element: dict[str, Any]) -> list[str]:
+    """Return the failed steps of one scenario with the end of their messages."""
+    lines = []
+    for step in element.get("steps", []):
+        result = step.get("result", {})
+        if result.get("status") != "failed":
+            continue
+        message = result.get("error_message", "")
+        text = message if isinstance(message, str) else " ".join(message)
+        lines.append(f"  {step['name']}: {' '.join(text.split())[-400:]}")
+    return lines
+
+
 def _count(report_path: pathlib.Path) -> dict[str, int]:
     """Count scenarios in one JSON report of behave."""
     counts = {"passed": 0, "failed": 0, "skipped": 0}
