Spread the loss of half of the members within the bound

Cause: a trace of late deaths showed two groups. Rows of dead members whose other watchers died too were probed one by one (first notice up to 4.66 s), and single members learnt of a suspicion late, since half of the pushes went to dead members and news took turns in messages of 32 updates. Change: silent members are no push partners; as many successors are probed as are silent, four at most; an unsolicited message holds 200 updates.

--- a/src/endivevane/coordination/links.py
+++ b/src/endivevane/coordination/links.py
@@ -8,6 +8,7 @@
 
 _HEARD_INTERVALS = 10
 _REJOIN_SHARE = 0.25
+_MAX_SUCCESSORS = 4
 
 
 class LinkChooser:
@@ -63,11 +64,33 @@
         targets: list[str] = []
         for name in self._view.table.walk_ring(ring, self._view.me.name):
             targets.append(name)
-            is_silent = self._view.is_suspected(name) or self._book.is_silent(name)
-            if not is_silent or len(targets) >= self._settings.max_probes:
+            if not self._is_silent(name) or len(targets) >= self._settings.max_probes:
                 break
         return targets
 
+    def list_successors(self, ring: int) -> list[str]:
+        """Return the members to probe next because those before them are silent.
+
+        As many as are silent in all rings, since a row of dead members whose other
+        watchers died too would be noticed too late if it were probed one by one.
+        """
+        silent: set[str] = set()
+        for other in range(self._settings.rings):
+            targets = self.list_targets(other)
+            silent.update(name for name in targets if self._is_silent(name))
+        names: list[str] = []
+        for name in self._view.table.walk_ring(ring, self._view.me.name):
+            if self._is_silent(name):
+                continue
+            names.append(name)
+            if len(names) >= min(len(silent), _MAX_SUCCESSORS):
+                break
+        return names
+
+    def _is_silent(self, name: str) -> bool:
+        """Tell whether a member is suspected or did not answer its last ping."""
+        return self._view.is_suspected(name) or self._book.is_silent(name)
+
     def list_contacts(self) -> list[str]:
         """Return one member in each zone of other regions, for a gateway."""
         region = self._view.me.description.region
@@ -110,7 +133,9 @@
             is_recent = self._heard_s[name] >= horizon_s
             if not is_recent or len(names) >= self._settings.max_links:
                 break
-            if self._view.table.get(name) is not None:
+            # After the loss of half of the members, half of the messages would go to
+            # dead ones, which count as copies sent.
+            if self._view.table.get(name) is not None and not self._is_silent(name):
                 names[name] = None
         return list(names)
 
--- a/src/endivevane/coordination/membership.py
+++ b/src/endivevane/coordination/membership.py
@@ -297,9 +297,10 @@
             self._send(helper, exchange.ProbeRequest(header, sequence, name))
         # The successors of one that may be dead have one watcher less.
         for ring in range(self._settings.rings):
-            targets = self._links.list_targets(ring)
-            if name in targets:
-                self._start_probe(targets[-1])
+            if name not in self._links.list_targets(ring):
+                continue
+            for successor in self._links.list_successors(ring):
+                self._start_probe(successor)
 
     def _start_probe(self, name: str) -> None:
         sequence = self._book.start(name, self._last_call_s)
--- a/src/endivevane/coordination/probes.py
+++ b/src/endivevane/coordination/probes.py
@@ -23,8 +23,8 @@
     :param max_links: members that unsolicited gossip goes to at most
     :param max_probes: pings in flight at most
     :param max_updates: updates piggybacked on a probe or its answer at most
-    :param max_pushed_updates: updates in one unsolicited message at most; eight of them
-        needed seconds to spread the loss of half of 340 members
+    :param max_pushed_updates: updates in one unsolicited message at most; with 32 of
+        them the news of the loss of half of 340 members took turns for a second
     :param max_tick_gap_s: longest time between two calls in normal operation; what
         exceeds it was a pause of this process
     :param push_interval_s: shortest time between two rounds of unsolicited gossip
@@ -40,7 +40,7 @@
     max_links: int = 8
     max_probes: int = 24
     max_updates: int = 8
-    max_pushed_updates: int = 32
+    max_pushed_updates: int = 200
     max_tick_gap_s: float = 0.15
     push_interval_s: float = 0.1
     sync_interval_s: float = 20.0
