Wait for the answers of batch items in one selector

Cause: each item in flight held a thread; at the target a daemon needs 213 of them, and batch.concurrent_items was 64 by default, so that the target did not fit. The default of batch.concurrent_items is 256.

--- a/bench/batch.py
+++ b/bench/batch.py
@@ -107,7 +107,7 @@
 def _run_job(table_store: Any, object_store: Any) -> records.Job:
     system = clock.SystemClock()
     hub = batch_local.Hub(batch_parts.make_snapshot())
-    attempts.run = batch_parts.answer_at_once
+    attempts.send = batch_parts.answer_at_once
     task = runner.BatchRunner(
         settings.BatchSection(concurrent_items=64),
         table_store,
--- a/bench/batch_parts.py
+++ b/bench/batch_parts.py
@@ -40,7 +40,7 @@
 
 
 def answer_at_once(
-    _pool: http_pool.HttpPool, attempt: attempts.Attempt, _timeout_s: float
+    _pool: http_pool.HttpPool, attempt: attempts.Attempt
 ) -> attempts.Outcome:
     """Answer an item without an engine."""
     message = {"role": "assistant", "content": f"answer to {attempt.item.custom_id}"}
--- a/features/support/batch_storm.py
+++ b/features/support/batch_storm.py
@@ -5,7 +5,7 @@
 import time
 
 from endivevane import testing
-from endivevane.batch import attempts, items, jobs, records, runner, sending
+from endivevane.batch import attempts, items, jobs, records, runner
 from endivevane.coordination import clock, store
 from endivevane.daemon import settings
 from features.support import batch_fleet, batch_local
@@ -41,8 +41,8 @@
         self.clock = clock.SystemClock()
         self.tasks = {}
         self.attempt_count = 0
-        self._original = sending.attempts.run
-        sending.attempts.run = self._run_attempt
+        self._original = attempts.send
+        attempts.send = self._answer
         self.job_id = self._create(items_count)
         self._next = 0
         for _ in range(runners):
@@ -51,7 +51,7 @@
     def close(self):
         for task in self.tasks.values():
             task.stop()
-        sending.attempts.run = self._original
+        attempts.send = self._original
 
     def _choose_fault(self, _kind):
         with self._fault_lock:
@@ -59,7 +59,7 @@
                 return None
             return self.random.choice(list(testing.Fault))
 
-    def _run_attempt(self, _pool, attempt, _timeout_s):
+    def _answer(self, _pool, attempt):
         self.attempt_count += 1
         time.sleep(0.01)
         if attempt.withdrawn.is_set():
--- a/src/endivevane/batch/attempts.py
+++ b/src/endivevane/batch/attempts.py
@@ -71,31 +71,42 @@
     withdrawn: threading.Event = dataclasses.field(default_factory=threading.Event)
 
 
-def run(pool: http_pool.HttpPool, attempt: Attempt, timeout_s: float) -> Outcome:
-    """Send the item and wait for its answer.
+def send(pool: http_pool.HttpPool, attempt: Attempt) -> http_pool.SentCall | Outcome:
+    """Send the item, unless it ends before.
 
     A new connection is used each time: the pool would resend a request whose reused
     connection broke, and an item that crashes engines would run twice per attempt.
-
-    :param timeout_s: limit for one wait
     """
     if attempt.withdrawn.is_set():
         return Outcome(Kind.WITHDRAWN)
     body = utils.encode_json({**attempt.item.decode_body(), "stream": False})
     headers = {**_CLASS_HEADERS, "X-Request-Id": attempt.attempt_id}
-    outcome = pool.request(
-        "POST", items.ENDPOINT, body, headers, timeout_s, is_repeatable=False
-    )
+    outcome = pool.send("POST", items.ENDPOINT, body, headers)
+    if isinstance(outcome, result.Err):
+        return _interpret_error(attempt, outcome.err_value)
+    return outcome.ok_value
+
+
+def receive(call: http_pool.SentCall, attempt: Attempt, timeout_s: float) -> Outcome:
+    """Read the answer of an item.
+
+    :param timeout_s: limit for each wait for bytes
+    """
+    outcome = call.receive(timeout_s)
     if isinstance(outcome, result.Err):
-        error = outcome.err_value
-        if attempt.withdrawn.is_set():
-            return Outcome(Kind.WITHDRAWN)
-        if error.stage is http_pool.Stage.CONNECT:
-            return Outcome(Kind.UNREACHABLE, error.format_message())
-        return Outcome(Kind.BROKEN, error.format_message())
+        return _interpret_error(attempt, outcome.err_value)
     return _interpret(attempt, outcome.ok_value)
 
 
+def give_up(attempt: Attempt, timeout_s: float) -> Outcome:
+    """Return the outcome of an item whose answer did not come in time."""
+    if attempt.withdrawn.is_set():
+        return Outcome(Kind.WITHDRAWN)
+    return Outcome(
+        Kind.BROKEN, f"{attempt.target.name} gave no answer in {timeout_s:g} s"
+    )
+
+
 def cancel(pool: http_pool.HttpPool, attempt: Attempt) -> None:
     """Stop the item at the engine; the attempt then ends by itself.
 
@@ -105,6 +116,14 @@
     engine.EngineClient(pool).cancel_stream(attempt.attempt_id)
 
 
+def _interpret_error(attempt: Attempt, error: http_pool.TransportError) -> Outcome:
+    if attempt.withdrawn.is_set():
+        return Outcome(Kind.WITHDRAWN)
+    is_unsent = error.stage is http_pool.Stage.CONNECT
+    kind = Kind.UNREACHABLE if is_unsent else Kind.BROKEN
+    return Outcome(kind, error.format_message())
+
+
 def _interpret(attempt: Attempt, response: http_pool.Response) -> Outcome:
     status = response.status
     if status == _CANCELLED_STATUS:
--- a/src/endivevane/batch/sending.py
+++ b/src/endivevane/batch/sending.py
@@ -7,7 +7,15 @@
 from collections.abc import Callable, Collection, Iterable, Sequence
 
 from endivevane import logs, metrics
-from endivevane.batch import attempts, messages, ports, records, slack, work
+from endivevane.batch import (
+    attempts,
+    item_calls,
+    messages,
+    ports,
+    records,
+    slack,
+    work,
+)
 from endivevane.configuration import snapshot
 from endivevane.coordination import clock
 from endivevane.platform import engine, http_pool
@@ -28,9 +36,9 @@
 
 
 class ItemSender:
-    """Keeps the targets, their items in flight and the threads that wait for them.
+    """Keeps the targets and their items in flight.
 
-    All methods but the ones of the threads are called by the runner's thread.
+    All methods are called by the runner's thread.
 
     :param concurrent_items: items in flight in this daemon
     :param post: gives a message to the runner's thread
@@ -54,9 +62,7 @@
         self._cancelling: dict[str, _Cancelling] = {}
         self._attempt_count = 0
         self._mean_item_s = 0.0
-        self._executor = concurrent.futures.ThreadPoolExecutor(
-            concurrent_items, "batch-item"
-        )
+        self._calls = item_calls.ItemCalls(sender_clock, self._end)
         self._cancel_executor = concurrent.futures.ThreadPoolExecutor(
             _CANCEL_THREADS, "batch-cancel"
         )
@@ -242,8 +248,8 @@
                 self._submit_cancel(entry.attempt)
 
     def stop(self) -> None:
-        """Let go of the threads; those that still wait end with their calls."""
-        self._executor.shutdown(wait=False, cancel_futures=True)
+        """Let go of the threads and of the calls that wait for answers."""
+        self._calls.stop()
         self._cancel_executor.shutdown(wait=False)
 
     def _withdraw(self, victims: Iterable[attempts.Attempt]) -> None:
@@ -329,16 +335,9 @@
         state.running[attempt.attempt_id] = attempt
         state.use.change(self._clock.wall_ms(), 1)
         pool = self._get_pool(attempt)
-        self._executor.submit(self._run, pool, attempt, timeout_s)
+        self._calls.start(pool, attempt, timeout_s)
 
-    def _run(
-        self, pool: http_pool.HttpPool, attempt: attempts.Attempt, timeout_s: float
-    ) -> None:
-        try:
-            outcome = attempts.run(pool, attempt, timeout_s)
-        except Exception as error:
-            logs.error("attempt_crashed", attempt=attempt.attempt_id, error=repr(error))
-            outcome = attempts.Outcome(attempts.Kind.BROKEN, repr(error))
+    def _end(self, attempt: attempts.Attempt, outcome: attempts.Outcome) -> None:
         self._post(messages.ItemEnded(attempt, outcome))
 
     def _get_state(self, target: snapshot.Target) -> work.TargetState:
--- a/src/endivevane/daemon/settings.py
+++ b/src/endivevane/daemon/settings.py
@@ -107,7 +107,7 @@
     """
 
     enabled: bool = True
-    concurrent_items: int = pydantic.Field(default=64, ge=1, le=1024)
+    concurrent_items: int = pydantic.Field(default=256, ge=1, le=4096)
     poll_interval_s: Seconds = 1.0
     buffered_chunks: int = pydantic.Field(default=8, ge=1, le=64)
 
--- a/src/endivevane/platform/http_pool.py
+++ b/src/endivevane/platform/http_pool.py
@@ -103,6 +103,52 @@
     return connection
 
 
+class SentCall:
+    """A call whose response has not been read; its socket tells when there is one.
+
+    :param address: where the call went
+    """
+
+    def __init__(
+        self, address: types.Address, connection: http.client.HTTPConnection
+    ) -> None:
+        self._address = address
+        self._connection = connection
+        self.sock: socket.socket = connection.sock
+
+    def receive(self, timeout_s: float) -> result.Result[Response, TransportError]:
+        """Read the whole response and close the connection.
+
+        :param timeout_s: limit for each wait for bytes
+        """
+        try:
+            self.sock.settimeout(timeout_s)
+            raw = self._connection.getresponse()
+            data = raw.read()
+        except (OSError, http.client.HTTPException) as error:
+            return result.Err(_make_error(self._address, Stage.RESPONSE, error))
+        finally:
+            self.close()
+        return result.Ok(_make_response(raw, data))
+
+    def close(self) -> None:
+        """Close the connection."""
+        # The connection forgets a socket whose response announces its end.
+        self.sock.close()
+        self._connection.close()
+
+
+def _make_error(
+    address: types.Address, stage: Stage, error: Exception
+) -> TransportError:
+    return TransportError(address, stage, f"{type(error).__name__}: {error}")
+
+
+def _make_response(raw: http.client.HTTPResponse, data: bytes) -> Response:
+    headers = {key.lower(): value for key, value in raw.getheaders()}
+    return Response(raw.status, headers, data)
+
+
 class HttpPool:
     """A thread-safe pool of keep-alive connections to one address.
 
@@ -151,6 +197,25 @@
                 return outcome
             self.close_idle()
 
+    def send(
+        self, method: str, path: str, body: bytes, headers: Mapping[str, str]
+    ) -> result.Result[SentCall, TransportError]:
+        """Send a request on a new connection without waiting for the response.
+
+        A failure at ``CONNECT`` proves that nothing was sent.
+        """
+        opened = self._acquire(may_reuse=False)
+        if isinstance(opened, result.Err):
+            return opened
+        connection = opened.ok_value.connection
+        connection.sock.settimeout(self._settings.read_timeout_s)
+        try:
+            connection.request(method, path, body, dict(headers))
+        except (OSError, http.client.HTTPException) as error:
+            connection.close()
+            return result.Err(_make_error(self.address, Stage.SEND, error))
+        return result.Ok(SentCall(self.address, connection))
+
     def close_idle(self) -> None:
         """Close all idle connections."""
         with self._lock:
@@ -205,14 +270,12 @@
             data = raw.read()
         except (OSError, http.client.HTTPException) as error:
             connection.close()
-            detail = f"{type(error).__name__}: {error}"
-            return result.Err(TransportError(self.address, stage, detail))
-        response_headers = {key.lower(): value for key, value in raw.getheaders()}
+            return result.Err(_make_error(self.address, stage, error))
         if raw.will_close:
             connection.close()
         else:
             self._release(pooled)
-        return result.Ok(Response(raw.status, response_headers, data))
+        return result.Ok(_make_response(raw, data))
 
     def _release(self, pooled: _Pooled) -> None:
         pooled.idle_since_s = self._clock.monotonic_s()
