Answer a peer on the connection that its question came by

A peer kept the route of the member's former process and preferred it for answers; zmq drops what is sent there without an error. The restarted member has no connections of its own until it knows its peers' keys, which with the store down it can only guess, so it learned the revision from headers but got neither tables nor documents for 10 s. Ruled out: the pause rule of the feed (term 9 s, no tick was that late) and blocked calls (config_fetch_failed was logged every second, so the thread ran). Change: a message over the own connection withdraws the older route of its sender.

--- a/features/configuration_feed.feature
+++ b/features/configuration_feed.feature
@@ -73,3 +73,9 @@
     Given 9 members with CURVE keys that have joined
     When the member 0 broadcasts 5 messages
     Then every other member gets each of them once within 3 seconds
+
+  Scenario: A restarted member gets answers on the connection that it asked on
+    # Guards against answers that follow a connection of the process before the restart.
+    Given a member that a peer has connections with in both directions
+    When the member restarts and asks on the connection that the peer opened
+    Then the peer's answer reaches it within 2 seconds
--- a/src/endivevane/cluster/transport.py
+++ b/src/endivevane/cluster/transport.py
@@ -155,7 +155,8 @@
     ) -> bool:
         """Send over an open connection, and tell whether there is one.
 
-        :param prefer_route: answer on the connection that the peer opened, if any
+        :param prefer_route: answer on the connection that the peer opened, if its last
+            message came over it
         """
         connection = self._connections.get(name)
         route = self._routes.get(name)
@@ -209,6 +210,9 @@
         if connection is None or connection.routing_id != routing_id:
             return
         connection.heard_s = time.monotonic()
+        # The peer may have restarted since it opened a connection of its own, and what
+        # is sent over the former one is lost without an error.
+        self._routes.pop(name, None)
         if not label.startswith(SEED_PREFIX):
             return
         if name in self._connections:
