--- a/features/batch_protocol.feature
+++ b/features/batch_protocol.feature
@@ -18,3 +18,9 @@
     When 3 runners work on 12000 items while 0.2 of the store's calls fail, with seed 77
     Then the job has ended and every chunk was committed once
     And every item has one result
+
+  Scenario: A cancel is acknowledged after the last item has left its daemon
+    # Guards against items that a thread was about to send when the job was cancelled.
+    Given 2 runners without faults whose sends take 0.3 seconds
+    When their job of 600 items is cancelled while items are being sent
+    Then no send ended after the acknowledgement
--- a/features/steps/batch_protocol_steps.py
+++ b/features/steps/batch_protocol_steps.py
@@ -1,7 +1,9 @@
-from behave import then, when
+import time
+
+from behave import given, then, when
 
 from endivevane import utils
-from endivevane.batch import results
+from endivevane.batch import jobs, results
 from features.support import batch_machine, batch_storm
 
 _EXAMPLES = 200
@@ -92,3 +94,36 @@
     data = b"".join(reader.read(storm.job_id, is_errors=False))
     found = [utils.decode_json(line)["custom_id"] for line in data.splitlines()]
     assert found == [f"c{index}" for index in range(context.count)]
+
+
+@given("{runners:d} runners without faults whose sends take {send_s:g} seconds")
+def step_slow_sends(context, runners, send_s):
+    context.storm = batch_storm.Storm(1, runners, 600, 0.0)
+    context.storm.send_s = send_s
+    context.cleanups.append(context.storm.close)
+
+
+@when("their job of 600 items is cancelled while items are being sent")
+def step_cancel_storm(context):
+    storm = context.storm
+    end_s = time.monotonic() + 10.0
+    while not storm.sent_at_s:
+        assert time.monotonic() < end_s, "nothing was sent"
+        time.sleep(0.01)
+    service = jobs.JobService(storm.store, storm.clock)
+    service.cancel("org", storm.job_id)
+    name = sorted(storm.tasks)[0]
+    storm.tasks[name].notify_cancelled(storm.job_id, set(storm.tasks))
+    context.acknowledged_s = time.monotonic()
+
+
+@then("no send ended after the acknowledgement")
+def step_check_sends(context):
+    # Twice the time of a send.
+    time.sleep(2 * context.storm.send_s)
+    late = [
+        at_s - context.acknowledged_s
+        for at_s in context.storm.sent_at_s
+        if at_s > context.acknowledged_s
+    ]
+    assert not late, late
--- a/features/support/batch_storm.py
+++ b/features/support/batch_storm.py
@@ -41,6 +41,8 @@
         self.clock = clock.SystemClock()
         self.tasks = {}
         self.attempt_count = 0
+        self.send_s = 0.01
+        self.sent_at_s = []
         self._original = attempts.send
         attempts.send = self._answer
         self.job_id = self._create(items_count)
@@ -61,9 +63,10 @@
 
     def _answer(self, _pool, attempt):
         self.attempt_count += 1
-        time.sleep(0.01)
         if attempt.withdrawn.is_set():
             return attempts.Outcome(attempts.Kind.WITHDRAWN)
+        time.sleep(self.send_s)
+        self.sent_at_s.append(time.monotonic())
         body = {"echo": attempt.item.custom_id}
         return attempts.Outcome(attempts.Kind.ANSWERED, "", 200, body)
 
--- a/src/endivevane/batch/cancelling.py
+++ b/src/endivevane/batch/cancelling.py
@@ -50,7 +50,7 @@
         return has_stopped
 
     def acknowledge(self, job_id: str, reply_to: str) -> None:
-        """Say that this daemon sends no further item of a job."""
+        """Say that this daemon runs no item of a job and sends none."""
         own = self._cluster.session().daemon
         if reply_to == own:
             self._note_stopped(job_id, own)
