Configure how long batch data and register outcomes are kept

Cause: nothing deletes input segments, result objects, chunk and job rows, input files or finished rows of the at-most-once register, and no setting says how long they are needed.

Change: batch.retention of a service (results 30 days, inputs 30 days, keys 60 days; keys not shorter than results) and register_retention of the fleet document (7 days), each between 1 s and ten years.

--- a/src/endivevane/configuration/models.py
+++ b/src/endivevane/configuration/models.py
@@ -12,6 +12,10 @@
 _NAME = r"^[a-z0-9][a-z0-9._-]{0,62}$"
 Name = Annotated[str, pydantic.Field(pattern=_NAME)]
 PositiveSeconds = Annotated[float, pydantic.Field(gt=0, le=86_400)]
+_DAY_S = 86_400
+# Ten years; a longer period is more likely a mistake in the unit.
+_MAX_RETENTION_S = 3_653 * _DAY_S
+RetentionSeconds = Annotated[float, pydantic.Field(ge=1, le=_MAX_RETENTION_S)]
 
 
 class _Model(pydantic.BaseModel):
@@ -88,6 +92,27 @@
     max_queue: int = pydantic.Field(default=256, ge=0)
 
 
+class BatchRetentionModel(_Model):
+    """How long the data of batch jobs is kept.
+
+    :param results_s: from the end of a job until its results are deleted
+    :param inputs_s: from the upload of an input file until it is deleted, which waits
+        for the open jobs that read it
+    :param keys_s: from the end of a job until its idempotency key may be used again
+    """
+
+    results_s: RetentionSeconds = 30.0 * _DAY_S
+    inputs_s: RetentionSeconds = 30.0 * _DAY_S
+    keys_s: RetentionSeconds = 60.0 * _DAY_S
+
+    @pydantic.model_validator(mode="after")
+    def _check_order(self) -> typing.Self:
+        # A key that is forgotten before its results would run a job twice.
+        if self.keys_s < self.results_s:
+            raise ValueError("keys_s must not be shorter than results_s")
+        return self
+
+
 class BatchModel(_Model):
     """How batch items of a service are run.
 
@@ -101,6 +126,7 @@
     online_reserve_slots: int = pydantic.Field(default=0, ge=0)
     max_item_attempts: int = pydantic.Field(default=3, ge=1, le=10)
     item_timeout_s: PositiveSeconds = 120.0
+    retention: BatchRetentionModel = BatchRetentionModel()
 
 
 class ServiceModel(_Model):
@@ -180,13 +206,24 @@
     data_share: float = pydantic.Field(default=0.6, ge=0, le=0.9)
 
 
+class RegisterRetentionModel(_Model):
+    """How long outcomes of calls that run at most once are kept.
+
+    :param outcomes_s: from the claim of a key until its outcome is deleted; after that
+        the same key runs again. A key without an outcome is kept twice as long
+    """
+
+    outcomes_s: RetentionSeconds = 7.0 * _DAY_S
+
+
 class FleetModel(_Model):
-    """The zones of the fleet and the link between its regions."""
+    """The zones of the fleet, the link between its regions and the call register."""
 
     kind: Literal["fleet"]
     name: Literal["fleet"] = "fleet"
     zones: tuple[ZoneModel, ...] = pydantic.Field(min_length=1)
     link: LinkModel = LinkModel()
+    register_retention: RegisterRetentionModel = RegisterRetentionModel()
 
     @pydantic.model_validator(mode="after")
     def _check_zones(self) -> typing.Self:
--- a/src/endivevane/configuration/snapshot.py
+++ b/src/endivevane/configuration/snapshot.py
@@ -70,6 +70,9 @@
     key_id: str
 
 
+_DEFAULT_BATCH_RETENTION = models.BatchRetentionModel()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Snapshot:
     """One revision of the whole configuration.
@@ -77,6 +80,7 @@
     :param revision: number of the publish that made it, 0 before the first
     :param services_by_model: service that offers a model, by model name
     :param key_owners: owners by SHA-256 digest of the key
+    :param register_retention_s: how long outcomes of at-most-once calls are kept
     """
 
     revision: int
@@ -86,6 +90,24 @@
     key_owners: Mapping[str, KeyOwner]
     zones: Mapping[str, Zone]
     link: Link
+    register_retention_s: float = models.RegisterRetentionModel().outcomes_s
+
+    def find_batch_retention(self, model: str) -> models.BatchRetentionModel:
+        """Return how long the batch data of a model is kept.
+
+        The data of a model that no service offers any more is kept for the longest
+        period of the defaults and all services, since its own period is not known.
+        """
+        service = self.services_by_model.get(model.partition(":")[0])
+        if service is not None:
+            return service.model.batch.retention
+        found = [_DEFAULT_BATCH_RETENTION]
+        found += [item.model.batch.retention for item in self.services.values()]
+        return models.BatchRetentionModel(
+            results_s=max(item.results_s for item in found),
+            inputs_s=max(item.inputs_s for item in found),
+            keys_s=max(item.keys_s for item in found),
+        )
 
     def find_service(self, organisation: str, model: str) -> Service | None:
         """Return the service that offers a model to an organisation.
@@ -120,9 +142,11 @@
     ]
     zones: dict[str, Zone] = {}
     link = EMPTY.link
+    register_retention_s = EMPTY.register_retention_s
     for document in parsed:
         if not isinstance(document, models.FleetModel):
             continue
+        register_retention_s = document.register_retention.outcomes_s
         zones = {zone.name: Zone(zone.name, zone.region) for zone in document.zones}
         link = Link(document.link.capacity_mbit_s * 1e6 / 8, document.link.data_share)
     services: dict[str, Service] = {}
@@ -141,7 +165,14 @@
                 role = types.Role(key.role)
                 key_owners[key.sha256] = KeyOwner(document.name, role, key.id)
     return Snapshot(
-        revision, services, by_model, organisations, key_owners, zones, link
+        revision,
+        services,
+        by_model,
+        organisations,
+        key_owners,
+        zones,
+        link,
+        register_retention_s,
     )
 
 
