Delete batch data and at-most-once rows after their retention

Cause: all data of batch jobs and all register rows stayed for good.

Plain code decides from a row, the clock and the periods; each step that can't be undone follows a conditional write on the row it rests on. Expired jobs and files answer 410 with a code and the run state; a resubmitted key answers 410 until keys_s is over. Objects of lost claims are deleted once their job has ended. Result keys carry a generation, so that a sweeper or holder that wakes up late can't touch a later job with the same identifier. A user's delete of a file gets the same final state before its segments go: two deletes at once could erase the segments of a file that was made ready again.

Conclusion: batch data and outcomes go after their period; uploads that were broken off before their row was written are not collected.

--- a/features/support/batch_fleet.py
+++ b/features/support/batch_fleet.py
@@ -30,12 +30,13 @@
 class BatchFleet:
     """A fleet with short leases and its callers."""
 
-    def __init__(self, **plan):
+    def __init__(self, daemon_settings=None, **plan):
         settings = {
             "session": {"term_s": 3.0},
             "batch": {"poll_interval_s": 0.5},
             "membership": {"suspect_timeout_s": 1.0, "probe_interval_s": 0.5},
         }
+        settings.update(daemon_settings or {})
         zones = (fleet.Zone("zone-a", "west"), fleet.Zone("zone-b", "west"))
         self.fleet = fleet.Fleet(
             fleet.FleetPlan(daemon_settings=settings, zones=zones, **plan)
--- a/features/support/batch_local.py
+++ b/features/support/batch_local.py
@@ -39,6 +39,17 @@
         self.data.pop(key, None)
         return result.Ok(None)
 
+    def list(self, prefix):
+        if self.is_down:
+            return result.Err(objects.ObjectStoreError(prefix, "down"))
+        return result.Ok(
+            [
+                objects.ObjectInfo(key, len(data))
+                for key, data in sorted(self.data.items())
+                if key.startswith(prefix)
+            ]
+        )
+
 
 class Hub:
     """Daemons in one process that know each other at once."""
--- a/features/support/batch_machine.py
+++ b/features/support/batch_machine.py
@@ -363,6 +363,9 @@
     def __init__(self, inner):
         self._inner = inner
 
+    def read(self, table, key):
+        return result.Ok(self._inner.rows(table).get(key))
+
     def scan(self, table, prefix, after="", limit=500):
         rows = self._inner.rows(table)
         return result.Ok(
--- a/src/endivevane/batch/api.py
+++ b/src/endivevane/batch/api.py
@@ -152,6 +152,8 @@
 def describe_job(job: records.Job, tally: records.Tally) -> dict[str, Any]:
     """Return the JSON of the OpenAI batch object."""
     ended_s = job.ended_ms // 1000 if job.ended_ms is not None else None
+    is_kept = job.expired_ms is None
+    expired_s = job.expired_ms // 1000 if job.expired_ms is not None else None
     is_completed = job.state == records.JobState.COMPLETED
     is_cancelled = job.state == records.JobState.CANCELLED
     output_id = results.make_result_file_id(job.job_id, is_errors=False)
@@ -163,16 +165,16 @@
         "errors": None,
         "input_file_id": job.input_file_id,
         "completion_window": job.completion_window,
-        "status": str(job.state),
-        "output_file_id": output_id if tally.completed else None,
-        "error_file_id": errors_id if tally.failed else None,
+        "status": str(job.state) if is_kept else "expired",
+        "output_file_id": output_id if is_kept and tally.completed else None,
+        "error_file_id": errors_id if is_kept and tally.failed else None,
         "created_at": job.created_ms // 1000,
         "in_progress_at": job.created_ms // 1000,
         "expires_at": job.deadline_ms // 1000,
         "finalizing_at": None,
         "completed_at": ended_s if is_completed else None,
         "failed_at": None,
-        "expired_at": None,
+        "expired_at": expired_s,
         "cancelling_at": ended_s if is_cancelled else None,
         "cancelled_at": ended_s if is_cancelled else None,
         "request_counts": {
--- a/src/endivevane/batch/chunks.py
+++ b/src/endivevane/batch/chunks.py
@@ -51,8 +51,8 @@
     @property
     def result_key(self) -> str:
         """Key of the object that holds this claim's results."""
-        job_id = self.stored_job.job.job_id
-        return records.make_result_key(job_id, self.number, self.claim_epoch)
+        job = self.stored_job.job
+        return records.make_result_key(job, self.number, self.claim_epoch)
 
 
 class WriteOutcome(enum.StrEnum):
--- a/src/endivevane/batch/files.py
+++ b/src/endivevane/batch/files.py
@@ -74,8 +74,11 @@
         """Return the record of a file.
 
         :raises errors.NotFound: when the organisation has no such file
+        :raises errors.FileExpired: while it is being erased
         """
-        return self._find(organisation, file_id)[0]
+        record, _ = self._find(organisation, file_id)
+        _check_kept(record)
+        return record
 
     def list(
         self, organisation: str, after: str, limit: int
@@ -105,26 +108,36 @@
         :raises errors.Conflict: when a job uses the file
         """
         record, revision = self._find(organisation, file_id)
-        marked = dataclasses.replace(record, state=records.FileState.DELETING)
-        revision = self._write(file_id, revision, marked)
-        user = self._find_user(file_id)
-        if user is not None:
-            self._write(file_id, revision, record)
-            raise errors.Conflict(f"job {user} uses the file; cancel it first")
+        if record.state != records.FileState.ERASING:
+            revision = self._begin_erasing(record, revision)
         try:
             self._erase(record, revision)
         except errors.ApiError as error:
             error.run_state = types.RunState.MAY_HAVE_RUN
             raise
 
+    def _begin_erasing(self, record: records.InputFile, revision: int) -> int:
+        """Make the erasing of a file final unless an open job uses it.
+
+        The second write is needed because another delete, which saw an open job that
+        has ended since, may have made the file ready again.
+        """
+        file_id = record.file_id
+        states = records.FileState
+        marked = dataclasses.replace(record, state=states.DELETING)
+        revision = self._write(file_id, revision, marked)
+        user = self._find_user(file_id)
+        if user is not None:
+            ready = dataclasses.replace(record, state=states.READY)
+            self._write(file_id, revision, ready)
+            raise errors.Conflict(f"job {user} uses the file; cancel it first")
+        erasing = dataclasses.replace(record, state=states.ERASING)
+        return self._write(file_id, revision, erasing)
+
     def _erase(self, record: records.InputFile, revision: int) -> None:
         """Delete the segments and then the row; a repeated delete goes on here."""
-        for number in range(record.segments):
-            key = records.make_segment_key(record.upload, number)
+        for key in records.list_segment_keys(record):
             failures.unwrap(self._objects.delete(key))
-            duplicates_key = records.make_duplicates_key(record.upload, number)
-            if record.duplicates:
-                failures.unwrap(self._objects.delete(duplicates_key))
         outcome = self._store.transact(
             f"delete/{record.file_id}/{revision}",
             [store.Condition(records.FILES, record.file_id, revision)],
@@ -181,6 +194,7 @@
         earlier, _ = self._find(record.organisation, record.file_id)
         if earlier.digest != record.digest:
             raise errors.Conflict("the Idempotency-Key was used for another file")
+        _check_kept(earlier)
         return earlier
 
     def _find(self, organisation: str, file_id: str) -> tuple[records.InputFile, int]:
@@ -215,6 +229,14 @@
             after = rows[-1].key
 
 
+def _check_kept(record: records.InputFile) -> None:
+    if record.state == records.FileState.ERASING:
+        raise errors.FileExpired(
+            f"file {record.file_id} was deleted or is past its retention; upload it "
+            "again later"
+        )
+
+
 def make_file_id(organisation: str, idempotency_key: str) -> str:
     """Return the same identifier for the same key, a new one without a key."""
     unique = (
--- a/src/endivevane/batch/jobs.py
+++ b/src/endivevane/batch/jobs.py
@@ -4,11 +4,12 @@
 
 import dataclasses
 import re
+import secrets
 from typing import Any
 
 import result
 
-from endivevane import utils
+from endivevane import types, utils
 from endivevane.batch import chunks, failures, items, records
 from endivevane.coordination import clock, store
 from endivevane.web import errors
@@ -113,7 +114,9 @@
         for _ in range(_CREATE_TRIES):
             earlier = failures.unwrap(self._store.read(records.JOBS, job_id))
             if earlier is not None:
-                return _check_same(request, records.decode_job(earlier).job)
+                found = records.decode_job(earlier).job
+                check_kept(found)
+                return _check_same(request, found)
             job = self._insert(request, job_id)
             if job is not None:
                 return job
@@ -123,11 +126,14 @@
         """Return a job of the organisation.
 
         :raises errors.NotFound: when it has no such job
+        :raises errors.JobExpired: when its results are no longer kept
         """
         row = failures.unwrap(self._store.read(records.JOBS, job_id))
         if row is None or row.value["organisation"] != organisation:
             raise errors.NotFound(f"there is no batch {job_id}")
-        return records.decode_job(row)
+        stored = records.decode_job(row)
+        check_kept(stored.job)
+        return stored
 
     def list(
         self, organisation: str, after: str, limit: int
@@ -166,6 +172,11 @@
         if job.tally is not None:
             return records.decode(records.Tally, dict(job.tally))
         rows = failures.unwrap(scan_chunks(self._store, job.job_id))
+        if job.state != records.JobState.IN_PROGRESS:
+            # The rows may have been deleted meanwhile; the job's row then has a tally.
+            row = failures.unwrap(self._store.read(records.JOBS, job.job_id))
+            if row is not None and row.value["tally"] is not None:
+                return records.decode(records.Tally, row.value["tally"])
         return records.sum_tallies(
             [records.decode(records.Chunk, row.value) for row in rows]
         )
@@ -184,6 +195,8 @@
         if row is None or row.value["organisation"] != request.organisation:
             raise errors.NotFound(f"there is no file {request.input_file_id}")
         source = records.decode(records.InputFile, row.value)
+        if source.state == records.FileState.ERASING:
+            raise errors.FileExpired("the file was deleted", param="input_file_id")
         if source.state != records.FileState.READY:
             raise errors.Conflict("the file is being deleted", param="input_file_id")
         if source.lines == 0:
@@ -229,9 +242,25 @@
             upload=source.upload,
             model=source.model,
             duplicates=source.duplicates,
+            generation=secrets.token_hex(4),
         )
 
 
+def check_kept(job: records.Job) -> None:
+    """Refuse a call about a job whose results are no longer kept.
+
+    :raises errors.JobExpired: with the run state of the job
+    """
+    if job.expired_ms is None:
+        return
+    is_completed = job.state == records.JobState.COMPLETED
+    raise errors.JobExpired(
+        f"the results of batch {job.job_id} are past their retention; use a new "
+        " Idempotency-Key to run the items again",
+        run_state=(types.RunState.RAN if is_completed else types.RunState.MAY_HAVE_RUN),
+    )
+
+
 def scan_chunks(
     table_store: store.TableStore, job_id: str, after: str = ""
 ) -> result.Result[list[store.Row], store.StoreError]:
--- a/src/endivevane/batch/ports.py
+++ b/src/endivevane/batch/ports.py
@@ -88,4 +88,9 @@
         """Return the bytes of an object."""
 
     def delete(self, key: str) -> result.Result[None, objects.ObjectStoreError]:
-        """Delete an object."""
+        """Delete an object; a missing one counts as deleted."""
+
+    def list(
+        self, prefix: str
+    ) -> result.Result[list[objects.ObjectInfo], objects.ObjectStoreError]:
+        """Return the objects whose key has the prefix."""
--- a/src/endivevane/batch/records.py
+++ b/src/endivevane/batch/records.py
@@ -5,7 +5,7 @@
 import dataclasses
 import enum
 import typing
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from typing import Any
 
 from endivevane import utils
@@ -23,10 +23,15 @@
 
 
 class FileState(enum.StrEnum):
-    """State of an input file."""
+    """State of an input file.
+
+    No job can be created with a file that is ``DELETING``, which may become ``READY``
+    again. ``ERASING`` is final: segments are deleted in this state only.
+    """
 
     READY = "ready"
     DELETING = "deleting"
+    ERASING = "erasing"
 
 
 class JobState(enum.StrEnum):
@@ -91,10 +96,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Job:
-    """A batch job; its row changes on accept, cancel and finish only.
+    """A batch job; while it is open its row changes on cancel and finish only.
 
     :param upload: prefix of the keys of the input segments
     :param tally: totals of a job that has ended
+    :param generation: part of the keys of its result objects; differs between jobs that
+        used the same identifier one after the other
+    :param collected_ms: when the objects that no chunk names were deleted
+    :param expired_ms: when the retention of the results ended; they can't be read since
+    :param erased_ms: when the results and the chunk rows were deleted
     """
 
     job_id: str
@@ -113,6 +123,10 @@
     state: str = JobState.IN_PROGRESS
     ended_ms: int | None = None
     tally: dict[str, int] | None = None
+    generation: str = ""
+    collected_ms: int | None = None
+    expired_ms: int | None = None
+    erased_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -215,9 +229,23 @@
     return f"{upload}/{number:06d}.duplicates"
 
 
-def make_result_key(job_id: str, number: int, claim_epoch: int) -> str:
+def list_segment_keys(record: InputFile) -> Iterator[str]:
+    """Yield the keys of all objects that an input file may have."""
+    for number in range(record.segments):
+        yield make_segment_key(record.upload, number)
+        if record.duplicates:
+            yield make_duplicates_key(record.upload, number)
+
+
+def make_results_prefix(job: Job) -> str:
+    """Return the prefix of the keys of a job's result objects."""
+    generation = f"{job.generation}/" if job.generation else ""
+    return f"results/{job.job_id}/{generation}"
+
+
+def make_result_key(job: Job, number: int, claim_epoch: int) -> str:
     """Return the key of the results that one claim of a chunk produced."""
-    return f"results/{job_id}/{number:06d}/{claim_epoch}"
+    return f"{make_results_prefix(job)}{number:06d}/{claim_epoch}"
 
 
 def make_organisation_prefix(organisation: str) -> str:
--- a/src/endivevane/batch/results.py
+++ b/src/endivevane/batch/results.py
@@ -5,8 +5,12 @@
 from collections.abc import Iterator
 from typing import Any
 
-from endivevane.batch import failures, items, ports, records
+import result
+
+from endivevane.batch import failures, items, jobs, ports, records
 from endivevane.coordination import store
+from endivevane.platform import objects
+from endivevane.web import errors
 
 _PAGE = 200
 
@@ -65,8 +69,9 @@
     def read(self, job_id: str, is_errors: bool) -> Iterator[bytes]:
         """Yield the lines of a result file, one chunk at a time.
 
-        :raises errors.ApiError: when the platform fails; the stream then ends without
-            its proper end, which the caller can tell from a complete one
+        :raises errors.ApiError: when the platform fails or the results expire; the
+            stream then ends without its proper end, which the caller can tell from a
+            complete one
         """
         after = ""
         while True:
@@ -78,15 +83,28 @@
                 if part:
                     yield part
             if len(rows) < _PAGE:
+                # Rows that were deleted meanwhile would make the result look complete.
+                self._check_kept(job_id)
                 return
             after = rows[-1].key
 
+    def _check_kept(self, job_id: str) -> None:
+        row = failures.unwrap(self._store.read(records.JOBS, job_id))
+        if row is None:
+            raise errors.JobExpired(f"batch {job_id} is no longer kept")
+        jobs.check_kept(records.decode_job(row).job)
+
     def _read_chunk(self, row: store.Row, is_errors: bool) -> bytes:
         chunk = records.decode(records.Chunk, row.value)
         wanted = chunk.failed if is_errors else chunk.completed
         if chunk.state != records.ChunkState.DONE or not wanted:
             return b""
-        lines = items.decode_results(failures.unwrap(self._objects.get(chunk.result)))
+        data = self._objects.get(chunk.result)
+        if isinstance(data, result.Err) and isinstance(
+            data.err_value, objects.ObjectMissing
+        ):
+            self._check_kept(row.key.partition("/")[0])
+        lines = items.decode_results(failures.unwrap(data))
         return b"".join(
             line.data for line in lines.values() if line.is_success != is_errors
         )
--- a/src/endivevane/coordination/register.py
+++ b/src/endivevane/coordination/register.py
@@ -14,7 +14,7 @@
 from endivevane.coordination import store
 
 TABLE = "register"
-_CLAIMED, _DONE = "claimed", "done"
+CLAIMED, DONE, EXPIRED = "claimed", "done", "expired"
 _DEFAULT_BACKLOG = 1000
 
 
@@ -49,12 +49,22 @@
     claimed_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Expired:
+    """The call was accepted before; what is known of it is being deleted.
+
+    :param has_run: whether an outcome was stored
+    """
+
+    has_run: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyReused:
     """The key belongs to a call with another content."""
 
 
-Sight = Claim | Finished | MayHaveRun | KeyReused
+Sight = Claim | Finished | MayHaveRun | Expired | KeyReused
 
 
 class Recording(enum.StrEnum):
@@ -77,8 +87,8 @@
     """Claims keys before calls are sent and keeps the outcomes.
 
     Only the caller of :meth:`claim` that gets a :class:`Claim` may send, and it sends
-    once. A process that dies after its claim leaves the key as ``MayHaveRun`` for good,
-    because nobody can tell whether it had sent. Thread-safe.
+    once. A process that dies after its claim leaves the key as ``MayHaveRun`` until its
+    retention ends, because nobody can tell whether it had sent. Thread-safe.
 
     :param table_store: where the rows are
     :param make_operation_id: returns a new unique id
@@ -187,8 +197,10 @@
             return result.Err(store.StoreUnavailable("the claim changed; try again"))
         if row.value["digest"] != claim.digest:
             return result.Ok(KeyReused())
-        if row.value["state"] == _DONE:
+        if row.value["state"] == DONE:
             return result.Ok(Finished(row.value["outcome"]))
+        if row.value["state"] == EXPIRED:
+            return result.Ok(Expired(row.value["has_run"]))
         return result.Ok(MayHaveRun(row.value["claimed_ms"]))
 
     def _change(self, pending: _Pending) -> Recording:
@@ -242,7 +254,7 @@
 
 def _make_value(claim: Claim, outcome: dict[str, Any] | None) -> dict[str, Any]:
     value: dict[str, Any] = {
-        "state": _CLAIMED if outcome is None else _DONE,
+        "state": CLAIMED if outcome is None else DONE,
         "digest": claim.digest,
         "claimed_ms": claim.claimed_ms,
         "claim_id": claim.operation_id,
@@ -252,6 +264,17 @@
     return value
 
 
+def make_expired_value(value: dict[str, Any]) -> dict[str, Any]:
+    """Return the value of a row whose outcome is being deleted."""
+    return {
+        "state": EXPIRED,
+        "digest": value["digest"],
+        "claimed_ms": value["claimed_ms"],
+        "claim_id": value["claim_id"],
+        "has_run": value["state"] == DONE,
+    }
+
+
 def _is_own_claim(row: store.Row, claim: Claim) -> bool:
-    is_claimed: bool = row.value["state"] == _CLAIMED
+    is_claimed: bool = row.value["state"] == CLAIMED
     return is_claimed and row.value["claim_id"] == claim.operation_id
--- a/src/endivevane/daemon/batch_senders.py
+++ b/src/endivevane/daemon/batch_senders.py
@@ -30,6 +30,18 @@
             found[key] = slack.choose_sender(target, self._get_members())
         return found[key]
 
+    def list_targets(
+        self, daemon: str, current: snapshot.Snapshot
+    ) -> list[snapshot.Target]:
+        """Return the engines that a daemon sends batch items to."""
+        return [
+            target
+            for service in current.services.values()
+            if not service.is_plain and service.model.batch.enabled
+            for target in service.targets
+            if self.find(target) == daemon
+        ]
+
     def forget(self) -> None:
         """Look up again; to be called when the members have changed."""
         self._found = {}
--- a/src/endivevane/daemon/load_board.py
+++ b/src/endivevane/daemon/load_board.py
@@ -27,3 +27,8 @@
     def load_report(self, target_name: str) -> engine.LoadReport | None:
         """Return the last report of a target, ``None`` when there is none."""
         return self._reports.get(target_name)
+
+    def find_load_share(self, target_name: str) -> float:
+        """Return the used share of an engine's slots, 0 when nothing is known."""
+        report = self.load_report(target_name)
+        return report.running / max(1, report.slots) if report is not None else 0.0
--- a/src/endivevane/daemon/settings.py
+++ b/src/endivevane/daemon/settings.py
@@ -112,6 +112,16 @@
     buffered_chunks: int = pydantic.Field(default=8, ge=1, le=64)
 
 
+class RetentionSection(_Section):
+    """Deletion of what is past its retention; the periods are in the configuration.
+
+    :param interval_s: time between two sweeps of the same rows
+    """
+
+    enabled: bool = True
+    interval_s: Seconds = 86_400.0
+
+
 class DrainSection(_Section):
     """The planned stop.
 
@@ -134,6 +144,7 @@
     limits: LimitsSection = LimitsSection()
     batch: BatchSection = BatchSection()
     drain: DrainSection = DrainSection()
+    retention: RetentionSection = RetentionSection()
 
 
 def load_settings(path: pathlib.Path) -> Settings:
--- a/src/endivevane/daemon/wiring.py
+++ b/src/endivevane/daemon/wiring.py
@@ -40,6 +40,7 @@
 from endivevane.orders import orders as engine_orders
 from endivevane.orders import task as orders_task
 from endivevane.platform import http_pool, link, objects, table, vms
+from endivevane.retention import task as retention_task
 from endivevane.web import app, server
 
 _FLUSH_INTERVAL_S = 1.0
@@ -70,6 +71,7 @@
         self._build_online()
         self._build_batch()
         self._build_orders()
+        self._build_retention()
         self._build_server()
 
     def start(self) -> None:
@@ -80,6 +82,8 @@
         self._loads.start()
         self._runner.start()
         self._orders.start()
+        if self._settings.retention.enabled:
+            self._retention.start()
         self._flusher.start()
         self._server.start()
         logs.info(
@@ -245,11 +249,26 @@
             self._table,
             self.cluster.session,
             self._get_snapshot,
-            lambda: [item.name for item in self._port.live_members()],
+            self._list_daemon_names,
             lambda: self._leaving,
-            self._find_load_share,
+            self._board.find_load_share,
         )
 
+    def _build_retention(self) -> None:
+        self._retention = retention_task.RetentionTask(
+            self._settings.daemon.name,
+            self._settings.retention.interval_s,
+            self._table,
+            self._objects,
+            self._clock,
+            self._get_snapshot,
+            self._list_daemon_names,
+            self.cluster.is_ready,
+        )
+
+    def _list_daemon_names(self) -> list[str]:
+        return [item.name for item in self._port.live_members()]
+
     def _build_server(self) -> None:
         limits = self._settings.limits
         parts = admin.AdminParts(
@@ -312,11 +331,6 @@
             until_ms = int(event.body["until_ms"])
             self.relay.post(messages.QuarantineChanged(fingerprint, until_ms))
 
-    def _find_load_share(self, target_name: str) -> float:
-        """Return the used share of an engine's slots, 0 when nothing is known."""
-        report = self._board.load_report(target_name)
-        return report.running / max(1, report.slots) if report is not None else 0.0
-
     def _count_daemons(self) -> int:
         """Return the live daemons, this one included; asked for each decision."""
         if self._daemon_count is None:
@@ -356,13 +370,7 @@
     def _list_batch_targets(self) -> list[snapshot.Target]:
         """Return the engines that this daemon sends batch items to."""
         name = self._settings.daemon.name
-        return [
-            target
-            for service in self.cluster.snapshot.services.values()
-            if not service.is_plain and service.model.batch.enabled
-            for target in service.targets
-            if self._senders.find(target) == name
-        ]
+        return self._senders.list_targets(name, self.cluster.snapshot)
 
     def _flush_outcomes(self) -> None:
         """Store outcomes that waited for the table service or the object store."""
@@ -380,6 +388,7 @@
         self._stopped.set()
         self._run_safely(self._register.flush)
         self._run_safely(self._keeper.flush)
+        self._retention.stop()
         self._orders.stop()
         self._loads.stop()
         self._runner.stop()
--- a/src/endivevane/metrics.py
+++ b/src/endivevane/metrics.py
@@ -35,6 +35,16 @@
 BATCH_COMMITS = prometheus_client.Counter(
     "endivevane_batch_commits", "Chunk commits, by outcome.", ["outcome"]
 )
+RETENTION_DELETED = prometheus_client.Counter(
+    "endivevane_retention_deleted",
+    "Objects and rows deleted at the end of their retention, by kind.",
+    ["kind"],
+)
+RETENTION_ERRORS = prometheus_client.Counter(
+    "endivevane_retention_errors",
+    "Parts of the tables whose sweep was broken off, by cause.",
+    ["cause"],
+)
 STORE_CALLS = prometheus_client.Counter(
     "endivevane_store_calls",
     "Table service calls, by kind and outcome.",
--- a/src/endivevane/online/at_most_once.py
+++ b/src/endivevane/online/at_most_once.py
@@ -12,7 +12,7 @@
 
 import result
 
-from endivevane import logs, utils
+from endivevane import logs, types, utils
 from endivevane.coordination import register, store
 from endivevane.platform import objects
 from endivevane.web import errors
@@ -41,6 +41,15 @@
     status, code = 422, "idempotency_key_reused"
 
 
+def make_expired_error(sight: register.Expired) -> errors.OutcomeExpired:
+    """Return the answer to a call whose outcome is being deleted."""
+    return errors.OutcomeExpired(
+        "a call with this Idempotency-Key was accepted before and its outcome is no "
+        "longer kept; it is not sent again",
+        run_state=types.RunState.RAN if sight.has_run else types.RunState.MAY_HAVE_RUN,
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
     """The answer of a target as it is passed on and stored.
@@ -246,6 +255,11 @@
     return outcome
 
 
+def make_object_key(row_key: str, claim_id: str) -> str:
+    """Return the key of the object that may hold the body of a claim's answer."""
+    return f"register/{utils.digest_text(row_key)}/{claim_id}"
+
+
 def _name_object(claim: register.Claim) -> str:
     """Return the key of a large body; the claim makes it unique."""
-    return f"register/{utils.digest_text(claim.row_key)}/{claim.operation_id}"
+    return make_object_key(claim.row_key, claim.operation_id)
--- a/src/endivevane/online/forward.py
+++ b/src/endivevane/online/forward.py
@@ -198,6 +198,8 @@
                 run_state=types.RunState.MAY_HAVE_RUN,
                 retry_after_s=_RETRY_AFTER_S,
             )
+        if isinstance(sight, register.Expired):
+            raise at_most_once.make_expired_error(sight)
         if isinstance(sight, register.Finished):
             return self._replay(sight)
         return _make_response(self._send_claimed(plain, sight))
--- /dev/null
+++ b/src/endivevane/retention/file_sweeper.py
@@ -0,0 +1,75 @@
+"""Deletes input files that no open job reads."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from endivevane.batch import records
+from endivevane.coordination import store
+from endivevane.retention import decisions, platform_calls, shards
+
+_OPEN_JOBS = shards.Shard(records.OPEN, "")
+# Files that are settled with one scan of the open jobs.
+_MAX_MARKED = 500
+
+
+class FileSweeper:
+    """Carries out what is due for input files.
+
+    A file is marked first, so that no job can be created with it. The open jobs are
+    read after that: those that use the file can only become fewer. A second conditional
+    write, on the revision of the mark, then decides that the file is erased.
+    """
+
+    def __init__(
+        self, calls: platform_calls.PlatformCalls, policy: decisions.Policy
+    ) -> None:
+        self._calls = calls
+        self._policy = policy
+        self._marked: list[store.Row] = []
+
+    def sweep(self, shard: shards.Shard) -> None:
+        """Mark the files of a shard that are due; :meth:`settle` erases them."""
+        for row in self._calls.scan(shard):
+            record = records.decode(records.InputFile, row.value)
+            step = self._policy.decide_file(record)
+            if step is decisions.FileStep.ERASE:
+                self._erase(row)
+            if step is decisions.FileStep.SETTLE:
+                self._marked.append(row)
+            if step is decisions.FileStep.MARK:
+                written = self._set_state(row, records.FileState.DELETING)
+                self._marked += [written] if written is not None else []
+            if len(self._marked) >= _MAX_MARKED:
+                self.settle()
+
+    def settle(self) -> None:
+        """Erase the marked files that are not in use and free the others.
+
+        One scan of the open jobs serves all of them, as it costs as many reads as there
+        are open jobs.
+        """
+        marked, self._marked = self._marked, []
+        if not marked:
+            return
+        wanted = {row.key for row in marked}
+        open_rows = self._calls.scan(_OPEN_JOBS)
+        used = {row.value["input_file_id"] for row in open_rows} & wanted
+        for row in marked:
+            if row.key in used:
+                self._set_state(row, records.FileState.READY)
+                continue
+            erasing = self._set_state(row, records.FileState.ERASING)
+            if erasing is not None:
+                self._erase(erasing)
+
+    def _erase(self, row: store.Row) -> None:
+        record = records.decode(records.InputFile, row.value)
+        for key in records.list_segment_keys(record):
+            self._calls.delete_object(key, "input_object")
+        self._calls.delete_rows([row], "file_row")
+
+    def _set_state(self, row: store.Row, state: records.FileState) -> store.Row | None:
+        record = records.decode(records.InputFile, row.value)
+        changed = dataclasses.replace(record, state=state)
+        return self._calls.write(row, records.encode(changed))
--- /dev/null
+++ b/src/endivevane/retention/job_sweeper.py
@@ -0,0 +1,108 @@
+"""Deletes result objects, chunk rows and job rows.
+
+Everything below the job's row is deleted only after a conditional write has made the
+job expired. The keys of objects carry the job's generation, and deletes of chunk rows
+name the revision of the job's row, so a sweeper that was paused can't touch a later job
+with the same identifier.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from endivevane.batch import records
+from endivevane.coordination import store
+from endivevane.retention import decisions, platform_calls, shards
+
+_CHUNKS_PER_WRITE = 50
+
+
+class JobSweeper:
+    """Carries out what is due for jobs."""
+
+    def __init__(
+        self, calls: platform_calls.PlatformCalls, policy: decisions.Policy
+    ) -> None:
+        self._calls = calls
+        self._policy = policy
+
+    def sweep(self, shard: shards.Shard) -> None:
+        """Bring all jobs of a shard forward as far as is due."""
+        for row in self._calls.scan(shard):
+            self.advance(row)
+
+    def advance(self, row: store.Row) -> None:
+        """Bring a job forward, step by step, until it is kept or somebody else acts."""
+        current: store.Row | None = row
+        while current is not None:
+            current = self._take_step(current)
+
+    def _take_step(self, row: store.Row) -> store.Row | None:
+        """Return the job's new row; ``None`` when there is nothing left to do."""
+        job = records.decode_job(row).job
+        step = self._policy.decide_job(job)
+        if step is decisions.JobStep.COLLECT:
+            return self._collect(row, job)
+        if step is decisions.JobStep.EXPIRE:
+            return self._expire(row, job)
+        if step is decisions.JobStep.ERASE:
+            return self._erase(row, job)
+        if step is decisions.JobStep.FORGET:
+            # Objects that a paused holder of a lost claim has written since.
+            self._delete_objects(job, frozenset(), "partial_object")
+            self._calls.delete_rows([row], "job_row")
+        return None
+
+    def _collect(self, row: store.Row, job: records.Job) -> store.Row | None:
+        """Delete the objects of lost and released claims.
+
+        The job has ended, so its chunk rows don't change and nobody reads these.
+        """
+        chunks = self._read_chunks(job)
+        kept = {item.result for item in chunks if item.state == records.ChunkState.DONE}
+        is_completed = job.state == records.JobState.COMPLETED
+        if is_completed and len(chunks) != job.chunk_count:
+            # Another sweeper has made the job expired and deletes the rows.
+            return None
+        self._delete_objects(job, kept, "partial_object")
+        return self._mark(row, dataclasses.replace(job, collected_ms=self._now_ms()))
+
+    def _expire(self, row: store.Row, job: records.Job) -> store.Row | None:
+        tally = job.tally
+        if tally is None:
+            tally = dataclasses.asdict(records.sum_tallies(self._read_chunks(job)))
+        expired = dataclasses.replace(job, expired_ms=self._now_ms(), tally=tally)
+        return self._mark(row, expired)
+
+    def _erase(self, row: store.Row, job: records.Job) -> store.Row | None:
+        self._delete_objects(job, frozenset(), "result_object")
+        rows = list(self._calls.scan(_make_chunk_shard(job)))
+        for start in range(0, len(rows), _CHUNKS_PER_WRITE):
+            part = rows[start : start + _CHUNKS_PER_WRITE]
+            if not self._calls.delete_rows(part, "chunk_row", guard=row):
+                return None
+        return self._mark(row, dataclasses.replace(job, erased_ms=self._now_ms()))
+
+    def _delete_objects(
+        self, job: records.Job, kept: frozenset[str] | set[str], kind: str
+    ) -> None:
+        prefix = records.make_results_prefix(job)
+        for key in self._calls.list_objects(prefix):
+            # Without a generation, the prefix also covers later jobs of the identifier.
+            is_own = key.count("/") == prefix.count("/") + 1
+            if is_own and key not in kept:
+                self._calls.delete_object(key, kind)
+
+    def _read_chunks(self, job: records.Job) -> list[records.Chunk]:
+        rows = self._calls.scan(_make_chunk_shard(job))
+        return [records.decode(records.Chunk, row.value) for row in rows]
+
+    def _mark(self, row: store.Row, job: records.Job) -> store.Row | None:
+        return self._calls.write(row, records.encode(job))
+
+    def _now_ms(self) -> int:
+        return self._policy.now_ms()
+
+
+def _make_chunk_shard(job: records.Job) -> shards.Shard:
+    return shards.Shard(records.CHUNKS, f"{job.job_id}/")
--- /dev/null
+++ b/src/endivevane/retention/platform_calls.py
@@ -0,0 +1,129 @@
+"""Paced calls of the sweepers, which break a sweep off when the platform fails."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+from typing import Any
+
+import result
+
+from endivevane import exceptions, metrics, utils
+from endivevane.batch import ports
+from endivevane.coordination import store
+from endivevane.retention import pacing, shards
+
+_PAGE = 100
+
+
+class SweepBroken(exceptions.EndivevaneError):
+    """A call of a sweep failed; a later sweep goes on from the rows.
+
+    :param cause: the error of the table service or object store
+    """
+
+    def __init__(self, cause: exceptions.EndivevaneError) -> None:
+        super().__init__()
+        self.cause = cause
+
+    def format_message(self) -> str:
+        """Return the cause."""
+        return self.cause.format_message()
+
+
+class PlatformCalls:
+    """Reads, conditional writes and deletes within the budget.
+
+    :raises SweepBroken: all calls, when the platform fails or an outcome is unknown
+    :raises pacing.SweepStopped: all calls, when the daemon is stopping
+    """
+
+    def __init__(
+        self,
+        table_store: store.TableStore,
+        object_store: ports.ObjectStore,
+        pacer: pacing.Pacer,
+    ) -> None:
+        self._store = table_store
+        self._objects = object_store
+        self._pacer = pacer
+
+    def scan(self, shard: shards.Shard) -> Iterator[store.Row]:
+        """Yield the rows of a shard in order of their keys."""
+        after = ""
+        while True:
+            self._pacer.take(pacing.Kind.ROWS_READ, 1)
+            page = _unwrap(self._store.scan(shard.table, shard.prefix, after, _PAGE))
+            self._pacer.take(pacing.Kind.ROWS_READ, len(page))
+            for row in page:
+                after = row.key
+                jump = shard.find_jump(row.key)
+                if jump is not None:
+                    after = jump
+                    break
+                yield row
+            else:
+                if len(page) < _PAGE:
+                    return
+
+    def write(self, row: store.Row, value: dict[str, Any]) -> store.Row | None:
+        """Replace a row that has not changed.
+
+        :returns: the new row; ``None`` when somebody else has changed it
+        """
+        self._pacer.take(pacing.Kind.ROWS_WRITTEN, 1)
+        outcome = store.transact_settled(
+            self._store,
+            utils.make_id("retention"),
+            [store.Condition(row.table, row.key, row.revision)],
+            [store.Write(row.table, row.key, value)],
+        )
+        revision = _unwrap_write(outcome)
+        if revision is None:
+            return None
+        return store.Row(row.table, row.key, value, revision)
+
+    def delete_rows(
+        self, rows: Sequence[store.Row], kind: str, guard: store.Row | None = None
+    ) -> bool:
+        """Delete rows together if none of them has changed.
+
+        :param guard: a further row that must not have changed
+        :returns: whether they were deleted
+        """
+        self._pacer.take(pacing.Kind.ROWS_WRITTEN, len(rows))
+        named = [*rows, guard] if guard is not None else rows
+        outcome = self._store.transact(
+            utils.make_id("retention"),
+            [store.Condition(item.table, item.key, item.revision) for item in named],
+            [store.Write(item.table, item.key, None) for item in rows],
+        )
+        is_applied = _unwrap_write(outcome) is not None
+        if is_applied:
+            metrics.RETENTION_DELETED.labels(kind).inc(len(rows))
+        return is_applied
+
+    def list_objects(self, prefix: str) -> list[str]:
+        """Return the keys of the objects with a prefix."""
+        self._pacer.take(pacing.Kind.OBJECT_CALLS, 1)
+        return [item.key for item in _unwrap(self._objects.list(prefix))]
+
+    def delete_object(self, key: str, kind: str) -> None:
+        """Delete an object, which may be missing."""
+        self._pacer.take(pacing.Kind.OBJECT_CALLS, 1)
+        _unwrap(self._objects.delete(key))
+        metrics.RETENTION_DELETED.labels(kind).inc()
+
+
+def _unwrap(outcome: result.Result[Any, Any]) -> Any:
+    if isinstance(outcome, result.Err):
+        raise SweepBroken(outcome.err_value)
+    return outcome.ok_value
+
+
+def _unwrap_write(outcome: result.Result[int, store.StoreError]) -> int | None:
+    """Return the revision, ``None`` for a conflict."""
+    if isinstance(outcome, result.Err):
+        if isinstance(outcome.err_value, store.StoreConflict):
+            return None
+        raise SweepBroken(outcome.err_value)
+    return outcome.ok_value
--- /dev/null
+++ b/src/endivevane/retention/register_sweeper.py
@@ -0,0 +1,39 @@
+"""Deletes old rows of the register of at-most-once calls."""
+
+from __future__ import annotations
+
+from endivevane.coordination import register, store
+from endivevane.online import at_most_once
+from endivevane.retention import decisions, platform_calls, shards
+
+
+class RegisterSweeper:
+    """Carries out what is due for rows of the register."""
+
+    def __init__(
+        self, calls: platform_calls.PlatformCalls, policy: decisions.Policy
+    ) -> None:
+        self._calls = calls
+        self._policy = policy
+
+    def sweep(self, shard: shards.Shard) -> None:
+        """Delete the rows of a shard that are due."""
+        for row in self._calls.scan(shard):
+            self.advance(row)
+
+    def advance(self, row: store.Row) -> None:
+        """Delete a row if it is due, its object before it."""
+        step = self._policy.decide_register_row(row.value)
+        if step is decisions.RegisterStep.DELETE:
+            self._calls.delete_rows([row], "register_row")
+        if step is decisions.RegisterStep.ERASE:
+            self._erase(row)
+        if step is decisions.RegisterStep.EXPIRE:
+            expired = self._calls.write(row, register.make_expired_value(row.value))
+            if expired is not None:
+                self._erase(expired)
+
+    def _erase(self, row: store.Row) -> None:
+        key = at_most_once.make_object_key(row.key, row.value["claim_id"])
+        self._calls.delete_object(key, "register_object")
+        self._calls.delete_rows([row], "register_row")
--- /dev/null
+++ b/src/endivevane/retention/task.py
@@ -0,0 +1,126 @@
+"""The task that deletes what is past its retention."""
+
+from __future__ import annotations
+
+import functools
+import threading
+from collections.abc import Callable, Collection
+
+from endivevane import logs, metrics
+from endivevane.batch import ports, records
+from endivevane.configuration import snapshot
+from endivevane.coordination import clock, register, store
+from endivevane.retention import (
+    decisions,
+    file_sweeper,
+    job_sweeper,
+    pacing,
+    platform_calls,
+    register_sweeper,
+    shards,
+)
+
+_STOP_TIMEOUT_S = 2.0
+# A failing store is not asked again at once.
+_PAUSE_AFTER_ERROR_S = 5.0
+_IDLE_S = 0.5
+# Ranking 340 daemons for a shard takes a fraction of a millisecond; the pauses keep
+# thousands of shards from delaying the daemon's other threads.
+_CHECK_PAUSE_S = 0.005
+
+
+class RetentionTask:
+    """A thread that sweeps this daemon's shards in turn.
+
+    :param daemon: name of this daemon
+    :param interval_s: time between two sweeps of a shard
+    :param list_daemons: returns the names of the live daemons
+    :param is_ready: whether the configuration is known to be current
+    """
+
+    def __init__(
+        self,
+        daemon: str,
+        interval_s: float,
+        table_store: store.TableStore,
+        object_store: ports.ObjectStore,
+        task_clock: clock.Clock,
+        get_snapshot: Callable[[], snapshot.Snapshot],
+        list_daemons: Callable[[], Collection[str]],
+        is_ready: Callable[[], bool],
+    ) -> None:
+        self._daemon = daemon
+        self._interval_s = interval_s
+        self._clock = task_clock
+        self._get_snapshot = get_snapshot
+        self._list_daemons = list_daemons
+        self._is_ready = is_ready
+        self._stopped = threading.Event()
+        pacer = pacing.Pacer(
+            task_clock, lambda: len(list_daemons()), self._stopped.wait
+        )
+        calls = platform_calls.PlatformCalls(table_store, object_store, pacer)
+        policy = decisions.Policy(task_clock, get_snapshot)
+        self._files = file_sweeper.FileSweeper(calls, policy)
+        self._sweeps: dict[str, Callable[[shards.Shard], None]] = {
+            records.JOBS: job_sweeper.JobSweeper(calls, policy).sweep,
+            records.FILES: self._files.sweep,
+            register.TABLE: register_sweeper.RegisterSweeper(calls, policy).sweep,
+        }
+        self._thread = threading.Thread(target=self._run, name="retention", daemon=True)
+
+    def start(self) -> None:
+        """Start the sweeps."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the sweeps; a sweep may be broken off between any two calls."""
+        self._stopped.set()
+        if self._thread.is_alive():
+            self._thread.join(_STOP_TIMEOUT_S)
+
+    def _run(self) -> None:
+        try:
+            while not self._stopped.wait(_IDLE_S):
+                started_s = self._clock.monotonic_s()
+                self._sweep_all()
+                passed_s = self._clock.monotonic_s() - started_s
+                self._stopped.wait(max(0.0, self._interval_s - passed_s))
+        except pacing.SweepStopped:
+            return
+
+    def _sweep_all(self) -> None:
+        """Sweep every shard that is this daemon's when its turn comes."""
+        organisations = list(self._get_snapshot().organisations)
+        for shard in shards.list_shards(organisations):
+            if not self._may_sweep():
+                return
+            if shards.is_own(shard, self._daemon, self._list_daemons()):
+                sweep = functools.partial(self._sweeps[shard.table], shard)
+                self._run_safely(shard.name, sweep)
+            if self._stopped.wait(_CHECK_PAUSE_S):
+                return
+        if self._may_sweep():
+            self._run_safely("marked files", self._files.settle)
+
+    def _may_sweep(self) -> bool:
+        """Without a current configuration the periods are not known."""
+        return self._get_snapshot().revision > 0 and self._is_ready()
+
+    def _run_safely(self, name: str, function: Callable[[], None]) -> None:
+        """Call a function; a failure ends this part of the sweep only."""
+        try:
+            function()
+        except pacing.SweepStopped:
+            raise
+        except platform_calls.SweepBroken as error:
+            metrics.RETENTION_ERRORS.labels(type(error.cause).__name__).inc()
+            logs.warning(
+                "retention_broken_off",
+                part=name,
+                error=error.format_message(),
+            )
+            self._stopped.wait(_PAUSE_AFTER_ERROR_S)
+        except Exception as error:
+            metrics.RETENTION_ERRORS.labels(type(error).__name__).inc()
+            logs.error("retention_failed", part=name, error=repr(error))
--- a/src/endivevane/web/errors.py
+++ b/src/endivevane/web/errors.py
@@ -102,6 +102,30 @@
     status, kind, code = 409, "invalid_request_error", "conflict"
 
 
+class Expired(ApiError):
+    """The named thing existed and was deleted at the end of its retention period."""
+
+    status, kind, code = 410, "invalid_request_error", "expired"
+
+
+class JobExpired(Expired):
+    """The results of the batch are no longer kept."""
+
+    code = "job_expired"
+
+
+class FileExpired(Expired):
+    """The input file is no longer kept."""
+
+    code = "file_expired"
+
+
+class OutcomeExpired(Expired):
+    """The outcome of the call is no longer kept."""
+
+    code = "outcome_expired"
+
+
 class BodyTooLarge(ApiError):
     """The body is larger than the limit."""
 
--- a/tools/fleet_plan.py
+++ b/tools/fleet_plan.py
@@ -42,6 +42,7 @@
         to load from the weight store
     :param platform_arguments: further arguments of ``standins.platform``
     :param service_arguments: further arguments of ``standins.service``
+    :param fleet_document: changes to the document of the fleet
     :param model_service: changes to the document of the model service
     :param plain_service: changes to the document of the plain service
     :param daemon_settings: changes to the settings file of every daemon
@@ -65,6 +66,7 @@
     loads_weights: bool = False
     platform_arguments: tuple[str, ...] = ()
     service_arguments: tuple[str, ...] = ()
+    fleet_document: Mapping[str, Any] = dataclasses.field(default_factory=dict)
     model_service: Mapping[str, Any] = dataclasses.field(default_factory=dict)
     plain_service: Mapping[str, Any] = dataclasses.field(default_factory=dict)
     daemon_settings: Mapping[str, Any] = dataclasses.field(default_factory=dict)
@@ -130,7 +132,8 @@
 
 def _make_fleet(plan: FleetPlan) -> dict[str, Any]:
     zones = [dataclasses.asdict(zone) for zone in plan.zones]
-    return {"kind": "fleet", "name": "fleet", "zones": zones}
+    document = {"kind": "fleet", "name": "fleet", "zones": zones}
+    return merge(document, plan.fleet_document)
 
 
 def _make_organisation(plan: FleetPlan, index: int) -> dict[str, Any]:
