--- a/src/endivevane/batch/jobs.py
+++ b/src/endivevane/batch/jobs.py
@@ -255,7 +255,7 @@
         return
     is_completed = job.state == records.JobState.COMPLETED
     raise errors.JobExpired(
-        f"the results of batch {job.job_id} are past their retention; use a new "
+        f"the results of batch {job.job_id} are past their retention; use a new"
         " Idempotency-Key to run the items again",
         run_state=(types.RunState.RAN if is_completed else types.RunState.MAY_HAVE_RUN),
     )
