Let replicas follow demand above the declared number

Cause: placement kept min_replicas of each model whatever callers asked for.

Change: ReplicaTargets turns demand in slots into replicas. A rise of more than 25% counts at once, a fall only after 60 s; places left above min_replicas are divided by D'Hondt's method. Placement loads for demand at most 2 replicas at a time, after every declared one, and takes only replicas past their residence time. While demand is not known, no replica of a declared model makes room except for a model without any. The owners of all services share 16 loads at a time, each an equal part and at least one.

Scenarios: features/orders_demand.feature, 5 passed; features/orders.feature, 26 passed. Each rule taken out once, failed scenarios of orders_demand: loading for demand 3, the time a fall must last 1 (20 loads instead of 9), no surplus while demand is unknown 1, rank of models without replica 1, residence time 1, bound of loads for demand 1.

--- /dev/null
+++ b/features/orders_demand.feature
@@ -0,0 +1,48 @@
+Feature: Replicas follow demand above the declared number
+
+  Each engine has 16 slots and holds 2 models, so a replica stands for 8 slots, of which
+  demand is to use 70%. A round of the owner takes 2 s and a load 2 rounds.
+
+  Scenario: Replicas follow demand that moves to another model
+    Guards against a placement that stays with the demand of yesterday. The limit is the
+    60 s for which a fall must last, plus 7 replicas in twos of 4 rounds each.
+    Given 6 engines in memory with models "a" of 1, "b" of 1 and "c" of 1 replicas
+    When demand is 40 slots of "a" and 4 of "b" for 400 seconds
+    Then "a" has 6 replicas and "c" has 1
+    When demand is 4 slots of "a" and 40 of "b" for 92 seconds
+    Then "b" has 6 replicas and "c" has 1
+
+  Scenario Outline: Oscillating demand leads to few loads
+    Guards against loading and unloading with each swing. A swing that is shorter than
+    the 60 s for which a fall must last moves nothing, and a longer one moves a replica
+    at most once in its residence time of 300 s.
+    Given 6 engines in memory with models "a" of 1, "b" of 1 and "c" of 1 replicas
+    When demand swings between "a" and "b" every <swing_s> seconds for 3600 seconds
+    Then at most <loads> loads were ordered, 9 of them for empty places
+    And each unloaded replica had been loaded for 300 seconds
+
+    Examples:
+      | swing_s | loads |
+      | 40      | 9     |
+      | 200     | 117   |
+
+  Scenario: Half of the engines go while demand is high and every model is served again
+    Guards against demand for one model that keeps the lost ones from coming back. The
+    limit is the 20 rounds that hold without demand.
+    Given 12 engines in memory with models "a" of 2, "b" of 2 and "c" of 1 replicas
+    And all models are placed
+    When demand is 30 slots of "a" and 30 of "b" for 400 seconds
+    Then no more than 2 engines loaded at the same time for demand
+    When the engines that hold "c" and others go, 6 in all
+    Then "c" is the first model to be loaded
+    And every model is served again within 20 rounds
+
+  Scenario: Replicas are in use until demand is known
+    Guards against a new owner that unloads what its predecessor had loaded for demand
+    that it does not know yet.
+    Given 2 engines in memory, which all hold "a" of 1 replica and "b" of 1 replica
+    And demand is not known
+    And the document asks for 2 replicas of "c", of which 1 is served
+    Then no second replica was unloaded for it in 400 rounds
+    When demand is 0 slots of "a" and 0 of "b" for 400 seconds
+    Then "c" has 2 replicas
--- a/features/steps/orders_decisions_steps.py
+++ b/features/steps/orders_decisions_steps.py
@@ -26,6 +26,7 @@
     for item in context.group.declared:
         assert context.group.count(item.name) == item.min_replicas, item
     context.group.orders.clear()
+    context.group.most_loading = 0
 
 
 def _make_holding(context, count, names):
@@ -207,7 +208,7 @@
         wanted = generator.randint(1, 5)
         causes += max(0, wanted - changed.min_replicas)
         _declare(group, engine_groups.make_model(changed.name, wanted))
-    group.demand = {item.name: generator.random() * 10 for item in group.declared}
+    group.demand_slots = {item.name: generator.random() * 10 for item in group.declared}
     return causes
 
 
--- a/features/support/engine_groups.py
+++ b/features/support/engine_groups.py
@@ -3,12 +3,13 @@
 import dataclasses
 
 from endivevane.configuration import models
-from endivevane.orders import placement
+from endivevane.orders import placement, replicas, residence
 from endivevane.platform import engine
 
 ZONES = ("zone-a", "zone-b", "zone-c")
 # Two rounds of the group's owner, within which an ordered load ends here.
 LOAD_ROUNDS = 2
+SLOTS = 16
 ROUND_S = 2.0
 
 
@@ -85,10 +86,13 @@
             f"e{index}": MemoryEngine(f"e{index}", ZONES[index % len(ZONES)])
             for index in range(count)
         }
-        self.residence = placement.Residence()
-        self.demand = {}
+        self.residence = residence.Residence()
+        self.replicas = replicas.ReplicaTargets(replicas.DemandSettings())
+        self.demand_slots = {}
+        self.slots_per_place = SLOTS / self.settings.max_models
         self.now_s = 0.0
         self.orders = []
+        self.most_loading = 0
         self.loaded_s = {}
 
     def live(self):
@@ -121,7 +125,7 @@
         group = placement.Group(
             self.declared,
             views,
-            demand=self.demand,
+            targets=self._compute_targets(len(views)),
             since_s=dict(self.residence.since_s),
         )
         plan = placement.compute(group, self.settings, self.now_s)
@@ -145,6 +149,15 @@
         self.orders += [(self.now_s, order, unserved) for order in sent]
         return sent
 
+    def _compute_targets(self, engines):
+        if self.demand_slots is None:
+            return None
+        self.replicas.observe(self.demand_slots, self.now_s)
+        places = engines * self.settings.max_models
+        return self.replicas.compute(
+            self.declared, places, engines, self.slots_per_place
+        )
+
     def _check_bounds(self, views):
         busy = [item for item in self.live() if item.queue]
         limit = max(1, int(self.settings.max_reloading_share * len(views)))
@@ -155,6 +168,7 @@
             any(order.action.startswith("load") for order in item.queue)
             for item in busy
         )
+        self.most_loading = max(self.most_loading, loading)
         allowed = max(self.settings.max_loads, sum(view.is_busy for view in views))
         assert loading <= allowed, (loading, allowed)
 
--- a/src/endivevane/orders/counts.py
+++ b/src/endivevane/orders/counts.py
@@ -17,3 +17,8 @@
     "Replicas that the declared models of an owned group lack.",
     ["service", "model"],
 )
+REPLICAS_WANTED = prometheus_client.Gauge(
+    "endivevane_replicas_wanted",
+    "Replicas that the document and demand ask for, at the owner of a group.",
+    ["service", "model"],
+)
--- a/src/endivevane/orders/orders.py
+++ b/src/endivevane/orders/orders.py
@@ -12,7 +12,7 @@
 from endivevane import logs, utils
 from endivevane.configuration import snapshot
 from endivevane.coordination import clock, fencing, lease, store
-from endivevane.orders import counts, placement, states
+from endivevane.orders import counts, placement, replicas, residence, states
 from endivevane.platform import engine
 
 
@@ -29,6 +29,8 @@
     :param refused_pause_s: pause after an engine has refused a fencing number
     :param margin_s: allowance of the observer of other daemons' sessions
     :param threads: calls to engines at the same time
+    :param fleet_loads: loads at the same time of all services together, which share
+        the rate of the weight store; each service gets an equal part, at least one
     """
 
     interval_s: float = 2.0
@@ -39,9 +41,13 @@
     refused_pause_s: float = 10.0
     margin_s: float = 1.0
     threads: int = 8
+    fleet_loads: int = 16
     placement: placement.PlacementSettings = dataclasses.field(
         default_factory=placement.PlacementSettings
     )
+    demand: replicas.DemandSettings = dataclasses.field(
+        default_factory=replicas.DemandSettings
+    )
 
 
 class Session(typing.Protocol):
@@ -61,13 +67,17 @@
 
     :param targets: engines of the service that are not leaving
     :param kept: models that are never unloaded, see :class:`placement.Group`
+    :param demand_slots: slots that demand would fill, by model; ``None`` while too few
+        daemons have told theirs
+    :param groups: services whose owners share the weight store
     """
 
     service: snapshot.Service
     targets: Sequence[snapshot.Target]
     kept: frozenset[str] = frozenset()
-    demand: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    demand_slots: Mapping[str, float] | None = None
     load_shares: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    groups: int = 1
 
 
 class GroupOwner:
@@ -112,7 +122,8 @@
         )
         self._observer = lease.SessionObserver(settings.margin_s, owner_clock)
         self._observed_s = owner_clock.monotonic_s()
-        self._residence = placement.Residence()
+        self._residence = residence.Residence()
+        self._replicas = replicas.ReplicaTargets(settings.demand)
         self._states = states.EngineStates(
             make_client,
             executor,
@@ -169,15 +180,36 @@
             request.service.model.models,
             views,
             request.kept,
-            request.demand,
+            self._compute_targets(request, len(views)),
             self._residence.since_s,
         )
-        now_s = self._clock.monotonic_s()
-        plan = placement.compute(group, self._settings.placement, now_s)
+        limits = self._settings.placement
+        own_part = max(1, self._settings.fleet_loads // max(1, request.groups))
+        limits = dataclasses.replace(limits, max_loads=min(limits.max_loads, own_part))
+        plan = placement.compute(group, limits, self._clock.monotonic_s())
         for name, count in plan.short.items():
             counts.REPLICAS_SHORT.labels(self._group, name).set(count)
         return plan
 
+    def _compute_targets(
+        self, request: Request, engines: int
+    ) -> Mapping[str, int] | None:
+        """Return the replicas that demand asks for, ``None`` while it is not known."""
+        if request.demand_slots is None or not request.targets:
+            return None
+        self._replicas.observe(request.demand_slots, self._clock.monotonic_s())
+        slots = [target.slots for target in request.targets]
+        max_models = self._settings.placement.max_models
+        targets = self._replicas.compute(
+            request.service.model.models,
+            places=engines * max_models,
+            engines=engines,
+            slots_per_place=sum(slots) / len(slots) / max_models,
+        )
+        for name, count in targets.items():
+            counts.REPLICAS_WANTED.labels(self._group, name).set(count)
+        return targets
+
     def _may_order(self, target: snapshot.Target) -> bool:
         return self._fences.may_send_order(self._group, target.checks_fencing)
 
@@ -241,7 +273,8 @@
         self._fences.record_acquired(self._group, epoch, number)
         self._acquired_s = self._clock.monotonic_s()
         self._states.forget()
-        self._residence = placement.Residence()
+        self._residence = residence.Residence()
+        self._replicas = replicas.ReplicaTargets(self._settings.demand)
         logs.info("group_acquired", group=self._group, number=number, epoch=epoch)
         return self.ownership
 
--- a/src/endivevane/orders/placement.py
+++ b/src/endivevane/orders/placement.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 
 from endivevane.configuration import models
 from endivevane.coordination import rendezvous
@@ -25,10 +25,13 @@
     :param max_reloading_share: share of the engines of a service that change at the
         same time; at least one may
     :param residence_s: time that a model stays loaded before it may be unloaded
+    :param max_demand_loads: loads at the same time that only demand asks for; the
+        rest of ``max_loads`` stays free for models that lack declared replicas
     """
 
     max_models: int = 2
     max_loads: int = 4
+    max_demand_loads: int = 2
     max_reloading_share: float = 0.34
     residence_s: float = 300.0
 
@@ -62,14 +65,15 @@
     :param declared: models of the service's document
     :param kept: other names that are never unloaded, such as models that another
         service declares for the same engines
-    :param demand: recent requests per second by model
+    :param targets: replicas by model that demand asks for, at least ``min_replicas``;
+        ``None`` while demand is not known, when all loaded models count as in use
     :param since_s: monotonic time since when a model is loaded, by engine and key
     """
 
     declared: tuple[models.LanguageModelModel, ...]
     engines: Sequence[EngineView]
     kept: frozenset[str] = frozenset()
-    demand: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    targets: Mapping[str, int] | None = dataclasses.field(default_factory=dict)
     since_s: Mapping[tuple[str, Key], float] = dataclasses.field(default_factory=dict)
 
 
@@ -99,18 +103,6 @@
     adapter: str = ""
 
 
-class Residence:
-    """Remembers since when each engine has each model loaded."""
-
-    def __init__(self) -> None:
-        self.since_s: dict[tuple[str, Key], float] = {}
-
-    def observe(self, engines: Iterable[EngineView], now_s: float) -> None:
-        """Take in what engines hold; forgets what they no longer hold."""
-        held = {(view.name, key) for view in engines for key in list_keys(view)}
-        self.since_s = {item: self.since_s.get(item, now_s) for item in held}
-
-
 def list_keys(view: EngineView) -> list[Key]:
     """Return the models that an engine has loaded."""
     return [(item.model, item.version) for item in view.models]
@@ -182,7 +174,7 @@
         self._loads = len(self._changed)
 
     def count_short(self) -> dict[str, int]:
-        """Return the replicas that each declared model lacks."""
+        """Return the declared replicas that each model lacks."""
         return {
             item.name: max(0, self._count_needed(item) - self._count_current(item))
             for item in self._group.declared
@@ -192,11 +184,10 @@
         """Add replicas while models lack some and the limits allow."""
         skipped: set[str] = set()
         while self._may_load():
-            short = self.count_short()
             lacking = [
                 item
                 for item in self._group.declared
-                if short[item.name] and item.name not in skipped
+                if item.name not in skipped and self._is_lacking(item)
             ]
             if not lacking:
                 return
@@ -272,14 +263,28 @@
             return needed
         return max(needed, len(self._list_holders(declared.name)))
 
+    def _get_target(self, declared: models.LanguageModelModel) -> int:
+        """Return the replicas to have by document and demand."""
+        targets = self._group.targets or {}
+        return max(declared.min_replicas, targets.get(declared.name, 0))
+
+    def _is_lacking(self, declared: models.LanguageModelModel) -> bool:
+        """Tell whether a model may get a replica now."""
+        current = self._count_current(declared)
+        if current < self._count_needed(declared):
+            return True
+        is_open = self._loads < self._settings.max_demand_loads
+        return is_open and current < min(self._get_target(declared), len(self._views))
+
     def _rank_model(
         self, declared: models.LanguageModelModel
-    ) -> tuple[bool, float, float, str]:
-        """Rank lacking models: without replica first, then by share and demand."""
+    ) -> tuple[bool, bool, float, str]:
+        """Rank lacking models: without replica, then below the declared number."""
         holders = len(self._list_holders(declared.name))
-        share = self._count_current(declared) / max(1, self._count_needed(declared))
-        demand = self._group.demand.get(declared.name, 0.0)
-        return holders > 0, share, -demand, declared.name
+        current = self._count_current(declared)
+        is_complete = current >= self._count_needed(declared)
+        share = current / max(1, self._get_target(declared))
+        return holders > 0, is_complete, share, declared.name
 
     def _place_replica(self, declared: models.LanguageModelModel) -> bool:
         key = (declared.name, declared.version)
@@ -337,12 +342,11 @@
             if not self._is_served_elsewhere(view, key):
                 continue
             is_older = key[0] == name and key[1] != declared.version
-            holders = len(self._list_holders(key[0]))
-            surplus = holders - declared.min_replicas
-            may_go = surplus > 0 and self._is_settled(view.name, key)
+            surplus = len(self._list_holders(key[0])) - self._get_target(declared)
+            is_surplus = surplus > 0 and self._group.targets is not None
+            may_go = is_surplus and self._is_settled(view.name, key)
             if may_go or is_unserved or is_older:
-                demand = self._group.demand.get(key[0], 0.0) / holders
-                ranked.append(((1.0 - is_older / 2, -float(surplus), demand), key))
+                ranked.append(((1.0 - is_older / 2, -float(surplus)), key))
         return min(ranked)[1] if ranked else None
 
     def _is_settled(self, target: str, key: Key) -> bool:
--- a/src/endivevane/orders/task.py
+++ b/src/endivevane/orders/task.py
@@ -49,7 +49,8 @@
     :param list_daemons: returns the names of the live daemons
     :param get_leaving: returns the names of VMs that are leaving
     :param get_load_share: returns the used share of an engine's slots
-    :param get_demand: returns recent requests per second by model
+    :param get_demand_slots: returns the slots that demand for a service would fill, by
+        model, or ``None`` while too little is known
     """
 
     def __init__(
@@ -63,7 +64,7 @@
         list_daemons: Callable[[], Collection[str]],
         get_leaving: Callable[[], Collection[str]],
         get_load_share: Callable[[str], float] | None = None,
-        get_demand: Callable[[], Mapping[str, float]] | None = None,
+        get_demand_slots: Callable[[str], Mapping[str, float] | None] | None = None,
     ) -> None:
         self._daemon = daemon
         self._settings = settings
@@ -74,7 +75,7 @@
         self._list_daemons = list_daemons
         self._get_leaving = get_leaving
         self._get_load_share = get_load_share or (lambda _name: 0.0)
-        self._get_demand = get_demand or dict
+        self._get_demand_slots = get_demand_slots or (lambda _name: None)
         self._owners: dict[str, orders.GroupOwner] = {}
         self._skipped_rounds: dict[str, int] = {}
         self._stopped = threading.Event()
@@ -170,7 +171,9 @@
             for item in other.model.models
         )
         shares = {target.name: self._get_load_share(target.name) for target in targets}
-        return orders.Request(service, targets, kept, self._get_demand(), shares)
+        demand_slots = self._get_demand_slots(service.name)
+        groups = sum(not other.is_plain for other in current.services.values())
+        return orders.Request(service, targets, kept, demand_slots, shares, groups)
 
 
 def make_client(
