--- a/bench/run.py
+++ b/bench/run.py
@@ -37,6 +37,7 @@
     "requests": ("requests", ()),
     "isolation": ("isolation", ()),
     "batch": ("batch", ()),
+    "placement": ("placement", ()),
     "members": ("members", (*_MEMBER_SIZES, *_MEMBER_TIMES)),
 }
 
