Let operators set the pace and limits of orders

Cause: interval, terms, limits of loads and hysteresis were fixed in the code.

The longest term is never below the daemon's own.

Scenarios: features/settings.feature 6 passed. With fleet_loads not passed on, and with the check of silent_after_s taken out, one scenario each failed.

Conclusion: a key without effect or against another one is found before use.

--- a/features/settings.feature
+++ b/features/settings.feature
@@ -43,6 +43,77 @@
       | daemon.worker_thread |
       | platform.timeout_s   |
 
+  Scenario: Settings of orders reach the task that gives them
+    Guards against a key that is accepted and has no effect.
+    Given a settings file with
+      """
+      [daemon]
+      name = "entry-1"
+      zone = "zone-a"
+      region = "region-1"
+      listen = "127.0.0.1:18080"
+      cluster_listen = "127.0.0.1:18081"
+
+      [platform]
+      table_service = "127.0.0.1:18001"
+      object_store = "127.0.0.1:18001"
+      vm_list = "127.0.0.1:18001"
+
+      [session]
+      term_s = 40
+
+      [orders]
+      interval_s = 2.5
+      call_timeout_s = 1.5
+      longest_term_s = 35.5
+      longest_order_s = 121.5
+      silent_after_s = 6.5
+      max_models = 3
+      max_loads = 5
+      max_demand_loads = 6
+      fleet_loads = 17
+      max_reloading_share = 0.35
+      residence_s = 301.5
+      fill_share = 0.75
+      hysteresis_share = 0.26
+      fall_after_s = 61.5
+      """
+    When the settings are loaded
+    Then each key of orders has its value in the task's settings, the longest term 40
+
+  Scenario: Settings of orders that contradict each other are refused
+    Guards against an engine that is given up between two rounds, and against an order
+    that counts as over while its call still waits.
+    Given a settings file with
+      """
+      [daemon]
+      name = "entry-1"
+      zone = "zone-a"
+      region = "region-1"
+      listen = "127.0.0.1:18080"
+      cluster_listen = "127.0.0.1:18081"
+
+      [platform]
+      table_service = "127.0.0.1:18001"
+      object_store = "127.0.0.1:18001"
+      vm_list = "127.0.0.1:18001"
+
+      [orders]
+      interval_s = 10
+      call_timeout_s = 5
+      longest_order_s = 5
+      silent_after_s = 6
+      max_loads = 0
+      hysteresis_share = 1.0
+      """
+    When the settings are loaded
+    Then the problems name the keys
+      | key                     |
+      | orders.longest_order_s  |
+      | orders.silent_after_s   |
+      | orders.max_loads        |
+      | orders.hysteresis_share |
+
   Scenario Outline: A file that can't be parsed is one clear error
     Given a settings file with the bytes <content>
     When the settings are loaded
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -1,10 +1,11 @@
+import dataclasses
 import pathlib
 import tempfile
 
 from behave import given, then, when
 
 from endivevane import exceptions
-from endivevane.daemon import settings
+from endivevane.daemon import orders_settings, settings
 
 
 def _write(context, data):
@@ -52,3 +53,19 @@
     assert context.error is not None
     assert len(context.error.problems) == 1
     assert text in context.error.problems[0].reason, context.error
+
+
+@then(
+    "each key of orders has its value in the task's settings, the longest term {term:d}"
+)
+def step_check_orders(context, term):
+    assert context.error is None, context.error
+    section = context.settings.orders
+    made = orders_settings.make_settings(section, context.settings.session.term_s)
+    found = dataclasses.asdict(made)
+    found |= found.pop("placement") | found.pop("demand")
+    default = settings.OrdersSection()
+    for key, value in section:
+        assert value != getattr(default, key), f"{key} must differ from its default"
+        expected = term if key == "longest_term_s" else value
+        assert found[key] == expected, (key, found[key], expected)
--- a/src/endivevane/daemon/settings.py
+++ b/src/endivevane/daemon/settings.py
@@ -112,6 +112,58 @@
     buffered_chunks: int = pydantic.Field(default=8, ge=1, le=64)
 
 
+class OrdersSection(_Section):
+    """How the owner of an engine group gives orders; the same in all daemons.
+
+    :param interval_s: time between two rounds
+    :param call_timeout_s: limit for each wait of a call to an engine
+    :param longest_term_s: longest session term of any daemon
+    :param longest_order_s: longest time until an order can no longer take effect
+    :param silent_after_s: time without an answer after which an engine is given up
+    :param max_models: models that an engine holds together
+    :param max_loads: engines of a service that load at the same time
+    :param max_demand_loads: loads at the same time that only demand asks for
+    :param fleet_loads: loads at the same time of all services, which share the rate of
+        the weight store; each service gets an equal part, at least one
+    :param max_reloading_share: share of a service's engines that change together
+    :param residence_s: time that a model stays loaded before it may be unloaded
+    :param fill_share: share of a replica's slots that demand should use
+    :param hysteresis_share: change of demand below this share moves nothing
+    :param fall_after_s: time that demand must stay lower to count
+    """
+
+    interval_s: Seconds = 2.0
+    call_timeout_s: Seconds = 1.0
+    longest_term_s: Seconds = 30.0
+    longest_order_s: Seconds = 120.0
+    silent_after_s: Seconds = 6.0
+    max_models: int = pydantic.Field(default=2, ge=1, le=64)
+    max_loads: int = pydantic.Field(default=4, ge=1, le=1024)
+    max_demand_loads: int = pydantic.Field(default=2, ge=0, le=1024)
+    fleet_loads: int = pydantic.Field(default=16, ge=1, le=4096)
+    max_reloading_share: float = pydantic.Field(default=0.34, gt=0, le=1)
+    residence_s: Seconds = 300.0
+    fill_share: float = pydantic.Field(default=0.7, gt=0, le=1)
+    hysteresis_share: float = pydantic.Field(default=0.25, ge=0, lt=1)
+    fall_after_s: Seconds = 60.0
+
+    @pydantic.field_validator("silent_after_s")
+    @classmethod
+    def _check_silence(cls, value: float, info: pydantic.ValidationInfo) -> float:
+        interval_s = info.data.get("interval_s", 0.0)
+        if value <= interval_s:
+            raise ValueError(f"must be longer than interval_s, {interval_s:g}")
+        return value
+
+    @pydantic.field_validator("longest_order_s")
+    @classmethod
+    def _check_longest(cls, value: float, info: pydantic.ValidationInfo) -> float:
+        call_timeout_s = info.data.get("call_timeout_s", 0.0)
+        if value <= call_timeout_s:
+            raise ValueError(f"must be longer than call_timeout_s, {call_timeout_s:g}")
+        return value
+
+
 class DrainSection(_Section):
     """The planned stop.
 
@@ -133,6 +185,7 @@
     membership: MembershipSection = MembershipSection()
     limits: LimitsSection = LimitsSection()
     batch: BatchSection = BatchSection()
+    orders: OrdersSection = OrdersSection()
     drain: DrainSection = DrainSection()
 
 
--- a/src/endivevane/daemon/wiring.py
+++ b/src/endivevane/daemon/wiring.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import functools
 import random
 import threading
@@ -22,6 +21,7 @@
     health,
     history,
     load_board,
+    orders_settings,
     settings,
 )
 from endivevane.online import (
@@ -38,7 +38,6 @@
     scheduler,
 )
 from endivevane.orders import demand as orders_demand
-from endivevane.orders import orders as engine_orders
 from endivevane.orders import task as orders_task
 from endivevane.platform import http_pool, link, objects, table, vms
 from endivevane.web import app, server
@@ -238,11 +237,11 @@
         )
 
     def _build_orders(self) -> None:
-        settings = engine_orders.OrdersSettings()
-        longest_term_s = max(settings.longest_term_s, self._settings.session.term_s)
         self._orders = orders_task.OrdersTask(
             self._settings.daemon.name,
-            dataclasses.replace(settings, longest_term_s=longest_term_s),
+            orders_settings.make_settings(
+                self._settings.orders, self._settings.session.term_s
+            ),
             self._clock,
             self._table,
             self.cluster.session,
