Prove in a running fleet that replicas follow demand

Cause: the way from the counts over the messages to the orders had been run in memory only.

Change: a scenario with 3 daemons and 4 engines in which callers keep 14 requests open.

Conclusion: counting, telling and loading work together.

--- a/features/orders_demand.feature
+++ b/features/orders_demand.feature
@@ -70,3 +70,12 @@
     Given 340 daemons that each have 0.5 running requests of each of 29 services
     When they exchange demand for 240 seconds while 2 of 3 reports are lost
     Then no owner knows the demand
+
+  Scenario: Engines of a running fleet load what callers ask for
+    Guards against demand that no daemon counts, tells or uses. The limit is twice the
+    sum of the report's interval, 10 s, the time constant of the counts, 10 s, five rounds
+    of 2 s and 4 s for the loads, since machines are shared.
+    Given a fleet of 3 daemons and 4 engines with one model
+    When the document adds a second model of 1 replicas with an adapter
+    Then within 40 seconds 1 engines hold it with its adapter
+    And 3 engines hold it within 68 seconds in which callers keep 14 requests open
--- a/features/steps/orders_fleet_steps.py
+++ b/features/steps/orders_fleet_steps.py
@@ -1,4 +1,6 @@
+import concurrent.futures
 import dataclasses
+import threading
 
 from behave import given, then, when
 
@@ -117,3 +119,36 @@
         assert len(loads) <= limit, loads
         assert all(order["accepted"] for order in orders), orders
     assert len(numbers) == 1, numbers
+
+
+@then(
+    "{count:d} engines hold it within {limit:d} seconds in which callers keep "
+    "{requests:d} requests open"
+)
+def step_check_demand(context, count, limit, requests):
+    ended = threading.Event()
+    key = context.fleet.caller_key()
+
+    def keep_asking(daemon):
+        while not ended.is_set():
+            status, _, _ = engine_caller.post(
+                daemon.address,
+                "/v1/chat/completions",
+                engine_caller.make_body("a question", 400, model=_SECOND),
+                {"Authorization": f"Bearer {key}"},
+            )
+            assert status == 200, status
+
+    with concurrent.futures.ThreadPoolExecutor(requests) as callers:
+        daemons = context.fleet.daemons
+        asking = [
+            callers.submit(keep_asking, daemons[index % len(daemons)])
+            for index in range(requests)
+        ]
+        try:
+            step_check_holders(context, limit, count)
+        finally:
+            ended.set()
+    # A caller that failed would have asked for less than the scenario says.
+    for item in asking:
+        item.result()
