Give engines their roles and send requests only where they can run

Cause: the role in the load report was ignored, so an engine that only runs prefill got whole requests, and no order ever changed a role.

Change: a role for each target or a share for prefill in the service's file. The owner of the group orders it, before loads; engines become prefill by share only if their models keep min_replicas elsewhere, a model that only prefill engines hold has them put back, and all go back to both while half of the engines are lost. Online requests and batch items leave prefill engines out by load report. The stand-in engine refuses whole requests as not-run while it is prefill, and passes prompts with one token.

--- a/features/support/scheduling.py
+++ b/features/support/scheduling.py
@@ -45,14 +45,16 @@
     return snapshot.build_snapshot(revision, documents)
 
 
-def make_report(running=0, waiting=0, slots=2, as_of_s=0.0, model="small-lm"):
+def make_report(
+    running=0, waiting=0, slots=2, as_of_s=0.0, model="small-lm", role="both"
+):
     return engine.LoadReport(
         as_of_s=as_of_s,
         running=running,
         waiting=waiting,
         slots=slots,
         models=(engine.LoadedModel(model, "1", ()),),
-        role="both",
+        role=role,
         kv_used_share=0.0,
         fencing_number=0,
     )
--- a/src/endivevane/batch/slack.py
+++ b/src/endivevane/batch/slack.py
@@ -140,7 +140,7 @@
     :param online: what other daemons have told of their requests
     :param held_slots: slots left free after yield requests
     """
-    if report is None:
+    if report is None or report.role == "prefill":
         return -use.count
     as_of_ms = int(report.as_of_s * 1000)
     if now_ms - as_of_ms > MAX_REPORT_AGE_MS:
--- a/src/endivevane/configuration/models.py
+++ b/src/endivevane/configuration/models.py
@@ -34,6 +34,7 @@
     :param slots: requests that the target runs together
     :param checks_orders: whether the target checks who gives it an order
     :param checks_fencing: whether the target refuses orders with an old number
+    :param role: role of an engine; ``None`` lets the daemons decide
     """
 
     name: Name
@@ -42,6 +43,7 @@
     slots: int = pydantic.Field(default=16, gt=0, le=4096)
     checks_orders: bool = False
     checks_fencing: bool = False
+    role: Literal["prefill", "decode", "both"] | None = None
 
 
 class LanguageModelModel(_Model):
@@ -103,6 +105,15 @@
     item_timeout_s: PositiveSeconds = 120.0
 
 
+class RolesModel(_Model):
+    """How the engines of a service share prefill and decode.
+
+    :param prefill_share: share of the engines that only run prefill
+    """
+
+    prefill_share: float = pydantic.Field(default=0.0, ge=0, le=0.5)
+
+
 class ServiceModel(_Model):
     """A service: a set of targets that offer models or plain calls."""
 
@@ -112,6 +123,7 @@
     organisations: tuple[Name, ...] = pydantic.Field(min_length=1)
     online: OnlineModel = OnlineModel()
     batch: BatchModel = BatchModel()
+    roles: RolesModel = RolesModel()
     models: tuple[LanguageModelModel, ...] = ()
     routes: tuple[RouteModel, ...] = ()
     targets: tuple[TargetModel, ...] = ()
--- a/src/endivevane/configuration/snapshot.py
+++ b/src/endivevane/configuration/snapshot.py
@@ -32,6 +32,7 @@
 
     :param service: name of the service that it belongs to
     :param slots: requests that it runs together
+    :param role: declared role of an engine, ``None`` when the daemons decide
     """
 
     name: str
@@ -42,6 +43,7 @@
     slots: int
     checks_orders: bool
     checks_fencing: bool
+    role: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -156,6 +158,7 @@
             slots=item.slots,
             checks_orders=item.checks_orders,
             checks_fencing=item.checks_fencing,
+            role=item.role,
         )
         for item in document.targets
     )
--- a/src/endivevane/online/fleet.py
+++ b/src/endivevane/online/fleet.py
@@ -78,7 +78,8 @@
     def find_sendable(
         self, candidates: list[target_state.TargetState]
     ) -> list[target_state.TargetState]:
-        """Return the candidates whose region may be reached now."""
+        """Return the candidates with a fitting role that may be reached now."""
+        candidates = [state for state in candidates if state.can_serve()]
         if self._link.has_room():
             return candidates
         region = self._place.region
--- a/src/endivevane/online/target_state.py
+++ b/src/endivevane/online/target_state.py
@@ -197,6 +197,12 @@
         """Return whether the target has the model loaded, as far as is known."""
         return not self._models or model in self._models
 
+    def can_serve(self) -> bool:
+        """Return whether the target's role lets it run whole requests."""
+        if self._report is None:
+            return self.target.role != "prefill"
+        return self._report.role != "prefill"
+
     def is_usable(self, now_s: float) -> bool:
         """Return whether limit and health allow one more request now."""
         has_room = len(self.in_flight) < self.limit.limit
--- a/src/endivevane/orders/orders.py
+++ b/src/endivevane/orders/orders.py
@@ -12,7 +12,14 @@
 from endivevane import logs, utils
 from endivevane.configuration import snapshot
 from endivevane.coordination import clock, fencing, lease, store
-from endivevane.orders import counts, placement, replicas, residence, states
+from endivevane.orders import (
+    counts,
+    placement,
+    replicas,
+    residence,
+    roles,
+    states,
+)
 from endivevane.platform import engine
 
 
@@ -70,6 +77,7 @@
     :param demand_slots: slots that demand would fill, by model; ``None`` while too few
         daemons have told theirs
     :param groups: services whose owners share the weight store
+    :param declared_engines: engines of the group, leaving ones included
     """
 
     service: snapshot.Service
@@ -78,6 +86,7 @@
     demand_slots: Mapping[str, float] | None = None
     load_shares: Mapping[str, float] = dataclasses.field(default_factory=dict)
     groups: int = 1
+    declared_engines: int = 0
 
 
 class GroupOwner:
@@ -124,6 +133,7 @@
         self._observed_s = owner_clock.monotonic_s()
         self._residence = residence.Residence()
         self._replicas = replicas.ReplicaTargets(settings.demand)
+        self._roles = roles.RoleKeeper()
         self._states = states.EngineStates(
             make_client,
             executor,
@@ -158,6 +168,9 @@
         if not self._is_settled(request):
             return
         plan = self._compute(request, views)
+        wanted_roles = self._roles.compute(
+            request.service.model, request.targets, views, request.declared_engines
+        )
         by_name = {view.name: view for view in views}
         sending = []
         for target in request.targets:
@@ -165,10 +178,13 @@
             if view is None or not view.is_fresh or view.is_busy:
                 continue
             orders = placement.list_orders(view, plan.wanted[target.name])
-            if orders or not self._has_number(target, owned.fencing_number):
-                sending.append((target, orders))
+            role = wanted_roles[target.name]
+            has_number = self._has_number(target, owned.fencing_number)
+            if orders or role != view.role or not has_number:
+                sending.append((target, orders, role))
         outcomes = self._executor.map(
-            lambda item: self._send_to(item[0], item[1], owned.fencing_number), sending
+            lambda item: self._send_to(item[0], item[1], item[2], owned.fencing_number),
+            sending,
         )
         if not all(list(outcomes)):
             self._lose(None)
@@ -297,34 +313,37 @@
         self,
         target: snapshot.Target,
         orders: Sequence[placement.Order],
+        role: str,
         number: int,
     ) -> bool:
         """Send orders one after the other; return whether the number was accepted.
 
-        Without orders the engine gets the role that it has, which changes nothing but
-        makes it refuse the orders of earlier owners. The first failure ends the row:
-        the next round reads back what took effect.
+        The role comes first, because it takes effect at once. Without orders the engine
+        gets the role that it has, which changes nothing but makes it refuse the orders
+        of earlier owners. The first failure ends the row: the next round reads back
+        what took effect.
         """
         client = self._make_client(target)
-        if not orders:
+        is_changed = role != self._states.states[target.name].role
+        if is_changed or not orders:
             if not self._may_send(target, number):
                 return True
-            role = self._states.states[target.name].role
             outcome = client.send_order(number, "set_role", role=role)
-            return not _is_refused(outcome)
+            if is_changed:
+                counts.record_role(self._group, target.name, role, _describe(outcome))
+            if isinstance(outcome, result.Err):
+                return not _is_refused(outcome)
         for order in orders:
             if not self._may_send(target, number):
                 return True
             self._states.record_sent(target.name, order)
             outcome = client.send_order(number, order.action, **_make_arguments(order))
+            counts.record_order(self._group, order, _describe(outcome))
             if _is_refused(outcome):
-                self._count(order, "refused")
                 return False
             if isinstance(outcome, result.Err):
                 self._states.record_unknown(target.name)
-                self._count(order, "unknown")
                 return True
-            self._count(order, "accepted")
         return True
 
     def _may_send(self, target: snapshot.Target, number: int) -> bool:
@@ -336,19 +355,6 @@
             return False
         return self._fences.may_send_order(self._group, target.checks_fencing)
 
-    def _count(self, order: placement.Order, outcome: str) -> None:
-        counts.ORDERS.labels(order.action, outcome).inc()
-        logs.info(
-            "engine_order",
-            group=self._group,
-            target=order.target,
-            action=order.action,
-            model=order.model,
-            version=order.version,
-            adapter=order.adapter or None,
-            outcome=outcome,
-        )
-
 
 def _make_arguments(order: placement.Order) -> dict[str, str]:
     arguments = {"model": order.model, "version": order.version}
@@ -361,3 +367,10 @@
     return isinstance(outcome, result.Err) and isinstance(
         outcome.err_value, engine.FencingRefused
     )
+
+
+def _describe(outcome: result.Result[None, engine.EngineError]) -> str:
+    """Return the label of the outcome; ``unknown`` means that no answer came."""
+    if isinstance(outcome, result.Ok):
+        return "accepted"
+    return "refused" if _is_refused(outcome) else "unknown"
--- a/src/endivevane/orders/placement.py
+++ b/src/endivevane/orders/placement.py
@@ -46,6 +46,7 @@
     :param is_busy: whether orders are in progress
     :param is_steady: whether no order of anyone can be under way to it
     :param load_share: used share of the slots
+    :param role: the role that the last read-back showed
     """
 
     name: str
@@ -56,6 +57,7 @@
     is_busy: bool = False
     is_steady: bool = True
     load_share: float = 0.0
+    role: str = "both"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,8 +132,7 @@
 ) -> tuple[Order, ...]:
     """Return the orders that lead from what an engine holds to the wanted state.
 
-    Models come before adapters, and unloading comes first because a load may need the
-    room. Adapters of a model follow once the model is loaded.
+    Unloading comes first, as a load may need the room; adapters follow their model.
     """
     held = {(item.model, item.version): set(item.adapters) for item in view.models}
     orders = [Order(view.name, "unload_model", *key) for key in held.keys() - wanted]
--- /dev/null
+++ b/src/endivevane/orders/roles.py
@@ -0,0 +1,100 @@
+"""Decides the role of each engine of a service."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping, Sequence
+
+from endivevane.configuration import models, snapshot
+from endivevane.coordination import rendezvous
+from endivevane.orders import placement
+
+BOTH = "both"
+PREFILL = "prefill"
+# With this share of the engines lost, all others are needed for whole requests.
+_LOST_SHARE = 0.5
+# Roles are given again above this share, so that one engine does not switch them.
+_RESTORED_SHARE = 0.75
+
+
+class RoleKeeper:
+    """Gives engines their declared role, or decides it.
+
+    Remembers whether roles are suspended because half of the engines are lost.
+    """
+
+    def __init__(self) -> None:
+        self._is_suspended = False
+
+    def compute(
+        self,
+        service: models.ServiceModel,
+        targets: Sequence[snapshot.Target],
+        views: Sequence[placement.EngineView],
+        declared_engines: int,
+    ) -> Mapping[str, str]:
+        """Return the role of each live engine by name.
+
+        :param targets: targets of the service that are not leaving
+        :param declared_engines: engines of the document that the group owns
+        """
+        if len(views) <= (1 - _LOST_SHARE) * declared_engines:
+            self._is_suspended = True
+        elif len(views) >= _RESTORED_SHARE * declared_engines:
+            self._is_suspended = False
+        roles = dict.fromkeys((view.name for view in views), BOTH)
+        if self._is_suspended:
+            return roles
+        declared = {target.name: target.role for target in targets if target.role}
+        roles.update({name: declared[name] for name in roles if name in declared})
+        free = [view for view in views if view.name not in declared]
+        count = math.floor(service.roles.prefill_share * len(views))
+        _choose_prefill(service, views, free, count, roles)
+        _put_back(service, views, roles)
+        return roles
+
+
+def _choose_prefill(
+    service: models.ServiceModel,
+    views: Sequence[placement.EngineView],
+    free: Sequence[placement.EngineView],
+    count: int,
+    roles: dict[str, str],
+) -> None:
+    """Give the prefill role to engines whose models keep their declared replicas."""
+    ranked = sorted(
+        free,
+        key=lambda view: (
+            view.role != PREFILL,
+            -rendezvous.score(service.name, view.name),
+        ),
+    )
+    for view in ranked:
+        if sum(role == PREFILL for role in roles.values()) >= count:
+            return
+        roles[view.name] = PREFILL
+        for declared in service.models:
+            holders = _list_holders(declared.name, views)
+            serving = [name for name in holders if roles[name] != PREFILL]
+            if view.name in holders and len(serving) < max(1, declared.min_replicas):
+                roles[view.name] = BOTH
+
+
+def _put_back(
+    service: models.ServiceModel,
+    views: Sequence[placement.EngineView],
+    roles: dict[str, str],
+) -> None:
+    """Let a model that only prefill engines hold be served by them."""
+    for declared in service.models:
+        holders = _list_holders(declared.name, views)
+        if all(roles[name] == PREFILL for name in holders):
+            roles.update(dict.fromkeys(holders, BOTH))
+
+
+def _list_holders(model: str, views: Sequence[placement.EngineView]) -> list[str]:
+    return [
+        view.name
+        for view in views
+        if any(key[0] == model for key in placement.list_keys(view))
+    ]
--- a/src/endivevane/orders/states.py
+++ b/src/endivevane/orders/states.py
@@ -144,6 +144,7 @@
                 and not is_unsure
                 and not state.is_busy,
                 load_share=load_shares.get(name, 0.0),
+                role=state.role,
             )
             views.append(view)
         return views
--- a/src/endivevane/orders/task.py
+++ b/src/endivevane/orders/task.py
@@ -171,8 +171,8 @@
         daemons: Collection[str],
     ) -> orders.Request:
         leaving = frozenset(self._get_leaving())
-        targets = _list_targets(current, service)
-        targets = [target for target in targets if target.name not in leaving]
+        owned = _list_targets(current, service)
+        targets = [target for target in owned if target.name not in leaving]
         kept = frozenset(
             item.name
             for other in current.services.values()
@@ -184,7 +184,9 @@
         if self._exchange is not None:
             demand_slots = self._exchange.compute_slots(service.name, daemons)
         groups = sum(not other.is_plain for other in current.services.values())
-        return orders.Request(service, targets, kept, demand_slots, shares, groups)
+        return orders.Request(
+            service, targets, kept, demand_slots, shares, groups, len(owned)
+        )
 
 
 def make_client(
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -143,6 +143,9 @@
         max_tokens = completions.DEFAULT_MAX_TOKENS if limit is None else limit
         if not isinstance(max_tokens, int) or max_tokens < 1:
             raise RequestError(400, "max_tokens must be positive", "invalid_max_tokens")
+        if self.loaded.role == "prefill" and max_tokens > 1:
+            message = "the engine only runs prefill"
+            raise RequestError(503, message, "wrong_role")
         attempt_id = request.headers.get("X-Request-Id") or uuid.uuid4().hex
         if attempt_id in self._active:
             raise RequestError(409, "the attempt is known already", "known_attempt")
--- a/standins/loaded.py
+++ b/standins/loaded.py
@@ -53,6 +53,11 @@
         """Call a function after each change."""
         self._changed.append(callback)
 
+    @property
+    def role(self) -> str:
+        """The role in force."""
+        return self._role
+
     def offers(self, name: str) -> bool:
         """Return whether requests for a model or an adapter can run."""
         return any(
