--- a/src/endivevane/daemon/wiring.py
+++ b/src/endivevane/daemon/wiring.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import functools
 import random
 import threading
@@ -22,6 +21,7 @@
     health,
     history,
     load_board,
+    orders_settings,
     settings,
 )
 from endivevane.online import (
@@ -37,7 +37,7 @@
     routing,
     scheduler,
 )
-from endivevane.orders import orders as engine_orders
+from endivevane.orders import demand as orders_demand
 from endivevane.orders import task as orders_task
 from endivevane.platform import http_pool, link, objects, table, vms
 from endivevane.retention import task as retention_task
@@ -182,15 +182,16 @@
     def _build_online(self) -> None:
         section = self._settings.daemon
         place = routing.Place(section.name, section.zone, section.region)
+        online_scheduler = scheduler.Scheduler(
+            place, self._clock, random.Random(), count_daemons=self._count_daemons
+        )
+        self._demand = orders_demand.DemandExchange(
+            section.name, self._clock, online_scheduler.demand.read, self._table
+        )
         self.relay = relay.RelayTask(
             relay_settings.RelaySettings(max_streams=self._settings.limits.max_streams),
             self._clock,
-            scheduler.Scheduler(
-                place,
-                self._clock,
-                random.Random(),
-                count_daemons=self._count_daemons,
-            ),
+            online_scheduler,
             self._publish,
         )
         self._plain = plain_targets.PlainTargets(
@@ -240,11 +241,11 @@
         )
 
     def _build_orders(self) -> None:
-        settings = engine_orders.OrdersSettings()
-        longest_term_s = max(settings.longest_term_s, self._settings.session.term_s)
         self._orders = orders_task.OrdersTask(
             self._settings.daemon.name,
-            dataclasses.replace(settings, longest_term_s=longest_term_s),
+            orders_settings.make_settings(
+                self._settings.orders, self._settings.session.term_s
+            ),
             self._clock,
             self._table,
             self.cluster.session,
@@ -252,6 +253,8 @@
             self._list_daemon_names,
             lambda: self._leaving,
             self._board.find_load_share,
+            self._demand,
+            self.cluster.send,
         )
 
     def _build_retention(self) -> None:
@@ -330,6 +333,8 @@
             fingerprint = str(event.body["fingerprint"])
             until_ms = int(event.body["until_ms"])
             self.relay.post(messages.QuarantineChanged(fingerprint, until_ms))
+        if event.kind == orders_demand.KIND:
+            self._demand.receive(event.sender, event.body)
 
     def _count_daemons(self) -> int:
         """Return the live daemons, this one included; asked for each decision."""
