Pass everything between two regions of a fleet over one link

Cause: tools/fleet.py had links to the store only, so no test could cut two regions from each other.

The addresses of the product stay as they are: tools.routed starts the unchanged daemon with a table of routes for its connects.

--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -12,7 +12,7 @@
 
 import zmq
 
-from tools import fleet_plan, ports, processes, toml_text
+from tools import fleet_plan, ports, processes, regions, toml_text
 
 FleetPlan = fleet_plan.FleetPlan
 Zone = fleet_plan.Zone
@@ -142,6 +142,8 @@
         self.daemons: list[Daemon] = []
         self.store_links: list[StandIn] = []
         self.balancer: StandIn | None = None
+        self.regions: regions.RegionSwitch | None = None
+        self._routes: regions.Routes | None = None
         self._ports = ports.Ports()
         self._processes = processes.Processes(folder)
         self.folder = self._processes.folder
@@ -250,6 +252,8 @@
             for index in range(plan.daemons):
                 name = f"store-link-{index}"
                 self.store_links.append(self.start_link(name, self.store.address))
+        if plan.has_region_link:
+            self._start_region_link(clusters)
         for index in range(plan.daemons):
             addresses = {
                 "listen": listens[index],
@@ -315,12 +319,33 @@
         ]
         self.store.post_control("/_control/vms", {"vms": vms, "at_once": True})
 
+    def _start_region_link(self, clusters: list[str]) -> None:
+        """Start the link that everything between the regions passes."""
+        plan = self.plan
+        regions_by_zone = {zone.name: zone.region for zone in plan.zones}
+        addresses = {"store": self.store.address}
+        places = {"store": plan.zones[0].region}
+        for item in (*self.engines, *self.services):
+            addresses[item.name] = item.address
+            places[item.name] = regions_by_zone[item.zone]
+        for index, address in enumerate(clusters):
+            addresses[f"daemon-{index}"] = address
+            places[f"daemon-{index}"] = plan.zone_of(index).region
+        self._routes = regions.Routes(plan, self._ports, places, addresses)
+        link = self._start_stand_in(
+            "region_link", "region-link", "", self._routes.arguments
+        )
+        link.process.wait_for_line("listening")
+        self.regions = regions.RegionSwitch(link)
+
     def _start_daemon(self, index: int, listen: str) -> Daemon:
         name = f"daemon-{index}"
         path = self.folder / f"{name}.toml"
-        process = self._processes.start(
-            "endivevane.daemon.main", ["--config", str(path)], name
-        )
+        module, arguments = "endivevane.daemon.main", ["--config", str(path)]
+        if self._routes is not None:
+            table = self._routes.write_table(name, self.folder)
+            module, arguments = "tools.routed", [str(table), module, *arguments]
+        process = self._processes.start(module, arguments, name)
         return Daemon(process, name, self.plan.zone_of(index).name, listen, path)
 
     def _start_stand_in(
--- a/tools/fleet_plan.py
+++ b/tools/fleet_plan.py
@@ -48,6 +48,9 @@
     :param has_balancer: whether a balancer is started in front of the daemons
     :param has_store_links: whether each daemon reaches the platform over a link of its
         own, which can be cut, slowed or silenced
+    :param has_region_link: whether all connections between the two regions pass one
+        link with latency and a shared rate, which can be cut or silenced; the store is
+        in the region of the first zone
     :param confirm_s: after the daemons are ready, how long to wait for the zones to
         confirm the configuration; 0 does not wait
     """
@@ -70,6 +73,7 @@
     daemon_settings: Mapping[str, Any] = dataclasses.field(default_factory=dict)
     has_balancer: bool = False
     has_store_links: bool = False
+    has_region_link: bool = False
     ready_timeout_s: float = 30.0
     confirm_s: float = 0.0
 
@@ -203,6 +207,8 @@
         "membership": {"seeds": addresses["seeds"]},
         "drain": {"grace_s": 1.0, "timeout_s": 30.0},
     }
+    if plan.has_region_link:
+        settings["platform"]["region"] = plan.zones[0].region
     return merge(settings, plan.daemon_settings)
 
 
