Let readiness end with the last tick before a pause

Cause: /readyz and /admin/status read the answer of the cluster thread's last tick. After a pause of the process longer than the session term, the thread of a web request could answer before the cluster thread had noticed the pause, so a woken daemon was ready with a revision that had been replaced meanwhile.

Change: the answer of a tick counts for one session term from its start. Two scenarios are added: in each region one daemon is killed and one paused for 9 s while the regions are cut; two daemons whose connections go silent for good.

--- a/features/regions.feature
+++ b/features/regions.feature
@@ -43,3 +43,25 @@
     And order calls are repeated with their first answer and none ran twice
     And no engine took an order of the old owner after its term
     And within 12 s every engine follows the new owner and has what was published
+
+  Scenario: Daemons that are killed or paused during a cut come back without old promises
+    Guards against a daemon that wakes or restarts, can't ask the store or its zone, and
+    is ready with a revision that was replaced meanwhile.
+    Given two regions with online callers in each
+    When the link between the regions goes silent
+    And in each region one daemon is killed and one paused
+    Then a publish that excludes "zone-c" is accepted and in force in the first region
+    When the killed and the paused daemons go on after 9 s
+    And the link between the regions is back
+    Then no daemon was ready with an old revision after its pause or start
+    And within 12 s every daemon has the last revision and is ready
+    And within 12 s of the return all members see each other alive
+    And no daemon ever went back or was ready with less than it had
+
+  Scenario: Two daemons whose connections go silent find each other again
+    Guards against a daemon that takes a silent connection for a dead peer, and against
+    messages that go into it for good.
+    Given two regions with one daemon each
+    When the connections between the daemons go silent for good
+    Then within 5 s each hears the other again
+    And for 6 s neither shows the other as dead
--- a/features/support/region_fleet.py
+++ b/features/support/region_fleet.py
@@ -116,16 +116,17 @@
         key = {"Authorization": f"Bearer {self.fleet.operator_key}"}
         while not self._stopped.wait(0.1):
             try:
-                # The status needs a key, which a daemon without a revision can't check.
-                ready, _, _ = engine_caller.get(daemon.address, "/readyz")
                 status, _, body = engine_caller.get(
                     daemon.address, "/admin/status", key
                 )
+                if status != 200:
+                    # Without a revision a daemon can't check the operator's key.
+                    status, _, _ = engine_caller.get(daemon.address, "/readyz")
+                    body = {"ready": status == 200, "revision": 0, "members": []}
             except (OSError, http.client.HTTPException, ValueError):
                 continue
-            body = body if status == 200 else {"revision": 0, "members": []}
             members = {item["name"]: item["state"] for item in body["members"]}
-            sample = Sample(time.monotonic(), ready == 200, body["revision"], members)
+            sample = Sample(time.monotonic(), body["ready"], body["revision"], members)
             self.samples[daemon.name].append(sample)
 
     def _call_often(self, daemon):
--- a/src/endivevane/cluster/node.py
+++ b/src/endivevane/cluster/node.py
@@ -74,7 +74,9 @@
         self._ask_at_s = 0.0
         self._is_leaving = False
         self.members: tuple[members.Member, ...] = (self._peers.detector.me,)
-        self.is_ready = False
+        self._longest_pause_s = settings.session.term_s
+        self._is_ready = False
+        self._ready_until_s = 0.0
 
     def tick(self) -> None:
         """Run everything that is due, then send and report."""
@@ -86,11 +88,20 @@
         self.follower.run(now_s, len(detector.table), self._has_holder())
         self._peers.run(now_s)
         self._confirmations.run(now_s)
-        self._vms.run(now_s, self.is_ready)
+        self._vms.run(now_s, self._is_ready)
         self._ask_peers(now_s)
         self._peers.flush()
         self._report_members()
-        self.is_ready = self.follower.feed.is_current() and not self._is_leaving
+        self._is_ready = self.follower.feed.is_current() and not self._is_leaving
+        self._ready_until_s = now_s + self._longest_pause_s if self._is_ready else 0.0
+
+    def is_ready(self) -> bool:
+        """Tell whether the configuration is known to be current; safe on any thread.
+
+        After a pause of the process another thread may ask before the cluster thread
+        has noticed the pause, so that the answer of the last tick has a limit.
+        """
+        return self._clock.monotonic_s() < self._ready_until_s
 
     def leave(self) -> None:
         """Announce that this daemon is about to stop."""
--- a/src/endivevane/cluster/tasks.py
+++ b/src/endivevane/cluster/tasks.py
@@ -108,7 +108,7 @@
 
     def is_ready(self) -> bool:
         """Tell whether the configuration in force is known to be current."""
-        return self._node.is_ready and self._thread.is_alive()
+        return self._node.is_ready() and self._thread.is_alive()
 
     def session(self) -> sessions.Session:
         """Return this daemon's session."""
--- a/standins/region_link.py
+++ b/standins/region_link.py
@@ -130,6 +130,7 @@
         return {
             "connections": self._connections,
             "open": len(self._pipes),
+            "muted": sum(pipe.is_muted for pipe in self._pipes),
             "outward_bytes": self._outward.passed_bytes,
             "inward_bytes": self._inward.passed_bytes,
         }
--- a/tools/regions.py
+++ b/tools/regions.py
@@ -70,7 +70,15 @@
         """Let everything pass again."""
         self.link.set_faults(down=False, silent=False)
 
-    def mute(self, first: str, second: str) -> None:
-        """Silence the connections that are open between two daemons, both ways."""
+    def mute(self, first: str, second: str) -> int:
+        """Silence the connections that are open between two daemons for good.
+
+        :returns: how many there were
+        """
         routes = [f"{first}>{second}", f"{second}>{first}"]
+        before = self._count_muted()
         self.link.post_control("/_control/mute", {"routes": routes})
+        return self._count_muted() - before
+
+    def _count_muted(self) -> int:
+        return int(self.link.record()["muted"])
