--- a/features/regions.feature
+++ b/features/regions.feature
@@ -22,6 +22,7 @@
     When the link between the regions is back
     Then within 12 s every daemon has the last revision and is ready
     And within 12 s of the return all members see each other alive
+    And the same publish is accepted without an excluded zone
     And no daemon ever went back or was ready with less than it had
     And each long request has its whole answer
     And each call during the cut was answered once by an engine of its own region
--- a/features/steps/regions_steps.py
+++ b/features/steps/regions_steps.py
@@ -80,15 +80,26 @@
 def step_excluded(context, zone):
     run, body = _publish(context, "--exclude-zone", zone)
     assert run.returncode == 0 and body["accepted"], run
-    store = context.regions.fleet.store
-    _, _, head = engine_caller.get(store.address, "/v1/rows/config/head")
-    assert head["value"]["state"] == "accepted", head
-    assert head["value"]["excluded_zones"] == [zone], head
+    _check_head(context, [zone])
     for daemon in context.first:
         sample = context.regions.latest(daemon)
         assert sample is None or sample.revision == context.revision
 
 
+def _check_head(context, excluded):
+    store = context.regions.fleet.store
+    _, _, head = engine_caller.get(store.address, "/v1/rows/config/head")
+    assert head["value"]["state"] == "accepted", head
+    assert head["value"]["excluded_zones"] == excluded, head
+
+
+@then("the same publish is accepted without an excluded zone")
+def step_accepted(context):
+    run, body = _publish(context)
+    assert run.returncode == 0 and body["accepted"] and not body["changed"], run
+    _check_head(context, [])
+
+
 @when("a daemon of the second region is killed and started again")
 def step_restart(context):
     daemon = context.second[0]
