Ask the quarantine before a batch item is sent and report its deaths

Cause: batch work neither asked whether a request is quarantined nor told anybody that an engine died under an item, so that an item that crashes engines took max_item_attempts engines each time, after online traffic had lost two already.

Change: batch/crash_guard.py asks before each send; a quarantined item ends as failed with the code request_quarantined. An attempt whose connection breaks looks whether the engine still takes connections; if not, that is a death of the item's fingerprint. An item with a death runs alone, because a second death quarantines it. Items with the same call run one at a time in a daemon until one was answered. The engine stand-in writes a line when it crashes, which outlives its record.

--- a/src/endivevane/batch/attempts.py
+++ b/src/endivevane/batch/attempts.py
@@ -22,6 +22,7 @@
 # engine answers 404 for a model that is being loaded and 409 for a known attempt.
 _NOT_RUN_STATUSES = frozenset({404, 408, 409, 425, 429, 503})
 _CANCELLED_STATUS = 499
+_PROBE_TIMEOUT_S = 1.0
 
 
 class Kind(enum.StrEnum):
@@ -41,12 +42,14 @@
 
     :param status: HTTP status of ``ANSWERED`` and ``REJECTED``
     :param body: JSON body of these
+    :param is_death: whether the engine died, of ``BROKEN``
     """
 
     kind: Kind
     detail: str = ""
     status: int = 0
     body: Any = None
+    is_death: bool = False
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -56,6 +59,8 @@
     :param job_id: job of the item
     :param number: chunk of the item
     :param is_exclusive: whether no other batch item may run at the target meanwhile
+    :param fingerprint: digest of the call for the quarantine
+    :param deaths: engines that died under earlier attempts
     :param withdrawn: set when the item must not run (any more)
     """
 
@@ -68,6 +73,8 @@
     breaks: int
     refusals: int
     is_exclusive: bool
+    fingerprint: str
+    deaths: int
     withdrawn: threading.Event = dataclasses.field(default_factory=threading.Event)
 
 
@@ -92,7 +99,8 @@
             return Outcome(Kind.WITHDRAWN)
         if error.stage is http_pool.Stage.CONNECT:
             return Outcome(Kind.UNREACHABLE, error.format_message())
-        return Outcome(Kind.BROKEN, error.format_message())
+        is_death = _is_refusing(pool)
+        return Outcome(Kind.BROKEN, error.format_message(), is_death=is_death)
     return _interpret(attempt, outcome.ok_value)
 
 
@@ -105,6 +113,16 @@
     engine.EngineClient(pool).cancel_stream(attempt.attempt_id)
 
 
+def _is_refusing(pool: http_pool.HttpPool) -> bool:
+    """Tell whether an engine whose connection broke takes no new one either."""
+    outcome = pool.request(
+        "GET", "/v1/load", timeout_s=_PROBE_TIMEOUT_S, is_repeatable=False
+    )
+    if isinstance(outcome, result.Ok):
+        return False
+    return outcome.err_value.stage is http_pool.Stage.CONNECT
+
+
 def _interpret(attempt: Attempt, response: http_pool.Response) -> Outcome:
     status = response.status
     if status == _CANCELLED_STATUS:
--- a/src/endivevane/batch/ports.py
+++ b/src/endivevane/batch/ports.py
@@ -76,6 +76,19 @@
         """Return the last report of a target, ``None`` when there is none."""
 
 
+class Quarantine(typing.Protocol):
+    """What is known of requests that crash targets."""
+
+    def make_fingerprint(self, model: str, body: dict[str, Any]) -> str:
+        """Return the fingerprint of a call."""
+
+    def remaining_s(self, fingerprint: str) -> float:
+        """Return how long a fingerprint stays quarantined, zero when it is not."""
+
+    def record_death(self, fingerprint: str, target_name: str) -> None:
+        """Count the death of a target that was running the fingerprint."""
+
+
 class ObjectStore(typing.Protocol):
     """The calls of :class:`objects.ObjectClient` that batch work needs."""
 
--- a/src/endivevane/batch/runner.py
+++ b/src/endivevane/batch/runner.py
@@ -46,6 +46,7 @@
 
     :param cluster: membership, session, configuration and messages
     :param loads: load reports of the engines
+    :param known_deaths: requests that crash targets; ``None`` does without
     """
 
     def __init__(
@@ -56,6 +57,7 @@
         cluster: ports.Cluster,
         loads: ports.Loads,
         runner_clock: clock.Clock,
+        known_deaths: ports.Quarantine | None = None,
     ) -> None:
         self._settings = batch_settings
         self._cluster = cluster
@@ -66,7 +68,11 @@
         self._is_stopped = False
         self._poll_at_s = 0.0
         self._sender = sending.ItemSender(
-            loads, runner_clock, batch_settings.concurrent_items, self.post
+            loads,
+            runner_clock,
+            batch_settings.concurrent_items,
+            self.post,
+            known_deaths,
         )
         self._looker = looking.Looker(
             batch_settings, table_store, object_store, cluster, runner_clock, self.post
--- a/src/endivevane/batch/sending.py
+++ b/src/endivevane/batch/sending.py
@@ -7,7 +7,15 @@
 from collections.abc import Callable, Collection, Iterable, Sequence
 
 from endivevane import logs, metrics
-from endivevane.batch import attempts, messages, ports, records, slack, work
+from endivevane.batch import (
+    attempts,
+    crash_guard,
+    messages,
+    ports,
+    records,
+    slack,
+    work,
+)
 from endivevane.configuration import snapshot
 from endivevane.coordination import clock
 from endivevane.platform import engine, http_pool
@@ -34,6 +42,7 @@
 
     :param concurrent_items: items in flight in this daemon
     :param post: gives a message to the runner's thread
+    :param known_deaths: requests that crash targets; ``None`` does without
     """
 
     def __init__(
@@ -42,11 +51,13 @@
         sender_clock: clock.Clock,
         concurrent_items: int,
         post: Post,
+        known_deaths: ports.Quarantine | None = None,
     ) -> None:
         self._loads = loads
         self._clock = sender_clock
         self._concurrent_items = concurrent_items
         self._post = post
+        self._guard = crash_guard.CrashGuard(known_deaths)
         self._snapshot = snapshot.EMPTY
         self._states: dict[str, work.TargetState] = {}
         self._own: dict[str, list[work.TargetState]] = {}
@@ -155,6 +166,7 @@
         del state.running[attempt.attempt_id]
         state.use.change(self._clock.wall_ms(), -1)
         self._cancelling.pop(attempt.attempt_id, None)
+        self._guard.note_ended(attempt, outcome)
         metrics.BATCH_ITEMS.labels(outcome.kind.value).inc()
         now_s = self._clock.monotonic_s()
         if outcome.kind is attempts.Kind.UNREACHABLE:
@@ -304,12 +316,19 @@
                 )
                 if choice is None:
                     break
-                self._start(choice, state, batch.item_timeout_s)
+                fingerprint = self._guard.admit(choice, now_s)
+                if fingerprint is None:
+                    continue
+                self._start(choice, state, batch.item_timeout_s, fingerprint)
                 sent += 1
         return sent
 
     def _start(
-        self, choice: work.Choice, state: work.TargetState, timeout_s: float
+        self,
+        choice: work.Choice,
+        state: work.TargetState,
+        timeout_s: float,
+        fingerprint: str,
     ) -> None:
         self._attempt_count += 1
         job_id, number = choice.chunk.key
@@ -325,6 +344,8 @@
             breaks=pending.breaks,
             refusals=pending.refusals,
             is_exclusive=choice.is_exclusive,
+            fingerprint=fingerprint,
+            deaths=pending.deaths,
         )
         state.running[attempt.attempt_id] = attempt
         state.use.change(self._clock.wall_ms(), 1)
--- a/src/endivevane/batch/settling.py
+++ b/src/endivevane/batch/settling.py
@@ -25,7 +25,12 @@
         )
         chunk.progress_at_s = now_s
         return
-    pending = work.PendingItem(item, attempt.breaks, attempt.refusals)
+    pending = work.PendingItem(
+        item,
+        attempt.breaks,
+        attempt.refusals,
+        deaths=attempt.deaths + outcome.is_death,
+    )
     problem = _note_failure(pending, outcome, now_s, max_attempts)
     if problem is None:
         chunk.put_back(pending)
--- a/src/endivevane/batch/work.py
+++ b/src/endivevane/batch/work.py
@@ -31,12 +31,14 @@
     :param breaks: attempts that broke, which count against the item
     :param refusals: attempts that were refused before they ran
     :param ready_at_s: monotonic time before which it is not sent
+    :param deaths: engines that died under it
     """
 
     item: items.Item
     breaks: int = 0
     refusals: int = 0
     ready_at_s: float = 0.0
+    deaths: int = 0
 
 
 class HeldChunk:
@@ -92,12 +94,16 @@
         else:
             self.fresh.appendleft(pending)
 
+    def fail_item(self, item: items.Item, problem: items.Problem) -> None:
+        """End an item as failed."""
+        self.lines[item.index] = items.make_failure_line(
+            self.job.job_id, self.claim.number, item, problem
+        )
+
     def fail_pending(self, problem: items.Problem) -> None:
         """End all waiting items as failed."""
         for pending in [*self.fresh, *self.suspects]:
-            self.lines[pending.item.index] = items.make_failure_line(
-                self.job.job_id, self.claim.number, pending.item, problem
-            )
+            self.fail_item(pending.item, problem)
         self.fresh.clear()
         self.suspects.clear()
 
@@ -168,7 +174,8 @@
     An engine that crashes breaks every attempt it runs, so one poisonous item puts
     innocent ones under suspicion. A second attempt therefore runs with no other
     suspect beside it, and the last one with no other batch item at all: an item only
-    fails for breaking engines when the last engine broke under it alone.
+    fails for breaking engines when the last engine broke under it alone. An item under
+    which an engine died runs alone at once, because a second death quarantines it.
 
     :param held: chunks whose model the target offers, best first
     """
@@ -177,7 +184,7 @@
     for chunk in held:
         suspect = _find_ready(chunk.suspects, now_s)
         if suspect is not None:
-            is_last = suspect.breaks >= max_attempts - 1
+            is_last = suspect.breaks >= max_attempts - 1 or suspect.deaths > 0
             if is_last and state.running:
                 return None
             if is_last or not state.has_suspect:
--- a/standins/batching.py
+++ b/standins/batching.py
@@ -7,6 +7,7 @@
 import dataclasses
 import enum
 import os
+import sys
 import time
 from collections.abc import Callable
 from typing import Any
@@ -178,6 +179,9 @@
 
     def _start(self, run: Run) -> None:
         if self._faults.crash_on and self._faults.crash_on.encode() in run.prompt:
+            # The record in memory ends with the process; this line outlives it.
+            sys.stderr.write("crashed\n")
+            sys.stderr.flush()
             os._exit(_CRASH_STATUS)
         run.cached_blocks = self._cache.count_cached(run.hashes)
         cached_bytes = run.cached_blocks * completions.PREFIX_BLOCK_BYTES
