Send copies of a request to the same two targets at every daemon

Cause: daemons that get the same crashing request at the same moment choose targets at random, and each loses its own before it hears of the others.

Change: the two targets between which a request chooses are the first two by rendezvous hash over its fingerprint instead of two random ones. For different requests that is as random as before. The first of the two is kept unless the second is cheaper by 0.1 of its slots. After the loss of a target, a run outside these two (with two regions: any further run) waits 0.5 s for reports of other deaths. Reports name the target that died: two deaths at the same moment in two regions counted as one. A retry goes to a target that is not avoided where there is one.

Tests: steps that fail an attempt sit out the wait; when half of the targets die, all requests fail first and then wait together, as they do in fact, and every victim must end in a decision.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -121,6 +121,13 @@
     Then both quarantine it
     And echoes of a single death quarantine nothing
 
+  Scenario: Two deaths at the same moment in two places are two deaths
+    Guards against daemons of two regions that take each other's death for their own.
+    Given two quarantines that exchange their entries
+    When a fingerprint kills one target in the sight of each at the same moment
+    Then both quarantine it
+    And echoes of a single death quarantine nothing
+
   Scenario: Batch work is told at once when a target fills up
     Guards against online requests that wait in the engine behind batch items.
     Given a scheduling bench with 1 target of 8 slots
--- a/features/steps/decisions_failure_steps.py
+++ b/features/steps/decisions_failure_steps.py
@@ -64,13 +64,11 @@
         decision = bench.submit()
         for failure in row["failures"].split():
             attempt = decision.attempt
-            decision = bench.scheduler.retry(attempt, FAILURE(failure), -1)
+            decision = bench_steps.fail(bench, attempt, FAILURE(failure))
             if isinstance(decision, contract.Resume):
-                decision = bench.scheduler.retry(attempt, FAILURE.TARGET_ERROR, -1)
+                decision = bench_steps.fail(bench, attempt, FAILURE.TARGET_ERROR)
         while not isinstance(decision, contract.Refuse):
-            decision = bench.scheduler.retry(
-                decision.attempt, FAILURE.CONNECT_FAILED, -1
-            )
+            decision = bench_steps.fail(bench, decision.attempt, FAILURE.CONNECT_FAILED)
         assert decision.error.run_state.value == row["state"], row
 
 
@@ -83,7 +81,7 @@
         decision = bench.submit()
         while isinstance(decision, contract.Send):
             context.sends += 1
-            decision = bench.scheduler.retry(decision.attempt, FAILURE.TARGET_ERROR, -1)
+            decision = bench_steps.fail(bench, decision.attempt, FAILURE.TARGET_ERROR)
 
 
 @then("the sends are under {limit:g} times the requests")
@@ -116,16 +114,29 @@
     context.dead = {f"t{number}" for number in range(1, 5)}
     victims = [item for item in context.running if item.target.name in context.dead]
     assert len(victims) >= 10, len(victims)
-    context.moved = []
+    scheduler = context.bench.scheduler
+    decisions = []
     for victim in victims:
-        decision = bench_steps.kill_target_of(context.bench, victim)
-        while isinstance(decision, contract.Send) and (
-            decision.attempt.target.name in context.dead
-        ):
-            decision = context.bench.scheduler.retry(
-                decision.attempt, FAILURE.CONNECT_FAILED, -1
-            )
-        context.moved.append(decision)
+        assert isinstance(scheduler.retry(victim, FAILURE.BROKEN, -1), contract.Resume)
+        decisions.append(scheduler.retry(victim, FAILURE.CONNECT_FAILED, -1))
+    context.moved = []
+    while decisions:
+        waiting = 0
+        for first in decisions:
+            decision = first
+            while isinstance(decision, contract.Send) and (
+                decision.attempt.target.name in context.dead
+            ):
+                attempt = decision.attempt
+                decision = scheduler.retry(attempt, FAILURE.CONNECT_FAILED, -1)
+            if isinstance(decision, contract.Hold):
+                waiting += 1
+            else:
+                context.moved.append(decision)
+        context.bench.clock.advance(0.5)
+        decisions = scheduler.poll()
+        assert len(decisions) == waiting, "a held request was forgotten"
+    assert len(context.moved) == len(victims)
 
 
 @then("every request that ran there is sent to a living target")
@@ -139,7 +150,7 @@
     for _ in range(count):
         decision = context.bench.submit()
         assert decision.attempt.target.name == name
-        context.bench.scheduler.retry(decision.attempt, FAILURE.CONNECT_FAILED, -1)
+        bench_steps.fail(context.bench, decision.attempt, FAILURE.CONNECT_FAILED)
 
 
 @then("a request is refused or queued for at least {seconds:g} seconds")
@@ -165,7 +176,7 @@
     bench = context.bench
     context.pauses = []
     for _ in range(count):
-        bench.scheduler.retry(context.probe, FAILURE.CONNECT_FAILED, -1)
+        bench_steps.fail(bench, context.probe, FAILURE.CONNECT_FAILED)
         began_s = bench.clock.monotonic_s()
         decision = None
         while not isinstance(decision, contract.Send):
--- a/features/steps/decisions_quarantine_steps.py
+++ b/features/steps/decisions_quarantine_steps.py
@@ -40,8 +40,8 @@
     entries = context.bench.scheduler.take_quarantined()
     other = scheduling.Bench(context.bench.snapshot)
     other.clock.advance(context.bench.clock.monotonic_s() - 1000.0)
-    for fingerprint, until_wall_ms in entries:
-        other.scheduler.set_quarantine(fingerprint, until_wall_ms)
+    for entry in entries:
+        other.scheduler.set_quarantine(*entry)
     refusal = other.submit(fingerprint=context.fingerprint)
     bench_steps.check_refusal(refusal, 422, "not-run")
 
@@ -120,6 +120,13 @@
     _exchange(context)
 
 
+@when("a fingerprint kills one target in the sight of each at the same moment")
+def step_two_deaths_at_once(context):
+    for index, item in enumerate(context.pair):
+        item.record_death("shared", f"t{index}")
+    _exchange(context)
+
+
 @then("both quarantine it")
 def step_check_both(context):
     assert all(item.remaining_s("shared") > 0 for item in context.pair)
--- a/src/endivevane/online/contract.py
+++ b/src/endivevane/online/contract.py
@@ -103,6 +103,13 @@
     after_offset: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hold:
+    """The request waits inside the scheduler before its next attempt."""
+
+    request: OnlineRequest
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class YieldRequest:
     """Ask the batch sender of a target to free slots for online requests."""
@@ -123,4 +130,4 @@
 
 
 SubmitDecision = Send | Queued | Refuse
-RetryDecision = Send | Resume | Refuse
+RetryDecision = Send | Resume | Hold | Refuse
--- a/src/endivevane/online/dispatcher.py
+++ b/src/endivevane/online/dispatcher.py
@@ -130,8 +130,8 @@
             self._publish(notice)
         for yield_request in self.scheduler.take_yield_requests():
             self._publish(yield_request)
-        for fingerprint, until_wall_ms in self.scheduler.take_quarantined():
-            self._publish(messages.QuarantineChanged(fingerprint, until_wall_ms))
+        for entry in self.scheduler.take_quarantined():
+            self._publish(messages.QuarantineChanged(*entry))
         next_s = self.scheduler.next_timer_s()
         self.poll_at_s = float("inf") if next_s is None else next_s
 
@@ -198,7 +198,8 @@
         )
         offset = current.delivery.caller_offset
         decision = self.scheduler.retry(attempt, failure, offset)
-        if isinstance(decision, contract.Send) and current.may_be_running:
+        is_moving = isinstance(decision, contract.Send | contract.Hold)
+        if is_moving and current.may_be_running:
             self.cancel_attempt(attempt)
         self._apply(current, decision)
         self.request_poll()
@@ -249,6 +250,8 @@
             current.fail(error, stream_states.Outcome.FAILED)
         elif isinstance(decision, contract.Resume):
             current.resume()
+        elif isinstance(decision, contract.Hold):
+            current.hold()
         elif isinstance(decision, contract.Refuse):
             self._refuse(current, decision.error)
 
--- a/src/endivevane/online/flights.py
+++ b/src/endivevane/online/flights.py
@@ -29,6 +29,7 @@
     :param may_have_run: whether an attempt failed after bytes were sent
     :param resumed_at: offset of the last resume of the attempt under way
     :param broke: whether the connection broke, rather than went silent, before it
+    :param lost_targets: targets that died under the request or could not be reached
     """
 
     request: contract.OnlineRequest
@@ -38,6 +39,7 @@
     resumed_at: int | None = None
     resumes: int = 0
     broke: bool = False
+    lost_targets: int = 0
 
     def record_failure(self, failure: contract.AttemptFailure) -> None:
         """Keep what a failure says about the run state and the target."""
--- a/src/endivevane/online/messages.py
+++ b/src/endivevane/online/messages.py
@@ -54,10 +54,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class QuarantineChanged:
-    """A fingerprint was quarantined by this or another daemon."""
+    """A fingerprint was quarantined, or killed a target, in the sight of a daemon.
+
+    :param until_wall_ms: end of the quarantine; the negative time of a single death
+    :param target_name: target that died, empty when it is not known
+    """
 
     fingerprint: str
     until_wall_ms: int
+    target_name: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/endivevane/online/quarantine.py
+++ b/src/endivevane/online/quarantine.py
@@ -31,7 +31,7 @@
 class _Death:
     """One death of a target.
 
-    :param target: its name, empty when another daemon saw the death
+    :param target: its name, empty when it is not known
     :param wall_ms: when it died, by the clock of the daemon that saw it
     :param seen_s: when this daemon learnt of it
     """
@@ -53,8 +53,9 @@
     """Counts deaths per fingerprint and refuses the quarantined ones.
 
     A published entry is (fingerprint, end of the quarantine in milliseconds since the
-    epoch). A negative end reports a single death at that time, so that daemons which
-    see one death each still come to two; an echo of an own report is recognised.
+    epoch, name of the target that died). A negative end reports a single death at that
+    time, so that daemons which see one death each still come to two, also when both
+    targets die at the same moment; an echo of an own report is recognised.
     """
 
     def __init__(
@@ -63,7 +64,7 @@
         self._settings = settings
         self._clock = quarantine_clock
         self._records: collections.OrderedDict[str, _Record] = collections.OrderedDict()
-        self._unpublished: dict[str, int] = {}
+        self._unpublished: dict[str, tuple[int, str]] = {}
 
     def __len__(self) -> int:
         return len(self._records)
@@ -90,16 +91,18 @@
                 return
         self._add(fingerprint, record, _Death(target_name, now_ms, now_s))
         if fingerprint not in self._unpublished:
-            self._unpublished[fingerprint] = -now_ms
+            self._unpublished[fingerprint] = (-now_ms, target_name)
 
-    def receive(self, fingerprint: str, until_wall_ms: int) -> None:
+    def receive(
+        self, fingerprint: str, until_wall_ms: int, target_name: str = ""
+    ) -> None:
         """Take in an entry that another daemon has published.
 
         Entries may come repeatedly. The end is bounded by the local clock, so that a
         daemon with a wrong clock can't quarantine a fingerprint for good.
         """
         if until_wall_ms <= 0:
-            self._receive_death(fingerprint, -until_wall_ms)
+            self._receive_death(fingerprint, -until_wall_ms, target_name)
             return
         now_ms = self._clock.wall_ms()
         if until_wall_ms <= now_ms:
@@ -108,9 +111,9 @@
         record = self._touch(fingerprint)
         record.until_wall_ms = max(record.until_wall_ms, min(until_wall_ms, latest_ms))
 
-    def take_unpublished(self) -> list[tuple[str, int]]:
+    def take_unpublished(self) -> list[tuple[str, int, str]]:
         """Return the entries to publish and forget that they are due."""
-        entries = list(self._unpublished.items())
+        entries = [(key, *entry) for key, entry in self._unpublished.items()]
         self._unpublished.clear()
         return entries
 
@@ -121,7 +124,7 @@
             self._records.popitem(last=False)
         return record
 
-    def _receive_death(self, fingerprint: str, wall_ms: int) -> None:
+    def _receive_death(self, fingerprint: str, wall_ms: int, target_name: str) -> None:
         """Count a death that another daemon saw, unless it is known already.
 
         Two daemons that run the same request at one target see the same death, so
@@ -129,11 +132,14 @@
         """
         record = self._touch(fingerprint)
         same_ms = self._settings.same_death_s * 1000
-        if any(abs(death.wall_ms - wall_ms) < same_ms for death in record.deaths):
-            return
+        for death in record.deaths:
+            is_other = death.target and target_name and death.target != target_name
+            if not is_other and abs(death.wall_ms - wall_ms) < same_ms:
+                return
         if wall_ms < self._clock.wall_ms() - self._settings.memory_s * 1000:
             return
-        self._add(fingerprint, record, _Death("", wall_ms, self._clock.monotonic_s()))
+        now_s = self._clock.monotonic_s()
+        self._add(fingerprint, record, _Death(target_name, wall_ms, now_s))
 
     def _add(self, fingerprint: str, record: _Record, death: _Death) -> None:
         record.deaths.append(death)
@@ -142,7 +148,7 @@
             return
         until_ms = self._clock.wall_ms() + int(self._settings.duration_s * 1000)
         record.until_wall_ms = max(record.until_wall_ms, until_ms)
-        self._unpublished[fingerprint] = record.until_wall_ms
+        self._unpublished[fingerprint] = (record.until_wall_ms, death.target)
 
     def _count(self, record: _Record) -> int:
         """Return how many deaths still count."""
--- a/src/endivevane/online/relay.py
+++ b/src/endivevane/online/relay.py
@@ -229,7 +229,7 @@
     @_handle.register
     def _set_quarantine(self, message: messages.QuarantineChanged) -> None:
         self._dispatcher.scheduler.set_quarantine(
-            message.fingerprint, message.until_wall_ms
+            message.fingerprint, message.until_wall_ms, message.target_name
         )
 
     @_handle.register
--- a/src/endivevane/online/routing.py
+++ b/src/endivevane/online/routing.py
@@ -4,7 +4,6 @@
 
 import dataclasses
 import math
-import random
 from collections.abc import Callable, Collection, Sequence
 
 from endivevane.configuration import snapshot
@@ -44,6 +43,9 @@
     :param zone_cost: cost of another zone of the same region
     :param region_cost: cost of another region
     :param model_cost: cost of a target that would have to load the model first
+    :param first_margin: how much dearer the first target of a fingerprint's pair may
+        be; more than the zone cost, so that daemons of all zones agree in an idle
+        fleet
     """
 
     local_candidates: int = 16
@@ -54,6 +56,7 @@
     zone_cost: float = 0.05
     region_cost: float = 1.0
     model_cost: float = 4.0
+    first_margin: float = 0.1
 
 
 class LinkBudget:
@@ -135,12 +138,9 @@
 class Router:
     """Scores targets and chooses one for a request."""
 
-    def __init__(
-        self, place: Place, settings: RoutingSettings, generator: random.Random
-    ) -> None:
+    def __init__(self, place: Place, settings: RoutingSettings) -> None:
         self._place = place
         self._settings = settings
-        self._random = generator
 
     def choose(
         self,
@@ -149,9 +149,11 @@
     ) -> target_state.TargetState | None:
         """Return the target to send to.
 
-        A target with a strong affinity is chosen from all; otherwise the better of
-        two sampled ones is, because the best of all would draw the requests of all
-        daemons between two load reports.
+        A target with a strong affinity is chosen from all; otherwise one of two is,
+        because the best of all would draw the requests of all daemons between two
+        load reports. The two are the first by rendezvous hash over the fingerprint:
+        random for different requests, but the same at every daemon for a request that
+        is sent to several daemons, so that it can crash two targets at most.
 
         :param states: targets that may be used now, in any order
         """
@@ -161,8 +163,12 @@
         best = self._find_affine(request, pool)
         if best is not None:
             return best
-        sampled = pool if len(pool) <= 2 else self._random.sample(pool, 2)
-        return min(sampled, key=lambda state: self.compute_cost(request, state))
+        first, *others = choose_pair(request.fingerprint, pool)
+        limit = self.compute_cost(request, first) - self._settings.first_margin
+        for other in others:
+            if self.compute_cost(request, other) < limit:
+                return other
+        return first
 
     def compute_cost(
         self, request: contract.OnlineRequest, state: target_state.TargetState
@@ -216,6 +222,18 @@
         return best
 
 
+def choose_pair(
+    fingerprint: str, states: Sequence[target_state.TargetState]
+) -> list[target_state.TargetState]:
+    """Return the two targets that a fingerprint belongs to, the first one first.
+
+    :param states: at least one target
+    """
+    by_name = {state.target.name: state for state in states}
+    weights = {name: float(state.target.slots) for name, state in by_name.items()}
+    return [by_name[name] for name in rendezvous.choose_subset(fingerprint, weights, 2)]
+
+
 def _match_share(
     request: contract.OnlineRequest, state: target_state.TargetState
 ) -> float:
--- a/src/endivevane/online/scheduler.py
+++ b/src/endivevane/online/scheduler.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
-from endivevane import metrics, types
+from endivevane import types
 from endivevane.configuration import snapshot
 from endivevane.coordination import clock
 from endivevane.online import (
@@ -15,6 +15,7 @@
     fleet,
     flights,
     quarantine,
+    retrying,
     routing,
     service_state,
     target_state,
@@ -64,11 +65,19 @@
             generator,
             count_daemons or (lambda: routing.DEFAULT_DAEMONS),
         )
-        self._router = routing.Router(place, settings, generator)
+        self._router = routing.Router(place, settings)
         self._quarantine = quarantine.Quarantine(
             quarantine.QuarantineSettings(), scheduler_clock
         )
         self._flights: dict[str, flights.Flight] = {}
+        self._retrier = retrying.Retrier(
+            scheduler_clock,
+            self._fleet,
+            self._router,
+            self._quarantine,
+            self._flights,
+            self._begin_attempt,
+        )
         self._active: collections.Counter[str] = collections.Counter()
         self._yields: dict[str, contract.YieldRequest] = {}
 
@@ -94,9 +103,11 @@
         if state is not None:
             state.prefixes.apply_events(events)
 
-    def set_quarantine(self, fingerprint: str, until_wall_ms: int) -> None:
+    def set_quarantine(
+        self, fingerprint: str, until_wall_ms: int, target_name: str = ""
+    ) -> None:
         """Take in a quarantine entry of another daemon."""
-        self._quarantine.receive(fingerprint, until_wall_ms)
+        self._quarantine.receive(fingerprint, until_wall_ms, target_name)
         self._fleet.request_scans()
 
     def submit(self, request: contract.OnlineRequest) -> contract.SubmitDecision:
@@ -119,8 +130,11 @@
         return contract.Queued(request)
 
     def poll(self) -> list[contract.Send | contract.Refuse]:
-        """Return what to do with queued requests now."""
-        actions: list[contract.Send | contract.Refuse] = []
+        """Return what to do with queued and held requests now."""
+        actions = self._retrier.take_due()
+        for action in actions:
+            if isinstance(action, contract.Refuse):
+                self._end_request(action.request)
         for state in self._fleet.services.values():
             if not len(state.queue):
                 continue
@@ -141,6 +155,7 @@
             state.next_timer_s(_TICK_S) for state in self._fleet.services.values()
         ]
         timers.append(self._fleet.use_notices.next_due_s())
+        timers.append(self._retrier.next_due_s())
         return min((item for item in timers if item is not None), default=None)
 
     def record_first_token(self, attempt: contract.Attempt) -> None:
@@ -188,7 +203,7 @@
             return contract.Resume(attempt, delivered_offset)
         self._blame(flight, failure)
         self._fleet.end_attempt(attempt.target.name, attempt.attempt_id)
-        decision = self._try_elsewhere(flight, failure, delivered_offset)
+        decision = self._retrier.decide(flight, failure, delivered_offset)
         if isinstance(decision, contract.Refuse):
             self._end_request(attempt.request)
         return decision
@@ -209,7 +224,7 @@
         self._yields.clear()
         return taken
 
-    def take_quarantined(self) -> list[tuple[str, int]]:
+    def take_quarantined(self) -> list[tuple[str, int, str]]:
         """Return the quarantine entries to publish since the last call."""
         return self._quarantine.take_unpublished()
 
@@ -301,6 +316,10 @@
     def _blame(self, flight: flights.Flight, failure: contract.AttemptFailure) -> None:
         """Count a failure against the target, and a death against the request."""
         attempt = flight.attempt
+        if failure is contract.AttemptFailure.CONNECT_FAILED or flight.is_death(
+            failure
+        ):
+            flight.lost_targets += 1
         if flight.is_death(failure):
             self._quarantine.record_death(
                 attempt.request.fingerprint, attempt.target.name
@@ -319,65 +338,6 @@
             attempt.attempt_id, attempt.started_s, self._clock.monotonic_s(), weight
         )
 
-    def _try_elsewhere(
-        self,
-        flight: flights.Flight,
-        failure: contract.AttemptFailure,
-        delivered_offset: int,
-    ) -> contract.Send | contract.Refuse:
-        """Return a further attempt at another target, or the final answer."""
-        request, number = flight.request, flight.attempt.number
-        is_late = self._clock.monotonic_s() >= request.deadline_s
-        if is_late or failure is contract.AttemptFailure.DEADLINE:
-            return flight.make_late_refusal()
-        remaining_s = self._quarantine.remaining_s(request.fingerprint)
-        if remaining_s > 0:
-            metrics.RETRIES_DENIED.labels("quarantined").inc()
-            return flight.make_quarantine_refusal(remaining_s)
-        if delivered_offset >= 0 and not request.is_deterministic:
-            metrics.RETRIES_DENIED.labels("partly_delivered").inc()
-            return flight.make_refusal("a part of the answer is delivered already")
-        if number >= request.service.model.online.max_attempts:
-            metrics.RETRIES_DENIED.labels("max_attempts").inc()
-            return flight.make_refusal("no further attempt is allowed")
-        chosen = self._choose_other(flight)
-        if chosen is None:
-            metrics.RETRIES_DENIED.labels("no_target").inc()
-            return flight.make_refusal("there is no other target")
-        if not self._fleet.services[request.service.name].budget.try_retry():
-            metrics.RETRIES_DENIED.labels("budget").inc()
-            return flight.make_refusal("the retry budget is used up")
-        metrics.RETRIES.labels(failure.value).inc()
-        flight.begin(self._begin_attempt(request, chosen, number + 1))
-        return contract.Send(flight.attempt)
-
-    def _choose_other(self, flight: flights.Flight) -> target_state.TargetState | None:
-        """Return a target that has not failed this request.
-
-        After a death all requests that ran at the target are suspects. They are kept
-        apart, so that the guilty one does not bring a second death upon the others.
-        """
-        state = self._fleet.services.get(flight.request.service.name)
-        if state is None:
-            return None
-        request, now_s = flight.request, self._clock.monotonic_s()
-        # Room is not asked for: a retry can't be queued, and the budget bounds them.
-        others = [
-            item
-            for item in self._fleet.find_sendable(state.candidates)
-            if item.target.name not in flight.failed and item.health.is_usable(now_s)
-        ]
-        if self._quarantine.is_suspect(request.fingerprint):
-            suspects = {
-                other.attempt.target.name
-                for other in self._flights.values()
-                if other.failed
-                and self._quarantine.is_suspect(other.request.fingerprint)
-            }
-            apart = [item for item in others if item.target.name not in suspects]
-            others = apart or others
-        return self._router.choose(request, others)
-
     def _ask_for_slots(self, states: Iterable[target_state.TargetState]) -> None:
         """Ask batch senders for slots where online load comes close to the slots."""
         for state in states:
--- a/src/endivevane/online/stream.py
+++ b/src/endivevane/online/stream.py
@@ -133,6 +133,13 @@
         self._start_call(is_resuming=True)
         self._host.resume_attempt(self)
 
+    def hold(self) -> None:
+        """Wait for the next attempt, after one that is over."""
+        self._may_have_run = self.may_have_run
+        self._may_run = False
+        self.phase = stream_states.Phase.QUEUED
+        self._host.watch_limit(self)
+
     def take_connection(self, sock: socket.socket) -> None:
         """Read the engine's answer from a connection."""
         name = self.attempt.target.name if self.attempt else ""
