Keep deaths and quarantines in rows of the table service

Cause: a daemon that starts after the message of a quarantine knows nothing of it and loses further targets to the same request; deaths under batch items reach nobody.

--- a/features/support/batch_fleet.py
+++ b/features/support/batch_fleet.py
@@ -37,9 +37,8 @@
             "membership": {"suspect_timeout_s": 1.0, "probe_interval_s": 0.5},
         }
         zones = (fleet.Zone("zone-a", "west"), fleet.Zone("zone-b", "west"))
-        self.fleet = fleet.Fleet(
-            fleet.FleetPlan(daemon_settings=settings, zones=zones, **plan)
-        )
+        plan.setdefault("zones", zones)
+        self.fleet = fleet.Fleet(fleet.FleetPlan(daemon_settings=settings, **plan))
         self.keeper = None
 
     def start(self):
--- a/src/endivevane/daemon/wiring.py
+++ b/src/endivevane/daemon/wiring.py
@@ -22,6 +22,7 @@
     health,
     history,
     load_board,
+    quarantine_desk,
     settings,
 )
 from endivevane.online import (
@@ -76,6 +77,7 @@
         """Start all tasks; the HTTP server last."""
         self.cluster.subscribe(self._handle_event)
         self.relay.start()
+        self._quarantine.start()
         self.cluster.start()
         self._loads.start()
         self._runner.start()
@@ -189,6 +191,9 @@
             ),
             self._publish,
         )
+        self._quarantine = quarantine_desk.QuarantineDesk(
+            self._clock, self._table, self.cluster.broadcast, self.relay.post
+        )
         self._plain = plain_targets.PlainTargets(
             place, self._clock, random.Random(), count_daemons=self._count_daemons
         )
@@ -226,6 +231,7 @@
             self._port,
             self._board,
             self._clock,
+            self._quarantine,
         )
         self._batch_api = batch_api.BatchApi(
             self._table,
@@ -308,9 +314,7 @@
     @_handle_event.register
     def _(self, event: events.PeerMessage) -> None:
         if event.kind == "quarantine":
-            fingerprint = str(event.body["fingerprint"])
-            until_ms = int(event.body["until_ms"])
-            self.relay.post(messages.QuarantineChanged(fingerprint, until_ms))
+            self._quarantine.receive(event.body)
 
     def _find_load_share(self, target_name: str) -> float:
         """Return the used share of an engine's slots, 0 when nothing is known."""
@@ -330,8 +334,7 @@
 
     @_publish.register
     def _(self, message: messages.QuarantineChanged) -> None:
-        body = {"fingerprint": message.fingerprint, "until_ms": message.until_wall_ms}
-        self.cluster.broadcast("quarantine", body)
+        self._quarantine.publish(message)
 
     @_publish.register
     def _(self, message: contract.UseNotice) -> None:
@@ -380,6 +383,7 @@
         self._stopped.set()
         self._run_safely(self._register.flush)
         self._run_safely(self._keeper.flush)
+        self._quarantine.stop()
         self._orders.stop()
         self._loads.stop()
         self._runner.stop()
