--- a/features/support/batch_fleet.py
+++ b/features/support/batch_fleet.py
@@ -38,9 +38,8 @@
         }
         settings.update(daemon_settings or {})
         zones = (fleet.Zone("zone-a", "west"), fleet.Zone("zone-b", "west"))
-        self.fleet = fleet.Fleet(
-            fleet.FleetPlan(daemon_settings=settings, zones=zones, **plan)
-        )
+        plan.setdefault("zones", zones)
+        self.fleet = fleet.Fleet(fleet.FleetPlan(daemon_settings=settings, **plan))
         self.keeper = None
 
     def start(self):
--- a/src/endivevane/batch/item_calls.py
+++ b/src/endivevane/batch/item_calls.py
@@ -35,6 +35,7 @@
     :param until_s: monotonic time at which it is given up
     """
 
+    pool: http_pool.HttpPool
     call: http_pool.SentCall
     attempt: attempts.Attempt
     timeout_s: float
@@ -93,11 +94,13 @@
             self._end(attempt, sent)
             return
         until_s = self._clock.monotonic_s() + timeout_s
-        self._post(_Waiting(sent, attempt, timeout_s, until_s))
+        self._post(_Waiting(pool, sent, attempt, timeout_s, until_s))
 
     def _receive(self, waiting: _Waiting) -> None:
         try:
-            outcome = attempts.receive(waiting.call, waiting.attempt, _READ_TIMEOUT_S)
+            outcome = attempts.receive(
+                waiting.pool, waiting.call, waiting.attempt, _READ_TIMEOUT_S
+            )
         except Exception as error:
             self._end_crashed(waiting.attempt, error)
             return
--- a/src/endivevane/daemon/wiring.py
+++ b/src/endivevane/daemon/wiring.py
@@ -22,6 +22,7 @@
     history,
     load_board,
     orders_settings,
+    quarantine_desk,
     settings,
 )
 from endivevane.online import (
@@ -78,6 +79,7 @@
         """Start all tasks; the HTTP server last."""
         self.cluster.subscribe(self._handle_event)
         self.relay.start()
+        self._quarantine.start()
         self.cluster.start()
         self._loads.start()
         self._runner.start()
@@ -194,6 +196,9 @@
             online_scheduler,
             self._publish,
         )
+        self._quarantine = quarantine_desk.QuarantineDesk(
+            self._clock, self._table, self.cluster.broadcast, self.relay.post
+        )
         self._plain = plain_targets.PlainTargets(
             place, self._clock, random.Random(), count_daemons=self._count_daemons
         )
@@ -231,6 +236,7 @@
             self._port,
             self._board,
             self._clock,
+            self._quarantine,
         )
         self._batch_api = batch_api.BatchApi(
             self._table,
@@ -330,9 +336,7 @@
     @_handle_event.register
     def _(self, event: events.PeerMessage) -> None:
         if event.kind == "quarantine":
-            fingerprint = str(event.body["fingerprint"])
-            until_ms = int(event.body["until_ms"])
-            self.relay.post(messages.QuarantineChanged(fingerprint, until_ms))
+            self._quarantine.receive(event.body)
         if event.kind == orders_demand.KIND:
             self._demand.receive(event.sender, event.body)
 
@@ -349,8 +353,7 @@
 
     @_publish.register
     def _(self, message: messages.QuarantineChanged) -> None:
-        body = {"fingerprint": message.fingerprint, "until_ms": message.until_wall_ms}
-        self.cluster.broadcast("quarantine", body)
+        self._quarantine.publish(message)
 
     @_publish.register
     def _(self, message: contract.UseNotice) -> None:
@@ -394,6 +397,7 @@
         self._run_safely(self._register.flush)
         self._run_safely(self._keeper.flush)
         self._retention.stop()
+        self._quarantine.stop()
         self._orders.stop()
         self._loads.stop()
         self._runner.stop()
