--- a/features/steps/batch_calls_steps.py
+++ b/features/steps/batch_calls_steps.py
@@ -86,7 +86,7 @@
     context.count = count
     for number in range(count):
         attempt = attempts.Attempt(
-            f"a{number}", "job", 0, _Item(), target, 0.0, 0, 0, False
+            f"a{number}", "job", 0, _Item(), target, 0.0, 0, 0, False, "f", 0
         )
         context.calls.start(pool, attempt, limit)
 
