Count a second death of a target that was started again within seconds

The item killed the same engine again less than 2 s after its restart, which counted as the death before. Also, a process that ends may close its connections before its listening socket, so that a failed connect is not the only sign of a death.

Change: batch reports the start of its run, and a run that began after a known death is a new one. Any failure of the question to the engine after a broken connection is a death.

Online requests still count deaths of one target within 2 s as one.

--- a/src/endivevane/batch/attempts.py
+++ b/src/endivevane/batch/attempts.py
@@ -99,7 +99,7 @@
             return Outcome(Kind.WITHDRAWN)
         if error.stage is http_pool.Stage.CONNECT:
             return Outcome(Kind.UNREACHABLE, error.format_message())
-        is_death = _is_refusing(pool)
+        is_death = _is_dead(pool)
         return Outcome(Kind.BROKEN, error.format_message(), is_death=is_death)
     return _interpret(attempt, outcome.ok_value)
 
@@ -113,14 +113,16 @@
     engine.EngineClient(pool).cancel_stream(attempt.attempt_id)
 
 
-def _is_refusing(pool: http_pool.HttpPool) -> bool:
-    """Tell whether an engine whose connection broke takes no new one either."""
+def _is_dead(pool: http_pool.HttpPool) -> bool:
+    """Tell whether an engine whose connection broke answers no new one either.
+
+    A process that ends may close its connections before its listening socket, so that
+    the new one is opened and breaks as well.
+    """
     outcome = pool.request(
         "GET", "/v1/load", timeout_s=_PROBE_TIMEOUT_S, is_repeatable=False
     )
-    if isinstance(outcome, result.Ok):
-        return False
-    return outcome.err_value.stage is http_pool.Stage.CONNECT
+    return isinstance(outcome, result.Err)
 
 
 def _interpret(attempt: Attempt, response: http_pool.Response) -> Outcome:
--- a/src/endivevane/batch/crash_guard.py
+++ b/src/endivevane/batch/crash_guard.py
@@ -63,7 +63,9 @@
         if self._running[fingerprint] <= 0:
             del self._running[fingerprint]
         if outcome.is_death:
-            self._known.record_death(fingerprint, attempt.target.name)
+            self._known.record_death(
+                fingerprint, attempt.target.name, attempt.started_s
+            )
         if outcome.kind is attempts.Kind.ANSWERED:
             self._answered[fingerprint] = None
             if len(self._answered) > self._MAX_ANSWERED:
--- a/src/endivevane/batch/ports.py
+++ b/src/endivevane/batch/ports.py
@@ -85,8 +85,13 @@
     def remaining_s(self, fingerprint: str) -> float:
         """Return how long a fingerprint stays quarantined, zero when it is not."""
 
-    def record_death(self, fingerprint: str, target_name: str) -> None:
-        """Count the death of a target that was running the fingerprint."""
+    def record_death(
+        self, fingerprint: str, target_name: str, started_s: float
+    ) -> None:
+        """Count the death of a target that was running the fingerprint.
+
+        :param started_s: monotonic time when the run began
+        """
 
 
 class ObjectStore(typing.Protocol):
--- a/src/endivevane/daemon/quarantine_desk.py
+++ b/src/endivevane/daemon/quarantine_desk.py
@@ -76,10 +76,12 @@
         with self._lock:
             return self._known.remaining_s(fingerprint)
 
-    def record_death(self, fingerprint: str, target_name: str) -> None:
+    def record_death(
+        self, fingerprint: str, target_name: str, started_s: float
+    ) -> None:
         """Count the death of a target under a batch item."""
         with self._lock:
-            self._known.record_death(fingerprint, target_name)
+            self._known.record_death(fingerprint, target_name, started_s)
             entries = self._known.take_unpublished()
         for fields in entries:
             entry = messages.QuarantineChanged(*fields)
--- a/src/endivevane/online/quarantine.py
+++ b/src/endivevane/online/quarantine.py
@@ -81,12 +81,20 @@
         record = self._records.get(fingerprint)
         return record is not None and self._count(record) > 0
 
-    def record_death(self, fingerprint: str, target_name: str) -> None:
-        """Count the death of a target that was running the fingerprint."""
+    def record_death(
+        self, fingerprint: str, target_name: str, started_s: float | None = None
+    ) -> None:
+        """Count the death of a target that was running the fingerprint.
+
+        :param started_s: monotonic time when the run began, if it is known to be the
+            only one; a target that was started again may die twice within seconds
+        """
         now_s, now_ms = self._clock.monotonic_s(), self._clock.wall_ms()
         record = self._touch(fingerprint)
         for death in record.deaths:
             is_recent = now_s - death.seen_s < self._settings.same_death_s
+            if started_s is not None:
+                is_recent = started_s <= death.seen_s
             if death.target == target_name and is_recent:
                 return
         self._add(fingerprint, record, _Death(target_name, now_ms, now_s))
