Rank the two targets of a fingerprint by a plain hash

Change: one seeded xxh3 per candidate without weights; the cost of the two targets counts their slots.

--- a/src/endivevane/online/routing.py
+++ b/src/endivevane/online/routing.py
@@ -6,6 +6,8 @@
 import math
 from collections.abc import Callable, Collection, Sequence
 
+import xxhash
+
 from endivevane.configuration import snapshot
 from endivevane.coordination import clock, rendezvous
 from endivevane.online import contract, target_state
@@ -229,9 +231,16 @@
 
     :param states: at least one target
     """
-    by_name = {state.target.name: state for state in states}
-    weights = {name: float(state.target.slots) for name, state in by_name.items()}
-    return [by_name[name] for name in rendezvous.choose_subset(fingerprint, weights, 2)]
+    # Without weights: the cost of the two counts their slots, and a logarithm for each
+    # of the hundreds of candidates that a few daemons have would take longest here.
+    seed = xxhash.xxh3_64_intdigest(fingerprint)
+    ranks = [xxhash.xxh3_64_intdigest(state.target.name, seed) for state in states]
+    if len(ranks) < 2:
+        return list(states)
+    first = ranks.index(max(ranks))
+    ranks[first] = -1
+    second = ranks.index(max(ranks))
+    return [states[first], states[second]]
 
 
 def _match_share(
