Bind the names of daemons to their CURVE keys

Cause: any host with an allowed key could send messages in the name of another daemon.

Change: keys.peers lists public keys by daemon name. The answer to a handshake carries the key as User-Id, which comes with each message of that connection; on a connection that this daemon opened, the key is the one it asked for. A message whose sender does not fit is dropped and counted as wrong_name, and so is a direct message whose origin is not its sender. An allowed key that is in no list speaks for the names that are in none, so that names can be listed one by one. The origin of a broadcast, which others pass on, is not proved.

--- a/features/configuration_feed.feature
+++ b/features/configuration_feed.feature
@@ -56,6 +56,19 @@
     When a peer with an unknown key and a plain peer send to each member for 2 seconds
     Then neither gets an answer and the members' tables are unchanged
 
+  Scenario Outline: A daemon with an allowed key speaks for itself only
+    # Guards against one host that acts in the name of another.
+    Given 3 members whose names are bound to their CURVE keys
+    When a host with the key of "d1" sends a cancel as "<sender>" from "<origin>"
+    Then the member <result>
+
+    Examples:
+      | sender   | origin | result                                   |
+      | d1       | d1     | takes the cancel                         |
+      | d2       | d2     | drops the cancel and counts a wrong name |
+      | d1       | d2     | drops the cancel and counts a wrong name |
+      | outsider | d1     | drops the cancel and counts a wrong name |
+
   Scenario: Malformed and oversized messages are counted and dropped
     # Guards against a cluster thread that ends on bad input.
     Given 3 members with CURVE keys that have joined
--- a/features/steps/configuration_feed_steps.py
+++ b/features/steps/configuration_feed_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 
 from endivevane import testing
-from endivevane.cluster import messages, transport
+from endivevane.cluster import events, messages, transport
 from endivevane.configuration import publishing
 from endivevane.coordination import exchange, feed, members
 from endivevane.daemon import settings as daemon_settings
@@ -41,10 +41,10 @@
 class Probe:
     """A transport of a peer that is none of the members."""
 
-    def __init__(self, context, keys):
+    def __init__(self, context, keys, name="outsider"):
         self.address = context.group._ports.reserve_address()
         document = cluster_members.make_settings(
-            "outsider", ("z1", "r1"), self.address, self.address, (), keys
+            name, ("z1", "r1"), self.address, self.address, (), keys
         )
         settings = daemon_settings.Settings.model_validate(document)
         self.transport = transport.Transport(settings, 8)
@@ -339,3 +339,50 @@
     numbers = sorted(event.body["number"] for event in received)
     wanted = sorted(list(range(context.count)) * (len(context.group.tasks) - 1))
     assert numbers == wanted, f"{len(numbers)} of {len(wanted)}"
+
+
+@given("{count:d} members whose names are bound to their CURVE keys")
+def step_start_bound(context, count):
+    context.store = SlowStore(testing.MemoryTableStore())
+    context.group = cluster_members.LocalGroup(count, context.store, has_names=True)
+    context.cleanups.append(context.group.close)
+    context.group.start()
+    assert context.group.wait_joined() is not None
+
+
+@when('a host with the key of "{owner}" sends a cancel as "{sender}" from "{origin}"')
+def step_speak_as(context, owner, sender, origin):
+    """The message goes to the member 0, on a connection that is opened for it."""
+    keys = context.group.keys[int(owner[1:])]
+    probe = Probe(context, keys, owner)
+    task = context.group.tasks[0]
+    context.before = task.transport.counts.dropped["wrong_name"]
+    context.received = []
+    task.subscribe(context.received.append)
+    address = context.group.addresses[0]
+    probe.transport.connect("d0", address, context.group.keys[0]["public"])
+    header = exchange.Header(sender, 0)
+    body = {"job_id": f"{owner}-{sender}-{origin}"}
+    message = messages.Application(header, "job_cancelled", body, origin)
+    probe.transport.send("d0", message)
+    probe.listen(1.0)
+    context.told = [
+        event.body["job_id"]
+        for event in context.received
+        if isinstance(event, events.PeerMessage)
+    ]
+    context.job_id = body["job_id"]
+
+
+@then("the member takes the cancel")
+def step_check_taken(context):
+    assert context.told == [context.job_id], context.told
+
+
+@then("the member drops the cancel and counts a wrong name")
+def step_check_dropped(context):
+    dropped = context.group.tasks[0].transport.counts.dropped["wrong_name"]
+    assert context.told == [] and dropped == context.before + 1, (
+        context.told,
+        dropped,
+    )
--- a/features/support/cluster_members.py
+++ b/features/support/cluster_members.py
@@ -70,11 +70,15 @@
 class LocalGroup:
     """Cluster tasks in this process, over a table store in memory."""
 
-    def __init__(self, count, table_store, has_keys=True):
+    def __init__(self, count, table_store, has_keys=True, has_names=False):
         self.store = table_store
         self._ports = ports.Ports()
         self.addresses = [self._ports.reserve_address() for _ in range(count)]
         self.keys = make_key_sections(count) if has_keys else [None] * count
+        if has_names:
+            names = {f"d{n}": [item["public"]] for n, item in enumerate(self.keys)}
+            for section in self.keys:
+                section.update(peer_public=[], peers=names)
         self.documents = publishing.NO_DOCUMENTS
         self.tasks = [self.make_task(number) for number in range(count)]
         self.received = []
--- a/src/endivevane/cluster/transport.py
+++ b/src/endivevane/cluster/transport.py
@@ -12,12 +12,13 @@
 import itertools
 import time
 from collections.abc import Callable, Iterator
+from typing import Any
 
 import zmq
 from zmq.utils import z85
 
 from endivevane import exceptions
-from endivevane.cluster import counts, messages
+from endivevane.cluster import counts, key_names, messages
 from endivevane.daemon import settings as daemon_settings
 
 SEED_PREFIX = "seed:"
@@ -64,6 +65,7 @@
         self._zap.setsockopt(zmq.LINGER, 0)
         self._zap.bind(_ZAP_ENDPOINT)
         self._allowed = _read_allowed_keys(settings.keys)
+        self._names = key_names.KeyNames(settings)
         self._server = self._make_socket()
         self._client = self._make_socket()
         self._secure_server()
@@ -90,16 +92,24 @@
         for socket, is_inbound in ((self._server, True), (self._client, False)):
             for _ in range(_MAX_BATCH):
                 try:
-                    frames = socket.recv_multipart(zmq.NOBLOCK)
+                    frames = socket.recv_multipart(zmq.NOBLOCK, copy=False)
                 except zmq.Again:
                     break
-                message = self._decode(frames)
+                message = self._decode([frame.bytes for frame in frames])
                 if message is None:
                     continue
+                routing_id, sender = frames[0].bytes, message.header.sender
                 if is_inbound:
-                    self._remember_route(message.header.sender, frames[0])
+                    public_key = _read_user_id(frames[-1])
                 else:
-                    self._note_answer(frames[0], message.header.sender)
+                    public_key = self._find_key(routing_id)
+                if not self._names.is_true(message, public_key):
+                    self.counts.record_dropped("wrong_name")
+                    continue
+                if is_inbound:
+                    self._remember_route(sender, routing_id)
+                else:
+                    self._note_answer(routing_id, sender)
                 yield message
 
     def is_connected(self, name: str) -> bool:
@@ -202,6 +212,14 @@
         if len(self._routes) > _MAX_ROUTES:
             self._routes.popitem(last=False)
 
+    def _find_key(self, routing_id: bytes) -> str:
+        """Return the key that the peer of an own connection has proved to hold."""
+        label = routing_id.rpartition(b"#")[0].decode()
+        for connection in (self._connections.get(label), *self._connections.values()):
+            if connection is not None and connection.routing_id == routing_id:
+                return connection.public_key
+        return ""
+
     def _note_answer(self, routing_id: bytes, name: str) -> None:
         """Note that a connection works; one to a seed gets the name that answers."""
         label = routing_id.rpartition(b"#")[0].decode()
@@ -272,9 +290,11 @@
             version, request_id, *_ = [*frames, b"", b""]
             is_allowed = len(frames) == 7 and frames[6] in self._allowed.values()
             status = [b"200", b"OK"] if is_allowed else [b"400", b"unknown key"]
+            # The user id comes with each message of the connection.
+            user_id = _encode_key(frames[6]) if is_allowed else b""
             if not is_allowed:
                 self.counts.record_dropped("handshake")
-            self._zap.send_multipart([version, request_id, *status, b"", b""])
+            self._zap.send_multipart([version, request_id, *status, user_id, b""])
 
 
 def _read_allowed_keys(keys: daemon_settings.KeysSection | None) -> dict[str, bytes]:
@@ -282,5 +302,23 @@
     if keys is None:
         return {}
     texts = {keys.public, *keys.peer_public}
+    for listed in keys.peers.values():
+        texts.update(listed)
     decode: Callable[[bytes], bytes] = z85.decode
     return {text: decode(text.encode()) for text in texts}
+
+
+def _read_user_id(frame: zmq.Frame) -> str:
+    """Return the key of the connection that a frame came on, empty without keys."""
+    # The library's type hints know integer options only.
+    read: Callable[[Any], Any] = frame.get
+    try:
+        return str(read("User-Id"))
+    except zmq.ZMQError:
+        return ""
+
+
+def _encode_key(data: bytes) -> bytes:
+    """Return the text of a binary key."""
+    encode: Callable[[bytes], bytes] = z85.encode
+    return encode(data)
--- a/src/endivevane/daemon/settings.py
+++ b/src/endivevane/daemon/settings.py
@@ -77,11 +77,14 @@
     """CURVE keys for connections between daemons, in Z85 text.
 
     :param peer_public: public keys of the daemons that may connect
+    :param peers: public keys by daemon name; such a key speaks for its daemons only,
+        and nobody else speaks for these daemons
     """
 
     public: str = pydantic.Field(min_length=40, max_length=40)
     secret: pydantic.SecretStr
     peer_public: tuple[str, ...] = ()
+    peers: dict[models.Name, tuple[str, ...]] = {}
 
 
 class LimitsSection(_Section):
