Add the division of a rate by need, without a coordination service

Cause: a daemon with all the traffic over the link gets one 340th of it, as each daemon has a fixed share.

Change: coordination.shares.ShareAllocator computes a weighted max-min share from needs that daemons announce on messages; plain code with the clock passed in. A tenth of the rate is divided evenly and needs no message. An own increase counts only after the time in which all have heard of it, a decrease at once, so that the shares add up to the rate at most while announcements come in time; a ramp bounds the excess when they are late. A member that is gone counts for that time too, and a daemon that sees less than half of the members keeps to its floor.

Conclusion: ready to be connected to the messages of the daemons.

--- a/features/link.feature
+++ b/features/link.feature
@@ -32,3 +32,16 @@
     When 9 daemons move objects of 2 MB within their shares for 8 seconds
     Then every control call meanwhile was answered within the 0.5 s of a probe
     And data has used at least 80% of what the reserve leaves of the link
+
+  Scenario Outline: Shares by need stay within the rate whatever each daemon knows
+    Guards against daemons that together overload the link, and against starved ones.
+    When "<name>" is fuzzed with 60 examples of 40 steps
+    Then the fuzzing ran at least 1500 steps
+
+    Examples:
+      | name        |
+      | shares      |
+      | late shares |
+
+  Scenario: The fuzzing of shares finds daemons that do not wait for the others
+    Then the fuzzing rejects the broken "hasty shares" within 60 examples
--- a/features/steps/fuzzing_steps.py
+++ b/features/steps/fuzzing_steps.py
@@ -1,6 +1,12 @@
 from behave import then, when
 
-from features.support import fuzz_feed, fuzz_lease, fuzz_membership, fuzzing
+from features.support import (
+    fuzz_feed,
+    fuzz_lease,
+    fuzz_membership,
+    fuzz_shares,
+    fuzzing,
+)
 
 _MACHINES = {
     "two holders": fuzz_lease.LeaseMachine,
@@ -12,6 +18,9 @@
     "hasty feed": fuzz_feed.HastyMachine,
     "membership": fuzz_membership.MembershipMachine,
     "forgetful membership": fuzz_membership.ForgetfulMachine,
+    "shares": fuzz_shares.SharesMachine,
+    "late shares": fuzz_shares.LateSharesMachine,
+    "hasty shares": fuzz_shares.HastySharesMachine,
 }
 
 
--- a/src/endivevane/coordination/__init__.py
+++ b/src/endivevane/coordination/__init__.py
@@ -9,6 +9,7 @@
 - ``membership``, with the messages of ``exchange``, the members of ``members`` and the
   settings of ``probes``: failure detector
 - ``feed``: following a revision that never goes back
+- ``shares``: division of a rate by need
 - ``register``, ``retry``, ``admission``, ``deadlines``, ``rendezvous``: calls that run
   at most once, retry budgets, admission, ordered queues, hashing
 
@@ -29,5 +30,6 @@
     "register",
     "rendezvous",
     "retry",
+    "shares",
     "store",
 ]
