Divide the link among the daemons by need

Cause: each daemon had the rate divided by the number of daemons, so that the only one with traffic used 0.6% of the data rate among 170.

Change: daemons announce what they need of the link in messages of the kind link_needs, and online.link_budget and the bulk share take their rate from coordination.shares. The division bounds the times to what the messages can carry: with more than 24 needy daemons each keeps to the even share, and announcements take turns in the order of their arrival. A paced transfer works out its wait again as the share grows.

With real sockets (6 daemons) one reaches 88% of the rate and two 43% each within 12 s. Without the announcements in cluster.node (taken out on purpose) that scenario fails: all stay at 1.7%.

Between 25 needy daemons and all, the link is used as little as with fixed shares.

--- a/features/link.feature
+++ b/features/link.feature
@@ -45,3 +45,12 @@
 
   Scenario: The fuzzing of shares finds daemons that do not wait for the others
     Then the fuzzing rejects the broken "hasty shares" within 60 examples
+
+  Scenario: Connected daemons share the link by need
+    Guards against a daemon that keeps to a fixed part of a link that nobody else uses.
+    Given 6 connected daemons that share 1000000 bytes a second
+    When the daemon 0 needs the link
+    Then the daemons "0" have at least 88% of the rate each within 12 seconds
+    When the daemon 1 needs the link
+    Then the daemons "0 1" have at least 43% of the rate each within 12 seconds
+    And all together never had more than the rate
--- a/features/support/cluster_members.py
+++ b/features/support/cluster_members.py
@@ -7,7 +7,7 @@
 import zmq
 
 from endivevane import types
-from endivevane.cluster import events, tasks
+from endivevane.cluster import events, link_shares, tasks
 from endivevane.configuration import publishing
 from endivevane.coordination import clock
 from endivevane.daemon import settings as daemon_settings
@@ -76,6 +76,9 @@
         self.addresses = [self._ports.reserve_address() for _ in range(count)]
         self.keys = make_key_sections(count) if has_keys else [None] * count
         self.documents = publishing.NO_DOCUMENTS
+        self.link_rate = 0.0
+        self.link_needs = [0.0] * count
+        self.link_shares = [self.make_shares(number) for number in range(count)]
         self.tasks = [self.make_task(number) for number in range(count)]
         self.received = []
 
@@ -91,7 +94,18 @@
         settings = daemon_settings.Settings.model_validate(document)
         generator = random.Random(number)
         return tasks.ClusterTask(
-            settings, clock.SystemClock(), self.store, generator=generator
+            settings,
+            clock.SystemClock(),
+            self.store,
+            generator=generator,
+            shares=self.link_shares[number],
+        )
+
+    def make_shares(self, number):
+        return link_shares.LinkShares(
+            f"d{number}",
+            clock.SystemClock(),
+            lambda: (self.link_needs[number], self.link_rate),
         )
 
     def start(self):
--- a/src/endivevane/cluster/messages.py
+++ b/src/endivevane/cluster/messages.py
@@ -10,7 +10,7 @@
 import orjson
 
 from endivevane import exceptions
-from endivevane.coordination import exchange, members
+from endivevane.coordination import exchange, members, shares
 
 MAX_MESSAGE_BYTES = 2 << 20
 _MAX_UPDATES = 2000
@@ -91,6 +91,14 @@
     names: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkNeeds:
+    """What daemons need of the link between the regions."""
+
+    header: exchange.Header
+    needs: tuple[shares.Need, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Application:
     """A message of another part of the daemon.
@@ -115,6 +123,7 @@
     | ConfigRows
     | ConfigApplied
     | VmsLeaving
+    | LinkNeeds
     | Application
 )
 
@@ -237,6 +246,15 @@
     return "vms_leaving", [message.as_of_s, message.names]
 
 
+@_list_fields.register
+def _(message: LinkNeeds) -> tuple[str, list[Any]]:
+    needs = [
+        [item.name, item.version, round(item.need), item.weight]
+        for item in message.needs
+    ]
+    return "link_needs", [needs]
+
+
 @_list_fields.register
 def _(message: Application) -> tuple[str, list[Any]]:
     return message.kind, [message.body, message.origin, message.broadcast_id]
@@ -269,6 +287,21 @@
     )
 
 
+def _decode_needs(header: exchange.Header, needs: Any) -> LinkNeeds:
+    found = []
+    for name, version, need, weight in _check_list(needs):
+        if not weight > 0:
+            raise ValueError(f"weight {weight!r}")
+        item = shares.Need(
+            _check_name(name),
+            _check_number(version),
+            float(_check_number(need)),
+            float(weight),
+        )
+        found.append(item)
+    return LinkNeeds(header, tuple(found))
+
+
 def _decode_rows(
     header: exchange.Header, revision: Any, state: Any, versions: Any, documents: Any
 ) -> ConfigRows:
@@ -305,6 +338,7 @@
         header, answer is True, _check_number(revision)
     ),
     "vms_leaving": _decode_leaving,
+    "link_needs": _decode_needs,
 }
 
 
--- a/src/endivevane/cluster/node.py
+++ b/src/endivevane/cluster/node.py
@@ -16,6 +16,7 @@
     confirmations,
     events,
     follower,
+    link_shares,
     messages,
     neighbours,
     sessions,
@@ -29,6 +30,8 @@
 _SEEN_BROADCASTS = 4096
 _ASK_INTERVAL_S = 0.5
 _ASK_BATCH = 12
+# A leaving daemon still finishes its streams.
+_ALIVE = frozenset(members.MemberState) - {members.MemberState.DEAD}
 
 
 class Node:
@@ -47,7 +50,9 @@
         node_transport: transport.Transport,
         background: calls.BackgroundCalls,
         publish: Callable[[events.Event], None],
+        shares: link_shares.LinkShares | None = None,
     ) -> None:
+        self._shares = shares
         self._clock = node_clock
         self._random = generator
         self._background = background
@@ -88,6 +93,7 @@
         self._confirmations.run(now_s)
         self._vms.run(now_s, self.is_ready)
         self._ask_peers(now_s)
+        self._announce_needs()
         self._peers.flush()
         self._report_members()
         self.is_ready = self.follower.feed.is_current() and not self._is_leaving
@@ -176,6 +182,11 @@
     def _react_to_vms(self, message: messages.VmsLeaving) -> None:
         self._report_vms(self._vms.handle(message))
 
+    @_react.register
+    def _react_to_needs(self, message: messages.LinkNeeds) -> None:
+        if self._shares is not None:
+            self._shares.receive(message.needs)
+
     @_react.register
     def _react_to_application(self, message: messages.Application) -> None:
         if message.broadcast_id:
@@ -213,6 +224,16 @@
         for name in self._random.sample(waiting, min(_ASK_BATCH, len(waiting))):
             self._peers.send(name, messages.ConfigAsk(self._peers.make_header()))
 
+    def _announce_needs(self) -> None:
+        """Send what has to be announced of the link's use to one neighbour."""
+        names = self._peers.detector.list_links()
+        if self._shares is None or not names:
+            return
+        needs = self._shares.take_announcements()
+        if needs:
+            message = messages.LinkNeeds(self._peers.make_header(), needs)
+            self._peers.send(self._random.choice(names), message)
+
     def _has_holder(self) -> bool:
         revision = self.follower.feed.known_revision
         return bool(self._confirmations.list_holders(revision))
@@ -229,6 +250,10 @@
         table = self._peers.detector.table
         self.members = tuple(table)
         counts = collections.Counter(member.state for member in self.members)
+        if self._shares is not None:
+            alive = {item.name for item in self.members if item.state in _ALIVE}
+            dead = counts[members.MemberState.DEAD]
+            self._shares.set_members(alive, len(alive) + dead)
         for state in members.MemberState:
             metrics.MEMBERS.labels(state.name.lower()).set(counts[state])
         changed = {change.member.name: change.member for change in changes}
--- a/src/endivevane/cluster/tasks.py
+++ b/src/endivevane/cluster/tasks.py
@@ -15,6 +15,7 @@
 from endivevane.cluster import (
     calls,
     events,
+    link_shares,
     node,
     sessions,
     transport,
@@ -58,6 +59,8 @@
     :param table_store: the table service; its calls run in a small pool of threads
     :param vm_list: the platform's list of VMs; ``None`` does without
     :param generator: source of jitter and random choices
+    :param shares: division of the link between the regions, whose announcements the
+        task carries
     """
 
     def __init__(
@@ -67,6 +70,7 @@
         table_store: store.TableStore,
         vm_list: vms.VmListClient | None = None,
         generator: random.Random | None = None,
+        shares: link_shares.LinkShares | None = None,
     ) -> None:
         self._settings = settings
         self._clock = task_clock
@@ -89,6 +93,7 @@
             self._transport,
             self._background,
             self._publish,
+            shares,
         )
         self._thread = threading.Thread(target=self._run, name="cluster", daemon=True)
 
--- a/src/endivevane/coordination/shares.py
+++ b/src/endivevane/coordination/shares.py
@@ -8,6 +8,8 @@
 
 from endivevane.coordination import clock
 
+_LONGEST_GAP_S = 0.5
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ShareSettings:
@@ -22,6 +24,8 @@
     :param copies: how often a daemon passes on one announcement
     :param max_entries_per_s: announcements that a daemon sends, own and others'; with
         many needy daemons all the times above are stretched to keep to it
+    :param max_stretch: bound on that; with more needy daemons nobody hears of all, and
+        each keeps to an even share of the members
     :param change_share: smaller changes of a need are not announced
     """
 
@@ -31,6 +35,7 @@
     refresh_s: float = 4.0
     copies: int = 4
     max_entries_per_s: float = 6.0
+    max_stretch: float = 4.0
     change_share: float = 0.25
 
 
@@ -144,6 +149,9 @@
         # Five refreshes must be lost before a need is forgotten.
         lifetime_s = 5 * self._settings.refresh_s * self._stretch()
         expires_s = self._clock.monotonic_s() + lifetime_s
+        # Entries take turns in the order of their arrival; with a fixed order the same
+        # few were passed on again and again, and daemons knew of too few others.
+        self._known.pop(need.name, None)
         self._known[need.name] = _Known(need, expires_s, self._settings.copies)
 
     def take_announcements(self, count: int) -> tuple[Need, ...]:
@@ -171,7 +179,10 @@
         return tuple(taken)
 
     def compute_share(self, rate: float) -> float:
-        """Return what this daemon may use now of the rate that all share."""
+        """Return what this daemon may use now of the rate that all share.
+
+        To be called at least every 0.5 s, or the share grows more slowly.
+        """
         now_s = self._clock.monotonic_s()
         self._forget(now_s)
         floor = rate * self._settings.floor_share / self._members
@@ -185,18 +196,27 @@
             own_need = min(need for _, need in self._history)
             needs[self._own.name] = (own_need, self._own.weight)
             wanted = divide(pool, needs)[self._own.name]
-        # A rate of nothing can't grow; a decrease counts at once.
-        grown = (now_s - self._shared_s) * pool / self._settings.ramp_s
+            if self._count_entries_per_s() > (
+                self._settings.max_stretch * self._settings.max_entries_per_s
+            ):
+                wanted = min(wanted, pool / self._members)
+        # A decrease counts at once. A share that nobody asks for does not grow.
+        passed_s = min(_LONGEST_GAP_S, now_s - self._shared_s)
+        grown = passed_s * pool / self._settings.ramp_s
         self._share = min(wanted, self._share + grown)
         self._shared_s = now_s
         return floor + self._share
 
     def _stretch(self) -> float:
         """Return by how much all times grow to keep to the bound on announcements."""
-        needy = 1 + sum(bool(known.need.need) for known in self._known.values())
         settings = self._settings
-        entries_per_s = needy * settings.copies / settings.refresh_s
-        return max(1.0, entries_per_s / settings.max_entries_per_s)
+        stretch = self._count_entries_per_s() / settings.max_entries_per_s
+        return min(settings.max_stretch, max(1.0, stretch))
+
+    def _count_entries_per_s(self) -> float:
+        """Return how many announcements the needy daemons have without a stretch."""
+        needy = 1 + sum(bool(known.need.need) for known in self._known.values())
+        return needy * self._settings.copies / self._settings.refresh_s
 
     def _forget(self, now_s: float) -> None:
         """Drop needs that have expired, and own ones older than the settle time."""
--- a/src/endivevane/daemon/wiring.py
+++ b/src/endivevane/daemon/wiring.py
@@ -12,7 +12,7 @@
 from endivevane import logs, metrics, types, utils
 from endivevane.batch import api as batch_api
 from endivevane.batch import ports, runner
-from endivevane.cluster import events, tasks
+from endivevane.cluster import events, link_shares, tasks
 from endivevane.configuration import snapshot
 from endivevane.coordination import clock, register
 from endivevane.daemon import (
@@ -44,7 +44,6 @@
 from endivevane.web import app, server
 
 _FLUSH_INTERVAL_S = 1.0
-_BULK_SHARE = 0.5
 # An operator's drain request is answered before the server begins to stop.
 _DRAIN_ANSWER_S = 0.2
 
@@ -140,8 +139,15 @@
         platform = self._settings.platform
         limits = http_pool.PoolSettings(read_timeout_s=platform.timeout_s)
         is_remote = platform.region not in ("", self._settings.daemon.region)
-        self._link = link_budget.LinkBudget(self._clock, self._compute_link_share)
-        share = link.LinkShare(self._clock, self._compute_bulk_rate_bytes_s)
+        self._shares = link_shares.LinkShares(
+            self._settings.daemon.name, self._clock, lambda: self._link.measure_need()
+        )
+        self._link = link_budget.LinkBudget(
+            self._clock, self._shares.compute_share, self._shares.compute_even_share
+        )
+        share = link.LinkShare(
+            self._clock, self._link.compute_bulk_rate, self._link.note_short
+        )
         charge = self._link.charge
 
         def make_pool(
@@ -160,21 +166,9 @@
         )
         self._vms = vms.VmListClient(make_pool(platform.vm_list, "control"))
 
-    def _compute_bulk_rate_bytes_s(self) -> float:
-        """Return this daemon's share of the link for input and results of batch jobs.
-
-        Online requests get what batch leaves of the daemon's share, at least half.
-        """
-        rate_bytes_s = self.cluster.snapshot.link.data_bytes_s * _BULK_SHARE
-        return self._compute_link_share(rate_bytes_s)
-
-    def _compute_link_share(self, rate_bytes_s: float) -> float:
-        """Return this daemon's part of a rate that all daemons share."""
-        return rate_bytes_s / self._count_daemons()
-
     def _build_cluster(self) -> None:
         self.cluster = tasks.ClusterTask(
-            self._settings, self._clock, self._table, self._vms
+            self._settings, self._clock, self._table, self._vms, shares=self._shares
         )
         self._port = batch_port.ClusterPort(self.cluster, self._table, self._clock)
         self._senders = batch_senders.BatchSenders(self._port.live_members)
--- a/src/endivevane/online/link_budget.py
+++ b/src/endivevane/online/link_budget.py
@@ -8,12 +8,19 @@
 
 from endivevane.coordination import clock
 
+# Part of a daemon's share that batch may use.
+_BULK_SHARE = 0.5
 # Lets a short burst cross the link at once.
 _BURST_S = 2.0
 # Assumed for a service without a completed stream: 300 tokens of about 200 bytes.
 _FIRST_STREAM_BYTES = 60_000.0
 # Weight of the latest stream in the mean; the last 20 streams make up 88% of it.
 _LATEST_WEIGHT = 0.1
+_MEASURE_S = 1.0
+# A use that grows by less than this in a second is never short of its share.
+_HEADROOM = 1.5
+# A need falls at most by this factor a second, as streams begin at irregular times.
+_NEED_DECAY = 0.7
 
 
 @dataclasses.dataclass(slots=True)
@@ -36,13 +43,23 @@
     pass, and what was charged too much is given back at the end.
 
     :param compute_share: returns this daemon's part of a rate that all daemons share
+    :param compute_even_share: returns the part if all had the same, which bounds the
+        burst where the share is smaller; ``None`` bounds it by the share
     """
 
     def __init__(
-        self, budget_clock: clock.Clock, compute_share: Callable[[float], float]
+        self,
+        budget_clock: clock.Clock,
+        compute_share: Callable[[float], float],
+        compute_even_share: Callable[[float], float] | None = None,
     ) -> None:
         self._clock = budget_clock
         self._compute_share = compute_share
+        self._compute_even_share = compute_even_share or compute_share
+        self._used_bytes = 0.0
+        self._is_short = False
+        self._need_bytes_s = 0.0
+        self._measured_s = budget_clock.monotonic_s()
         self._lock = threading.Lock()
         self._data_bytes_s = 0.0
         self._tokens_bytes = 0.0
@@ -56,41 +73,73 @@
             if data_bytes_s == self._data_bytes_s:
                 return
             self._data_bytes_s = data_bytes_s
-            self._tokens_bytes = self._compute_share(data_bytes_s) * _BURST_S
+            self._tokens_bytes = self._compute_even_share(data_bytes_s) * _BURST_S
+
+    def compute_bulk_rate(self) -> float:
+        """Return the rate at which batch may take bytes, half of this daemon's share.
+
+        Online requests get what batch leaves, so at least the other half.
+        """
+        return self._compute_share(self._data_bytes_s) * _BULK_SHARE
+
+    def measure_need(self) -> tuple[float, float]:
+        """Return what this daemon uses or asks for, and the rate that all share."""
+        with self._lock:
+            now_s = self._clock.monotonic_s()
+            passed_s = now_s - self._measured_s
+            if passed_s < _MEASURE_S:
+                return self._need_bytes_s, self._data_bytes_s
+            needed = max(0.0, self._used_bytes) / passed_s * _HEADROOM
+            if self._is_short:
+                needed = self._data_bytes_s
+            floor = _NEED_DECAY * self._need_bytes_s
+            self._need_bytes_s = max(needed, floor if floor > 1.0 else 0.0)
+            self._used_bytes = 0.0
+            self._is_short = False
+            self._measured_s = now_s
+            return self._need_bytes_s, self._data_bytes_s
+
+    def note_short(self) -> None:
+        """Note that batch waits for its share."""
+        with self._lock:
+            self._is_short = True
 
     def has_room(self) -> bool:
         """Return whether another request may cross the link."""
         rate_bytes_s = self._compute_share(self._data_bytes_s)
+        even_bytes_s = self._compute_even_share(self._data_bytes_s)
         with self._lock:
             now_s = self._clock.monotonic_s()
             gained = (now_s - self._filled_s) * rate_bytes_s
             self._filled_s = now_s
-            limit = rate_bytes_s * _BURST_S
+            limit = max(rate_bytes_s, even_bytes_s) * _BURST_S
             self._tokens_bytes = min(limit, self._tokens_bytes + gained)
+            if self._tokens_bytes <= 0:
+                self._is_short = True
             return self._tokens_bytes > 0
 
     def charge(self, size_bytes: float) -> None:
         """Take bytes that have passed; the bucket may go below zero."""
         with self._lock:
-            self._tokens_bytes -= size_bytes
+            self._take(size_bytes)
 
     def open_stream(self, attempt_id: str, service: str) -> None:
         """Charge the expected bytes of a stream that is about to be sent."""
         with self._lock:
             expected = self._mean_bytes.get(service, _FIRST_STREAM_BYTES)
             self._streams[attempt_id] = _OpenStream(service, expected)
-            self._tokens_bytes -= expected
+            self._take(expected)
 
     def pass_bytes(self, attempt_id: str, size_bytes: int) -> None:
         """Note bytes of a stream; those beyond the expected ones are charged."""
         with self._lock:
             stream = self._streams.get(attempt_id)
             if stream is None:
-                self._tokens_bytes -= size_bytes
+                self._take(size_bytes)
                 return
             before = max(stream.reserved_bytes, stream.passed_bytes)
             stream.passed_bytes += size_bytes
-            self._tokens_bytes -= max(0.0, stream.passed_bytes - before)
+            self._take(max(0.0, stream.passed_bytes - before))
 
     def close_stream(self, attempt_id: str, is_completed: bool) -> None:
         """Give back what was charged too much; unknown streams are ignored.
@@ -103,9 +152,13 @@
             if stream is None:
                 return
             unused = stream.reserved_bytes - stream.passed_bytes
-            self._tokens_bytes += max(0.0, unused)
+            self._take(-max(0.0, unused))
             if not is_completed or not stream.passed_bytes:
                 return
             mean = self._mean_bytes.get(stream.service, _FIRST_STREAM_BYTES)
             mean += _LATEST_WEIGHT * (stream.passed_bytes - mean)
             self._mean_bytes[stream.service] = mean
+
+    def _take(self, size_bytes: float) -> None:
+        self._tokens_bytes -= size_bytes
+        self._used_bytes += size_bytes
--- a/src/endivevane/platform/link.py
+++ b/src/endivevane/platform/link.py
@@ -27,6 +27,7 @@
 _CONTENT_RANGE = re.compile(r"bytes (\d+)-(\d+)/(\d+)")
 # A longer wait would look like a failed call to the threads that need the data.
 _LONGEST_WAIT_S = 30.0
+_LONGEST_STEP_S = 0.5
 
 
 class LinkShare:
@@ -35,11 +36,16 @@
     Thread-safe. A call may overdraw the bucket; the next ones wait for it.
 
     :param get_rate_bytes_s: returns this daemon's share of the link now
+    :param note_wait: called when a call has to wait
     """
 
     def __init__(
-        self, share_clock: clock.Clock, get_rate_bytes_s: Callable[[], float]
+        self,
+        share_clock: clock.Clock,
+        get_rate_bytes_s: Callable[[], float],
+        note_wait: Callable[[], None] | None = None,
     ) -> None:
+        self._note_wait = note_wait
         self._clock = share_clock
         self._get_rate_bytes_s = get_rate_bytes_s
         self._lock = threading.Lock()
@@ -49,7 +55,28 @@
 
     def take(self, size_bytes: int) -> float:
         """Take bytes and return how many seconds to wait before they are sent."""
-        rate_bytes_s = max(1.0, self._get_rate_bytes_s())
+        debt_bytes, rate_bytes_s = self._take(size_bytes)
+        return min(debt_bytes / rate_bytes_s, _LONGEST_WAIT_S)
+
+    def wait(self, size_bytes: int, sleep: Callable[[float], None]) -> None:
+        """Take bytes and wait until they may be sent.
+
+        The share may grow meanwhile, so that the wait is worked out again and again.
+        """
+        debt_bytes, rate_bytes_s = self._take(size_bytes)
+        waited_s = 0.0
+        while debt_bytes > 0 and waited_s < _LONGEST_WAIT_S:
+            if self._note_wait is not None:
+                self._note_wait()
+            step_s = min(debt_bytes / rate_bytes_s, _LONGEST_STEP_S)
+            sleep(step_s)
+            waited_s += step_s
+            debt_bytes -= step_s * rate_bytes_s
+            rate_bytes_s = self._compute_rate_bytes_s()
+
+    def _take(self, size_bytes: int) -> tuple[float, float]:
+        """Take bytes; return what is owed for those before them, and the rate."""
+        rate_bytes_s = self._compute_rate_bytes_s()
         with self._lock:
             now_s = self._clock.monotonic_s()
             gained = (now_s - self._filled_s) * rate_bytes_s
@@ -58,9 +85,11 @@
             tokens = full
             if self._tokens_bytes is not None:
                 tokens = min(full, self._tokens_bytes + gained)
-            wait_s = max(0.0, -tokens / rate_bytes_s)
             self._tokens_bytes = tokens - size_bytes
-        return min(wait_s, _LONGEST_WAIT_S)
+        return max(0.0, -tokens), rate_bytes_s
+
+    def _compute_rate_bytes_s(self) -> float:
+        return max(1.0, self._get_rate_bytes_s())
 
 
 class LinkPool(http_pool.HttpPool):
@@ -163,8 +192,5 @@
             yield piece
 
     def _wait(self, size_bytes: int) -> None:
-        if self._share is None:
-            return
-        wait_s = self._share.take(size_bytes)
-        if wait_s:
-            self._sleep(wait_s)
+        if self._share is not None:
+            self._share.wait(size_bytes, self._sleep)
