Fetch cache events only of targets that online requests go to

Cause: a daemon polls the engines that it sends batch items to once a second (about 1.8 of them at the target size), and fetched their cache events with every second report, which only routing uses.

Change: cache events are fetched of candidates only. Nothing is lost in accuracy, since routing ignores events of other targets.

--- a/features/loads.feature
+++ b/features/loads.feature
@@ -16,3 +16,10 @@
     Given three engines whose loads are polled
     When the first engine is leaving and 4 seconds pass
     Then the first engine has reported at most 1 more time
+
+  Scenario: Cache events are fetched only where online requests may go
+    Guards against control traffic for what nothing uses.
+    Given an engine behind a link that is polled only for batch
+    When 7 seconds pass
+    Then the engine has reported at least 4 times
+    And no bytes have passed beyond those of the reports
--- a/features/steps/loads_steps.py
+++ b/features/steps/loads_steps.py
@@ -4,9 +4,10 @@
 from behave import given, then, when
 from prometheus_client import REGISTRY
 
-from endivevane import metrics
+from endivevane import metrics, types
 from endivevane.coordination import clock
 from endivevane.online import loads, messages, routing
+from endivevane.platform import engine, http_pool
 from features.support import scheduling
 from tools import fleet
 
@@ -102,3 +103,50 @@
 def step_check_leaving(context, count):
     name = context.fleet.engines[0].name
     assert _count(context)[name] - context.before[name] <= count
+
+
+@given("an engine behind a link that is polled only for batch")
+def step_further(context):
+    context.fleet = fleet.Fleet(fleet.FleetPlan(daemons=0, engines=1))
+    context.cleanups.append(context.fleet.close)
+    context.fleet.start_stand_ins()
+    context.link = context.fleet.start_link("link", context.fleet.engines[0].address)
+    target = {"name": "far", "address": context.link.address, "zone": "zone-a"}
+    known = scheduling.make_snapshot([target])
+    pool = http_pool.HttpPool(
+        types.parse_address(context.link.address), http_pool.PoolSettings()
+    )
+    assert engine.EngineClient(pool).fetch_load().is_ok()
+    context.report_bytes = _count_passed(context)
+    empty = scheduling.make_snapshot([])
+    context.posts = []
+    context.task = loads.LoadsTask(
+        routing.Place("daemon-1", "zone-a", "west"),
+        loads.LoadsSettings(),
+        clock.SystemClock(),
+        lambda: empty,
+        context.posts.append,
+        get_further_targets=lambda: known.services["answers"].targets,
+    )
+    context.cleanups.append(context.task.stop)
+    context.task.start()
+
+
+@then("the engine has reported at least {count:d} times")
+def step_check_reports(context, count):
+    assert _count(context)["far"] >= count, _count(context)
+
+
+@then("no bytes have passed beyond those of the reports")
+def step_check_size(context):
+    """Numbers of the report change its length by a few bytes."""
+    context.task.stop()
+    reports = _count(context)["far"]
+    passed = _count_passed(context) - context.report_bytes
+    print(f"{reports} reports, {passed} bytes, {passed / reports:.0f} each")
+    assert passed <= 1.1 * context.report_bytes * reports, (passed, reports)
+
+
+def _count_passed(context):
+    record = context.link.record()
+    return record["outward_bytes"] + record["inward_bytes"]
--- a/src/endivevane/online/loads.py
+++ b/src/endivevane/online/loads.py
@@ -47,7 +47,11 @@
 
 @dataclasses.dataclass(slots=True)
 class _Polled:
-    """A candidate target and its connection."""
+    """A target and its connection.
+
+    :param is_candidate: whether online requests may go there; the cache events of
+        other targets are not fetched, since only routing uses them
+    """
 
     target: snapshot.Target
     pool: http_pool.HttpPool
@@ -56,6 +60,7 @@
     last_event: int = 0
     is_busy: bool = False
     is_further: bool = False
+    is_candidate: bool = True
 
 
 class LoadsTask:
@@ -141,6 +146,7 @@
                 self._place, service, seen[1], self._routing, self._count_daemons()
             ):
                 wanted[target.name] = target
+        candidates = frozenset(wanted)
         further = {item.name: item for item in self._get_further_targets()}
         wanted.update(further)
         for name in [name for name in self._polled if name not in wanted]:
@@ -150,6 +156,7 @@
             if known is None or known.target.address != target.address:
                 self._polled[name] = self._make_polled(target)
             self._polled[name].is_further = name in further
+            self._polled[name].is_candidate = name in candidates
 
     def _make_polled(self, target: snapshot.Target) -> _Polled:
         limits = http_pool.PoolSettings(
@@ -209,7 +216,8 @@
             return
         self._post(messages.LoadReported(name, report.ok_value))
         polled.reports += 1
-        if polled.reports % self._settings.events_every:
+        is_due = polled.reports % self._settings.events_every == 0
+        if not is_due or not polled.is_candidate:
             return
         events = client.fetch_cache_events(polled.last_event)
         if isinstance(events, result.Err) or not events.ok_value:
