--- a/src/endivevane/daemon/wiring.py
+++ b/src/endivevane/daemon/wiring.py
@@ -11,7 +11,7 @@
 from endivevane import logs, metrics, types, utils
 from endivevane.batch import api as batch_api
 from endivevane.batch import ports, runner
-from endivevane.cluster import events, tasks
+from endivevane.cluster import events, link_shares, tasks
 from endivevane.configuration import snapshot
 from endivevane.coordination import clock, register
 from endivevane.daemon import (
@@ -30,6 +30,7 @@
     contract,
     forward,
     front,
+    link_budget,
     loads,
     messages,
     plain_targets,
@@ -45,7 +46,6 @@
 from endivevane.web import app, server
 
 _FLUSH_INTERVAL_S = 1.0
-_BULK_SHARE = 0.5
 # An operator's drain request is answered before the server begins to stop.
 _DRAIN_ANSWER_S = 0.2
 
@@ -145,14 +145,25 @@
         platform = self._settings.platform
         limits = http_pool.PoolSettings(read_timeout_s=platform.timeout_s)
         is_remote = platform.region not in ("", self._settings.daemon.region)
-        share = link.LinkShare(self._clock, self._compute_bulk_rate_bytes_s)
+        self._shares = link_shares.LinkShares(
+            self._settings.daemon.name, self._clock, lambda: self._link.measure_need()
+        )
+        self._link = link_budget.LinkBudget(
+            self._clock, self._shares.compute_share, self._shares.compute_even_share
+        )
+        share = link.LinkShare(
+            self._clock, self._link.compute_bulk_rate, self._link.note_short
+        )
+        charge = self._link.charge
 
         def make_pool(
             address: str, purpose: str, bound: link.LinkShare | None = None
         ) -> http_pool.HttpPool:
             parsed = types.parse_address(address)
             if is_remote:
-                return link.LinkPool(parsed, limits, purpose, bound)
+                return link.LinkPool(
+                    parsed, limits, purpose, bound, charge if bound else None
+                )
             return http_pool.HttpPool(parsed, limits, self._clock)
 
         self._table = table.TableClient(make_pool(platform.table_service, "store"))
@@ -161,20 +172,9 @@
         )
         self._vms = vms.VmListClient(make_pool(platform.vm_list, "control"))
 
-    def _compute_bulk_rate_bytes_s(self) -> float:
-        """Return this daemon's share of the link for input and results of batch jobs.
-
-        Half of what data may use; the other half is for online requests.
-        """
-        bounds = self.cluster.snapshot.link
-        region = self._settings.daemon.region
-        near = [item for item in self._port.live_members() if item.region == region]
-        rate_bytes_s = bounds.capacity_bytes_s * bounds.data_share * _BULK_SHARE
-        return rate_bytes_s / max(1, len(near))
-
     def _build_cluster(self) -> None:
         self.cluster = tasks.ClusterTask(
-            self._settings, self._clock, self._table, self._vms
+            self._settings, self._clock, self._table, self._vms, shares=self._shares
         )
         self._port = batch_port.ClusterPort(self.cluster, self._table, self._clock)
         self._senders = batch_senders.BatchSenders(self._port.live_members)
@@ -185,7 +185,11 @@
         section = self._settings.daemon
         place = routing.Place(section.name, section.zone, section.region)
         online_scheduler = scheduler.Scheduler(
-            place, self._clock, random.Random(), count_daemons=self._count_daemons
+            place,
+            self._clock,
+            random.Random(),
+            count_daemons=self._count_daemons,
+            link=self._link,
         )
         self._demand = orders_demand.DemandExchange(
             section.name, self._clock, online_scheduler.demand.read, self._table
@@ -200,7 +204,11 @@
             self._clock, self._table, self.cluster.broadcast, self.relay.post
         )
         self._plain = plain_targets.PlainTargets(
-            place, self._clock, random.Random(), count_daemons=self._count_daemons
+            place,
+            self._clock,
+            random.Random(),
+            count_daemons=self._count_daemons,
+            budget=self._link,
         )
         call_register = register.Register(
             self._table, lambda: utils.make_id("register")
