Ask few of a service's candidates in a routing decision

Cause: with 267 candidates (600 targets, 9 daemons) a decision looked at each of them up to seven times: role, link, room, health, model, region, load. Change: candidates are kept in tiers (model, region) until a report changes what a target serves; the pair is searched best rank first and only those are asked for room and health; the lightest load is looked for among 16 targets, and only when the affine target is loaded beyond the weight of affinity.

--- a/src/endivevane/online/fleet.py
+++ b/src/endivevane/online/fleet.py
@@ -18,6 +18,7 @@
     target_state,
     use_notices,
 )
+from endivevane.platform import engine
 
 
 class Fleet:
@@ -49,6 +50,8 @@
         self._random = generator
         self._leaving: frozenset[str] = frozenset()
         self._count_daemons = count_daemons
+        # By service, model and whether the link has room.
+        self._tiers: dict[tuple[str, str, bool], routing.Tiers] = {}
         self.demand = demand.DemandCounter(fleet_clock)
         self.use_notices = use_notices.UseNotices(fleet_clock)
         self._link = link
@@ -76,15 +79,49 @@
         self._leaving = leaving
         self._refresh()
 
+    def set_load(self, target_name: str, report: engine.LoadReport) -> None:
+        """Take in the load report of a target."""
+        state = self.targets.get(target_name)
+        if state is not None and state.set_report(report):
+            self._tiers.clear()
+
     def find_sendable(
         self, candidates: list[target_state.TargetState]
     ) -> list[target_state.TargetState]:
         """Return the candidates with a fitting role that may be reached now."""
-        candidates = [state for state in candidates if state.can_serve()]
-        if self._link.has_room():
-            return candidates
+        return self._list_sendable(candidates, self._link.has_room())
+
+    def find_tiers(
+        self, service: service_state.ServiceState, model: str
+    ) -> routing.Tiers:
+        """Return the candidates for a model that may be reached now, in tiers.
+
+        They are kept until a report or a change of the candidates alters them.
+        """
+        has_room = self._link.has_room()
+        key = (service.service.name, model, has_room)
+        tiers = self._tiers.get(key)
+        if tiers is None:
+            states = self._list_sendable(service.candidates, has_room)
+            tiers = self.sort_tiers(model, states)
+            self._tiers[key] = tiers
+        return tiers
+
+    def sort_tiers(
+        self, model: str, states: list[target_state.TargetState]
+    ) -> routing.Tiers:
+        """Group targets by how well they suit a model at this daemon's place."""
+        return routing.sort_tiers(self._place.region, model, states)
+
+    def _list_sendable(
+        self, candidates: list[target_state.TargetState], has_room: bool
+    ) -> list[target_state.TargetState]:
         region = self._place.region
-        return [state for state in candidates if state.target.region == region]
+        return [
+            state
+            for state in candidates
+            if state.can_serve() and (has_room or state.target.region == region)
+        ]
 
     def begin_attempt(
         self, state: target_state.TargetState, attempt: contract.Attempt
@@ -125,6 +162,7 @@
 
     def _refresh(self) -> None:
         """Choose the candidates of all services again and drop unused targets."""
+        self._tiers.clear()
         used: set[str] = set()
         daemons = self._count_daemons()
         for name, state in self.services.items():
--- a/src/endivevane/online/prefixes.py
+++ b/src/endivevane/online/prefixes.py
@@ -80,9 +80,8 @@
         self._prefixes.clear()
         self._last_event = 0
 
-    def has(self, prefix: int) -> bool:
-        """Return whether a prefix is cached."""
-        entry = self._prefixes.get(prefix)
+    def __contains__(self, prefix: object) -> bool:
+        entry = self._prefixes.get(prefix)  # type: ignore[call-overload]
         return entry is not None and entry[1] > self._clock.monotonic_s()
 
     def match(self, hashes: Sequence[int]) -> int:
--- a/src/endivevane/online/retrying.py
+++ b/src/endivevane/online/retrying.py
@@ -196,4 +196,5 @@
         if flight.lost_targets:
             pair = self._find_pair(flight, state.candidates)
             others = [item for item in others if item in pair] or others
-        return self._router.choose(request, others)
+        tiers = self._fleet.sort_tiers(request.model, others)
+        return self._router.choose(request, tiers, lambda _: True)
--- a/src/endivevane/online/routing.py
+++ b/src/endivevane/online/routing.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 import math
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Iterator, Sequence
 
 import xxhash
 
@@ -14,6 +15,11 @@
 
 # Daemons of each current deployment, assumed when the count is not known.
 DEFAULT_DAEMONS = 9
+_SEARCHED_RANKS = 4
+_COMPARED_LOADS = 16
+
+# Targets in the order in which they are preferred.
+Tiers = tuple[list[target_state.TargetState], ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,9 +107,10 @@
     def choose(
         self,
         request: contract.OnlineRequest,
-        states: Sequence[target_state.TargetState],
+        tiers: Tiers,
+        may_use: Callable[[target_state.TargetState], bool],
     ) -> target_state.TargetState | None:
-        """Return the target to send to.
+        """Return the target to send to, of the first tier that has one.
 
         A target with a strong affinity is chosen from all; otherwise one of two is,
         because the best of all would draw the requests of all daemons between two
@@ -111,15 +118,24 @@
         random for different requests, but the same at every daemon for a request that
         is sent to several daemons, so that it can crash two targets at most.
 
-        :param states: targets that may be used now, in any order
+        :param tiers: targets in the order of :func:`sort_tiers`
+        :param may_use: tells whether a target may be used now; asked of few targets,
+            since a daemon may have hundreds of candidates
         """
-        pool = self._narrow(request, states)
-        if not pool:
-            return None
-        best = self._find_affine(request, pool)
-        if best is not None:
-            return best
-        first, *others = choose_pair(request.fingerprint, pool)
+        for tier in tiers:
+            best = self._find_affine(request, tier, may_use)
+            if best is not None:
+                return best
+            usable = filter(may_use, rank_targets(request.fingerprint, tier))
+            pair = list(itertools.islice(usable, 2))
+            if pair:
+                return self._choose_of_pair(request, pair)
+        return None
+
+    def _choose_of_pair(
+        self, request: contract.OnlineRequest, pair: Sequence[target_state.TargetState]
+    ) -> target_state.TargetState:
+        first, *others = pair
         limit = self.compute_cost(request, first) - self._settings.first_margin
         for other in others:
             if self.compute_cost(request, other) < limit:
@@ -140,21 +156,11 @@
             cost += settings.model_cost
         return cost - settings.affinity_weight * _match_share(request, state)
 
-    def _narrow(
-        self,
-        request: contract.OnlineRequest,
-        states: Sequence[target_state.TargetState],
-    ) -> list[target_state.TargetState]:
-        """Prefer targets with the model, and among them those of the own region."""
-        ready = [state for state in states if state.has_model(request.model)]
-        pool = ready or list(states)
-        local = [state for state in pool if state.target.region == self._place.region]
-        return local or pool
-
     def _find_affine(
         self,
         request: contract.OnlineRequest,
-        pool: Sequence[target_state.TargetState],
+        tier: Sequence[target_state.TargetState],
+        may_use: Callable[[target_state.TargetState], bool],
     ) -> target_state.TargetState | None:
         """Return the target with a strong affinity that is worth its load."""
         hashes = request.prefix_hashes
@@ -165,36 +171,78 @@
         pivot = hashes[max(needed, 1) - 1]
         affine = [
             state
-            for state in pool
-            if state.prefixes.has(pivot) and state.estimate_load() < state.target.slots
+            for state in tier
+            if pivot in state.prefixes
+            and may_use(state)
+            and state.estimate_load() < state.target.slots
         ]
         if not affine:
             return None
         best = min(affine, key=lambda state: self.compute_cost(request, state))
-        lightest = min(state.estimate_load() / state.target.slots for state in pool)
-        load = best.estimate_load() / best.target.slots
-        if load - lightest > self._settings.affinity_weight:
-            return None
-        return best
+        limit = _compute_share(best) - self._settings.affinity_weight
+        # No load is below zero, so the others need not be looked at.
+        if limit <= 0 or limit <= _find_lightest(request.fingerprint, tier, may_use):
+            return best
+        return None
 
 
-def choose_pair(
+def sort_tiers(
+    region: str, model: str, states: Sequence[target_state.TargetState]
+) -> Tiers:
+    """Group targets: those with the model first, among them those of the own region.
+
+    :param region: region of the daemon
+    """
+    tiers: dict[tuple[bool, bool], list[target_state.TargetState]] = {}
+    for state in states:
+        rank = (not state.has_model(model), state.target.region != region)
+        tiers.setdefault(rank, []).append(state)
+    return tuple(tiers[rank] for rank in sorted(tiers))
+
+
+def rank_targets(
     fingerprint: str, states: Sequence[target_state.TargetState]
-) -> list[target_state.TargetState]:
-    """Return the two targets that a fingerprint belongs to, the first one first.
+) -> Iterator[target_state.TargetState]:
+    """Yield targets in the order of the rendezvous hash over a fingerprint.
 
-    :param states: at least one target
+    Without weights: the cost of the first two counts their slots, and a logarithm for
+    each of the hundreds of candidates that a few daemons have would take longest here.
     """
-    # Without weights: the cost of the two counts their slots, and a logarithm for each
-    # of the hundreds of candidates that a few daemons have would take longest here.
     seed = xxhash.xxh3_64_intdigest(fingerprint)
     ranks = [xxhash.xxh3_64_intdigest(state.target.name, seed) for state in states]
-    if len(ranks) < 2:
-        return list(states)
-    first = ranks.index(max(ranks))
-    ranks[first] = -1
-    second = ranks.index(max(ranks))
-    return [states[first], states[second]]
+    # Mostly the first two are usable, which sorting all would not pay for.
+    for _ in range(min(_SEARCHED_RANKS, len(ranks))):
+        best = ranks.index(max(ranks))
+        yield states[best]
+        ranks[best] = -1
+    rest = sorted(zip(ranks, range(len(ranks)), strict=True), reverse=True)
+    for rank, number in rest:
+        if rank >= 0:
+            yield states[number]
+
+
+def choose_pair(
+    fingerprint: str, states: Sequence[target_state.TargetState]
+) -> list[target_state.TargetState]:
+    """Return the two targets that a fingerprint belongs to, the first one first."""
+    return list(itertools.islice(rank_targets(fingerprint, states), 2))
+
+
+def _find_lightest(
+    fingerprint: str,
+    states: Sequence[target_state.TargetState],
+    may_use: Callable[[target_state.TargetState], bool],
+) -> float:
+    """Return the smallest load share of a bounded number of usable targets."""
+    count = min(_COMPARED_LOADS, len(states))
+    start = xxhash.xxh3_64_intdigest(fingerprint) % len(states)
+    compared = [states[(start + offset) % len(states)] for offset in range(count)]
+    shares = [_compute_share(state) for state in compared if may_use(state)]
+    return min(shares, default=1.0)
+
+
+def _compute_share(state: target_state.TargetState) -> float:
+    return state.estimate_load() / state.target.slots
 
 
 def _match_share(
--- a/src/endivevane/online/scheduler.py
+++ b/src/endivevane/online/scheduler.py
@@ -99,9 +99,7 @@
 
     def set_load(self, target_name: str, report: engine.LoadReport) -> None:
         """Take in the load report of a target."""
-        state = self._fleet.targets.get(target_name)
-        if state is not None:
-            state.set_report(report)
+        self._fleet.set_load(target_name, report)
 
     def set_cache_events(
         self, target_name: str, events: Iterable[Mapping[str, Any]]
@@ -125,7 +123,7 @@
             return contract.Refuse(request, error)
         state = self._fleet.services[request.service.name]
         if not state.queue.count_ahead(request.priority):
-            chosen = self._choose(state.candidates, request)
+            chosen = self._choose(state, request)
             if chosen is not None:
                 self._active[request.organisation] += 1
                 return self._send_first(state, request, chosen)
@@ -154,7 +152,7 @@
                 self._end_request(refusal.request)
                 actions.append(refusal)
             while (entry := state.queue.peek()) is not None:
-                chosen = self._choose(state.candidates, entry.item)
+                chosen = self._choose(state, entry.item)
                 if chosen is None:
                     break
                 state.queue.pop()
@@ -276,13 +274,12 @@
 
     def _choose(
         self,
-        candidates: list[target_state.TargetState],
+        service: service_state.ServiceState,
         request: contract.OnlineRequest,
     ) -> target_state.TargetState | None:
         now_s = self._clock.monotonic_s()
-        sendable = self._fleet.find_sendable(candidates)
-        usable = [state for state in sendable if state.is_usable(now_s)]
-        return self._router.choose(request, usable)
+        tiers = self._fleet.find_tiers(service, request.model)
+        return self._router.choose(request, tiers, lambda state: state.is_usable(now_s))
 
     def _send_first(
         self,
--- a/src/endivevane/online/target_state.py
+++ b/src/endivevane/online/target_state.py
@@ -136,14 +136,18 @@
             self.limit.set_maximum(target.slots)
         self.target = target
 
-    def set_report(self, report: engine.LoadReport) -> None:
-        """Take in a load report; an older one than the last is ignored."""
+    def set_report(self, report: engine.LoadReport) -> bool:
+        """Take in a load report; an older one than the last is ignored.
+
+        :returns: whether what the target can serve has changed
+        """
         now_s = self._clock.monotonic_s()
         lag_s = self._clock.wall_ms() / 1000 - report.as_of_s
         # Bounds what a wrong clock at either side can do to the correction.
         as_of_s = now_s - min(max(lag_s, 0.0), _REPORT_MAX_AGE_S)
         if self._report is not None and report.as_of_s < self._report.as_of_s:
-            return
+            return False
+        offered = self._models, self.can_serve()
         self._report = report
         self._models = frozenset(
             name for item in report.models for name in (item.model, *item.adapters)
@@ -153,6 +157,7 @@
             self._asked_slots = 0
         while self._changes and self._changes[0][0] <= as_of_s:
             self._change_sum -= self._changes.popleft()[1]
+        return offered != (self._models, self.can_serve())
 
     def begin(self, attempt_id: str) -> None:
         """Note that an attempt is sent."""
