Keep readiness in one field

Change: the time until which the last tick's answer counts also tells whether it was ready; the step takes the exit code from endivevane.ctl.exits.

Seen: the scenarios of the silent cut and of the killed and paused daemons pass. Taken out on purpose (scratch copy): closing of silent connections in Neighbours.flush: red, messages did not get through within 5 s. Contact with strangers in record_scan: green, since the cut-off daemons keep the others as alive and contact them first.

--- a/features/steps/regions_steps.py
+++ b/features/steps/regions_steps.py
@@ -4,8 +4,8 @@
 
 from behave import given, then, when
 
+from endivevane.ctl import exits
 from features.support import engine_caller, region_fleet, region_plan
-from tools import fleet
 
 _RETURN_BOUND_S = 12.0
 # The published target for the first token; while long requests hold all local slots,
@@ -72,7 +72,7 @@
 @then('a publish ends as not confirmed by "{zone}"')
 def step_not_confirmed(context, zone):
     run, body = _publish(context, "--wait-s", "3")
-    assert run.returncode == fleet._CTL_NOT_CONFIRMED, run
+    assert run.returncode == exits.Exit.NOT_CONFIRMED, run
     assert body["unconfirmed_zones"] == [zone] and not body["accepted"], body
 
 
--- a/src/endivevane/cluster/node.py
+++ b/src/endivevane/cluster/node.py
@@ -75,7 +75,6 @@
         self._is_leaving = False
         self.members: tuple[members.Member, ...] = (self._peers.detector.me,)
         self._longest_pause_s = settings.session.term_s
-        self._is_ready = False
         self._ready_until_s = 0.0
 
     def tick(self) -> None:
@@ -88,12 +87,12 @@
         self.follower.run(now_s, len(detector.table), self._has_holder())
         self._peers.run(now_s)
         self._confirmations.run(now_s)
-        self._vms.run(now_s, self._is_ready)
+        self._vms.run(now_s, self._ready_until_s > 0)
         self._ask_peers(now_s)
         self._peers.flush()
         self._report_members()
-        self._is_ready = self.follower.feed.is_current() and not self._is_leaving
-        self._ready_until_s = now_s + self._longest_pause_s if self._is_ready else 0.0
+        is_ready = self.follower.feed.is_current() and not self._is_leaving
+        self._ready_until_s = now_s + self._longest_pause_s if is_ready else 0.0
 
     def is_ready(self) -> bool:
         """Tell whether the configuration is known to be current; safe on any thread.
