--- a/src/endivevane/retention/task.py
+++ b/src/endivevane/retention/task.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import random
 import threading
 from collections.abc import Callable, Collection
 
@@ -24,9 +25,11 @@
 # A failing store is not asked again at once.
 _PAUSE_AFTER_ERROR_S = 5.0
 _IDLE_S = 0.5
-# Ranking 340 daemons for a shard takes a fraction of a millisecond; the pauses keep
-# thousands of shards from delaying the daemon's other threads.
-_CHECK_PAUSE_S = 0.005
+# Ranking 340 daemons for a shard takes 0.38 ms of a core; with this pause the 20,858
+# shards of 630 organisations take 3.1% of a core for four minutes a day.
+_CHECK_PAUSE_S = 0.012
+# Daemons that restart together don't begin together, nor beside their first requests.
+_LONGEST_START_DELAY_S = 600.0
 
 
 class RetentionTask:
@@ -80,7 +83,9 @@
             self._thread.join(_STOP_TIMEOUT_S)
 
     def _run(self) -> None:
+        delay_s = random.uniform(0, min(self._interval_s, _LONGEST_START_DELAY_S))
         try:
+            self._stopped.wait(delay_s)
             while not self._stopped.wait(_IDLE_S):
                 started_s = self._clock.monotonic_s()
                 self._sweep_all()
