--- a/src/endivevane/configuration/snapshot.py
+++ b/src/endivevane/configuration/snapshot.py
@@ -142,11 +142,11 @@
     ]
     zones: dict[str, Zone] = {}
     link = EMPTY.link
-    register_retention_s = EMPTY.register_retention_s
+    kept_s = EMPTY.register_retention_s
     for document in parsed:
         if not isinstance(document, models.FleetModel):
             continue
-        register_retention_s = document.register_retention.outcomes_s
+        kept_s = document.register_retention.outcomes_s
         zones = {zone.name: Zone(zone.name, zone.region) for zone in document.zones}
         link = Link(document.link.capacity_mbit_s * 1e6 / 8, document.link.data_share)
     services: dict[str, Service] = {}
@@ -165,14 +165,7 @@
                 role = types.Role(key.role)
                 key_owners[key.sha256] = KeyOwner(document.name, role, key.id)
     return Snapshot(
-        revision,
-        services,
-        by_model,
-        organisations,
-        key_owners,
-        zones,
-        link,
-        register_retention_s,
+        revision, services, by_model, organisations, key_owners, zones, link, kept_s
     )
 
 
