--- a/src/endivevane/cluster/node.py
+++ b/src/endivevane/cluster/node.py
@@ -53,8 +53,7 @@
         shares: link_shares.LinkShares | None = None,
     ) -> None:
         self._shares = shares
-        self._clock = node_clock
-        self._random = generator
+        self._clock, self._random = node_clock, generator
         self._background = background
         self._publish = publish
         self.keeper = sessions.SessionKeeper(
--- a/src/endivevane/daemon/wiring.py
+++ b/src/endivevane/daemon/wiring.py
@@ -68,6 +68,7 @@
         self._build_platform()
         self._build_cluster()
         self._build_online()
+        self._build_plain()
         self._build_batch()
         self._build_orders()
         self._build_server()
@@ -190,8 +191,21 @@
             ),
             self._publish,
         )
-        self._plain = plain_targets.PlainTargets(
+        self._board = load_board.LoadBoard(self.relay.post)
+        self._loads = loads.LoadsTask(
             place,
+            loads.LoadsSettings(),
+            self._clock,
+            self._get_snapshot,
+            self._board.post,
+            get_further_targets=self._list_batch_targets,
+            count_daemons=self._count_daemons,
+        )
+
+    def _build_plain(self) -> None:
+        section = self._settings.daemon
+        self._plain = plain_targets.PlainTargets(
+            routing.Place(section.name, section.zone, section.region),
             self._clock,
             random.Random(),
             count_daemons=self._count_daemons,
@@ -209,16 +223,6 @@
             self._settings.limits.max_request_bytes,
         )
         self._register = call_register
-        self._board = load_board.LoadBoard(self.relay.post)
-        self._loads = loads.LoadsTask(
-            place,
-            loads.LoadsSettings(),
-            self._clock,
-            self._get_snapshot,
-            self._board.post,
-            get_further_targets=self._list_batch_targets,
-            count_daemons=self._count_daemons,
-        )
         self._flusher = threading.Thread(
             target=self._flush_outcomes, name="outcomes", daemon=True
         )
--- a/src/endivevane/platform/link.py
+++ b/src/endivevane/platform/link.py
@@ -135,8 +135,8 @@
         parts: list[bytes] = []
         while True:
             first = sum(len(part) for part in parts)
-            wanted = f"bytes={first}-{first + _PIECE_BYTES - 1}"
-            ranged = {**(headers or {}), "Range": wanted}
+            last = first + _PIECE_BYTES - 1
+            ranged = {**(headers or {}), "Range": f"bytes={first}-{last}"}
             outcome = self._request_once(method, path, body, ranged, *call)
             if isinstance(outcome, result.Err):
                 return outcome
@@ -146,13 +146,12 @@
                 return self._request_once(method, path, body, headers, *call)
             if response.status != _PARTIAL:
                 return outcome
-            found = _CONTENT_RANGE.fullmatch(response.headers.get("content-range", ""))
-            if found is None or int(found[1]) != first or not response.body:
-                detail = "the answer is not the wanted range"
-                stage = http_pool.Stage.RESPONSE
+            size_bytes = _read_size(response, first)
+            if size_bytes is None:
+                stage, detail = http_pool.Stage.RESPONSE, "not the wanted range"
                 return result.Err(http_pool.TransportError(self.address, stage, detail))
             parts.append(response.body)
-            if first + len(response.body) >= int(found[3]):
+            if first + len(response.body) >= size_bytes:
                 whole = dataclasses.replace(response, status=200, body=b"".join(parts))
                 return result.Ok(whole)
 
@@ -194,3 +193,11 @@
     def _wait(self, size_bytes: int) -> None:
         if self._share is not None:
             self._share.wait(size_bytes, self._sleep)
+
+
+def _read_size(response: http_pool.Response, first: int) -> int | None:
+    """Return the size of the whole object, ``None`` if a wrong range has come."""
+    found = _CONTENT_RANGE.fullmatch(response.headers.get("content-range", ""))
+    if found is None or int(found[1]) != first or not response.body:
+        return None
+    return int(found[3])
