Hand the KV cache of long prompts from a prefill engine to another one

Cause: prefill engines got no work, and a long prompt always ran where its answer does.

Change: from handover_min_prompt_bytes on, the first attempt of a request has its prompt computed by a prefill engine of the daemon's region; the daemon copies the cache block by block and then sends the attempt to its target. Any failure, a second without the end or 8 hand-overs under way leave the prompt to the target. A prefill engine that dies of the prompt counts for the quarantine. Nothing crosses the link between the regions. The stand-in engine can die at the export or the import of a block.

The gain is not measured: in the stand-in prompts of others do not slow answers.

--- a/features/support/scheduling.py
+++ b/features/support/scheduling.py
@@ -24,7 +24,7 @@
     return {"name": name, "address": address, "zone": zone, "slots": slots}
 
 
-def make_snapshot(targets, online=None, organisations=None, revision=1):
+def make_snapshot(targets, online=None, organisations=None, revision=1, service=None):
     """Return a snapshot with one model service named ``answers``."""
     organisations = organisations or {"acme": {}}
     documents = {
@@ -37,6 +37,7 @@
             "models": [{"name": "small-lm"}],
             "targets": targets,
             "online": online or {},
+            **(service or {}),
         },
     }
     for name, fields in organisations.items():
--- a/src/endivevane/configuration/models.py
+++ b/src/endivevane/configuration/models.py
@@ -109,9 +109,12 @@
     """How the engines of a service share prefill and decode.
 
     :param prefill_share: share of the engines that only run prefill
+    :param handover_min_prompt_bytes: prompts of at least this length are computed by a
+        prefill engine, which hands its KV cache over; 0 for none
     """
 
     prefill_share: float = pydantic.Field(default=0.0, ge=0, le=0.5)
+    handover_min_prompt_bytes: int = pydantic.Field(default=0, ge=0)
 
 
 class ServiceModel(_Model):
--- a/src/endivevane/metrics.py
+++ b/src/endivevane/metrics.py
@@ -12,6 +12,11 @@
 RETRIES = prometheus_client.Counter(
     "endivevane_retries", "Attempts after the first, by reason.", ["reason"]
 )
+HANDOVERS = prometheus_client.Counter(
+    "endivevane_kv_handovers",
+    "Hand-overs of KV cache between engines: done, or the step that failed.",
+    ["outcome"],
+)
 RETRIES_DENIED = prometheus_client.Counter(
     "endivevane_retries_denied", "Retries that were not made, by reason.", ["reason"]
 )
--- a/src/endivevane/online/bodies.py
+++ b/src/endivevane/online/bodies.py
@@ -10,10 +10,11 @@
 import xxhash
 
 from endivevane import utils
+from endivevane.online import contract
 from endivevane.web import errors
 
 # Engines hash prompts in blocks of this size, see the cache events of their protocol.
-_PREFIX_BLOCK_BYTES = 256
+_PREFIX_BLOCK_BYTES = contract.PREFIX_BLOCK_BYTES
 _MAX_PREFIXES = 256
 # These fields do not change what an engine computes.
 _VOLATILE = frozenset(("stream", "stream_options", "user", "metadata"))
--- a/src/endivevane/online/contract.py
+++ b/src/endivevane/online/contract.py
@@ -10,6 +10,9 @@
 from endivevane.configuration import snapshot
 from endivevane.web import errors
 
+# Bytes of the prompt for each of its prefix hashes.
+PREFIX_BLOCK_BYTES = 256
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OnlineRequest:
@@ -44,6 +47,7 @@
 
     :param attempt_id: goes to the engine as ``X-Request-Id``
     :param number: 1 for the first attempt
+    :param prefill: engine that computes the prompt first, ``None`` for the target
     """
 
     attempt_id: str
@@ -51,6 +55,7 @@
     target: snapshot.Target
     number: int
     started_s: float
+    prefill: snapshot.Target | None = None
 
 
 class AttemptFailure(enum.StrEnum):
--- a/src/endivevane/online/demand.py
+++ b/src/endivevane/online/demand.py
@@ -83,13 +83,13 @@
         with self._lock:
             self._end_waiting(request_id, self._clock.monotonic_s())
 
-    def record_refusal(self, refusal: contract.Refuse) -> None:
+    def record_refusal(self, refusal: contract.Refuse) -> contract.Refuse:
         """Count a refusal before any attempt if its reason is a lack of room."""
-        if not isinstance(refusal.error, _LACK_OF_ROOM):
-            return
-        now_s = self._clock.monotonic_s()
-        with self._lock:
-            self._find(refusal.request, now_s).refused.add(now_s)
+        if isinstance(refusal.error, _LACK_OF_ROOM):
+            now_s = self._clock.monotonic_s()
+            with self._lock:
+                self._find(refusal.request, now_s).refused.add(now_s)
+        return refusal
 
     def record_tokens(self, request: contract.OnlineRequest, tokens: int) -> None:
         """Count the tokens of an answer, at its end."""
--- a/src/endivevane/online/dispatcher.py
+++ b/src/endivevane/online/dispatcher.py
@@ -91,6 +91,21 @@
         if current is None or current.attempt is not message.attempt:
             self.cancel_attempt(message.attempt)
 
+    def take_prompt(self, message: messages.PromptReady) -> None:
+        """Send an attempt whose prompt another engine has computed, or has not."""
+        attempt = message.attempt
+        request = attempt.request
+        if message.has_died and attempt.prefill is not None:
+            self.scheduler.record_death(request.fingerprint, attempt.prefill.name)
+        current = self.streams.get(request.request_id)
+        if current is None or current.ticket != message.ticket:
+            return
+        error = self.scheduler.check_quarantine(request)
+        if error is not None:
+            current.fail(error, stream_states.Outcome.FAILED)
+            return
+        self._engines.send(message.ticket, attempt, message.body)
+
     def take_open_failure(self, message: messages.OpenFailed) -> None:
         """Tell the stream that waits for a connection."""
         current = self.streams.get(message.attempt.request.request_id)
@@ -146,7 +161,8 @@
     def find_stream(self, message: object) -> stream.Stream | None:
         """Return the stream that a message belongs to, if there is one."""
         request = getattr(message, "request", None)
-        if isinstance(message, messages.Opened | messages.OpenFailed):
+        attempted = messages.Opened | messages.OpenFailed | messages.PromptReady
+        if isinstance(message, attempted):
             request = message.attempt.request
         return self.streams.get(getattr(request, "request_id", ""))
 
--- a/src/endivevane/online/fleet.py
+++ b/src/endivevane/online/fleet.py
@@ -97,6 +97,32 @@
             body_bytes = len(utils.encode_json(attempt.request.body))
             self._link.charge(body_bytes + _ANSWER_BYTES)
 
+    def find_prefill(
+        self, request: contract.OnlineRequest, chosen: target_state.TargetState
+    ) -> snapshot.Target | None:
+        """Return the engine that should compute a long prompt for a target.
+
+        Only within the daemon's own region, because the cache passes through the
+        daemon; so nothing of it crosses the link.
+        """
+        hashes = request.prefix_hashes
+        least_bytes = request.service.model.roles.handover_min_prompt_bytes
+        is_long = len(hashes) * contract.PREFIX_BLOCK_BYTES >= least_bytes > 0
+        region, zone = self._place.region, chosen.target.zone
+        if not is_long or chosen.target.region != region:
+            return None
+        if chosen.prefixes.match(hashes) * 2 >= len(hashes):
+            return None
+        able = [
+            (state.target.zone != zone, state.estimate_load(), state.target.name, state)
+            for state in self.services[request.service.name].candidates
+            if not state.can_serve()
+            and state.target.region == region
+            and state.has_model(request.model)
+            and state.estimate_load() < state.target.slots
+        ]
+        return min(able)[3].target if able else None
+
     def request_scans(self) -> None:
         """Look through all queues at the next poll."""
         for state in self.services.values():
--- /dev/null
+++ b/src/endivevane/online/handover.py
@@ -0,0 +1,173 @@
+"""Lets one engine compute a prompt and hands its KV cache over to another one."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import dataclasses
+import threading
+import time
+from collections.abc import Callable
+
+import result
+
+from endivevane import logs, metrics, types, utils
+from endivevane.online import contract, messages
+from endivevane.platform import http_pool
+
+_PATH = "/v1/chat/completions"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HandoverSettings:
+    """Limits of a hand-over.
+
+    :param threads: hand-overs at the same time; further requests do without one
+    :param limit_s: time after which no further step begins, and limit for each wait
+    :param deadline_share: share of the time to the deadline that bounds both as well
+    :param avoid_s: how long an engine that failed a step is left out
+    """
+
+    threads: int = 8
+    connect_timeout_s: float = 0.3
+    limit_s: float = 1.0
+    deadline_share: float = 0.2
+    avoid_s: float = 5.0
+
+
+class Handover:
+    """Runs hand-overs on threads of their own.
+
+    Whatever happens, the attempt goes on at its target, which computes what it did not
+    get itself.
+
+    :param post: takes the outcomes, thread-safe
+    """
+
+    def __init__(
+        self, settings: HandoverSettings, post: Callable[[object], None]
+    ) -> None:
+        self._settings = settings
+        self._post = post
+        self._places = threading.Semaphore(settings.threads)
+        self._executor = concurrent.futures.ThreadPoolExecutor(
+            settings.threads, thread_name_prefix="engine-handover"
+        )
+        self._avoided_until_s: dict[types.Address, float] = {}
+
+    def start(self, ticket: int, attempt: contract.Attempt, body: bytes) -> bool:
+        """Start the hand-over of an attempt; return ``False`` to do without.
+
+        :param body: the body for the attempt's target
+        """
+        source = attempt.prefill
+        if source is None or not attempt.request.prefix_hashes:
+            return False
+        if time.monotonic() < self._avoided_until_s.get(source.address, 0.0):
+            return False
+        if not self._places.acquire(blocking=False):
+            metrics.HANDOVERS.labels("no_place").inc()
+            return False
+        self._executor.submit(self._run, ticket, attempt, source.address, body)
+        return True
+
+    def stop(self) -> None:
+        """End the threads after the steps that have begun."""
+        self._executor.shutdown(wait=True, cancel_futures=True)
+
+    def _run(
+        self, ticket: int, attempt: contract.Attempt, source: types.Address, body: bytes
+    ) -> None:
+        has_died = False
+        try:
+            problem = self._copy(attempt, source, body)
+            if problem is not None:
+                self._avoided_until_s[source] = (
+                    time.monotonic() + self._settings.avoid_s
+                )
+                has_died = problem.has_died
+                logs.info(
+                    "handover_failed",
+                    attempt_id=attempt.attempt_id,
+                    step=problem.step,
+                    detail=problem.detail,
+                )
+            metrics.HANDOVERS.labels(problem.step if problem else "done").inc()
+        except Exception as error:
+            logs.error("handover_broke", attempt_id=attempt.attempt_id, error=error)
+        finally:
+            self._places.release()
+            self._post(messages.PromptReady(attempt, ticket, body, has_died))
+
+    def _copy(
+        self, attempt: contract.Attempt, source: types.Address, body: bytes
+    ) -> _Problem | None:
+        """Run the prompt at the source, then copy its cache block by block."""
+        started_s = time.monotonic()
+        left_s = (
+            attempt.request.deadline_s - started_s
+        ) * self._settings.deadline_share
+        limit_s = min(self._settings.limit_s, left_s)
+        if limit_s <= 0:
+            return _Problem("deadline", "no time is left")
+        limits = http_pool.PoolSettings(
+            connect_timeout_s=min(self._settings.connect_timeout_s, limit_s),
+            read_timeout_s=limit_s,
+            max_idle_connections=1,
+        )
+        exporter = http_pool.HttpPool(source, limits)
+        importer = http_pool.HttpPool(attempt.target.address, limits)
+        headers = {
+            "Content-Type": "application/json",
+            "X-Request-Id": f"{attempt.attempt_id}.prefill",
+            "X-Endivevane-Key": f"{attempt.request.request_id}.prefill",
+            "X-Endivevane-Class": "online",
+        }
+        prompt = _make_prefill_body(body)
+        answer = exporter.request("POST", _PATH, prompt, headers, is_repeatable=False)
+        problem = _find_problem("prefill", answer)
+        for prefix_hash in attempt.request.prefix_hashes:
+            if problem is not None:
+                return problem
+            if time.monotonic() - started_s > limit_s:
+                return _Problem("too_late", f"more than {limit_s:.2f} s")
+            asked = utils.encode_json({"prefix_hash": prefix_hash})
+            block = exporter.request("POST", "/v1/kv/export", asked)
+            problem = _find_problem("export", block)
+            if isinstance(block, result.Ok) and problem is None:
+                taken = importer.request("POST", "/v1/kv/import", block.ok_value.body)
+                problem = _find_problem("import", taken)
+        return problem
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Problem:
+    """Why a hand-over ended early.
+
+    :param has_died: whether the connection to the engine broke while it ran the prompt
+    """
+
+    step: str
+    detail: str
+    has_died: bool = False
+
+
+def _find_problem(
+    step: str,
+    outcome: result.Result[http_pool.Response, http_pool.TransportError],
+) -> _Problem | None:
+    if isinstance(outcome, result.Ok):
+        status = outcome.ok_value.status
+        return None if status == 200 else _Problem(step, f"status {status}")
+    error = outcome.err_value
+    is_broken = (
+        error.stage is http_pool.Stage.RESPONSE and "timed out" not in error.detail
+    )
+    return _Problem(step, error.format_message(), step == "prefill" and is_broken)
+
+
+def _make_prefill_body(body: bytes) -> bytes:
+    """Return the body that makes an engine compute the prompt and one token."""
+    fields = utils.decode_json(body)
+    for name in ("max_completion_tokens", "stream_options"):
+        fields.pop(name, None)
+    return utils.encode_json({**fields, "max_tokens": 1, "stream": False})
--- a/src/endivevane/online/messages.py
+++ b/src/endivevane/online/messages.py
@@ -85,6 +85,19 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromptReady:
+    """A hand-over is over, and the attempt may go to its target.
+
+    :param has_died: whether the engine that computed the prompt died of it
+    """
+
+    attempt: contract.Attempt
+    ticket: int
+    body: bytes
+    has_died: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CancelMissed:
     """An engine does not know an attempt yet that is to be cancelled."""
--- a/src/endivevane/online/relay.py
+++ b/src/endivevane/online/relay.py
@@ -204,6 +204,10 @@
     def _take_open_failure(self, message: messages.OpenFailed) -> None:
         self._dispatcher.take_open_failure(message)
 
+    @_handle.register
+    def _take_prompt(self, message: messages.PromptReady) -> None:
+        self._dispatcher.take_prompt(message)
+
     @_handle.register
     def _retry_cancel(self, message: messages.CancelMissed) -> None:
         self._dispatcher.retry_cancel(message)
--- a/src/endivevane/online/scheduler.py
+++ b/src/endivevane/online/scheduler.py
@@ -114,9 +114,7 @@
         error = state.find_outage() or state.check_wait(request)
         error = error or state.enqueue(request)
         if error is not None:
-            refusal = contract.Refuse(request, error)
-            self.demand.record_refusal(refusal)
-            return refusal
+            return self.demand.record_refusal(contract.Refuse(request, error))
         self.demand.begin_waiting(request)
         self._active[request.organisation] += 1
         self._ask_for_slots(state.candidates)
@@ -128,7 +126,7 @@
         for state in self._fleet.services.values():
             if not len(state.queue):
                 continue
-            for refusal in state.take_hopeless(self._check_quarantine):
+            for refusal in state.take_hopeless(self.check_quarantine):
                 self.demand.record_refusal(refusal)
                 self._end_request(refusal.request)
                 actions.append(refusal)
@@ -214,6 +212,11 @@
         self._yields.clear()
         return taken
 
+    def record_death(self, fingerprint: str, target_name: str) -> None:
+        """Count a target that died of a request."""
+        self._quarantine.record_death(fingerprint, target_name)
+        self._fleet.request_scans()
+
     def take_quarantined(self) -> list[tuple[str, int]]:
         """Return the quarantine entries to publish since the last call."""
         return self._quarantine.take_unpublished()
@@ -222,7 +225,7 @@
         """Return why a request can't be taken on whatever the load is."""
         if request.service.name not in self._fleet.services:
             return errors.Unavailable(f"service {request.service.name} is not served")
-        error = self._check_quarantine(request)
+        error = self.check_quarantine(request)
         if error is not None:
             return error
         if request.deadline_s <= self._clock.monotonic_s():
@@ -240,9 +243,10 @@
             retry_after_s=_RETRY_AFTER_S,
         )
 
-    def _check_quarantine(
+    def check_quarantine(
         self, request: contract.OnlineRequest
     ) -> errors.ApiError | None:
+        """Return why a request must not run because of what it did to targets."""
         remaining_s = self._quarantine.remaining_s(request.fingerprint)
         if remaining_s <= 0:
             return None
@@ -284,6 +288,7 @@
             target=chosen.target,
             number=number,
             started_s=self._clock.monotonic_s(),
+            prefill=self._fleet.find_prefill(request, chosen) if number == 1 else None,
         )
         self._fleet.begin_attempt(chosen, attempt)
         return attempt
@@ -308,10 +313,7 @@
         """Count a failure against the target, and a death against the request."""
         attempt = flight.attempt
         if flight.is_death(failure):
-            self._quarantine.record_death(
-                attempt.request.fingerprint, attempt.target.name
-            )
-            self._fleet.request_scans()
+            self.record_death(attempt.request.fingerprint, attempt.target.name)
         state = self._fleet.targets.get(attempt.target.name)
         if state is None or failure is contract.AttemptFailure.DEADLINE:
             return
--- a/src/endivevane/online/upstream.py
+++ b/src/endivevane/online/upstream.py
@@ -11,7 +11,7 @@
 import result
 
 from endivevane import logs, types
-from endivevane.online import contract, messages
+from endivevane.online import contract, handover, messages
 from endivevane.platform import http_pool
 
 CALL_PATH = "/v1/chat/completions"
@@ -64,13 +64,19 @@
         self._resumers = concurrent.futures.ThreadPoolExecutor(
             settings.resume_threads, thread_name_prefix="engine-resume"
         )
+        self._handover = handover.Handover(handover.HandoverSettings(), post)
         self._unreachable_until_s: dict[types.Address, float] = {}
         self._cancellers = concurrent.futures.ThreadPoolExecutor(
             settings.cancel_threads, thread_name_prefix="engine-cancel"
         )
 
     def open(self, ticket: int, attempt: contract.Attempt, body: bytes) -> None:
-        """Start an attempt."""
+        """Start an attempt, with a hand-over of its prompt's cache if it has one."""
+        if not self._handover.start(ticket, attempt, body):
+            self.send(ticket, attempt, body)
+
+    def send(self, ticket: int, attempt: contract.Attempt, body: bytes) -> None:
+        """Send an attempt to its target."""
         headers = {
             "Content-Type": "application/json",
             "Accept": "text/event-stream",
@@ -101,6 +107,7 @@
 
     def stop(self) -> None:
         """End the threads after the calls that have begun."""
+        self._handover.stop()
         self._openers.shutdown(wait=True, cancel_futures=True)
         self._resumers.shutdown(wait=True, cancel_futures=True)
         self._cancellers.shutdown(wait=True, cancel_futures=False)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -5,6 +5,7 @@
 import argparse
 import asyncio
 import json
+import os
 import time
 import uuid
 from typing import Any
@@ -227,11 +228,16 @@
         if not self._cache.contains(prefix_hash):
             return RequestError(404, "not cached", "not_cached").make_response()
         head = json.dumps({"prefix_hash": prefix_hash}).encode()
+        if self._faults.crash_on_kv == "export":
+            # Long enough for the answer to leave.
+            asyncio.get_running_loop().call_later(0.02, os._exit, 70)
         padding = bytes(completions.PREFIX_BLOCK_BYTES * 16)
         return web.Response(body=head + b"\n" + padding)
 
     async def import_kv(self, request: web.Request) -> web.Response:
         """Store an exported cache block."""
+        if self._faults.crash_on_kv == "import":
+            os._exit(70)
         head, _, _ = (await request.read()).partition(b"\n")
         self._cache.store([json.loads(head)["prefix_hash"]])
         return web.json_response({})
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -28,6 +28,8 @@
     :param drop_after: the next stream that has sent N tokens loses its connection
     :param reject: next N requests (all when true) get 503 with ``not-run``
     :param crash_on: the process ends when a prompt with this text starts to run
+    :param crash_on_kv: the process ends after the export of a block has been answered
+        (``export``), or when the import of one arrives (``import``)
     :param lag_s: age of load reports, or of the list of VMs
     :param gap_share: share of cache events that are left out
     :param ignore_fencing: orders with an old number are carried out
@@ -43,6 +45,7 @@
     drop_after: int | None = None
     reject: bool | int = 0
     crash_on: str = ""
+    crash_on_kv: str = ""
     lag_s: float | None = None
     gap_share: float | None = None
     ignore_fencing: bool | None = None
