--- a/bench/bars.py
+++ b/bench/bars.py
@@ -6,8 +6,8 @@
 import dataclasses
 import json
 import pathlib
-from collections.abc import Callable
-from typing import Any
+import typing
+from collections import abc
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,12 +36,14 @@
             f" (target at most {self.target:g}{unit})"
         )
 
-    def describe(self) -> dict[str, Any]:
+    def describe(self) -> dict[str, typing.Any]:
         """Return the bar as a JSON object."""
         return {**dataclasses.asdict(self), "holds": self.holds}
 
 
-def run_main(run: Callable[[], dict[str, Any]], description: str | None) -> int:
+def run_main(
+    run: abc.Callable[[], dict[str, typing.Any]], description: str | None
+) -> int:
     """Run a measurement as a program and return its exit status.
 
     :param run: returns the figures with the key ``bars``
@@ -51,7 +53,7 @@
     return finish(run(), parser.parse_args().output)
 
 
-def finish(figures: dict[str, Any], output: pathlib.Path | None) -> int:
+def finish(figures: dict[str, typing.Any], output: pathlib.Path | None) -> int:
     """Write the figures and return 1 when a bar does not hold."""
     if output is not None:
         output.write_text(json.dumps(figures, indent=2) + "\n")
--- a/bench/batch.py
+++ b/bench/batch.py
@@ -13,8 +13,8 @@
 import sys
 import threading
 import time
-from collections.abc import Callable
-from typing import Any
+import typing
+from collections import abc
 
 import psutil
 
@@ -52,7 +52,7 @@
             self.largest = max(self.largest, self._process.memory_info().rss)
 
 
-def measure_large(item_count: int) -> dict[str, Any]:
+def measure_large(item_count: int) -> dict[str, typing.Any]:
     """Upload, run and read one large job; return its figures."""
     plan = fleet.FleetPlan(
         daemons=0,
@@ -88,7 +88,9 @@
     }
 
 
-def _upload(object_store: Any, table_store: Any, item_count: int) -> float:
+def _upload(
+    object_store: typing.Any, table_store: typing.Any, item_count: int
+) -> float:
     """Feed a generated file through the segment writer, as an upload does."""
     begin_s = time.monotonic()
     writer = segments.SegmentWriter(object_store, "bench")
@@ -104,7 +106,7 @@
     return time.monotonic() - begin_s
 
 
-def _run_job(table_store: Any, object_store: Any) -> records.Job:
+def _run_job(table_store: typing.Any, object_store: typing.Any) -> records.Job:
     system = clock.SystemClock()
     hub = batch_local.Hub(batch_parts.make_snapshot())
     attempts.send = batch_parts.answer_at_once
@@ -128,7 +130,7 @@
     return job
 
 
-def measure_kill(item_count: int) -> dict[str, Any]:
+def measure_kill(item_count: int) -> dict[str, typing.Any]:
     """Kill one of three daemons in the middle of a job; return the repeated work."""
     running = batch_fleet.BatchFleet(daemons=3, engines=3, token_ms=4.0)
     try:
@@ -158,7 +160,7 @@
     }
 
 
-def run_large(item_count: int) -> tuple[dict[str, Any], list[str]]:
+def run_large(item_count: int) -> tuple[dict[str, typing.Any], list[str]]:
     """Measure the large job; return figures and missed targets."""
     large = measure_large(item_count)
     problems: list[str] = []
@@ -171,7 +173,7 @@
     return large, problems
 
 
-def run_kill(item_count: int) -> tuple[dict[str, Any], list[str]]:
+def run_kill(item_count: int) -> tuple[dict[str, typing.Any], list[str]]:
     """Measure the work repeated after a kill; return figures and missed targets."""
     kill = measure_kill(item_count)
     problems: list[str] = []
@@ -180,7 +182,7 @@
     return kill, problems
 
 
-def run_order() -> tuple[dict[str, Any], list[str]]:
+def run_order() -> tuple[dict[str, typing.Any], list[str]]:
     """Replay the recorded mix; return figures and missed targets."""
     order = batch_mix.measure()
     problems = [
@@ -199,12 +201,12 @@
     parser.add_argument("--kill-items", type=int, default=8192)
     parser.add_argument("--output", type=pathlib.Path, help="file for the figures")
     arguments = parser.parse_args()
-    parts: dict[str, Callable[[], tuple[dict[str, Any], list[str]]]] = {
+    parts: dict[str, abc.Callable[[], tuple[dict[str, typing.Any], list[str]]]] = {
         "large": lambda: run_large(arguments.items),
         "kill": lambda: run_kill(arguments.kill_items),
         "order": run_order,
     }
-    figures: dict[str, Any] = {}
+    figures: dict[str, typing.Any] = {}
     problems: list[str] = []
     for name in arguments.parts:
         figures[name], found = parts[name]()
--- a/bench/batch_mix.py
+++ b/bench/batch_mix.py
@@ -10,8 +10,8 @@
 import json
 import pathlib
 import random
-from collections.abc import Callable, Sequence
-from typing import Any
+import typing
+from collections import abc
 
 from endivevane.batch import picking, records, segments
 
@@ -28,10 +28,10 @@
     items_left: int
 
 
-_Choose = Callable[[Sequence[_Job], float], _Job]
+_Choose = abc.Callable[[abc.Sequence[_Job], float], _Job]
 
 
-def measure() -> dict[str, Any]:
+def measure() -> dict[str, typing.Any]:
     """Replay the mix in each order; return the shares of jobs in time by load."""
     mix = json.loads(MIX.read_text())
     total = sum(item["items"] for item in mix["jobs"])
@@ -45,7 +45,9 @@
     return {"jobs": len(mix["jobs"]), "items": total, "shares_in_time": shares}
 
 
-def _replay(entries: Sequence[dict[str, Any]], choose: _Choose, rate: float) -> float:
+def _replay(
+    entries: abc.Sequence[dict[str, typing.Any]], choose: _Choose, rate: float
+) -> float:
     """Give the whole capacity to one chunk at a time; return the share in time."""
     waiting = [_make_job(entry) for entry in entries]
     waiting.sort(key=lambda job: job.arrives_s)
@@ -68,16 +70,16 @@
     return round(in_time / len(entries), 3)
 
 
-def _choose_first(present: Sequence[_Job], _now_s: float) -> _Job:
+def _choose_first(present: abc.Sequence[_Job], _now_s: float) -> _Job:
     return present[0]
 
 
-def _choose_earliest(present: Sequence[_Job], _now_s: float) -> _Job:
+def _choose_earliest(present: abc.Sequence[_Job], _now_s: float) -> _Job:
     return min(present, key=lambda job: job.open_job.deadline_ms)
 
 
 def _make_choose_ordered(rate: float) -> _Choose:
-    def choose(present: Sequence[_Job], now_s: float) -> _Job:
+    def choose(present: abc.Sequence[_Job], now_s: float) -> _Job:
         by_id = {job.open_job.job_id: job for job in present}
         candidates = [
             picking.Candidate(job.open_job, job.items_left) for job in present
@@ -88,14 +90,14 @@
     return choose
 
 
-_ORDERS: dict[str, Callable[[float], _Choose]] = {
+_ORDERS: dict[str, abc.Callable[[float], _Choose]] = {
     "first_come": lambda _rate: _choose_first,
     "earliest_deadline": lambda _rate: _choose_earliest,
     "deadline_order": _make_choose_ordered,
 }
 
 
-def _make_job(entry: dict[str, Any]) -> _Job:
+def _make_job(entry: dict[str, typing.Any]) -> _Job:
     open_job = records.OpenJob(
         job_id=entry["job"],
         organisation=entry["organisation"],
@@ -113,7 +115,7 @@
     """Write the mix; run once, the file is kept so that later runs compare."""
     generator = random.Random(_SEED)
     night_s = 8 * 3600.0
-    jobs: list[dict[str, Any]] = []
+    jobs: list[dict[str, typing.Any]] = []
 
     def add(kind: str, arrives_s: float, items: int, window_s: float) -> None:
         jobs.append(
--- a/bench/batch_parts.py
+++ b/bench/batch_parts.py
@@ -4,7 +4,7 @@
 
 import collections
 import time
-from typing import Any
+import typing
 
 from endivevane import types, utils
 from endivevane.batch import attempts, items, jobs, records, results, segments
@@ -110,7 +110,7 @@
     return sum(part.count(b"\n") for part in reader.read(job_id, is_errors=False))
 
 
-def count_calls(record: dict[str, Any]) -> collections.Counter[str]:
+def count_calls(record: dict[str, typing.Any]) -> collections.Counter[str]:
     """Return row writes and reads of all tables; a scan counts as one read."""
     counts: collections.Counter[str] = collections.Counter()
     for entry in record["tables"].values():
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -9,7 +9,7 @@
 import json
 import pathlib
 import sys
-from typing import Any
+import typing
 
 from bench import lines
 
@@ -47,7 +47,7 @@
 
 def main() -> int:
     """Print the table."""
-    results: dict[str, Any] = json.loads(_RESULTS.read_text())
+    results: dict[str, typing.Any] = json.loads(_RESULTS.read_text())
     rows = [*_list_online(results), *_list_control(results), *_list_batch(results)]
     print("| part | formula | value | limit |")
     print("|---|---|---|---|")
@@ -56,7 +56,7 @@
     return 0
 
 
-def _list_online(results: dict[str, Any]) -> list[Row]:
+def _list_online(results: dict[str, typing.Any]) -> list[Row]:
     rate = REQUESTS_S / DAEMONS
     tokens = TOKENS_S / DAEMONS
     streams = tokens * TOKEN_S
@@ -94,14 +94,14 @@
     ]
 
 
-def _find_side(figures: dict[str, Any], name: str) -> dict[str, Any]:
-    side: dict[str, Any] = next(
+def _find_side(figures: dict[str, typing.Any], name: str) -> dict[str, typing.Any]:
+    side: dict[str, typing.Any] = next(
         item for item in figures["sides"] if item["name"] == name
     )
     return side
 
 
-def _list_control(results: dict[str, Any]) -> list[Row]:
+def _list_control(results: dict[str, typing.Any]) -> list[Row]:
     rate = REQUESTS_S / DAEMONS
     rows = []
     if "members" in results:
@@ -144,7 +144,7 @@
     return rows
 
 
-def _list_batch(results: dict[str, Any]) -> list[Row]:
+def _list_batch(results: dict[str, typing.Any]) -> list[Row]:
     large = results["batch"]["large"]
     items_s = ITEMS_DAY / DAY_S
     writes = items_s * large["writes_per_1000"] / 1000
--- a/bench/decision_parts.py
+++ b/bench/decision_parts.py
@@ -4,7 +4,7 @@
 
 import itertools
 import random
-from typing import Any
+import typing
 
 from endivevane import types
 from endivevane.configuration import snapshot
@@ -18,7 +18,7 @@
 
 
 def make_snapshot(
-    targets: int, slots: int, online: dict[str, Any] | None = None
+    targets: int, slots: int, online: dict[str, typing.Any] | None = None
 ) -> snapshot.Snapshot:
     """Return a snapshot with one model service in one zone."""
     members = [
@@ -50,7 +50,7 @@
     return snapshot.build_snapshot(1, documents)
 
 
-def make_report(running: int, waiting: int, slots: int, as_of_s: float) -> Any:
+def make_report(running: int, waiting: int, slots: int, as_of_s: float) -> typing.Any:
     """Return a load report of a target with the model loaded."""
     return engine.LoadReport(
         as_of_s=as_of_s,
--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -7,7 +7,6 @@
 import random
 import tomllib
 import typing
-from typing import Any, Literal
 
 import pydantic
 
@@ -33,7 +32,7 @@
     :param phases: later rates, in the order of their times
     """
 
-    kind: Literal["exponential", "fixed"] = "exponential"
+    kind: typing.Literal["exponential", "fixed"] = "exponential"
     rate_per_s: float = pydantic.Field(gt=0)
     phases: tuple[Phase, ...] = ()
 
@@ -80,7 +79,7 @@
     arrivals: Arrivals
     calls: tuple[CallKind, ...] = pydantic.Field(min_length=1)
 
-    def change(self, **changes: Any) -> typing.Self:
+    def change(self, **changes: typing.Any) -> typing.Self:
         """Return a copy with changed fields, validated."""
         return type(self).model_validate({**self.model_dump(), **changes})
 
@@ -98,7 +97,7 @@
     prompt: str
 
     @property
-    def messages(self) -> list[dict[str, Any]]:
+    def messages(self) -> list[dict[str, typing.Any]]:
         """The messages of the call."""
         return [{"role": "user", "content": self.prompt}]
 
--- a/bench/histograms.py
+++ b/bench/histograms.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+import typing
 
 from hdrh import histogram
 
@@ -33,7 +33,7 @@
         """Return a percentile in milliseconds; 0 when nothing was recorded."""
         return float(self._histogram.get_value_at_percentile(percentile)) / 1000
 
-    def summarise(self) -> dict[str, Any]:
+    def summarise(self) -> dict[str, typing.Any]:
         """Return count, mean, percentiles and the encoded histogram."""
         if not self.count:
             return {"count": 0}
--- a/bench/isolation.py
+++ b/bench/isolation.py
@@ -15,7 +15,7 @@
 import sys
 import threading
 import time
-from typing import Any
+import typing
 
 import aiohttp
 
@@ -62,7 +62,7 @@
     complete: int = 0
     batch_use_share: float = 0.0
 
-    def describe(self) -> dict[str, Any]:
+    def describe(self) -> dict[str, typing.Any]:
         """Return the figures as a JSON object."""
         return {
             "calls": self.calls,
@@ -77,14 +77,16 @@
 CASES = (Case("steady 70%", 0.7), Case("3x burst", 0.233, 3.0))
 
 
-def run(has_baseline: bool = True, reserve_slots: int | None = None) -> dict[str, Any]:
+def run(
+    has_baseline: bool = True, reserve_slots: int | None = None
+) -> dict[str, typing.Any]:
     """Run all cases and return results and bars.
 
     :param has_baseline: whether to measure the case without isolation too
     :param reserve_slots: slots per target that batch leaves free; ``None`` for the
         default of the configuration
     """
-    changes: dict[str, Any] = {}
+    changes: dict[str, typing.Any] = {}
     if reserve_slots is not None:
         changes = {"batch": {"online_reserve_slots": reserve_slots}}
     plan = fleet.FleetPlan(
@@ -96,7 +98,7 @@
         daemon_settings={"batch": {"concurrent_items": 64}},
         model_service=changes,
     )
-    results: dict[str, Any] = {}
+    results: dict[str, typing.Any] = {}
     found: list[bars.Bar] = []
     for case in CASES:
         # A new fleet for each case: the flood leaves a queue in the engines.
@@ -256,7 +258,7 @@
                 await response.read()
 
 
-def _make_body(running: fleet.Fleet, text: str) -> dict[str, Any]:
+def _make_body(running: fleet.Fleet, text: str) -> dict[str, typing.Any]:
     return {
         "model": running.plan.model,
         "messages": [{"role": "user", "content": f"record {text}"}],
--- a/bench/lines.py
+++ b/bench/lines.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections import abc
 
 
-def fit(points: Sequence[tuple[float, float]]) -> tuple[float, float]:
+def fit(points: abc.Sequence[tuple[float, float]]) -> tuple[float, float]:
     """Return intercept and slope of the least-squares line."""
     count = len(points)
     mean_x = sum(x for x, _ in points) / count
@@ -16,7 +16,7 @@
 
 
 def compute_residual(
-    points: Sequence[tuple[float, float]], line: tuple[float, float]
+    points: abc.Sequence[tuple[float, float]], line: tuple[float, float]
 ) -> float:
     """Return the largest distance of a point from the line."""
     intercept, slope = line
--- a/bench/link_shares.py
+++ b/bench/link_shares.py
@@ -9,7 +9,7 @@
 
 import random
 import sys
-from typing import Any
+import typing
 
 import orjson
 
@@ -78,7 +78,7 @@
             self.daemons[target].receive(need)
 
 
-def run() -> dict[str, Any]:
+def run() -> dict[str, typing.Any]:
     """Measure both ways; return results and bars."""
     rows: dict[str, dict[str, float]] = {}
     for count in (9, 170):
--- a/bench/load.py
+++ b/bench/load.py
@@ -16,8 +16,8 @@
 import json
 import pathlib
 import sys
-from collections.abc import Sequence
-from typing import Any
+import typing
+from collections import abc
 
 import aiohttp
 
@@ -83,7 +83,7 @@
         default_factory=histograms.Durations
     )
 
-    def describe(self) -> dict[str, Any]:
+    def describe(self) -> dict[str, typing.Any]:
         """Return the result as a JSON object; times are milliseconds."""
         return {
             "calls": self.calls,
@@ -110,7 +110,7 @@
     start_delay: histograms.Durations
     outcomes: list[CallOutcome]
 
-    def describe(self) -> dict[str, Any]:
+    def describe(self) -> dict[str, typing.Any]:
         """Return the results as a JSON object."""
         return {
             "experiment": self.experiment.model_dump(),
@@ -120,7 +120,9 @@
 
 
 def run_load(
-    experiment: experiments.Experiment, urls: Sequence[str], api_key: str | None = None
+    experiment: experiments.Experiment,
+    urls: abc.Sequence[str],
+    api_key: str | None = None,
 ) -> LoadResult:
     """Run an experiment to its end.
 
@@ -131,7 +133,9 @@
 
 
 async def run(
-    experiment: experiments.Experiment, urls: Sequence[str], api_key: str | None = None
+    experiment: experiments.Experiment,
+    urls: abc.Sequence[str],
+    api_key: str | None = None,
 ) -> LoadResult:
     """Run an experiment inside an event loop."""
     schedule = experiments.make_schedule(experiment)
@@ -154,7 +158,7 @@
 
 
 @contextlib.contextmanager
-def _paused_collector() -> Any:
+def _paused_collector() -> typing.Any:
     """Keep pauses of the garbage collector out of the measured times."""
     was_enabled = gc.isenabled()
     gc.collect()
@@ -241,7 +245,7 @@
 
 
 def _collect(
-    experiment: experiments.Experiment, outcomes: Sequence[CallOutcome]
+    experiment: experiments.Experiment, outcomes: abc.Sequence[CallOutcome]
 ) -> LoadResult:
     result = LoadResult(
         experiment,
--- a/bench/member_worker.py
+++ b/bench/member_worker.py
@@ -10,7 +10,7 @@
 import sys
 import threading
 import time
-from collections.abc import Iterable, Mapping
+from collections import abc
 
 import psutil
 
@@ -85,7 +85,7 @@
         print("report " + json.dumps(line), flush=True)
 
 
-def _add_up(parts: Iterable[Mapping[str, int]]) -> dict[str, int]:
+def _add_up(parts: abc.Iterable[abc.Mapping[str, int]]) -> dict[str, int]:
     total: collections.Counter[str] = collections.Counter()
     for part in parts:
         total.update(part)
--- a/bench/members.py
+++ b/bench/members.py
@@ -13,7 +13,7 @@
 import pathlib
 import sys
 import time
-from typing import Any
+import typing
 
 import zmq
 
@@ -94,7 +94,7 @@
         )
         return time.monotonic() - started_s
 
-    def report(self) -> list[dict[str, Any]]:
+    def report(self) -> list[dict[str, typing.Any]]:
         """Return the last report of each worker."""
         lines = []
         for worker in self._workers:
@@ -144,7 +144,9 @@
             time.sleep(0.1)
         return None
 
-    def _wait(self, is_done: Any, limit_s: float) -> list[dict[str, Any]] | None:
+    def _wait(
+        self, is_done: typing.Any, limit_s: float
+    ) -> list[dict[str, typing.Any]] | None:
         deadline_s = time.monotonic() + limit_s
         while time.monotonic() < deadline_s:
             lines = self.report()
@@ -154,7 +156,7 @@
         print(f"limit of {limit_s} s reached", [_brief(line) for line in lines])
         return None
 
-    def _make_settings(self) -> list[dict[str, Any]]:
+    def _make_settings(self) -> list[dict[str, typing.Any]]:
         addresses = [self._ports.reserve_address() for _ in range(self.size)]
         pairs = [
             [key.decode() for key in zmq.curve_keypair()] for _ in range(self.size)
@@ -164,7 +166,7 @@
         for number, address in enumerate(addresses):
             zone, region = _ZONES[number % len(_ZONES)]
             public, secret = pairs[number]
-            document: dict[str, Any] = {
+            document: dict[str, typing.Any] = {
                 "daemon": {
                     "name": f"d{number:03d}",
                     "zone": zone,
@@ -189,7 +191,7 @@
 
 def measure(
     size: int, duration_s: float, settle_s: float, has_keys: bool = True
-) -> dict[str, Any]:
+) -> dict[str, typing.Any]:
     """Return the figures of one cluster size.
 
     :param settle_s: wait before the measurement; all members start at once here, and
@@ -232,7 +234,7 @@
     }
 
 
-def compare(row: dict[str, Any]) -> dict[str, bool]:
+def compare(row: dict[str, typing.Any]) -> dict[str, bool]:
     """Return which targets hold for one size."""
     limit_s = _IN_FORCE_SMALL_S if row["members"] <= 9 else TARGETS["in_force_s"]
     times = row["in_force_s"]
@@ -260,7 +262,7 @@
         )
         rows.append(row)
         print({**row, "holds": compare(row)}, flush=True)
-    summary: dict[str, Any] = {"targets": TARGETS, "rows": rows, "lines": {}}
+    summary: dict[str, typing.Any] = {"targets": TARGETS, "rows": rows, "lines": {}}
     if len(rows) > 1:
         for key in ("messages_per_s", "bytes_per_s", "cpu_share", "memory_bytes"):
             points = [(float(row["members"]), float(row[key])) for row in rows]
@@ -276,16 +278,16 @@
 
 
 def _differ(
-    before: list[dict[str, Any]], after: list[dict[str, Any]], key: str
+    before: list[dict[str, typing.Any]], after: list[dict[str, typing.Any]], key: str
 ) -> list[float]:
     return [later[key] - line[key] for line, later in zip(before, after, strict=True)]
 
 
-def _brief(line: dict[str, Any]) -> dict[str, Any]:
+def _brief(line: dict[str, typing.Any]) -> dict[str, typing.Any]:
     return {key: line[key] for key in ("ready", "members", "least_known", "counts")}
 
 
-def _service(number: int, version: int) -> dict[str, Any]:
+def _service(number: int, version: int) -> dict[str, typing.Any]:
     return {
         "kind": "service",
         "name": f"s{number}",
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import sys
-from typing import Any
+import typing
 
 from bench import bars
 from features.support import engine_groups
@@ -28,7 +28,7 @@
 _MAX_ROUNDS = 200
 
 
-def run() -> dict[str, Any]:
+def run() -> dict[str, typing.Any]:
     """Measure both placements and return results and bars."""
     fixed, by_demand = _measure(follows=False), _measure(follows=True)
     for name, figures in (("fixed", fixed), ("by demand", by_demand)):
@@ -48,7 +48,7 @@
     return {"fixed": fixed, "by_demand": by_demand, "bars": described}
 
 
-def _measure(follows: bool) -> dict[str, Any]:
+def _measure(follows: bool) -> dict[str, typing.Any]:
     declared = [
         engine_groups.make_model(name, replicas) for name, replicas in _DECLARED.items()
     ]
@@ -79,11 +79,11 @@
     }
 
 
-def _count_loads(group: Any) -> int:
+def _count_loads(group: typing.Any) -> int:
     return sum(order.action == "load_model" for _, order, _ in group.orders)
 
 
-def _count_unserved(group: Any, demand: dict[str, float]) -> float:
+def _count_unserved(group: typing.Any, demand: dict[str, float]) -> float:
     """Return the slots of demand that no engine with the model has free.
 
     Small units go to the emptiest holder; the models with fewer holders come first,
@@ -106,7 +106,7 @@
     return unserved
 
 
-def _lose_half(group: Any) -> float:
+def _lose_half(group: typing.Any) -> float:
     """Lose half of the engines, first those with ``c``; return the recovery time."""
     engines = sorted(
         group.live(), key=lambda item: (("c", "1") not in item.held, item.name)
--- a/bench/plots.py
+++ b/bench/plots.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pathlib
-from typing import Any
+import typing
 
 import matplotlib
 
@@ -12,7 +12,7 @@
 from matplotlib import pyplot
 
 
-def draw(results: dict[str, Any], folder: pathlib.Path) -> None:
+def draw(results: dict[str, typing.Any], folder: pathlib.Path) -> None:
     """Draw a plot for each measurement that is in the results."""
     if "isolation" in results:
         _draw_isolation(results["isolation"], folder / "isolation.png")
@@ -22,7 +22,7 @@
         _draw_members(results["members"], folder / "members.png")
 
 
-def _draw_isolation(figures: dict[str, Any], path: pathlib.Path) -> None:
+def _draw_isolation(figures: dict[str, typing.Any], path: pathlib.Path) -> None:
     figure, axes = pyplot.subplots(figsize=(7, 3.5))
     labels, values = [], []
     for case, runs in figures["results"].items():
@@ -36,7 +36,7 @@
     _save(figure, path)
 
 
-def _draw_retries(figures: dict[str, Any], path: pathlib.Path) -> None:
+def _draw_retries(figures: dict[str, typing.Any], path: pathlib.Path) -> None:
     figure, axes = pyplot.subplots(figsize=(6, 3.5))
     rows = figures["results"]
     shares = [row["failing_share"] * 100 for row in rows]
@@ -50,7 +50,7 @@
     _save(figure, path)
 
 
-def _draw_members(figures: dict[str, Any], path: pathlib.Path) -> None:
+def _draw_members(figures: dict[str, typing.Any], path: pathlib.Path) -> None:
     figure, axes = pyplot.subplots(figsize=(6, 3.5))
     rows = figures["rows"]
     sizes = [row["members"] for row in rows]
@@ -65,7 +65,7 @@
     _save(figure, path)
 
 
-def _save(figure: Any, path: pathlib.Path) -> None:
+def _save(figure: typing.Any, path: pathlib.Path) -> None:
     figure.tight_layout()
     figure.savefig(path, dpi=110)
     pyplot.close(figure)
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -17,7 +17,7 @@
 import json
 import pathlib
 import sys
-from typing import Any
+import typing
 
 import psutil
 
@@ -68,7 +68,7 @@
         for counter in (result.refused, result.problems):
             self.problems += [f"{count} x {text}" for text, count in counter.items()]
 
-    def describe(self) -> dict[str, Any]:
+    def describe(self) -> dict[str, typing.Any]:
         """Return the side as a JSON object."""
         return {
             "name": self.name,
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import sys
-from typing import Any
+import typing
 
 from bench import bars, experiment, lines, load, processor
 from tools import fleet
@@ -21,7 +21,7 @@
 _MAX_SHARE = 0.1
 
 
-def run() -> dict[str, Any]:
+def run() -> dict[str, typing.Any]:
     """Measure all rates and return points, line and bars."""
     plan = fleet.FleetPlan(
         daemons=1,
--- a/bench/retries.py
+++ b/bench/retries.py
@@ -9,7 +9,7 @@
 
 import random
 import sys
-from typing import Any
+import typing
 
 from bench import bars, decision_parts
 from endivevane.coordination import clock
@@ -23,7 +23,7 @@
 _MAX_SENDS = 1.2
 
 
-def run() -> dict[str, Any]:
+def run() -> dict[str, typing.Any]:
     """Measure all shares and return results and bars."""
     results = []
     found = []
@@ -58,7 +58,7 @@
     sends = answered = 0
     for _ in range(_REQUESTS):
         run_clock.advance(_DURATION_S / _REQUESTS)
-        decision: Any = made.submit(requests.make())
+        decision: typing.Any = made.submit(requests.make())
         while isinstance(decision, contract.Send):
             sends += 1
             if generator.random() >= share:
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -10,7 +10,7 @@
 
 import sys
 import time
-from typing import Any
+import typing
 
 from bench import bars, decision_parts, routing_model
 from endivevane.coordination import clock
@@ -29,7 +29,7 @@
 _MAX_DECISION_US = 281.0
 
 
-def run() -> dict[str, Any]:
+def run() -> dict[str, typing.Any]:
     """Measure the policies and the cost; return results and bars."""
     policies = {name: routing_model.simulate(name) for name in routing_model.POLICIES}
     for name, row in policies.items():
--- a/bench/routing_model.py
+++ b/bench/routing_model.py
@@ -7,7 +7,7 @@
 import itertools
 import random
 import statistics
-from typing import Any
+import typing
 
 from bench import decision_parts
 from endivevane.coordination import clock
@@ -38,8 +38,8 @@
 
     def __init__(self) -> None:
         self.running = 0
-        self.waiting: collections.deque[Any] = collections.deque()
-        self.events: list[dict[str, Any]] = []
+        self.waiting: collections.deque[typing.Any] = collections.deque()
+        self.events: list[dict[str, typing.Any]] = []
         self._cache: collections.OrderedDict[int, None] = collections.OrderedDict()
         self._numbers = itertools.count(1)
 
@@ -87,9 +87,9 @@
         ]
         self._engines = {f"t{index}": Engine() for index in range(_TARGETS)}
         self._reported = dict.fromkeys(self._engines, 0)
-        self._agenda: list[tuple[float, int, Any]] = []
+        self._agenda: list[tuple[float, int, typing.Any]] = []
         self._order = itertools.count()
-        self._jobs: dict[str, Any] = {}
+        self._jobs: dict[str, typing.Any] = {}
         self._waits: list[float] = []
         self._blocks = self._hits = 0
         self._spreads: list[float] = []
@@ -117,7 +117,7 @@
             "answered": float(len(self._waits)),
         }
 
-    def _plan(self, at_s: float, action: Any, *arguments: Any) -> None:
+    def _plan(self, at_s: float, action: typing.Any, *arguments: typing.Any) -> None:
         heapq.heappush(self._agenda, (at_s, next(self._order), (action, arguments)))
 
     def _arrive(self, number: int, group: int, decode_s: float) -> None:
@@ -140,7 +140,7 @@
         pair = self._random.sample(names, 2)
         return min(pair, key=lambda name: self._reported[name])
 
-    def _act(self, daemon: Any, decision: Any) -> None:
+    def _act(self, daemon: typing.Any, decision: typing.Any) -> None:
         if isinstance(decision, contract.Send):
             attempt = decision.attempt
             job = self._jobs.pop(attempt.request.request_id)
@@ -148,7 +148,9 @@
         elif isinstance(decision, contract.Refuse):
             raise AssertionError(decision.error)
 
-    def _enter(self, name: str, job: Any, daemon: Any, attempt: Any) -> None:
+    def _enter(
+        self, name: str, job: typing.Any, daemon: typing.Any, attempt: typing.Any
+    ) -> None:
         self._engines[name].waiting.append((job, daemon, attempt))
         self._start(name)
 
@@ -167,7 +169,7 @@
                 self._plan(first_s, daemon.record_first_token, attempt)
             self._plan(first_s + decode_s, self._finish, name, daemon, attempt)
 
-    def _finish(self, name: str, daemon: Any, attempt: Any) -> None:
+    def _finish(self, name: str, daemon: typing.Any, attempt: typing.Any) -> None:
         self._engines[name].running -= 1
         self._start(name)
         if daemon is None:
@@ -190,7 +192,9 @@
         if now_s < end_s:
             self._plan(now_s + _REPORT_S, self._report, name, end_s)
 
-    def _hear(self, name: str, report: Any, events: list[dict[str, Any]]) -> None:
+    def _hear(
+        self, name: str, report: typing.Any, events: list[dict[str, typing.Any]]
+    ) -> None:
         self._reported[name] = report.running + report.waiting
         for daemon in self._schedulers:
             daemon.set_load(name, report)
--- a/bench/run.py
+++ b/bench/run.py
@@ -14,8 +14,8 @@
 import subprocess
 import sys
 import time
-from collections.abc import Iterator
-from typing import Any
+import typing
+from collections import abc
 
 from bench import plots
 
@@ -50,7 +50,9 @@
     _BUILD.mkdir(exist_ok=True)
     _RESULTS.mkdir(exist_ok=True)
     path = _RESULTS / "results.json"
-    former: dict[str, Any] = json.loads(path.read_text()) if path.exists() else {}
+    former: dict[str, typing.Any] = (
+        json.loads(path.read_text()) if path.exists() else {}
+    )
     results = dict(former)
     failed = []
     for name in arguments.names:
@@ -66,7 +68,7 @@
     return 1 if failed else 0
 
 
-def _run(name: str) -> tuple[int, dict[str, Any] | None]:
+def _run(name: str) -> tuple[int, dict[str, typing.Any] | None]:
     """Run one measurement; return its status and figures."""
     output = _BUILD / f"bench-{name}.json"
     output.unlink(missing_ok=True)
@@ -92,7 +94,7 @@
     return status, json.loads(output.read_text())
 
 
-def _compare(name: str, former: Any, figures: Any) -> None:
+def _compare(name: str, former: typing.Any, figures: typing.Any) -> None:
     """Print the figures that changed by more than a tenth since the last results."""
     before = dict(_flatten(former)) if former is not None else {}
     for key, value in _flatten(figures):
@@ -102,7 +104,7 @@
         print(f"   changed: {name}.{key}: {old:.4g} -> {value:.4g}", flush=True)
 
 
-def _flatten(value: Any, prefix: str = "") -> Iterator[tuple[str, float]]:
+def _flatten(value: typing.Any, prefix: str = "") -> abc.Iterator[tuple[str, float]]:
     if isinstance(value, bool):
         return
     if isinstance(value, int | float):
@@ -115,7 +117,7 @@
             yield from _flatten(item, f"{prefix}.{index}")
 
 
-def _drop_histograms(value: Any) -> Any:
+def _drop_histograms(value: typing.Any) -> typing.Any:
     """Return the results without encoded histograms, which change with each run."""
     if isinstance(value, dict):
         return {
--- a/src/endivevane/batch/api.py
+++ b/src/endivevane/batch/api.py
@@ -4,8 +4,8 @@
 
 import itertools
 import threading
-from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
-from typing import Any
+import typing
+from collections import abc
 
 import werkzeug.wrappers
 
@@ -35,7 +35,7 @@
         object_store: ports.ObjectStore,
         api_clock: clock.Clock,
         max_upload_bytes: int,
-        notify_cancelled: Callable[[str, Collection[str]], None],
+        notify_cancelled: abc.Callable[[str, abc.Collection[str]], None],
     ) -> None:
         self._files = files.FileService(table_store, object_store, api_clock)
         self._jobs = jobs.JobService(table_store, api_clock)
@@ -44,7 +44,7 @@
         self._notify_cancelled = notify_cancelled
         self._uploads = threading.BoundedSemaphore(_MAX_UPLOADS)
 
-    def routes(self) -> Sequence[app.Route]:
+    def routes(self) -> abc.Sequence[app.Route]:
         """Return the routes for :class:`app.Application`."""
         limit = self._max_upload_bytes
         return [
@@ -149,7 +149,7 @@
             raise _mark_done(error) from error
 
 
-def describe_job(job: records.Job, tally: records.Tally) -> dict[str, Any]:
+def describe_job(job: records.Job, tally: records.Tally) -> dict[str, typing.Any]:
     """Return the JSON of the OpenAI batch object."""
     ended_s = job.ended_ms // 1000 if job.ended_ms is not None else None
     is_kept = job.expired_ms is None
@@ -204,7 +204,7 @@
 
 
 def _make_list(
-    data: list[dict[str, Any]], has_more: bool
+    data: list[dict[str, typing.Any]], has_more: bool
 ) -> werkzeug.wrappers.Response:
     return app.make_json_response(
         {
@@ -217,7 +217,7 @@
     )
 
 
-def _make_stream(parts: Iterator[bytes]) -> werkzeug.wrappers.Response:
+def _make_stream(parts: abc.Iterator[bytes]) -> werkzeug.wrappers.Response:
     """Return a streamed response; a failure on the first part is still an error."""
     first = next(parts, b"")
     whole = itertools.chain([first], parts)
@@ -226,7 +226,7 @@
     )
 
 
-def _split_parts(parts: Iterable[bytes]) -> Iterator[bytes]:
+def _split_parts(parts: abc.Iterable[bytes]) -> abc.Iterator[bytes]:
     """Yield small pieces: the server moves larger ones to a temporary file."""
     for part in parts:
         for start in range(0, len(part), _PIECE_BYTES):
--- a/src/endivevane/batch/attempts.py
+++ b/src/endivevane/batch/attempts.py
@@ -5,7 +5,7 @@
 import dataclasses
 import enum
 import threading
-from typing import Any
+import typing
 
 import result
 
@@ -48,7 +48,7 @@
     kind: Kind
     detail: str = ""
     status: int = 0
-    body: Any = None
+    body: typing.Any = None
     is_death: bool = False
 
 
--- a/src/endivevane/batch/cancelling.py
+++ b/src/endivevane/batch/cancelling.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Collection
-from typing import Any
+import typing
+from collections import abc
 
 from endivevane.batch import messages, ports, sending
 
@@ -26,7 +26,7 @@
         self._waiting: dict[str, set[str]] = {}
         cluster.register(ports.JOB_CANCELLED, self._receive)
 
-    def notify(self, job_id: str, owners: Collection[str]) -> bool:
+    def notify(self, job_id: str, owners: abc.Collection[str]) -> bool:
         """Tell every live daemon; called after the cancel was written.
 
         :param owners: daemons that hold chunks of the job
@@ -58,7 +58,7 @@
             body = {"job_id": job_id, "stopped": True}
             self._cluster.send(reply_to, ports.JOB_CANCELLED, body)
 
-    def _receive(self, sender: str, body: dict[str, Any]) -> None:
+    def _receive(self, sender: str, body: dict[str, typing.Any]) -> None:
         job_id = str(body["job_id"])
         if body.get("stopped"):
             self._note_stopped(job_id, sender)
--- a/src/endivevane/batch/chunks.py
+++ b/src/endivevane/batch/chunks.py
@@ -10,14 +10,14 @@
 
 import dataclasses
 import enum
-from collections.abc import Callable
+from collections import abc
 
 import result
 
 from endivevane.batch import records
 from endivevane.coordination import store
 
-IsGone = Callable[[str, int], bool]
+IsGone = abc.Callable[[str, int], bool]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/endivevane/batch/files.py
+++ b/src/endivevane/batch/files.py
@@ -5,8 +5,7 @@
 import dataclasses
 import secrets
 import typing
-from collections.abc import Iterator
-from typing import Any
+from collections import abc
 
 import result
 import werkzeug.exceptions
@@ -92,7 +91,7 @@
         own = [item for item in found if item.organisation == organisation]
         return own[:limit], len(rows) > limit
 
-    def read(self, record: records.InputFile) -> Iterator[bytes]:
+    def read(self, record: records.InputFile) -> abc.Iterator[bytes]:
         """Yield the bytes of a file, one segment at a time."""
         for number in range(record.segments):
             key = records.make_segment_key(record.upload, number)
@@ -156,14 +155,14 @@
             raise errors.InvalidRequest("send the file as multipart/form-data")
         names: list[str] = []
 
-        def open_part(filename: str | None = None, **_: Any) -> Any:
+        def open_part(filename: str | None = None, **_: typing.Any) -> typing.Any:
             if names:
                 raise errors.InvalidRequest("send one file", param="file")
             names.append(filename or "input.jsonl")
             return writer
 
         parser = werkzeug.formparser.FormDataParser(
-            stream_factory=typing.cast("Any", open_part),
+            stream_factory=typing.cast("typing.Any", open_part),
             max_form_memory_size=_MAX_FIELD_BYTES,
             silent=False,
         )
@@ -247,7 +246,7 @@
     return f"file-{records.make_organisation_prefix(organisation)}{unique}"
 
 
-def describe_file(record: records.InputFile) -> dict[str, Any]:
+def describe_file(record: records.InputFile) -> dict[str, typing.Any]:
     """Return the JSON of the OpenAI file object."""
     return {
         "id": record.file_id,
--- a/src/endivevane/batch/items.py
+++ b/src/endivevane/batch/items.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from typing import Any
+import typing
 
 from endivevane import utils
 
@@ -41,9 +41,9 @@
     model: str = ""
     problem: Problem | None = None
 
-    def decode_body(self) -> dict[str, Any]:
+    def decode_body(self) -> dict[str, typing.Any]:
         """Return the body of the call; only for a valid item."""
-        body: dict[str, Any] = utils.decode_json(self.line)["body"]
+        body: dict[str, typing.Any] = utils.decode_json(self.line)["body"]
         return body
 
 
@@ -82,7 +82,7 @@
     return Item(index, custom_id, line, model=value["body"]["model"])
 
 
-def _find_problem(value: dict[str, Any]) -> Problem | None:
+def _find_problem(value: dict[str, typing.Any]) -> Problem | None:
     """Return what is wrong with the call that a line describes."""
     if value.get("method") != "POST":
         return Problem("invalid_method", "method must be POST")
@@ -118,7 +118,7 @@
 
 
 def make_answer_line(
-    job_id: str, number: int, item: Item, request_id: str, status: int, body: Any
+    job_id: str, number: int, item: Item, request_id: str, status: int, body: typing.Any
 ) -> ResultLine:
     """Return the line of an item that an engine has answered."""
     line = {
--- a/src/endivevane/batch/jobs.py
+++ b/src/endivevane/batch/jobs.py
@@ -5,7 +5,7 @@
 import dataclasses
 import re
 import secrets
-from typing import Any
+import typing
 
 import result
 
@@ -39,7 +39,10 @@
 
 
 def parse_request(
-    organisation: str, body: dict[str, Any], idempotency_key: str, deadline_text: str
+    organisation: str,
+    body: dict[str, typing.Any],
+    idempotency_key: str,
+    deadline_text: str,
 ) -> JobRequest:
     """Check the body of a create call.
 
@@ -327,7 +330,7 @@
     return job
 
 
-def _parse_metadata(value: Any) -> dict[str, str] | None:
+def _parse_metadata(value: typing.Any) -> dict[str, str] | None:
     if value is None:
         return None
     if not isinstance(value, dict) or len(value) > _MAX_METADATA:
--- a/src/endivevane/batch/looking.py
+++ b/src/endivevane/batch/looking.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import concurrent.futures
-from collections.abc import Callable, Collection, Mapping, Sequence
+from collections import abc
 
 import result
 
@@ -93,7 +93,9 @@
         """Return the place of a job in the order of work; lower goes first."""
         return self._ranks.get(job.job_id, len(self._ranks)), job.deadline_ms
 
-    def list_open(self, active: Collection[str], is_idle: bool, now_s: float) -> None:
+    def list_open(
+        self, active: abc.Collection[str], is_idle: bool, now_s: float
+    ) -> None:
         """Read the open jobs; :class:`messages.OpenListed` follows.
 
         :param active: jobs of held chunks
@@ -149,7 +151,7 @@
         self._risks.report(self._order, rate, now_ms, daemon, names)
 
     def _retain(
-        self, listed: Sequence[records.OpenJob], sender: sending.ItemSender
+        self, listed: abc.Sequence[records.OpenJob], sender: sending.ItemSender
     ) -> list[records.OpenJob]:
         """Return the listed jobs and those seen before that this daemon can run.
 
@@ -169,7 +171,7 @@
 
     def look(
         self,
-        held: Mapping[tuple[str, int], work.HeldChunk],
+        held: abc.Mapping[tuple[str, int], work.HeldChunk],
         sender: sending.ItemSender,
         now_s: float,
     ) -> None:
@@ -273,7 +275,7 @@
         """Let go of the thread."""
         self._executor.shutdown(wait=False, cancel_futures=True)
 
-    def _submit(self, call: Callable[[], None]) -> None:
+    def _submit(self, call: abc.Callable[[], None]) -> None:
         def run() -> None:
             try:
                 call()
@@ -294,7 +296,7 @@
 
     def _choose_jobs(
         self,
-        held: Mapping[tuple[str, int], work.HeldChunk],
+        held: abc.Mapping[tuple[str, int], work.HeldChunk],
         sender: sending.ItemSender,
         daemon: str,
         now_s: float,
@@ -337,8 +339,8 @@
         return picking.prefer_jobs(wanted, daemon, names, chunk_items)[:_JOBS_PER_LOOK]
 
     def _sort_candidates(
-        self, held: Mapping[tuple[str, int], work.HeldChunk]
-    ) -> Sequence[picking.Candidate]:
+        self, held: abc.Mapping[tuple[str, int], work.HeldChunk]
+    ) -> abc.Sequence[picking.Candidate]:
         order = self._order
         held_items: dict[str, int] = {}
         for chunk in held.values():
@@ -351,9 +353,9 @@
 
     def _look(
         self,
-        wanted: Sequence[picking.Candidate],
+        wanted: abc.Sequence[picking.Candidate],
         owner: chunks.Owner,
-        held: Collection[tuple[str, int]],
+        held: abc.Collection[tuple[str, int]],
         max_age_s: float,
     ) -> None:
         for candidate in wanted:
--- a/src/endivevane/batch/picking.py
+++ b/src/endivevane/batch/picking.py
@@ -5,7 +5,7 @@
 import dataclasses
 import functools
 import heapq
-from collections.abc import Collection, Mapping, Sequence
+from collections import abc
 
 import prometheus_client
 import xxhash
@@ -52,10 +52,10 @@
 
 
 def order_jobs(
-    candidates: Sequence[Candidate],
+    candidates: abc.Sequence[Candidate],
     items_per_s: float,
     now_ms: int,
-    weights: Mapping[str, float],
+    weights: abc.Mapping[str, float],
 ) -> Order:
     """Order jobs so that as many as possible end in time.
 
@@ -95,9 +95,9 @@
 
 
 def _choose_late(
-    accepted: Sequence[Candidate],
-    items_by_organisation: Mapping[str, int],
-    weights: Mapping[str, float],
+    accepted: abc.Sequence[Candidate],
+    items_by_organisation: abc.Mapping[str, int],
+    weights: abc.Mapping[str, float],
 ) -> Candidate:
     """Return the largest job of the organisations above their share."""
     present = {item.job.organisation for item in accepted}
@@ -114,9 +114,9 @@
 
 
 def prefer_jobs(
-    candidates: Sequence[Candidate],
+    candidates: abc.Sequence[Candidate],
     daemon: str,
-    members: Collection[str],
+    members: abc.Collection[str],
     chunk_items: int,
 ) -> list[Candidate]:
     """Return the jobs that a daemon should try, best first.
@@ -146,9 +146,9 @@
 
 
 def share_turns(
-    candidates: Sequence[Candidate],
-    held_items: Mapping[str, int],
-    weights: Mapping[str, float],
+    candidates: abc.Sequence[Candidate],
+    held_items: abc.Mapping[str, int],
+    weights: abc.Mapping[str, float],
 ) -> list[Candidate]:
     """Return late jobs in turns over organisations, the one furthest behind first.
 
@@ -187,7 +187,7 @@
         items_per_s: float,
         now_ms: int,
         daemon: str,
-        members: Collection[str],
+        members: abc.Collection[str],
     ) -> dict[str, str]:
         """Report the jobs whose risk has changed; return the risk by job."""
         names = sorted(members) or [daemon]
--- a/src/endivevane/batch/ports.py
+++ b/src/endivevane/batch/ports.py
@@ -4,8 +4,7 @@
 
 import dataclasses
 import typing
-from collections.abc import Callable, Sequence
-from typing import Any
+from collections import abc
 
 import result
 
@@ -16,7 +15,7 @@
 ONLINE_USE = "online_use"
 JOB_CANCELLED = "job_cancelled"
 
-MessageHandler = Callable[[str, dict[str, Any]], None]
+MessageHandler = abc.Callable[[str, dict[str, typing.Any]], None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,7 +49,7 @@
     def session(self) -> Session:
         """Return the daemon's own lease."""
 
-    def live_members(self) -> Sequence[Member]:
+    def live_members(self) -> abc.Sequence[Member]:
         """Return the live daemons, this one included."""
 
     def is_gone(self, owner: str, epoch: int) -> bool:
@@ -59,7 +58,7 @@
     def snapshot(self) -> snapshot.Snapshot:
         """Return the configuration in force."""
 
-    def send(self, daemon: str, kind: str, body: dict[str, Any]) -> None:
+    def send(self, daemon: str, kind: str, body: dict[str, typing.Any]) -> None:
         """Send a message to a daemon, without waiting for delivery."""
 
     def register(self, kind: str, handler: MessageHandler) -> None:
@@ -79,7 +78,7 @@
 class Quarantine(typing.Protocol):
     """What is known of requests that crash targets."""
 
-    def make_fingerprint(self, model: str, body: dict[str, Any]) -> str:
+    def make_fingerprint(self, model: str, body: dict[str, typing.Any]) -> str:
         """Return the fingerprint of a call."""
 
     def remaining_s(self, fingerprint: str) -> float:
--- a/src/endivevane/batch/records.py
+++ b/src/endivevane/batch/records.py
@@ -5,8 +5,7 @@
 import dataclasses
 import enum
 import typing
-from collections.abc import Iterator, Sequence
-from typing import Any
+from collections import abc
 
 from endivevane import utils
 from endivevane.coordination import store
@@ -179,17 +178,17 @@
         return Tally(self.completed, self.failed, self.output_bytes, self.error_bytes)
 
 
-def decode(kind: type[_T], value: dict[str, Any]) -> _T:
+def decode(kind: type[_T], value: dict[str, typing.Any]) -> _T:
     """Build a data class from a row's value and ignore other fields.
 
     :raises TypeError: when a field without a default is missing
     """
-    fields = dataclasses.fields(typing.cast("Any", kind))
+    fields = dataclasses.fields(typing.cast("typing.Any", kind))
     known = {item.name: value[item.name] for item in fields if item.name in value}
     return kind(**known)
 
 
-def encode(record: Any) -> dict[str, Any]:
+def encode(record: typing.Any) -> dict[str, typing.Any]:
     """Return the value of a row."""
     return dataclasses.asdict(record)
 
@@ -229,7 +228,7 @@
     return f"{upload}/{number:06d}.duplicates"
 
 
-def list_segment_keys(record: InputFile) -> Iterator[str]:
+def list_segment_keys(record: InputFile) -> abc.Iterator[str]:
     """Yield the keys of all objects that an input file may have."""
     for number in range(record.segments):
         yield make_segment_key(record.upload, number)
@@ -253,7 +252,7 @@
     return utils.digest_text(organisation)[:12]
 
 
-def sum_tallies(chunks: Sequence[Chunk]) -> Tally:
+def sum_tallies(chunks: abc.Sequence[Chunk]) -> Tally:
     """Return the tally over the chunks that are done."""
     total = Tally()
     for chunk in chunks:
--- a/src/endivevane/batch/results.py
+++ b/src/endivevane/batch/results.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-from typing import Any
+import typing
+from collections import abc
 
 import result
 
@@ -38,7 +38,7 @@
 
 def describe_result_file(
     job: records.Job, tally: records.Tally, is_errors: bool
-) -> dict[str, Any]:
+) -> dict[str, typing.Any]:
     """Return the JSON of the OpenAI file object of a result file."""
     ended_ms = job.ended_ms if job.ended_ms is not None else job.created_ms
     kind = "errors" if is_errors else "output"
@@ -66,7 +66,7 @@
         self._store = table_store
         self._objects = object_store
 
-    def read(self, job_id: str, is_errors: bool) -> Iterator[bytes]:
+    def read(self, job_id: str, is_errors: bool) -> abc.Iterator[bytes]:
         """Yield the lines of a result file, one chunk at a time.
 
         :raises errors.ApiError: when the platform fails or the results expire; the
--- a/src/endivevane/batch/runner.py
+++ b/src/endivevane/batch/runner.py
@@ -6,8 +6,8 @@
 import queue
 import random
 import threading
-from collections.abc import Collection
-from typing import Any
+import typing
+from collections import abc
 
 import result
 
@@ -100,7 +100,7 @@
         """Give a message to the task; may be called from any thread."""
         self._inbox.put(message)
 
-    def notify_cancelled(self, job_id: str, owners: Collection[str] = ()) -> None:
+    def notify_cancelled(self, job_id: str, owners: abc.Collection[str] = ()) -> None:
         """Tell all daemons that a job was cancelled and wait for the owners.
 
         :param owners: daemons that hold chunks of the job
@@ -124,14 +124,14 @@
         if self._thread.is_alive():
             self._thread.join(_DRAIN_DEFAULT_S)
 
-    def receive_yield(self, _sender: str, body: dict[str, Any]) -> None:
+    def receive_yield(self, _sender: str, body: dict[str, typing.Any]) -> None:
         """Take a request of an online daemon to free slots; thread-safe.
 
         :param body: ``target`` and ``slots``
         """
         self.post(messages.SlotsWanted(str(body["target"]), int(body["slots"])))
 
-    def receive_online_use(self, sender: str, body: dict[str, Any]) -> None:
+    def receive_online_use(self, sender: str, body: dict[str, typing.Any]) -> None:
         """Take a daemon's count of online requests at a target; thread-safe.
 
         :param body: ``target`` and ``in_flight``
--- a/src/endivevane/batch/sending.py
+++ b/src/endivevane/batch/sending.py
@@ -4,7 +4,7 @@
 
 import concurrent.futures
 import dataclasses
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections import abc
 
 from endivevane import logs, metrics
 from endivevane.batch import (
@@ -27,7 +27,7 @@
 # The mean follows a change of the items' length within about 50 items.
 _MEAN_WEIGHT = 0.05
 
-Post = Callable[[messages.Message], None]
+Post = abc.Callable[[messages.Message], None]
 
 
 @dataclasses.dataclass(slots=True)
@@ -80,7 +80,7 @@
         self,
         current: snapshot.Snapshot,
         daemon: str,
-        members: Sequence[ports.Member],
+        members: abc.Sequence[ports.Member],
     ) -> None:
         """Work out which targets this daemon sends to."""
         self._snapshot = current
@@ -145,7 +145,7 @@
                 slots += max(0, target.slots - reserve)
         return slots / (self._mean_item_s or item_s)
 
-    def send(self, held: Sequence[work.HeldChunk]) -> int:
+    def send(self, held: abc.Sequence[work.HeldChunk]) -> int:
         """Send as many items as the targets have room for.
 
         :param held: running chunks, best first
@@ -233,7 +233,7 @@
         self._withdraw([state.running[attempt_id] for attempt_id in victims])
         return len(victims)
 
-    def withdraw(self, keys: Collection[tuple[str, int]] | None) -> None:
+    def withdraw(self, keys: abc.Collection[tuple[str, int]] | None) -> None:
         """Stop the items of some chunks, or all items for ``None``."""
         self._withdraw(
             [
@@ -257,7 +257,7 @@
         self._calls.stop()
         self._cancel_executor.shutdown(wait=False)
 
-    def _withdraw(self, victims: Iterable[attempts.Attempt]) -> None:
+    def _withdraw(self, victims: abc.Iterable[attempts.Attempt]) -> None:
         now_s = self._clock.monotonic_s()
         for attempt in victims:
             if attempt.withdrawn.is_set():
@@ -298,7 +298,7 @@
         self,
         service_name: str,
         state: work.TargetState,
-        offered: Sequence[work.HeldChunk],
+        offered: abc.Sequence[work.HeldChunk],
         now_s: float,
     ) -> int:
         batch = self._snapshot.services[service_name].model.batch
--- a/src/endivevane/batch/slack.py
+++ b/src/endivevane/batch/slack.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Sequence
+from collections import abc
 
 from endivevane.batch import ports
 from endivevane.configuration import snapshot
@@ -156,7 +156,7 @@
 
 
 def choose_sender(
-    target: snapshot.Target, members: Sequence[ports.Member]
+    target: snapshot.Target, members: abc.Sequence[ports.Member]
 ) -> str | None:
     """Return the daemon that alone sends batch items to a target.
 
@@ -169,7 +169,7 @@
     return rendezvous.choose_member(f"batch-sender/{target.name}", weights)
 
 
-def choose_victims(running: Sequence[tuple[float, str]], count: int) -> list[str]:
+def choose_victims(running: abc.Sequence[tuple[float, str]], count: int) -> list[str]:
     """Return the attempts to cancel when slots are taken back, youngest first.
 
     The youngest have the least work to lose.
--- a/src/endivevane/batch/work.py
+++ b/src/endivevane/batch/work.py
@@ -5,7 +5,7 @@
 import collections
 import dataclasses
 import enum
-from collections.abc import Iterable
+from collections import abc
 
 from endivevane.batch import attempts, chunks, items, records, slack, work_source
 from endivevane.configuration import snapshot
@@ -167,7 +167,7 @@
 
 
 def choose_item(
-    held: Iterable[HeldChunk], state: TargetState, now_s: float, max_attempts: int
+    held: abc.Iterable[HeldChunk], state: TargetState, now_s: float, max_attempts: int
 ) -> Choice | None:
     """Return the next item for a target and take it out of its chunk.
 
--- a/src/endivevane/batch/work_source.py
+++ b/src/endivevane/batch/work_source.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 import random
-from collections.abc import Collection, Sequence
+from collections import abc
 
 import result
 
@@ -83,7 +83,7 @@
         self._cursor = f"{start_ms:015d}"
 
     def list_open(
-        self, active: Collection[str], needs_page: bool
+        self, active: abc.Collection[str], needs_page: bool
     ) -> result.Result[OpenJobs, store.StoreError]:
         """Return open jobs: those with the earliest deadlines and some of the others.
 
@@ -133,7 +133,7 @@
         self,
         job_id: str,
         owner: chunks.Owner,
-        held: Collection[tuple[str, int]],
+        held: abc.Collection[tuple[str, int]],
         max_age_s: float = 2.0,
     ) -> result.Result[chunks.Claim | None, store.StoreError]:
         """Claim one chunk of a job, or finish the job when all chunks are done.
@@ -281,8 +281,8 @@
         self,
         known: _KnownJob,
         owner: chunks.Owner,
-        held: Collection[tuple[str, int]],
-    ) -> Sequence[int]:
+        held: abc.Collection[tuple[str, int]],
+    ) -> abc.Sequence[int]:
         """Return claimable chunks in an order that differs between daemons."""
         job = known.stored.job
         free = [
--- a/src/endivevane/cluster/calls.py
+++ b/src/endivevane/cluster/calls.py
@@ -4,8 +4,8 @@
 
 import concurrent.futures
 import dataclasses
-from collections.abc import Callable
-from typing import Any
+import typing
+from collections import abc
 
 from endivevane import logs
 
@@ -20,7 +20,7 @@
     """
 
     kind: str
-    outcome: Any
+    outcome: typing.Any
 
 
 class BackgroundCalls:
@@ -31,7 +31,7 @@
     :param post: takes the outcome; called on a thread of the pool
     """
 
-    def __init__(self, post: Callable[[CallFinished], None]) -> None:
+    def __init__(self, post: abc.Callable[[CallFinished], None]) -> None:
         self._post = post
         self._executor = concurrent.futures.ThreadPoolExecutor(
             _WORKERS, thread_name_prefix="cluster-call"
@@ -42,7 +42,7 @@
         """Tell whether a call of this kind is under way."""
         return kind in self._running
 
-    def start(self, kind: str, function: Callable[[], Any]) -> bool:
+    def start(self, kind: str, function: abc.Callable[[], typing.Any]) -> bool:
         """Run a function unless a call of its kind is under way."""
         if kind in self._running:
             return False
@@ -58,7 +58,7 @@
         """Drop the calls that have not begun."""
         self._executor.shutdown(wait=False, cancel_futures=True)
 
-    def _run(self, kind: str, function: Callable[[], Any]) -> None:
+    def _run(self, kind: str, function: abc.Callable[[], typing.Any]) -> None:
         outcome = None
         try:
             outcome = function()
--- a/src/endivevane/cluster/events.py
+++ b/src/endivevane/cluster/events.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from typing import Any
+import typing
 
 from endivevane.configuration import snapshot
 from endivevane.coordination import members
@@ -39,7 +39,7 @@
 
     sender: str
     kind: str
-    body: dict[str, Any]
+    body: dict[str, typing.Any]
 
 
 Event = ConfigurationChanged | MembersChanged | VmsChanged | PeerMessage
--- a/src/endivevane/cluster/follower.py
+++ b/src/endivevane/cluster/follower.py
@@ -4,8 +4,8 @@
 
 import dataclasses
 import random
-from collections.abc import Mapping
-from typing import Any
+import typing
+from collections import abc
 
 import pydantic
 import result
@@ -141,7 +141,7 @@
         return is_newer
 
     def make_rows(
-        self, header: Any, versions: Mapping[str, int]
+        self, header: typing.Any, versions: abc.Mapping[str, int]
     ) -> messages.ConfigRows:
         """Return the documents in force that a peer lacks."""
         documents = self.documents.documents
--- a/src/endivevane/cluster/link_shares.py
+++ b/src/endivevane/cluster/link_shares.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable, Collection
+from collections import abc
 
 from endivevane.coordination import clock, shares
 
@@ -25,7 +25,7 @@
         self,
         daemon: str,
         shares_clock: clock.Clock,
-        measure_need: Callable[[], tuple[float, float]],
+        measure_need: abc.Callable[[], tuple[float, float]],
         settings: shares.ShareSettings | None = None,
     ) -> None:
         self._measure_need = measure_need
@@ -56,13 +56,13 @@
         """Return the part of a daemon if all had the same."""
         return rate_bytes_s / self._members
 
-    def set_members(self, alive: Collection[str], known_count: int) -> None:
+    def set_members(self, alive: abc.Collection[str], known_count: int) -> None:
         """Set the live members, see :meth:`shares.ShareAllocator.set_members`."""
         self._members = max(1, len(alive))
         with self._lock:
             self._allocator.set_members(alive, known_count)
 
-    def receive(self, needs: Collection[shares.Need]) -> None:
+    def receive(self, needs: abc.Collection[shares.Need]) -> None:
         """Take in announcements of other daemons."""
         with self._lock:
             for need in needs:
--- a/src/endivevane/cluster/messages.py
+++ b/src/endivevane/cluster/messages.py
@@ -4,8 +4,8 @@
 
 import dataclasses
 import functools
-from collections.abc import Callable, Mapping
-from typing import Any
+import typing
+from collections import abc
 
 import orjson
 
@@ -48,7 +48,7 @@
     """
 
     header: exchange.Header
-    versions: Mapping[str, int]
+    versions: abc.Mapping[str, int]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,8 +62,8 @@
     header: exchange.Header
     revision: int
     state: str
-    versions: Mapping[str, int]
-    documents: Mapping[str, dict[str, Any]]
+    versions: abc.Mapping[str, int]
+    documents: abc.Mapping[str, dict[str, typing.Any]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,7 +110,7 @@
 
     header: exchange.Header
     kind: str
-    body: dict[str, Any]
+    body: dict[str, typing.Any]
     origin: str
     broadcast_id: str = ""
 
@@ -177,57 +177,57 @@
 
 
 @functools.singledispatch
-def _list_fields(message: Message) -> tuple[str, list[Any]]:
+def _list_fields(message: Message) -> tuple[str, list[typing.Any]]:
     raise TypeError(type(message).__name__)
 
 
 @_list_fields.register
-def _(message: exchange.Ping) -> tuple[str, list[Any]]:
+def _(message: exchange.Ping) -> tuple[str, list[typing.Any]]:
     return "ping", [message.sequence]
 
 
 @_list_fields.register
-def _(message: exchange.Ack) -> tuple[str, list[Any]]:
+def _(message: exchange.Ack) -> tuple[str, list[typing.Any]]:
     return "ack", [message.sequence]
 
 
 @_list_fields.register
-def _(message: exchange.ProbeRequest) -> tuple[str, list[Any]]:
+def _(message: exchange.ProbeRequest) -> tuple[str, list[typing.Any]]:
     return "ping_req", [message.sequence, message.target]
 
 
 @_list_fields.register
-def _(message: exchange.Gossip) -> tuple[str, list[Any]]:
+def _(message: exchange.Gossip) -> tuple[str, list[typing.Any]]:
     return "gossip", []
 
 
 @_list_fields.register
-def _(message: exchange.SyncRequest) -> tuple[str, list[Any]]:
+def _(message: exchange.SyncRequest) -> tuple[str, list[typing.Any]]:
     return "sync", [message.digest]
 
 
 @_list_fields.register
-def _(message: exchange.SyncRows) -> tuple[str, list[Any]]:
+def _(message: exchange.SyncRows) -> tuple[str, list[typing.Any]]:
     return "sync_rows", [message.is_answer_wanted]
 
 
 @_list_fields.register
-def _(message: ConfigAsk) -> tuple[str, list[Any]]:
+def _(message: ConfigAsk) -> tuple[str, list[typing.Any]]:
     return "config_ask", []
 
 
 @_list_fields.register
-def _(message: ConfigStatus) -> tuple[str, list[Any]]:
+def _(message: ConfigStatus) -> tuple[str, list[typing.Any]]:
     return "config_status", [message.is_current]
 
 
 @_list_fields.register
-def _(message: ConfigGet) -> tuple[str, list[Any]]:
+def _(message: ConfigGet) -> tuple[str, list[typing.Any]]:
     return "config_get", [message.versions]
 
 
 @_list_fields.register
-def _(message: ConfigRows) -> tuple[str, list[Any]]:
+def _(message: ConfigRows) -> tuple[str, list[typing.Any]]:
     return "config_rows", [
         message.revision,
         message.state,
@@ -237,17 +237,17 @@
 
 
 @_list_fields.register
-def _(message: ConfigApplied) -> tuple[str, list[Any]]:
+def _(message: ConfigApplied) -> tuple[str, list[typing.Any]]:
     return "config_applied", [message.is_answer, message.revision]
 
 
 @_list_fields.register
-def _(message: VmsLeaving) -> tuple[str, list[Any]]:
+def _(message: VmsLeaving) -> tuple[str, list[typing.Any]]:
     return "vms_leaving", [message.as_of_s, message.names]
 
 
 @_list_fields.register
-def _(message: LinkNeeds) -> tuple[str, list[Any]]:
+def _(message: LinkNeeds) -> tuple[str, list[typing.Any]]:
     needs = [
         [item.name, item.version, round(item.need), item.weight]
         for item in message.needs
@@ -256,19 +256,19 @@
 
 
 @_list_fields.register
-def _(message: Application) -> tuple[str, list[Any]]:
+def _(message: Application) -> tuple[str, list[typing.Any]]:
     return message.kind, [message.body, message.origin, message.broadcast_id]
 
 
-def _encode_update(update: members.Update) -> list[Any]:
-    fields: list[Any] = [update.name, update.incarnation, int(update.state)]
+def _encode_update(update: members.Update) -> list[typing.Any]:
+    fields: list[typing.Any] = [update.name, update.incarnation, int(update.state)]
     place = update.description
     if place is not None:
         fields += [place.address, place.zone, place.region, place.public_key]
     return fields
 
 
-def _decode_update(item: list[Any]) -> members.Update:
+def _decode_update(item: list[typing.Any]) -> members.Update:
     name, incarnation, state, *place = item
     description = None
     if place:
@@ -287,7 +287,7 @@
     )
 
 
-def _decode_needs(header: exchange.Header, needs: Any) -> LinkNeeds:
+def _decode_needs(header: exchange.Header, needs: typing.Any) -> LinkNeeds:
     found = []
     for name, version, need, weight in _check_list(needs):
         if not weight > 0:
@@ -303,7 +303,11 @@
 
 
 def _decode_rows(
-    header: exchange.Header, revision: Any, state: Any, versions: Any, documents: Any
+    header: exchange.Header,
+    revision: typing.Any,
+    state: typing.Any,
+    versions: typing.Any,
+    documents: typing.Any,
 ) -> ConfigRows:
     return ConfigRows(
         header,
@@ -314,12 +318,14 @@
     )
 
 
-def _decode_leaving(header: exchange.Header, as_of_s: Any, names: Any) -> VmsLeaving:
+def _decode_leaving(
+    header: exchange.Header, as_of_s: typing.Any, names: typing.Any
+) -> VmsLeaving:
     checked = tuple(_check_name(name) for name in _check_list(names))
     return VmsLeaving(header, float(as_of_s), checked)
 
 
-_DECODERS: dict[str, Callable[..., Message]] = {
+_DECODERS: dict[str, abc.Callable[..., Message]] = {
     "ping": lambda header, number: exchange.Ping(header, _check_number(number)),
     "ack": lambda header, number: exchange.Ack(header, _check_number(number)),
     "ping_req": lambda header, number, target: exchange.ProbeRequest(
@@ -342,37 +348,37 @@
 }
 
 
-def _check_text(value: Any, longest: int = _MAX_NAME) -> str:
+def _check_text(value: typing.Any, longest: int = _MAX_NAME) -> str:
     if not isinstance(value, str) or len(value) > longest:
         raise TypeError("not a short text")
     return value
 
 
-def _check_name(value: Any) -> str:
+def _check_name(value: typing.Any) -> str:
     if not _check_text(value):
         raise ValueError("empty name")
     return str(value)
 
 
-def _check_number(value: Any, bound: int = _MAX_NUMBER) -> int:
+def _check_number(value: typing.Any, bound: int = _MAX_NUMBER) -> int:
     if type(value) is not int or not 0 <= value < bound:
         raise TypeError("not a number in range")
     return value
 
 
-def _check_list(value: Any) -> list[Any]:
+def _check_list(value: typing.Any) -> list[typing.Any]:
     if not isinstance(value, list) or len(value) > _MAX_UPDATES:
         raise TypeError("not a bounded list")
     return value
 
 
-def _check_dict(value: Any) -> dict[str, Any]:
+def _check_dict(value: typing.Any) -> dict[str, typing.Any]:
     if not isinstance(value, dict):
         raise TypeError("not an object")
     return value
 
 
-def _check_versions(value: Any) -> dict[str, int]:
+def _check_versions(value: typing.Any) -> dict[str, int]:
     return {
         _check_text(key, 128): _check_number(version)
         for key, version in _check_dict(value).items()
--- a/src/endivevane/cluster/node.py
+++ b/src/endivevane/cluster/node.py
@@ -5,8 +5,8 @@
 import collections
 import functools
 import random
-from collections.abc import Callable
-from typing import Any
+import typing
+from collections import abc
 
 import result
 
@@ -49,7 +49,7 @@
         generator: random.Random,
         node_transport: transport.Transport,
         background: calls.BackgroundCalls,
-        publish: Callable[[events.Event], None],
+        publish: abc.Callable[[events.Event], None],
         shares: link_shares.LinkShares | None = None,
     ) -> None:
         self._shares = shares
@@ -112,13 +112,15 @@
         self._is_leaving = True
         self._peers.detector.leave()
 
-    def send_application(self, daemon: str, kind: str, body: dict[str, Any]) -> None:
+    def send_application(
+        self, daemon: str, kind: str, body: dict[str, typing.Any]
+    ) -> None:
         """Send a message of another part to one daemon."""
         header = self._peers.make_header()
         message = messages.Application(header, kind, body, header.sender)
         self._peers.send(daemon, message)
 
-    def broadcast_application(self, kind: str, body: dict[str, Any]) -> None:
+    def broadcast_application(self, kind: str, body: dict[str, typing.Any]) -> None:
         """Send a message of another part to all daemons."""
         header = self._peers.make_header()
         broadcast_id = utils.make_id("cast")
--- a/src/endivevane/cluster/tasks.py
+++ b/src/endivevane/cluster/tasks.py
@@ -8,8 +8,8 @@
 import random
 import socket
 import threading
-from collections.abc import Callable
-from typing import Any
+import typing
+from collections import abc
 
 from endivevane import logs
 from endivevane.cluster import (
@@ -25,7 +25,7 @@
 from endivevane.daemon import settings as daemon_settings
 from endivevane.platform import vms
 
-Subscriber = Callable[[events.Event], None]
+Subscriber = abc.Callable[[events.Event], None]
 _TICK_S = 0.1
 _ON_DEMAND_CONNECTIONS = 16
 
@@ -34,13 +34,13 @@
 class _Send:
     daemon: str
     kind: str
-    body: dict[str, Any]
+    body: dict[str, typing.Any]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Broadcast:
     kind: str
-    body: dict[str, Any]
+    body: dict[str, typing.Any]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,7 +74,7 @@
     ) -> None:
         self._settings = settings
         self._clock = task_clock
-        self._inbox: queue.SimpleQueue[Any] = queue.SimpleQueue()
+        self._inbox: queue.SimpleQueue[typing.Any] = queue.SimpleQueue()
         self._wake_in, self._wake_out = socket.socketpair()
         self._wake_in.setblocking(False)
         self._wake_out.setblocking(False)
@@ -126,14 +126,14 @@
         """
         self._subscribers.append(callback)
 
-    def send(self, daemon: str, kind: str, body: dict[str, Any]) -> None:
+    def send(self, daemon: str, kind: str, body: dict[str, typing.Any]) -> None:
         """Send a message to one daemon; it may be lost.
 
         :param kind: one of ``messages.APPLICATION_KINDS``
         """
         self._post(_Send(daemon, kind, body))
 
-    def broadcast(self, kind: str, body: dict[str, Any]) -> None:
+    def broadcast(self, kind: str, body: dict[str, typing.Any]) -> None:
         """Send a message to all daemons; each passes it on to its neighbours once."""
         self._post(_Broadcast(kind, body))
 
@@ -157,7 +157,7 @@
         self._background.close()
         self._node.keeper.close()
 
-    def _post(self, message: Any) -> None:
+    def _post(self, message: typing.Any) -> None:
         self._inbox.put(message)
         self._wake()
 
--- a/src/endivevane/cluster/transport.py
+++ b/src/endivevane/cluster/transport.py
@@ -11,8 +11,8 @@
 import dataclasses
 import itertools
 import time
-from collections.abc import Callable, Iterator
-from typing import Any
+import typing
+from collections import abc
 
 import zmq
 from zmq.utils import z85
@@ -87,7 +87,7 @@
         self._poller.poll(max(0, round(timeout_s * 1000)))
         self._answer_handshakes()
 
-    def receive(self) -> Iterator[messages.Message]:
+    def receive(self) -> abc.Iterator[messages.Message]:
         """Yield the messages that have arrived, up to a bound."""
         for socket, is_inbound in ((self._server, True), (self._client, False)):
             for _ in range(_MAX_BATCH):
@@ -308,14 +308,14 @@
     texts = {keys.public, *keys.peer_public}
     for listed in keys.peers.values():
         texts.update(listed)
-    decode: Callable[[bytes], bytes] = z85.decode
+    decode: abc.Callable[[bytes], bytes] = z85.decode
     return {text: decode(text.encode()) for text in texts}
 
 
 def _read_user_id(frame: zmq.Frame) -> str:
     """Return the key of the connection that a frame came on, empty without keys."""
     # The library's type hints know integer options only.
-    read: Callable[[Any], Any] = frame.get
+    read: abc.Callable[[typing.Any], typing.Any] = frame.get
     try:
         return str(read("User-Id"))
     except zmq.ZMQError:
@@ -324,5 +324,5 @@
 
 def _encode_key(data: bytes) -> bytes:
     """Return the text of a binary key."""
-    encode: Callable[[bytes], bytes] = z85.encode
+    encode: abc.Callable[[bytes], bytes] = z85.encode
     return encode(data)
--- a/src/endivevane/configuration/loading.py
+++ b/src/endivevane/configuration/loading.py
@@ -5,8 +5,8 @@
 import dataclasses
 import pathlib
 import tomllib
-from collections.abc import Mapping, Sequence
-from typing import Any
+import typing
+from collections import abc
 
 import pydantic
 
@@ -27,10 +27,10 @@
 
     key: str
     file: str
-    document: dict[str, Any]
+    document: dict[str, typing.Any]
 
 
-def collect_files(roots: Sequence[pathlib.Path]) -> list[pathlib.Path]:
+def collect_files(roots: abc.Sequence[pathlib.Path]) -> list[pathlib.Path]:
     """Return the configuration files below some folders, sorted by path.
 
     :param roots: folders, or single files that are taken whatever their name
@@ -52,7 +52,7 @@
     return sorted(files)
 
 
-def load_files(files: Sequence[pathlib.Path]) -> dict[str, LoadedDocument]:
+def load_files(files: abc.Sequence[pathlib.Path]) -> dict[str, LoadedDocument]:
     """Read and validate files; report every problem at once.
 
     :returns: documents by key
@@ -114,7 +114,7 @@
 
 
 def check_references(
-    documents: Mapping[str, Any], files: Mapping[str, str]
+    documents: abc.Mapping[str, typing.Any], files: abc.Mapping[str, str]
 ) -> list[exceptions.InputProblem]:
     """Return problems that show only when all documents are seen together.
 
@@ -157,7 +157,7 @@
 
 
 def _check_keys(
-    parsed: Mapping[str, Any], files: Mapping[str, str]
+    parsed: abc.Mapping[str, typing.Any], files: abc.Mapping[str, str]
 ) -> list[exceptions.InputProblem]:
     problems = []
     owners: dict[str, str] = {}
--- a/src/endivevane/configuration/models.py
+++ b/src/endivevane/configuration/models.py
@@ -3,19 +3,18 @@
 from __future__ import annotations
 
 import typing
-from typing import Annotated, Any, Literal
 
 import pydantic
 
 from endivevane import types
 
 _NAME = r"^[a-z0-9][a-z0-9._-]{0,62}$"
-Name = Annotated[str, pydantic.Field(pattern=_NAME)]
-PositiveSeconds = Annotated[float, pydantic.Field(gt=0, le=86_400)]
+Name = typing.Annotated[str, pydantic.Field(pattern=_NAME)]
+PositiveSeconds = typing.Annotated[float, pydantic.Field(gt=0, le=86_400)]
 _DAY_S = 86_400
 # Ten years; a longer period is more likely a mistake in the unit.
 _MAX_RETENTION_S = 3_653 * _DAY_S
-RetentionSeconds = Annotated[float, pydantic.Field(ge=1, le=_MAX_RETENTION_S)]
+RetentionSeconds = typing.Annotated[float, pydantic.Field(ge=1, le=_MAX_RETENTION_S)]
 
 
 class _Model(pydantic.BaseModel):
@@ -29,7 +28,7 @@
     return text
 
 
-AddressText = Annotated[str, pydantic.AfterValidator(_check_address)]
+AddressText = typing.Annotated[str, pydantic.AfterValidator(_check_address)]
 
 
 class TargetModel(_Model):
@@ -47,7 +46,7 @@
     slots: int = pydantic.Field(default=16, gt=0, le=4096)
     checks_orders: bool = False
     checks_fencing: bool = False
-    role: Literal["prefill", "decode", "both"] | None = None
+    role: typing.Literal["prefill", "decode", "both"] | None = None
 
 
 class LanguageModelModel(_Model):
@@ -71,7 +70,7 @@
     """
 
     path: str = pydantic.Field(pattern=r"^/")
-    methods: tuple[Literal["GET", "POST", "PUT", "DELETE"], ...] = ("GET",)
+    methods: tuple[typing.Literal["GET", "POST", "PUT", "DELETE"], ...] = ("GET",)
     idempotent: bool
     timeout_s: PositiveSeconds = 5.0
 
@@ -87,7 +86,7 @@
     """
 
     deadline_s: PositiveSeconds = 60.0
-    priority: Literal["interactive", "normal", "background"] = "interactive"
+    priority: typing.Literal["interactive", "normal", "background"] = "interactive"
     inactivity_timeout_s: PositiveSeconds = 5.0
     first_token_timeout_s: PositiveSeconds = 10.0
     max_attempts: int = pydantic.Field(default=3, ge=1, le=10)
@@ -146,9 +145,9 @@
 class ServiceModel(_Model):
     """A service: a set of targets that offer models or plain calls."""
 
-    kind: Literal["service"]
+    kind: typing.Literal["service"]
     name: Name
-    type: Literal["model", "plain"]
+    type: typing.Literal["model", "plain"]
     organisations: tuple[Name, ...] = pydantic.Field(min_length=1)
     online: OnlineModel = OnlineModel()
     batch: BatchModel = BatchModel()
@@ -181,7 +180,7 @@
 
     id: Name
     sha256: str = pydantic.Field(pattern=r"^[0-9a-f]{64}$")
-    role: Literal["caller", "operator"] = "caller"
+    role: typing.Literal["caller", "operator"] = "caller"
 
 
 class OrganisationModel(_Model):
@@ -191,7 +190,7 @@
     :param max_concurrent_requests: online requests in flight in one daemon
     """
 
-    kind: Literal["organisation"]
+    kind: typing.Literal["organisation"]
     name: Name
     weight: float = pydantic.Field(default=1.0, gt=0, le=1000)
     max_concurrent_requests: int = pydantic.Field(default=1000, gt=0)
@@ -244,8 +243,8 @@
 class FleetModel(_Model):
     """The zones of the fleet, the link between its regions and the call register."""
 
-    kind: Literal["fleet"]
-    name: Literal["fleet"] = "fleet"
+    kind: typing.Literal["fleet"]
+    name: typing.Literal["fleet"] = "fleet"
     zones: tuple[ZoneModel, ...] = pydantic.Field(min_length=1)
     link: LinkModel = LinkModel()
     register_retention: RegisterRetentionModel = RegisterRetentionModel()
@@ -256,14 +255,14 @@
         return self
 
 
-DocumentModel = Annotated[
+DocumentModel = typing.Annotated[
     ServiceModel | OrganisationModel | FleetModel,
     pydantic.Field(discriminator="kind"),
 ]
 
 DOCUMENT_ADAPTER: pydantic.TypeAdapter[
     ServiceModel | OrganisationModel | FleetModel
-] = pydantic.TypeAdapter(typing.cast("Any", DocumentModel))
+] = pydantic.TypeAdapter(typing.cast("typing.Any", DocumentModel))
 
 
 def make_document_key(document: ServiceModel | OrganisationModel | FleetModel) -> str:
--- a/src/endivevane/configuration/publishing.py
+++ b/src/endivevane/configuration/publishing.py
@@ -4,8 +4,8 @@
 
 import dataclasses
 import enum
-from collections.abc import Collection, Mapping
-from typing import Any
+import typing
+from collections import abc
 
 import result
 
@@ -34,7 +34,7 @@
     """
 
     version: int
-    document: dict[str, Any]
+    document: dict[str, typing.Any]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,7 +47,7 @@
 
     revision: int
     state: HeadState
-    documents: Mapping[str, VersionedDocument]
+    documents: abc.Mapping[str, VersionedDocument]
     excluded_zones: tuple[str, ...] = ()
     head_row_revision: int | None = None
 
@@ -77,9 +77,9 @@
     :param excluded_zones: zones whose confirmation is not waited for
     """
 
-    documents: Mapping[str, dict[str, Any]]
-    removed: Collection[str] = ()
-    files: Mapping[str, str] = dataclasses.field(default_factory=dict)
+    documents: abc.Mapping[str, dict[str, typing.Any]]
+    removed: abc.Collection[str] = ()
+    files: abc.Mapping[str, str] = dataclasses.field(default_factory=dict)
     excluded_zones: tuple[str, ...] = ()
 
 
@@ -162,7 +162,7 @@
 def mark_accepted(
     table_store: store.TableStore,
     published: Documents,
-    excluded_zones: Collection[str],
+    excluded_zones: abc.Collection[str],
 ) -> result.Result[bool, store.StoreError]:
     """Record that every zone but the excluded ones has confirmed a revision.
 
@@ -210,7 +210,7 @@
 
 
 def _read_documents(
-    table_store: store.TableStore, head: Mapping[str, Any], known: Documents
+    table_store: store.TableStore, head: abc.Mapping[str, typing.Any], known: Documents
 ) -> result.Result[dict[str, VersionedDocument] | None, store.StoreError]:
     """Return the head's documents, or ``None`` when the head has moved on."""
     documents: dict[str, VersionedDocument] = {}
@@ -271,7 +271,7 @@
     change: Change,
     keys: list[str],
     current: Documents,
-    wanted: Mapping[str, VersionedDocument],
+    wanted: abc.Mapping[str, VersionedDocument],
 ) -> result.Result[int, store.StoreError]:
     """Write the head and the changed documents under a condition on the head.
 
--- a/src/endivevane/configuration/snapshot.py
+++ b/src/endivevane/configuration/snapshot.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Mapping
-from typing import Any
+import typing
+from collections import abc
 
 from endivevane import types
 from endivevane.configuration import models
@@ -93,11 +93,11 @@
     """
 
     revision: int
-    services: Mapping[str, Service]
-    services_by_model: Mapping[str, Service]
-    organisations: Mapping[str, models.OrganisationModel]
-    key_owners: Mapping[str, KeyOwner]
-    zones: Mapping[str, Zone]
+    services: abc.Mapping[str, Service]
+    services_by_model: abc.Mapping[str, Service]
+    organisations: abc.Mapping[str, models.OrganisationModel]
+    key_owners: abc.Mapping[str, KeyOwner]
+    zones: abc.Mapping[str, Zone]
     link: Link
     register_retention_s: float = models.RegisterRetentionModel().outcomes_s
 
@@ -139,7 +139,7 @@
 EMPTY = Snapshot(0, {}, {}, {}, {}, {}, Link(15e6 / 8, 0.6, 400_000.0))
 
 
-def build_snapshot(revision: int, documents: Mapping[str, Any]) -> Snapshot:
+def build_snapshot(revision: int, documents: abc.Mapping[str, typing.Any]) -> Snapshot:
     """Build a snapshot from validated documents.
 
     :param documents: documents by key, as JSON objects
@@ -182,7 +182,9 @@
     )
 
 
-def _build_service(document: models.ServiceModel, zones: Mapping[str, Zone]) -> Service:
+def _build_service(
+    document: models.ServiceModel, zones: abc.Mapping[str, Zone]
+) -> Service:
     targets = tuple(
         Target(
             name=item.name,
--- a/src/endivevane/coordination/deadlines.py
+++ b/src/endivevane/coordination/deadlines.py
@@ -5,12 +5,12 @@
 import dataclasses
 import enum
 import itertools
-from collections.abc import Iterator
-from typing import Generic, TypeVar
+import typing
+from collections import abc
 
 import sortedcontainers  # type: ignore[import-untyped]
 
-ItemT = TypeVar("ItemT")
+ItemT = typing.TypeVar("ItemT")
 
 
 class QueueFull(enum.StrEnum):
@@ -21,7 +21,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Entry(Generic[ItemT]):
+class Entry(typing.Generic[ItemT]):
     """Something that waits.
 
     :param priority: lower values go first
@@ -37,7 +37,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _PriorityClass(Generic[ItemT]):
+class _PriorityClass(typing.Generic[ItemT]):
     """Entries of one priority.
 
     :param turns: (virtual time, organisation) of organisations that have entries
@@ -55,7 +55,7 @@
     virtual_time: float = 0.0
 
 
-class FairQueue(Generic[ItemT]):
+class FairQueue(typing.Generic[ItemT]):
     """Strict priorities; fair shares among organisations; earliest deadline first.
 
     :param max_entries: bound on the number of entries
@@ -174,7 +174,7 @@
             for entries in group.entries.values()
         )
 
-    def __iter__(self) -> Iterator[Entry[ItemT]]:
+    def __iter__(self) -> abc.Iterator[Entry[ItemT]]:
         """Iterate over the entries by priority and deadline."""
         listed = [entry for _, entry in self._entries.values()]
         return iter(sorted(listed, key=lambda item: (item.priority, item.deadline_s)))
--- a/src/endivevane/coordination/feed.py
+++ b/src/endivevane/coordination/feed.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections import abc
 
 import result
 
@@ -94,7 +94,7 @@
         self._head_revision = revision
         self._confirm()
 
-    def set_listed(self, zones: Mapping[str, str]) -> None:
+    def set_listed(self, zones: abc.Mapping[str, str]) -> None:
         """Set the other daemons that the platform or the peers list.
 
         :param zones: zone by daemon name, without this daemon
@@ -134,7 +134,9 @@
         return in_zone or list(self._listed)
 
 
-def compute_confirmation(live: Iterable[str], applied: Mapping[str, int]) -> int | None:
+def compute_confirmation(
+    live: abc.Iterable[str], applied: abc.Mapping[str, int]
+) -> int | None:
     """Return the highest revision that every live daemon of a zone has applied.
 
     :param live: names of the zone's live daemons
--- a/src/endivevane/coordination/lease.py
+++ b/src/endivevane/coordination/lease.py
@@ -5,8 +5,8 @@
 import collections
 import dataclasses
 import enum
-from collections.abc import Mapping
-from typing import Any
+import typing
+from collections import abc
 
 import result
 
@@ -64,7 +64,7 @@
 
     operation_id: str
     daemon: str
-    fields: Mapping[str, Any]
+    fields: abc.Mapping[str, typing.Any]
     sent_s: float
     epoch: int | None
     row_revision: int | None
@@ -96,7 +96,7 @@
     def __init__(
         self,
         daemon: str,
-        fields: Mapping[str, Any],
+        fields: abc.Mapping[str, typing.Any],
         term_s: float,
         lease_clock: clock.Clock,
     ) -> None:
--- a/src/endivevane/coordination/members.py
+++ b/src/endivevane/coordination/members.py
@@ -7,7 +7,7 @@
 import enum
 import functools
 import hashlib
-from collections.abc import Iterator, Mapping
+from collections import abc
 
 
 class MemberState(enum.IntEnum):
@@ -105,7 +105,7 @@
     def __len__(self) -> int:
         return len(self._members)
 
-    def __iter__(self) -> Iterator[Member]:
+    def __iter__(self) -> abc.Iterator[Member]:
         return iter(self._members.values())
 
     def get(self, name: str) -> Member | None:
@@ -129,7 +129,7 @@
         if member is not None and self._is_ringed(member):
             self._change_rings(name, False)
 
-    def walk_ring(self, ring: int, name: str) -> Iterator[str]:
+    def walk_ring(self, ring: int, name: str) -> abc.Iterator[str]:
         """Yield the names after a name in a ring, once around."""
         order = self._rings[ring]
         if not order:
@@ -155,7 +155,7 @@
             self._zones[zone] = names
         return names
 
-    def map_zones(self) -> Mapping[str, str]:
+    def map_zones(self) -> abc.Mapping[str, str]:
         """Return the region of each zone that has a member which is not dead."""
         if not self._zone_regions:
             self._zone_regions = {
--- a/src/endivevane/coordination/membership.py
+++ b/src/endivevane/coordination/membership.py
@@ -5,7 +5,7 @@
 import dataclasses
 import functools
 import random
-from collections.abc import Iterable
+from collections import abc
 
 from endivevane.coordination import (
     budget,
@@ -316,7 +316,7 @@
         return self._view.queue.take(self._settings.max_updates, len(self.table))
 
     def _make_header(
-        self, receiver: str, updates: Iterable[members.Update] | None = None
+        self, receiver: str, updates: abc.Iterable[members.Update] | None = None
     ) -> exchange.Header:
         """Return a header; one to an accused member tells it of the accusation."""
         chosen = list(self._take_updates() if updates is None else updates)
--- a/src/endivevane/coordination/register.py
+++ b/src/endivevane/coordination/register.py
@@ -6,8 +6,8 @@
 import dataclasses
 import enum
 import threading
-from collections.abc import Callable
-from typing import Any
+import typing
+from collections import abc
 
 import result
 
@@ -36,7 +36,7 @@
 class Finished:
     """The call was made before; this is its stored outcome."""
 
-    outcome: dict[str, Any]
+    outcome: dict[str, typing.Any]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,7 +80,7 @@
     """A change of a claimed row; ``outcome`` is ``None`` for a release."""
 
     claim: Claim
-    outcome: dict[str, Any] | None
+    outcome: dict[str, typing.Any] | None
 
 
 class Register:
@@ -98,7 +98,7 @@
     def __init__(
         self,
         table_store: store.TableStore,
-        make_operation_id: Callable[[], str],
+        make_operation_id: abc.Callable[[], str],
         backlog_size: int = _DEFAULT_BACKLOG,
     ) -> None:
         self._store = table_store
@@ -113,7 +113,7 @@
         key: str,
         digest: str,
         now_ms: int,
-        may_continue: Callable[[], bool] = lambda: True,
+        may_continue: abc.Callable[[], bool] = lambda: True,
     ) -> result.Result[Sight, store.StoreError]:
         """Claim a key, or say what is known of it.
 
@@ -148,7 +148,7 @@
             self._put_off(_Pending(claim, None))
         return result.Err(error)
 
-    def record(self, claim: Claim, outcome: dict[str, Any]) -> Recording:
+    def record(self, claim: Claim, outcome: dict[str, typing.Any]) -> Recording:
         """Store the outcome of a call, now or later.
 
         :param outcome: JSON object that a later sight of the key returns
@@ -159,7 +159,9 @@
         """Give up a claim whose call provably did not run, now or later."""
         return self._change(_Pending(claim, None))
 
-    def record_later(self, claim: Claim, outcome: dict[str, Any] | None) -> Recording:
+    def record_later(
+        self, claim: Claim, outcome: dict[str, typing.Any] | None
+    ) -> Recording:
         """Put an outcome off without trying the store.
 
         :param outcome: ``None`` releases the claim
@@ -252,8 +254,10 @@
         )
 
 
-def _make_value(claim: Claim, outcome: dict[str, Any] | None) -> dict[str, Any]:
-    value: dict[str, Any] = {
+def _make_value(
+    claim: Claim, outcome: dict[str, typing.Any] | None
+) -> dict[str, typing.Any]:
+    value: dict[str, typing.Any] = {
         "state": CLAIMED if outcome is None else DONE,
         "digest": claim.digest,
         "claimed_ms": claim.claimed_ms,
@@ -264,7 +268,7 @@
     return value
 
 
-def make_expired_value(value: dict[str, Any]) -> dict[str, Any]:
+def make_expired_value(value: dict[str, typing.Any]) -> dict[str, typing.Any]:
     """Return the value of a row whose outcome is being deleted."""
     return {
         "state": EXPIRED,
--- a/src/endivevane/coordination/rendezvous.py
+++ b/src/endivevane/coordination/rendezvous.py
@@ -4,7 +4,7 @@
 
 import heapq
 import math
-from collections.abc import Mapping
+from collections import abc
 
 import xxhash
 
@@ -24,7 +24,7 @@
     return -weight / math.log(uniform)
 
 
-def choose_member(key: str, members: Mapping[str, float]) -> str | None:
+def choose_member(key: str, members: abc.Mapping[str, float]) -> str | None:
     """Return the member that owns a key, or ``None`` without members.
 
     :param members: weights by name
@@ -33,7 +33,7 @@
     return chosen[0] if chosen else None
 
 
-def choose_subset(key: str, members: Mapping[str, float], size: int) -> list[str]:
+def choose_subset(key: str, members: abc.Mapping[str, float], size: int) -> list[str]:
     """Return the members with the highest ranks, best first.
 
     A member that joins or leaves replaces at most one member of the subset.
--- a/src/endivevane/coordination/roster.py
+++ b/src/endivevane/coordination/roster.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Iterable
+from collections import abc
 
 from endivevane.coordination import gossip, members, probes
 
@@ -94,7 +94,7 @@
         if member is not None:
             self.merge([members.Update(name, member.incarnation, state)], now_s)
 
-    def merge(self, updates: Iterable[members.Update], now_s: float) -> None:
+    def merge(self, updates: abc.Iterable[members.Update], now_s: float) -> None:
         """Apply reports that are newer than what is known."""
         for update in updates:
             if update.name == self.me.name:
--- a/src/endivevane/coordination/shares.py
+++ b/src/endivevane/coordination/shares.py
@@ -4,7 +4,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Collection, Mapping
+from collections import abc
 
 from endivevane.coordination import clock
 
@@ -108,7 +108,7 @@
         """Time after which an own increase counts now."""
         return self._settings.settle_s * self._stretch()
 
-    def set_members(self, alive: Collection[str], known_count: int) -> None:
+    def set_members(self, alive: abc.Collection[str], known_count: int) -> None:
         """Set the live members, this daemon included.
 
         A member that is gone counts for the settle time, as it may be alive after all.
@@ -230,7 +230,9 @@
             self._history.popleft()
 
 
-def divide(pool: float, needs: Mapping[str, tuple[float, float]]) -> dict[str, float]:
+def divide(
+    pool: float, needs: abc.Mapping[str, tuple[float, float]]
+) -> dict[str, float]:
     """Return the weighted max-min division of a pool.
 
     :param needs: need and weight by name
--- a/src/endivevane/coordination/store.py
+++ b/src/endivevane/coordination/store.py
@@ -4,8 +4,7 @@
 
 import dataclasses
 import typing
-from collections.abc import Callable, Sequence
-from typing import Any
+from collections import abc
 
 import result
 
@@ -26,7 +25,7 @@
 
     table: str
     key: str
-    value: dict[str, Any]
+    value: dict[str, typing.Any]
     revision: int
 
 
@@ -51,7 +50,7 @@
 
     table: str
     key: str
-    value: dict[str, Any] | None
+    value: dict[str, typing.Any] | None
 
 
 class StoreError(exceptions.EndivevaneError):
@@ -135,8 +134,8 @@
     def transact(
         self,
         operation_id: str,
-        conditions: Sequence[Condition],
-        writes: Sequence[Write],
+        conditions: abc.Sequence[Condition],
+        writes: abc.Sequence[Write],
     ) -> result.Result[int, StoreError]:
         """Apply all writes if all conditions hold; return the new revision."""
 
@@ -144,10 +143,10 @@
 def transact_settled(
     store: TableStore,
     operation_id: str,
-    conditions: Sequence[Condition],
-    writes: Sequence[Write],
+    conditions: abc.Sequence[Condition],
+    writes: abc.Sequence[Write],
     attempts: int = 3,
-    may_continue: Callable[[], bool] = lambda: True,
+    may_continue: abc.Callable[[], bool] = lambda: True,
 ) -> result.Result[int, StoreError]:
     """Run a transaction and settle lost answers by reading back.
 
--- a/src/endivevane/ctl/client.py
+++ b/src/endivevane/ctl/client.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import http.client
-from collections.abc import Iterator, Mapping
-from typing import Any
+import typing
+from collections import abc
 
 from endivevane import exceptions, types, utils
 from endivevane.ctl import settings
@@ -63,8 +63,8 @@
         method: str,
         path: str,
         body: bytes | None = None,
-        headers: Mapping[str, str] | None = None,
-    ) -> Any:
+        headers: abc.Mapping[str, str] | None = None,
+    ) -> typing.Any:
         """Send a call and return the decoded JSON answer.
 
         :raises CallFailed: when the daemon answers with an error
@@ -78,8 +78,8 @@
         method: str,
         path: str,
         body: bytes | None = None,
-        headers: Mapping[str, str] | None = None,
-    ) -> Iterator[bytes]:
+        headers: abc.Mapping[str, str] | None = None,
+    ) -> abc.Iterator[bytes]:
         """Send a call and yield the body of the answer in parts."""
         response = self._open(method, path, body, headers)
         if response.status >= 400:
@@ -95,7 +95,7 @@
         method: str,
         path: str,
         body: bytes | None,
-        headers: Mapping[str, str] | None,
+        headers: abc.Mapping[str, str] | None,
     ) -> http.client.HTTPResponse:
         attempts: list[str] = []
         all_headers = {"Authorization": f"Bearer {self._key}", **(headers or {})}
--- a/src/endivevane/ctl/daemon_commands.py
+++ b/src/endivevane/ctl/daemon_commands.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import argparse
-from collections.abc import Callable
-from typing import Any
+import typing
+from collections import abc
 
 from endivevane import exceptions
 from endivevane.ctl import client, exits, output, settings
@@ -73,7 +73,7 @@
     """Print the state of one daemon and the members that it knows."""
     status = open_operator_client(ctl_settings).call("GET", "/admin/status")
 
-    def print_text(value: dict[str, Any]) -> None:
+    def print_text(value: dict[str, typing.Any]) -> None:
         members = value.pop("members")
         output.print_fields(value)
         output.print_table(("name", "zone", "region", "state"), members)
@@ -145,7 +145,9 @@
 
 
 def _print(
-    arguments: argparse.Namespace, value: Any, print_text: Callable[[Any], None]
+    arguments: argparse.Namespace,
+    value: typing.Any,
+    print_text: abc.Callable[[typing.Any], None],
 ) -> exits.Exit:
     if arguments.output == "json":
         output.print_json(value)
--- a/src/endivevane/ctl/job_commands.py
+++ b/src/endivevane/ctl/job_commands.py
@@ -6,7 +6,7 @@
 import pathlib
 import sys
 import time
-from typing import Any
+import typing
 
 import tqdm
 
@@ -135,8 +135,8 @@
 
 
 def _await_end(
-    caller: client.DaemonClient, job: dict[str, Any], is_quiet: bool
-) -> dict[str, Any]:
+    caller: client.DaemonClient, job: dict[str, typing.Any], is_quiet: bool
+) -> dict[str, typing.Any]:
     is_quiet = is_quiet or not sys.stderr.isatty()
     with tqdm.tqdm(unit="item", disable=is_quiet) as progress:
         while job["status"] not in _FINAL_STATES:
@@ -148,7 +148,7 @@
     return job
 
 
-def _print_job(arguments: argparse.Namespace, job: dict[str, Any]) -> exits.Exit:
+def _print_job(arguments: argparse.Namespace, job: dict[str, typing.Any]) -> exits.Exit:
     if arguments.output == "json":
         output.print_json(job)
     else:
--- a/src/endivevane/ctl/main.py
+++ b/src/endivevane/ctl/main.py
@@ -6,7 +6,7 @@
 import http.client
 import pathlib
 import sys
-from collections.abc import Sequence
+from collections import abc
 
 import endivevane
 from endivevane import exceptions
@@ -77,7 +77,7 @@
         )
 
 
-def main(arguments: Sequence[str] | None = None) -> int:
+def main(arguments: abc.Sequence[str] | None = None) -> int:
     """Run the command and return its exit code."""
     parsed = make_parser().parse_args(arguments)
     try:
--- a/src/endivevane/ctl/output.py
+++ b/src/endivevane/ctl/output.py
@@ -3,18 +3,20 @@
 from __future__ import annotations
 
 import sys
-from collections.abc import Mapping, Sequence
-from typing import Any
+import typing
+from collections import abc
 
 from endivevane import utils
 
 
-def print_json(value: Any) -> None:
+def print_json(value: typing.Any) -> None:
     """Print a value as one line of JSON."""
     sys.stdout.write(utils.encode_json(value).decode() + "\n")
 
 
-def print_table(columns: Sequence[str], rows: Sequence[Mapping[str, Any]]) -> None:
+def print_table(
+    columns: abc.Sequence[str], rows: abc.Sequence[abc.Mapping[str, typing.Any]]
+) -> None:
     """Print rows with aligned columns, the header first.
 
     :param columns: keys of the rows, in order
@@ -28,7 +30,7 @@
         sys.stdout.write("  ".join(padded).rstrip() + "\n")
 
 
-def print_fields(fields: Mapping[str, Any]) -> None:
+def print_fields(fields: abc.Mapping[str, typing.Any]) -> None:
     """Print one ``key: value`` line per field."""
     width = max((len(key) for key in fields), default=0)
     for key, value in fields.items():
@@ -45,7 +47,7 @@
     sys.stderr.write(f"{message}\n")
 
 
-def _format_cell(value: Any) -> str:
+def _format_cell(value: typing.Any) -> str:
     if value is None:
         return "-"
     if isinstance(value, bool):
--- a/src/endivevane/ctl/settings.py
+++ b/src/endivevane/ctl/settings.py
@@ -5,7 +5,7 @@
 import os
 import pathlib
 import tomllib
-from typing import Any
+import typing
 
 import pydantic
 
@@ -43,7 +43,7 @@
     """
     if path is None and os.environ.get(CONFIG_VARIABLE):
         path = pathlib.Path(os.environ[CONFIG_VARIABLE])
-    data: dict[str, Any] = _read(path) if path is not None else {}
+    data: dict[str, typing.Any] = _read(path) if path is not None else {}
     for variable, key in (
         (OPERATOR_KEY_VARIABLE, "operator_key"),
         (CALLER_KEY_VARIABLE, "caller_key"),
@@ -64,7 +64,7 @@
         raise exceptions.SettingsError(problems) from error
 
 
-def _read(path: pathlib.Path) -> dict[str, Any]:
+def _read(path: pathlib.Path) -> dict[str, typing.Any]:
     try:
         return tomllib.loads(path.read_text(encoding="utf-8"))
     except OSError as error:
--- a/src/endivevane/daemon/admin.py
+++ b/src/endivevane/daemon/admin.py
@@ -4,8 +4,8 @@
 
 import dataclasses
 import datetime
-from collections.abc import Callable
-from typing import Any
+import typing
+from collections import abc
 
 import werkzeug.wrappers
 
@@ -30,10 +30,10 @@
     cluster: tasks.ClusterTask
     loads: load_board.LoadBoard
     history: history.RequestHistory
-    count_streams: Callable[[], int]
-    get_leaving: Callable[[], frozenset[str]]
-    get_obstacles: Callable[[], list[str]]
-    request_drain: Callable[[], None]
+    count_streams: abc.Callable[[], int]
+    get_leaving: abc.Callable[[], frozenset[str]]
+    get_obstacles: abc.Callable[[], list[str]]
+    request_drain: abc.Callable[[], None]
 
 
 class AdminApi:
@@ -108,7 +108,7 @@
 
     def _describe_target(
         self, target: snapshot.Target, leaving: frozenset[str]
-    ) -> dict[str, Any]:
+    ) -> dict[str, typing.Any]:
         report = self._parts.loads.load_report(target.name)
         state = "leaving" if target.name in leaving else "reported"
         if report is None and target.name not in leaving:
--- a/src/endivevane/daemon/batch_port.py
+++ b/src/endivevane/daemon/batch_port.py
@@ -4,8 +4,8 @@
 
 import dataclasses
 import threading
-from collections.abc import Sequence
-from typing import Any
+import typing
+from collections import abc
 
 import result
 
@@ -60,7 +60,7 @@
         current = self._task.session()
         return ports.Session(current.daemon, current.epoch or 0, current.is_valid)
 
-    def live_members(self) -> Sequence[ports.Member]:
+    def live_members(self) -> abc.Sequence[ports.Member]:
         """Return the live daemons, this one included."""
         return [
             ports.Member(item.name, item.incarnation, item.description.region)
@@ -88,7 +88,7 @@
         """Return the configuration in force."""
         return self._task.snapshot
 
-    def send(self, daemon: str, kind: str, body: dict[str, Any]) -> None:
+    def send(self, daemon: str, kind: str, body: dict[str, typing.Any]) -> None:
         """Send a message to a daemon, without waiting for delivery."""
         self._task.send(daemon, kind, body)
 
@@ -96,7 +96,7 @@
         """Call a function with sender and body of each message of a kind."""
         self._handlers[kind] = handler
 
-    def deliver(self, sender: str, kind: str, body: dict[str, Any]) -> None:
+    def deliver(self, sender: str, kind: str, body: dict[str, typing.Any]) -> None:
         """Hand a message to the handler of its kind, if there is one."""
         handler = self._handlers.get(kind)
         if handler is not None:
--- a/src/endivevane/daemon/batch_senders.py
+++ b/src/endivevane/daemon/batch_senders.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections import abc
 
 from endivevane.batch import ports, slack
 from endivevane.configuration import snapshot
@@ -18,7 +18,9 @@
     :param get_members: returns the live daemons
     """
 
-    def __init__(self, get_members: Callable[[], Sequence[ports.Member]]) -> None:
+    def __init__(
+        self, get_members: abc.Callable[[], abc.Sequence[ports.Member]]
+    ) -> None:
         self._get_members = get_members
         self._found: dict[tuple[str, str], str | None] = {}
 
--- a/src/endivevane/daemon/health.py
+++ b/src/endivevane/daemon/health.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections import abc
 
 import prometheus_client
 import werkzeug.wrappers
@@ -10,7 +10,7 @@
 from endivevane.web import app, errors
 
 
-def routes(get_obstacles: Callable[[], list[str]]) -> list[app.Route]:
+def routes(get_obstacles: abc.Callable[[], list[str]]) -> list[app.Route]:
     """Return ``/healthz``, ``/readyz`` and ``/metrics``.
 
     :param get_obstacles: why the daemon is not ready; empty when it is
--- a/src/endivevane/daemon/history.py
+++ b/src/endivevane/daemon/history.py
@@ -5,7 +5,7 @@
 import collections
 import dataclasses
 import threading
-from collections.abc import Mapping
+from collections import abc
 
 from endivevane import logs
 from endivevane.coordination import clock
@@ -36,7 +36,7 @@
             collections.OrderedDict()
         )
 
-    def observe(self, event: str, fields: Mapping[str, object]) -> None:
+    def observe(self, event: str, fields: abc.Mapping[str, object]) -> None:
         """Record an event; a log observer."""
         request_id = fields.get("request_id")
         if not isinstance(request_id, str):
--- a/src/endivevane/daemon/load_board.py
+++ b/src/endivevane/daemon/load_board.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections import abc
 
 from endivevane.online import messages
 from endivevane.platform import engine
@@ -14,7 +14,7 @@
     :param forward: takes every message, for example :meth:`relay.RelayTask.post`
     """
 
-    def __init__(self, forward: Callable[[object], None]) -> None:
+    def __init__(self, forward: abc.Callable[[object], None]) -> None:
         self._forward = forward
         self._reports: dict[str, engine.LoadReport] = {}
 
--- a/src/endivevane/daemon/main.py
+++ b/src/endivevane/daemon/main.py
@@ -6,7 +6,7 @@
 import pathlib
 import signal
 import sys
-from collections.abc import Sequence
+from collections import abc
 
 import endivevane
 from endivevane import exceptions, logs
@@ -35,7 +35,7 @@
     return parser
 
 
-def main(arguments: Sequence[str] | None = None) -> int:
+def main(arguments: abc.Sequence[str] | None = None) -> int:
     """Run the daemon until SIGTERM, SIGINT or an operator's drain."""
     parsed = make_parser().parse_args(arguments)
     try:
--- a/src/endivevane/daemon/quarantine_desk.py
+++ b/src/endivevane/daemon/quarantine_desk.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable
-from typing import Any
+import typing
+from collections import abc
 
 from endivevane.coordination import clock, store
 from endivevane.online import bodies, messages, quarantine, quarantine_rows
 
 _FIRST_READ_S = 1.0
 
-Broadcast = Callable[[str, dict[str, Any]], None]
+Broadcast = abc.Callable[[str, dict[str, typing.Any]], None]
 
 
 class QuarantineDesk:
@@ -29,7 +29,7 @@
         desk_clock: clock.Clock,
         table_store: store.TableStore,
         broadcast: Broadcast,
-        post: Callable[[object], None],
+        post: abc.Callable[[object], None],
     ) -> None:
         self._broadcast = broadcast
         self._post = post
@@ -47,7 +47,7 @@
         """End the thread of the rows."""
         self._rows.stop()
 
-    def receive(self, body: dict[str, Any]) -> None:
+    def receive(self, body: dict[str, typing.Any]) -> None:
         """Take in a message of another daemon."""
         self.deliver(
             messages.QuarantineChanged(
@@ -67,7 +67,7 @@
         self._note(entry)
         self._tell(entry)
 
-    def make_fingerprint(self, model: str, body: dict[str, Any]) -> str:
+    def make_fingerprint(self, model: str, body: dict[str, typing.Any]) -> str:
         """Return the fingerprint of a call."""
         return bodies.make_fingerprint(model, body)
 
--- a/src/endivevane/daemon/settings.py
+++ b/src/endivevane/daemon/settings.py
@@ -4,14 +4,14 @@
 
 import pathlib
 import tomllib
-from typing import Annotated, Literal
+import typing
 
 import pydantic
 
 from endivevane import exceptions
 from endivevane.configuration import models
 
-Seconds = Annotated[float, pydantic.Field(gt=0, le=86_400)]
+Seconds = typing.Annotated[float, pydantic.Field(gt=0, le=86_400)]
 
 
 class _Section(pydantic.BaseModel):
@@ -34,7 +34,7 @@
     listen: models.AddressText
     cluster_listen: models.AddressText
     worker_threads: int = pydantic.Field(default=16, ge=2, le=256)
-    log_level: Literal["debug", "info", "warning", "error"] = "info"
+    log_level: typing.Literal["debug", "info", "warning", "error"] = "info"
 
 
 class PlatformSection(_Section):
--- a/src/endivevane/daemon/wiring.py
+++ b/src/endivevane/daemon/wiring.py
@@ -5,8 +5,8 @@
 import functools
 import random
 import threading
-from collections.abc import Callable
-from typing import Any
+import typing
+from collections import abc
 
 from endivevane import logs, metrics, types, utils
 from endivevane.batch import api as batch_api
@@ -378,7 +378,7 @@
         self._tell_sender(message.target, ports.YIELD_SLOTS, body)
 
     def _tell_sender(
-        self, target: snapshot.Target, kind: str, body: dict[str, Any]
+        self, target: snapshot.Target, kind: str, body: dict[str, typing.Any]
     ) -> None:
         """Send a message to the batch sender of a target, which may be this daemon."""
         sender = self._senders.find(target)
@@ -398,7 +398,7 @@
             self._run_safely(self._register.flush)
             self._run_safely(self._keeper.flush)
 
-    def _run_safely(self, function: Callable[[], object]) -> None:
+    def _run_safely(self, function: abc.Callable[[], object]) -> None:
         try:
             function()
         except Exception as error:
--- a/src/endivevane/logs.py
+++ b/src/endivevane/logs.py
@@ -4,13 +4,13 @@
 
 import logging as std_logging
 import sys
-from collections.abc import Callable, Mapping
+from collections import abc
 
 from absl import flags, logging
 
 _NEEDS_QUOTES = frozenset(' "=\n\t')
 
-Observer = Callable[[str, Mapping[str, object]], None]
+Observer = abc.Callable[[str, abc.Mapping[str, object]], None]
 _observers: list[Observer] = []
 
 
@@ -58,7 +58,7 @@
     logging.error("%s", format_event(event, **fields))
 
 
-def _notify(event: str, fields: Mapping[str, object]) -> None:
+def _notify(event: str, fields: abc.Mapping[str, object]) -> None:
     for observer in _observers:
         observer(event, fields)
 
--- a/src/endivevane/online/at_most_once.py
+++ b/src/endivevane/online/at_most_once.py
@@ -7,8 +7,8 @@
 import concurrent.futures
 import dataclasses
 import threading
-from collections.abc import Callable, Mapping
-from typing import Any
+import typing
+from collections import abc
 
 import result
 
@@ -58,7 +58,7 @@
     """
 
     status: int
-    headers: Mapping[str, str]
+    headers: abc.Mapping[str, str]
     body: bytes
 
 
@@ -96,7 +96,7 @@
         key: str,
         digest: str,
         now_ms: int,
-        may_continue: Callable[[], bool],
+        may_continue: abc.Callable[[], bool],
     ) -> result.Result[register.Sight, store.StoreError]:
         """Claim a key, see :meth:`register.Register.claim`."""
         if not self._turns.acquire(timeout=self._wait_s):
@@ -194,7 +194,7 @@
         return recording
 
     def restore(
-        self, outcome: Mapping[str, Any]
+        self, outcome: abc.Mapping[str, typing.Any]
     ) -> result.Result[Answer, objects.ObjectStoreError]:
         """Return a stored answer; an error when its object can't be read."""
         name = outcome.get("object")
@@ -238,9 +238,9 @@
             return register.Recording.LATER
 
 
-def _describe(claim: register.Claim, answer: Answer) -> dict[str, Any]:
+def _describe(claim: register.Claim, answer: Answer) -> dict[str, typing.Any]:
     """Return the JSON object that stands for an answer in the register."""
-    outcome: dict[str, Any] = {
+    outcome: dict[str, typing.Any] = {
         "status": answer.status,
         "headers": {
             name: value
--- a/src/endivevane/online/bodies.py
+++ b/src/endivevane/online/bodies.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from typing import Any
+import typing
 
 import pydantic
 import werkzeug.wrappers
@@ -26,7 +26,7 @@
     model_config = pydantic.ConfigDict(extra="allow", strict=True)
 
     role: str = pydantic.Field(min_length=1, max_length=64)
-    content: str | list[dict[str, Any]] | None = None
+    content: str | list[dict[str, typing.Any]] | None = None
 
 
 class CompletionModel(pydantic.BaseModel):
@@ -40,7 +40,7 @@
     model: str = pydantic.Field(min_length=1, max_length=200)
     messages: list[MessageModel] = pydantic.Field(min_length=1)
     stream: bool | None = None
-    stream_options: dict[str, Any] | None = None
+    stream_options: dict[str, typing.Any] | None = None
     temperature: float | None = pydantic.Field(default=None, ge=0, le=2)
     top_p: float | None = pydantic.Field(default=None, ge=0, le=1)
     seed: int | None = None
@@ -56,7 +56,7 @@
 
 def parse_body(
     request: werkzeug.wrappers.Request,
-) -> tuple[CompletionModel, dict[str, Any]]:
+) -> tuple[CompletionModel, dict[str, typing.Any]]:
     """Return the validated fields and the whole body.
 
     :raises errors.InvalidRequest: when the body is malformed
@@ -79,13 +79,13 @@
     return fields, body
 
 
-def make_fingerprint(model: str, body: dict[str, Any]) -> str:
+def make_fingerprint(model: str, body: dict[str, typing.Any]) -> str:
     """Return a digest of what an engine computes, for the quarantine."""
     relevant = {key: value for key, value in body.items() if key not in _VOLATILE}
     return utils.digest_text(model, utils.encode_json(relevant).decode())
 
 
-def hash_prefixes(model: str, messages: list[dict[str, Any]]) -> tuple[int, ...]:
+def hash_prefixes(model: str, messages: list[dict[str, typing.Any]]) -> tuple[int, ...]:
     """Return one hash per block of the prompt, each over all bytes before its end.
 
     The model's name goes in first, since the cache of one model is of no use to
@@ -100,7 +100,7 @@
     return tuple(hashes)
 
 
-def _render_prompt(messages: list[dict[str, Any]]) -> bytes:
+def _render_prompt(messages: list[dict[str, typing.Any]]) -> bytes:
     parts = []
     for message in messages:
         content = message.get("content") or ""
--- a/src/endivevane/online/caller.py
+++ b/src/endivevane/online/caller.py
@@ -4,7 +4,7 @@
 
 import contextlib
 import socket
-from collections.abc import Callable
+from collections import abc
 
 from endivevane.online import poller
 from endivevane.web import server
@@ -38,8 +38,8 @@
         self,
         detached: server.DetachedCaller,
         event_poller: poller.Poller,
-        on_left: Callable[[str], None],
-        on_writable: Callable[[], None],
+        on_left: abc.Callable[[str], None],
+        on_writable: abc.Callable[[], None],
     ) -> None:
         self._sock: socket.socket = detached.sock
         self._poller = event_poller
--- a/src/endivevane/online/contract.py
+++ b/src/endivevane/online/contract.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 import enum
-from typing import Any
+import typing
 
 from endivevane import types
 from endivevane.configuration import snapshot
@@ -32,7 +32,7 @@
     service: snapshot.Service
     model: str
     priority: types.Priority
-    body: dict[str, Any]
+    body: dict[str, typing.Any]
     is_streamed: bool
     is_deterministic: bool
     received_s: float
--- a/src/endivevane/online/dispatcher.py
+++ b/src/endivevane/online/dispatcher.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import functools
-from collections.abc import Callable
+from collections import abc
 
 from endivevane import logs, metrics, types
 from endivevane.coordination import clock
@@ -28,7 +28,7 @@
     stream_states.Outcome.CALLER_LEFT: contract.AttemptOutcome.CALLER_LEFT,
     stream_states.Outcome.SLOW_CALLER: contract.AttemptOutcome.CALLER_LEFT,
 }
-Publish = Callable[
+Publish = abc.Callable[
     [contract.UseNotice | contract.YieldRequest | messages.QuarantineChanged], None
 ]
 
@@ -185,7 +185,7 @@
         """Cancel an attempt at its target."""
         self._engines.cancel(attempt.target.address, attempt.attempt_id)
 
-    def find_meter(self, attempt: contract.Attempt) -> Callable[[int], None] | None:
+    def find_meter(self, attempt: contract.Attempt) -> abc.Callable[[int], None] | None:
         """Return what counts an attempt's bytes, ``None`` if nothing has to."""
         return self.scheduler.find_meter(attempt)
 
--- a/src/endivevane/online/engine_connection.py
+++ b/src/endivevane/online/engine_connection.py
@@ -4,7 +4,7 @@
 
 import socket
 import typing
-from collections.abc import Callable
+from collections import abc
 
 from endivevane import exceptions
 from endivevane.online import contract, poller, reader, sse
@@ -51,7 +51,7 @@
         source: str,
         event_poller: poller.Poller,
         listener: Listener,
-        meter: Callable[[int], None] | None = None,
+        meter: abc.Callable[[int], None] | None = None,
     ) -> None:
         self._sock = sock
         self._poller = event_poller
--- a/src/endivevane/online/fleet.py
+++ b/src/endivevane/online/fleet.py
@@ -4,7 +4,7 @@
 
 import functools
 import random
-from collections.abc import Callable, Iterable
+from collections import abc
 
 from endivevane import metrics
 from endivevane.configuration import snapshot
@@ -38,7 +38,7 @@
         settings: routing.RoutingSettings,
         fleet_clock: clock.Clock,
         generator: random.Random,
-        count_daemons: Callable[[], int],
+        count_daemons: abc.Callable[[], int],
         link: link_budget.LinkBudget,
     ) -> None:
         self.snapshot = snapshot.EMPTY
@@ -71,7 +71,7 @@
         self._link.set_rate(current.link.data_bytes_s)
         self._refresh()
 
-    def set_leaving(self, target_names: Iterable[str]) -> None:
+    def set_leaving(self, target_names: abc.Iterable[str]) -> None:
         """Set the targets that get no new work; replaces the former set."""
         leaving = frozenset(target_names)
         if leaving == self._leaving:
@@ -134,7 +134,7 @@
         if state.target.region != self._place.region:
             self._link.open_stream(attempt.attempt_id, attempt.request.service.name)
 
-    def find_meter(self, attempt: contract.Attempt) -> Callable[[int], None] | None:
+    def find_meter(self, attempt: contract.Attempt) -> abc.Callable[[int], None] | None:
         """Return what counts an attempt's bytes, ``None`` inside the region."""
         if attempt.target.region == self._place.region:
             return None
--- a/src/endivevane/online/front.py
+++ b/src/endivevane/online/front.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+import typing
 
 import werkzeug.wrappers
 
@@ -106,7 +106,9 @@
     raise errors.ModelNotFound(f"there is no model {model!r}", param="model")
 
 
-def find_models(current: snapshot.Snapshot, organisation: str) -> list[dict[str, Any]]:
+def find_models(
+    current: snapshot.Snapshot, organisation: str
+) -> list[dict[str, typing.Any]]:
     """Return what an organisation may name as a model, in the OpenAI format."""
     models = []
     for service in current.services.values():
--- a/src/endivevane/online/handover.py
+++ b/src/endivevane/online/handover.py
@@ -6,7 +6,7 @@
 import dataclasses
 import threading
 import time
-from collections.abc import Callable
+from collections import abc
 
 import result
 
@@ -44,7 +44,7 @@
     """
 
     def __init__(
-        self, settings: HandoverSettings, post: Callable[[object], None]
+        self, settings: HandoverSettings, post: abc.Callable[[object], None]
     ) -> None:
         self._settings = settings
         self._post = post
--- a/src/endivevane/online/link_budget.py
+++ b/src/endivevane/online/link_budget.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 import threading
-from collections.abc import Callable
+from collections import abc
 
 from endivevane.coordination import clock
 
@@ -50,8 +50,8 @@
     def __init__(
         self,
         budget_clock: clock.Clock,
-        compute_share: Callable[[float], float],
-        compute_even_share: Callable[[float], float] | None = None,
+        compute_share: abc.Callable[[float], float],
+        compute_even_share: abc.Callable[[float], float] | None = None,
     ) -> None:
         self._clock = budget_clock
         self._compute_share = compute_share
--- a/src/endivevane/online/loads.py
+++ b/src/endivevane/online/loads.py
@@ -7,7 +7,7 @@
 import math
 import random
 import threading
-from collections.abc import Callable, Iterable
+from collections import abc
 
 import result
 
@@ -80,11 +80,12 @@
         place: routing.Place,
         settings: LoadsSettings,
         task_clock: clock.Clock,
-        get_snapshot: Callable[[], snapshot.Snapshot],
-        post: Callable[[object], None],
+        get_snapshot: abc.Callable[[], snapshot.Snapshot],
+        post: abc.Callable[[object], None],
         routing_settings: routing.RoutingSettings | None = None,
-        get_further_targets: Callable[[], Iterable[snapshot.Target]] | None = None,
-        count_daemons: Callable[[], int] | None = None,
+        get_further_targets: abc.Callable[[], abc.Iterable[snapshot.Target]]
+        | None = None,
+        count_daemons: abc.Callable[[], int] | None = None,
     ) -> None:
         self._place = place
         self._count_daemons = count_daemons or (lambda: routing.DEFAULT_DAEMONS)
@@ -120,7 +121,7 @@
         for polled in self._polled.values():
             polled.pool.close_idle()
 
-    def set_leaving(self, target_names: Iterable[str]) -> None:
+    def set_leaving(self, target_names: abc.Iterable[str]) -> None:
         """Set the targets that get no new work; replaces the former set."""
         self._leaving = frozenset(target_names)
 
--- a/src/endivevane/online/messages.py
+++ b/src/endivevane/online/messages.py
@@ -4,8 +4,8 @@
 
 import dataclasses
 import socket
-from collections.abc import Mapping, Sequence
-from typing import Any
+import typing
+from collections import abc
 
 from endivevane import types
 from endivevane.configuration import snapshot
@@ -49,7 +49,7 @@
     """A target has published events of its prefix cache."""
 
     target_name: str
-    events: Sequence[Mapping[str, Any]]
+    events: abc.Sequence[abc.Mapping[str, typing.Any]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/endivevane/online/plain_targets.py
+++ b/src/endivevane/online/plain_targets.py
@@ -4,7 +4,7 @@
 
 import random
 import threading
-from collections.abc import Callable, Collection, Iterable
+from collections import abc
 
 from endivevane.configuration import snapshot
 from endivevane.coordination import clock, retry
@@ -27,7 +27,7 @@
         targets_clock: clock.Clock,
         generator: random.Random,
         settings: routing.RoutingSettings | None = None,
-        count_daemons: Callable[[], int] | None = None,
+        count_daemons: abc.Callable[[], int] | None = None,
         budget: link_budget.LinkBudget | None = None,
     ) -> None:
         self._place = place
@@ -43,7 +43,7 @@
         self._leaving: frozenset[str] = frozenset()
         self._lock = threading.Lock()
 
-    def set_leaving(self, target_names: Iterable[str]) -> None:
+    def set_leaving(self, target_names: abc.Iterable[str]) -> None:
         """Set the targets that get no new work; replaces the former set."""
         with self._lock:
             self._leaving = frozenset(target_names)
@@ -60,7 +60,7 @@
             return self._get_budget(service).try_retry()
 
     def has_target(
-        self, service: snapshot.Service, excluded: Collection[str] = ()
+        self, service: snapshot.Service, excluded: abc.Collection[str] = ()
     ) -> bool:
         """Return whether a call could be sent now.
 
@@ -70,7 +70,7 @@
             return bool(self._find_usable(service, excluded))
 
     def begin(
-        self, service: snapshot.Service, attempt_id: str, excluded: Collection[str]
+        self, service: snapshot.Service, attempt_id: str, excluded: abc.Collection[str]
     ) -> snapshot.Target | None:
         """Choose a target and note that a call is sent to it.
 
@@ -143,7 +143,7 @@
         )
 
     def _find_usable(
-        self, service: snapshot.Service, excluded: Collection[str]
+        self, service: snapshot.Service, excluded: abc.Collection[str]
     ) -> list[target_state.TargetState]:
         now_s = self._clock.monotonic_s()
         usable = [
--- a/src/endivevane/online/poller.py
+++ b/src/endivevane/online/poller.py
@@ -6,13 +6,13 @@
 import itertools
 import selectors
 import socket
-from collections.abc import Callable
+from collections import abc
 
 READ = selectors.EVENT_READ
 WRITE = selectors.EVENT_WRITE
 
 # Gets the events and the monotonic time of the round.
-Callback = Callable[[int, float], None]
+Callback = abc.Callable[[int, float], None]
 
 
 class Poller:
@@ -58,10 +58,10 @@
     """
 
     def __init__(self) -> None:
-        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._heap: list[tuple[float, int, abc.Callable[[], None]]] = []
         self._numbers = itertools.count()
 
-    def schedule(self, when_s: float, function: Callable[[], None]) -> None:
+    def schedule(self, when_s: float, function: abc.Callable[[], None]) -> None:
         """Call a function at a monotonic time."""
         heapq.heappush(self._heap, (when_s, next(self._numbers), function))
 
@@ -69,7 +69,7 @@
         """Return the earliest time, if any."""
         return self._heap[0][0] if self._heap else None
 
-    def take_due(self, now_s: float) -> list[Callable[[], None]]:
+    def take_due(self, now_s: float) -> list[abc.Callable[[], None]]:
         """Remove and return the functions whose time has come."""
         due = []
         while self._heap and self._heap[0][0] <= now_s:
--- a/src/endivevane/online/prefixes.py
+++ b/src/endivevane/online/prefixes.py
@@ -4,8 +4,8 @@
 
 import collections
 import dataclasses
-from collections.abc import Iterable, Mapping, Sequence
-from typing import Any
+import typing
+from collections import abc
 
 from endivevane.coordination import clock
 
@@ -48,14 +48,14 @@
         """Number of the last event taken in."""
         return self._last_event
 
-    def record_send(self, hashes: Sequence[int]) -> None:
+    def record_send(self, hashes: abc.Sequence[int]) -> None:
         """Assume that the target caches the prefixes of a request sent to it."""
         now_s = self._clock.monotonic_s()
         # The shortest prefix is put in last, so that it outlives its extensions.
         for prefix in reversed(hashes):
             self._put(prefix, now_s, now_s)
 
-    def apply_events(self, events: Iterable[Mapping[str, Any]]) -> None:
+    def apply_events(self, events: abc.Iterable[abc.Mapping[str, typing.Any]]) -> None:
         """Take in cache events of the target, in any order and with gaps."""
         now_s = self._clock.monotonic_s()
         ordered = sorted(events, key=lambda item: int(item["n"]))
@@ -84,7 +84,7 @@
         entry = self._prefixes.get(prefix)  # type: ignore[call-overload]
         return entry is not None and entry[1] > self._clock.monotonic_s()
 
-    def match(self, hashes: Sequence[int]) -> int:
+    def match(self, hashes: abc.Sequence[int]) -> int:
         """Return how many leading prefixes are cached, the longest match counting."""
         if not hashes:
             return 0
--- a/src/endivevane/online/proxy_headers.py
+++ b/src/endivevane/online/proxy_headers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections import abc
 
 _HOP_BY_HOP = frozenset(
     (
@@ -25,7 +25,7 @@
 _OWN_PREFIX = "x-endivevane-"
 
 
-def filter_request(headers: Iterable[tuple[str, str]]) -> dict[str, str]:
+def filter_request(headers: abc.Iterable[tuple[str, str]]) -> dict[str, str]:
     """Return the caller's headers that go to a target."""
     pairs = [(name.lower(), value) for name, value in headers]
     dropped = _HOP_BY_HOP | _OWN_REQUEST | _named_by_connection(pairs)
@@ -37,13 +37,13 @@
     return kept
 
 
-def filter_response(headers: Mapping[str, str]) -> dict[str, str]:
+def filter_response(headers: abc.Mapping[str, str]) -> dict[str, str]:
     """Return the target's headers that go to the caller."""
     dropped = _HOP_BY_HOP | _OWN_RESPONSE | _named_by_connection(headers.items())
     return {name: value for name, value in headers.items() if name not in dropped}
 
 
-def _named_by_connection(headers: Iterable[tuple[str, str]]) -> frozenset[str]:
+def _named_by_connection(headers: abc.Iterable[tuple[str, str]]) -> frozenset[str]:
     """Return the headers that ``Connection`` declares hop-by-hop."""
     names: set[str] = set()
     for name, value in headers:
--- a/src/endivevane/online/quarantine_rows.py
+++ b/src/endivevane/online/quarantine_rows.py
@@ -6,8 +6,8 @@
 import queue
 import random
 import threading
-from collections.abc import Callable
-from typing import Any
+import typing
+from collections import abc
 
 import result
 
@@ -27,7 +27,7 @@
 _REMOVE_AFTER_MS = 60_000
 _PAGE_ROWS = 500
 
-Deliver = Callable[[messages.QuarantineChanged], None]
+Deliver = abc.Callable[[messages.QuarantineChanged], None]
 
 
 class QuarantineRows:
@@ -119,7 +119,7 @@
         revision = row.revision if row is not None else None
         return self._transact(entry.fingerprint, revision, self._make_value(entry))
 
-    def _make_value(self, entry: messages.QuarantineChanged) -> dict[str, Any]:
+    def _make_value(self, entry: messages.QuarantineChanged) -> dict[str, typing.Any]:
         value = {"target": entry.target_name}
         if entry.until_wall_ms > 0:
             deaths = self._settings.deaths
@@ -129,7 +129,7 @@
         return {**value, "deaths": 1, "until_ms": until_ms, "died_ms": died_ms}
 
     def _transact(
-        self, key: str, revision: int | None, value: dict[str, Any] | None
+        self, key: str, revision: int | None, value: dict[str, typing.Any] | None
     ) -> bool:
         outcome = self._store.transact(
             utils.make_id("quarantine"),
--- a/src/endivevane/online/reader.py
+++ b/src/endivevane/online/reader.py
@@ -7,8 +7,7 @@
 import io
 import re
 import typing
-from collections.abc import Mapping
-from typing import Any
+from collections import abc
 
 import waitress.receiver
 
@@ -33,7 +32,7 @@
     """
 
     status: int
-    headers: Mapping[str, str]
+    headers: abc.Mapping[str, str]
 
     @property
     def is_stream(self) -> bool:
@@ -206,7 +205,7 @@
         length = reply.headers.get("content-length")
         if coding == "chunked":
             self._chunks = waitress.receiver.ChunkedReceiver(
-                typing.cast(Any, self._parts)
+                typing.cast(typing.Any, self._parts)
             )
         elif coding != "identity":
             raise exceptions.ProtocolError(self._source, f"coding {coding!r}")
--- a/src/endivevane/online/retrying.py
+++ b/src/endivevane/online/retrying.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Callable, Mapping
+from collections import abc
 
 from endivevane import metrics
 from endivevane.coordination import clock
@@ -20,7 +20,7 @@
 # busy machines.
 _NEWS_S = 0.5
 
-BeginAttempt = Callable[
+BeginAttempt = abc.Callable[
     [contract.OnlineRequest, target_state.TargetState, int], contract.Attempt
 ]
 
@@ -52,7 +52,7 @@
         targets: fleet.Fleet,
         router: routing.Router,
         known: quarantine.Quarantine,
-        in_flight: Mapping[str, flights.Flight],
+        in_flight: abc.Mapping[str, flights.Flight],
         begin_attempt: BeginAttempt,
     ) -> None:
         self._clock = retrier_clock
--- a/src/endivevane/online/routing.py
+++ b/src/endivevane/online/routing.py
@@ -5,7 +5,7 @@
 import dataclasses
 import itertools
 import math
-from collections.abc import Callable, Collection, Iterator, Sequence
+from collections import abc
 
 import xxhash
 
@@ -68,7 +68,7 @@
 def choose_candidates(
     place: Place,
     service: snapshot.Service,
-    leaving: Collection[str],
+    leaving: abc.Collection[str],
     settings: RoutingSettings,
     daemons: int = DEFAULT_DAEMONS,
 ) -> list[snapshot.Target]:
@@ -108,7 +108,7 @@
         self,
         request: contract.OnlineRequest,
         tiers: Tiers,
-        may_use: Callable[[target_state.TargetState], bool],
+        may_use: abc.Callable[[target_state.TargetState], bool],
     ) -> target_state.TargetState | None:
         """Return the target to send to, of the first tier that has one.
 
@@ -133,7 +133,9 @@
         return None
 
     def _choose_of_pair(
-        self, request: contract.OnlineRequest, pair: Sequence[target_state.TargetState]
+        self,
+        request: contract.OnlineRequest,
+        pair: abc.Sequence[target_state.TargetState],
     ) -> target_state.TargetState:
         first, *others = pair
         limit = self.compute_cost(request, first) - self._settings.first_margin
@@ -159,8 +161,8 @@
     def _find_affine(
         self,
         request: contract.OnlineRequest,
-        tier: Sequence[target_state.TargetState],
-        may_use: Callable[[target_state.TargetState], bool],
+        tier: abc.Sequence[target_state.TargetState],
+        may_use: abc.Callable[[target_state.TargetState], bool],
     ) -> target_state.TargetState | None:
         """Return the target with a strong affinity that is worth its load."""
         hashes = request.prefix_hashes
@@ -187,7 +189,7 @@
 
 
 def sort_tiers(
-    region: str, model: str, states: Sequence[target_state.TargetState]
+    region: str, model: str, states: abc.Sequence[target_state.TargetState]
 ) -> Tiers:
     """Group targets: those with the model first, among them those of the own region.
 
@@ -201,8 +203,8 @@
 
 
 def rank_targets(
-    fingerprint: str, states: Sequence[target_state.TargetState]
-) -> Iterator[target_state.TargetState]:
+    fingerprint: str, states: abc.Sequence[target_state.TargetState]
+) -> abc.Iterator[target_state.TargetState]:
     """Yield targets in the order of the rendezvous hash over a fingerprint.
 
     Without weights: the cost of the first two counts their slots, and a logarithm for
@@ -222,7 +224,7 @@
 
 
 def choose_pair(
-    fingerprint: str, states: Sequence[target_state.TargetState]
+    fingerprint: str, states: abc.Sequence[target_state.TargetState]
 ) -> list[target_state.TargetState]:
     """Return the two targets that a fingerprint belongs to, the first one first."""
     return list(itertools.islice(rank_targets(fingerprint, states), 2))
@@ -230,8 +232,8 @@
 
 def _find_lightest(
     fingerprint: str,
-    states: Sequence[target_state.TargetState],
-    may_use: Callable[[target_state.TargetState], bool],
+    states: abc.Sequence[target_state.TargetState],
+    may_use: abc.Callable[[target_state.TargetState], bool],
 ) -> float:
     """Return the smallest load share of a bounded number of usable targets."""
     count = min(_COMPARED_LOADS, len(states))
--- a/src/endivevane/online/scheduler.py
+++ b/src/endivevane/online/scheduler.py
@@ -4,8 +4,8 @@
 
 import collections
 import random
-from collections.abc import Callable, Iterable, Mapping
-from typing import Any
+import typing
+from collections import abc
 
 from endivevane import types
 from endivevane.configuration import snapshot
@@ -56,7 +56,7 @@
         scheduler_clock: clock.Clock,
         generator: random.Random,
         routing_settings: routing.RoutingSettings | None = None,
-        count_daemons: Callable[[], int] | None = None,
+        count_daemons: abc.Callable[[], int] | None = None,
         link: link_budget.LinkBudget | None = None,
     ) -> None:
         settings = routing_settings or routing.RoutingSettings()
@@ -93,7 +93,7 @@
         """Put a configuration into force."""
         self._fleet.set_snapshot(current)
 
-    def set_leaving(self, target_names: Iterable[str]) -> None:
+    def set_leaving(self, target_names: abc.Iterable[str]) -> None:
         """Set the targets that get no new work; replaces the former set."""
         self._fleet.set_leaving(target_names)
 
@@ -102,7 +102,7 @@
         self._fleet.set_load(target_name, report)
 
     def set_cache_events(
-        self, target_name: str, events: Iterable[Mapping[str, Any]]
+        self, target_name: str, events: abc.Iterable[abc.Mapping[str, typing.Any]]
     ) -> None:
         """Take in cache events of a target."""
         state = self._fleet.targets.get(target_name)
@@ -351,7 +351,7 @@
             attempt.attempt_id, attempt.started_s, self._clock.monotonic_s(), weight
         )
 
-    def _ask_for_slots(self, states: Iterable[target_state.TargetState]) -> None:
+    def _ask_for_slots(self, states: abc.Iterable[target_state.TargetState]) -> None:
         """Ask batch senders for slots where online load comes close to the slots."""
         for state in states:
             slots = state.take_wanted_slots(_ONLINE_HEADROOM_SLOTS)
--- a/src/endivevane/online/service_state.py
+++ b/src/endivevane/online/service_state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections import abc
 
 from endivevane import utils
 from endivevane.configuration import snapshot
@@ -51,7 +51,7 @@
         self._scan_at_s = 0.0
 
     def set_service(
-        self, service: snapshot.Service, weights: Mapping[str, float]
+        self, service: snapshot.Service, weights: abc.Mapping[str, float]
     ) -> None:
         """Take over a changed configuration.
 
@@ -104,7 +104,7 @@
         )
 
     def take_hopeless(
-        self, check: Callable[[contract.OnlineRequest], errors.ApiError | None]
+        self, check: abc.Callable[[contract.OnlineRequest], errors.ApiError | None]
     ) -> list[contract.Refuse]:
         """Take out the queued requests that will not be run, with their answers.
 
--- a/src/endivevane/online/sse.py
+++ b/src/endivevane/online/sse.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+import typing
 
 from endivevane import exceptions, utils
 
@@ -106,8 +106,8 @@
 
     :raises ValueError: when an event is not a chunk of an answer
     """
-    answer: dict[str, Any] = {}
-    choices: dict[int, dict[str, Any]] = {}
+    answer: dict[str, typing.Any] = {}
+    choices: dict[int, dict[str, typing.Any]] = {}
     for payload in payloads:
         chunk = utils.decode_json(payload)
         if not isinstance(chunk, dict):
@@ -130,12 +130,12 @@
     return utils.encode_json(answer)
 
 
-def _make_choice(index: int) -> dict[str, Any]:
+def _make_choice(index: int) -> dict[str, typing.Any]:
     message = {"role": "assistant", "content": None}
     return {"index": index, "message": message, "finish_reason": None}
 
 
-def _merge_choice(choice: dict[str, Any], item: dict[str, Any]) -> None:
+def _merge_choice(choice: dict[str, typing.Any], item: dict[str, typing.Any]) -> None:
     for key, value in item.items():
         if key in ("index", "delta") or value is None:
             continue
@@ -155,7 +155,9 @@
             _append(choice["message"], key, value)
 
 
-def _merge_calls(calls: dict[int, Any], pieces: list[dict[str, Any]]) -> None:
+def _merge_calls(
+    calls: dict[int, typing.Any], pieces: list[dict[str, typing.Any]]
+) -> None:
     for piece in pieces:
         call = calls.setdefault(piece.get("index", len(calls)), {"function": {}})
         for key, value in piece.items():
@@ -166,7 +168,7 @@
                 call[key] = value
 
 
-def _append(holder: dict[str, Any], key: str, value: Any) -> None:
+def _append(holder: dict[str, typing.Any], key: str, value: typing.Any) -> None:
     """Add a piece of text or of a list; other values replace the earlier one."""
     present = holder.get(key)
     is_same_kind = type(present) is type(value)
--- a/src/endivevane/online/stream.py
+++ b/src/endivevane/online/stream.py
@@ -5,7 +5,7 @@
 import itertools
 import socket
 import typing
-from collections.abc import Callable
+from collections import abc
 
 import orjson
 
@@ -52,7 +52,7 @@
     def cancel_attempt(self, attempt: contract.Attempt) -> None:
         """Cancel an attempt at its target."""
 
-    def find_meter(self, attempt: contract.Attempt) -> Callable[[int], None] | None:
+    def find_meter(self, attempt: contract.Attempt) -> abc.Callable[[int], None] | None:
         """Return what counts an attempt's bytes, ``None`` if nothing has to."""
 
     def record_first_event(self, stream: Stream) -> None:
--- a/src/endivevane/online/upstream.py
+++ b/src/endivevane/online/upstream.py
@@ -6,7 +6,7 @@
 import dataclasses
 import http.client
 import time
-from collections.abc import Callable, Mapping
+from collections import abc
 
 import result
 
@@ -54,7 +54,7 @@
     """
 
     def __init__(
-        self, settings: UpstreamSettings, post: Callable[[object], None]
+        self, settings: UpstreamSettings, post: abc.Callable[[object], None]
     ) -> None:
         self._settings = settings
         self._post = post
@@ -129,7 +129,7 @@
         ticket: int,
         attempt: contract.Attempt,
         call: tuple[str, str],
-        headers: Mapping[str, str],
+        headers: abc.Mapping[str, str],
     ) -> None:
         if self._is_unreachable(attempt.target.address):
             detail = "an earlier call could not connect"
@@ -143,7 +143,7 @@
         attempt: contract.Attempt,
         call: tuple[str, str],
         body: bytes | None,
-        headers: Mapping[str, str],
+        headers: abc.Mapping[str, str],
     ) -> None:
         settings = self._settings
         try:
--- a/src/endivevane/orders/demand.py
+++ b/src/endivevane/orders/demand.py
@@ -5,8 +5,8 @@
 import dataclasses
 import math
 import queue
-from collections.abc import Callable, Collection, Mapping
-from typing import Any
+import typing
+from collections import abc
 
 import result
 
@@ -14,7 +14,7 @@
 from endivevane.coordination import clock, fencing, rendezvous, store
 
 KIND = "demand"
-Services = Mapping[str, Mapping[str, types.ModelDemand]]
+Services = abc.Mapping[str, abc.Mapping[str, types.ModelDemand]]
 
 # Up to this many daemons each tells the owners directly.
 _DIRECT_DAEMONS = 18
@@ -59,14 +59,14 @@
         self,
         daemon: str,
         exchange_clock: clock.Clock,
-        read_own: Callable[[], Services],
+        read_own: abc.Callable[[], Services],
         table_store: store.TableStore,
     ) -> None:
         self._daemon = daemon
         self._clock = exchange_clock
         self._read_own = read_own
         self._store = table_store
-        self._inbox: queue.SimpleQueue[tuple[str, Any]] = queue.SimpleQueue()
+        self._inbox: queue.SimpleQueue[tuple[str, typing.Any]] = queue.SimpleQueue()
         self._collected: dict[str, _Report] = {}
         self._sums: dict[str, _Report] = {}
         self._interval_s = _MIN_INTERVAL_S
@@ -74,13 +74,13 @@
         self._owners: dict[str, str] = {}
         self._owners_read_s = -math.inf
 
-    def receive(self, sender: str, body: Any) -> None:
+    def receive(self, sender: str, body: typing.Any) -> None:
         """Take in a message of another daemon."""
         self._inbox.put((sender, body))
 
     def run(
-        self, daemons: Collection[str], groups: Collection[str]
-    ) -> list[tuple[str, dict[str, Any]]]:
+        self, daemons: abc.Collection[str], groups: abc.Collection[str]
+    ) -> list[tuple[str, dict[str, typing.Any]]]:
         """Return the messages that are due, each with its receiver.
 
         :param daemons: names of the live daemons
@@ -106,8 +106,8 @@
         return self._send_sums(daemons, groups, now_s)
 
     def compute_slots(
-        self, service: str, daemons: Collection[str]
-    ) -> Mapping[str, float] | None:
+        self, service: str, daemons: abc.Collection[str]
+    ) -> abc.Mapping[str, float] | None:
         """Return the slots that demand would fill, by model.
 
         ``None`` when fewer than half of the daemons are covered.
@@ -124,7 +124,7 @@
             return None
         return {model: demand.compute_slots() for model, demand in models.items()}
 
-    def _take_inbox(self, daemons: Collection[str], now_s: float) -> None:
+    def _take_inbox(self, daemons: abc.Collection[str], now_s: float) -> None:
         while not self._inbox.empty():
             sender, body = self._inbox.get_nowait()
             try:
@@ -140,8 +140,8 @@
                     del reports[name]
 
     def _send_sums(
-        self, daemons: Collection[str], groups: Collection[str], now_s: float
-    ) -> list[tuple[str, dict[str, Any]]]:
+        self, daemons: abc.Collection[str], groups: abc.Collection[str], now_s: float
+    ) -> list[tuple[str, dict[str, typing.Any]]]:
         """Send what this daemon has collected to the owners."""
         if not self._collected:
             return []
@@ -167,7 +167,7 @@
         return [(owner, _encode(item, is_sum=True)) for owner, item in sums.items()]
 
     def _refresh_owners(
-        self, daemons: Collection[str], groups: Collection[str], now_s: float
+        self, daemons: abc.Collection[str], groups: abc.Collection[str], now_s: float
     ) -> None:
         age_s = now_s - self._owners_read_s
         is_stale = any(self._owners.get(group) not in daemons for group in groups)
@@ -181,7 +181,7 @@
             }
 
 
-def _choose_collectors(daemons: Collection[str]) -> dict[str, float]:
+def _choose_collectors(daemons: abc.Collection[str]) -> dict[str, float]:
     if len(daemons) <= _DIRECT_DAEMONS:
         return {}
     size = math.ceil(_COLLECTORS_FACTOR * math.sqrt(len(daemons)))
@@ -189,7 +189,7 @@
     return dict.fromkeys(rendezvous.choose_subset(KIND, weights, size), 1.0)
 
 
-def _encode(report: _Report, *, is_sum: bool) -> dict[str, Any]:
+def _encode(report: _Report, *, is_sum: bool) -> dict[str, typing.Any]:
     """Return the body; figures are in hundredths, so that they take few bytes."""
     services = {
         service: {
@@ -201,7 +201,7 @@
     return {"sum": int(is_sum), "n": report.daemons, "s": services}
 
 
-def _decode(body: Any, now_s: float) -> tuple[bool, _Report]:
+def _decode(body: typing.Any, now_s: float) -> tuple[bool, _Report]:
     services = {
         str(service): {
             str(model): types.ModelDemand(
--- a/src/endivevane/orders/orders.py
+++ b/src/endivevane/orders/orders.py
@@ -5,7 +5,7 @@
 import concurrent.futures
 import dataclasses
 import typing
-from collections.abc import Callable, Mapping, Sequence
+from collections import abc
 
 import result
 
@@ -81,10 +81,10 @@
     """
 
     service: snapshot.Service
-    targets: Sequence[snapshot.Target]
+    targets: abc.Sequence[snapshot.Target]
     kept: frozenset[str] = frozenset()
-    demand_slots: Mapping[str, float] | None = None
-    load_shares: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    demand_slots: abc.Mapping[str, float] | None = None
+    load_shares: abc.Mapping[str, float] = dataclasses.field(default_factory=dict)
     groups: int = 1
     declared_engines: int = 0
 
@@ -109,7 +109,7 @@
         daemon: str,
         session: Session,
         table_store: store.TableStore,
-        make_client: Callable[[snapshot.Target], states.Client],
+        make_client: abc.Callable[[snapshot.Target], states.Client],
         executor: concurrent.futures.Executor,
         settings: OrdersSettings,
         owner_clock: clock.Clock,
@@ -190,7 +190,7 @@
             self._lose(None)
 
     def _compute(
-        self, request: Request, views: Sequence[placement.EngineView]
+        self, request: Request, views: abc.Sequence[placement.EngineView]
     ) -> placement.Plan:
         group = placement.Group(
             request.service.model.models,
@@ -209,7 +209,7 @@
 
     def _compute_targets(
         self, request: Request, engines: int
-    ) -> Mapping[str, int] | None:
+    ) -> abc.Mapping[str, int] | None:
         """Return the replicas that demand asks for, ``None`` while it is not known."""
         if request.demand_slots is None or not request.targets:
             return None
@@ -312,7 +312,7 @@
     def _send_to(
         self,
         target: snapshot.Target,
-        orders: Sequence[placement.Order],
+        orders: abc.Sequence[placement.Order],
         role: str,
         number: int,
     ) -> bool:
--- a/src/endivevane/orders/placement.py
+++ b/src/endivevane/orders/placement.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 import math
-from collections.abc import Mapping, Sequence
+from collections import abc
 
 from endivevane.configuration import models
 from endivevane.coordination import rendezvous
@@ -73,10 +73,12 @@
     """
 
     declared: tuple[models.LanguageModelModel, ...]
-    engines: Sequence[EngineView]
+    engines: abc.Sequence[EngineView]
     kept: frozenset[str] = frozenset()
-    targets: Mapping[str, int] | None = dataclasses.field(default_factory=dict)
-    since_s: Mapping[tuple[str, Key], float] = dataclasses.field(default_factory=dict)
+    targets: abc.Mapping[str, int] | None = dataclasses.field(default_factory=dict)
+    since_s: abc.Mapping[tuple[str, Key], float] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,8 +89,8 @@
     :param short: replicas that each declared model lacks
     """
 
-    wanted: Mapping[str, Mapping[Key, frozenset[str]]]
-    short: Mapping[str, int]
+    wanted: abc.Mapping[str, abc.Mapping[Key, frozenset[str]]]
+    short: abc.Mapping[str, int]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -128,7 +130,7 @@
 
 
 def list_orders(
-    view: EngineView, wanted: Mapping[Key, frozenset[str]]
+    view: EngineView, wanted: abc.Mapping[Key, frozenset[str]]
 ) -> tuple[Order, ...]:
     """Return the orders that lead from what an engine holds to the wanted state.
 
--- a/src/endivevane/orders/replicas.py
+++ b/src/endivevane/orders/replicas.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 import math
-from collections.abc import Mapping, Sequence
+from collections import abc
 
 from endivevane.configuration import models
 
@@ -49,7 +49,7 @@
         self._settings = settings
         self._held: dict[str, _Held] = {}
 
-    def observe(self, demand_slots: Mapping[str, float], now_s: float) -> None:
+    def observe(self, demand_slots: abc.Mapping[str, float], now_s: float) -> None:
         """Take in the present demand in slots by model."""
         for name in [name for name in self._held if name not in demand_slots]:
             self._observe(name, 0.0, now_s)
@@ -58,7 +58,7 @@
 
     def compute(
         self,
-        declared: Sequence[models.LanguageModelModel],
+        declared: abc.Sequence[models.LanguageModelModel],
         places: int,
         engines: int,
         slots_per_place: float,
--- a/src/endivevane/orders/residence.py
+++ b/src/endivevane/orders/residence.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections import abc
 
 from endivevane.orders import placement
 
@@ -13,7 +13,9 @@
     def __init__(self) -> None:
         self.since_s: dict[tuple[str, placement.Key], float] = {}
 
-    def observe(self, engines: Iterable[placement.EngineView], now_s: float) -> None:
+    def observe(
+        self, engines: abc.Iterable[placement.EngineView], now_s: float
+    ) -> None:
         """Take in what engines hold; forgets what they no longer hold."""
         held = {
             (view.name, key) for view in engines for key in placement.list_keys(view)
--- a/src/endivevane/orders/roles.py
+++ b/src/endivevane/orders/roles.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping, Sequence
+from collections import abc
 
 from endivevane.configuration import models, snapshot
 from endivevane.coordination import rendezvous
@@ -29,10 +29,10 @@
     def compute(
         self,
         service: models.ServiceModel,
-        targets: Sequence[snapshot.Target],
-        views: Sequence[placement.EngineView],
+        targets: abc.Sequence[snapshot.Target],
+        views: abc.Sequence[placement.EngineView],
         declared_engines: int,
-    ) -> Mapping[str, str]:
+    ) -> abc.Mapping[str, str]:
         """Return the role of each live engine by name.
 
         :param targets: targets of the service that are not leaving
@@ -56,8 +56,8 @@
 
 def _choose_prefill(
     service: models.ServiceModel,
-    views: Sequence[placement.EngineView],
-    free: Sequence[placement.EngineView],
+    views: abc.Sequence[placement.EngineView],
+    free: abc.Sequence[placement.EngineView],
     count: int,
     roles: dict[str, str],
 ) -> None:
@@ -82,7 +82,7 @@
 
 def _put_back(
     service: models.ServiceModel,
-    views: Sequence[placement.EngineView],
+    views: abc.Sequence[placement.EngineView],
     roles: dict[str, str],
 ) -> None:
     """Let a model that only prefill engines hold be served by them."""
@@ -92,7 +92,7 @@
             roles.update(dict.fromkeys(holders, BOTH))
 
 
-def _list_holders(model: str, views: Sequence[placement.EngineView]) -> list[str]:
+def _list_holders(model: str, views: abc.Sequence[placement.EngineView]) -> list[str]:
     return [
         view.name
         for view in views
--- a/src/endivevane/orders/states.py
+++ b/src/endivevane/orders/states.py
@@ -5,8 +5,7 @@
 import concurrent.futures
 import dataclasses
 import typing
-from collections.abc import Callable, Mapping, Sequence
-from typing import Any
+from collections import abc
 
 import result
 
@@ -20,7 +19,7 @@
 class Client(typing.Protocol):
     """The calls of :class:`engine.EngineClient` that orders need."""
 
-    def fetch_state(self) -> result.Result[dict[str, Any], engine.EngineError]:
+    def fetch_state(self) -> result.Result[dict[str, typing.Any], engine.EngineError]:
         """Return what the engine has loaded."""
 
     def send_order(
@@ -58,7 +57,7 @@
 
     def __init__(
         self,
-        make_client: Callable[[snapshot.Target], Client],
+        make_client: abc.Callable[[snapshot.Target], Client],
         executor: concurrent.futures.Executor,
         silent_after_s: float,
         longest_order_s: float,
@@ -74,7 +73,7 @@
         self._unsure_until_s: dict[str, float] = {}
 
     @property
-    def states(self) -> Mapping[str, EngineState]:
+    def states(self) -> abc.Mapping[str, EngineState]:
         """The engines that are known, by name."""
         return self._states
 
@@ -95,7 +94,7 @@
         until_s = self._clock.monotonic_s() + self._longest_order_s
         self._unsure_until_s[target] = until_s
 
-    def read_back(self, targets: Sequence[snapshot.Target]) -> None:
+    def read_back(self, targets: abc.Sequence[snapshot.Target]) -> None:
         """Read what all engines have loaded."""
         names = {target.name for target in targets}
         for name in [name for name in self._states if name not in names]:
@@ -113,8 +112,8 @@
     def make_views(
         self,
         number: int,
-        may_order: Callable[[snapshot.Target], bool],
-        load_shares: Mapping[str, float],
+        may_order: abc.Callable[[snapshot.Target], bool],
+        load_shares: abc.Mapping[str, float],
     ) -> list[placement.EngineView]:
         """Return the engines as placement sees them.
 
@@ -179,7 +178,7 @@
 
 
 def _parse_state(
-    target: snapshot.Target, body: Mapping[str, Any], read_s: float
+    target: snapshot.Target, body: abc.Mapping[str, typing.Any], read_s: float
 ) -> EngineState:
     models = tuple(
         engine.LoadedModel(item["model"], item["version"], tuple(item["adapters"]))
--- a/src/endivevane/orders/task.py
+++ b/src/endivevane/orders/task.py
@@ -4,8 +4,8 @@
 
 import concurrent.futures
 import threading
-from collections.abc import Callable, Collection, Mapping, Sequence
-from typing import Any
+import typing
+from collections import abc
 
 from endivevane import logs, types
 from endivevane.cluster import sessions
@@ -23,7 +23,7 @@
     """The session of the cluster task as orders see it."""
 
     def __init__(
-        self, read: Callable[[], sessions.Session], view_clock: clock.Clock
+        self, read: abc.Callable[[], sessions.Session], view_clock: clock.Clock
     ) -> None:
         self._read = read
         self._clock = view_clock
@@ -60,13 +60,13 @@
         settings: orders.OrdersSettings,
         task_clock: clock.Clock,
         table_store: store.TableStore,
-        read_session: Callable[[], sessions.Session],
-        get_snapshot: Callable[[], snapshot.Snapshot],
-        list_daemons: Callable[[], Collection[str]],
-        get_leaving: Callable[[], Collection[str]],
-        get_load_share: Callable[[str], float] | None = None,
+        read_session: abc.Callable[[], sessions.Session],
+        get_snapshot: abc.Callable[[], snapshot.Snapshot],
+        list_daemons: abc.Callable[[], abc.Collection[str]],
+        get_leaving: abc.Callable[[], abc.Collection[str]],
+        get_load_share: abc.Callable[[str], float] | None = None,
         exchange: demand.DemandExchange | None = None,
-        send: Callable[[str, str, dict[str, Any]], None] | None = None,
+        send: abc.Callable[[str, str, dict[str, typing.Any]], None] | None = None,
     ) -> None:
         self._daemon = daemon
         self._settings = settings
@@ -137,7 +137,7 @@
         owned = sum(item.ownership is not None for item in self._owners.values())
         counts.GROUPS_OWNED.set(owned)
 
-    def _is_my_turn(self, group: str, daemons: Mapping[str, float]) -> bool:
+    def _is_my_turn(self, group: str, daemons: abc.Mapping[str, float]) -> bool:
         """Tell whether this daemon should try to own a group in this round."""
         ranked = rendezvous.choose_subset(group, daemons, 2)
         if self._daemon not in ranked:
@@ -168,7 +168,7 @@
         self,
         current: snapshot.Snapshot,
         service: snapshot.Service,
-        daemons: Collection[str],
+        daemons: abc.Collection[str],
     ) -> orders.Request:
         leaving = frozenset(self._get_leaving())
         owned = _list_targets(current, service)
@@ -207,7 +207,7 @@
 
 def _list_targets(
     current: snapshot.Snapshot, service: snapshot.Service
-) -> Sequence[snapshot.Target]:
+) -> abc.Sequence[snapshot.Target]:
     """Return the engines that the group of a service owns.
 
     An engine that several services name belongs to the first of them by name: two
--- a/src/endivevane/platform/engine.py
+++ b/src/endivevane/platform/engine.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from typing import Any
+import typing
 
 import result
 
@@ -96,12 +96,12 @@
 
     def fetch_cache_events(
         self, after: int
-    ) -> result.Result[list[dict[str, Any]], EngineError]:
+    ) -> result.Result[list[dict[str, typing.Any]], EngineError]:
         """Return prefix cache events numbered above ``after``."""
         outcome = self._call("GET", f"/v1/cache-events?after={after}")
         if isinstance(outcome, result.Err):
             return outcome
-        events: list[dict[str, Any]] = outcome.ok_value["events"]
+        events: list[dict[str, typing.Any]] = outcome.ok_value["events"]
         return result.Ok(events)
 
     def cancel_stream(self, attempt_id: str) -> result.Result[None, EngineError]:
@@ -121,13 +121,13 @@
             return outcome
         return result.Ok(None)
 
-    def fetch_state(self) -> result.Result[dict[str, Any], EngineError]:
+    def fetch_state(self) -> result.Result[dict[str, typing.Any], EngineError]:
         """Return what the engine has loaded."""
         return self._call("GET", "/v1/state")
 
     def _call(
-        self, method: str, path: str, body: dict[str, Any] | None = None
-    ) -> result.Result[dict[str, Any], EngineError]:
+        self, method: str, path: str, body: dict[str, typing.Any] | None = None
+    ) -> result.Result[dict[str, typing.Any], EngineError]:
         data = utils.encode_json(body) if body is not None else None
         outcome = self._pool.request(method, path, data)
         if isinstance(outcome, result.Err):
--- a/src/endivevane/platform/http_pool.py
+++ b/src/endivevane/platform/http_pool.py
@@ -8,7 +8,7 @@
 import http.client
 import socket
 import threading
-from collections.abc import Iterator, Mapping
+from collections import abc
 
 import result
 
@@ -70,7 +70,7 @@
     """
 
     status: int
-    headers: Mapping[str, str]
+    headers: abc.Mapping[str, str]
     body: bytes
 
 
@@ -173,7 +173,7 @@
         method: str,
         path: str,
         body: bytes | None = None,
-        headers: Mapping[str, str] | None = None,
+        headers: abc.Mapping[str, str] | None = None,
         timeout_s: float | None = None,
         is_repeatable: bool = True,
     ) -> result.Result[Response, TransportError]:
@@ -198,7 +198,7 @@
             self.close_idle()
 
     def send(
-        self, method: str, path: str, body: bytes, headers: Mapping[str, str]
+        self, method: str, path: str, body: bytes, headers: abc.Mapping[str, str]
     ) -> result.Result[SentCall, TransportError]:
         """Send a request on a new connection without waiting for the response.
 
@@ -257,7 +257,7 @@
         method: str,
         path: str,
         body: bytes | None,
-        headers: Mapping[str, str] | None,
+        headers: abc.Mapping[str, str] | None,
         timeout_s: float | None,
     ) -> result.Result[Response, TransportError]:
         connection = pooled.connection
@@ -281,7 +281,7 @@
             self._release(pooled)
         return result.Ok(_make_response(raw, data))
 
-    def _pace(self, body: bytes | None) -> bytes | Iterator[bytes] | None:
+    def _pace(self, body: bytes | None) -> bytes | abc.Iterator[bytes] | None:
         """Return the body as it is to be sent."""
         return body
 
--- a/src/endivevane/platform/link.py
+++ b/src/endivevane/platform/link.py
@@ -6,7 +6,7 @@
 import re
 import threading
 import time
-from collections.abc import Callable, Iterator, Mapping
+from collections import abc
 
 import result
 
@@ -42,8 +42,8 @@
     def __init__(
         self,
         share_clock: clock.Clock,
-        get_rate_bytes_s: Callable[[], float],
-        note_wait: Callable[[], None] | None = None,
+        get_rate_bytes_s: abc.Callable[[], float],
+        note_wait: abc.Callable[[], None] | None = None,
     ) -> None:
         self._note_wait = note_wait
         self._clock = share_clock
@@ -58,7 +58,7 @@
         debt_bytes, rate_bytes_s = self._take(size_bytes)
         return min(debt_bytes / rate_bytes_s, _LONGEST_WAIT_S)
 
-    def wait(self, size_bytes: int, sleep: Callable[[float], None]) -> None:
+    def wait(self, size_bytes: int, sleep: abc.Callable[[float], None]) -> None:
         """Take bytes and wait until they may be sent.
 
         The share may grow meanwhile, so that the wait is worked out again and again.
@@ -106,8 +106,8 @@
         settings: http_pool.PoolSettings,
         purpose: str,
         share: LinkShare | None = None,
-        charge: Callable[[int], None] | None = None,
-        sleep: Callable[[float], None] = time.sleep,
+        charge: abc.Callable[[int], None] | None = None,
+        sleep: abc.Callable[[float], None] = time.sleep,
     ) -> None:
         super().__init__(address, settings)
         self._purpose = purpose
@@ -120,7 +120,7 @@
         method: str,
         path: str,
         body: bytes | None = None,
-        headers: Mapping[str, str] | None = None,
+        headers: abc.Mapping[str, str] | None = None,
         timeout_s: float | None = None,
         is_repeatable: bool = True,
     ) -> result.Result[http_pool.Response, http_pool.TransportError]:
@@ -160,7 +160,7 @@
         method: str,
         path: str,
         body: bytes | None,
-        headers: Mapping[str, str] | None,
+        headers: abc.Mapping[str, str] | None,
         timeout_s: float | None,
         is_repeatable: bool,
     ) -> result.Result[http_pool.Response, http_pool.TransportError]:
@@ -178,13 +178,13 @@
             self._charge(sent_bytes + received_bytes)
         return outcome
 
-    def _pace(self, body: bytes | None) -> bytes | Iterator[bytes] | None:
+    def _pace(self, body: bytes | None) -> bytes | abc.Iterator[bytes] | None:
         """Return the body in pieces that wait for their share."""
         if self._share is None or not body:
             return body
         return self._make_pieces(body)
 
-    def _make_pieces(self, body: bytes) -> Iterator[bytes]:
+    def _make_pieces(self, body: bytes) -> abc.Iterator[bytes]:
         for first in range(0, len(body), _PIECE_BYTES):
             piece = body[first : first + _PIECE_BYTES]
             self._wait(len(piece))
--- a/src/endivevane/platform/table.py
+++ b/src/endivevane/platform/table.py
@@ -4,8 +4,7 @@
 
 import typing
 import urllib.parse
-from collections.abc import Callable, Sequence
-from typing import Any
+from collections import abc
 
 import result
 
@@ -70,8 +69,8 @@
     def transact(
         self,
         operation_id: str,
-        conditions: Sequence[store.Condition],
-        writes: Sequence[store.Write],
+        conditions: abc.Sequence[store.Condition],
+        writes: abc.Sequence[store.Write],
     ) -> result.Result[int, store.StoreError]:
         """Apply all writes if all conditions hold; return the new revision."""
         body = {
@@ -98,7 +97,9 @@
             return _count("transact", result.Err(error))
         return _count("transact", _decode_transaction(outcome.ok_value, operation_id))
 
-    def _get(self, path: str) -> result.Result[dict[str, Any] | None, store.StoreError]:
+    def _get(
+        self, path: str
+    ) -> result.Result[dict[str, typing.Any] | None, store.StoreError]:
         """Return the JSON body of an answer, ``None`` for status 404."""
         outcome = self._pool.request("GET", path)
         if isinstance(outcome, result.Err):
@@ -124,7 +125,7 @@
 
 
 def _decode(
-    outcome: result.Result[_T, store.StoreError], function: Callable[[_T], _U]
+    outcome: result.Result[_T, store.StoreError], function: abc.Callable[[_T], _U]
 ) -> result.Result[_U, store.StoreError]:
     """Decode the body of an answer; one that is malformed counts as no answer."""
     if isinstance(outcome, result.Err):
@@ -135,7 +136,7 @@
         return result.Err(store.StoreUnavailable(f"malformed answer: {error!r}"))
 
 
-def _read_row(body: dict[str, Any]) -> tuple[dict[str, Any], int]:
+def _read_row(body: dict[str, typing.Any]) -> tuple[dict[str, typing.Any], int]:
     return body["value"], int(body["revision"])
 
 
@@ -184,7 +185,7 @@
         return _DEFAULT_RETRY_AFTER_S
 
 
-def _decode_conflict(body: dict[str, Any]) -> store.StoreConflict:
+def _decode_conflict(body: dict[str, typing.Any]) -> store.StoreConflict:
     rows: dict[tuple[str, str], store.Row | None] = {}
     for item in body["conflicts"]:
         table, key = item["table"], item["key"]
--- a/src/endivevane/retention/decisions.py
+++ b/src/endivevane/retention/decisions.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Callable, Mapping
-from typing import Any
+import typing
+from collections import abc
 
 from endivevane.batch import records
 from endivevane.configuration import snapshot
@@ -67,7 +67,7 @@
     def __init__(
         self,
         policy_clock: clock.Clock,
-        get_snapshot: Callable[[], snapshot.Snapshot],
+        get_snapshot: abc.Callable[[], snapshot.Snapshot],
     ) -> None:
         self._clock = policy_clock
         self._get_snapshot = get_snapshot
@@ -103,7 +103,7 @@
             return FileStep.SETTLE
         return FileStep.MARK
 
-    def decide_register_row(self, value: Mapping[str, Any]) -> RegisterStep:
+    def decide_register_row(self, value: abc.Mapping[str, typing.Any]) -> RegisterStep:
         """Return the next step for a row of the register."""
         if value["state"] == register.EXPIRED:
             return RegisterStep.ERASE
--- a/src/endivevane/retention/file_sweeper.py
+++ b/src/endivevane/retention/file_sweeper.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Callable
+from collections import abc
 
 from endivevane.batch import records
 from endivevane.coordination import store
@@ -84,7 +84,7 @@
         self,
         row: store.Row,
         state: records.FileState,
-        is_due: Callable[[], bool] = lambda: True,
+        is_due: abc.Callable[[], bool] = lambda: True,
     ) -> store.Row | None:
         record = records.decode(records.InputFile, row.value)
         changed = dataclasses.replace(record, state=state)
--- a/src/endivevane/retention/pacing.py
+++ b/src/endivevane/retention/pacing.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Callable, Mapping
+from collections import abc
 
 from endivevane import exceptions
 from endivevane.coordination import clock
@@ -20,7 +20,7 @@
 # Of the whole fleet; estimates for 81,000 jobs a day with 46 chunks each: 50 row writes
 # and 90 object calls a second, and 250 rows read a second with a daily sweep and 20,000
 # open jobs. The store allows 300 row writes and 2,000 reads a second.
-FLEET_BUDGET_PER_S: Mapping[Kind, float] = {
+FLEET_BUDGET_PER_S: abc.Mapping[Kind, float] = {
     Kind.ROWS_READ: 400.0,
     Kind.ROWS_WRITTEN: 80.0,
     Kind.OBJECT_CALLS: 150.0,
@@ -47,9 +47,9 @@
     def __init__(
         self,
         pacer_clock: clock.Clock,
-        count_daemons: Callable[[], int],
-        wait: Callable[[float], bool],
-        budget_per_s: Mapping[Kind, float] = FLEET_BUDGET_PER_S,
+        count_daemons: abc.Callable[[], int],
+        wait: abc.Callable[[float], bool],
+        budget_per_s: abc.Mapping[Kind, float] = FLEET_BUDGET_PER_S,
     ) -> None:
         self._clock = pacer_clock
         self._count_daemons = count_daemons
--- a/src/endivevane/retention/platform_calls.py
+++ b/src/endivevane/retention/platform_calls.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator, Sequence
-from typing import Any
+import typing
+from collections import abc
 
 import result
 
@@ -51,7 +51,7 @@
         self._objects = object_store
         self._pacer = pacer
 
-    def scan(self, shard: shards.Shard) -> Iterator[store.Row]:
+    def scan(self, shard: shards.Shard) -> abc.Iterator[store.Row]:
         """Yield the rows of a shard in order of their keys."""
         after = ""
         while True:
@@ -72,8 +72,8 @@
     def write(
         self,
         row: store.Row,
-        value: dict[str, Any],
-        is_due: Callable[[], bool] = _is_always_due,
+        value: dict[str, typing.Any],
+        is_due: abc.Callable[[], bool] = _is_always_due,
     ) -> store.Row | None:
         """Replace a row that has not changed.
 
@@ -98,10 +98,10 @@
 
     def delete_rows(
         self,
-        rows: Sequence[store.Row],
+        rows: abc.Sequence[store.Row],
         kind: str,
         guard: store.Row | None = None,
-        is_due: Callable[[], bool] = _is_always_due,
+        is_due: abc.Callable[[], bool] = _is_always_due,
     ) -> bool:
         """Delete rows together if none of them has changed.
 
@@ -135,7 +135,7 @@
         metrics.RETENTION_DELETED.labels(kind).inc()
 
 
-def _unwrap(outcome: result.Result[Any, Any]) -> Any:
+def _unwrap(outcome: result.Result[typing.Any, typing.Any]) -> typing.Any:
     if isinstance(outcome, result.Err):
         raise SweepBroken(outcome.err_value)
     return outcome.ok_value
--- a/src/endivevane/retention/shards.py
+++ b/src/endivevane/retention/shards.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Collection, Iterator
+from collections import abc
 
 from endivevane.batch import records
 from endivevane.coordination import register, rendezvous
@@ -42,7 +42,7 @@
         return group + _LAST_CHARACTER if group in self.skipped else None
 
 
-def list_shards(organisations: Collection[str]) -> Iterator[Shard]:
+def list_shards(organisations: abc.Collection[str]) -> abc.Iterator[Shard]:
     """Yield shards that cover all jobs, files and register rows.
 
     The jobs and files of an organisation are spread over 16 shards, since a few
@@ -65,7 +65,7 @@
         yield Shard(register.TABLE, character, frozenset(names))
 
 
-def is_own(shard: Shard, daemon: str, members: Collection[str]) -> bool:
+def is_own(shard: Shard, daemon: str, members: abc.Collection[str]) -> bool:
     """Tell whether a daemon sweeps a shard.
 
     Two daemons with different views may both sweep it, which does no harm.
--- a/src/endivevane/retention/task.py
+++ b/src/endivevane/retention/task.py
@@ -5,7 +5,7 @@
 import functools
 import random
 import threading
-from collections.abc import Callable, Collection
+from collections import abc
 
 from endivevane import logs, metrics
 from endivevane.batch import ports, records
@@ -48,9 +48,9 @@
         table_store: store.TableStore,
         object_store: ports.ObjectStore,
         task_clock: clock.Clock,
-        get_snapshot: Callable[[], snapshot.Snapshot],
-        list_daemons: Callable[[], Collection[str]],
-        is_ready: Callable[[], bool],
+        get_snapshot: abc.Callable[[], snapshot.Snapshot],
+        list_daemons: abc.Callable[[], abc.Collection[str]],
+        is_ready: abc.Callable[[], bool],
     ) -> None:
         self._daemon = daemon
         self._interval_s = interval_s
@@ -65,7 +65,7 @@
         calls = platform_calls.PlatformCalls(table_store, object_store, pacer)
         policy = decisions.Policy(task_clock, get_snapshot)
         self._files = file_sweeper.FileSweeper(calls, policy)
-        self._sweeps: dict[str, Callable[[shards.Shard], None]] = {
+        self._sweeps: dict[str, abc.Callable[[shards.Shard], None]] = {
             records.JOBS: job_sweeper.JobSweeper(calls, policy).sweep,
             records.FILES: self._files.sweep,
             register.TABLE: register_sweeper.RegisterSweeper(calls, policy).sweep,
@@ -112,7 +112,7 @@
         """Without a current configuration the periods are not known."""
         return self._get_snapshot().revision > 0 and self._is_ready()
 
-    def _run_safely(self, name: str, function: Callable[[], None]) -> None:
+    def _run_safely(self, name: str, function: abc.Callable[[], None]) -> None:
         """Call a function; a failure ends this part of the sweep only."""
         try:
             function()
--- a/src/endivevane/testing.py
+++ b/src/endivevane/testing.py
@@ -7,7 +7,7 @@
 import dataclasses
 import enum
 import threading
-from collections.abc import Callable, Sequence
+from collections import abc
 
 import result
 
@@ -59,7 +59,7 @@
 
     def __init__(
         self,
-        choose_fault: Callable[[str], Fault | None] | None = None,
+        choose_fault: abc.Callable[[str], Fault | None] | None = None,
         retry_after_s: float = 1.0,
     ) -> None:
         self.choose_fault = choose_fault
@@ -138,8 +138,8 @@
     def transact(
         self,
         operation_id: str,
-        conditions: Sequence[store.Condition],
-        writes: Sequence[store.Write],
+        conditions: abc.Sequence[store.Condition],
+        writes: abc.Sequence[store.Write],
     ) -> result.Result[int, store.StoreError]:
         """Apply all writes if all conditions hold; return the new revision."""
         kept = tuple(copy.deepcopy(list(writes)))
@@ -184,8 +184,8 @@
     def _try_apply(
         self,
         operation_id: str,
-        conditions: Sequence[store.Condition],
-        writes: Sequence[store.Write],
+        conditions: abc.Sequence[store.Condition],
+        writes: abc.Sequence[store.Write],
     ) -> result.Result[int, store.StoreError]:
         conflicts: dict[tuple[str, str], store.Row | None] = {}
         for condition in conditions:
--- a/src/endivevane/utils.py
+++ b/src/endivevane/utils.py
@@ -4,7 +4,7 @@
 
 import hashlib
 import secrets
-from typing import Any
+import typing
 
 import orjson
 
@@ -29,12 +29,12 @@
     return state.hexdigest()
 
 
-def encode_json(value: Any) -> bytes:
+def encode_json(value: typing.Any) -> bytes:
     """Encode a value as JSON with sorted keys."""
     return orjson.dumps(value, option=orjson.OPT_SORT_KEYS)
 
 
-def decode_json(data: bytes) -> Any:
+def decode_json(data: bytes) -> typing.Any:
     """Decode JSON.
 
     :raises ValueError: when the data is not valid JSON in UTF-8
--- a/src/endivevane/web/app.py
+++ b/src/endivevane/web/app.py
@@ -5,8 +5,7 @@
 import dataclasses
 import hashlib
 import typing
-from collections.abc import Callable, Iterable, Sequence
-from typing import Any
+from collections import abc
 
 import werkzeug.exceptions
 import werkzeug.routing
@@ -30,7 +29,7 @@
     """
 
     request: werkzeug.wrappers.Request
-    arguments: dict[str, Any]
+    arguments: dict[str, typing.Any]
     request_id: str
     owner: snapshot.KeyOwner | None
     snapshot: snapshot.Snapshot
@@ -43,7 +42,7 @@
         return self.owner.organisation
 
 
-Handler = Callable[[Call], werkzeug.wrappers.Response]
+Handler = abc.Callable[[Call], werkzeug.wrappers.Response]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,8 +70,8 @@
 
     def __init__(
         self,
-        routes: Sequence[Route],
-        get_snapshot: Callable[[], snapshot.Snapshot],
+        routes: abc.Sequence[Route],
+        get_snapshot: abc.Callable[[], snapshot.Snapshot],
         max_body_bytes: int,
     ) -> None:
         self._get_snapshot = get_snapshot
@@ -89,8 +88,10 @@
         )
 
     def __call__(
-        self, environ: dict[str, Any], start_response: Callable[..., Any]
-    ) -> Iterable[bytes]:
+        self,
+        environ: dict[str, typing.Any],
+        start_response: abc.Callable[..., typing.Any],
+    ) -> abc.Iterable[bytes]:
         """Serve one request."""
         request = werkzeug.wrappers.Request(environ)
         request_id = utils.make_id("req")
@@ -129,7 +130,7 @@
 
     def _match(
         self, request: werkzeug.wrappers.Request
-    ) -> tuple[Route, dict[str, Any]]:
+    ) -> tuple[Route, dict[str, typing.Any]]:
         adapter = self._map.bind_to_environ(request.environ)
         try:
             endpoint, arguments = adapter.match()
@@ -183,7 +184,7 @@
     return owner
 
 
-def read_json(call: Call) -> dict[str, Any]:
+def read_json(call: Call) -> dict[str, typing.Any]:
     """Return the body as a JSON object.
 
     :raises errors.InvalidRequest: when it is not one
@@ -197,7 +198,9 @@
     return body
 
 
-def make_json_response(value: Any, status: int = 200) -> werkzeug.wrappers.Response:
+def make_json_response(
+    value: typing.Any, status: int = 200
+) -> werkzeug.wrappers.Response:
     """Return a JSON response."""
     return werkzeug.wrappers.Response(
         utils.encode_json(value), status=status, content_type="application/json"
--- a/src/endivevane/web/channel.py
+++ b/src/endivevane/web/channel.py
@@ -4,7 +4,7 @@
 
 import copy
 import socket
-from typing import Any
+import typing
 
 import waitress.adjustments
 import waitress.channel
@@ -16,11 +16,11 @@
 from endivevane.web import app, errors
 
 # The type stubs of waitress lack most attributes of these classes.
-_BaseAdjustments: Any = waitress.adjustments.Adjustments
-_BaseParser: Any = waitress.parser.HTTPRequestParser
-_BaseErrorTask: Any = waitress.task.ErrorTask
-_BaseTask: Any = waitress.task.WSGITask
-_BaseChannel: Any = waitress.channel.HTTPChannel
+_BaseAdjustments: typing.Any = waitress.adjustments.Adjustments
+_BaseParser: typing.Any = waitress.parser.HTTPRequestParser
+_BaseErrorTask: typing.Any = waitress.task.ErrorTask
+_BaseTask: typing.Any = waitress.task.WSGITask
+_BaseChannel: typing.Any = waitress.channel.HTTPChannel
 
 # How long a connection is read and discarded after an early error answer. Closing it
 # with unread data would reset it, and the caller could lose the answer.
@@ -129,9 +129,9 @@
 class Task(_BaseTask):  # type: ignore[misc]
     """Runs the application for one request."""
 
-    def get_environment(self) -> dict[str, Any]:
+    def get_environment(self) -> dict[str, typing.Any]:
         """Return the WSGI environment with the connection in it."""
-        environ: dict[str, Any] = super().get_environment()
+        environ: dict[str, typing.Any] = super().get_environment()
         environ[app.CHANNEL_KEY] = self.channel
         return environ
 
@@ -160,8 +160,8 @@
     """One caller's connection while waitress owns it."""
 
     connected: bool
-    request: Any
-    socket: Any
+    request: typing.Any
+    socket: typing.Any
     will_close: bool
 
     task_class = Task
--- a/src/endivevane/web/errors.py
+++ b/src/endivevane/web/errors.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from typing import Any
+import typing
 
 from endivevane import exceptions, types, utils
 
@@ -43,7 +43,7 @@
         """Return the JSON body."""
         return utils.encode_json({"error": self.describe()})
 
-    def describe(self) -> dict[str, Any]:
+    def describe(self) -> dict[str, typing.Any]:
         """Return the fields of the JSON error."""
         return {
             "message": self.message,
--- a/src/endivevane/web/server.py
+++ b/src/endivevane/web/server.py
@@ -7,8 +7,8 @@
 import socket
 import threading
 import time
-from collections.abc import Callable, Iterable
-from typing import Any
+import typing
+from collections import abc
 
 import waitress.adjustments
 import waitress.server
@@ -26,9 +26,11 @@
 _DRAIN_WAIT_S = 0.2
 
 # The type stubs of waitress lack most attributes of this class.
-_BaseServer: Any = waitress.server.TcpWSGIServer
+_BaseServer: typing.Any = waitress.server.TcpWSGIServer
 
-WsgiApplication = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
+WsgiApplication = abc.Callable[
+    [dict[str, typing.Any], abc.Callable[..., typing.Any]], abc.Iterable[bytes]
+]
 
 
 class NotDetachable(exceptions.EndivevaneError):
@@ -82,7 +84,7 @@
     drain_idle_s: float = 1.0
 
 
-def detach(environ: dict[str, Any]) -> DetachedCaller:
+def detach(environ: dict[str, typing.Any]) -> DetachedCaller:
     """Take the caller's socket away from waitress.
 
     Afterwards waitress neither reads, writes nor closes the socket, and the response
@@ -160,7 +162,7 @@
 class _Server(_BaseServer):  # type: ignore[misc]
     """Waitress's server with drain, stop and stricter time limits."""
 
-    socket: Any
+    socket: typing.Any
     channel_class = upload_body.UploadChannel
 
     def __init__(
@@ -176,7 +178,7 @@
         self.drained = threading.Event()
         super().__init__(application, {}, dispatcher=dispatcher, adj=adjustments)
 
-    def pull_trigger_with(self, function: Callable[[], None]) -> None:
+    def pull_trigger_with(self, function: abc.Callable[[], None]) -> None:
         """Run a function on the server's thread."""
         if not self.is_stopped:
             self.trigger.pull_trigger(function)
--- a/src/endivevane/web/upload_body.py
+++ b/src/endivevane/web/upload_body.py
@@ -9,8 +9,8 @@
 import collections
 import contextlib
 import threading
-from collections.abc import Callable
-from typing import Any
+import typing
+from collections import abc
 
 import werkzeug.exceptions
 
@@ -32,7 +32,7 @@
     error = None
 
     def __init__(self, size_bytes: int) -> None:
-        self.wake: Callable[[], None] = _do_nothing
+        self.wake: abc.Callable[[], None] = _do_nothing
         self._size_bytes = size_bytes
         self._left_bytes = size_bytes
         self._parts: collections.deque[bytes] = collections.deque()
@@ -123,7 +123,7 @@
     """Gives uploads of known length a pipe as the receiver of their body."""
 
     is_dispatched = False
-    body_rcv: Any
+    body_rcv: typing.Any
 
     def parse_header(self, header_plus: bytes) -> None:
         """Parse the request line and the headers."""
--- a/standins/balancer.py
+++ b/standins/balancer.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import dataclasses
-from typing import Any
+import typing
 
 import aiohttp
 from aiohttp import web
@@ -43,7 +43,7 @@
         """Add the tasks that run while the application runs."""
         app.cleanup_ctx.append(self._check_backends)
 
-    def record(self) -> dict[str, Any]:
+    def record(self) -> dict[str, typing.Any]:
         """Return connections per backend and connections that found none ready."""
         backends = [dataclasses.asdict(backend) for backend in self._backends]
         return {"backends": backends, "refused": self._refused}
@@ -79,7 +79,7 @@
             return opened
         return None
 
-    async def _check_backends(self, _app: web.Application) -> Any:
+    async def _check_backends(self, _app: web.Application) -> typing.Any:
         timeout = aiohttp.ClientTimeout(total=_CHECK_TIMEOUT_S)
         connector = aiohttp.TCPConnector(force_close=True)
         async with aiohttp.ClientSession(
--- a/standins/batching.py
+++ b/standins/batching.py
@@ -9,8 +9,8 @@
 import os
 import sys
 import time
-from collections.abc import Callable
-from typing import Any
+import typing
+from collections import abc
 
 from standins import completions, faults, prefix_cache
 
@@ -49,7 +49,7 @@
     accepted_at_s: float = 0.0
     started_at_s: float | None = None
     ended_at_s: float | None = None
-    on_step: Callable[[], None] | None = None
+    on_step: abc.Callable[[], None] | None = None
     ended: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
     @property
@@ -57,7 +57,7 @@
         """Whether the run has finished or was cancelled."""
         return self.state in (RunState.FINISHED, RunState.CANCELLED)
 
-    def describe(self) -> dict[str, Any]:
+    def describe(self) -> dict[str, typing.Any]:
         """Return the entry for the record."""
         return {
             "attempt_id": self.attempt_id,
@@ -109,7 +109,7 @@
         self._faults = current_faults
         self._waiting: collections.deque[Run] = collections.deque()
         self._groups: list[dict[Run, None]] = [{} for _ in range(pace.step_groups)]
-        self._changed: list[Callable[[], None]] = []
+        self._changed: list[abc.Callable[[], None]] = []
 
     @property
     def running(self) -> int:
@@ -121,7 +121,7 @@
         """Number of requests in the waiting list."""
         return len(self._waiting)
 
-    def on_change(self, callback: Callable[[], None]) -> None:
+    def on_change(self, callback: abc.Callable[[], None]) -> None:
         """Call a function after each change of the two numbers."""
         self._changed.append(callback)
 
--- a/standins/completions.py
+++ b/standins/completions.py
@@ -4,7 +4,7 @@
 
 import hashlib
 import json
-from typing import Any
+import typing
 
 import xxhash
 
@@ -13,7 +13,7 @@
 _BYTES_PER_TOKEN = 4
 
 
-def digest_messages(messages: list[dict[str, Any]]) -> str:
+def digest_messages(messages: list[dict[str, typing.Any]]) -> str:
     """Return the SHA-256 of the canonical JSON of the messages."""
     text = json.dumps(
         messages, sort_keys=True, separators=(",", ":"), ensure_ascii=False
@@ -27,14 +27,14 @@
 
 
 def expected_text(
-    messages: list[dict[str, Any]], max_tokens: int = DEFAULT_MAX_TOKENS
+    messages: list[dict[str, typing.Any]], max_tokens: int = DEFAULT_MAX_TOKENS
 ) -> str:
     """Return the whole answer of the engine to a prompt."""
     digest = digest_messages(messages)
     return "".join(make_token(digest, index) for index in range(max_tokens))
 
 
-def render_prompt(messages: list[dict[str, Any]]) -> bytes:
+def render_prompt(messages: list[dict[str, typing.Any]]) -> bytes:
     r"""Return the prompt as bytes: ``role\ncontent\n`` of each message in turn."""
     parts = []
     for message in messages:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -7,8 +7,8 @@
 import json
 import os
 import time
+import typing
 import uuid
-from typing import Any
 
 from aiohttp import web
 
@@ -73,7 +73,7 @@
         self._runs: list[batching.Run] = []
         self._streams: dict[str, streams.Stream] = {}
         self._active: dict[str, batching.Run] = {}
-        self._loads: list[tuple[float, dict[str, Any]]] = []
+        self._loads: list[tuple[float, dict[str, typing.Any]]] = []
         self.batcher.on_change(self._note_load)
         self.loaded.on_change(self._note_load)
         self._note_load()
@@ -91,7 +91,7 @@
         self.loaded.add(app)
         app.cleanup_ctx.append(self._run_tasks)
 
-    def record(self) -> dict[str, Any]:
+    def record(self) -> dict[str, typing.Any]:
         """Return one entry per run, and the orders."""
         return {
             "runs": [run.describe() for run in self._runs],
@@ -133,7 +133,9 @@
         self.batcher.submit(run)
         return await streams.send_events(request, stream, 0)
 
-    def _make_run(self, request: web.Request, body: dict[str, Any]) -> batching.Run:
+    def _make_run(
+        self, request: web.Request, body: dict[str, typing.Any]
+    ) -> batching.Run:
         model, messages = body["model"], body["messages"]
         if not isinstance(messages, list) or not messages:
             raise RequestError(400, "messages must be a list", "invalid_messages")
@@ -257,7 +259,7 @@
             older = [item for item in self._loads if item[0] < limit_s]
             self._loads = older[-1:] + self._loads[len(older) :]
 
-    async def _run_tasks(self, _app: web.Application) -> Any:
+    async def _run_tasks(self, _app: web.Application) -> typing.Any:
         tasks = [
             asyncio.create_task(self.batcher.step_forever()),
             asyncio.create_task(self._sweep_forever()),
@@ -278,7 +280,7 @@
                 self._active.pop(attempt_id, None)
 
 
-def _make_answer(run: batching.Run) -> dict[str, Any]:
+def _make_answer(run: batching.Run) -> dict[str, typing.Any]:
     text = "".join(
         completions.make_token(run.digest, index) for index in range(run.tokens)
     )
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -4,14 +4,14 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Awaitable, Callable
-from typing import Any
+import typing
+from collections import abc
 
 from aiohttp import web
 
 CONTROL_PREFIX = "/_"
-Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
-Listener = Callable[["Faults"], Awaitable[None]]
+Handler = abc.Callable[[web.Request], abc.Awaitable[web.StreamResponse]]
+Listener = abc.Callable[["Faults"], abc.Awaitable[None]]
 
 
 @dataclasses.dataclass(slots=True)
@@ -51,7 +51,7 @@
     ignore_fencing: bool | None = None
     token_ms: float | None = None
 
-    def update(self, changes: dict[str, Any]) -> None:
+    def update(self, changes: dict[str, typing.Any]) -> None:
         """Set the named faults.
 
         :raises ValueError: when a name is unknown
@@ -115,7 +115,9 @@
 
 
 def add_control_routes(
-    app: web.Application, listeners: list[Listener], record: Callable[[], Any]
+    app: web.Application,
+    listeners: list[Listener],
+    record: abc.Callable[[], typing.Any],
 ) -> None:
     """Add the routes for faults and for the record.
 
--- a/standins/link.py
+++ b/standins/link.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any
+import typing
 
 from standins import faults, piping, serving
 
@@ -34,7 +34,7 @@
         self._failures = 0
         self.listener = piping.TcpListener(serving.split_address(listen), self._accept)
 
-    def record(self) -> dict[str, Any]:
+    def record(self) -> dict[str, typing.Any]:
         """Return the numbers of connections and bytes."""
         return {
             "connections": self._connections,
--- a/standins/loaded.py
+++ b/standins/loaded.py
@@ -5,8 +5,8 @@
 import argparse
 import asyncio
 import time
-from collections.abc import Callable
-from typing import Any
+import typing
+from collections import abc
 
 import aiohttp
 from aiohttp import web
@@ -34,8 +34,8 @@
         self._in_progress = 0
         self._lock = asyncio.Lock()
         self._tasks: set[asyncio.Task[None]] = set()
-        self.orders: list[dict[str, Any]] = []
-        self._changed: list[Callable[[], None]] = []
+        self.orders: list[dict[str, typing.Any]] = []
+        self._changed: list[abc.Callable[[], None]] = []
         for text in arguments.model:
             name, _, version = text.partition("@")
             self._models[name, version or "1"] = []
@@ -49,7 +49,7 @@
         app.router.add_get("/v1/state", self.show)
         app.router.add_get("/v1/models", self.list)
 
-    def on_change(self, callback: Callable[[], None]) -> None:
+    def on_change(self, callback: abc.Callable[[], None]) -> None:
         """Call a function after each change."""
         self._changed.append(callback)
 
@@ -65,7 +65,7 @@
             for (model, _), adapters in self._models.items()
         )
 
-    def report(self) -> dict[str, Any]:
+    def report(self) -> dict[str, typing.Any]:
         """Return the part of the load report that concerns models."""
         models = [
             {"model": name, "version": version, "adapters": list(adapters)}
@@ -120,7 +120,7 @@
             return self._faults.ignore_fencing
         return self._ignores_fencing
 
-    async def _carry_out(self, order: dict[str, Any]) -> None:
+    async def _carry_out(self, order: dict[str, typing.Any]) -> None:
         async with self._lock:
             action = order["action"]
             if action == "load_model":
@@ -132,7 +132,7 @@
             self._in_progress -= 1
             self._notify()
 
-    async def _fetch_weights(self, order: dict[str, Any]) -> None:
+    async def _fetch_weights(self, order: dict[str, typing.Any]) -> None:
         """Read the weights, at the rate that the weight store allows."""
         if not self._weights:
             return
@@ -147,7 +147,7 @@
             except (aiohttp.ClientError, TimeoutError, OSError):
                 await asyncio.sleep(_RETRY_S)
 
-    def _apply(self, order: dict[str, Any]) -> None:
+    def _apply(self, order: dict[str, typing.Any]) -> None:
         action, model = order["action"], order.get("model", "")
         version, adapter = order.get("version"), order.get("adapter", "")
         if action == "load_model":
--- a/standins/piping.py
+++ b/standins/piping.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import Callable
+from collections import abc
 
 _READ_BYTES = 64 << 10
 _QUEUED_CHUNKS = 64
@@ -124,7 +124,7 @@
             await asyncio.sleep(_SILENCE_POLL_S)
 
 
-Accept = Callable[[asyncio.StreamReader, asyncio.StreamWriter], object]
+Accept = abc.Callable[[asyncio.StreamReader, asyncio.StreamWriter], object]
 
 
 class TcpListener:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -5,15 +5,15 @@
 import argparse
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
-from typing import Any
+import typing
+from collections import abc
 
 import sortedcontainers
 from aiohttp import web
 
 from standins import faults, serving, tables
 
-Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+Handler = abc.Callable[[web.Request], abc.Awaitable[web.StreamResponse]]
 _CHUNK_BYTES = 64 << 10
 
 
@@ -35,7 +35,7 @@
         app.router.add_get("/v1/rows/{table}/{key}", self.read)
         app.router.add_get("/v1/rows/{table}", self.scan)
 
-    def record(self) -> dict[str, Any]:
+    def record(self) -> dict[str, typing.Any]:
         """Return the record of the tables."""
         return self._tables.record()
 
@@ -88,7 +88,7 @@
 
     def __init__(self) -> None:
         self._objects: sortedcontainers.SortedDict = sortedcontainers.SortedDict()
-        self._writes: list[dict[str, Any]] = []
+        self._writes: list[dict[str, typing.Any]] = []
         self._reads = 0
 
     def add(self, app: web.Application) -> None:
@@ -98,7 +98,7 @@
         app.router.add_get("/v1/objects/{key}", self.get)
         app.router.add_delete("/v1/objects/{key}", self.delete)
 
-    def record(self) -> dict[str, Any]:
+    def record(self) -> dict[str, typing.Any]:
         """Return the writes in order and the number of reads."""
         return {
             "reads": self._reads,
@@ -161,7 +161,7 @@
 
     def __init__(self, lag_s: float) -> None:
         self._lag_s = lag_s
-        self._versions: list[tuple[float, list[dict[str, Any]]]] = [(0.0, [])]
+        self._versions: list[tuple[float, list[dict[str, typing.Any]]]] = [(0.0, [])]
 
     def add(self, app: web.Application) -> None:
         """Add the routes."""
@@ -242,7 +242,7 @@
     VmRoutes(arguments.lag_s).add(app)
     WeightRoutes(arguments.weights_bytes_per_s, arguments.weights_bytes).add(app)
 
-    def record() -> dict[str, Any]:
+    def record() -> dict[str, typing.Any]:
         return {**table_routes.record(), "object_store": object_routes.record()}
 
     serving.run(app, arguments, record)
--- a/standins/prefix_cache.py
+++ b/standins/prefix_cache.py
@@ -5,7 +5,7 @@
 import collections
 import random
 import time
-from typing import Any
+import typing
 
 _KEPT_EVENTS = 10_000
 
@@ -27,7 +27,7 @@
         self.gap_share = gap_share
         self._random = random.Random(seed)
         self._blocks: collections.OrderedDict[int, None] = collections.OrderedDict()
-        self._events: collections.deque[tuple[float, dict[str, Any]]] = (
+        self._events: collections.deque[tuple[float, dict[str, typing.Any]]] = (
             collections.deque(maxlen=_KEPT_EVENTS)
         )
         self._number = 0
@@ -64,7 +64,7 @@
         if evicted:
             self._publish("evicted", evicted)
 
-    def read_events(self, after: int) -> list[dict[str, Any]]:
+    def read_events(self, after: int) -> list[dict[str, typing.Any]]:
         """Return the readable events numbered above ``after``."""
         limit_s = time.monotonic() - self._event_lag_s
         return [
