--- a/standins/region_link.py
+++ b/standins/region_link.py
@@ -13,7 +13,7 @@
 import contextlib
 import dataclasses
 import socket
-from typing import Any, Self
+import typing
 
 from aiohttp import web
 
@@ -35,7 +35,7 @@
     is_outward: bool
 
     @classmethod
-    def parse(cls, text: str) -> Self:
+    def parse(cls, text: str) -> typing.Self:
         """Read ``NAME,LISTEN,TARGET,outward|inward``."""
         name, listen, target, side = text.split(",")
         split = serving.split_address
@@ -96,7 +96,7 @@
 
     async def _run(self, listening: socket.socket) -> None:
         loop = asyncio.get_running_loop()
-        served: set[asyncio.Task[Any]] = set()
+        served: set[asyncio.Task[typing.Any]] = set()
         while True:
             accepted, _ = await loop.sock_accept(listening)
             task = asyncio.create_task(self._serve(accepted))
@@ -125,7 +125,7 @@
         self._connections: dict[str, int] = {route.name: 0 for route in routes}
         self._gates = [Gate(route, self._make_accept(route)) for route in routes]
 
-    def record(self) -> dict[str, Any]:
+    def record(self) -> dict[str, typing.Any]:
         """Return connections by route, and the bytes of each direction."""
         return {
             "connections": self._connections,
--- a/standins/service.py
+++ b/standins/service.py
@@ -5,7 +5,7 @@
 import asyncio
 import hashlib
 import time
-from typing import Any
+import typing
 
 from aiohttp import web
 
@@ -22,7 +22,7 @@
     def __init__(self, name: str, work_ms: float) -> None:
         self._name = name
         self._work_ms = work_ms
-        self._calls: list[dict[str, Any]] = []
+        self._calls: list[dict[str, typing.Any]] = []
 
     def add(self, app: web.Application) -> None:
         """Add the routes."""
@@ -30,7 +30,7 @@
         for method in ("GET", "POST", "PUT", "DELETE"):
             app.router.add_route(method, "/{path:(?!_).*}", self.call)
 
-    def record(self) -> dict[str, Any]:
+    def record(self) -> dict[str, typing.Any]:
         """Return the calls in the order in which they took effect."""
         return {"name": self._name, "calls": self._calls}
 
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -5,8 +5,8 @@
 import argparse
 import asyncio
 import signal
-from collections.abc import Callable
-from typing import Any
+import typing
+from collections import abc
 
 from aiohttp import web
 
@@ -118,7 +118,7 @@
 def run(
     app: web.Application,
     arguments: argparse.Namespace,
-    record: Callable[[], Any],
+    record: abc.Callable[[], typing.Any],
     current: faults.Faults | None = None,
 ) -> None:
     """Serve an application with control routes until a signal.
@@ -136,7 +136,7 @@
 def run_behind_tcp(
     app: web.Application,
     arguments: argparse.Namespace,
-    record: Callable[[], Any],
+    record: abc.Callable[[], typing.Any],
     listener: piping.TcpListener,
 ) -> None:
     """Serve a stand-in that passes TCP connections on.
@@ -146,7 +146,7 @@
     if not arguments.control:
         raise SystemExit("--control is required, since --listen passes everything on")
 
-    async def listen(_app: web.Application) -> Any:
+    async def listen(_app: web.Application) -> typing.Any:
         await listener.open()
         print(f"listening {arguments.listen}", flush=True)
         yield
--- a/standins/streams.py
+++ b/standins/streams.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 import time
-from typing import Any
+import typing
 
 from aiohttp import web
 
@@ -104,7 +104,7 @@
             self.run.max_tokens, {"choices": [], "usage": make_usage(self.run)}
         )
 
-    def _encode(self, offset: int, body: dict[str, Any]) -> bytes:
+    def _encode(self, offset: int, body: dict[str, typing.Any]) -> bytes:
         event = {
             "id": f"chatcmpl-{self.run.attempt_id}",
             "object": "chat.completion.chunk",
@@ -168,7 +168,7 @@
         self.ended.set()
 
 
-def make_usage(run: batching.Run) -> dict[str, Any]:
+def make_usage(run: batching.Run) -> dict[str, typing.Any]:
     """Return the usage of a run in the OpenAI format."""
     prompt_tokens = completions.count_prompt_tokens(run.prompt)
     cached = run.cached_blocks * completions.PREFIX_BLOCK_BYTES // 4
--- a/standins/tables.py
+++ b/standins/tables.py
@@ -5,7 +5,7 @@
 import collections
 import dataclasses
 import time
-from typing import Any
+import typing
 
 import sortedcontainers
 
@@ -56,7 +56,7 @@
 
     table: str
     key: str
-    value: dict[str, Any] | None
+    value: dict[str, typing.Any] | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,7 +68,7 @@
     writes: list[Write]
 
 
-def parse_transaction(body: dict[str, Any]) -> Transaction:
+def parse_transaction(body: dict[str, typing.Any]) -> Transaction:
     """Return the transaction in a request body.
 
     :raises KeyError, TypeError: when a field is missing or unknown
@@ -99,23 +99,23 @@
         )
         self._revision = 0
         self._counts: dict[str, Counts] = collections.defaultdict(Counts)
-        self._history: list[dict[str, Any]] = []
+        self._history: list[dict[str, typing.Any]] = []
         self.refused_writes = 0
         self.refused_reads = 0
 
-    def read(self, table: str, key: str) -> tuple[dict[str, Any], int] | None:
+    def read(self, table: str, key: str) -> tuple[dict[str, typing.Any], int] | None:
         """Return value and revision of a row, or ``None``."""
         self._counts[table].reads += 1
-        row: tuple[dict[str, Any], int] | None = self._rows[table].get(key)
+        row: tuple[dict[str, typing.Any], int] | None = self._rows[table].get(key)
         return row
 
     def scan(
         self, table: str, prefix: str, after: str, limit: int
-    ) -> list[dict[str, Any]]:
+    ) -> list[dict[str, typing.Any]]:
         """Return rows in key order."""
         self._counts[table].scans += 1
         rows = self._rows[table]
-        found: list[dict[str, Any]] = []
+        found: list[dict[str, typing.Any]] = []
         start = max(prefix, after)
         for key in rows.irange(minimum=start):
             if key <= after and after:
@@ -126,7 +126,9 @@
             found.append({"key": key, "value": value, "revision": revision})
         return found
 
-    def transact(self, transaction: Transaction) -> tuple[int, list[dict[str, Any]]]:
+    def transact(
+        self, transaction: Transaction
+    ) -> tuple[int, list[dict[str, typing.Any]]]:
         """Apply all writes if all conditions hold.
 
         :returns: new revision and no conflicts, or the conflicts
@@ -139,7 +141,9 @@
             self._apply(write, transaction.operation_id)
         return self._revision, []
 
-    def _find_conflicts(self, conditions: list[Condition]) -> list[dict[str, Any]]:
+    def _find_conflicts(
+        self, conditions: list[Condition]
+    ) -> list[dict[str, typing.Any]]:
         conflicts = []
         for condition in conditions:
             table, key = condition.table, condition.key
@@ -170,7 +174,7 @@
             }
         )
 
-    def record(self) -> dict[str, Any]:
+    def record(self) -> dict[str, typing.Any]:
         """Return counts per table and the history of the recorded tables."""
         return {
             "revision": self._revision,
--- a/tools/audit.py
+++ b/tools/audit.py
@@ -5,10 +5,10 @@
 import collections
 import dataclasses
 import json
+import typing
 import urllib.parse
 import urllib.request
-from collections.abc import Collection, Mapping
-from typing import Any
+from collections import abc
 
 from standins import completions
 
@@ -37,10 +37,10 @@
 
 
 def audit_job(
-    record: Mapping[str, Any],
+    record: abc.Mapping[str, typing.Any],
     store_url: str,
     job_id: str,
-    bodies: Mapping[str, Mapping[str, Any]],
+    bodies: abc.Mapping[str, abc.Mapping[str, typing.Any]],
 ) -> Audit:
     """Compare the committed results of a job with its items.
 
@@ -49,7 +49,7 @@
     :param bodies: request body of each item by ``custom_id``
     """
     audit = Audit()
-    commits: dict[str, list[dict[str, Any]]] = collections.defaultdict(list)
+    commits: dict[str, list[dict[str, typing.Any]]] = collections.defaultdict(list)
     for entry in record["history"]:
         if entry["table"] != "chunks" or not entry["key"].startswith(f"{job_id}/"):
             continue
@@ -72,7 +72,9 @@
     return audit
 
 
-def audit_calls(records: Collection[Mapping[str, Any]], answered: set[str]) -> Audit:
+def audit_calls(
+    records: abc.Collection[abc.Mapping[str, typing.Any]], answered: set[str]
+) -> Audit:
     """Compare the calls that services ran with those that callers saw answered.
 
     :param records: records of the plain services' stand-ins
@@ -87,7 +89,7 @@
     return audit
 
 
-def _read_results(store_url: str, key: str) -> list[dict[str, Any]]:
+def _read_results(store_url: str, key: str) -> list[dict[str, typing.Any]]:
     """Return the lines of a result object; each starts with its position and mark."""
     quoted = urllib.parse.quote(key, safe="")
     with urllib.request.urlopen(f"{store_url}/v1/objects/{quoted}") as response:
@@ -95,5 +97,5 @@
     return [json.loads(line[line.index(b"{") :]) for line in data.splitlines()]
 
 
-def _expected(body: Mapping[str, Any]) -> str:
+def _expected(body: abc.Mapping[str, typing.Any]) -> str:
     return completions.expected_text(body["messages"], body["max_tokens"])
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -8,7 +8,6 @@
 import sys
 import typing
 import urllib.request
-from typing import Any
 
 import zmq
 
@@ -76,17 +75,17 @@
         super().__init__(process, name, zone, address)
         self.control = control
 
-    def set_faults(self, **faults: Any) -> None:
+    def set_faults(self, **faults: typing.Any) -> None:
         """Set fault switches, for example ``set_faults(down=True)``."""
         self.post_control("/_control/faults", faults)
 
-    def record(self) -> dict[str, Any]:
+    def record(self) -> dict[str, typing.Any]:
         """Return the stand-in's record of what took effect."""
         with urllib.request.urlopen(f"http://{self.control}/_record") as response:
-            record: dict[str, Any] = json.load(response)
+            record: dict[str, typing.Any] = json.load(response)
         return record
 
-    def post_control(self, path: str, body: dict[str, Any]) -> None:
+    def post_control(self, path: str, body: dict[str, typing.Any]) -> None:
         """Send a JSON body to a control route."""
         request = urllib.request.Request(
             f"http://{self.control}{path}",
--- a/tools/fleet_plan.py
+++ b/tools/fleet_plan.py
@@ -5,8 +5,8 @@
 import dataclasses
 import hashlib
 import pathlib
-from collections.abc import Mapping, Sequence
-from typing import Any
+import typing
+from collections import abc
 
 from tools import toml_text
 
@@ -69,10 +69,18 @@
     loads_weights: bool = False
     platform_arguments: tuple[str, ...] = ()
     service_arguments: tuple[str, ...] = ()
-    fleet_document: Mapping[str, Any] = dataclasses.field(default_factory=dict)
-    model_service: Mapping[str, Any] = dataclasses.field(default_factory=dict)
-    plain_service: Mapping[str, Any] = dataclasses.field(default_factory=dict)
-    daemon_settings: Mapping[str, Any] = dataclasses.field(default_factory=dict)
+    fleet_document: abc.Mapping[str, typing.Any] = dataclasses.field(
+        default_factory=dict
+    )
+    model_service: abc.Mapping[str, typing.Any] = dataclasses.field(
+        default_factory=dict
+    )
+    plain_service: abc.Mapping[str, typing.Any] = dataclasses.field(
+        default_factory=dict
+    )
+    daemon_settings: abc.Mapping[str, typing.Any] = dataclasses.field(
+        default_factory=dict
+    )
     has_balancer: bool = False
     has_store_links: bool = False
     has_region_link: bool = False
@@ -102,11 +110,13 @@
     return f"key-of-{organisation}"
 
 
-def merge(base: Mapping[str, Any], changes: Mapping[str, Any]) -> dict[str, Any]:
+def merge(
+    base: abc.Mapping[str, typing.Any], changes: abc.Mapping[str, typing.Any]
+) -> dict[str, typing.Any]:
     """Return a copy of a nested dictionary with changes applied."""
     merged = dict(base)
     for key, value in changes.items():
-        if isinstance(value, Mapping) and isinstance(merged.get(key), Mapping):
+        if isinstance(value, abc.Mapping) and isinstance(merged.get(key), abc.Mapping):
             merged[key] = merge(merged[key], value)
         else:
             merged[key] = value
@@ -116,8 +126,8 @@
 def write_documents(
     folder: pathlib.Path,
     plan: FleetPlan,
-    engines: Sequence[PlannedTarget],
-    services: Sequence[PlannedTarget],
+    engines: abc.Sequence[PlannedTarget],
+    services: abc.Sequence[PlannedTarget],
 ) -> None:
     """Write the configuration files of a fleet into a folder."""
     folder.mkdir(exist_ok=True)
@@ -134,13 +144,13 @@
         path.write_text(toml_text.render(document))
 
 
-def _make_fleet(plan: FleetPlan) -> dict[str, Any]:
+def _make_fleet(plan: FleetPlan) -> dict[str, typing.Any]:
     zones = [dataclasses.asdict(zone) for zone in plan.zones]
     document = {"kind": "fleet", "name": "fleet", "zones": zones}
     return merge(document, plan.fleet_document)
 
 
-def _make_organisation(plan: FleetPlan, index: int) -> dict[str, Any]:
+def _make_organisation(plan: FleetPlan, index: int) -> dict[str, typing.Any]:
     name = plan.organisations[index]
     keys = [{"id": "caller", "sha256": _digest(caller_key(name)), "role": "caller"}]
     if index == 0:
@@ -150,8 +160,8 @@
 
 
 def _make_model_service(
-    plan: FleetPlan, engines: Sequence[PlannedTarget]
-) -> dict[str, Any]:
+    plan: FleetPlan, engines: abc.Sequence[PlannedTarget]
+) -> dict[str, typing.Any]:
     document = {
         "kind": "service",
         "name": MODEL_SERVICE,
@@ -167,8 +177,8 @@
 
 
 def _make_plain_service(
-    plan: FleetPlan, services: Sequence[PlannedTarget]
-) -> dict[str, Any]:
+    plan: FleetPlan, services: abc.Sequence[PlannedTarget]
+) -> dict[str, typing.Any]:
     document = {
         "kind": "service",
         "name": PLAIN_SERVICE,
@@ -184,8 +194,8 @@
 
 
 def make_settings(
-    plan: FleetPlan, index: int, addresses: Mapping[str, Any]
-) -> dict[str, Any]:
+    plan: FleetPlan, index: int, addresses: abc.Mapping[str, typing.Any]
+) -> dict[str, typing.Any]:
     """Return the settings of a daemon.
 
     :param addresses: ``listen``, ``cluster_listen``, ``platform``, ``seeds`` and
--- a/tools/jobs.py
+++ b/tools/jobs.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
-from typing import Any
+import typing
+from collections import abc
 
 from tools import fleet
 
-Body = dict[str, Any]
+Body = dict[str, typing.Any]
 
 
 def make_bodies(model: str, count: int, max_tokens: int, text: str) -> dict[str, Body]:
@@ -27,7 +27,7 @@
     }
 
 
-def submit(running: fleet.Fleet, bodies: Mapping[str, Body]) -> str:
+def submit(running: fleet.Fleet, bodies: abc.Mapping[str, Body]) -> str:
     """Write the items to a file, submit it and return the job's identifier."""
     lines = [
         json.dumps(
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -13,7 +13,7 @@
 import typing
 import urllib.error
 import urllib.request
-from collections.abc import Callable, Sequence
+from collections import abc
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _POLL_S = 0.02
@@ -34,7 +34,7 @@
     """
 
     def __init__(
-        self, module: str, arguments: Sequence[str], log_path: pathlib.Path
+        self, module: str, arguments: abc.Sequence[str], log_path: pathlib.Path
     ) -> None:
         self.module = module
         self.arguments = list(arguments)
@@ -144,7 +144,9 @@
         data = self.log_path.read_bytes() if self.log_path.exists() else b""
         return data[-_LOG_TAIL_BYTES:].decode("utf-8", "replace")
 
-    def _wait(self, is_done: Callable[[], bool], problem: str, limit_s: float) -> None:
+    def _wait(
+        self, is_done: abc.Callable[[], bool], problem: str, limit_s: float
+    ) -> None:
         deadline_s = time.monotonic() + limit_s
         while not is_done():
             if not self.is_running:
@@ -181,7 +183,7 @@
     def __exit__(self, *_error: object) -> None:
         self.close()
 
-    def start(self, module: str, arguments: Sequence[str], name: str) -> Process:
+    def start(self, module: str, arguments: abc.Sequence[str], name: str) -> Process:
         """Start a module; its log is ``NAME.log`` in the folder."""
         process = Process(module, arguments, self.folder / f"{name}.log")
         self._processes.append(process)
--- a/tools/regions.py
+++ b/tools/regions.py
@@ -5,7 +5,7 @@
 import json
 import pathlib
 import typing
-from collections.abc import Mapping
+from collections import abc
 
 from tools import fleet_plan, ports
 
@@ -27,8 +27,8 @@
         self,
         plan: fleet_plan.FleetPlan,
         reserved: ports.Ports,
-        places: Mapping[str, str],
-        addresses: Mapping[str, str],
+        places: abc.Mapping[str, str],
+        addresses: abc.Mapping[str, str],
     ) -> None:
         self.arguments: list[str] = ["--latency-ms", str(LATENCY_MS)]
         self.arguments += ["--mbit-s", str(RATE_MBIT_S)]
--- a/tools/routed.py
+++ b/tools/routed.py
@@ -12,15 +12,15 @@
 import runpy
 import socket
 import sys
-from collections.abc import Mapping
-from typing import Any
+import typing
+from collections import abc
 
 import zmq
 
 _SCHEME = "tcp://"
 
 
-def install(table: Mapping[str, str]) -> None:
+def install(table: abc.Mapping[str, str]) -> None:
     """Replace addresses in every connect of this process.
 
     :param table: ``host:port`` of the link by ``host:port`` of the target
@@ -29,10 +29,10 @@
     _route_messages(table)
 
 
-def _route_sockets(table: Mapping[str, str]) -> None:
+def _route_sockets(table: abc.Mapping[str, str]) -> None:
     connect = socket.socket.connect
 
-    def connect_routed(self: socket.socket, address: Any) -> None:
+    def connect_routed(self: socket.socket, address: typing.Any) -> None:
         if isinstance(address, tuple):
             routed = table.get(f"{address[0]}:{address[1]}")
             if routed is not None:
@@ -43,11 +43,13 @@
     setattr(socket.socket, "connect", connect_routed)  # noqa: B010 - a method
 
 
-def _route_messages(table: Mapping[str, str]) -> None:
+def _route_messages(table: abc.Mapping[str, str]) -> None:
     for name in ("connect", "disconnect"):
         call = getattr(zmq.Socket, name)
 
-        def call_routed(self: Any, endpoint: str, call: Any = call) -> Any:
+        def call_routed(
+            self: typing.Any, endpoint: str, call: typing.Any = call
+        ) -> typing.Any:
             if not endpoint.startswith(_SCHEME):
                 return call(self, endpoint)
             address = endpoint.removeprefix(_SCHEME)
--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -12,7 +12,7 @@
 import pathlib
 import subprocess
 import sys
-from typing import Any
+import typing
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _BUILD = _ROOT / "build"
@@ -93,7 +93,7 @@
     return lines
 
 
-def _describe_steps(element: dict[str, Any]) -> list[str]:
+def _describe_steps(element: dict[str, typing.Any]) -> list[str]:
     """Return the failed steps of one scenario with the end of their messages."""
     lines = []
     for step in element.get("steps", []):
--- a/tools/toml_text.py
+++ b/tools/toml_text.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping, Sequence
-from typing import Any
+import typing
+from collections import abc
 
 
-def render(data: Mapping[str, Any], path: str = "") -> str:
+def render(data: abc.Mapping[str, typing.Any], path: str = "") -> str:
     """Return a dictionary as TOML text; lists of dictionaries become ``[[tables]]``."""
     lines = []
     nested = []
@@ -15,7 +15,7 @@
         full = f"{path}.{key}" if path else key
         if value is None:
             continue
-        if isinstance(value, Mapping):
+        if isinstance(value, abc.Mapping):
             nested.append(f"\n[{full}]\n{render(value, full)}")
         elif _is_table_list(value):
             nested.extend(f"\n[[{full}]]\n{render(item, full)}" for item in value)
@@ -24,16 +24,16 @@
     return "".join(lines) + "".join(nested)
 
 
-def _is_table_list(value: Any) -> bool:
+def _is_table_list(value: typing.Any) -> bool:
     return (
-        isinstance(value, Sequence)
+        isinstance(value, abc.Sequence)
         and not isinstance(value, str)
         and len(value) > 0
-        and isinstance(value[0], Mapping)
+        and isinstance(value[0], abc.Mapping)
     )
 
 
-def _render_value(value: Any) -> str:
+def _render_value(value: typing.Any) -> str:
     if isinstance(value, bool):
         return "true" if value else "false"
     if isinstance(value, int | float):
