Check that rows of deaths add up and go away

Cause: the fleet scenarios do not reach the sum of two single deaths in a row, the overwriting of an ended row and its removal.

Change: a scenario on a manual clock and a store in memory.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -41,3 +41,10 @@
     And the crashing request is sent to all daemons at the same moment
     Then at most 2 engines have crashed
     And all daemons answer healthy requests
+
+  Scenario: Rows of single deaths add up, and ended rows go away
+    Guards against daemons that did not hear of each other, and rows that pile up.
+    Given rows of deaths in a store
+    When two daemons write one death each of different targets
+    Then a read delivers a quarantine, and after its end nothing
+    And the ended row is overwritten by a new death and removed after its end
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -4,6 +4,9 @@
 
 from behave import given, then, when
 
+from endivevane import testing
+from endivevane.coordination import clock
+from endivevane.online import messages, quarantine_rows
 from features.support import batch_fleet, raw_http
 from tools import fleet
 
@@ -164,3 +167,46 @@
     time.sleep(1.0)
     statuses = context.world.send_to_all("healthy")
     assert statuses == [200, 200, 200], statuses
+
+
+@given("rows of deaths in a store")
+def step_rows(context):
+    context.clock = clock.ManualClock(1000.0, 1_700_000_000_000)
+    context.store = testing.MemoryTableStore()
+    context.got = []
+    context.rows = quarantine_rows.QuarantineRows(
+        context.clock, context.store, context.got.append
+    )
+
+
+def _read_deaths(context):
+    row = context.store.read(quarantine_rows.TABLE, "f").unwrap()
+    return row.value["deaths"] if row is not None else 0
+
+
+@when("two daemons write one death each of different targets")
+def step_two_rows(context):
+    died_ms = context.clock.wall_ms()
+    for target, deaths in (("t1", 1), ("t1", 1), ("t2", 2)):
+        entry = messages.QuarantineChanged("f", -died_ms, target)
+        assert context.rows.write(entry)
+        assert _read_deaths(context) == deaths, (target, _read_deaths(context))
+
+
+@then("a read delivers a quarantine, and after its end nothing")
+def step_read_rows(context):
+    context.got.clear()
+    context.rows.read()
+    assert [entry.until_wall_ms > 0 for entry in context.got] == [True], context.got
+    context.clock.advance(301.0)
+    context.rows.read()
+    assert len(context.got) == 1, context.got
+
+
+@then("the ended row is overwritten by a new death and removed after its end")
+def step_old_row(context):
+    entry = messages.QuarantineChanged("f", -context.clock.wall_ms(), "t9")
+    assert context.rows.write(entry) and _read_deaths(context) == 1
+    context.clock.advance(700.0)
+    context.rows.read()
+    assert _read_deaths(context) == 0
