Read answers in linear time in the tests

Cause: 'A caller that does not read does not disturb others and is cut off' failed 1 of 3 runs on a busy machine. A trace shows that the relay completed the answer after 1.9 s and the test's reader needed 14.7 s: it copied the rest of 12 MB for each of 1,200 chunks. Change: the reader joins the parts once and decodes chunks by position. The bound of 10 s is unchanged. Conclusion: the fault was in the test's client.

--- a/features/support/raw_http.py
+++ b/features/support/raw_http.py
@@ -67,7 +67,7 @@
 
 def read_answer(sock):
     """Read to the end of the connection; a reset counts as its end."""
-    data = b""
+    parts = []
     while True:
         try:
             part = sock.recv(65536)
@@ -75,10 +75,10 @@
             break
         if not part:
             break
-        data += part
+        parts.append(part)
     sock.close()
-    assert data, "the connection was closed without an answer"
-    return parse_answer(data)
+    assert parts, "the connection was closed without an answer"
+    return parse_answer(b"".join(parts))
 
 
 def parse_answer(data):
@@ -98,17 +98,23 @@
 
 
 def _decode_chunks(data):
-    body = b""
-    while data:
-        line, _, rest = data.partition(b"\r\n")
-        size = int(line, 16)
+    # By position: cutting off each chunk took 14 s for 12 MB on a busy machine.
+    parts = []
+    position = 0
+    while position < len(data):
+        end = data.find(b"\r\n", position)
+        if end < 0:
+            break
+        size = int(data[position:end], 16)
+        position = end + 2
         if size == 0:
-            return body, rest == b"\r\n"
-        body += rest[:size]
-        if rest[size : size + 2] != b"\r\n":
-            return body, False
-        data = rest[size + 2 :]
-    return body, False
+            return b"".join(parts), data[position:] == b"\r\n"
+        parts.append(data[position : position + size])
+        position += size
+        if data[position : position + 2] != b"\r\n":
+            break
+        position += 2
+    return b"".join(parts), False
 
 
 def ask_on(sock, path):
