Run the measurement of the link's shares with the others

Cause: bench.link_shares was not among the parts of make bench. Change: it is. Conclusion: the whole has not been run in one go.

--- a/bench/run.py
+++ b/bench/run.py
@@ -38,6 +38,7 @@
     "isolation": ("isolation", ()),
     "batch": ("batch", ()),
     "placement": ("placement", ()),
+    "link_shares": ("link_shares", ()),
     "members": ("members", (*_MEMBER_SIZES, *_MEMBER_TIMES)),
 }
 
