--- a/features/steps/handover_steps.py
+++ b/features/steps/handover_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 
 from endivevane.online import contract
-from features.support import engine_caller, scheduling
+from features.support import bench_steps, engine_caller, scheduling
 from standins import completions
 from tools import fleet, fleet_plan
 
@@ -62,7 +62,7 @@
     attempt = _submit(context, size, seed=2)
     assert attempt.prefill is not None
     failure = contract.AttemptFailure.CONNECT_FAILED
-    again = context.bench.scheduler.retry(attempt, failure, -1).attempt
+    again = bench_steps.fail(context.bench, attempt, failure).attempt
     assert (again.number, again.prefill) == (2, None), again
 
 
--- a/features/steps/orders_fleet_steps.py
+++ b/features/steps/orders_fleet_steps.py
@@ -149,6 +149,7 @@
             step_check_holders(context, limit, count)
         finally:
             ended.set()
-    # A caller that failed would have asked for less than the scenario says.
-    for item in asking:
-        item.result()
+            # A caller that failed has asked for less than the scenario says, which
+            # explains the rest.
+            for item in asking:
+                item.result()
