Let the cancel notifier keep the stops that it has to acknowledge

Change: CancelNotifier keeps the list and sends the acknowledgements; BatchRunner passes on the running keys. No change of behaviour.

--- a/src/endivevane/batch/cancelling.py
+++ b/src/endivevane/batch/cancelling.py
@@ -24,6 +24,8 @@
         self._post = post
         self._changed = threading.Condition()
         self._waiting: dict[str, set[str]] = {}
+        # Used by the runner's thread alone.
+        self._stopping: list[messages.JobCancelled] = []
         cluster.register(ports.JOB_CANCELLED, self._receive)
 
     def notify(self, job_id: str, owners: abc.Collection[str]) -> bool:
@@ -49,7 +51,30 @@
             self._waiting.pop(job_id, None)
         return has_stopped
 
-    def acknowledge(self, job_id: str, reply_to: str) -> None:
+    def note_cancelled(self, message: messages.JobCancelled) -> None:
+        """Remember a cancel to acknowledge; called by the runner's thread."""
+        self._stopping.append(message)
+
+    def acknowledge_stopped(
+        self, list_running_keys: abc.Callable[[], abc.Collection[tuple[str, int]]]
+    ) -> None:
+        """Say that a cancelled job has stopped once its last item has ended.
+
+        An item that a thread is about to send may reach its engine after the cancel.
+        Called by the runner's thread.
+
+        :param list_running_keys: returns (job id, chunk number) of chunks with
+            running items
+        """
+        if not self._stopping:
+            return
+        running = {job_id for job_id, _ in list_running_keys()}
+        for message in self._stopping:
+            if message.job_id not in running:
+                self._acknowledge(message.job_id, message.reply_to)
+        self._stopping = [item for item in self._stopping if item.job_id in running]
+
+    def _acknowledge(self, job_id: str, reply_to: str) -> None:
         """Say that this daemon runs no item of a job and sends none."""
         own = self._cluster.session().daemon
         if reply_to == own:
--- a/src/endivevane/batch/runner.py
+++ b/src/endivevane/batch/runner.py
@@ -81,7 +81,6 @@
             table_store, object_store, runner_clock, self.post
         )
         self._notifier = cancelling.CancelNotifier(cluster, self.post)
-        self._stopping: list[messages.JobCancelled] = []
         self._stepped_at_s = runner_clock.monotonic_s()
         self._lists_needed = 0
         self._update_at_s = 0.0
@@ -160,7 +159,7 @@
                 self._handle(self._inbox.get_nowait())
         except queue.Empty:
             pass
-        self._acknowledge_stops()
+        self._notifier.acknowledge_stopped(self._sender.list_running_keys)
         now_s = self._clock.monotonic_s()
         session = self._cluster.session()
         self._notice_pause(now_s)
@@ -179,19 +178,6 @@
         if session.is_valid:
             self._looker.look(self._held, self._sender, now_s)
 
-    def _acknowledge_stops(self) -> None:
-        """Say that a cancelled job has stopped once its last item has ended.
-
-        An item that a thread is about to send may reach its engine after the cancel.
-        """
-        if not self._stopping:
-            return
-        running = {job_id for job_id, _ in self._sender.list_running_keys()}
-        for message in self._stopping:
-            if message.job_id not in running:
-                self._notifier.acknowledge(message.job_id, message.reply_to)
-        self._stopping = [item for item in self._stopping if item.job_id in running]
-
     def _update_targets(self, daemon: str, now_s: float) -> None:
         """Work out the own targets again when members or configuration changed.
 
@@ -383,7 +369,7 @@
     @_handle.register
     def _(self, message: messages.JobCancelled) -> None:
         self._drop_job(message.job_id)
-        self._stopping.append(message)
+        self._notifier.note_cancelled(message)
 
     @_handle.register
     def _(self, message: messages.MembersChanged) -> None:
