--- a/src/endivevane/daemon/wiring.py
+++ b/src/endivevane/daemon/wiring.py
@@ -6,7 +6,6 @@
 import random
 import threading
 import typing
-from collections import abc
 
 from endivevane import logs, metrics, types, utils
 from endivevane.batch import api as batch_api
@@ -22,6 +21,7 @@
     history,
     load_board,
     orders_settings,
+    outcome_flusher,
     quarantine_desk,
     settings,
 )
@@ -45,7 +45,6 @@
 from endivevane.retention import task as retention_task
 from endivevane.web import app, server
 
-_FLUSH_INTERVAL_S = 1.0
 # An operator's drain request is answered before the server begins to stop.
 _DRAIN_ANSWER_S = 0.2
 
@@ -64,6 +63,8 @@
         self._clock = daemon_clock
         self._is_draining = False
         self._daemon_count: int | None = None
+        section = daemon_settings.daemon
+        self._place = routing.Place(section.name, section.zone, section.region)
         self._leaving: frozenset[str] = frozenset()
         self._stop_requested = threading.Event()
         self._stopped = threading.Event()
@@ -183,17 +184,15 @@
         logs.add_observer(self._history.observe)
 
     def _build_online(self) -> None:
-        section = self._settings.daemon
-        place = routing.Place(section.name, section.zone, section.region)
         online_scheduler = scheduler.Scheduler(
-            place,
+            self._place,
             self._clock,
             random.Random(),
             count_daemons=self._count_daemons,
             link=self._link,
         )
         self._demand = orders_demand.DemandExchange(
-            section.name, self._clock, online_scheduler.demand.read, self._table
+            self._place.daemon, self._clock, online_scheduler.demand.read, self._table
         )
         self.relay = relay.RelayTask(
             relay_settings.RelaySettings(max_streams=self._settings.limits.max_streams),
@@ -206,7 +205,7 @@
         )
         self._board = load_board.LoadBoard(self.relay.post)
         self._loads = loads.LoadsTask(
-            place,
+            self._place,
             loads.LoadsSettings(),
             self._clock,
             self._get_snapshot,
@@ -216,9 +215,8 @@
         )
 
     def _build_plain(self) -> None:
-        section = self._settings.daemon
         self._plain = plain_targets.PlainTargets(
-            routing.Place(section.name, section.zone, section.region),
+            self._place,
             self._clock,
             random.Random(),
             count_daemons=self._count_daemons,
@@ -227,18 +225,15 @@
         call_register = register.Register(
             self._table, lambda: utils.make_id("register")
         )
-        self._keeper = at_most_once.OutcomeKeeper(call_register, self._objects)
+        keeper = at_most_once.OutcomeKeeper(call_register, self._objects)
         self._forwarder = forward.Forwarder(
             self._plain,
             call_register,
-            self._keeper,
+            keeper,
             self._clock,
             self._settings.limits.max_request_bytes,
         )
-        self._register = call_register
-        self._flusher = threading.Thread(
-            target=self._flush_outcomes, name="outcomes", daemon=True
-        )
+        self._flusher = outcome_flusher.OutcomeFlusher(call_register, keeper)
 
     def _build_batch(self) -> None:
         self._runner = runner.BatchRunner(
@@ -392,22 +387,9 @@
         name = self._settings.daemon.name
         return self._senders.list_targets(name, self.cluster.snapshot)
 
-    def _flush_outcomes(self) -> None:
-        """Store outcomes that waited for the table service or the object store."""
-        while not self._stopped.wait(_FLUSH_INTERVAL_S):
-            self._run_safely(self._register.flush)
-            self._run_safely(self._keeper.flush)
-
-    def _run_safely(self, function: abc.Callable[[], object]) -> None:
-        try:
-            function()
-        except Exception as error:
-            logs.error("flush_failed", error=repr(error))
-
     def _stop_tasks(self) -> None:
         self._stopped.set()
-        self._run_safely(self._register.flush)
-        self._run_safely(self._keeper.flush)
+        self._flusher.stop()
         self._retention.stop()
         self._quarantine.stop()
         self._orders.stop()
