--- a/src/endivevane/online/stream.py
+++ b/src/endivevane/online/stream.py
@@ -7,8 +7,6 @@
 import typing
 from collections import abc
 
-import orjson
-
 from endivevane import types
 from endivevane.online import (
     caller,
@@ -21,6 +19,7 @@
     relay_settings,
     sse,
     stream_states,
+    upstream,
 )
 from endivevane.web import errors
 
@@ -28,8 +27,6 @@
 _FINAL_STATUSES = frozenset((400, 413, 415, 422))
 # The engine has not loaded the model or the adapter, which another one may have.
 _NOT_LOADED_STATUS = 404
-# Request line and headers of a call to an engine.
-_HEAD_BYTES = 300
 _tickets = itertools.count(1)
 
 
@@ -133,14 +130,14 @@
         self._may_run = True
         self.delivery.begin_run()
         self._start_call(is_resuming=False)
-        body = self._encode_body()
-        self._call_bytes = _HEAD_BYTES + len(body)
+        body = upstream.encode_body(self.request)
+        self._call_bytes = upstream.HEAD_BYTES + len(body)
         self._host.open_attempt(self, body)
 
     def resume(self) -> None:
         """Continue the current attempt on a new connection."""
         self._start_call(is_resuming=True)
-        self._call_bytes = _HEAD_BYTES
+        self._call_bytes = upstream.HEAD_BYTES
         self._host.resume_attempt(self)
 
     def hold(self) -> None:
@@ -236,14 +233,6 @@
         self._progress_s = self._host.now_s
         self._host.watch_limit(self)
 
-    def _encode_body(self) -> bytes:
-        body = dict(self.request.body)
-        body["stream"] = True
-        if not self.request.is_streamed:
-            # An unstreamed answer always has its usage.
-            body["stream_options"] = {"include_usage": True}
-        return orjson.dumps(body)
-
     def take_break(self, failure: contract.AttemptFailure, detail: str) -> None:
         """Handle the end of a connection to the engine."""
         self._fail_attempt(failure, detail)
--- a/src/endivevane/online/upstream.py
+++ b/src/endivevane/online/upstream.py
@@ -8,6 +8,7 @@
 import time
 from collections import abc
 
+import orjson
 import result
 
 from endivevane import logs, types
@@ -15,6 +16,8 @@
 from endivevane.platform import http_pool
 
 CALL_PATH = "/v1/chat/completions"
+# Request line and headers of a call to an engine.
+HEAD_BYTES = 300
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,6 +46,16 @@
     unreachable_s: float = 2.0
 
 
+def encode_body(request: contract.OnlineRequest) -> bytes:
+    """Return the JSON body of a call to an engine, which always asks for a stream."""
+    body = dict(request.body)
+    body["stream"] = True
+    if not request.is_streamed:
+        # An unstreamed answer always has its usage.
+        body["stream_options"] = {"include_usage": True}
+    return orjson.dumps(body)
+
+
 class Upstream:
     """Opens, resumes and cancels streams at engines.
 
