Separate the data of a placement from the decision

Change: orders/plans.py holds the types and list_orders; placement.py holds compute. Callers and steps name the new module. No change of behaviour. Conclusion: the decision can be read without its types.

--- a/features/steps/orders_limits_steps.py
+++ b/features/steps/orders_limits_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then, when
 
-from endivevane.orders import placement
+from endivevane.orders import placement, plans
 from endivevane.platform import engine
 from features.support import engine_groups
 
@@ -29,7 +29,7 @@
     assert group.orders == [], group.orders
     views = [item.view() for item in group.live()]
     plan = placement.compute(
-        placement.Group(group.declared, views), group.settings, group.now_s
+        plans.Group(group.declared, views), group.settings, group.now_s
     )
     assert plan.short[model] == 1, plan.short
 
@@ -54,7 +54,7 @@
 @given('an engine full with "a" and "b", and another one with "a" and "d"')
 def step_make_views(context):
     context.views = [
-        placement.EngineView(
+        plans.EngineView(
             name, "zone-a", tuple(engine.LoadedModel(item, "1", ()) for item in held)
         )
         for name, held in (("full", "ab"), ("other", "ad"))
@@ -68,8 +68,8 @@
     # The other engine gets no orders, so that only the full one can take the model.
     other = dataclasses.replace(other, is_fresh=False, is_steady=is_steady)
     declared = tuple(engine_groups.make_model(name, 1) for name in "abcd")
-    group = placement.Group(declared, (full, other))
-    context.plan = placement.compute(group, placement.PlacementSettings(), 0.0)
+    group = plans.Group(declared, (full, other))
+    context.plan = placement.compute(group, plans.PlacementSettings(), 0.0)
 
 
 @then('the full engine keeps "a"')
@@ -84,7 +84,7 @@
 
 @given("one engine loads at a time while all may change")
 def step_limit_loads(context):
-    context.group.settings = placement.PlacementSettings(
+    context.group.settings = plans.PlacementSettings(
         max_loads=1, max_reloading_share=1.0
     )
 
--- a/features/steps/orders_roles_steps.py
+++ b/features/steps/orders_roles_steps.py
@@ -6,7 +6,7 @@
 from endivevane.configuration import models, snapshot
 from endivevane.coordination import rendezvous
 from endivevane.online import contract
-from endivevane.orders import placement, roles
+from endivevane.orders import plans, roles
 from endivevane.platform import engine
 from features.support import engine_caller, scheduling
 from tools import fleet
@@ -86,7 +86,7 @@
 
 def _view(name, *held, role="both"):
     loaded = tuple(engine.LoadedModel(model, "1", ()) for model in held)
-    return placement.EngineView(name, "z", loaded, role=role)
+    return plans.EngineView(name, "z", loaded, role=role)
 
 
 @given(
--- a/features/support/engine_groups.py
+++ b/features/support/engine_groups.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from endivevane.configuration import models
-from endivevane.orders import placement, replicas, residence
+from endivevane.orders import placement, plans, replicas, residence
 from endivevane.platform import engine
 
 ZONES = ("zone-a", "zone-b", "zone-c")
@@ -41,7 +41,7 @@
             if item.action == "load_model"
         )
         is_busy = bool(self.queue)
-        return placement.EngineView(
+        return plans.EngineView(
             self.name,
             self.zone,
             loaded,
@@ -80,7 +80,7 @@
     """
 
     def __init__(self, count, declared, settings=None):
-        self.settings = settings or placement.PlacementSettings()
+        self.settings = settings or plans.PlacementSettings()
         self.declared = tuple(declared)
         self.engines = {
             f"e{index}": MemoryEngine(f"e{index}", ZONES[index % len(ZONES)])
@@ -122,7 +122,7 @@
                 assert self.count(item.name), f"the last replica of {item.name} went"
         views = [item.view() for item in self.live()]
         self.residence.observe(views, self.now_s)
-        group = placement.Group(
+        group = plans.Group(
             self.declared,
             views,
             targets=self._compute_targets(len(views)),
@@ -133,7 +133,7 @@
         for view in views:
             if view.is_busy:
                 continue
-            sent += placement.list_orders(view, plan.wanted[view.name])
+            sent += plans.list_orders(view, plan.wanted[view.name])
         for order in sent:
             self.engines[order.target].queue.append(order)
         self._check_bounds(views)
@@ -143,7 +143,7 @@
             if not any(
                 key[0] == item.name
                 for view in views
-                for key in (*placement.list_keys(view), *view.loading)
+                for key in (*plans.list_keys(view), *view.loading)
             )
         }
         self.orders += [(self.now_s, order, unserved) for order in sent]
--- a/src/endivevane/daemon/orders_settings.py
+++ b/src/endivevane/daemon/orders_settings.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from endivevane.daemon import settings
-from endivevane.orders import orders, placement, replicas
+from endivevane.orders import orders, plans, replicas
 
 
 def make_settings(
@@ -20,7 +20,7 @@
         longest_order_s=section.longest_order_s,
         silent_after_s=section.silent_after_s,
         fleet_loads=section.fleet_loads,
-        placement=placement.PlacementSettings(
+        placement=plans.PlacementSettings(
             max_models=section.max_models,
             max_loads=section.max_loads,
             max_demand_loads=section.max_demand_loads,
--- a/src/endivevane/orders/counts.py
+++ b/src/endivevane/orders/counts.py
@@ -5,7 +5,7 @@
 import prometheus_client
 
 from endivevane import logs
-from endivevane.orders import placement
+from endivevane.orders import plans
 
 ORDERS = prometheus_client.Counter(
     "endivevane_orders",
@@ -27,7 +27,7 @@
 )
 
 
-def record_order(group: str, order: placement.Order, outcome: str) -> None:
+def record_order(group: str, order: plans.Order, outcome: str) -> None:
     """Count and log an order about a model or an adapter."""
     ORDERS.labels(order.action, outcome).inc()
     logs.info(
--- a/src/endivevane/orders/orders.py
+++ b/src/endivevane/orders/orders.py
@@ -15,6 +15,7 @@
 from endivevane.orders import (
     counts,
     placement,
+    plans,
     replicas,
     residence,
     roles,
@@ -49,8 +50,8 @@
     margin_s: float = 1.0
     threads: int = 8
     fleet_loads: int = 16
-    placement: placement.PlacementSettings = dataclasses.field(
-        default_factory=placement.PlacementSettings
+    placement: plans.PlacementSettings = dataclasses.field(
+        default_factory=plans.PlacementSettings
     )
     demand: replicas.DemandSettings = dataclasses.field(
         default_factory=replicas.DemandSettings
@@ -73,7 +74,7 @@
     """What one round is about.
 
     :param targets: engines of the service that are not leaving
-    :param kept: models that are never unloaded, see :class:`placement.Group`
+    :param kept: models that are never unloaded, see :class:`plans.Group`
     :param demand_slots: slots that demand would fill, by model; ``None`` while too few
         daemons have told theirs
     :param groups: services whose owners share the weight store
@@ -177,7 +178,7 @@
             view = by_name.get(target.name)
             if view is None or not view.is_fresh or view.is_busy:
                 continue
-            orders = placement.list_orders(view, plan.wanted[target.name])
+            orders = plans.list_orders(view, plan.wanted[target.name])
             role = wanted_roles[target.name]
             has_number = self._has_number(target, owned.fencing_number)
             if orders or role != view.role or not has_number:
@@ -190,9 +191,9 @@
             self._lose(None)
 
     def _compute(
-        self, request: Request, views: abc.Sequence[placement.EngineView]
-    ) -> placement.Plan:
-        group = placement.Group(
+        self, request: Request, views: abc.Sequence[plans.EngineView]
+    ) -> plans.Plan:
+        group = plans.Group(
             request.service.model.models,
             views,
             request.kept,
@@ -312,7 +313,7 @@
     def _send_to(
         self,
         target: snapshot.Target,
-        orders: abc.Sequence[placement.Order],
+        orders: abc.Sequence[plans.Order],
         role: str,
         number: int,
     ) -> bool:
@@ -356,7 +357,7 @@
         return self._fences.may_send_order(self._group, target.checks_fencing)
 
 
-def _make_arguments(order: placement.Order) -> dict[str, str]:
+def _make_arguments(order: plans.Order) -> dict[str, str]:
     arguments = {"model": order.model, "version": order.version}
     if order.adapter:
         arguments["adapter"] = order.adapter
--- a/src/endivevane/orders/placement.py
+++ b/src/endivevane/orders/placement.py
@@ -2,122 +2,16 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
-from collections import abc
 
 from endivevane.configuration import models
 from endivevane.coordination import rendezvous
-from endivevane.platform import engine
+from endivevane.orders import plans
 
-Key = tuple[str, str]
-"""Name and version of a model."""
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PlacementSettings:
-    """Limits on changes.
-
-    :param max_models: models that an engine holds together; a declared model that is
-        loaded already is never removed for this limit alone
-    :param max_loads: engines of a service that load at the same time, for the rate
-        limit of the weight store
-    :param max_reloading_share: share of the engines of a service that change at the
-        same time; at least one may
-    :param residence_s: time that a model stays loaded before it may be unloaded
-    :param max_demand_loads: loads at the same time that only demand asks for; the
-        rest of ``max_loads`` stays free for models that lack declared replicas
-    """
-
-    max_models: int = 2
-    max_loads: int = 4
-    max_demand_loads: int = 2
-    max_reloading_share: float = 0.34
-    residence_s: float = 300.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class EngineView:
-    """What is known of a live engine that is not leaving.
-
-    :param models: what the last read-back showed
-    :param loading: models that were ordered and are not shown yet
-    :param is_fresh: whether it answered and may get orders now
-    :param is_busy: whether orders are in progress
-    :param is_steady: whether no order of anyone can be under way to it
-    :param load_share: used share of the slots
-    :param role: the role that the last read-back showed
-    """
-
-    name: str
-    zone: str
-    models: tuple[engine.LoadedModel, ...]
-    loading: frozenset[Key] = frozenset()
-    is_fresh: bool = True
-    is_busy: bool = False
-    is_steady: bool = True
-    load_share: float = 0.0
-    role: str = "both"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Group:
-    """The engines and the declared models of a service.
-
-    :param declared: models of the service's document
-    :param kept: other names that are never unloaded, such as models that another
-        service declares for the same engines
-    :param targets: replicas by model that demand asks for, at least ``min_replicas``;
-        ``None`` while demand is not known, when all loaded models count as in use
-    :param since_s: monotonic time since when a model is loaded, by engine and key
-    """
-
-    declared: tuple[models.LanguageModelModel, ...]
-    engines: abc.Sequence[EngineView]
-    kept: frozenset[str] = frozenset()
-    targets: abc.Mapping[str, int] | None = dataclasses.field(default_factory=dict)
-    since_s: abc.Mapping[tuple[str, Key], float] = dataclasses.field(
-        default_factory=dict
-    )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Plan:
-    """The wanted state.
-
-    :param wanted: by engine, the adapters of each model that it should hold
-    :param short: replicas that each declared model lacks
-    """
-
-    wanted: abc.Mapping[str, abc.Mapping[Key, frozenset[str]]]
-    short: abc.Mapping[str, int]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Order:
-    """One change at an engine.
-
-    :param adapter: empty for orders about the model
-    """
-
-    target: str
-    action: str
-    model: str
-    version: str
-    adapter: str = ""
-
-
-def list_keys(view: EngineView) -> list[Key]:
-    """Return the models that an engine has loaded."""
-    return [(item.model, item.version) for item in view.models]
-
-
-def name_adapter(model: str, adapter: str) -> str:
-    """Return the name by which engines and callers know an adapter."""
-    return f"{model}:{adapter}"
-
-
-def compute(group: Group, settings: PlacementSettings, now_s: float) -> Plan:
+def compute(
+    group: plans.Group, settings: plans.PlacementSettings, now_s: float
+) -> plans.Plan:
     """Compute the wanted state of each engine.
 
     :param now_s: monotonic time, on the clock of ``group.since_s``
@@ -126,40 +20,21 @@
     draft.place_replicas()
     draft.place_adapters()
     draft.remove_unwanted()
-    return Plan(draft.wanted, draft.count_short())
-
-
-def list_orders(
-    view: EngineView, wanted: abc.Mapping[Key, frozenset[str]]
-) -> tuple[Order, ...]:
-    """Return the orders that lead from what an engine holds to the wanted state.
-
-    Unloading comes first, as a load may need the room; adapters follow their model.
-    """
-    held = {(item.model, item.version): set(item.adapters) for item in view.models}
-    orders = [Order(view.name, "unload_model", *key) for key in held.keys() - wanted]
-    orders += [
-        Order(view.name, "load_model", *key)
-        for key in sorted(wanted.keys() - held - view.loading)
-    ]
-    for key in sorted(held.keys() & wanted.keys()):
-        for adapter in sorted(held[key] - wanted[key]):
-            orders.append(Order(view.name, "unload_adapter", *key, adapter))
-        for adapter in sorted(wanted[key] - held[key]):
-            orders.append(Order(view.name, "load_adapter", *key, adapter))
-    return tuple(orders)
+    return plans.Plan(draft.wanted, draft.count_short())
 
 
 class _Draft:
     """A plan that is being made."""
 
-    def __init__(self, group: Group, settings: PlacementSettings, now_s: float) -> None:
+    def __init__(
+        self, group: plans.Group, settings: plans.PlacementSettings, now_s: float
+    ) -> None:
         self._group = group
         self._settings = settings
         self._now_s = now_s
         self._declared = {item.name: item for item in group.declared}
         self._views = {view.name: view for view in group.engines}
-        self.wanted: dict[str, dict[Key, frozenset[str]]] = {
+        self.wanted: dict[str, dict[plans.Key, frozenset[str]]] = {
             view.name: {
                 **{
                     (item.model, item.version): frozenset(item.adapters)
@@ -204,7 +79,7 @@
             if not self._may_load() or not self._may_change(view):
                 continue
             wanted = self.wanted[view.name]
-            for key in list_keys(view):
+            for key in plans.list_keys(view):
                 declared = self._declared.get(key[0])
                 if declared is None or key[1] != declared.version:
                     continue
@@ -219,7 +94,7 @@
         for view in self._group.engines:
             if len(self._changed) >= self._max_changed or not self._may_change(view):
                 continue
-            for key in list_keys(view):
+            for key in plans.list_keys(view):
                 if not self._is_unwanted(view, key):
                     continue
                 self.wanted[view.name].pop(key, None)
@@ -229,7 +104,7 @@
         is_open = len(self._changed) < self._max_changed
         return is_open and self._loads < self._settings.max_loads
 
-    def _may_change(self, view: EngineView) -> bool:
+    def _may_change(self, view: plans.EngineView) -> bool:
         return view.is_fresh and view.name not in self._changed
 
     def _record_load(self, name: str) -> None:
@@ -296,7 +171,7 @@
         for target in self._list_holders(declared.name):
             zone = self._views[target].zone
             zones[zone] = zones.get(zone, 0) + 1
-        ranked: list[tuple[tuple[float, ...], str, Key | None]] = []
+        ranked: list[tuple[tuple[float, ...], str, plans.Key | None]] = []
         for view in self._group.engines:
             wanted = self.wanted[view.name]
             if not self._may_change(view) or key in wanted:
@@ -326,15 +201,15 @@
         return True
 
     def _find_victim(
-        self, view: EngineView, name: str, is_unserved: bool
-    ) -> Key | None:
+        self, view: plans.EngineView, name: str, is_unserved: bool
+    ) -> plans.Key | None:
         """Return the model that an engine can best do without.
 
         A model that no engine serves may displace any replica that is not the last
         one; all others displace only surplus replicas past their residence time.
         """
-        ranked: list[tuple[tuple[float, ...], Key]] = []
-        for key in list_keys(view):
+        ranked: list[tuple[tuple[float, ...], plans.Key]] = []
+        for key in plans.list_keys(view):
             declared = self._declared.get(key[0])
             if key[0] in self._group.kept or key not in self.wanted[view.name]:
                 continue
@@ -352,14 +227,14 @@
                 ranked.append(((1.0 - is_older / 2, -float(surplus)), key))
         return min(ranked)[1] if ranked else None
 
-    def _is_settled(self, target: str, key: Key) -> bool:
+    def _is_settled(self, target: str, key: plans.Key) -> bool:
         since_s = self._group.since_s.get((target, key), self._now_s)
         return self._now_s - since_s >= self._settings.residence_s
 
-    def _is_served_elsewhere(self, view: EngineView, key: Key) -> bool:
+    def _is_served_elsewhere(self, view: plans.EngineView, key: plans.Key) -> bool:
         """Tell whether another engine has the model with the same declared adapters."""
         declared = self._declared[key[0]]
-        known = {name_adapter(key[0], item) for item in declared.adapters}
+        known = {plans.name_adapter(key[0], item) for item in declared.adapters}
         needed = {
             adapter
             for item in view.models
@@ -377,14 +252,19 @@
         )
 
     def _choose_adapters(
-        self, view: EngineView, key: Key, declared: models.LanguageModelModel
+        self,
+        view: plans.EngineView,
+        key: plans.Key,
+        declared: models.LanguageModelModel,
     ) -> frozenset[str]:
-        named = frozenset(name_adapter(key[0], item) for item in declared.adapters)
+        named = frozenset(
+            plans.name_adapter(key[0], item) for item in declared.adapters
+        )
         if self._is_settled(view.name, key):
             return named
         return named | self.wanted[view.name].get(key, frozenset())
 
-    def _is_unwanted(self, view: EngineView, key: Key) -> bool:
+    def _is_unwanted(self, view: plans.EngineView, key: plans.Key) -> bool:
         if key[0] in self._group.kept:
             return False
         declared = self._declared.get(key[0])
@@ -393,7 +273,7 @@
         if key[1] == declared.version:
             return False
         # An older version goes where the declared one, with its adapters, has arrived.
-        named = {name_adapter(key[0], item) for item in declared.adapters}
+        named = {plans.name_adapter(key[0], item) for item in declared.adapters}
         return any(
             (item.model, item.version) == (key[0], declared.version)
             and named <= set(item.adapters)
--- a/src/endivevane/orders/roles.py
+++ b/src/endivevane/orders/roles.py
@@ -7,7 +7,7 @@
 
 from endivevane.configuration import models, snapshot
 from endivevane.coordination import rendezvous
-from endivevane.orders import placement
+from endivevane.orders import plans
 
 BOTH = "both"
 PREFILL = "prefill"
@@ -30,7 +30,7 @@
         self,
         service: models.ServiceModel,
         targets: abc.Sequence[snapshot.Target],
-        views: abc.Sequence[placement.EngineView],
+        views: abc.Sequence[plans.EngineView],
         declared_engines: int,
     ) -> abc.Mapping[str, str]:
         """Return the role of each live engine by name.
@@ -56,8 +56,8 @@
 
 def _choose_prefill(
     service: models.ServiceModel,
-    views: abc.Sequence[placement.EngineView],
-    free: abc.Sequence[placement.EngineView],
+    views: abc.Sequence[plans.EngineView],
+    free: abc.Sequence[plans.EngineView],
     count: int,
     roles: dict[str, str],
 ) -> None:
@@ -82,7 +82,7 @@
 
 def _put_back(
     service: models.ServiceModel,
-    views: abc.Sequence[placement.EngineView],
+    views: abc.Sequence[plans.EngineView],
     roles: dict[str, str],
 ) -> None:
     """Let a model that only prefill engines hold be served by them."""
@@ -92,9 +92,9 @@
             roles.update(dict.fromkeys(holders, BOTH))
 
 
-def _list_holders(model: str, views: abc.Sequence[placement.EngineView]) -> list[str]:
+def _list_holders(model: str, views: abc.Sequence[plans.EngineView]) -> list[str]:
     return [
         view.name
         for view in views
-        if any(key[0] == model for key in placement.list_keys(view))
+        if any(key[0] == model for key in plans.list_keys(view))
     ]
--- a/src/endivevane/orders/states.py
+++ b/src/endivevane/orders/states.py
@@ -12,7 +12,7 @@
 from endivevane import logs
 from endivevane.configuration import snapshot
 from endivevane.coordination import clock
-from endivevane.orders import placement
+from endivevane.orders import plans
 from endivevane.platform import engine
 
 
@@ -69,7 +69,7 @@
         self._longest_order_s = longest_order_s
         self._clock = states_clock
         self._states: dict[str, EngineState] = {}
-        self._loading: dict[str, set[placement.Key]] = {}
+        self._loading: dict[str, set[plans.Key]] = {}
         self._unsure_until_s: dict[str, float] = {}
 
     @property
@@ -83,7 +83,7 @@
         self._loading.clear()
         self._unsure_until_s.clear()
 
-    def record_sent(self, target: str, order: placement.Order) -> None:
+    def record_sent(self, target: str, order: plans.Order) -> None:
         """Record an order that may reach its engine from now on."""
         if order.action == "load_model":
             key = (order.model, order.version)
@@ -114,7 +114,7 @@
         number: int,
         may_order: abc.Callable[[snapshot.Target], bool],
         load_shares: abc.Mapping[str, float],
-    ) -> list[placement.EngineView]:
+    ) -> list[plans.EngineView]:
         """Return the engines as placement sees them.
 
         An engine that checks numbers is steady only after it has seen the own number:
@@ -131,7 +131,7 @@
             )
             is_unsure = now_s < self._unsure_until_s.get(name, now_s)
             is_fresh = state.is_fresh and may_order(state.target)
-            view = placement.EngineView(
+            view = plans.EngineView(
                 name,
                 state.target.zone,
                 state.models,
