--- a/src/endivevane/batch/chunks.py
+++ b/src/endivevane/batch/chunks.py
@@ -100,14 +100,7 @@
     :param row: the row that the decision rests on; ``None`` when it is absent
     :param operation_id: unique for this try
     """
-    previous = records.decode(records.Chunk, row.value) if row else None
-    chunk = records.Chunk(
-        state=records.ChunkState.CLAIMED,
-        owner=owner.daemon,
-        owner_epoch=owner.epoch,
-        claim_epoch=previous.claim_epoch + 1 if previous else 1,
-        partial=previous.partial if previous else "",
-    )
+    chunk = _make_claimed_chunk(row, owner)
     job = stored_job.job
     key = records.make_chunk_key(job.job_id, number)
     outcome = store.transact_settled(
@@ -133,6 +126,17 @@
     )
 
 
+def _make_claimed_chunk(row: store.Row | None, owner: Owner) -> records.Chunk:
+    previous = records.decode(records.Chunk, row.value) if row else None
+    return records.Chunk(
+        state=records.ChunkState.CLAIMED,
+        owner=owner.daemon,
+        owner_epoch=owner.epoch,
+        claim_epoch=previous.claim_epoch + 1 if previous else 1,
+        partial=previous.partial if previous else "",
+    )
+
+
 def commit(
     table_store: store.TableStore, held: Claim, tally: records.Tally
 ) -> result.Result[WriteOutcome, store.StoreError]:
--- a/src/endivevane/batch/looking.py
+++ b/src/endivevane/batch/looking.py
@@ -308,10 +308,7 @@
         """
         if self._cluster.snapshot().revision == 0:
             return []
-        pending: dict[str, int] = {}
-        for chunk in held.values():
-            name = sender.find_service(chunk.job) or ""
-            pending[name] = pending.get(name, 0) + chunk.pending_count
+        pending = _count_pending(held, sender)
         ranks = [
             self._ranks.get(chunk.job.job_id, len(self._ranks))
             for chunk in held.values()
@@ -377,3 +374,14 @@
             self._post(messages.LookEnded(claim=claim, error=loaded.err_value))
             return
         self._post(messages.LookEnded(loaded=loaded.ok_value))
+
+
+def _count_pending(
+    held: abc.Mapping[tuple[str, int], work.HeldChunk], sender: sending.ItemSender
+) -> dict[str, int]:
+    """Return the unfinished held items by service; jobs of no service are under ""."""
+    pending: dict[str, int] = {}
+    for chunk in held.values():
+        name = sender.find_service(chunk.job) or ""
+        pending[name] = pending.get(name, 0) + chunk.pending_count
+    return pending
--- a/src/endivevane/configuration/loading.py
+++ b/src/endivevane/configuration/loading.py
@@ -131,10 +131,7 @@
         for key, item in sorted(parsed.items())
         if isinstance(item, models.ServiceModel)
     ]
-    fleet = parsed.get("fleet")
-    zones = set()
-    if isinstance(fleet, models.FleetModel):
-        zones = {zone.name for zone in fleet.zones}
+    zones = _list_zones(parsed)
     model_owners: dict[str, str] = {}
     for key, service in services:
         file = files.get(key, key)
@@ -156,6 +153,13 @@
     return problems
 
 
+def _list_zones(parsed: abc.Mapping[str, typing.Any]) -> set[str]:
+    fleet = parsed.get("fleet")
+    if not isinstance(fleet, models.FleetModel):
+        return set()
+    return {zone.name for zone in fleet.zones}
+
+
 def _check_keys(
     parsed: abc.Mapping[str, typing.Any], files: abc.Mapping[str, str]
 ) -> list[exceptions.InputProblem]:
