--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -117,14 +117,14 @@
 
   Scenario: Two daemons that see one death each quarantine together
     Given two quarantines that exchange their entries
-    When a fingerprint kills one target in the sight of each
+    When a fingerprint kills one target that each of them watches
     Then both quarantine it
     And echoes of a single death quarantine nothing
 
   Scenario: Two deaths at the same moment in two places are two deaths
     Guards against daemons of two regions that take each other's death for their own.
     Given two quarantines that exchange their entries
-    When a fingerprint kills one target in the sight of each at the same moment
+    When a fingerprint kills one target that each of them watches at the same moment
     Then both quarantine it
     And echoes of a single death quarantine nothing
 
--- a/features/steps/decisions_quarantine_steps.py
+++ b/features/steps/decisions_quarantine_steps.py
@@ -112,7 +112,7 @@
             receiver.receive(*entry)
 
 
-@when("a fingerprint kills one target in the sight of each")
+@when("a fingerprint kills one target that each of them watches")
 def step_two_deaths(context):
     for index, item in enumerate(context.pair):
         item.record_death("shared", f"t{index}")
@@ -120,7 +120,7 @@
     _exchange(context)
 
 
-@when("a fingerprint kills one target in the sight of each at the same moment")
+@when("a fingerprint kills one target that each of them watches at the same moment")
 def step_two_deaths_at_once(context):
     for index, item in enumerate(context.pair):
         item.record_death("shared", f"t{index}")
--- a/src/endivevane/batch/messages.py
+++ b/src/endivevane/batch/messages.py
@@ -71,7 +71,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class OnlineUseTold:
+class OnlineUseReported:
     """A daemon tells how many online requests it has at a target."""
 
     target_name: str
@@ -117,7 +117,7 @@
     | Reclaimed
     | ChunkEnded
     | SlotsWanted
-    | OnlineUseTold
+    | OnlineUseReported
     | JobCancelled
     | MembersChanged
     | DrainRequested
--- a/src/endivevane/batch/runner.py
+++ b/src/endivevane/batch/runner.py
@@ -135,7 +135,7 @@
 
         :param body: ``target`` and ``in_flight``
         """
-        message = messages.OnlineUseTold(
+        message = messages.OnlineUseReported(
             str(body["target"]), sender, int(body["in_flight"])
         )
         self.post(message)
@@ -361,7 +361,7 @@
         self._sender.yield_slots(message.target_name, message.slots)
 
     @_handle.register
-    def _(self, message: messages.OnlineUseTold) -> None:
+    def _(self, message: messages.OnlineUseReported) -> None:
         self._sender.note_online_use(
             message.target_name, message.daemon, message.in_flight
         )
--- a/src/endivevane/daemon/quarantine_desk.py
+++ b/src/endivevane/daemon/quarantine_exchange.py
@@ -14,7 +14,7 @@
 Broadcast = abc.Callable[[str, dict[str, typing.Any]], None]
 
 
-class QuarantineDesk:
+class QuarantineExchange:
     """What batch work knows of quarantined requests, and the ways of the news.
 
     Online requests have a quarantine of their own on the relay's thread; this one is
@@ -65,7 +65,7 @@
     def publish(self, entry: messages.QuarantineChanged) -> None:
         """Tell batch work, all daemons and the store of an entry of the relay."""
         self._note(entry)
-        self._tell(entry)
+        self._notify(entry)
 
     def make_fingerprint(self, model: str, body: dict[str, typing.Any]) -> str:
         """Return the fingerprint of a call."""
@@ -86,7 +86,7 @@
         for fields in entries:
             entry = messages.QuarantineChanged(*fields)
             self._post(entry)
-            self._tell(entry)
+            self._notify(entry)
 
     def _note(self, entry: messages.QuarantineChanged) -> None:
         """Take an entry in for batch work.
@@ -100,7 +100,7 @@
             )
             self._known.take_unpublished()
 
-    def _tell(self, entry: messages.QuarantineChanged) -> None:
+    def _notify(self, entry: messages.QuarantineChanged) -> None:
         body = {
             "fingerprint": entry.fingerprint,
             "until_ms": entry.until_wall_ms,
--- a/src/endivevane/daemon/wiring.py
+++ b/src/endivevane/daemon/wiring.py
@@ -22,7 +22,7 @@
     load_board,
     orders_settings,
     outcome_flusher,
-    quarantine_desk,
+    quarantine_exchange,
     settings,
 )
 from endivevane.online import (
@@ -102,7 +102,7 @@
         self._stop_requested.set()
 
     def wait_stop_requested(self) -> None:
-        """Block until somebody has asked for the planned stop."""
+        """Block until the planned stop is requested."""
         # A bounded wait lets the main thread run signal handlers.
         while not self._stop_requested.wait(1.0):
             continue
@@ -200,7 +200,7 @@
             online_scheduler,
             self._publish,
         )
-        self._quarantine = quarantine_desk.QuarantineDesk(
+        self._quarantine = quarantine_exchange.QuarantineExchange(
             self._clock, self._table, self.cluster.broadcast, self.relay.post
         )
         self._board = load_board.LoadBoard(self.relay.post)
@@ -365,14 +365,14 @@
     @_publish.register
     def _(self, message: contract.UseNotice) -> None:
         body = {"target": message.target.name, "in_flight": message.in_flight}
-        self._tell_sender(message.target, ports.ONLINE_USE, body)
+        self._notify_sender(message.target, ports.ONLINE_USE, body)
 
     @_publish.register
     def _(self, message: contract.YieldRequest) -> None:
         body = {"target": message.target.name, "slots": message.slots}
-        self._tell_sender(message.target, ports.YIELD_SLOTS, body)
+        self._notify_sender(message.target, ports.YIELD_SLOTS, body)
 
-    def _tell_sender(
+    def _notify_sender(
         self, target: snapshot.Target, kind: str, body: dict[str, typing.Any]
     ) -> None:
         """Send a message to the batch sender of a target, which may be this daemon."""
--- a/src/endivevane/online/messages.py
+++ b/src/endivevane/online/messages.py
@@ -54,7 +54,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class QuarantineChanged:
-    """A fingerprint was quarantined, or killed a target, in the sight of a daemon.
+    """A daemon has quarantined a fingerprint or seen it kill a target.
 
     :param until_wall_ms: end of the quarantine; the negative time of a single death
     :param target_name: target that died, empty when it is not known
--- a/src/endivevane/web/errors.py
+++ b/src/endivevane/web/errors.py
@@ -97,7 +97,7 @@
 
 
 class Conflict(ApiError):
-    """The request contradicts the state of the thing that it names."""
+    """The request contradicts the state of what it names."""
 
     status, kind, code = 409, "invalid_request_error", "conflict"
 
