Read the lists of allowed CURVE keys again on SIGHUP

Cause: the lists were read at the start only, so that a change of one daemon's key needed a restart of all.

Change: the handler of SIGHUP sets a flag; the main loop reads and checks the file and posts the lists to the cluster thread. A wrong file changes nothing and is logged and counted; other changes are named as needing a restart. Connections whose key was taken out are closed in both directions. The library can't close one accepted connection, so its socket is shut down. A name takes one key or a list, and public keys are checked when the file is read. Keys in `peers` are tried for seeds too; only `peer_public` was.

--- a/src/endivevane/cluster/counts.py
+++ b/src/endivevane/cluster/counts.py
@@ -21,6 +21,11 @@
     "Messages between daemons that were dropped, by reason.",
     ["reason"],
 )
+_CLOSED = prometheus_client.Counter(
+    "endivevane_cluster_closed_connections",
+    "Connections between daemons closed because the peer's key was taken out.",
+    ["direction"],
+)
 
 
 class MessageCounts:
@@ -30,6 +35,7 @@
         self.messages: collections.Counter[tuple[str, str]] = collections.Counter()
         self.size_bytes: collections.Counter[tuple[str, str]] = collections.Counter()
         self.dropped: collections.Counter[str] = collections.Counter()
+        self.closed: collections.Counter[str] = collections.Counter()
 
     def record(self, direction: str, kind: str, size_bytes: int) -> None:
         """Count one message.
@@ -45,3 +51,11 @@
         """Count a message that was not processed or not sent."""
         self.dropped[reason] += 1
         _DROPPED.labels(reason).inc()
+
+    def record_closed(self, direction: str) -> None:
+        """Count a connection that was closed because of its key.
+
+        :param direction: ``in`` when the peer opened it, else ``out``
+        """
+        self.closed[direction] += 1
+        _CLOSED.labels(direction).inc()
--- /dev/null
+++ b/src/endivevane/cluster/inbound.py
@@ -0,0 +1,52 @@
+"""What the library tells of a connection that a peer opened, and how to close it."""
+
+from __future__ import annotations
+
+import socket
+import typing
+from collections import abc
+
+import zmq
+
+
+def read_user_id(frame: zmq.Frame) -> str:
+    """Return the key of the connection that a frame came on, empty without keys."""
+    # The library's type hints know integer options only.
+    read: abc.Callable[[typing.Any], typing.Any] = frame.get
+    try:
+        return str(read("User-Id"))
+    except zmq.ZMQError:
+        return ""
+
+
+def read_descriptor(frame: zmq.Frame) -> int:
+    """Return the file descriptor of the connection that a frame came on, or -1."""
+    read: abc.Callable[[typing.Any], typing.Any] = frame.get
+    try:
+        return int(read(zmq.SRCFD))
+    except zmq.ZMQError:
+        return -1
+
+
+def close_connection(descriptor: int, listen_address: str) -> bool:
+    """Shut down an accepted connection, and tell whether it was open.
+
+    The library has no call for this. The descriptor may have been closed and reused
+    since; one that is not an accepted connection of the address is left alone.
+
+    :param listen_address: ``host:port`` that the connection was accepted on
+    """
+    if descriptor < 0:
+        return False
+    port = listen_address.rpartition(":")[2]
+    try:
+        with socket.fromfd(descriptor, socket.AF_INET, socket.SOCK_STREAM) as accepted:
+            # Fails for a listening socket and for one that is shut down.
+            accepted.getpeername()
+            address = accepted.getsockname()
+            if not isinstance(address, tuple) or str(address[1]) != port:
+                return False
+            accepted.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        return False
+    return True
--- a/src/endivevane/cluster/key_names.py
+++ b/src/endivevane/cluster/key_names.py
@@ -40,6 +40,12 @@
             case messages.Application(broadcast_id="", origin=origin):
                 if origin != sender:
                     return False
-        if sender in self._listed:
-            return public_key in self._listed[sender]
+        return self.may_speak(sender, public_key)
+
+    def may_speak(self, name: str, public_key: str) -> bool:
+        """Tell whether a key that is allowed may be used by this daemon."""
+        if not self._has_keys:
+            return True
+        if name in self._listed:
+            return public_key in self._listed[name]
         return public_key not in self._names
--- a/src/endivevane/cluster/neighbours.py
+++ b/src/endivevane/cluster/neighbours.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 import random
 
 import result
@@ -187,6 +188,11 @@
             place = member.description
             self._transport.connect(name, place.address, place.public_key)
 
+    def replace_keys(self, keys: daemon_settings.KeysSection) -> None:
+        """Take over lists of allowed keys; connections with other keys are closed."""
+        self._settings = self._settings.model_copy(update={"keys": keys})
+        self._transport.replace_keys(keys)
+
     def _guess_key(self, address: str) -> str:
         """Return the key of a seed: from its session row, or the allowed in turn."""
         keys = self._settings.keys
@@ -195,7 +201,8 @@
         for row in self._rows:
             if row.value.get("gossip_address") == address:
                 return str(row.value.get("public_key", ""))
-        candidates = [keys.public, *keys.peer_public]
+        named = itertools.chain.from_iterable(keys.peers.values())
+        candidates = list(dict.fromkeys((keys.public, *keys.peer_public, *named)))
         self._key_turn += 1
         return candidates[self._key_turn % len(candidates)]
 
--- a/src/endivevane/cluster/node.py
+++ b/src/endivevane/cluster/node.py
@@ -107,6 +107,10 @@
         """
         return self._clock.monotonic_s() < self._ready_until_s
 
+    def replace_keys(self, keys: daemon_settings.KeysSection) -> None:
+        """Take over lists of allowed keys."""
+        self._peers.replace_keys(keys)
+
     def leave(self) -> None:
         """Announce that this daemon is about to stop."""
         self._is_leaving = True
--- a/src/endivevane/cluster/tasks.py
+++ b/src/endivevane/cluster/tasks.py
@@ -43,6 +43,11 @@
     body: dict[str, typing.Any]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ReplaceKeys:
+    keys: daemon_settings.KeysSection
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Leave:
     pass
@@ -137,6 +142,13 @@
         """Send a message to all daemons; each passes it on to its neighbours once."""
         self._post(_Broadcast(kind, body))
 
+    def replace_keys(self, keys: daemon_settings.KeysSection) -> None:
+        """Take over lists of allowed keys and close connections with other keys.
+
+        :param keys: the own pair is that of the start
+        """
+        self._post(_ReplaceKeys(keys))
+
     def start(self) -> None:
         """Start the thread."""
         self._thread.start()
@@ -200,6 +212,8 @@
                     self._node.send_application(item.daemon, item.kind, item.body)
                 case _Broadcast():
                     self._node.broadcast_application(item.kind, item.body)
+                case _ReplaceKeys():
+                    self._node.replace_keys(item.keys)
                 case _Leave():
                     self._node.leave()
                 case calls.CallFinished():
--- a/src/endivevane/cluster/transport.py
+++ b/src/endivevane/cluster/transport.py
@@ -11,14 +11,13 @@
 import dataclasses
 import itertools
 import time
-import typing
 from collections import abc
 
 import zmq
 from zmq.utils import z85
 
 from endivevane import exceptions
-from endivevane.cluster import counts, key_names, messages
+from endivevane.cluster import counts, inbound, key_names, messages
 from endivevane.daemon import settings as daemon_settings
 
 SEED_PREFIX = "seed:"
@@ -46,6 +45,13 @@
     heard_s: float
 
 
+@dataclasses.dataclass(slots=True)
+class _Route:
+    routing_id: bytes
+    public_key: str
+    descriptor: int
+
+
 class Transport:
     """Sends and receives messages; used by one thread only.
 
@@ -72,7 +78,7 @@
         self._server.bind(f"tcp://{settings.daemon.cluster_listen}")
         self._connections: collections.OrderedDict[str, _Connection]
         self._connections = collections.OrderedDict()
-        self._routes: collections.OrderedDict[str, bytes] = collections.OrderedDict()
+        self._routes: collections.OrderedDict[str, _Route] = collections.OrderedDict()
         self._numbers = itertools.count(1)
         self._poller = zmq.Poller()
         for socket in (self._zap, self._server, self._client):
@@ -100,14 +106,18 @@
                     continue
                 routing_id, sender = frames[0].bytes, message.header.sender
                 if is_inbound:
-                    public_key = _read_user_id(frames[-1])
+                    public_key = inbound.read_user_id(frames[-1])
+                    if not self._is_allowed(public_key):
+                        self.counts.record_dropped("removed_key")
+                        self._close_inbound(inbound.read_descriptor(frames[-1]))
+                        continue
                 else:
                     public_key = self._find_key(routing_id)
                 if not self._names.is_true(message, public_key):
                     self.counts.record_dropped("wrong_name")
                     continue
                 if is_inbound:
-                    self._remember_route(sender, routing_id)
+                    self._remember_route(sender, frames, public_key)
                 else:
                     self._note_answer(routing_id, sender)
                 yield message
@@ -121,7 +131,7 @@
 
         :param public_key: CURVE key of the peer; must be in the allow-list
         """
-        if self._settings.keys is not None and public_key not in self._allowed:
+        if not self._is_allowed(public_key):
             self.counts.record_dropped("unknown_key")
             return
         endpoint = f"tcp://{address}"
@@ -142,6 +152,26 @@
             routing_id, endpoint, public_key, time.monotonic()
         )
 
+    def replace_keys(self, keys: daemon_settings.KeysSection) -> None:
+        """Take over lists of allowed keys and of names, and close what they exclude.
+
+        A connection that a peer opened and that has carried no message yet is closed
+        with its first message.
+
+        :param keys: the own pair is that of the start
+        """
+        self._settings = self._settings.model_copy(update={"keys": keys})
+        self._allowed = _read_allowed_keys(keys)
+        self._names = key_names.KeyNames(self._settings)
+        for name, connection in list(self._connections.items()):
+            if not self._may_hold(name, connection.public_key):
+                self.disconnect(name)
+                self.counts.record_closed("out")
+        for name, route in list(self._routes.items()):
+            if not self._may_hold(name, route.public_key):
+                del self._routes[name]
+                self._close_inbound(route.descriptor)
+
     def drop_silent(self, name: str) -> None:
         """Close a connection that has carried nothing to this daemon for a while."""
         connection = self._connections.get(name)
@@ -175,7 +205,7 @@
             self.counts.record_dropped("oversized")
             return False
         if route is not None and (prefer_route or connection is None):
-            socket, target = self._server, route
+            socket, target = self._server, route.routing_id
         elif connection is not None:
             socket, target = self._client, connection.routing_id
             self._connections.move_to_end(name)
@@ -207,8 +237,29 @@
         self.counts.record("in", kind, len(frames[1]))
         return message
 
-    def _remember_route(self, name: str, routing_id: bytes) -> None:
-        self._routes[name] = routing_id
+    def _is_allowed(self, public_key: str) -> bool:
+        return self._settings.keys is None or public_key in self._allowed
+
+    def _may_hold(self, name: str, public_key: str) -> bool:
+        """Tell whether a connection between this daemon and a peer may stay open."""
+        if not self._is_allowed(public_key):
+            return False
+        is_seed = name.startswith(SEED_PREFIX)
+        return is_seed or self._names.may_speak(name, public_key)
+
+    def _close_inbound(self, descriptor: int) -> None:
+        address = self._settings.daemon.cluster_listen
+        if inbound.close_connection(descriptor, address):
+            self.counts.record_closed("in")
+
+    def _remember_route(
+        self, name: str, frames: list[zmq.Frame], public_key: str
+    ) -> None:
+        routing_id = frames[0].bytes
+        known = self._routes.get(name)
+        if known is None or known.routing_id != routing_id:
+            descriptor = inbound.read_descriptor(frames[-1])
+            self._routes[name] = _Route(routing_id, public_key, descriptor)
         self._routes.move_to_end(name)
         if len(self._routes) > _MAX_ROUTES:
             self._routes.popitem(last=False)
@@ -312,16 +363,6 @@
     return {text: decode(text.encode()) for text in texts}
 
 
-def _read_user_id(frame: zmq.Frame) -> str:
-    """Return the key of the connection that a frame came on, empty without keys."""
-    # The library's type hints know integer options only.
-    read: abc.Callable[[typing.Any], typing.Any] = frame.get
-    try:
-        return str(read("User-Id"))
-    except zmq.ZMQError:
-        return ""
-
-
 def _encode_key(data: bytes) -> bytes:
     """Return the text of a binary key."""
     encode: abc.Callable[[bytes], bytes] = z85.encode
--- a/src/endivevane/daemon/main.py
+++ b/src/endivevane/daemon/main.py
@@ -6,15 +6,37 @@
 import pathlib
 import signal
 import sys
+import types
 from collections import abc
 
 import endivevane
 from endivevane import exceptions, logs
 from endivevane.coordination import clock
-from endivevane.daemon import settings, wiring
+from endivevane.daemon import reloading, settings, wiring
 
 _EXIT_INVALID = 3
 _EXIT_CUT = 1
+# A bounded wait lets the main thread run signal handlers.
+_SIGNAL_CHECK_S = 0.5
+
+
+class _ReloadRequest:
+    """A flag that the handler of SIGHUP sets, without taking a lock."""
+
+    def __init__(self) -> None:
+        self._is_set = False
+
+    def request(self, _number: int, _frame: types.FrameType | None) -> None:
+        """Handle the signal."""
+        self._is_set = True
+
+    def take(self) -> bool:
+        """Clear the flag and return what it was.
+
+        A signal that comes after this call is seen by the next one.
+        """
+        was_set, self._is_set = self._is_set, False
+        return was_set
 
 
 def make_parser() -> argparse.ArgumentParser:
@@ -46,11 +68,18 @@
     if parsed.check:
         return 0
     logs.configure(daemon_settings.daemon.log_level)
+    reload_request = _ReloadRequest()
+    signal.signal(signal.SIGHUP, reload_request.request)
     daemon = wiring.Daemon(daemon_settings, clock.SystemClock())
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda _number, _frame: daemon.request_stop())
     daemon.start()
-    daemon.wait_stop_requested()
+    reload = reloading.SettingsReload(
+        parsed.config, daemon_settings, daemon.cluster.replace_keys
+    )
+    while not daemon.wait_stop_requested(_SIGNAL_CHECK_S):
+        if reload_request.take():
+            reload.run()
     return 0 if daemon.run_planned_stop() else _EXIT_CUT
 
 
--- a/src/endivevane/daemon/settings.py
+++ b/src/endivevane/daemon/settings.py
@@ -3,14 +3,43 @@
 from __future__ import annotations
 
 import pathlib
+import struct
 import tomllib
 import typing
+from collections import abc
 
 import pydantic
+from zmq.utils import z85
 
 from endivevane import exceptions
 from endivevane.configuration import models
 
+_KEY_LENGTH = 40
+
+
+def _check_public_key(value: str) -> str:
+    """Refuse text that is not a CURVE key.
+
+    A bad key in a list would otherwise fail later, on the cluster thread.
+    """
+    if len(value) != _KEY_LENGTH:
+        raise ValueError(f"must have {_KEY_LENGTH} characters, not {len(value)}")
+    decode: abc.Callable[[bytes], bytes] = z85.decode
+    try:
+        decode(value.encode())
+    except (KeyError, ValueError, struct.error, OverflowError) as error:
+        raise ValueError("is not a Z85 key") from error
+    return value
+
+
+def _make_list(value: object) -> object:
+    return (value,) if isinstance(value, str) else value
+
+
+PublicKey = typing.Annotated[str, pydantic.AfterValidator(_check_public_key)]
+PublicKeys = typing.Annotated[
+    tuple[PublicKey, ...], pydantic.BeforeValidator(_make_list)
+]
 Seconds = typing.Annotated[float, pydantic.Field(gt=0, le=86_400)]
 
 
@@ -77,14 +106,14 @@
     """CURVE keys for connections between daemons, in Z85 text.
 
     :param peer_public: public keys of the daemons that may connect
-    :param peers: public keys by daemon name; such a key speaks for its daemons only,
-        and nobody else speaks for these daemons
+    :param peers: one or several public keys by daemon name; such a key speaks for its
+        daemons only, and nobody else speaks for these daemons
     """
 
-    public: str = pydantic.Field(min_length=40, max_length=40)
+    public: PublicKey
     secret: pydantic.SecretStr
-    peer_public: tuple[str, ...] = ()
-    peers: dict[models.Name, tuple[str, ...]] = {}
+    peer_public: tuple[PublicKey, ...] = ()
+    peers: dict[models.Name, PublicKeys] = {}
 
 
 class LimitsSection(_Section):
--- a/src/endivevane/daemon/wiring.py
+++ b/src/endivevane/daemon/wiring.py
@@ -100,11 +100,9 @@
         """Ask for the planned stop; returns at once."""
         self._stop_requested.set()
 
-    def wait_stop_requested(self) -> None:
-        """Block until somebody has asked for the planned stop."""
-        # A bounded wait lets the main thread run signal handlers.
-        while not self._stop_requested.wait(1.0):
-            continue
+    def wait_stop_requested(self, timeout_s: float) -> bool:
+        """Wait a bounded time, and tell whether the planned stop was asked for."""
+        return self._stop_requested.wait(timeout_s)
 
     def run_planned_stop(self) -> bool:
         """Finish everything and end all tasks.
--- a/src/endivevane/metrics.py
+++ b/src/endivevane/metrics.py
@@ -4,6 +4,11 @@
 
 import prometheus_client
 
+SETTINGS_RELOADS = prometheus_client.Counter(
+    "endivevane_settings_reloads",
+    "Settings files read again on SIGHUP, by outcome (applied, refused).",
+    ["outcome"],
+)
 REFUSALS = prometheus_client.Counter(
     "endivevane_refusals",
     "Requests refused, by reason and run state.",
