--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -9,8 +9,6 @@
 import typing
 import urllib.request
 
-import zmq
-
 from tools import fleet_plan, ports, processes, regions, toml_text
 
 FleetPlan = fleet_plan.FleetPlan
@@ -242,9 +240,7 @@
     def start_daemons(self) -> None:
         """Start the daemons and the balancer; wait until all daemons are ready."""
         plan = self.plan
-        public, secret = zmq.curve_keypair()
-        # One key pair for the whole fleet: every daemon admits every other one.
-        keys = {"public": public.decode(), "secret": secret.decode()}
+        keys = fleet_plan.make_key_sections(plan)
         listens = [self._ports.reserve_address() for _ in range(plan.daemons)]
         clusters = [self._ports.reserve_address() for _ in range(plan.daemons)]
         if plan.has_store_links:
@@ -259,7 +255,7 @@
                 "cluster_listen": clusters[index],
                 "platform": self._find_store_address(index),
                 "seeds": [item for item in clusters if item != clusters[index]],
-                "keys": {**keys, "peer_public": [keys["public"]]},
+                "keys": keys[index],
             }
             settings = fleet_plan.make_settings(plan, index, addresses)
             path = self.folder / f"daemon-{index}.toml"
--- a/tools/fleet_plan.py
+++ b/tools/fleet_plan.py
@@ -8,6 +8,8 @@
 import typing
 from collections import abc
 
+import zmq
+
 from tools import toml_text
 
 MODEL_SERVICE = "answers"
@@ -52,6 +54,8 @@
     :param has_region_link: whether all connections between the two regions pass one
         link with latency and a shared rate, which can be cut or silenced; the store is
         in the region of the first zone
+    :param has_own_keys: whether each daemon has a CURVE pair of its own, listed by its
+        name, instead of one pair for all
     :param confirm_s: after the daemons are ready, how long to wait for the zones to
         confirm the configuration; 0 does not wait
     """
@@ -84,6 +88,7 @@
     has_balancer: bool = False
     has_store_links: bool = False
     has_region_link: bool = False
+    has_own_keys: bool = False
     ready_timeout_s: float = 30.0
     confirm_s: float = 0.0
 
@@ -225,5 +230,24 @@
     return merge(settings, plan.daemon_settings)
 
 
+def make_key_sections(plan: FleetPlan) -> list[dict[str, typing.Any]]:
+    """Return the ``keys`` section of each daemon."""
+    if not plan.has_own_keys:
+        public, secret = make_pair()
+        keys = {"public": public, "secret": secret, "peer_public": [public]}
+        return [keys] * plan.daemons
+    pairs = [make_pair() for _ in range(plan.daemons)]
+    peers = {f"daemon-{index}": pair[0] for index, pair in enumerate(pairs)}
+    return [
+        {"public": public, "secret": secret, "peers": peers} for public, secret in pairs
+    ]
+
+
+def make_pair() -> tuple[str, str]:
+    """Return a public and a secret CURVE key."""
+    public, secret = zmq.curve_keypair()
+    return public.decode(), secret.decode()
+
+
 def _digest(text: str) -> str:
     return hashlib.sha256(text.encode()).hexdigest()
