--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -61,6 +61,9 @@
     max_body_bytes=16 << 20, header_timeout_s=3.0, idle_timeout_s=60.0
 )
 _MEMBER_RETRY_S = 0.5
+# Changes of jobs are collected for this long, so that a result does not cost a call
+# at each daemon; operators' changes and those of targets are taken in at once.
+_STATE_PAUSE_S = 0.3
 
 
 class EntryDaemon:
@@ -72,6 +75,7 @@
         self._generator = random.Random(secrets.randbits(64))
         self._identity = peers.Identity(
             name=loaded.vm.name,
+            region=loaded.vm.region,
             incarnation=secrets.token_hex(4),
             host=loaded.vm.ip,
             port=loaded.listen.internal_port,
@@ -124,7 +128,11 @@
         self._store = table_store.TableStore(self._store_pool, self._list_endpoints)
         self._book = job_book.JobBook()
         self._state_feed = follower.TableFollower(
-            self._store, jobs.STATE_TABLE, jobs.PARTITION, self._on_state_row
+            self._store,
+            jobs.STATE_TABLE,
+            jobs.PARTITION,
+            self._on_state_row,
+            pause_s=_STATE_PAUSE_S,
         )
         self._targets_feed = follower.TableFollower(
             self._store,
@@ -145,7 +153,11 @@
             vm.availability_zone, vm.region, dict(self._settings.regions)
         )
         self._choices = placement.Placement(
-            place, self._directory, self._board, self._generator
+            place,
+            self._directory,
+            self._board,
+            self._generator,
+            lambda: self._network.interval_s,
         )
         self._places = admission.Admission(self._choices, self._board, self._generator)
         self._codec = headers.HeaderCodec()
@@ -176,6 +188,7 @@
                 encode_headers=self._codec.encode_item_headers,
                 generator=self._generator,
                 owner=self._identity.owner,
+                load_age_s=lambda: self._network.interval_s,
             )
         )
         self._book.call_when_changed(self._runner.take_change)
@@ -306,11 +319,13 @@
             self._network.remove_member(name)
             return
         try:
-            host, port, incarnation = orjson.loads(row.value)
+            region, host, port, incarnation = orjson.loads(row.value)
         except ValueError as error:
             logs.error("member_row_unreadable", member=name, cause=error)
             return
-        self._network.add_member(name, str(host), int(port), str(incarnation))
+        self._network.add_member(
+            peers.Peer(name, str(region), str(host), int(port), str(incarnation))
+        )
 
     def _on_report(self) -> None:
         self._places.pump()
@@ -322,7 +337,9 @@
             jobs.STATE_TABLE, jobs.PARTITION, jobs.MEMBER_PREFIX + self._identity.name
         )
         identity = self._identity
-        value = orjson.dumps((identity.host, identity.port, identity.incarnation))
+        value = orjson.dumps(
+            (identity.region, identity.host, identity.port, identity.incarnation)
+        )
         while True:
             try:
                 await self._store.apply(store.Transaction(puts=((key, value),)))
@@ -348,10 +365,8 @@
     async def _answer_readiness(
         self, _request: model.ClientRequest, answer: responder.Responder
     ) -> None:
-        is_ready = self._is_ready
-        self._network.is_ready = is_ready
         status = http.HTTPStatus.OK
-        if not is_ready:
+        if not self._is_ready:
             status = http.HTTPStatus.SERVICE_UNAVAILABLE
         answer.send(responder.WholeAnswer(status))
 
--- a/src/endivevane/serving/follower.py
+++ b/src/endivevane/serving/follower.py
@@ -27,6 +27,7 @@
 
     :param on_row: called for each new version of a row, also for deleted ones
     :param on_return: called when the store answers again after it was away
+    :param pause_s: time after a change for which further changes are collected
     :ivar rows: current rows by key
     :ivar version: version of the store up to which the copy is complete
     :ivar confirmed_s: monotonic time of the last answer
@@ -39,6 +40,7 @@
         partition: str,
         on_row: store.RowObserver,
         on_return: abc.Callable[[], None] | None = None,
+        pause_s: float = 0.0,
     ) -> None:
         self.rows: dict[str, store.Row] = {}
         self.version = -1
@@ -48,6 +50,7 @@
         self._partition = partition
         self._on_row = on_row
         self._on_return = on_return
+        self._pause_s = pause_s
         self._deleted: dict[str, int] = {}
         self._advanced = asyncio.Event()
         self._is_away = False
@@ -142,8 +145,8 @@
                 self.take(row)
         is_empty = not page.rows and page.version <= self.version
         self._advance(max(page.version, self.version))
-        if is_empty:
-            await asyncio.sleep(_EMPTY_PAUSE_S)
+        if is_empty or self._pause_s:
+            await asyncio.sleep(max(_EMPTY_PAUSE_S, self._pause_s))
 
     def _advance(self, version: int) -> None:
         self.version = version
--- a/src/endivevane/serving/job_runner.py
+++ b/src/endivevane/serving/job_runner.py
@@ -30,6 +30,8 @@
 # Items started at once; other daemons see the load before the next ones start.
 _STARTS_AT_ONCE = 2
 _TICK_S = 0.04
+# Items do not return to a target for this long after some have left it.
+_REST_S = 0.5
 # Pause of an item after its run broke, doubled with each break in a row.
 _FIRST_PAUSE_S = 0.1
 _LONGEST_PAUSE_S = 4.0
@@ -133,6 +135,7 @@
     encode_headers: abc.Callable[[str, abc.Mapping[str, str]], model.Headers]
     generator: random.Random
     owner: str
+    load_age_s: abc.Callable[[], float]
 
 
 class JobRunner:
@@ -143,6 +146,8 @@
         self._owned: dict[str, OwnedJob] = {}
         self._wake = asyncio.Event()
         self._is_stopping = False
+        # Target -> monotonic time at which items last left it for online requests.
+        self._yielded_s: dict[str, float] = {}
 
     @property
     def owned(self) -> abc.Collection[str]:
@@ -183,16 +188,14 @@
     async def run(self) -> None:
         """Start items and make them give way until cancelled."""
         while True:
-            try:
-                async with asyncio.timeout(_TICK_S):
-                    await self._wake.wait()
-            except TimeoutError:
-                pass
-            self._wake.clear()
+            if not self._owned:
+                self._wake.clear()
+                await self._wake.wait()
             self._give_way()
             if not self._is_stopping:
                 self._start_items()
-            await asyncio.sleep(_TICK_S / 2)
+            # What the others see of the last changes is as old as their reports.
+            await asyncio.sleep(max(_TICK_S, self._parts.load_age_s()))
 
     async def hand_back(self) -> None:
         """Stop all items and leave the jobs to other daemons."""
@@ -217,6 +220,7 @@
             return
         starts = 0
         full: set[str] = set()
+        resting = self._list_resting(now_s)
         ordered = sorted(self._owned.values(), key=lambda item: item.entry.job.due_ms)
         for owned in ordered:
             job = owned.entry.job
@@ -229,13 +233,20 @@
                 service = routing_table.choose_service(route, self._parts.generator)
                 if service in full:
                     continue
-                target = self._parts.choices.choose_batch(service, now_s)
+                target = self._parts.choices.choose_batch(service, now_s, resting)
                 if target is None:
                     full.add(service)
                     continue
                 self._start(owned, run, route, target)
                 starts += 1
 
+    def _list_resting(self, now_s: float) -> frozenset[str]:
+        """Return the targets that items have left a moment ago."""
+        for target_id, yielded_s in list(self._yielded_s.items()):
+            if now_s - yielded_s > _REST_S:
+                del self._yielded_s[target_id]
+        return frozenset(self._yielded_s)
+
     def _start(
         self,
         owned: OwnedJob,
@@ -250,6 +261,7 @@
 
     def _give_way(self) -> None:
         """Cancel items on targets that online requests fill."""
+        now_s = time.monotonic()
         by_target: dict[str, list[ItemRun]] = {}
         for owned in self._owned.values():
             for run in owned.runs.values():
@@ -262,6 +274,7 @@
             surplus = self._parts.choices.count_to_yield(known.target)
             if surplus <= 0:
                 continue
+            self._yielded_s[target_id] = now_s
             # The item that started last loses the least of its place.
             runs.sort(key=lambda run: run.started_s, reverse=True)
             for run in runs[:surplus]:
--- a/src/endivevane/serving/load_board.py
+++ b/src/endivevane/serving/load_board.py
@@ -72,8 +72,11 @@
 
     def set_report(self, peer: str, report: LoadReport) -> None:
         """Replace what a peer has said."""
+        former = self._reports.get(peer)
+        if former is not None:
+            self._add(former, -1)
         self._reports[peer] = report
-        self._sum_reports(report.received_s)
+        self._add(report, 1)
 
     def drop_silent(self, now_s: float) -> None:
         """Leave out the peers that have not reported for long."""
@@ -83,9 +86,7 @@
             if now_s - report.received_s > _REPORT_LIFE_S
         ]
         for peer in silent:
-            del self._reports[peer]
-        if silent:
-            self._sum_reports(now_s)
+            self._add(self._reports.pop(peer), -1)
 
     def total(self, target_id: str) -> Load:
         """Return the requests of all daemons on a target."""
@@ -96,12 +97,27 @@
             (own.batch if own else 0) + (peers.batch if peers else 0),
         )
 
-    def _sum_reports(self, now_s: float) -> None:
-        self._peers = {}
-        for report in self._reports.values():
-            if now_s - report.received_s > _REPORT_LIFE_S:
+    def sum_with(self, peers: abc.Iterable[str]) -> dict[str, Load]:
+        """Return the requests of this daemon and of some peers, by target."""
+        summed = {
+            target_id: Load(load.online, load.batch)
+            for target_id, load in self.own.items()
+        }
+        for peer in peers:
+            report = self._reports.get(peer)
+            if report is None:
                 continue
             for target_id, load in report.loads.items():
-                summed = self._peers.setdefault(target_id, Load())
-                summed.online += load.online
-                summed.batch += load.batch
+                entry = summed.setdefault(target_id, Load())
+                entry.online += load.online
+                entry.batch += load.batch
+        return summed
+
+    def _add(self, report: LoadReport, sign: int) -> None:
+        """Add a report to the totals, or take it out again."""
+        for target_id, load in report.loads.items():
+            summed = self._peers.setdefault(target_id, Load())
+            summed.online += sign * load.online
+            summed.batch += sign * load.batch
+            if not summed.total:
+                del self._peers[target_id]
--- /dev/null
+++ b/src/endivevane/serving/peer_messages.py
@@ -0,0 +1,64 @@
+"""The reports that daemons send each other."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections import abc
+
+import orjson
+
+from endivevane.serving import load_board
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """The load that a daemon, or all daemons of a region, put on targets.
+
+    :param sequence: number of the report among those of its sender
+    :param living: names and incarnations of the region's daemons; empty in the report
+        of a single daemon
+    """
+
+    name: str
+    region: str
+    incarnation: str
+    sequence: int
+    loads: abc.Mapping[str, load_board.Load]
+    living: tuple[tuple[str, str], ...] = ()
+
+
+def encode(report: Report) -> bytes:
+    """Return a report as a datagram."""
+    loads = [(key, load.online, load.batch) for key, load in report.loads.items()]
+    return orjson.dumps(
+        (
+            report.name,
+            report.region,
+            report.incarnation,
+            report.sequence,
+            loads,
+            report.living,
+        )
+    )
+
+
+def decode(data: bytes) -> Report:
+    """Return the report in a datagram.
+
+    :raises ValueError: when the datagram holds none
+    """
+    try:
+        name, region, incarnation, sequence, loads, living = orjson.loads(data)
+        return Report(
+            name=str(name),
+            region=str(region),
+            incarnation=str(incarnation),
+            sequence=int(sequence),
+            loads={
+                str(target): load_board.Load(int(online), int(batch))
+                for target, online, batch in loads
+            },
+            living=tuple((str(peer), str(run)) for peer, run in living),
+        )
+    except (TypeError, ValueError) as error:
+        raise ValueError(f"not a report: {error}") from error
--- a/src/endivevane/serving/peers.py
+++ b/src/endivevane/serving/peers.py
@@ -1,4 +1,9 @@
-"""Datagrams between daemons: signs of life and the load that each puts on targets."""
+"""Datagrams between daemons: signs of life and the load that each puts on targets.
+
+Daemons of a region report to each other. Between regions, one daemon of each region
+reports the sum of its region, with the names of the daemons that live there, so that
+the traffic between regions does not grow with the square of the daemons.
+"""
 
 from __future__ import annotations
 
@@ -8,19 +13,20 @@
 import typing
 from collections import abc
 
-import orjson
-
 from endivevane import logs
-from endivevane.serving import load_board
+from endivevane.coordination import rendezvous
+from endivevane.serving import load_board, peer_messages
 
 # A daemon that has not been heard of for this long is taken for dead.
 _DEATH_S = 1.6
 # Shortest time between two reports of a daemon with few peers.
 _SHORTEST_INTERVAL_S = 0.03
-# Share of that interval that each peer adds, which bounds the datagrams a second.
+# What each peer of the region adds to that, which bounds the datagrams a second.
 _INTERVAL_PER_PEER_S = 0.0025
 # A daemon whose load does not change reports this often.
 _QUIET_INTERVAL_S = 0.4
+# A region reports to the others at most this often.
+_REGION_INTERVAL_S = 0.1
 # Peers that have been silent for this long only get every eighth report.
 _LOST_S = 5.0
 _LOST_PERIOD = 8
@@ -31,15 +37,15 @@
     """Another daemon.
 
     :param incarnation: names one run of its process
-    :param heard_s: monotonic time of its last report, 0 if there was none
+    :param heard_s: monotonic time of its last sign of life, 0 if there was none
     """
 
     name: str
+    region: str
     host: str
     port: int
     incarnation: str
     heard_s: float = 0.0
-    is_ready: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +56,7 @@
     """
 
     name: str
+    region: str
     incarnation: str
     host: str
     port: int
@@ -61,7 +68,11 @@
 
 
 class PeerNetwork(asyncio.DatagramProtocol):
-    """Sends and receives reports, and knows which daemons live."""
+    """Sends and receives reports, and knows which daemons live.
+
+    :ivar interval_s: time between two reports of a changing load, about the age of
+        what is known of the others' loads
+    """
 
     def __init__(
         self,
@@ -70,75 +81,66 @@
         on_report: abc.Callable[[], None],
     ) -> None:
         self.peers: dict[str, Peer] = {}
-        self.is_ready = False
+        self.interval_s = _SHORTEST_INTERVAL_S
         self._identity = identity
         self._board = board
         self._on_report = on_report
         self._transport: asyncio.DatagramTransport | None = None
         self._sequence = 0
-        self._sequences: dict[str, tuple[str, int]] = {}
+        # Sender -> (incarnation, number of its last report).
+        self._received: dict[str, tuple[str, int]] = {}
         self._seeds: list[tuple[str, int]] = []
+        self._region_sent_s = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
         self._transport = typing.cast("asyncio.DatagramTransport", transport)
 
     def error_received(self, exc: Exception) -> None:
-        """Ignore that a daemon does not listen; silence tells of its death."""
+        """Note that a daemon does not listen; silence tells of its death."""
         logs.limited_info("peer_unreachable", cause=repr(exc))
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Take in a report."""
+        """Take in a report of a daemon or of a region."""
         try:
-            message = orjson.loads(data)
-            name, incarnation = str(message["name"]), str(message["incarnation"])
-            sequence = int(message["sequence"])
-            loads = {
-                str(target): load_board.Load(int(online), int(batch))
-                for target, online, batch in message["loads"]
-            }
-            is_ready = bool(message["ready"])
-        except (ValueError, KeyError, TypeError) as error:
-            logs.limited_info("peer_report_unusable", sender=addr[0], cause=repr(error))
+            message = peer_messages.decode(data)
+        except ValueError as error:
+            logs.limited_info("peer_report_unusable", sender=addr[0], cause=error)
             return
-        if name == self._identity.name:
+        if message.name == self._identity.name or not self._is_news(message):
             return
-        last_incarnation, last = self._sequences.get(name, ("", -1))
-        if last_incarnation == incarnation and sequence <= last:
-            return
-        self._sequences[name] = (incarnation, sequence)
         now_s = time.monotonic()
-        peer = self.peers.get(name)
-        if peer is None or peer.incarnation != incarnation:
-            logs.info("peer_heard", peer=name, incarnation=incarnation)
-            peer = Peer(name, addr[0], self._identity.port, incarnation)
-            self.peers[name] = peer
-        peer.host = addr[0]
-        peer.heard_s = now_s
-        peer.is_ready = is_ready
-        self._board.set_report(name, load_board.LoadReport(loads, now_s))
+        report = load_board.LoadReport(message.loads, now_s)
+        self._note_life(message, addr[0], now_s)
+        if not message.living:
+            if message.region == self._identity.region:
+                self._board.set_report(message.name, report)
+        elif message.region != self._identity.region:
+            self._board.set_report(_region_key(message.region), report)
+            self._note_living(message.living, now_s)
         self._on_report()
 
     def set_seeds(self, addresses: abc.Iterable[tuple[str, int]]) -> None:
         """Set addresses to report to until their daemons are known."""
         self._seeds = list(addresses)
 
-    def add_member(self, name: str, host: str, port: int, incarnation: str) -> None:
+    def add_member(self, peer: Peer) -> None:
         """Take in a daemon that the store knows of."""
-        if name == self._identity.name:
+        if peer.name == self._identity.name:
             return
-        peer = self.peers.get(name)
-        if peer is None or (
-            peer.incarnation != incarnation and not self.is_alive(name)
-        ):
-            self.peers[name] = Peer(name, host, port, incarnation)
+        known = self.peers.get(peer.name)
+        if known is not None and known.incarnation == peer.incarnation:
+            known.host, known.port = peer.host, peer.port
+            return
+        if known is None or not self.is_alive(peer.name):
+            self.peers[peer.name] = peer
 
     def remove_member(self, name: str) -> None:
         """Forget a daemon that has left."""
         self.peers.pop(name, None)
 
     def is_alive(self, name: str, incarnation: str = "") -> bool:
-        """Whether a daemon, or one run of its process, has reported lately."""
+        """Whether a daemon, or one run of its process, has given a sign of life."""
         if name == self._identity.name:
             return incarnation in ("", self._identity.incarnation)
         peer = self.peers.get(name)
@@ -155,10 +157,11 @@
         sent_version = -1
         sent_s = 0.0
         while True:
-            interval_s = _SHORTEST_INTERVAL_S
-            interval_s = max(interval_s, len(self.peers) * _INTERVAL_PER_PEER_S)
-            await asyncio.sleep(interval_s)
+            near = self._count_near()
+            self.interval_s = max(_SHORTEST_INTERVAL_S, near * _INTERVAL_PER_PEER_S)
+            await asyncio.sleep(self.interval_s)
             now_s = time.monotonic()
+            self._report_region(now_s)
             is_changed = self._board.version != sent_version
             if not is_changed and now_s - sent_s < _QUIET_INTERVAL_S:
                 continue
@@ -166,35 +169,107 @@
             self._report(now_s)
             self._board.drop_silent(now_s)
 
-    def report_now(self) -> None:
-        """Send a report at once."""
-        self._report(time.monotonic())
+    def _is_news(self, message: peer_messages.Report) -> bool:
+        """Whether a report is not older than another one of its sender."""
+        sender = message.name + ("/region" if message.living else "")
+        incarnation, last = self._received.get(sender, ("", -1))
+        if incarnation == message.incarnation and message.sequence <= last:
+            return False
+        self._received[sender] = (message.incarnation, message.sequence)
+        return True
+
+    def _note_life(
+        self, message: peer_messages.Report, host: str, now_s: float
+    ) -> None:
+        peer = self.peers.get(message.name)
+        if peer is None or peer.incarnation != message.incarnation:
+            logs.info("peer_heard", peer=message.name, incarnation=message.incarnation)
+            peer = Peer(
+                message.name,
+                message.region,
+                host,
+                self._identity.port,
+                message.incarnation,
+            )
+            self.peers[message.name] = peer
+        peer.host = host
+        peer.heard_s = now_s
+
+    def _note_living(self, living: abc.Iterable[tuple[str, str]], now_s: float) -> None:
+        """Note the daemons that another region names as alive."""
+        for name, incarnation in living:
+            peer = self.peers.get(name)
+            if peer is not None and peer.incarnation == incarnation:
+                peer.heard_s = now_s
+
+    def _count_near(self) -> int:
+        region = self._identity.region
+        return sum(1 for peer in self.peers.values() if peer.region == region)
 
     def _report(self, now_s: float) -> None:
-        transport = self._transport
-        if transport is None or transport.is_closing():
-            return
+        """Send the own load to the daemons of the region."""
         self._sequence += 1
-        message = orjson.dumps(
-            {
-                "name": self._identity.name,
-                "incarnation": self._identity.incarnation,
-                "sequence": self._sequence,
-                "ready": self.is_ready,
-                "loads": [
-                    (target, load.online, load.batch)
-                    for target, load in self._board.own.items()
-                    if load.total
-                ],
-            }
-        )
+        own = {key: load for key, load in self._board.own.items() if load.total}
+        data = peer_messages.encode(self._make_report(own, ()))
         is_lost_turn = self._sequence % _LOST_PERIOD == 0
         known = set()
         for peer in self.peers.values():
             known.add(peer.host)
-            if now_s - peer.heard_s > _LOST_S and not is_lost_turn:
+            is_lost = now_s - peer.heard_s > _LOST_S
+            is_far = peer.region != self._identity.region
+            if (is_far or is_lost) and not (is_lost and is_lost_turn):
                 continue
-            transport.sendto(message, (peer.host, peer.port))
+            self._send(data, peer.host, peer.port)
+        if not is_lost_turn:
+            return
         for host, port in self._seeds:
-            if host not in known and host != self._identity.host and is_lost_turn:
-                transport.sendto(message, (host, port))
+            if host not in known and host != self._identity.host:
+                self._send(data, host, port)
+
+    def _report_region(self, now_s: float) -> None:
+        """Send the load of the region to the others, if this daemon speaks for it."""
+        if now_s - self._region_sent_s < _REGION_INTERVAL_S:
+            return
+        self._region_sent_s = now_s
+        region = self._identity.region
+        far = [peer for peer in self.peers.values() if peer.region != region]
+        if not far:
+            return
+        near = [peer for peer in self.list_alive() if peer.region == region]
+        members = {peer.name: 1.0 for peer in near}
+        members[self._identity.name] = 1.0
+        if rendezvous.choose_member(region, members) != self._identity.name:
+            return
+        self._sequence += 1
+        living = [(peer.name, peer.incarnation) for peer in near]
+        living.append((self._identity.name, self._identity.incarnation))
+        loads = self._board.sum_with(members)
+        data = peer_messages.encode(self._make_report(loads, living))
+        is_lost_turn = self._sequence % _LOST_PERIOD == 0
+        for peer in far:
+            if now_s - peer.heard_s > _LOST_S and not is_lost_turn:
+                continue
+            self._send(data, peer.host, peer.port)
+
+    def _make_report(
+        self,
+        loads: abc.Mapping[str, load_board.Load],
+        living: abc.Sequence[tuple[str, str]],
+    ) -> peer_messages.Report:
+        return peer_messages.Report(
+            name=self._identity.name,
+            region=self._identity.region,
+            incarnation=self._identity.incarnation,
+            sequence=self._sequence,
+            loads=loads,
+            living=tuple(living),
+        )
+
+    def _send(self, data: bytes, host: str, port: int) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(data, (host, port))
+
+
+def _region_key(region: str) -> str:
+    """Return the name under which the board keeps the report of a region."""
+    return f"region {region}"
--- a/src/endivevane/serving/placement.py
+++ b/src/endivevane/serving/placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import random
 from collections import abc
 
@@ -18,8 +19,10 @@
 # What distance adds to the share of slots in use, when targets are compared.
 _OTHER_ZONE_COST = 0.06
 _OTHER_REGION_COST = 0.2
-# Spreads the choices of daemons that see the same loads.
-_NOISE = 0.08
+# Spread of the choices of daemons that see the same loads, in shares of a target's
+# slots: a fixed part, and a part for each second of age of what they see.
+_SPREAD = 0.02
+_SPREAD_PER_S = 0.8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,7 +38,10 @@
 
 
 class Placement:
-    """Compares the targets of a service by load, health and distance."""
+    """Compares the targets of a service by load, health and distance.
+
+    :param load_age_s: returns the age of what is known of other daemons' loads
+    """
 
     def __init__(
         self,
@@ -43,8 +49,10 @@
         targets: directory.Directory,
         board: load_board.LoadBoard,
         generator: random.Random,
+        load_age_s: abc.Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._place = place
+        self._load_age_s = load_age_s
         self._targets = targets
         self._board = board
         self._generator = generator
@@ -106,7 +114,8 @@
     def count_to_yield(self, target: model.Target) -> int:
         """Return how many own batch items should leave a target for online requests.
 
-        The daemons with batch items there share what has to leave.
+        The daemons with batch items there share what has to leave; parts of an item
+        are drawn, so that few items more or less than needed leave.
         """
         load = self._board.total(target.target_id)
         surplus = load.total - (target.slots - _YIELD_RESERVE)
@@ -114,7 +123,10 @@
         if surplus <= 0 or own is None or not own.batch or not load.online:
             return 0
         share = surplus * own.batch / max(1, load.batch)
-        return min(own.batch, int(share + 0.999))
+        whole = int(share)
+        if self._generator.random() < share - whole:
+            whole += 1
+        return min(own.batch, whole)
 
     def has_targets(self, service: str, now_s: float) -> bool:
         """Whether any target of a service may get work now or after a pause."""
@@ -136,4 +148,7 @@
             region = self._place.regions.get(target.availability_zone)
             is_near = region == self._place.region
             cost += _OTHER_ZONE_COST if is_near else _OTHER_REGION_COST
-        return cost + self._generator.random() * _NOISE
+        # The least of costs with Gumbel noise is drawn like from a softmax.
+        spread = _SPREAD + _SPREAD_PER_S * self._load_age_s()
+        uniform = max(1e-9, self._generator.random())
+        return cost + spread * math.log(-math.log(min(uniform, 1.0 - 1e-9)))
