--- /dev/null
+++ b/features/serving_decisions.feature
@@ -0,0 +1,73 @@
+Feature: Who waits, who is refused and where work goes
+
+  # Pattern: many daemons see the same loads, some ten ms old.
+  # Guards against all of them choosing the same best target.
+  Scenario: Daemons that see the same loads spread their requests
+    When 60 daemons each place one request on 12 equal targets by the same reports, 0.15 s old
+    Then no target gets more than 13 of the requests
+
+  # Pattern: a pulse fills all places of the fleet.
+  # Guards against a queue at the engines that grows while others have room.
+  Scenario: A request waits only when every target is full
+    Given 3 targets of 8 slots
+    And peers run 8, 8 and 9 online requests on them
+    Then an online request goes to one of the first two targets
+    When peers run 10, 10 and 10 online requests on them
+    Then an online request finds no target
+
+  Scenario Outline: A target that should get no work gets none
+    # Guards against sends to targets that leave, fail, refuse or have gone silent.
+    Given 2 targets of 8 slots
+    And peers run 0, 6 and 0 online requests on them
+    When the first target <trouble>
+    Then an online request goes to the second target
+
+    Examples:
+      | trouble                         |
+      | says that it leaves             |
+      | has failed a moment ago         |
+      | has refused a request as full   |
+      | is silent with a stream running |
+
+  Scenario: A near target goes before a far one until it is loaded
+    # Guards against bytes and 20 ms between regions without need, and against a full
+    # region beside an idle one.
+    Given a near and a far target of 8 slots
+    Then at least 95 of 100 online requests go to the near target
+    When peers run 6, 0 and 0 online requests on them
+    Then at least 95 of 100 online requests go to the far target
+
+  # Pattern: batch fills the gaps between pulses.
+  # Guards against batch that takes the places of requests which are on their way.
+  Scenario: Batch leaves two slots of each target free
+    Given 1 targets of 8 slots
+    And peers run 5, 0 and 0 online requests on them
+    Then a batch item goes to the first target
+    When peers run 6, 0 and 0 online requests on them
+    Then a batch item finds no target
+
+  # Pattern: a pulse meets a target whose places several daemons filled with batch.
+  # Guards against every owner giving way where one item is enough.
+  Scenario: Owners of batch items share what has to give way
+    When 6 daemons with one item each share a target with 3 online requests too many of 8 slots, 400 times
+    Then on average between 0.85 and 1.15 items give way for each one that has to
+
+  # Pattern: more requests than places, some of them late already.
+  # Guards against places for answers that are late anyway, while others become late.
+  Scenario: Requests that can be on time go before late ones, and urgent ones first
+    Given a full target and waiting requests "late urgent", "timely background", "timely urgent"
+    When places become free one after the other
+    Then they go to "timely urgent", "timely background", "late urgent"
+
+  # Guards against requests that are held until their deadline without hope.
+  Scenario: A request that can't be served in time is refused at once
+    Given a full target of 8 slots and 100 waiting requests
+    When a request with 400 ms left asks for a place
+    Then it is refused within 50 ms
+    And the advice to come back is between 75 ms and 1.9 s
+
+  Scenario: A request whose client leaves while it waits takes no place
+    # Guards against places that nobody gives back.
+    Given a full target of 8 slots and 1 waiting requests
+    When the waiting request is cancelled as its place is granted
+    Then the target counts only the requests of the peers
--- a/features/steps/link_steps.py
+++ b/features/steps/link_steps.py
@@ -6,8 +6,8 @@
 
 from endivevane import metrics
 from endivevane.coordination import clock
-from endivevane.online import link_budget
 from endivevane.external import link
+from endivevane.online import link_budget
 from features.support import engine_caller, online_calls, online_machine
 from tools import fleet, jobs
 
--- a/features/steps/loads_steps.py
+++ b/features/steps/loads_steps.py
@@ -6,8 +6,8 @@
 
 from endivevane import metrics, types
 from endivevane.coordination import clock
-from endivevane.online import loads, messages, routing
 from endivevane.external import engine, http_pool
+from endivevane.online import loads, messages, routing
 from features.support import scheduling
 from tools import fleet
 
--- a/features/steps/orders_fencing_steps.py
+++ b/features/steps/orders_fencing_steps.py
@@ -7,8 +7,8 @@
 
 from endivevane import types
 from endivevane.coordination import clock, fencing
-from endivevane.orders import task
 from endivevane.external import engine, http_pool
+from endivevane.orders import task
 from endivevane.testing import Fault
 from features.support import engine_caller, engine_owners
 
--- a/features/steps/orders_limits_steps.py
+++ b/features/steps/orders_limits_steps.py
@@ -2,8 +2,8 @@
 
 from behave import given, then, when
 
-from endivevane.orders import placement, plans
 from endivevane.external import engine
+from endivevane.orders import placement, plans
 from features.support import engine_groups
 
 
--- a/features/steps/orders_roles_steps.py
+++ b/features/steps/orders_roles_steps.py
@@ -5,9 +5,9 @@
 
 from endivevane.configuration import models, snapshot
 from endivevane.coordination import rendezvous
+from endivevane.external import engine
 from endivevane.online import contract
 from endivevane.orders import plans, roles
-from endivevane.external import engine
 from features.support import engine_caller, scheduling
 from tools import fleet
 
--- a/features/steps/register_steps.py
+++ b/features/steps/register_steps.py
@@ -5,8 +5,8 @@
 
 from endivevane import testing, types
 from endivevane.coordination import register, store
-from endivevane.online import at_most_once
 from endivevane.external import http_pool, objects
+from endivevane.online import at_most_once
 from features.support import fuzz_register, fuzzing
 from tools import fleet
 
--- /dev/null
+++ b/features/steps/serving_decisions_steps.py
@@ -0,0 +1,244 @@
+import asyncio
+import collections
+import random
+import time
+
+from behave import given, then, when
+
+from endivevane.serving import admission
+from features.support import serving_fakes
+
+
+@when(
+    "{daemons:d} daemons each place one request on {count:d} equal targets by the "
+    "same reports, {age_s:g} s old"
+)
+def step_spread(context, daemons, count, age_s):
+    names = [f"t{number}" for number in range(count)]
+    context.chosen = collections.Counter()
+    for seed in range(daemons):
+        fleet = serving_fakes.Fleet(names, seed=seed, age_s=age_s)
+        target = fleet.choices.choose_online("lm", time.monotonic())
+        context.chosen[target.target_id] += 1
+
+
+@then("no target gets more than {most:d} of the requests")
+def step_spread_bound(context, most):
+    # Random choice puts 5 of 60 on each of 12 targets; 13 is over 3.5 deviations.
+    assert max(context.chosen.values()) <= most, context.chosen
+
+
+@given("{count:d} targets of 8 slots")
+def step_targets(context, count):
+    context.names = [f"t{number}" for number in range(count)]
+    context.fleet = serving_fakes.Fleet(context.names)
+
+
+@given("a near and a far target of 8 slots")
+def step_near_far(context):
+    context.names = ["t0", "t1"]
+    context.fleet = serving_fakes.Fleet(context.names, zones={"t1": "z2"})
+
+
+@given("peers run {first:d}, {second:d} and {third:d} online requests on them")
+@when("peers run {first:d}, {second:d} and {third:d} online requests on them")
+def step_loads(context, first, second, third):
+    counts = (first, second, third)
+    loads = {
+        name: (count, 0)
+        for name, count in zip(context.names, counts, strict=False)
+        if count
+    }
+    context.fleet.report("peer", loads)
+
+
+@when("the first target {trouble}")
+def step_trouble(context, trouble):
+    now_s = time.monotonic()
+    health = context.fleet.find("t0").health
+    if trouble == "says that it leaves":
+        context.fleet.add("t0", version=9, leaving=True)
+    elif trouble == "has failed a moment ago":
+        health.record_failure(now_s)
+    elif trouble == "has refused a request as full":
+        health.record_full(now_s)
+    else:
+        health.begin_call(now_s - 2.0)
+        health.begin_events()
+        health.record_heard(now_s - 2.0)
+
+
+def _choose(context):
+    target = context.fleet.choices.choose_online("lm", time.monotonic())
+    return None if target is None else target.target_id
+
+
+@then("an online request goes to the second target")
+def step_second(context):
+    assert _choose(context) == "t1"
+
+
+@then("an online request goes to one of the first two targets")
+def step_first_two(context):
+    assert _choose(context) in ("t0", "t1")
+
+
+@then("an online request finds no target")
+def step_no_target(context):
+    assert _choose(context) is None
+
+
+@then("at least {least:d} of 100 online requests go to the {which} target")
+def step_distance(context, least, which):
+    name = "t0" if which == "near" else "t1"
+    chosen = collections.Counter(_choose(context) for _ in range(100))
+    assert chosen[name] >= least, chosen
+
+
+@then("a batch item goes to the first target")
+def step_batch(context):
+    target = context.fleet.choices.choose_batch("lm", time.monotonic())
+    assert target.target_id == "t0"
+
+
+@then("a batch item finds no target")
+def step_no_batch(context):
+    assert context.fleet.choices.choose_batch("lm", time.monotonic()) is None
+
+
+@when(
+    "{owners:d} daemons with one item each share a target with {surplus:d} online "
+    "requests too many of 8 slots, {times:d} times"
+)
+def step_yield(context, owners, surplus, times):
+    online = 8 - owners + surplus
+    yielded = 0
+    for seed in range(times):
+        for owner in range(owners):
+            fleet = serving_fakes.Fleet(["t0"], seed=seed * owners + owner)
+            fleet.report("others", {"t0": (online, owners - 1)})
+            fleet.board.begin("t0", is_batch=True)
+            yielded += fleet.choices.count_to_yield(fleet.targets["t0"])
+    context.mean = yielded / times / surplus
+
+
+@then("on average between {low:g} and {high:g} items give way for each one that has to")
+def step_yield_mean(context, low, high):
+    assert low <= context.mean <= high, context.mean
+
+
+def _fill(context, online):
+    context.fleet = serving_fakes.Fleet(["t0"])
+    context.fleet.report("peer", {"t0": (online, 0)})
+    context.places = admission.Admission(
+        context.fleet.choices, context.fleet.board, random.Random(1)
+    )
+
+
+def _wish(priority, objective_s, left_s=5.0):
+    now_s = time.monotonic()
+    return admission.Wish(
+        service="lm",
+        priority=priority,
+        objective_s=now_s + objective_s,
+        deadline_s=now_s + left_s,
+    )
+
+
+@given("a full target and waiting requests {names}")
+def step_waiting(context, names):
+    _fill(context, 10)
+    context.order = []
+    kinds = {
+        "late urgent": (0, -0.5),
+        "timely background": (2, 0.4),
+        "timely urgent": (0, 0.4),
+    }
+    context.wishes = {
+        name.strip().strip('"'): _wish(*kinds[name.strip().strip('"')])
+        for name in names.split(",")
+    }
+
+
+@when("places become free one after the other")
+def step_free(context):
+    async def wait(name, wish):
+        await context.places.acquire(wish)
+        context.order.append(name)
+
+    async def run():
+        tasks = [
+            asyncio.ensure_future(wait(name, wish))
+            for name, wish in context.wishes.items()
+        ]
+        await asyncio.sleep(0)
+        for free in (9, 8, 7):
+            # The place given last is counted here already.
+            context.fleet.report("peer", {"t0": (free, 0)})
+            context.places.pump()
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+        await asyncio.wait(tasks, timeout=1)
+
+    asyncio.run(run())
+
+
+@then("they go to {names}")
+def step_order(context, names):
+    expected = [name.strip().strip('"') for name in names.split(",")]
+    assert context.order == expected, context.order
+
+
+@given("a full target of 8 slots and {count:d} waiting requests")
+def step_queue(context, count):
+    _fill(context, 10)
+    context.count = count
+
+
+@when("a request with {left_ms:d} ms left asks for a place")
+def step_hopeless(context, left_ms):
+    async def run():
+        waiting = [
+            asyncio.ensure_future(context.places.acquire(_wish(0, 30, 60)))
+            for _ in range(context.count)
+        ]
+        await asyncio.sleep(0)
+        began_s = time.monotonic()
+        context.granted = await context.places.acquire(_wish(0, 0.3, left_ms / 1000))
+        context.took_s = time.monotonic() - began_s
+        context.advice_s = context.places.retry_after_s("lm")
+        for task in waiting:
+            task.cancel()
+        await asyncio.wait(waiting)
+
+    asyncio.run(run())
+
+
+@then("it is refused within {limit_ms:d} ms")
+def step_refused(context, limit_ms):
+    assert context.granted is None
+    assert context.took_s <= limit_ms / 1000, context.took_s
+
+
+@then("the advice to come back is between {low_ms:d} ms and {high_s:g} s")
+def step_advice(context, low_ms, high_s):
+    assert low_ms / 1000 <= context.advice_s <= high_s, context.advice_s
+
+
+@when("the waiting request is cancelled as its place is granted")
+def step_cancel(context):
+    async def run():
+        task = asyncio.ensure_future(context.places.acquire(_wish(0, 1)))
+        await asyncio.sleep(0)
+        context.fleet.report("peer", {"t0": (3, 0)})
+        context.places.pump()
+        assert context.fleet.board.total("t0").online == 4
+        task.cancel()
+        await asyncio.wait((task,))
+
+    asyncio.run(run())
+
+
+@then("the target counts only the requests of the peers")
+def step_counted(context):
+    assert context.fleet.board.total("t0").online == 3
--- /dev/null
+++ b/features/steps/serving_state_steps.py
@@ -0,0 +1,409 @@
+import asyncio
+import collections
+import dataclasses
+import random
+import secrets
+import time
+
+from behave import given, then, when
+
+from endivevane import exceptions
+from endivevane.platform import records
+from endivevane.serving import (
+    failures,
+    follower,
+    job_book,
+    job_changes,
+    jobs,
+    model,
+    store,
+)
+from features.support import serving_fakes
+
+
+@when("the entry of a target is {entry}")
+def step_entry(context, entry):
+    context.error = None
+    try:
+        records.decode_target("i-1", entry.encode())
+    except exceptions.ProtocolError as error:
+        context.error = error
+
+
+@then("it is refused as an entry")
+def step_entry_refused(context):
+    assert context.error is not None
+    assert "i-1" in context.error.format_message()
+
+
+@given('targets "a" and "b"')
+def step_two_targets(context):
+    context.fleet = serving_fakes.Fleet(["a", "b"])
+    context.now_s = time.monotonic()
+
+
+@when('the registration of "a" ends')
+def step_registration_ends(context):
+    row = serving_fakes.make_row("a", None, 9)
+    context.fleet.directory.apply(row, context.now_s)
+
+
+@when("the store returns after it was away")
+def step_store_returns(context):
+    context.fleet.directory.note_store_return(context.now_s)
+
+
+@when("{seconds:g} s have passed")
+def step_passed(context, seconds):
+    context.fleet.directory.drop_expired(context.now_s + seconds)
+
+
+@then('the usable targets are "{names}"')
+def step_usable(context, names):
+    usable = context.fleet.directory.list_usable("lm")
+    found = sorted(known.target.target_id for known in usable)
+    assert found == names.split(", "), found
+
+
+@when('"a" has failed and registers again with another start')
+def step_restarts(context):
+    health = context.fleet.find("a").health
+    health.record_failure(context.now_s)
+    assert health.is_paused(context.now_s)
+    context.fleet.add("a", version=10, born=2)
+
+
+@then('"a" counts as healthy')
+def step_healthy(context):
+    assert not context.fleet.find("a").health.is_paused(context.now_s)
+
+
+class _ScriptedReads(serving_fakes.FakeStore):
+    """A store whose history is gone and whose first reads are out of date."""
+
+    def __init__(self):
+        super().__init__()
+        self.stale_reads = 0
+        self.is_history_gone = False
+
+    async def read_rows(self, table, partition, start="", end=""):
+        page = await super().read_rows(table, partition, start, end)
+        if not self.stale_reads:
+            return page
+        self.stale_reads -= 1
+        rows = tuple(
+            store.Row(row.row_key, b"old", row.version - 3) for row in page.rows
+        )
+        return store.RowPage(rows, page.version - 3)
+
+    async def wait_for_changes(self, table, after_version, wait_s):
+        if self.is_history_gone:
+            self.is_history_gone = False
+            raise failures.StoreHistoryGone("feed", "gone")
+        return await super().wait_for_changes(table, after_version, wait_s)
+
+
+_KEY = store.RowKey("op", "", "config")
+
+
+@given("a table that a daemon follows, with a row written 5 times")
+def step_followed(context):
+    context.rows = _ScriptedReads()
+    context.seen = []
+    context.follower = follower.TableFollower(
+        context.rows,
+        "op",
+        "",
+        lambda row: context.seen.append((row.version, row.value)),
+    )
+
+
+def _follow(context, change):
+    async def run():
+        for number in range(5):
+            put = store.Transaction(puts=((_KEY, str(number).encode()),))
+            await context.rows.apply(put)
+        task = asyncio.ensure_future(context.follower.run())
+        await asyncio.sleep(0.15)
+        await change()
+        await asyncio.sleep(0.8)
+        task.cancel()
+
+    asyncio.run(run())
+
+
+@when("the history is gone and reads are 3 versions behind for a while")
+def step_stale(context):
+    async def change():
+        context.rows.stale_reads = 3
+        context.rows.is_history_gone = True
+        await context.rows.apply(store.Transaction(puts=((_KEY, b"last"),)))
+
+    _follow(context, change)
+
+
+@then("the daemon has seen only rising versions and ends with the last one")
+def step_rising(context):
+    versions = [version for version, _ in context.seen]
+    assert versions == sorted(set(versions)), context.seen
+    assert context.seen[-1][1] == b"last", context.seen
+    assert not context.rows.stale_reads
+
+
+@when("the row is deleted together with the history")
+def step_deleted(context):
+    async def change():
+        context.rows.is_history_gone = True
+        await context.rows.apply(store.Transaction(deletes=(_KEY,)))
+
+    _follow(context, change)
+
+
+@then("the daemon knows no row")
+def step_no_row(context):
+    assert context.follower.rows == {}
+    assert context.seen[-1][1] is None
+
+
+class _Daemon:
+    """The parts of a daemon that change jobs."""
+
+    def __init__(self, rows, name):
+        self.owner = f"{name}/1"
+        self.book = job_book.JobBook()
+        self.state = follower.TableFollower(rows, "state", "", self._on_row)
+        self.changes = job_changes.JobChanges(rows, self.state, self.book, self.owner)
+        self.feed = asyncio.ensure_future(self.state.run())
+
+    def _on_row(self, row):
+        if row.row_key.key.startswith(jobs.JOB_PREFIX):
+            self.book.apply(row)
+
+
+def _route(quota=0):
+    service = model.WeightedService("lm", 1.0)
+    return model.Route(
+        name="digest",
+        host="h",
+        prefix="/p/",
+        kind=model.RouteKind.BATCH,
+        services=(service,),
+        timeout_s=15,
+        objective_s=0.4,
+        priority=2,
+        max_attempts=3,
+        completion_s=18,
+        retention_s=60,
+        token_quota=quota,
+    )
+
+
+def _submission(job_id, items=3, tokens=10, left_s=2.0, quota=0):
+    listed = tuple(
+        jobs.Item(f"{job_id}-{number}", "/p/x", {"Model": "m"}, b"body", tokens)
+        for number in range(items)
+    )
+    until_s = time.monotonic() + left_s
+    return job_changes.Submission(job_id, "h", "/p/x", _route(quota), listed, until_s)
+
+
+async def _commit(daemon, entry, results):
+    """Store results the way the runner does; return the entry that stands."""
+    job = entry.job
+    puts = []
+    for number, result in enumerate(results):
+        prefix = jobs.make_result_prefix(job.job_id, job.listed + number)
+        content = jobs.encode_result(result)
+        puts.extend(jobs.split_rows(jobs.RESULT_TABLE, prefix, content))
+    listed = job.listed + len(results)
+    advanced = dataclasses.replace(
+        job,
+        listed=listed,
+        state=jobs.JobState.OPEN if listed < job.total else jobs.JobState.DONE,
+        operation=secrets.token_hex(8),
+    )
+    stands = await daemon.changes.replace(entry, advanced, float("inf"), puts)
+    is_mine = stands is not None and stands.job.operation == advanced.operation
+    return stands, is_mine
+
+
+async def _play(seed, faults, counts):
+    rows = serving_fakes.FakeStore(seed, faults)
+    generator = random.Random(seed)
+    daemons = [_Daemon(rows, "a"), _Daemon(rows, "b")]
+    job_id = f"job{seed}"
+    try:
+        try:
+            await daemons[0].changes.accept(_submission(job_id))
+        except failures.JobRefused:
+            rows._late.clear()
+            counts["refused with a row"] += bool(rows.list_jobs(job_id))
+            counts["refused"] += 1
+            return rows
+        except failures.JobUncertain:
+            counts["uncertain"] += 1
+        await _run_owners(daemons, generator, job_id, counts)
+    finally:
+        for daemon in daemons:
+            daemon.feed.cancel()
+    return rows
+
+
+async def _run_owners(daemons, generator, job_id, counts):
+    for _ in range(14):
+        daemon = generator.choice(daemons)
+        try:
+            entry = await daemon.changes.refresh(job_id)
+        except failures.StoreFailure:
+            continue
+        if entry is None or not entry.job.is_open:
+            continue
+        action = generator.random()
+        if action < 0.3:
+            claim = dataclasses.replace(
+                entry.job,
+                owner=daemon.owner,
+                epoch=entry.job.epoch + 1,
+                operation=secrets.token_hex(8),
+            )
+            await daemon.changes.replace(entry, claim, time.monotonic() + 0.2)
+            counts["claims"] += 1
+        elif action < 0.35:
+            await daemon.changes.end(job_id, time.monotonic() + 0.2)
+        elif entry.job.owner == daemon.owner:
+            done = await _list_done(daemon, job_id, entry.job.listed)
+            if done is None:
+                continue
+            left = [f"{job_id}-{n}" for n in range(3) if f"{job_id}-{n}" not in done]
+            text = secrets.token_hex(4)
+            results = [jobs.ItemResult(item, True, text) for item in left[:1]]
+            await _commit(daemon, entry, results)
+
+
+async def _list_done(daemon, job_id, listed):
+    try:
+        results = await daemon.changes.load_results(job_id, 0, listed)
+    except failures.StoreFailure:
+        return None
+    return {result.item_id for result in results.values()}
+
+
+@when(
+    "{count:d} histories of two daemons are played with seed {seed:d} and "
+    "{share:d} of 100 transactions going wrong"
+)
+def step_histories(context, count, seed, share):
+    # Pauses between attempts are left out, so that many histories fit the time.
+    context.counts = collections.Counter()
+    context.stores = []
+    former, job_changes._RETRY_S = job_changes._RETRY_S, 0.0
+
+    async def run():
+        for number in range(count):
+            rows = await _play(seed * 1000 + number, share / 100, context.counts)
+            context.stores.append(rows)
+
+    try:
+        asyncio.run(run())
+    finally:
+        job_changes._RETRY_S = former
+
+
+@then("each position was written once with one content")
+def step_positions(context):
+    for rows in context.stores:
+        written = collections.Counter(
+            key for key, _ in rows.writes if key.table == jobs.RESULT_TABLE
+        )
+        assert all(times == 1 for times in written.values()), written
+
+
+@then("no item stands at two positions")
+def step_items_once(context):
+    for rows in context.stores:
+        results = [
+            jobs.decode_result(value)
+            for key, value in rows.writes
+            if key.table == jobs.RESULT_TABLE
+        ]
+        items = collections.Counter(result.item_id for result in results)
+        assert all(times == 1 for times in items.values()), items
+
+
+@then("a refused job left no row")
+def step_refused_clean(context):
+    assert not context.counts["refused with a row"]
+
+
+@then(
+    "the histories had at least {lost:d} lost answers and {claims:d} changes of owner"
+)
+def step_histories_hard(context, lost, claims):
+    found = sum(rows.lost for rows in context.stores)
+    assert found >= lost, found
+    assert context.counts["claims"] >= claims, context.counts
+
+
+@given("a quota of {quota:d} tokens")
+def step_quota(context, quota):
+    context.quota = quota
+
+
+@when("{daemons:d} daemons accept jobs of 30 tokens at the same moment")
+def step_accept_many(context, daemons):
+    async def run():
+        rows = serving_fakes.FakeStore()
+        fleet = [_Daemon(rows, f"d{number}") for number in range(daemons)]
+        await asyncio.sleep(0.05)
+        outcomes = await asyncio.gather(
+            *(
+                daemon.changes.accept(_submission(f"job{number}", quota=context.quota))
+                for number, daemon in enumerate(fleet)
+            ),
+            return_exceptions=True,
+        )
+        for daemon in fleet:
+            daemon.feed.cancel()
+        return outcomes
+
+    context.outcomes = asyncio.run(run())
+
+
+@then("{taken:d} jobs were taken and the others refused as over the quota")
+def step_taken(context, taken):
+    entries = [
+        item for item in context.outcomes if isinstance(item, job_book.BookEntry)
+    ]
+    refusals = [
+        item
+        for item in context.outcomes
+        if isinstance(item, failures.JobRefused) and item.is_over_quota
+    ]
+    assert len(entries) == taken, context.outcomes
+    assert len(entries) + len(refusals) == len(context.outcomes), context.outcomes
+
+
+class _LosingStore(serving_fakes.FakeStore):
+    """Applies nothing and answers nothing."""
+
+    async def apply(self, change):
+        await asyncio.sleep(0)
+        raise failures.StoreUncertain("apply", "no answer")
+
+
+@when("the store loses every answer while a job is accepted")
+def step_lose_all(context):
+    async def run():
+        daemon = _Daemon(_LosingStore(), "a")
+        try:
+            await daemon.changes.accept(_submission("job", left_s=0.6))
+        except failures.ServingError as error:
+            context.error = error
+        daemon.feed.cancel()
+
+    asyncio.run(run())
+
+
+@then("the outcome is said to be unknown")
+def step_unknown(context):
+    assert isinstance(context.error, failures.JobUncertain), context.error
--- a/features/support/engine_groups.py
+++ b/features/support/engine_groups.py
@@ -3,8 +3,8 @@
 import dataclasses
 
 from endivevane.configuration import models
-from endivevane.orders import placement, plans, replicas, residence
 from endivevane.external import engine
+from endivevane.orders import placement, plans, replicas, residence
 
 ZONES = ("zone-a", "zone-b", "zone-c")
 # Two rounds of the group's owner, within which an ordered load ends here.
--- a/features/support/engine_owners.py
+++ b/features/support/engine_owners.py
@@ -8,8 +8,8 @@
 from endivevane import testing, types
 from endivevane.configuration import snapshot
 from endivevane.coordination import clock, lease
-from endivevane.orders import orders
 from endivevane.external import engine
+from endivevane.orders import orders
 
 GROUP = "answers"
 TERM_S = 9.0
--- a/features/support/scheduling.py
+++ b/features/support/scheduling.py
@@ -6,8 +6,8 @@
 from endivevane import types
 from endivevane.configuration import snapshot
 from endivevane.coordination import clock
-from endivevane.online import contract, routing, scheduler
 from endivevane.external import engine
+from endivevane.online import contract, routing, scheduler
 
 WALL_MS = 1_700_000_000_000
 PLACE = routing.Place("daemon-1", "zone-a", "west")
--- /dev/null
+++ b/features/support/serving_fakes.py
@@ -0,0 +1,152 @@
+"""Doubles of the serving tasks' ports that need no network."""
+
+import asyncio
+import random
+import time
+
+from endivevane.serving import (
+    directory,
+    failures,
+    load_board,
+    model,
+    placement,
+    store,
+)
+
+
+def make_target(name, service="lm", zone="z1", slots=8, leaving=False, born=1):
+    return model.Target(
+        target_id=name,
+        service=service,
+        host="127.0.0.1",
+        port=9,
+        availability_zone=zone,
+        slots=slots,
+        is_leaving=leaving,
+        started_ms=born,
+    )
+
+
+def make_row(key, value, version, table="servers"):
+    return store.Row(store.RowKey(table, "", key), value, version)
+
+
+class Fleet:
+    """Targets, a load board and the choices of one daemon."""
+
+    def __init__(self, names, seed=1, zone="z1", age_s=0.03, zones=None):
+        self.targets = {}
+        self.directory = directory.Directory(lambda key, _value: self.targets[key])
+        self.board = load_board.LoadBoard()
+        place = placement.Place(zone, "near", {"z1": "near", "z2": "far"})
+        self.choices = placement.Placement(
+            place, self.directory, self.board, random.Random(seed), lambda: age_s
+        )
+        for number, name in enumerate(names):
+            self.add(name, zone=(zones or {}).get(name, "z1"), version=number + 1)
+
+    def add(self, name, version=1, **fields):
+        self.targets[name] = make_target(name, **fields)
+        self.directory.apply(make_row(name, b"x", version), time.monotonic())
+
+    def find(self, name):
+        return self.directory.find(name)
+
+    def report(self, peer, loads):
+        now_s = time.monotonic()
+        counted = {
+            name: load_board.Load(online, batch)
+            for name, (online, batch) in loads.items()
+        }
+        self.board.set_report(peer, load_board.LoadReport(counted, now_s))
+
+
+class FakeStore:
+    """Rows in memory, with a seeded choice of faults for each transaction.
+
+    ``late`` transactions are not answered and are applied before a later one, if
+    their conditions still hold then.
+    """
+
+    def __init__(self, seed=0, fault_share=0.0):
+        self.rows = {}
+        self.version = 0
+        self.writes = []
+        self._generator = random.Random(seed)
+        self._fault_share = fault_share
+        self._late = []
+        self.lost = 0
+
+    def list_jobs(self, job_id):
+        return [key for key in self.rows if key.key == f"job/{job_id}"]
+
+    async def read_rows(self, table, partition, start="", end=""):
+        await asyncio.sleep(0)
+        self._maybe_refuse("read_rows")
+        rows = tuple(
+            store.Row(key, value, version)
+            for key, (value, version) in sorted(
+                self.rows.items(), key=lambda item: item[0].key
+            )
+            if key.table == table
+            and key.partition == partition
+            and start <= key.key
+            and (not end or key.key < end)
+        )
+        return store.RowPage(rows, self.version)
+
+    async def apply(self, change):
+        await asyncio.sleep(0)
+        while self._late and self._generator.random() < 0.5:
+            self._apply(self._late.pop(0))
+        if self._generator.random() >= self._fault_share:
+            return self._apply(change)
+        fault = self._generator.choice(("refused", "lost", "lost_before", "late"))
+        if fault == "refused":
+            raise failures.StoreRefused("apply", "status 503")
+        self.lost += 1
+        if fault == "lost":
+            self._apply(change)
+        if fault == "late":
+            self._late.append(change)
+        raise failures.StoreUncertain("apply", "no answer")
+
+    async def wait_for_changes(self, table, after_version, wait_s):
+        await asyncio.sleep(0.01)
+        rows = tuple(
+            store.Row(key, value, version)
+            for key, (value, version) in self.rows.items()
+            if key.table == table and version > after_version
+        )
+        return store.RowPage(rows, self.version)
+
+    async def put_object(self, name, content):
+        await asyncio.sleep(0)
+
+    async def get_object(self, name):
+        raise failures.StoreRefused("get_object", "no objects here")
+
+    async def delete_object(self, name):
+        await asyncio.sleep(0)
+
+    def _maybe_refuse(self, call):
+        if self._generator.random() < self._fault_share / 2:
+            raise failures.StoreRefused(call, "status 503")
+
+    def _apply(self, change):
+        for condition in change.conditions:
+            _, version = self.rows.get(condition.row_key, (None, 0))
+            if version != condition.version:
+                rows = tuple(
+                    store.Row(item.row_key, *self.rows[item.row_key])
+                    for item in change.conditions
+                    if item.row_key in self.rows
+                )
+                return store.Conflict(rows)
+        self.version += 1
+        for key, value in change.puts:
+            self.rows[key] = (value, self.version)
+            self.writes.append((key, value))
+        for key in change.deletes:
+            self.rows.pop(key, None)
+        return store.Applied(self.version)
--- /dev/null
+++ b/standins/row_store.py
@@ -0,0 +1,237 @@
+"""A small store of rows and objects that speaks the users' published protocol.
+
+It shares no code with the daemon. Faults are switched on by setting attributes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import dataclasses
+import json
+
+from aiohttp import web
+
+
+@dataclasses.dataclass
+class StoreFaults:
+    """What goes wrong.
+
+    :ivar status: answer every call with this status and do nothing
+    :ivar silent: accept calls and never answer
+    :ivar lose: transactions that are applied and not answered
+    :ivar lose_before: transactions that are neither applied nor answered
+    :ivar late_s: transactions are not answered and applied this much later
+    :ivar stale_by: reads show the rows of this many versions ago
+    """
+
+    status: int = 0
+    silent: bool = False
+    lose: int = 0
+    lose_before: int = 0
+    late_s: float = 0.0
+    late: int = 0
+    stale_by: int = 0
+
+
+class RowStore:
+    """Keeps rows, their history and objects in memory."""
+
+    def __init__(self) -> None:
+        self.faults = StoreFaults()
+        self.version = 0
+        self.rows: dict[tuple[str, str, str], tuple[str, int]] = {}
+        self.history: list[tuple[int, tuple[str, str, str], str | None]] = []
+        self.history_start = 0
+        self.objects: dict[str, bytes] = {}
+        self.calls: list[str] = []
+        self._changed = asyncio.Event()
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, port: int = 0) -> int:
+        """Listen on loopback and return the port."""
+        app = web.Application(client_max_size=20 << 20)
+        app.router.add_post("/api/rows-tx", self._transact)
+        app.router.add_get("/api/rows-get", self._read)
+        app.router.add_get("/api/rows-feed", self._feed)
+        app.router.add_put("/api/blob-put/{name}", self._put_object)
+        app.router.add_get("/api/blob-get/{name}", self._get_object)
+        app.router.add_delete("/api/blob-drop/{name}", self._drop_object)
+        app.middlewares.append(self._fail)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.2)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", port)
+        await site.start()
+        return self._runner.addresses[0][1]
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def write(self, table: str, key: str, value: object) -> int:
+        """Write a row as the operator or a target does, ``None`` deletes it."""
+        content = None
+        if value is not None:
+            raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+            content = base64.b64encode(raw).decode()
+        self.version += 1
+        self._set((table, "", key), content)
+        self._announce()
+        return self.version
+
+    def read_value(self, table: str, key: str) -> bytes | None:
+        """Return the value of a row, ``None`` if there is none."""
+        found = self.rows.get((table, "", key))
+        return None if found is None else base64.b64decode(found[0])
+
+    def list_values(self, table: str) -> dict[str, bytes]:
+        """Return the rows of a table by key."""
+        return {
+            key: base64.b64decode(value)
+            for (name, _, key), (value, _) in sorted(self.rows.items())
+            if name == table
+        }
+
+    def forget_history(self) -> None:
+        """Drop all history, so that feeds have to read anew."""
+        self.history_start = self.version
+        self.history.clear()
+        self._announce()
+
+    def apply(self, body: dict) -> tuple[int, dict]:
+        """Apply a transaction; return status and answer."""
+        conflicts = []
+        for entry in body.get("expectedRev", ()):
+            key = (entry["table"], entry["part"], entry["key"])
+            _, version = self.rows.get(key, ("", 0))
+            if version != entry["ver"]:
+                conflicts.append(entry)
+        if conflicts:
+            rows = []
+            for entry in body["expectedRev"]:
+                key = (entry["table"], entry["part"], entry["key"])
+                if key in self.rows:
+                    rows.append(self._show(key))
+            return 412, {"rows": rows, "ver": self.version, "nowMs": 1}
+        self.version += 1
+        for entry in body.get("puts", ()):
+            key = (entry["table"], entry["part"], entry["key"])
+            self._set(key, entry["value"])
+        for entry in body.get("remove", ()):
+            self._set((entry["table"], entry["part"], entry["key"]), None)
+        self._announce()
+        return 200, {"ver": self.version, "nowMs": 1}
+
+    def _set(self, key: tuple[str, str, str], value: str | None) -> None:
+        if value is None:
+            self.rows.pop(key, None)
+        else:
+            self.rows[key] = (value, self.version)
+        self.history.append((self.version, key, value))
+
+    def _announce(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _show(self, key: tuple[str, str, str]) -> dict:
+        value, version = self.rows[key]
+        table, part, name = key
+        return {
+            "table": table,
+            "part": part,
+            "key": name,
+            "value": value,
+            "ver": version,
+        }
+
+    @web.middleware
+    async def _fail(self, request: web.Request, handler) -> web.StreamResponse:
+        self.calls.append(request.path)
+        if self.faults.silent:
+            await asyncio.sleep(3600)
+        if self.faults.status:
+            return web.json_response({}, status=self.faults.status)
+        return await handler(request)
+
+    async def _transact(self, request: web.Request) -> web.StreamResponse:
+        body = await request.json()
+        faults = self.faults
+        if faults.lose_before:
+            faults.lose_before -= 1
+            return self._cut(request)
+        if faults.late:
+            faults.late -= 1
+            asyncio.get_running_loop().call_later(faults.late_s, self.apply, body)
+            return self._cut(request)
+        status, answer = self.apply(body)
+        if faults.lose:
+            faults.lose -= 1
+            return self._cut(request)
+        return web.json_response(answer, status=status)
+
+    async def _read(self, request: web.Request) -> web.StreamResponse:
+        query = request.query
+        start, end = query.get("from", ""), query.get("to", "\U0010ffff")
+        rows = [
+            self._show(key)
+            for key in sorted(self.rows)
+            if key[0] == query["table"]
+            and key[1] == query.get("part", "")
+            and start <= key[2] < end
+        ]
+        version = self.version - self.faults.stale_by
+        rows = [row for row in rows if row["ver"] <= version]
+        return web.json_response({"rows": rows, "hasMore": False, "ver": version})
+
+    async def _feed(self, request: web.Request) -> web.StreamResponse:
+        after = int(request.query["after"])
+        until = asyncio.get_running_loop().time() + int(request.query["waitMs"]) / 1000
+        while True:
+            if after < self.history_start:
+                return web.json_response({}, status=410)
+            rows = [
+                self._show_change(version, key, value)
+                for version, key, value in self.history
+                if version > after and key[0] == request.query["table"]
+            ]
+            left_s = until - asyncio.get_running_loop().time()
+            if rows or left_s <= 0:
+                return web.json_response({"rows": rows, "ver": self.version})
+            changed = self._changed
+            try:
+                await asyncio.wait_for(changed.wait(), left_s)
+            except TimeoutError:
+                continue
+
+    def _show_change(
+        self, version: int, key: tuple[str, str, str], value: str | None
+    ) -> dict:
+        table, part, name = key
+        entry = {"table": table, "part": part, "key": name, "ver": version}
+        if value is None:
+            return {**entry, "deleted": True}
+        return {**entry, "value": value}
+
+    def _cut(self, request: web.Request) -> web.StreamResponse:
+        """Close the connection without an answer."""
+        if request.transport is not None:
+            request.transport.abort()
+        return web.Response(status=500)
+
+    async def _put_object(self, request: web.Request) -> web.StreamResponse:
+        name = request.match_info["name"]
+        if name in self.objects:
+            return web.json_response({}, status=412)
+        self.objects[name] = await request.read()
+        return web.json_response({})
+
+    async def _get_object(self, request: web.Request) -> web.StreamResponse:
+        content = self.objects.get(request.match_info["name"])
+        if content is None:
+            return web.json_response({}, status=404)
+        return web.Response(body=content)
+
+    async def _drop_object(self, request: web.Request) -> web.StreamResponse:
+        self.objects.pop(request.match_info["name"], None)
+        return web.json_response({})
