Test online serving against targets that misbehave and bound fruitless runs

Cause: the scenario of a target that reads a request and closes showed a third run: a request whose two replicas had both failed went back to the first. Header limits held only for heads that came in several reads.

--- a/src/endivevane/serving/exchange.py
+++ b/src/endivevane/serving/exchange.py
@@ -52,6 +52,7 @@
     :ivar ran_on: targets that may have run it
     :ivar gone: those of them that are known to have ended
     :ivar last_event_id: last event that the client has, or that it said it has
+    :ivar fruitless: runs in a row that brought no event
     :ivar causes: why attempts failed
     """
 
@@ -64,6 +65,7 @@
     gone: set[str] = dataclasses.field(default_factory=set)
     refused_by: set[str] = dataclasses.field(default_factory=set)
     sends: int = 0
+    fruitless: int = 0
     causes: list[str] = dataclasses.field(default_factory=list)
     first_event_s: float | None = None
     delivered: int = 0
@@ -188,6 +190,7 @@
                 progress.refused_by.add(target.target_id)
                 return None
             progress.sends += 1
+            progress.fruitless += 1
             return await self._call(known, request, progress, answer)
         except failures.TargetCallError as error:
             progress.causes.append(error.cause)
@@ -247,6 +250,7 @@
             if not answer.is_begun:
                 answer.begin(reply.reply)
             progress.delivered += len(events)
+            progress.fruitless = 0
             for event in events:
                 progress.last_event_id = event.event_id or progress.last_event_id
             await answer.write(b"".join(event.raw for event in events))
@@ -313,6 +317,7 @@
         head: model.TargetReply,
     ) -> None:
         progress.causes.append(f"not run, status {head.status}")
+        progress.fruitless -= 1
         progress.refused_by.add(known.target.target_id)
         if head.is_other_target:
             self._targets.record_replaced(known.target)
@@ -331,6 +336,7 @@
             if target.target_id in progress.ran_on:
                 # Nothing listens where the request ran a moment ago.
                 progress.gone.add(target.target_id)
+            progress.fruitless -= 1
             progress.refused_by.add(target.target_id)
         for target_id in progress.ran_on:
             if self._targets.find(target_id) is None:
@@ -344,6 +350,8 @@
             return True
         if not progress.route.is_idempotent:
             return False
+        if progress.fruitless >= progress.route.max_attempts:
+            return False
         allowed = progress.list_allowed()
         return allowed is None or bool(allowed)
 
--- a/src/endivevane/serving/ingress.py
+++ b/src/endivevane/serving/ingress.py
@@ -42,6 +42,12 @@
     task.cancel()
 
 
+def _measure_head(head: h11.Request) -> int:
+    """Return the bytes of a request's line and headers, about."""
+    headers = sum(len(name) + len(value) + 4 for name, value in head.headers)
+    return headers + len(head.method) + len(head.target)
+
+
 class _TooLarge(Exception):
     """A body is larger than allowed."""
 
@@ -87,6 +93,9 @@
             head = await self._next_event()
         if not isinstance(head, h11.Request):
             return False
+        if _measure_head(head) > self._limits.max_header_bytes:
+            self._reject(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+            return False
         body = await self._read_body()
         request = self._server.codec.decode_request(
             bytes(head.method),
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -36,6 +36,9 @@
     :ivar drop: read this many requests, run them and close without an answer
     :ivar silent: read requests, run them and say nothing
     :ivar extra: send a second answer behind each whole one
+    :ivar torn: send half of the event at which a stream is cut
+    :ivar pause_after: go silent behind this many events, -1 for never
+    :ivar pauses: how many streams go silent
     :ivar plain: answer with a length instead of a stream of events
     """
 
@@ -51,6 +54,8 @@
     extra: bool = False
     plain: bool = False
     torn: bool = False
+    pause_after: int = -1
+    pauses: int = 0
 
 
 class Replica:
@@ -100,7 +105,7 @@
         try:
             while await self._serve_one(reader, writer):
                 continue
-        except (OSError, asyncio.IncompleteReadError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             return
         finally:
             self._writers.discard(writer)
@@ -178,6 +183,9 @@
         )
         for number in range(run.last_event + 1, manner.events + 1):
             await asyncio.sleep(manner.gap_s)
+            if manner.pauses and number - run.last_event > manner.pause_after:
+                manner.pauses -= 1
+                await asyncio.sleep(3600)
             event = make_event(run.attempt, number)
             if manner.cuts and number - run.last_event > manner.cut_after:
                 manner.cuts -= 1
