--- /dev/null
+++ b/features/steps/serving_process_steps.py
@@ -0,0 +1,306 @@
+import concurrent.futures
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+from behave import given, then, when
+
+from features.support import serving_processes, serving_world
+from standins import replica
+
+_JOB = "job0001"
+
+
+@given("a store, {targets:d} targets and {daemons:d} daemons")
+def step_fleet(context, targets, daemons):
+    context.fleet = serving_processes.Fleet(targets, daemons)
+    context.cleanups.append(context.fleet.stop)
+
+
+@given("targets that take {gap_ms:d} ms for an event")
+def step_slow(context, gap_ms):
+    context.fleet.set_manner(gap_s=gap_ms / 1000)
+
+
+@given("targets that answer items with {status:d}")
+def step_status(context, status):
+    context.fleet.set_manner(status=status)
+
+
+def _daemon(context, which):
+    return context.fleet.daemons[0 if which == "first" else 1]
+
+
+@when("a client asks the {which} daemon for a stream")
+@then("a client asks the {which} daemon for a stream")
+def step_ask(context, which):
+    request = serving_world.make_request()
+    context.reply = context.fleet.ask(_daemon(context, which), request)
+
+
+@then("the client has all events and the end")
+def step_whole(context):
+    expected = b"".join(replica.make_event("abc", n) for n in range(1, 7))
+    assert context.reply.body == expected, context.reply
+    assert context.reply.is_whole
+
+
+@when("a job of {count:d} items is handed to the {which} daemon")
+def step_submit(context, count, which):
+    context.count = count
+    request = serving_processes.make_job(_JOB, count)
+    context.reply = context.fleet.ask(_daemon(context, which), request)
+
+
+@when(
+    "a job of {count:d} items with {wait_ms:d} ms to wait is handed to the "
+    "{which} daemon"
+)
+def step_submit_short(context, count, wait_ms, which):
+    context.count = count
+    request = serving_processes.make_job(_JOB, count, wait_ms)
+    context.reply = context.fleet.ask(_daemon(context, which), request)
+
+
+@when("the same job is handed to the {which} daemon")
+def step_submit_again(context, which):
+    step_submit(context, context.count, which)
+
+
+@then("it is accepted")
+def step_accepted(context):
+    assert context.reply.status == 202, context.reply
+
+
+@then("it is refused as not run")
+def step_refused(context):
+    assert context.reply.status == 503, context.reply
+    assert float(context.reply.headers["retry-after"]) > 0
+
+
+def _read(context, which, after=0):
+    path = f"/api/lots/{_JOB}?after={after}"
+    request = serving_processes.make_call("GET", path)
+    reply = context.fleet.ask(_daemon(context, which), request)
+    return json.loads(reply.body) if reply.status == 200 else None
+
+
+@then("the {which} daemon lists {count:d} {state} results within {limit_s:g} s")
+def step_results(context, which, count, state, limit_s):
+    until_s = time.monotonic() + limit_s
+    answer = None
+    while time.monotonic() < until_s:
+        answer = _read(context, which)
+        if answer is not None and len(answer["results"]) == count:
+            break
+        time.sleep(0.1)
+    assert answer is not None and len(answer["results"]) == count, answer
+    expected = "completed" if state == "completed" else "errored"
+    for result in answer["results"]:
+        assert result["state"] == expected, result
+        if expected == "completed":
+            lines = [f"{result['id']} piece {n}" for n in range(1, 7)]
+            assert result["text"] == "\n".join(lines), result
+    context.results = answer["results"]
+
+
+@then("each daemon lists the same results at the same positions")
+def step_same(context):
+    first, second = _read(context, "first"), _read(context, "second")
+    assert first["results"] == second["results"]
+    assert _read(context, "second", 4)["results"] == first["results"][4:]
+
+
+@then("the body of an item is the one that was handed in")
+def step_body(context):
+    path = f"/api/items/{_JOB}?id={_JOB}item3"
+    request = serving_processes.make_call("GET", path)
+    reply = context.fleet.ask(context.fleet.daemons[1], request)
+    assert (reply.status, reply.body) == (200, b"item 3"), reply
+
+
+@then("a second submission of the job is accepted and runs nothing more")
+def step_resubmit(context):
+    before = sum(len(item.runs) for item in context.fleet.replicas)
+    step_submit(context, context.count, "second")
+    assert context.reply.status == 202
+    time.sleep(1.0)
+    after = sum(len(item.runs) for item in context.fleet.replicas)
+    assert after == before, (before, after)
+
+
+@when("the {which} daemon is killed")
+def step_kill(context, which):
+    time.sleep(0.7)
+    assert any(item.runs for item in context.fleet.replicas)
+    _daemon(context, which).process.kill()
+
+
+@then("no item stands twice in the list")
+def step_once(context):
+    ids = [result["id"] for result in context.results]
+    assert len(set(ids)) == len(ids), ids
+
+
+@when("the {which} daemon is asked to end it")
+def step_end(context, which):
+    time.sleep(0.7)
+    request = serving_processes.make_call("DELETE", f"/api/lots/{_JOB}")
+    reply = context.fleet.ask(_daemon(context, which), request)
+    assert reply.status == 200, reply
+
+
+@then("within {limit_s:g} s no target works on an item")
+def step_stopped(context, limit_s):
+    until_s = time.monotonic() + limit_s
+    while time.monotonic() < until_s and _list_running(context):
+        time.sleep(0.05)
+    assert not _list_running(context)
+    count = sum(len(item.runs) for item in context.fleet.replicas)
+    assert count
+    time.sleep(1.0)
+    assert sum(len(item.runs) for item in context.fleet.replicas) == count
+
+
+def _list_running(context):
+    return [
+        run
+        for item in context.fleet.replicas
+        for run in item.runs
+        if run.ended == "running"
+    ]
+
+
+@then("it stays ended when it is ended again")
+def step_end_again(context):
+    step_end(context, "first")
+
+
+@then("each item has reached the targets {count:d} times")
+def step_runs(context, count):
+    runs = [run.attempt for item in context.fleet.replicas for run in item.runs]
+    for number in range(context.count):
+        assert runs.count(f"{_JOB}item{number}") == count, runs
+
+
+@when("the platform's store is down")
+def step_store_down(context):
+    context.fleet.store.faults.status = 503
+
+
+@when("the platform's store is back")
+def step_store_back(context):
+    context.fleet.store.faults.status = 0
+    # A feed that failed tries again within half a second.
+    time.sleep(1.0)
+
+
+@when("{seconds:g} s have gone by")
+def step_wait(context, seconds):
+    time.sleep(seconds)
+
+
+@when("the store turns the first daemon away")
+def step_turn_away(context):
+    # Nothing listens at the port that the daemon now has for the store.
+    daemon = context.fleet.daemons[0]
+    daemon.write_settings(serving_processes._free_ports(1)[0])
+    daemon.process.send_signal(signal.SIGHUP)
+    time.sleep(3.5)
+
+
+@when("the operator adds a route")
+def step_add_route(context):
+    configuration = context.fleet.configuration
+    added = {**configuration["routes"][0], "name": "new", "prefix": "/new/"}
+    configuration["routes"].append(added)
+    configuration["version"] += 5
+    context.fleet.call(context.fleet.store.write, "op", "config", configuration)
+    context.changed_s = time.monotonic()
+
+
+@then("the {which} daemon serves the route within {limit_ms:d} ms")
+def step_served(context, which, limit_ms):
+    request = serving_world.make_request("/new/1")
+    while True:
+        reply = context.fleet.ask(_daemon(context, which), request)
+        took_ms = (time.monotonic() - context.changed_s) * 1000
+        if reply.status == 200:
+            break
+        assert took_ms < limit_ms, reply
+        time.sleep(0.05)
+    assert took_ms < limit_ms + 500, took_ms
+
+
+@when("a client asks the first daemon for a stream and the daemon is asked to stop")
+def step_stop(context):
+    daemon = context.fleet.daemons[0]
+    request = serving_world.make_request()
+    with concurrent.futures.ThreadPoolExecutor() as executor:
+        asking = executor.submit(context.fleet.ask, daemon, request)
+        time.sleep(0.4)
+        context.stopped_s = time.monotonic()
+        serving_processes.send_signal(daemon)
+        time.sleep(0.2)
+        context.was_ready = daemon.is_ready()
+        context.reply = asking.result()
+
+
+@then("the daemon is not ready any more at once")
+def step_not_ready(context):
+    assert not context.was_ready
+
+
+@then("the daemon has ended with status 0 within {limit_s:g} s")
+def step_ended(context, limit_s):
+    left_s = context.stopped_s + limit_s - time.monotonic()
+    assert context.fleet.daemons[0].process.wait(left_s) == 0
+
+
+@when("the first daemon's settings file becomes invalid and it gets SIGHUP")
+def step_bad_settings(context):
+    daemon = context.fleet.daemons[0]
+    text = daemon.path.read_text().replace("[stopping]", "")
+    daemon.path.write_text(text + "[stopping]\ngrace_s = -1\n")
+    daemon.process.send_signal(signal.SIGHUP)
+    time.sleep(0.5)
+
+
+@then("its log names the file, the key and the reason")
+def step_bad_logged(context):
+    daemon = context.fleet.daemons[0]
+    log = daemon.log_path.read_text()
+    (line,) = [item for item in log.splitlines() if "settings_refused" in item]
+    for part in (str(daemon.path), "stopping.grace_s", "greater than 0"):
+        assert part in line, line
+
+
+@when("a settings file without a store is checked")
+def step_check(context):
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "settings.toml"
+        path.write_text('[vm]\nname = "a"\n')
+        context.run = subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "endivevane.entry.main",
+                "--config",
+                str(path),
+                "--check",
+            ],
+            capture_output=True,
+            text=True,
+            timeout=30,
+            check=False,
+        )
+
+
+@then('the check fails with status {status:d} and names "{key}"')
+def step_check_failed(context, status, key):
+    assert context.run.returncode == status, context.run
+    assert key in context.run.stderr, context.run
