--- a/features/serving_decisions.feature
+++ b/features/serving_decisions.feature
@@ -71,3 +71,27 @@
     Given a full target of 8 slots and 1 waiting requests
     When the waiting request is cancelled as its place is granted
     Then the target counts only the requests of the peers
+
+  # Pattern: pulses of online load with far more places than they need.
+  # Guards against batch that is cut by each pulse although it has room beside them.
+  Scenario: Batch stays beside the peak where all of it fits there
+    Given 4 targets of 8 slots
+    And an online peak of 4 requests on each of them in the last seconds
+    When 10 batch items want to run
+    Then 10 of them get a place, and at most 3 on one target
+
+  # Pattern: pulses that need every place.
+  # Guards against gaps of seconds that stay unused because a pulse came before.
+  Scenario: Batch uses the gaps between peaks where it does not fit beside them
+    Given 4 targets of 8 slots
+    And an online peak of 8 requests on each of them in the last seconds
+    When 30 batch items want to run
+    Then 24 of them get a place, and at most 6 on one target
+
+  # Pattern: 35 daemons in one region, 36 in another.
+  # Guards against reports whose traffic between regions grows with the daemons.
+  Scenario: A region's load reaches each daemon of the other one through one of them
+    When 6 daemons of two regions report for 2 s and one has 3 requests on a target
+    Then every daemon counts 3 requests on the target
+    And every daemon knows that the other 5 live
+    And at most 80 reports crossed between the regions
--- a/features/steps/serving_decisions_steps.py
+++ b/features/steps/serving_decisions_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from endivevane.serving import admission
+from endivevane.serving import admission, load_board, peers
 from features.support import serving_fakes
 
 
@@ -242,3 +242,105 @@
 @then("the target counts only the requests of the peers")
 def step_counted(context):
     assert context.fleet.board.total("t0").online == 3
+
+
+@given("an online peak of {count:d} requests on each of them in the last seconds")
+def step_peak(context, count):
+    now_s = time.monotonic()
+    context.fleet.report("peer", {name: (count, 0) for name in context.names})
+    context.fleet.choices.record_peaks(now_s - 2.0)
+    context.fleet.report("peer", {})
+    context.fleet.choices.record_peaks(now_s)
+
+
+@when("{count:d} batch items want to run")
+def step_want(context, count):
+    context.placed = collections.Counter()
+    for left in range(count, 0, -1):
+        context.fleet.board.own_waiting_items = left
+        target = context.fleet.choices.choose_batch("lm", time.monotonic())
+        if target is not None:
+            context.fleet.board.begin(target.target_id, is_batch=True)
+            context.placed[target.target_id] += 1
+
+
+@then("{count:d} of them get a place, and at most {most:d} on one target")
+def step_placed(context, count, most):
+    assert sum(context.placed.values()) == count, context.placed
+    assert max(context.placed.values()) <= most, context.placed
+
+
+class _Wire:
+    """Carries datagrams between daemons and counts those between regions."""
+
+    def __init__(self):
+        self.networks = {}
+        self.regions = {}
+        self.crossed = 0
+
+    def make_transport(self, host):
+        wire = self
+
+        class Transport:
+            def sendto(self, data, address):
+                target = address[0]
+                wire.crossed += wire.regions[host] != wire.regions[target]
+                loop = asyncio.get_running_loop()
+                network = wire.networks[target]
+                loop.call_later(0.001, network.datagram_received, data, (host, 1))
+
+            def is_closing(self):
+                return False
+
+        return Transport()
+
+
+@when(
+    "{count:d} daemons of two regions report for {seconds:g} s and one has "
+    "{load:d} requests on a target"
+)
+def step_report(context, count, seconds, load):
+    wire = context.wire = _Wire()
+    context.daemons = []
+
+    async def run():
+        for number in range(count):
+            host, region = f"10.0.0.{number}", f"r{number % 2}"
+            identity = peers.Identity(f"d{number}", region, "run", host, 1)
+            board = load_board.LoadBoard()
+            network = peers.PeerNetwork(identity, board, lambda: None)
+            network.connection_made(wire.make_transport(host))
+            wire.networks[host], wire.regions[host] = network, region
+            context.daemons.append((network, board))
+        for network, _ in context.daemons:
+            for number in range(count):
+                region = f"r{number % 2}"
+                peer = peers.Peer(f"d{number}", region, f"10.0.0.{number}", 1, "run")
+                network.add_member(peer)
+        for _ in range(load):
+            context.daemons[0][1].begin("t0", is_batch=False)
+        tasks = [asyncio.ensure_future(item.run()) for item, _ in context.daemons]
+        await asyncio.sleep(seconds)
+        context.alive = [len(item.list_alive()) for item, _ in context.daemons]
+        for task in tasks:
+            task.cancel()
+
+    asyncio.run(run())
+
+
+@then("every daemon counts {load:d} requests on the target")
+def step_counted_everywhere(context, load):
+    counts = [board.total("t0").online for _, board in context.daemons]
+    assert counts == [load] * len(counts), counts
+
+
+@then("every daemon knows that the other {count:d} live")
+def step_alive_everywhere(context, count):
+    assert context.alive == [count] * len(context.daemons), context.alive
+
+
+@then("at most {most:d} reports crossed between the regions")
+def step_crossed(context, most):
+    # Two regions, ten reports a second each at most, and a second one to an unheard
+    # region at the start.
+    assert context.wire.crossed <= most, context.wire.crossed
--- a/src/endivevane/serving/job_runner.py
+++ b/src/endivevane/serving/job_runner.py
@@ -189,11 +189,14 @@
         """Start items and make them give way until cancelled."""
         while True:
             if not self._owned:
+                self._parts.board.own_waiting_items = 0
                 self._wake.clear()
                 await self._wake.wait()
+            self._parts.choices.record_peaks(time.monotonic())
             self._give_way()
             if not self._is_stopping:
                 self._start_items()
+            self._count_waiting()
             # What the others see of the last changes is as old as their reports.
             await asyncio.sleep(max(_TICK_S, self._parts.load_age_s()))
 
@@ -240,6 +243,15 @@
                 self._start(owned, run, route, target)
                 starts += 1
 
+    def _count_waiting(self) -> None:
+        """Tell the others how many items could start."""
+        self._parts.board.own_waiting_items = sum(
+            1
+            for owned in self._owned.values()
+            for run in owned.runs.values()
+            if run.task is None
+        )
+
     def _list_resting(self, now_s: float) -> frozenset[str]:
         """Return the targets that items have left a moment ago."""
         for target_id, yielded_s in list(self._yielded_s.items()):
--- a/src/endivevane/serving/load_board.py
+++ b/src/endivevane/serving/load_board.py
@@ -32,21 +32,26 @@
     """What a peer says of its requests.
 
     :param loads: by target, those with at least one request
+    :param waiting_items: batch items that could start now
     """
 
     loads: abc.Mapping[str, Load]
     received_s: float
+    waiting_items: int = 0
 
 
 class LoadBoard:
     """Counts the requests of this daemon and of its peers, by target.
 
     :ivar version: changes with each change of this daemon's own counts
+    :ivar own_waiting_items: batch items of this daemon that could start now
     """
 
     def __init__(self) -> None:
         self.own: dict[str, Load] = collections.defaultdict(Load)
         self.version = 0
+        self.own_waiting_items = 0
+        self._peers_waiting_items = 0
         self._reports: dict[str, LoadReport] = {}
         self._peers: dict[str, Load] = {}
 
@@ -88,6 +93,17 @@
         for peer in silent:
             self._add(self._reports.pop(peer), -1)
 
+    @property
+    def waiting_items(self) -> int:
+        """Batch items of all daemons that could start now."""
+        return self.own_waiting_items + self._peers_waiting_items
+
+    def sum_waiting_items(self, peers: abc.Iterable[str]) -> int:
+        """Return the items of this daemon and of some peers that could start now."""
+        reports = (self._reports.get(peer) for peer in peers)
+        others = sum(report.waiting_items for report in reports if report is not None)
+        return self.own_waiting_items + others
+
     def total(self, target_id: str) -> Load:
         """Return the requests of all daemons on a target."""
         own = self.own.get(target_id)
@@ -115,6 +131,7 @@
 
     def _add(self, report: LoadReport, sign: int) -> None:
         """Add a report to the totals, or take it out again."""
+        self._peers_waiting_items += sign * report.waiting_items
         for target_id, load in report.loads.items():
             summed = self._peers.setdefault(target_id, Load())
             summed.online += sign * load.online
--- a/src/endivevane/serving/peer_messages.py
+++ b/src/endivevane/serving/peer_messages.py
@@ -15,6 +15,7 @@
     """The load that a daemon, or all daemons of a region, put on targets.
 
     :param sequence: number of the report among those of its sender
+    :param waiting_items: batch items that could start now
     :param living: names and incarnations of the region's daemons; empty in the report
         of a single daemon
     """
@@ -24,6 +25,7 @@
     incarnation: str
     sequence: int
     loads: abc.Mapping[str, load_board.Load]
+    waiting_items: int = 0
     living: tuple[tuple[str, str], ...] = ()
 
 
@@ -37,6 +39,7 @@
             report.incarnation,
             report.sequence,
             loads,
+            report.waiting_items,
             report.living,
         )
     )
@@ -48,7 +51,8 @@
     :raises ValueError: when the datagram holds none
     """
     try:
-        name, region, incarnation, sequence, loads, living = orjson.loads(data)
+        fields = orjson.loads(data)
+        name, region, incarnation, sequence, loads, waiting_items, living = fields
         return Report(
             name=str(name),
             region=str(region),
@@ -58,6 +62,7 @@
                 str(target): load_board.Load(int(online), int(batch))
                 for target, online, batch in loads
             },
+            waiting_items=int(waiting_items),
             living=tuple((str(peer), str(run)) for peer, run in living),
         )
     except (TypeError, ValueError) as error:
--- a/src/endivevane/serving/peers.py
+++ b/src/endivevane/serving/peers.py
@@ -1,8 +1,9 @@
 """Datagrams between daemons: signs of life and the load that each puts on targets.
 
 Daemons of a region report to each other. Between regions, one daemon of each region
-reports the sum of its region, with the names of the daemons that live there, so that
-the traffic between regions does not grow with the square of the daemons.
+reports the sum of its region, with the names of the daemons that live there, to one
+daemon of each other region, which passes it on. So the traffic between regions does
+not grow with the number of daemons.
 """
 
 from __future__ import annotations
@@ -25,8 +26,12 @@
 _INTERVAL_PER_PEER_S = 0.0025
 # A daemon whose load does not change reports this often.
 _QUIET_INTERVAL_S = 0.4
-# A region reports to the others at most this often.
+# A region reports to the others at most this often, and more seldom with many daemons
+# that the report is passed on to.
 _REGION_INTERVAL_S = 0.1
+_REGION_INTERVAL_PER_PEER_S = 0.005
+# Daemons of another region that take turns in getting the reports of this one.
+_ENTRY_PEERS = 2
 # Peers that have been silent for this long only get every eighth report.
 _LOST_S = 5.0
 _LOST_PERIOD = 8
@@ -38,6 +43,7 @@
 
     :param incarnation: names one run of its process
     :param heard_s: monotonic time of its last sign of life, 0 if there was none
+    :ivar known_s: monotonic time since which it is known
     """
 
     name: str
@@ -46,6 +52,11 @@
     port: int
     incarnation: str
     heard_s: float = 0.0
+    known_s: float = dataclasses.field(default_factory=time.monotonic)
+
+    def is_lost(self, now_s: float) -> bool:
+        """Whether it has been silent for so long that most reports are in vain."""
+        return now_s - max(self.heard_s, self.known_s) > _LOST_S
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,14 +121,18 @@
         if message.name == self._identity.name or not self._is_news(message):
             return
         now_s = time.monotonic()
-        report = load_board.LoadReport(message.loads, now_s)
-        self._note_life(message, addr[0], now_s)
+        report = load_board.LoadReport(message.loads, now_s, message.waiting_items)
+        is_direct = not message.living or self._is_from(message.name, addr[0])
+        if is_direct:
+            self._note_life(message, addr[0], now_s)
         if not message.living:
             if message.region == self._identity.region:
                 self._board.set_report(message.name, report)
         elif message.region != self._identity.region:
             self._board.set_report(_region_key(message.region), report)
             self._note_living(message.living, now_s)
+            if is_direct:
+                self._pass_on(data)
         self._on_report()
 
     def set_seeds(self, addresses: abc.Iterable[tuple[str, int]]) -> None:
@@ -202,6 +217,17 @@
             if peer is not None and peer.incarnation == incarnation:
                 peer.heard_s = now_s
 
+    def _is_from(self, name: str, host: str) -> bool:
+        """Whether a host is the one of a daemon, or the daemon is not known yet."""
+        peer = self.peers.get(name)
+        return peer is None or peer.host == host
+
+    def _pass_on(self, data: bytes) -> None:
+        """Send the report of another region to the daemons of this one."""
+        for peer in self.list_alive():
+            if peer.region == self._identity.region:
+                self._send(data, peer.host, peer.port)
+
     def _count_near(self) -> int:
         region = self._identity.region
         return sum(1 for peer in self.peers.values() if peer.region == region)
@@ -210,12 +236,13 @@
         """Send the own load to the daemons of the region."""
         self._sequence += 1
         own = {key: load for key, load in self._board.own.items() if load.total}
-        data = peer_messages.encode(self._make_report(own, ()))
+        waiting = self._board.own_waiting_items
+        data = peer_messages.encode(self._make_report(own, waiting, ()))
         is_lost_turn = self._sequence % _LOST_PERIOD == 0
         known = set()
         for peer in self.peers.values():
             known.add(peer.host)
-            is_lost = now_s - peer.heard_s > _LOST_S
+            is_lost = peer.is_lost(now_s)
             is_far = peer.region != self._identity.region
             if (is_far or is_lost) and not (is_lost and is_lost_turn):
                 continue
@@ -228,7 +255,8 @@
 
     def _report_region(self, now_s: float) -> None:
         """Send the load of the region to the others, if this daemon speaks for it."""
-        if now_s - self._region_sent_s < _REGION_INTERVAL_S:
+        interval_s = _REGION_INTERVAL_PER_PEER_S * len(self.peers)
+        if now_s - self._region_sent_s < max(_REGION_INTERVAL_S, interval_s):
             return
         self._region_sent_s = now_s
         region = self._identity.region
@@ -244,16 +272,31 @@
         living = [(peer.name, peer.incarnation) for peer in near]
         living.append((self._identity.name, self._identity.incarnation))
         loads = self._board.sum_with(members)
-        data = peer_messages.encode(self._make_report(loads, living))
-        is_lost_turn = self._sequence % _LOST_PERIOD == 0
-        for peer in far:
-            if now_s - peer.heard_s > _LOST_S and not is_lost_turn:
-                continue
+        waiting = self._board.sum_waiting_items(members)
+        data = peer_messages.encode(self._make_report(loads, waiting, living))
+        for peer in self._list_entries(far):
             self._send(data, peer.host, peer.port)
 
+    def _list_entries(self, far: abc.Iterable[Peer]) -> list[Peer]:
+        """Return the daemon of each other region whose turn it is to get a report."""
+        regions: dict[str, dict[str, float]] = {}
+        for peer in far:
+            # While nobody there has been heard, any daemon may be the one that lives.
+            weight = 1.0 if self.is_alive(peer.name) else 1e-6
+            regions.setdefault(peer.region, {})[peer.name] = weight
+        entries = []
+        for region, members in regions.items():
+            ranked = rendezvous.choose_subset(region, members, _ENTRY_PEERS)
+            entries.append(self.peers[ranked[self._sequence % len(ranked)]])
+            if not any(weight == 1.0 for weight in members.values()):
+                names = sorted(members)
+                entries.append(self.peers[names[self._sequence % len(names)]])
+        return entries
+
     def _make_report(
         self,
         loads: abc.Mapping[str, load_board.Load],
+        waiting_items: int,
         living: abc.Sequence[tuple[str, str]],
     ) -> peer_messages.Report:
         return peer_messages.Report(
@@ -262,6 +305,7 @@
             incarnation=self._identity.incarnation,
             sequence=self._sequence,
             loads=loads,
+            waiting_items=waiting_items,
             living=tuple(living),
         )
 
--- a/src/endivevane/serving/placement.py
+++ b/src/endivevane/serving/placement.py
@@ -7,18 +7,20 @@
 import random
 from collections import abc
 
-from endivevane.serving import directory, load_board, model
+from endivevane.serving import directory, load_board, load_peaks, model
 
 # Requests beyond its slots that a target may have waiting, so that a slot that
 # becomes free is taken before the daemons have heard of it.
 _QUEUE_AHEAD = 2
 # Slots of a target that batch leaves to online requests which are on their way.
 _BATCH_RESERVE = 2
+# Slots of a target that stay free of batch above the online peak of the last seconds.
+_PEAK_RESERVE = 1
 # Requests on a target above its slots less this make batch give way.
 _YIELD_RESERVE = 0
 # What distance adds to the share of slots in use, when targets are compared.
 _OTHER_ZONE_COST = 0.06
-_OTHER_REGION_COST = 0.2
+_OTHER_REGION_COST = 0.35
 # Spread of the choices of daemons that see the same loads, in shares of a target's
 # slots: a fixed part, and a part for each second of age of what they see.
 _SPREAD = 0.02
@@ -56,6 +58,20 @@
         self._targets = targets
         self._board = board
         self._generator = generator
+        self._peaks: dict[str, load_peaks.PeakWindow] = {}
+
+    def record_peaks(self, now_s: float) -> None:
+        """Take in the online load of each service, as a share of its slots."""
+        online: dict[str, int] = {}
+        slots: dict[str, int] = {}
+        for known in self._targets.list_all():
+            target = known.target
+            load = self._board.total(target.target_id)
+            online[target.service] = online.get(target.service, 0) + load.online
+            slots[target.service] = slots.get(target.service, 0) + target.slots
+        for service, count in online.items():
+            window = self._peaks.setdefault(service, load_peaks.PeakWindow())
+            window.record(now_s, count / slots[service])
 
     def choose_online(
         self,
@@ -94,19 +110,25 @@
         self, service: str, now_s: float, excluded: abc.Set[str] = frozenset()
     ) -> model.Target | None:
         """Return a target with room for a batch item, ``None`` if none has."""
+        usable = self._targets.list_usable(service)
+        peak_room = self._find_peak_room(service, usable)
         best: model.Target | None = None
         best_cost = float("inf")
-        for known in self._targets.list_usable(service):
+        for known in usable:
             target = known.target
             health = known.health
             if target.target_id in excluded or health.is_paused(now_s):
                 continue
             if health.is_full(now_s) or health.is_silent(now_s):
                 continue
-            total = self._board.total(target.target_id).total
-            if total + 1 > self._batch_slots(target):
+            load = self._board.total(target.target_id)
+            if load.total + 1 > self._batch_slots(target):
                 continue
-            cost = self._cost(target, total)
+            if peak_room is not None and load.batch + 1 > (
+                int(peak_room * target.slots) - _PEAK_RESERVE
+            ):
+                continue
+            cost = self._cost(target, load.total)
             if cost < best_cost:
                 best, best_cost = target, cost
         return best
@@ -139,6 +161,28 @@
         """Return the slots of all targets of a service."""
         return sum(known.target.slots for known in self._targets.list_usable(service))
 
+    def _find_peak_room(
+        self, service: str, usable: abc.Sequence[directory.KnownTarget]
+    ) -> float | None:
+        """Return the share of slots that online leaves free even at its peak.
+
+        :returns: ``None`` when the batch items at hand do not fit into it, so that the
+            gaps between peaks have to be used too
+        """
+        window = self._peaks.get(service)
+        if window is None:
+            return None
+        room = max(0.0, 1.0 - window.peak())
+        places = 0
+        running = 0
+        for known in usable:
+            target = known.target
+            places += max(0, int(room * target.slots) - _PEAK_RESERVE)
+            running += self._board.total(target.target_id).batch
+        if running + self._board.waiting_items > places:
+            return None
+        return room
+
     def _batch_slots(self, target: model.Target) -> int:
         return max(1, target.slots - _BATCH_RESERVE)
 
