Ignore a second adoption of a job

Ruled out: a second owner (both runs came from one daemon) and a commit that was applied late (its condition names the row's version). Change: adopt() ignores a job that is run already.

--- a/features/serving_state.feature
+++ b/features/serving_state.feature
@@ -75,3 +75,9 @@
     # Guards against a refusal that promises too much.
     When the store loses every answer while a job is accepted
     Then the outcome is said to be unknown
+
+  # Guards against items that run twice and are listed twice because the feed brought a
+  # job before its acceptance was answered (hunt finding, TWICE on filbert-line).
+  Scenario: A job that is adopted twice runs each item once
+    When a daemon adopts a job of 4 items, and again after 100 ms
+    Then each of the 4 items was sent to a target once
--- a/features/steps/serving_state_steps.py
+++ b/features/steps/serving_state_steps.py
@@ -1,5 +1,6 @@
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import random
 import secrets
@@ -8,14 +9,17 @@
 from behave import given, then, when
 
 from endivevane import exceptions
-from endivevane.platform import records
+from endivevane.platform import headers, records
 from endivevane.serving import (
     failures,
     follower,
     job_book,
     job_changes,
+    job_reader,
+    job_runner,
     jobs,
     model,
+    routing_table,
     store,
 )
 from features.support import serving_fakes
@@ -407,3 +411,59 @@
 @then("the outcome is said to be unknown")
 def step_unknown(context):
     assert isinstance(context.error, failures.JobUncertain), context.error
+
+
+class _EndlessCaller:
+    """Counts calls and never answers."""
+
+    def __init__(self):
+        self.attempts = collections.Counter()
+
+    @contextlib.asynccontextmanager
+    async def call(self, known, call, is_idempotent):
+        self.attempts[call.attempt_id] += 1
+        await asyncio.sleep(3600)
+        yield None
+
+
+@when("a daemon adopts a job of {count:d} items, and again after 100 ms")
+def step_adopt_twice(context, count):
+    async def run():
+        daemon = _Daemon(serving_fakes.FakeStore(), "a")
+        fleet = serving_fakes.Fleet(["t0", "t1"])
+        context.caller = _EndlessCaller()
+        configuration = model.Configuration(1, (_route(),), {}, model.ClientLimits())
+        table = routing_table.RoutingTable(configuration)
+        runner = job_runner.JobRunner(
+            job_runner.RunnerParts(
+                targets=fleet.directory,
+                board=fleet.board,
+                choices=fleet.choices,
+                caller=context.caller,
+                changes=daemon.changes,
+                reader=job_reader.JobReader(daemon.book, daemon.changes),
+                routes=lambda: table,
+                encode_headers=headers.HeaderCodec().encode_item_headers,
+                generator=random.Random(1),
+                owner=daemon.owner,
+                load_age_s=lambda: 0.01,
+            )
+        )
+        task = asyncio.ensure_future(runner.run())
+        submission = _submission("job", items=count)
+        entry = await daemon.changes.accept(submission)
+        runner.adopt(entry, submission.items)
+        await asyncio.sleep(0.1)
+        runner.adopt(entry, submission.items)
+        await asyncio.sleep(0.4)
+        task.cancel()
+        daemon.feed.cancel()
+
+    asyncio.run(run())
+
+
+@then("each of the {count:d} items was sent to a target once")
+def step_sent_once(context, count):
+    attempts = context.caller.attempts
+    assert len(attempts) == count, attempts
+    assert set(attempts.values()) == {1}, attempts
--- a/src/endivevane/serving/job_runner.py
+++ b/src/endivevane/serving/job_runner.py
@@ -160,10 +160,12 @@
         items: abc.Iterable[jobs.Item],
         done: abc.Set[str] = frozenset(),
     ) -> None:
-        """Run the items of a job that this daemon owns.
+        """Run the items of a job that this daemon owns, unless it does so already.
 
         :param done: ids of the items that have results
         """
+        if entry.job.job_id in self._owned:
+            return
         runs = {
             item.item_id: ItemRun(item) for item in items if item.item_id not in done
         }
