Ask requests that would be late to return, and keep places for items about to miss their due time

Change: a request counts as late when its objective passes before its first event is expected; what would be late and has its client's whole time is refused at once with the time at which there is room, what has returned waits as long as its client; one request beyond the slots of a target instead of two; items learn their pace, and those that would miss their due time keep two places of a target; late items go last.

--- a/features/serving_decisions.feature
+++ b/features/serving_decisions.feature
@@ -95,3 +95,44 @@
     Then every daemon counts 3 requests on the target
     And every daemon knows that the other 5 live
     And at most 80 reports crossed between the regions
+
+  # Pattern: half of the targets gone in a pulse.
+  # Guards against requests held until their client gives up, where a return in the next
+  # gap would be served on time.
+  Scenario Outline: What would be late is asked to return, and what has returned waits
+    Given a full target of 8 slots and 12 waiting requests
+    When a <which> request with an objective of 300 ms asks for a place
+    Then it is <outcome>
+
+    Examples:
+      | which    | outcome                            |
+      | first    | asked to return in 0.1 s to 2.5 s  |
+      | returned | kept waiting                       |
+
+  # Guards against advice that counts requests which go behind the one that asks.
+  Scenario: Late requests do not make a timely one return
+    Given a full target of 8 slots and 12 waiting requests that are late
+    When a first request with an objective of 300 ms asks for a place
+    Then it is kept waiting
+
+  # Pattern: a flood of online requests over a whole job's time.
+  # Guards against batch items that all miss their due time while online is served late.
+  Scenario: Items that would miss their due time keep two places of a full target
+    Given 1 targets of 8 slots
+    And peers run 8, 0 and 0 online requests on them
+    Then an urgent batch item goes to the first target, and another one not
+
+  Scenario Outline: How urgent an item is
+    # Guards against items that push online requests aside although they have time, and
+    # against places for items that are late anyway.
+    Given items of 200 events that take 25 ms each
+    Then an item with <events> events so far and <left> s left is <urgency>
+
+    Examples:
+      | events | left | urgency |
+      | 0      | 18   | NORMAL  |
+      | 0      | 8    | URGENT  |
+      | 150    | 8    | NORMAL  |
+      | 0      | 4    | LATE    |
+      | 150    | 4    | URGENT  |
+      | 0      | -1   | LATE    |
--- a/features/steps/serving_decisions_steps.py
+++ b/features/steps/serving_decisions_steps.py
@@ -1,11 +1,12 @@
 import asyncio
 import collections
+import dataclasses
 import random
 import time
 
 from behave import given, then, when
 
-from endivevane.serving import admission, load_board, peers
+from endivevane.serving import admission, item_pace, load_board, peers
 from features.support import serving_fakes
 
 
@@ -172,8 +173,9 @@
             for name, wish in context.wishes.items()
         ]
         await asyncio.sleep(0)
-        for free in (9, 8, 7):
-            # The place given last is counted here already.
+        for free in (8, 7, 6):
+            # A target takes one request more than its slots; those placed before are
+            # counted here already.
             context.fleet.report("peer", {"t0": (free, 0)})
             context.places.pump()
             await asyncio.sleep(0)
@@ -344,3 +346,70 @@
     # Two regions, ten reports a second each at most, and a second one to an unheard
     # region at the start.
     assert context.wire.crossed <= most, context.wire.crossed
+
+
+@given("a full target of 8 slots and {count:d} waiting requests that are late")
+def step_late_queue(context, count):
+    _fill(context, 10)
+    context.count = count
+    context.waiting_objective_s = -1.0
+
+
+@when("a {which} request with an objective of {objective_ms:d} ms asks for a place")
+def step_overload(context, which, objective_ms):
+    waiting_s = getattr(context, "waiting_objective_s", 30)
+
+    async def run():
+        waiting = [
+            asyncio.ensure_future(context.places.acquire(_wish(0, waiting_s, 60)))
+            for _ in range(context.count)
+        ]
+        await asyncio.sleep(0)
+        wish = _wish(0, objective_ms / 1000)
+        wish = dataclasses.replace(wish, may_return=which == "first")
+        asked = asyncio.ensure_future(context.places.acquire(wish))
+        done, _ = await asyncio.wait((asked,), timeout=0.05)
+        context.is_refused = bool(done) and asked.result() is None
+        context.advice_s = context.places.retry_after_s("lm")
+        for task in (*waiting, asked):
+            task.cancel()
+        await asyncio.wait((*waiting, asked))
+
+    asyncio.run(run())
+
+
+@then("it is kept waiting")
+def step_kept(context):
+    assert not context.is_refused
+
+
+@then("it is asked to return in {low_s:g} s to {high_s:g} s")
+def step_asked_to_return(context, low_s, high_s):
+    assert context.is_refused
+    assert low_s <= context.advice_s <= high_s, context.advice_s
+
+
+@then("an urgent batch item goes to the first target, and another one not")
+def step_urgent(context):
+    placed = []
+    for _ in range(2):
+        target = context.fleet.choices.choose_batch(
+            "lm", time.monotonic(), is_urgent=True
+        )
+        placed.append(target is not None)
+        if target is not None:
+            context.fleet.board.begin(target.target_id, is_batch=True)
+    assert placed == [True, False], placed
+
+
+@given("items of {events:d} events that take {event_ms:d} ms each")
+def step_pace(context, events, event_ms):
+    context.pace = item_pace.ItemPace()
+    for _ in range(60):
+        context.pace.record_run(events, events * event_ms / 1000)
+    context.pace.record_whole(events)
+
+
+@then("an item with {events:d} events so far and {left_s:g} s left is {urgency}")
+def step_urgency(context, events, left_s, urgency):
+    assert context.pace.rate(events, left_s).name == urgency
--- a/src/endivevane/platform/records.py
+++ b/src/endivevane/platform/records.py
@@ -12,6 +12,11 @@
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
 TARGETS_TABLE = "servers"
+# Clients give up a stream after a silence of this time, of this many objectives or of
+# this many of the longest pauses between events, whichever is longest.
+_LEAST_PATIENCE_MS = 2000.0
+_PATIENCE_OBJECTIVES = 4.0
+_PATIENCE_GAPS = 8.0
 
 
 class _Record(pydantic.BaseModel):
@@ -135,10 +140,23 @@
         event_gap_s=record.gapTargetMs / 1000.0,
         completion_s=record.completionTargetMs / 1000.0,
         retention_s=record.retentionS,
+        patience_s=_find_patience_s(record, kind),
         token_quota=record.cap,
     )
 
 
+def _find_patience_s(record: _RouteRecord, kind: model.RouteKind) -> float:
+    """Return the silence after which the platform's clients give up a stream."""
+    if kind is not model.RouteKind.STREAMING:
+        return float("inf")
+    limits_ms = (
+        _LEAST_PATIENCE_MS,
+        _PATIENCE_OBJECTIVES * record.goalMs,
+        _PATIENCE_GAPS * record.gapTargetMs,
+    )
+    return max(limits_ms) / 1000.0
+
+
 def decode_target(target_id: str, content: bytes) -> model.Target:
     """Return a target from its registration.
 
--- a/src/endivevane/serving/admission.py
+++ b/src/endivevane/serving/admission.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
 import itertools
 import random
@@ -17,6 +18,11 @@
 # Mean time that a request holds a place, until this daemon has seen some end.
 _FIRST_HOLD_S = 0.8
 _HOLD_WEIGHT = 0.05
+# Mean time from a place to the first event, until this daemon has seen some.
+_FIRST_START_S = 0.1
+_START_WEIGHT = 0.1
+# A request that needs this many times the usual time to its first event is late.
+_START_MARGIN = 1.3
 _SHORTEST_RETRY_S = 0.1
 _LONGEST_RETRY_S = 1.5
 _tickets = itertools.count()
@@ -28,6 +34,7 @@
 
     :param objective_s: monotonic time until which the answer is on time
     :param deadline_s: monotonic time after which the answer is of no use
+    :param may_return: whether the client comes again after a refusal
     :param excluded: targets that it must not go to
     :param only: targets that it may go to, ``None`` for any
     """
@@ -36,6 +43,7 @@
     priority: int
     objective_s: float
     deadline_s: float
+    may_return: bool = False
     excluded: frozenset[str] = frozenset()
     only: frozenset[str] | None = None
 
@@ -46,9 +54,12 @@
     number: int
     granted: asyncio.Future[model.Target | None]
 
-    def order(self, now_s: float) -> tuple[bool, int, float, int]:
-        """Return the place in the queue: what can be on time, the urgent, the old."""
-        is_late = now_s > self.wish.objective_s
+    def order(self, now_s: float, start_s: float) -> tuple[bool, int, float, int]:
+        """Return the place in the queue: what can be on time, the urgent, the old.
+
+        :param start_s: time from a place to the first event
+        """
+        is_late = now_s + start_s > self.wish.objective_s
         return (is_late, self.wish.priority, self.wish.objective_s, self.number)
 
 
@@ -66,6 +77,7 @@
         self._generator = generator
         self._waiters: list[_Waiter] = []
         self._hold_s: dict[str, float] = {}
+        self._start_s: dict[str, float] = {}
         self._timer: asyncio.TimerHandle | None = None
 
     @property
@@ -89,12 +101,13 @@
                 return target
         if not self._choices.has_targets(wish.service, now_s):
             return None
-        if now_s + self.estimate_wait_s(wish.service) > wish.deadline_s:
+        if self._should_refuse(wish, now_s):
             return None
         future: asyncio.Future[model.Target | None]
         future = asyncio.get_running_loop().create_future()
         waiter = _Waiter(wish, next(_tickets), future)
         self._waiters.append(waiter)
+        self._count_waiting(now_s)
         self._arm()
         try:
             return await future
@@ -105,6 +118,7 @@
         finally:
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
+                self._count_waiting(time.monotonic())
 
     def pump(self) -> None:
         """Give free places to those who wait, and give up on the hopeless."""
@@ -112,7 +126,11 @@
             return
         now_s = time.monotonic()
         full: set[str] = set()
-        for waiter in sorted(self._waiters, key=lambda item: item.order(now_s)):
+        ordered = sorted(
+            self._waiters,
+            key=lambda item: item.order(now_s, self._find_start_s(item.wish.service)),
+        )
+        for waiter in ordered:
             if waiter.granted.done():
                 continue
             wish = waiter.wish
@@ -129,18 +147,24 @@
             self._board.begin(target.target_id, is_batch=False)
             waiter.granted.set_result(target)
         self._waiters = [item for item in self._waiters if not item.granted.done()]
+        self._count_waiting(now_s)
 
     def record_hold(self, service: str, hold_s: float) -> None:
         """Note how long a request held its place."""
         mean_s = self._hold_s.get(service, _FIRST_HOLD_S)
         self._hold_s[service] = mean_s + _HOLD_WEIGHT * (hold_s - mean_s)
 
+    def record_start(self, service: str, start_s: float) -> None:
+        """Note the time from a place to the first event."""
+        mean_s = self._start_s.get(service, _FIRST_START_S)
+        self._start_s[service] = mean_s + _START_WEIGHT * (start_s - mean_s)
+
     def estimate_wait_s(self, service: str) -> float:
-        """Return how long one more request would wait for a place."""
+        """Return how long one more request that can be on time waits for a place."""
         slots = self._choices.count_slots(service)
         if not slots:
             return _LONGEST_RETRY_S
-        ahead = sum(1 for item in self._waiters if item.wish.service == service)
+        ahead = self._board.count_waiting_requests(service)
         return (ahead + 1) * self._hold_s.get(service, _FIRST_HOLD_S) / slots
 
     def retry_after_s(self, service: str) -> float:
@@ -149,16 +173,42 @@
         wait_s = min(_LONGEST_RETRY_S, max(_SHORTEST_RETRY_S, wait_s))
         return wait_s * (0.75 + 0.5 * self._generator.random())
 
+    def _count_waiting(self, now_s: float) -> None:
+        """Tell the others of the requests that wait here and can be on time."""
+        self._board.set_waiting_requests(
+            collections.Counter(
+                item.wish.service
+                for item in self._waiters
+                if not item.order(now_s, self._find_start_s(item.wish.service))[0]
+            )
+        )
+
     def _has_rivals(self, wish: Wish, now_s: float) -> bool:
         """Whether others of the service wait that go before this request."""
-        mine = (now_s > wish.objective_s, wish.priority)
+        start_s = self._find_start_s(wish.service)
+        mine = (now_s + start_s > wish.objective_s, wish.priority)
         for waiter in self._waiters:
             if waiter.wish.service != wish.service or waiter.wish.excluded:
                 continue
-            if waiter.order(now_s)[:2] <= mine:
+            if waiter.order(now_s, start_s)[:2] <= mine:
                 return True
         return False
 
+    def _should_refuse(self, wish: Wish, now_s: float) -> bool:
+        """Whether a request is better off elsewhere in time than in the queue.
+
+        What would be late and comes again is asked to return when there is room; what
+        can't be served at all is told so at once.
+        """
+        served_s = now_s + self.estimate_wait_s(wish.service)
+        if served_s + _SHORTEST_RUN_S > wish.deadline_s:
+            return True
+        start_s = self._find_start_s(wish.service)
+        return wish.may_return and served_s + start_s > wish.objective_s
+
+    def _find_start_s(self, service: str) -> float:
+        return _START_MARGIN * self._start_s.get(service, _FIRST_START_S)
+
     def _choose(self, wish: Wish, now_s: float) -> model.Target | None:
         return self._choices.choose_online(
             wish.service, now_s, wish.excluded, wish.only
--- a/src/endivevane/serving/exchange.py
+++ b/src/endivevane/serving/exchange.py
@@ -27,6 +27,8 @@
 _DEFAULT_LIMIT_S = 30.0
 # The answer to a request out of time leaves this long before the route's timeout.
 _TIMEOUT_LEAD_S = 0.0
+# A client with at least this share of the route's time left has not tried before.
+_FIRST_TRY_SHARE = 0.95
 # Attempts that did not run a request are bounded too, against endless refusals.
 _MAX_SENDS = 12
 # Statuses that promise that a request has not run.
@@ -49,6 +51,8 @@
 class Progress:
     """What has happened to a request so far.
 
+    :ivar patience_until_s: monotonic time at which the client gives up for silence
+    :ivar may_return: whether the client comes again after a refusal
     :ivar ran_on: targets that may have run it
     :ivar gone: those of them that are known to have ended
     :ivar last_event_id: last event that the client has, or that it said it has
@@ -61,6 +65,8 @@
     objective_s: float
     deadline_s: float
     last_event_id: bytes
+    patience_until_s: float
+    may_return: bool
     ran_on: set[str] = dataclasses.field(default_factory=set)
     gone: set[str] = dataclasses.field(default_factory=set)
     refused_by: set[str] = dataclasses.field(default_factory=set)
@@ -68,6 +74,7 @@
     fruitless: int = 0
     causes: list[str] = dataclasses.field(default_factory=list)
     first_event_s: float | None = None
+    placed_s: float = 0.0
     delivered: int = 0
 
     @property
@@ -133,6 +140,8 @@
             objective_s=request.received_s + route.objective_s,
             deadline_s=deadline_s,
             last_event_id=request.last_event_id,
+            patience_until_s=request.received_s + route.patience_s,
+            may_return=_is_first_try(request, route),
         )
 
     async def _run(
@@ -169,7 +178,8 @@
             service=progress.service,
             priority=progress.route.priority,
             objective_s=progress.objective_s,
-            deadline_s=progress.deadline_s,
+            deadline_s=min(progress.deadline_s, progress.patience_until_s),
+            may_return=progress.may_return and not progress.sends,
             excluded=frozenset(excluded),
             only=only,
         )
@@ -183,6 +193,7 @@
     ) -> Outcome | None:
         """Send the request to a target; ``None`` when another attempt may follow."""
         started_s = time.monotonic()
+        progress.placed_s = started_s
         try:
             known = self._targets.find(target.target_id)
             if known is None or known.target.is_leaving:
@@ -245,8 +256,11 @@
             events = splitter.feed(data)
             if not events:
                 continue
+            now_s = time.monotonic()
+            progress.patience_until_s = now_s + progress.route.patience_s
             if progress.first_event_s is None:
-                progress.first_event_s = time.monotonic()
+                progress.first_event_s = now_s
+                self._places.record_start(progress.service, now_s - progress.placed_s)
             if not answer.is_begun:
                 answer.begin(reply.reply)
             progress.delivered += len(events)
@@ -413,6 +427,17 @@
         )
 
 
+def _is_first_try(request: model.ClientRequest, route: model.Route) -> bool:
+    """Whether a client has most of its time left, so that it can come again.
+
+    Clients have the same time for all their tries; one that came back has less.
+    """
+    if request.deadline_s is None or request.last_event_id:
+        return False
+    left_s = request.deadline_s - request.received_s
+    return left_s >= _FIRST_TRY_SHARE * (route.timeout_s or _DEFAULT_LIMIT_S)
+
+
 def _loop_time(monotonic_s: float) -> float:
     """Return the event loop's time for a monotonic time."""
     loop = asyncio.get_running_loop()
--- a/src/endivevane/serving/job_runner.py
+++ b/src/endivevane/serving/job_runner.py
@@ -15,6 +15,7 @@
     directory,
     event_stream,
     failures,
+    item_pace,
     job_book,
     job_changes,
     job_reader,
@@ -108,13 +109,12 @@
     committing: asyncio.Task[None] | None = None
 
     def list_ready(self, now_s: float) -> list[ItemRun]:
-        """Return the items that may start, those that have begun first."""
+        """Return the items that may start."""
         ready = [
             run
             for run in self.runs.values()
             if run.task is None and run.not_before_s <= now_s
         ]
-        ready.sort(key=lambda run: run.last_event, reverse=True)
         return ready
 
 
@@ -146,6 +146,7 @@
         self._owned: dict[str, OwnedJob] = {}
         self._wake = asyncio.Event()
         self._is_stopping = False
+        self._pace = item_pace.ItemPace()
         # Target -> monotonic time at which items last left it for online requests.
         self._yielded_s: dict[str, float] = {}
 
@@ -226,24 +227,46 @@
         starts = 0
         full: set[str] = set()
         resting = self._list_resting(now_s)
-        ordered = sorted(self._owned.values(), key=lambda item: item.entry.job.due_ms)
-        for owned in ordered:
-            job = owned.entry.job
+        for urgency, owned, run in self._list_ready(now_s):
+            if starts >= _STARTS_AT_ONCE:
+                return
+            route = table.find(owned.entry.job.host, run.item.path)
+            if route is None:
+                continue
+            service = routing_table.choose_service(route, self._parts.generator)
+            is_urgent = urgency is item_pace.Urgency.URGENT
+            if service in full and not is_urgent:
+                continue
+            target = self._parts.choices.choose_batch(
+                service, now_s, resting, is_urgent
+            )
+            if target is None:
+                full.add(service)
+                continue
+            self._start(owned, run, route, target)
+            starts += 1
+
+    def _list_ready(
+        self, now_s: float
+    ) -> list[tuple[item_pace.Urgency, OwnedJob, ItemRun]]:
+        """Return the items that may start, in the order in which they should."""
+        ready = []
+        for owned in self._owned.values():
             for run in owned.list_ready(now_s):
-                if starts >= _STARTS_AT_ONCE:
-                    return
-                route = table.find(job.host, run.item.path)
-                if route is None:
-                    continue
-                service = routing_table.choose_service(route, self._parts.generator)
-                if service in full:
-                    continue
-                target = self._parts.choices.choose_batch(service, now_s, resting)
-                if target is None:
-                    full.add(service)
-                    continue
-                self._start(owned, run, route, target)
-                starts += 1
+                ready.append((self._rate(owned, run), owned, run))
+        # Items that have begun go before others of the same due time.
+        ready.sort(
+            key=lambda entry: (
+                entry[0],
+                entry[1].entry.job.due_ms,
+                -entry[2].last_event,
+            )
+        )
+        return ready
+
+    def _rate(self, owned: OwnedJob, run: ItemRun) -> item_pace.Urgency:
+        left_s = owned.entry.job.due_ms / 1000.0 - time.time()
+        return self._pace.rate(run.last_event, left_s)
 
     def _count_waiting(self) -> None:
         """Tell the others how many items could start."""
@@ -276,11 +299,12 @@
     def _give_way(self) -> None:
         """Cancel items on targets that online requests fill."""
         now_s = time.monotonic()
-        by_target: dict[str, list[ItemRun]] = {}
+        by_target: dict[str, list[tuple[item_pace.Urgency, ItemRun]]] = {}
         for owned in self._owned.values():
             for run in owned.runs.values():
                 if run.task is not None:
-                    by_target.setdefault(run.target_id, []).append(run)
+                    entry = (self._rate(owned, run), run)
+                    by_target.setdefault(run.target_id, []).append(entry)
         for target_id, runs in by_target.items():
             known = self._parts.targets.find(target_id)
             if known is None:
@@ -289,11 +313,16 @@
             if surplus <= 0:
                 continue
             self._yielded_s[target_id] = now_s
-            # The item that started last loses the least of its place.
-            runs.sort(key=lambda run: run.started_s, reverse=True)
-            for run in runs[:surplus]:
+            # Late items first; among others, those that started last lose least.
+            runs.sort(key=lambda entry: (entry[0], entry[1].started_s), reverse=True)
+            batch = self._parts.board.total(target_id).batch
+            for urgency, run in runs[:surplus]:
+                is_urgent = urgency is item_pace.Urgency.URGENT
+                if is_urgent and batch <= placement.URGENT_PLACES:
+                    break
                 if run.task is not None:
                     run.task.cancel()
+                    batch -= 1
 
     async def _run_item(
         self,
@@ -318,6 +347,8 @@
                 events=run.last_event,
             )
         finally:
+            run_s = time.monotonic() - run.started_s
+            self._pace.record_run(run.last_event - started_at, run_s)
             run.task = None
             run.target_id = ""
             self._parts.board.end(target.target_id, is_batch=True)
@@ -387,6 +418,7 @@
         if run.item.item_id not in owned.runs:
             return
         if end is _End.WHOLE:
+            self._pace.record_whole(run.last_event)
             text = b"\n".join(run.pieces).decode("utf-8", errors="surrogateescape")
             self._finish(owned, run, is_completed=True, text=text)
             return
--- a/src/endivevane/serving/load_board.py
+++ b/src/endivevane/serving/load_board.py
@@ -33,11 +33,14 @@
 
     :param loads: by target, those with at least one request
     :param waiting_items: batch items that could start now
+    :param waiting_requests: online requests that wait for a place and can be on time,
+        by service
     """
 
     loads: abc.Mapping[str, Load]
     received_s: float
     waiting_items: int = 0
+    waiting_requests: abc.Mapping[str, int] = dataclasses.field(default_factory=dict)
 
 
 class LoadBoard:
@@ -45,13 +48,16 @@
 
     :ivar version: changes with each change of this daemon's own counts
     :ivar own_waiting_items: batch items of this daemon that could start now
+    :ivar own_waiting_requests: the same of the online requests that wait here
     """
 
     def __init__(self) -> None:
         self.own: dict[str, Load] = collections.defaultdict(Load)
         self.version = 0
         self.own_waiting_items = 0
+        self.own_waiting_requests: collections.Counter[str] = collections.Counter()
         self._peers_waiting_items = 0
+        self._peers_waiting_requests: collections.Counter[str] = collections.Counter()
         self._reports: dict[str, LoadReport] = {}
         self._peers: dict[str, Load] = {}
 
@@ -98,6 +104,26 @@
         """Batch items of all daemons that could start now."""
         return self.own_waiting_items + self._peers_waiting_items
 
+    def count_waiting_requests(self, service: str) -> int:
+        """Return the online requests of all daemons that wait for a service."""
+        own = self.own_waiting_requests[service]
+        return own + max(0, self._peers_waiting_requests[service])
+
+    def sum_waiting_requests(self, peers: abc.Iterable[str]) -> dict[str, int]:
+        """Return the waiting requests of this daemon and of some peers."""
+        summed = collections.Counter(self.own_waiting_requests)
+        for peer in peers:
+            report = self._reports.get(peer)
+            if report is not None:
+                summed.update(report.waiting_requests)
+        return {service: count for service, count in summed.items() if count}
+
+    def set_waiting_requests(self, counts: collections.Counter[str]) -> None:
+        """Replace the counts of requests that wait here."""
+        if counts != self.own_waiting_requests:
+            self.own_waiting_requests = counts
+            self.version += 1
+
     def sum_waiting_items(self, peers: abc.Iterable[str]) -> int:
         """Return the items of this daemon and of some peers that could start now."""
         reports = (self._reports.get(peer) for peer in peers)
@@ -132,6 +158,8 @@
     def _add(self, report: LoadReport, sign: int) -> None:
         """Add a report to the totals, or take it out again."""
         self._peers_waiting_items += sign * report.waiting_items
+        for service, count in report.waiting_requests.items():
+            self._peers_waiting_requests[service] += sign * count
         for target_id, load in report.loads.items():
             summed = self._peers.setdefault(target_id, Load())
             summed.online += sign * load.online
--- a/src/endivevane/serving/model.py
+++ b/src/endivevane/serving/model.py
@@ -41,6 +41,7 @@
     :param event_gap_s: longest pause between events of an answer that is on time
     :param completion_s: time after submission at which a batch job is due
     :param retention_s: time after submission at which an item may be given up
+    :param patience_s: silence after which clients give up a stream
     :param token_quota: tokens of a batch route that may wait, 0 for no limit
     """
 
@@ -57,6 +58,7 @@
     event_gap_s: float = 0.0
     completion_s: float = 0.0
     retention_s: float = 0.0
+    patience_s: float = float("inf")
     token_quota: int = 0
 
     @property
--- a/src/endivevane/serving/peer_messages.py
+++ b/src/endivevane/serving/peer_messages.py
@@ -16,6 +16,8 @@
 
     :param sequence: number of the report among those of its sender
     :param waiting_items: batch items that could start now
+    :param waiting_requests: online requests that wait for a place and can be on time,
+        by service
     :param living: names and incarnations of the region's daemons; empty in the report
         of a single daemon
     """
@@ -26,6 +28,7 @@
     sequence: int
     loads: abc.Mapping[str, load_board.Load]
     waiting_items: int = 0
+    waiting_requests: abc.Mapping[str, int] = dataclasses.field(default_factory=dict)
     living: tuple[tuple[str, str], ...] = ()
 
 
@@ -40,6 +43,7 @@
             report.sequence,
             loads,
             report.waiting_items,
+            dict(report.waiting_requests),
             report.living,
         )
     )
@@ -52,7 +56,7 @@
     """
     try:
         fields = orjson.loads(data)
-        name, region, incarnation, sequence, loads, waiting_items, living = fields
+        name, region, incarnation, sequence, loads, items, requests, living = fields
         return Report(
             name=str(name),
             region=str(region),
@@ -62,8 +66,11 @@
                 str(target): load_board.Load(int(online), int(batch))
                 for target, online, batch in loads
             },
-            waiting_items=int(waiting_items),
+            waiting_items=int(items),
+            waiting_requests={
+                str(service): int(count) for service, count in requests.items()
+            },
             living=tuple((str(peer), str(run)) for peer, run in living),
         )
-    except (TypeError, ValueError) as error:
+    except (AttributeError, TypeError, ValueError) as error:
         raise ValueError(f"not a report: {error}") from error
--- a/src/endivevane/serving/peers.py
+++ b/src/endivevane/serving/peers.py
@@ -121,7 +121,9 @@
         if message.name == self._identity.name or not self._is_news(message):
             return
         now_s = time.monotonic()
-        report = load_board.LoadReport(message.loads, now_s, message.waiting_items)
+        report = load_board.LoadReport(
+            message.loads, now_s, message.waiting_items, message.waiting_requests
+        )
         is_direct = not message.living or self._is_from(message.name, addr[0])
         if is_direct:
             self._note_life(message, addr[0], now_s)
@@ -236,8 +238,12 @@
         """Send the own load to the daemons of the region."""
         self._sequence += 1
         own = {key: load for key, load in self._board.own.items() if load.total}
-        waiting = self._board.own_waiting_items
-        data = peer_messages.encode(self._make_report(own, waiting, ()))
+        report = dataclasses.replace(
+            self._make_report(own),
+            waiting_items=self._board.own_waiting_items,
+            waiting_requests=self._board.sum_waiting_requests(()),
+        )
+        data = peer_messages.encode(report)
         is_lost_turn = self._sequence % _LOST_PERIOD == 0
         known = set()
         for peer in self.peers.values():
@@ -272,8 +278,13 @@
         living = [(peer.name, peer.incarnation) for peer in near]
         living.append((self._identity.name, self._identity.incarnation))
         loads = self._board.sum_with(members)
-        waiting = self._board.sum_waiting_items(members)
-        data = peer_messages.encode(self._make_report(loads, waiting, living))
+        report = dataclasses.replace(
+            self._make_report(loads),
+            waiting_items=self._board.sum_waiting_items(members),
+            waiting_requests=self._board.sum_waiting_requests(members),
+            living=tuple(living),
+        )
+        data = peer_messages.encode(report)
         for peer in self._list_entries(far):
             self._send(data, peer.host, peer.port)
 
@@ -294,10 +305,7 @@
         return entries
 
     def _make_report(
-        self,
-        loads: abc.Mapping[str, load_board.Load],
-        waiting_items: int,
-        living: abc.Sequence[tuple[str, str]],
+        self, loads: abc.Mapping[str, load_board.Load]
     ) -> peer_messages.Report:
         return peer_messages.Report(
             name=self._identity.name,
@@ -305,8 +313,6 @@
             incarnation=self._identity.incarnation,
             sequence=self._sequence,
             loads=loads,
-            waiting_items=waiting_items,
-            living=tuple(living),
         )
 
     def _send(self, data: bytes, host: str, port: int) -> None:
--- a/src/endivevane/serving/placement.py
+++ b/src/endivevane/serving/placement.py
@@ -11,11 +11,14 @@
 
 # Requests beyond its slots that a target may have waiting, so that a slot that
 # becomes free is taken before the daemons have heard of it.
-_QUEUE_AHEAD = 2
+_QUEUE_AHEAD = 1
 # Slots of a target that batch leaves to online requests which are on their way.
 _BATCH_RESERVE = 2
 # Slots of a target that stay free of batch above the online peak of the last seconds.
 _PEAK_RESERVE = 1
+# Places of a target that batch items which would miss their due time may keep beside
+# online requests.
+URGENT_PLACES = 2
 # Requests on a target above its slots less this make batch give way.
 _YIELD_RESERVE = 0
 # What distance adds to the share of slots in use, when targets are compared.
@@ -107,9 +110,16 @@
         return best
 
     def choose_batch(
-        self, service: str, now_s: float, excluded: abc.Set[str] = frozenset()
+        self,
+        service: str,
+        now_s: float,
+        excluded: abc.Set[str] = frozenset(),
+        is_urgent: bool = False,
     ) -> model.Target | None:
-        """Return a target with room for a batch item, ``None`` if none has."""
+        """Return a target with room for a batch item, ``None`` if none has.
+
+        :param is_urgent: whether the item misses its due time unless it runs now
+        """
         usable = self._targets.list_usable(service)
         peak_room = self._find_peak_room(service, usable)
         best: model.Target | None = None
@@ -117,16 +127,15 @@
         for known in usable:
             target = known.target
             health = known.health
-            if target.target_id in excluded or health.is_paused(now_s):
+            if health.is_paused(now_s) or health.is_full(now_s):
                 continue
-            if health.is_full(now_s) or health.is_silent(now_s):
+            if health.is_silent(now_s):
                 continue
             load = self._board.total(target.target_id)
-            if load.total + 1 > self._batch_slots(target):
-                continue
-            if peak_room is not None and load.batch + 1 > (
-                int(peak_room * target.slots) - _PEAK_RESERVE
-            ):
+            has_room = target.target_id not in excluded and self._has_batch_room(
+                target, load, peak_room
+            )
+            if not has_room and not (is_urgent and _has_urgent_room(target, load)):
                 continue
             cost = self._cost(target, load.total)
             if cost < best_cost:
@@ -183,8 +192,15 @@
             return None
         return room
 
-    def _batch_slots(self, target: model.Target) -> int:
-        return max(1, target.slots - _BATCH_RESERVE)
+    def _has_batch_room(
+        self, target: model.Target, load: load_board.Load, peak_room: float | None
+    ) -> bool:
+        """Whether a target has room that online requests do not need now."""
+        if load.total + 1 > max(1, target.slots - _BATCH_RESERVE):
+            return False
+        if peak_room is None:
+            return True
+        return load.batch + 1 <= int(peak_room * target.slots) - _PEAK_RESERVE
 
     def _cost(self, target: model.Target, total: int) -> float:
         cost = (total + 1) / target.slots
@@ -196,3 +212,8 @@
         spread = _SPREAD + _SPREAD_PER_S * self._load_age_s()
         uniform = max(1e-9, self._generator.random())
         return cost + spread * math.log(-math.log(min(uniform, 1.0 - 1e-9)))
+
+
+def _has_urgent_room(target: model.Target, load: load_board.Load) -> bool:
+    """Whether a target has one of the places for urgent items free."""
+    return load.batch < URGENT_PLACES and load.total < target.slots + _QUEUE_AHEAD
