--- a/src/endivevane/serving/admission.py
+++ b/src/endivevane/serving/admission.py
@@ -183,6 +183,16 @@
             )
         )
 
+    def explain(self, service: str) -> dict[str, object]:
+        """Return what a refusal for lack of a place was decided on, for the log."""
+        return {
+            "slots": self._choices.count_slots(service),
+            "running": self._choices.count_running(service),
+            "waiting": self._board.count_waiting_requests(service),
+            "wait_ms": int(self.estimate_wait_s(service) * 1000),
+            "load_age_ms": int(self._choices.load_age_s() * 1000),
+        }
+
     def _has_rivals(self, wish: Wish, now_s: float) -> bool:
         """Whether others of the service wait that go before this request."""
         start_s = self._find_start_s(wish.service)
--- a/src/endivevane/serving/exchange.py
+++ b/src/endivevane/serving/exchange.py
@@ -51,6 +51,7 @@
 class Progress:
     """What has happened to a request so far.
 
+    :ivar version: configuration version that the route is from
     :ivar patience_until_s: monotonic time at which the client gives up for silence
     :ivar may_return: whether the client comes again after a refusal
     :ivar ran_on: targets that may have run it
@@ -60,6 +61,8 @@
     :ivar causes: why attempts failed
     """
 
+    request_id: str
+    version: int
     route: model.Route
     service: str
     objective_s: float
@@ -110,10 +113,14 @@
         self,
         request: model.ClientRequest,
         route: model.Route,
+        version: int,
         answer: responder.Responder,
     ) -> Outcome:
-        """Answer a request; every path writes one answer or closes the connection."""
-        progress = self._start(request, route)
+        """Answer a request; every path writes one answer or closes the connection.
+
+        :param version: configuration version that the route is from
+        """
+        progress = self._start(request, route, version)
         try:
             async with asyncio.timeout_at(
                 _loop_time(progress.deadline_s - _TIMEOUT_LEAD_S)
@@ -129,12 +136,16 @@
         self._log(request, progress, outcome)
         return outcome
 
-    def _start(self, request: model.ClientRequest, route: model.Route) -> Progress:
+    def _start(
+        self, request: model.ClientRequest, route: model.Route, version: int
+    ) -> Progress:
         limit_s = route.timeout_s or _DEFAULT_LIMIT_S
         deadline_s = request.received_s + limit_s
         if request.deadline_s is not None:
             deadline_s = min(deadline_s, request.deadline_s)
         return Progress(
+            request_id=request.attempt_id.decode("latin-1"),
+            version=version,
             route=route,
             service=routing_table.choose_service(route, self._generator),
             objective_s=request.received_s + route.objective_s,
@@ -375,6 +386,13 @@
             return self._give_up(progress, answer)
         retry_after_s = self._places.retry_after_s(progress.service)
         metrics.REFUSALS.labels("no_place", "not-run").inc()
+        logs.limited_info(
+            "request_refused",
+            request=progress.request_id,
+            retry_after_ms=int(retry_after_s * 1000),
+            left_ms=int((progress.deadline_s - time.monotonic()) * 1000),
+            **self._places.explain(progress.service),
+        )
         answer.send(responder.WholeAnswer(503, retry_after_s=retry_after_s))
         return Outcome.REFUSED
 
@@ -411,8 +429,9 @@
             metrics.FIRST_TOKEN_SECONDS.observe(first_s - request.received_s)
         logs.limited_info(
             "request_ended",
-            request=request.attempt_id.decode("latin-1"),
+            request=progress.request_id,
             route=progress.route.name,
+            config=progress.version,
             service=progress.service,
             outcome=outcome.value,
             targets=",".join(sorted(progress.ran_on)) or None,
--- a/src/endivevane/serving/front_door.py
+++ b/src/endivevane/serving/front_door.py
@@ -74,4 +74,4 @@
         if route.kind is model.RouteKind.BATCH:
             answer.send(await self._batch.submit(request, route))
             return
-        await self._online.serve(request, route, answer)
+        await self._online.serve(request, route, table.configuration.version, answer)
--- a/src/endivevane/serving/placement.py
+++ b/src/endivevane/serving/placement.py
@@ -57,7 +57,7 @@
         load_age_s: abc.Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._place = place
-        self._load_age_s = load_age_s
+        self.load_age_s = load_age_s
         self._targets = targets
         self._board = board
         self._generator = generator
@@ -170,6 +170,13 @@
         """Return the slots of all targets of a service."""
         return sum(known.target.slots for known in self._targets.list_usable(service))
 
+    def count_running(self, service: str) -> int:
+        """Return the requests of all daemons on the targets of a service."""
+        return sum(
+            self._board.total(known.target.target_id).total
+            for known in self._targets.list_usable(service)
+        )
+
     def _find_peak_room(
         self, service: str, usable: abc.Sequence[directory.KnownTarget]
     ) -> float | None:
@@ -209,7 +216,7 @@
             is_near = region == self._place.region
             cost += _OTHER_ZONE_COST if is_near else _OTHER_REGION_COST
         # The least of costs with Gumbel noise is drawn like from a softmax.
-        spread = _SPREAD + _SPREAD_PER_S * self._load_age_s()
+        spread = _SPREAD + _SPREAD_PER_S * self.load_age_s()
         uniform = max(1e-9, self._generator.random())
         return cost + spread * math.log(-math.log(min(uniform, 1.0 - 1e-9)))
 
