--- a/features/serving_state.feature
+++ b/features/serving_state.feature
@@ -81,3 +81,9 @@
   Scenario: A job that is adopted twice runs each item once
     When a daemon adopts a job of 4 items, and again after 100 ms
     Then each of the 4 items was sent to a target once
+
+  # Guards against items that fail at each run and get all attempts again from each
+  # daemon that takes the job over.
+  Scenario: Failed runs of an item count on with the next owner
+    When a daemon hands back a job whose first item has failed 2 times
+    Then the daemon that takes the job over goes on from 2 failed runs
--- a/features/steps/serving_state_steps.py
+++ b/features/steps/serving_state_steps.py
@@ -432,23 +432,7 @@
         daemon = _Daemon(serving_fakes.FakeStore(), "a")
         fleet = serving_fakes.Fleet(["t0", "t1"])
         context.caller = _EndlessCaller()
-        configuration = model.Configuration(1, (_route(),), {}, model.ClientLimits())
-        table = routing_table.RoutingTable(configuration)
-        runner = job_runner.JobRunner(
-            job_runner.RunnerParts(
-                targets=fleet.directory,
-                board=fleet.board,
-                choices=fleet.choices,
-                caller=context.caller,
-                changes=daemon.changes,
-                reader=job_reader.JobReader(daemon.book, daemon.changes),
-                routes=lambda: table,
-                encode_headers=headers.HeaderCodec().encode_item_headers,
-                generator=random.Random(1),
-                owner=daemon.owner,
-                load_age_s=lambda: 0.01,
-            )
-        )
+        runner = _make_runner(daemon, fleet, context.caller)
         task = asyncio.ensure_future(runner.run())
         submission = _submission("job", items=count)
         entry = await daemon.changes.accept(submission)
@@ -467,3 +451,52 @@
     attempts = context.caller.attempts
     assert len(attempts) == count, attempts
     assert set(attempts.values()) == {1}, attempts
+
+
+def _make_runner(daemon, fleet, caller):
+    configuration = model.Configuration(1, (_route(),), {}, model.ClientLimits())
+    table = routing_table.RoutingTable(configuration)
+    return job_runner.JobRunner(
+        job_runner.RunnerParts(
+            targets=fleet.directory,
+            board=fleet.board,
+            choices=fleet.choices,
+            caller=caller,
+            changes=daemon.changes,
+            reader=job_reader.JobReader(daemon.book, daemon.changes),
+            routes=lambda: table,
+            encode_headers=headers.HeaderCodec().encode_item_headers,
+            generator=random.Random(1),
+            owner=daemon.owner,
+            load_age_s=lambda: 0.01,
+        )
+    )
+
+
+@when("a daemon hands back a job whose first item has failed {count:d} times")
+def step_hand_back(context, count):
+    async def run():
+        rows = serving_fakes.FakeStore()
+        first, second = _Daemon(rows, "a"), _Daemon(rows, "b")
+        fleet = serving_fakes.Fleet([])
+        submission = _submission("job")
+        runner = _make_runner(first, fleet, None)
+        runner.adopt(await first.changes.accept(submission), submission.items)
+        runner._owned["job"].runs["job-0"].failed = count
+        await runner.hand_back()
+        entry = await second.changes.refresh("job")
+        context.owner = entry.job.owner
+        successor = _make_runner(second, fleet, None)
+        successor.adopt(entry, submission.items)
+        context.runs = successor._owned["job"].runs
+        for daemon in (first, second):
+            daemon.feed.cancel()
+
+    asyncio.run(run())
+
+
+@then("the daemon that takes the job over goes on from {count:d} failed runs")
+def step_goes_on(context, count):
+    assert context.owner == ""
+    failed = {item_id: run.failed for item_id, run in context.runs.items()}
+    assert failed == {"job-0": count, "job-1": 0, "job-2": 0}, failed
--- a/src/endivevane/serving/job_runner.py
+++ b/src/endivevane/serving/job_runner.py
@@ -108,6 +108,10 @@
     results: list[jobs.ItemResult] = dataclasses.field(default_factory=list)
     committing: asyncio.Task[None] | None = None
 
+    def count_failed_runs(self) -> dict[str, int]:
+        """Return the answers of failure by item, which the next owner goes on from."""
+        return {item_id: run.failed for item_id, run in self.runs.items() if run.failed}
+
     def list_ready(self, now_s: float) -> list[ItemRun]:
         """Return the items that may start."""
         ready = [
@@ -167,8 +171,11 @@
         """
         if entry.job.job_id in self._owned:
             return
+        failed_runs = entry.job.failed_runs
         runs = {
-            item.item_id: ItemRun(item) for item in items if item.item_id not in done
+            item.item_id: ItemRun(item, failed=failed_runs.get(item.item_id, 0))
+            for item in items
+            if item.item_id not in done
         }
         self._owned[entry.job.job_id] = OwnedJob(entry, runs)
         self.wake()
@@ -215,7 +222,11 @@
         for owned in list(self._owned.values()):
             job = owned.entry.job
             given = dataclasses.replace(
-                job, owner="", epoch=job.epoch + 1, operation=secrets.token_hex(8)
+                job,
+                owner="",
+                epoch=job.epoch + 1,
+                operation=secrets.token_hex(8),
+                failed_runs=owned.count_failed_runs(),
             )
             await self._parts.changes.replace(owned.entry, given, until_s)
 
@@ -472,6 +483,7 @@
             tokens_left=sum(run.item.tokens for run in owned.runs.values()),
             state=jobs.JobState.OPEN if unfinished else jobs.JobState.DONE,
             operation=secrets.token_hex(8),
+            failed_runs=owned.count_failed_runs(),
         )
         # Sent until its outcome is known: a second change with the same results could
         # put them at two positions.
--- a/src/endivevane/serving/jobs.py
+++ b/src/endivevane/serving/jobs.py
@@ -75,6 +75,7 @@
     :param listed: results that have positions
     :param tokens_left: tokens of the items without a result
     :param operation: names the change that wrote the row
+    :param failed_runs: answers of failure by item, of items without a result
     """
 
     job_id: str
@@ -91,6 +92,7 @@
     listed: int
     tokens_left: int
     operation: str
+    failed_runs: dict[str, int] = dataclasses.field(default_factory=dict)
 
     @property
     def is_open(self) -> bool:
