Let requests wait a moment at a daemon that is just starting

Change: a request waits up to 0.8 s, and 0.4 of its client's time, until both are known; ready says the same.

--- a/features/serving_online.feature
+++ b/features/serving_online.feature
@@ -108,6 +108,14 @@
     Then the answer has status 503
     And the answer says when to come back
 
+  # Pattern: all daemons start again while requests come.
+  # Guards against refusals by a process that would know its targets a moment later.
+  Scenario: A request that meets a daemon which is just starting waits a little
+    Given 2 targets behind a daemon with a resumable route
+    And the daemon learns its configuration 300 ms after it began to listen
+    When a client asks for a stream
+    Then it gets each of the 6 events once, in order, and the end
+
   Scenario: A path without a route is not found
     Given 1 targets behind a daemon with a resumable route
     When a client asks for the path "/other/1"
--- a/features/steps/serving_online_steps.py
+++ b/features/steps/serving_online_steps.py
@@ -99,6 +99,21 @@
     context.prepare.append(prepare)
 
 
+@given("the daemon learns its configuration {late_ms:d} ms after it began to listen")
+def step_late_configuration(context, late_ms):
+    def prepare(world):
+        table, world.door.table = world.door.table, None
+        world.door.is_open.clear()
+
+        def learn():
+            world.door.table = table
+            world.door.is_open.set()
+
+        asyncio.get_running_loop().call_later(late_ms / 1000, learn)
+
+    context.prepare.append(prepare)
+
+
 def _play(context, play):
     """Run a daemon and its targets while clients act."""
 
--- a/features/support/serving_world.py
+++ b/features/support/serving_world.py
@@ -85,6 +85,7 @@
         if configuration is not None:
             decoded = records.decode_configuration(dump(configuration))
             self.door.table = routing_table.RoutingTable(decoded)
+            self.door.is_open.set()
         self.server = ingress.Server(codec, self.door.handle, self._limits)
         self.port = 0
 
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -140,6 +140,7 @@
             "",
             lambda row: self._directory.apply(row, time.monotonic()),
             lambda: self._directory.note_store_return(time.monotonic()),
+            on_loaded=self._open_when_known,
         )
         self._configuration_feed = follower.TableFollower(
             self._store, records.CONFIGURATION_TABLE, "", self._on_operator_row
@@ -299,6 +300,7 @@
             logs.error("configuration_unusable", version=row.version, cause=error)
             return
         self._front_door.table = routing_table.RoutingTable(configuration)
+        self._open_when_known()
         metrics.CONFIG_REVISION.set(configuration.version)
         logs.info(
             "configuration_in_force",
@@ -307,6 +309,11 @@
             routes=len(configuration.routes),
         )
 
+    def _open_when_known(self) -> None:
+        """Let requests in once the configuration and the targets are known."""
+        if self._front_door.table is not None and self._targets_feed.is_loaded:
+            self._front_door.is_open.set()
+
     def _on_state_row(self, row: store.Row) -> None:
         key = row.row_key.key
         if key.startswith(jobs.JOB_PREFIX):
@@ -356,11 +363,7 @@
 
     @property
     def _is_ready(self) -> bool:
-        return (
-            not self._is_stopping
-            and self._front_door.table is not None
-            and self._targets_feed.is_loaded
-        )
+        return not self._is_stopping and self._front_door.is_open.is_set()
 
     async def _answer_readiness(
         self, _request: model.ClientRequest, answer: responder.Responder
--- a/src/endivevane/serving/follower.py
+++ b/src/endivevane/serving/follower.py
@@ -28,6 +28,7 @@
     :param on_row: called for each new version of a row, also for deleted ones
     :param on_return: called when the store answers again after it was away
     :param pause_s: time after a change for which further changes are collected
+    :param on_loaded: called whenever all rows have been read
     :ivar rows: current rows by key
     :ivar version: version of the store up to which the copy is complete
     :ivar confirmed_s: monotonic time of the last answer
@@ -41,6 +42,7 @@
         on_row: store.RowObserver,
         on_return: abc.Callable[[], None] | None = None,
         pause_s: float = 0.0,
+        on_loaded: abc.Callable[[], None] | None = None,
     ) -> None:
         self.rows: dict[str, store.Row] = {}
         self.version = -1
@@ -51,6 +53,7 @@
         self._on_row = on_row
         self._on_return = on_return
         self._pause_s = pause_s
+        self._on_loaded = on_loaded
         self._deleted: dict[str, int] = {}
         self._advanced = asyncio.Event()
         self._is_away = False
@@ -134,6 +137,8 @@
                 self.take(store.Row(row_key, None, page.version + 1))
                 self._deleted[key] = page.version
         self._advance(page.version)
+        if self._on_loaded is not None:
+            self._on_loaded()
         return True
 
     async def _read_changes(self) -> None:
--- a/src/endivevane/serving/front_door.py
+++ b/src/endivevane/serving/front_door.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import http
+import time
 import typing
 
 from endivevane import logs
@@ -17,6 +19,11 @@
 
 # A daemon without a configuration has one within about this time.
 _NO_CONFIGURATION_RETRY_S = 0.5
+# A process that has just started knows configuration and targets after some store
+# calls; a request that comes before is kept for at most this time and this share of
+# the time that its client has.
+_START_WAIT_S = 0.8
+_START_WAIT_SHARE = 0.4
 
 
 class CallDecoder(typing.Protocol):
@@ -30,6 +37,7 @@
     """Hands each request to online serving or to the batch calls.
 
     :ivar table: the configuration in force, ``None`` until one is known
+    :ivar is_open: set once the configuration and the targets are known
     """
 
     def __init__(
@@ -39,6 +47,7 @@
         decoder: CallDecoder,
     ) -> None:
         self.table: routing_table.RoutingTable | None = None
+        self.is_open = asyncio.Event()
         self._online = online
         self._batch = batch
         self._decoder = decoder
@@ -47,6 +56,8 @@
         self, request: model.ClientRequest, answer: responder.Responder
     ) -> None:
         """Answer a request."""
+        if not self.is_open.is_set():
+            await self._wait_open(request)
         table = self.table
         if table is None:
             answer.send(
@@ -75,3 +86,19 @@
             answer.send(await self._batch.submit(request, route))
             return
         await self._online.serve(request, route, table.configuration.version, answer)
+
+    async def _wait_open(self, request: model.ClientRequest) -> None:
+        """Wait a little for what a process that has just started does not know yet."""
+        wait_s = _START_WAIT_S
+        if request.deadline_s is not None:
+            left_s = request.deadline_s - time.monotonic()
+            wait_s = min(wait_s, _START_WAIT_SHARE * left_s)
+        try:
+            async with asyncio.timeout(wait_s):
+                await self.is_open.wait()
+        except TimeoutError:
+            logs.limited_info(
+                "request_before_start",
+                request=request.attempt_id.decode("latin-1"),
+                waited_ms=int(wait_s * 1000),
+            )
