--- a/features/serving_process.feature
+++ b/features/serving_process.feature
@@ -15,11 +15,12 @@
   # Guards against jobs that are lost with the daemon that accepted them.
   Scenario: A daemon that dies with items in flight loses none
     Given a store, 2 targets and 2 daemons
-    And targets that take 250 ms for an event
+    And targets that make 40 events of an item, one each 120 ms
     When a job of 6 items is handed to the first daemon
-    And the first daemon is killed
+    And the first daemon is killed after 4.5 s
     Then the second daemon lists 6 completed results within 20 s
     And no item stands twice in the list
+    And the second daemon went on behind events that the first one had stored
 
   # Guards against items that run on after their job was ended.
   Scenario: A job that is ended stops at every target
--- a/features/serving_state.feature
+++ b/features/serving_state.feature
@@ -87,3 +87,4 @@
   Scenario: Failed runs of an item count on with the next owner
     When a daemon hands back a job whose first item has failed 2 times
     Then the daemon that takes the job over goes on from 2 failed runs
+    And it goes on behind the 2 events that the item has brought
--- a/features/steps/serving_process_steps.py
+++ b/features/steps/serving_process_steps.py
@@ -103,7 +103,8 @@
     for result in answer["results"]:
         assert result["state"] == expected, result
         if expected == "completed":
-            lines = [f"{result['id']} piece {n}" for n in range(1, 7)]
+            events = getattr(context, "events", 6)
+            lines = [f"{result['id']} piece {n}" for n in range(1, events + 1)]
             assert result["text"] == "\n".join(lines), result
     context.results = answer["results"]
 
@@ -133,9 +134,22 @@
     assert after == before, (before, after)
 
 
-@when("the {which} daemon is killed")
-def step_kill(context, which):
-    time.sleep(0.7)
+@given("targets that make {events:d} events of an item, one each {gap_ms:d} ms")
+def step_long(context, events, gap_ms):
+    context.fleet.set_manner(events=events, gap_s=gap_ms / 1000)
+    context.events = events
+
+
+@then("the second daemon went on behind events that the first one had stored")
+def step_went_on(context):
+    # Progress is stored every 2 s once an item has 16 new events, which 4.5 s allow.
+    starts = [run.last_event for item in context.fleet.replicas for run in item.runs]
+    assert any(start >= 16 for start in starts), starts
+
+
+@when("the {which} daemon is killed after {seconds:g} s")
+def step_kill(context, which, seconds):
+    time.sleep(seconds)
     assert any(item.runs for item in context.fleet.replicas)
     _daemon(context, which).process.kill()
 
--- a/features/steps/serving_state_steps.py
+++ b/features/steps/serving_state_steps.py
@@ -174,6 +174,7 @@
 
     def __init__(self, rows, name):
         self.owner = f"{name}/1"
+        self.rows = rows
         self.book = job_book.JobBook()
         self.state = follower.TableFollower(rows, "state", "", self._on_row)
         self.changes = job_changes.JobChanges(rows, self.state, self.book, self.owner)
@@ -462,6 +463,7 @@
             board=fleet.board,
             choices=fleet.choices,
             caller=caller,
+            rows=daemon.rows,
             changes=daemon.changes,
             reader=job_reader.JobReader(daemon.book, daemon.changes),
             routes=lambda: table,
@@ -482,12 +484,16 @@
         submission = _submission("job")
         runner = _make_runner(first, fleet, None)
         runner.adopt(await first.changes.accept(submission), submission.items)
-        runner._owned["job"].runs["job-0"].failed = count
+        run = runner._owned["job"].runs["job-0"]
+        run.failed = count
+        run.pieces, run.last_event = [b"one", b"two"], 2
         await runner.hand_back()
         entry = await second.changes.refresh("job")
         context.owner = entry.job.owner
         successor = _make_runner(second, fleet, None)
-        successor.adopt(entry, submission.items)
+        progress = await second.changes.load_progress("job")
+        taken = jobs.Taken(progress=progress)
+        successor.adopt(entry, submission.items, taken)
         context.runs = successor._owned["job"].runs
         for daemon in (first, second):
             daemon.feed.cancel()
@@ -500,3 +506,10 @@
     assert context.owner == ""
     failed = {item_id: run.failed for item_id, run in context.runs.items()}
     assert failed == {"job-0": count, "job-1": 0, "job-2": 0}, failed
+
+
+@then("it goes on behind the 2 events that the item has brought")
+def step_goes_on_behind(context):
+    begun = context.runs["job-0"]
+    assert (begun.last_event, begun.pieces) == (2, [b"one", b"two"])
+    assert context.runs["job-1"].last_event == 0
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -183,6 +183,7 @@
                 board=self._board,
                 choices=self._choices,
                 caller=self._caller,
+                rows=self._store,
                 changes=self._changes,
                 reader=self._reader,
                 routes=lambda: self._front_door.table,
--- /dev/null
+++ b/src/endivevane/serving/item_sender.py
@@ -0,0 +1,98 @@
+"""Sending a batch item to a target."""
+
+from __future__ import annotations
+
+import enum
+import time
+from collections import abc
+
+from endivevane.serving import (
+    directory,
+    event_stream,
+    jobs,
+    model,
+    owned_jobs,
+    target_calls,
+)
+
+# The target says that the item itself can't be done.
+_IMPOSSIBLE_STATUS = 422
+_FAILED_STATUS = 500
+_OK_STATUS = 200
+
+HeaderEncoder = abc.Callable[[str, abc.Mapping[str, str]], model.Headers]
+
+
+class RunEnd(enum.Enum):
+    """How a run of an item ended."""
+
+    WHOLE = "whole"
+    NOT_RUN = "not_run"
+    FAILED = "failed"
+    IMPOSSIBLE = "impossible"
+    BROKEN = "broken"
+    YIELDED = "yielded"
+
+
+class ItemSender:
+    """Runs an item at a target, from behind its last event on."""
+
+    def __init__(
+        self,
+        targets: directory.Directory,
+        caller: target_calls.TargetCaller,
+        encode_headers: HeaderEncoder,
+    ) -> None:
+        self._targets = targets
+        self._caller = caller
+        self._encode_headers = encode_headers
+
+    async def send(
+        self, job: jobs.Job, run: owned_jobs.ItemRun, target: model.Target
+    ) -> tuple[RunEnd, int]:
+        """Return how the run ended and the status of the answer, 0 for none.
+
+        :raises failures.TargetCallError: when the answer does not come or breaks off
+        """
+        known = self._targets.find(target.target_id)
+        if known is None or known.target.is_leaving:
+            return RunEnd.NOT_RUN, 0
+        call = model.TargetCall(
+            method=b"POST",
+            path=run.item.path.encode("latin-1"),
+            headers=self._encode_headers(job.host, run.item.headers),
+            body=run.item.body,
+            attempt_id=run.item.item_id.encode("latin-1"),
+            last_event_id=str(run.last_event).encode() if run.last_event else b"",
+        )
+        async with self._caller.call(known, call, True) as answer:
+            status = answer.reply.status
+            if answer.reply.is_not_run:
+                self._note_refusal(known, answer.reply)
+                return RunEnd.NOT_RUN, status
+            if status == _IMPOSSIBLE_STATUS:
+                return RunEnd.IMPOSSIBLE, status
+            if status == _FAILED_STATUS:
+                return RunEnd.FAILED, status
+            if status != _OK_STATUS:
+                return RunEnd.BROKEN, status
+            end = await _read_events(run, answer)
+            if end is RunEnd.WHOLE:
+                known.health.record_success()
+            return end, status
+
+    def _note_refusal(
+        self, known: directory.KnownTarget, reply: model.TargetReply
+    ) -> None:
+        known.health.record_full(time.monotonic())
+        if reply.is_other_target:
+            self._targets.record_replaced(known.target)
+
+
+async def _read_events(run: owned_jobs.ItemRun, answer: target_calls.Answer) -> RunEnd:
+    splitter = event_stream.EventSplitter()
+    while (data := await answer.read()) is not None:
+        for event in splitter.feed(data):
+            if not run.take(event):
+                return RunEnd.BROKEN
+    return RunEnd.BROKEN if splitter.rest else RunEnd.WHOLE
--- a/src/endivevane/serving/job_changes.py
+++ b/src/endivevane/serving/job_changes.py
@@ -177,6 +177,24 @@
         )
         return jobs.join_results(page.rows)
 
+    async def load_progress(self, job_id: str) -> dict[str, jobs.Progress]:
+        """Return the progress of a job's items that is stored.
+
+        :raises failures.StoreFailure: when it can't be read
+        """
+        page = await self._store.read_rows(
+            jobs.PROGRESS_TABLE, jobs.PARTITION, job_id + "/", job_id + "0"
+        )
+        progress = {}
+        for row in page.rows:
+            try:
+                progress[row.row_key.key.partition("/")[2]] = jobs.decode_progress(
+                    row.value or b""
+                )
+            except ValueError as error:
+                logs.error("progress_unreadable", job=job_id, cause=error)
+        return progress
+
     async def refresh(self, job_id: str) -> job_book.BookEntry | None:
         """Read the row of a job; return its entry, ``None`` if there is no such job.
 
--- a/src/endivevane/serving/job_claims.py
+++ b/src/endivevane/serving/job_claims.py
@@ -15,6 +15,7 @@
     job_book,
     job_changes,
     job_runner,
+    jobs,
     peers,
 )
 
@@ -97,6 +98,7 @@
                 entry = claimed
             items = await self._changes.load_items(entry.job)
             results = await self._changes.load_results(job_id, 0, entry.job.listed)
+            progress = await self._changes.load_progress(job_id)
         except (failures.StoreFailure, ValueError) as error:
             logs.warning("job_not_loaded", job=job_id, cause=error)
             return
@@ -107,15 +109,16 @@
             return
         if len(results) != latest.job.listed or not latest.job.is_open:
             return
-        done = {result.item_id for result in results.values()}
+        done = frozenset(result.item_id for result in results.values())
         logs.info(
             "job_taken_over",
             job=job_id,
             left=len(items) - len(done),
+            begun=len(progress),
             epoch=latest.job.epoch,
             version=latest.version,
         )
-        self._runner.adopt(latest, items, done)
+        self._runner.adopt(latest, items, jobs.Taken(done, progress))
 
     async def _claim(self, entry: job_book.BookEntry) -> job_book.BookEntry | None:
         """Become the owner of a job; ``None`` when another daemon was faster."""
--- a/src/endivevane/serving/job_runner.py
+++ b/src/endivevane/serving/job_runner.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import dataclasses
-import enum
 import random
 import secrets
 import time
@@ -13,114 +12,33 @@
 from endivevane import logs, metrics
 from endivevane.serving import (
     directory,
-    event_stream,
     failures,
     item_pace,
+    item_sender,
     job_book,
     job_changes,
     job_reader,
     jobs,
     load_board,
     model,
+    owned_jobs,
     placement,
+    result_commits,
     routing_table,
     store,
     target_calls,
 )
 
-# Items started at once; other daemons see the load before the next ones start.
-_STARTS_AT_ONCE = 2
+# Items that a daemon starts at once at most.
+_STARTS_AT_ONCE = 4
 _TICK_S = 0.04
 # Items do not return to a target for this long after some have left it.
 _REST_S = 0.5
 # Pause of an item after its run broke, doubled with each break in a row.
 _FIRST_PAUSE_S = 0.1
 _LONGEST_PAUSE_S = 4.0
-# Results and bytes that one transaction takes.
-_RESULTS_AT_ONCE = 12
-_BYTES_AT_ONCE = 400_000
 # How long the last results and the hand-over may take when the daemon stops.
 _HAND_BACK_S = 4.0
-_FOREVER_S = float("inf")
-# The target says that the item itself can't be done.
-_IMPOSSIBLE_STATUS = 422
-_FAILED_STATUS = 500
-_OK_STATUS = 200
-
-
-class _End(enum.Enum):
-    """How a run of an item ended."""
-
-    WHOLE = "whole"
-    NOT_RUN = "not_run"
-    FAILED = "failed"
-    IMPOSSIBLE = "impossible"
-    BROKEN = "broken"
-    YIELDED = "yielded"
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class ItemRun:
-    """An item without a result, and how far it has come.
-
-    :ivar pieces: data of the events so far
-    :ivar last_event: number of the last event, 0 for none
-    :ivar failed: answers of failure
-    :ivar breaks: runs in a row that brought nothing
-    :ivar not_before_s: monotonic time of the next run
-    :ivar target_id: target of the current run
-    """
-
-    item: jobs.Item
-    pieces: list[bytes] = dataclasses.field(default_factory=list)
-    last_event: int = 0
-    failed: int = 0
-    breaks: int = 0
-    not_before_s: float = 0.0
-    target_id: str = ""
-    started_s: float = 0.0
-    task: asyncio.Task[None] | None = None
-
-    def take(self, event: event_stream.Event) -> bool:
-        """Add an event; return whether it follows the last one."""
-        if event.event_id.isdigit():
-            number = int(event.event_id)
-            if number <= self.last_event:
-                return True
-            if number != self.last_event + 1:
-                return False
-            self.last_event = number
-        if event.data is not None:
-            self.pieces.append(event.data)
-        return True
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class OwnedJob:
-    """A job that this daemon runs.
-
-    :ivar runs: items without a result, by id
-    :ivar results: results that the store does not have yet
-    """
-
-    entry: job_book.BookEntry
-    runs: dict[str, ItemRun]
-    results: list[jobs.ItemResult] = dataclasses.field(default_factory=list)
-    committing: asyncio.Task[None] | None = None
-
-    def count_failed_runs(self) -> dict[str, int]:
-        """Return the answers of failure by item, which the next owner goes on from."""
-        return {item_id: run.failed for item_id, run in self.runs.items() if run.failed}
-
-    def list_ready(self, now_s: float) -> list[ItemRun]:
-        """Return the items that may start."""
-        ready = [
-            run
-            for run in self.runs.values()
-            if run.task is None and run.not_before_s <= now_s
-        ]
-        return ready
-
 
 Routes = abc.Callable[[], routing_table.RoutingTable | None]
 
@@ -133,10 +51,11 @@
     board: load_board.LoadBoard
     choices: placement.Placement
     caller: target_calls.TargetCaller
+    rows: store.Store
     changes: job_changes.JobChanges
     reader: job_reader.JobReader
     routes: Routes
-    encode_headers: abc.Callable[[str, abc.Mapping[str, str]], model.Headers]
+    encode_headers: item_sender.HeaderEncoder
     generator: random.Random
     owner: str
     load_age_s: abc.Callable[[], float]
@@ -147,10 +66,16 @@
 
     def __init__(self, parts: RunnerParts) -> None:
         self._parts = parts
-        self._owned: dict[str, OwnedJob] = {}
+        self._owned: dict[str, owned_jobs.OwnedJob] = {}
         self._wake = asyncio.Event()
         self._is_stopping = False
         self._pace = item_pace.ItemPace()
+        self._sender = item_sender.ItemSender(
+            parts.targets, parts.caller, parts.encode_headers
+        )
+        self._commits = result_commits.ResultCommitter(
+            parts.rows, parts.changes, parts.reader, parts.owner, self._release
+        )
         # Target -> monotonic time at which items last left it for online requests.
         self._yielded_s: dict[str, float] = {}
 
@@ -162,26 +87,21 @@
     def adopt(
         self,
         entry: job_book.BookEntry,
-        items: abc.Iterable[jobs.Item],
-        done: abc.Set[str] = frozenset(),
+        items: tuple[jobs.Item, ...],
+        taken: jobs.Taken | None = None,
     ) -> None:
         """Run the items of a job that this daemon owns, unless it does so already.
 
-        :param done: ids of the items that have results
+        :param taken: what former owners have done
         """
         if entry.job.job_id in self._owned:
             return
-        failed_runs = entry.job.failed_runs
-        runs = {
-            item.item_id: ItemRun(item, failed=failed_runs.get(item.item_id, 0))
-            for item in items
-            if item.item_id not in done
-        }
-        self._owned[entry.job.job_id] = OwnedJob(entry, runs)
+        owned = owned_jobs.make_owned_job(entry, items, taken or jobs.Taken())
+        self._owned[entry.job.job_id] = owned
         self.wake()
 
     def wake(self) -> None:
-        """Look for work that can start or has to give way."""
+        """Look for work that can start."""
         self._wake.set()
 
     def take_change(self, entry: job_book.BookEntry) -> None:
@@ -202,23 +122,29 @@
                 self._parts.board.own_waiting_items = 0
                 self._wake.clear()
                 await self._wake.wait()
-            self._parts.choices.record_peaks(time.monotonic())
+            now_s = time.monotonic()
+            self._parts.choices.record_peaks(now_s)
             self._give_way()
             if not self._is_stopping:
+                self._count_waiting()
                 self._start_items()
+                self._commits.store_progress_soon(self._owned.values(), now_s)
             self._count_waiting()
             # What the others see of the last changes is as old as their reports.
             await asyncio.sleep(max(_TICK_S, self._parts.load_age_s()))
 
     async def hand_back(self) -> None:
-        """Stop all items and leave the jobs to other daemons."""
+        """Stop all items and leave the jobs, with their progress, to other daemons."""
         self._is_stopping = True
-        for owned in list(self._owned.values()):
-            self._cancel_runs(owned)
+        for owned in self._owned.values():
+            owned.cancel_runs()
+        # The cancelled runs end before their progress is read.
+        await asyncio.sleep(0)
         until_s = time.monotonic() + _HAND_BACK_S
         pending = [item.committing for item in self._owned.values() if item.committing]
         if pending:
             await asyncio.wait(pending, timeout=_HAND_BACK_S)
+        await self._commits.store_progress(list(self._owned.values()))
         for owned in list(self._owned.values()):
             job = owned.entry.job
             given = dataclasses.replace(
@@ -237,6 +163,7 @@
             return
         starts = 0
         full: set[str] = set()
+        budgets: dict[tuple[str, bool], int] = {}
         resting = self._list_resting(now_s)
         for urgency, owned, run in self._list_ready(now_s):
             if starts >= _STARTS_AT_ONCE:
@@ -248,18 +175,26 @@
             is_urgent = urgency is item_pace.Urgency.URGENT
             if service in full and not is_urgent:
                 continue
+            kind = (service, is_urgent)
+            if kind not in budgets:
+                budgets[kind] = self._parts.choices.draw_batch_share(
+                    service, now_s, is_urgent
+                )
+            if budgets[kind] <= 0:
+                continue
             target = self._parts.choices.choose_batch(
                 service, now_s, resting, is_urgent
             )
             if target is None:
                 full.add(service)
                 continue
+            budgets[kind] -= 1
             self._start(owned, run, route, target)
             starts += 1
 
     def _list_ready(
         self, now_s: float
-    ) -> list[tuple[item_pace.Urgency, OwnedJob, ItemRun]]:
+    ) -> list[tuple[item_pace.Urgency, owned_jobs.OwnedJob, owned_jobs.ItemRun]]:
         """Return the items that may start, in the order in which they should."""
         ready = []
         for owned in self._owned.values():
@@ -275,17 +210,17 @@
         )
         return ready
 
-    def _rate(self, owned: OwnedJob, run: ItemRun) -> item_pace.Urgency:
+    def _rate(
+        self, owned: owned_jobs.OwnedJob, run: owned_jobs.ItemRun
+    ) -> item_pace.Urgency:
         left_s = owned.entry.job.due_ms / 1000.0 - time.time()
         return self._pace.rate(run.last_event, left_s)
 
     def _count_waiting(self) -> None:
         """Tell the others how many items could start."""
+        now_s = time.monotonic()
         self._parts.board.own_waiting_items = sum(
-            1
-            for owned in self._owned.values()
-            for run in owned.runs.values()
-            if run.task is None
+            len(owned.list_ready(now_s)) for owned in self._owned.values()
         )
 
     def _list_resting(self, now_s: float) -> frozenset[str]:
@@ -297,8 +232,8 @@
 
     def _start(
         self,
-        owned: OwnedJob,
-        run: ItemRun,
+        owned: owned_jobs.OwnedJob,
+        run: owned_jobs.ItemRun,
         route: model.Route,
         target: model.Target,
     ) -> None:
@@ -310,12 +245,11 @@
     def _give_way(self) -> None:
         """Cancel items on targets that online requests fill."""
         now_s = time.monotonic()
-        by_target: dict[str, list[tuple[item_pace.Urgency, ItemRun]]] = {}
+        by_target: dict[str, list[tuple[item_pace.Urgency, owned_jobs.ItemRun]]] = {}
         for owned in self._owned.values():
-            for run in owned.runs.values():
-                if run.task is not None:
-                    entry = (self._rate(owned, run), run)
-                    by_target.setdefault(run.target_id, []).append(entry)
+            for run in owned.list_running():
+                entry = (self._rate(owned, run), run)
+                by_target.setdefault(run.target_id, []).append(entry)
         for target_id, runs in by_target.items():
             known = self._parts.targets.find(target_id)
             if known is None:
@@ -337,21 +271,23 @@
 
     async def _run_item(
         self,
-        owned: OwnedJob,
-        run: ItemRun,
+        owned: owned_jobs.OwnedJob,
+        run: owned_jobs.ItemRun,
         route: model.Route,
         target: model.Target,
     ) -> None:
-        end = _End.YIELDED
+        end = item_sender.RunEnd.YIELDED
         started_at = run.last_event
         status = 0
         try:
-            end, status = await self._call(owned, run, target)
+            end, status = await self._sender.send(owned.entry.job, run, target)
         except failures.TargetCallError as error:
-            end = _End.BROKEN if error.may_have_run else _End.NOT_RUN
+            end = item_sender.RunEnd.NOT_RUN
+            if error.may_have_run:
+                end = item_sender.RunEnd.BROKEN
             logs.limited_info(
                 "item_run_failed",
-                job=owned.entry.job.job_id,
+                job=owned.job_id,
                 item=run.item.item_id,
                 target=target.target_id,
                 cause=error.cause,
@@ -367,7 +303,7 @@
             metrics.BATCH_ITEMS.labels(end.value).inc()
             logs.limited_info(
                 "item_run_ended",
-                job=owned.entry.job.job_id,
+                job=owned.job_id,
                 item=run.item.item_id,
                 target=target.target_id,
                 end=end.value,
@@ -376,166 +312,54 @@
             )
             self.wake()
 
-    async def _call(
-        self, owned: OwnedJob, run: ItemRun, target: model.Target
-    ) -> tuple[_End, int]:
-        known = self._parts.targets.find(target.target_id)
-        if known is None or known.target.is_leaving:
-            return _End.NOT_RUN, 0
-        job = owned.entry.job
-        call = model.TargetCall(
-            method=b"POST",
-            path=run.item.path.encode("latin-1"),
-            headers=self._parts.encode_headers(job.host, run.item.headers),
-            body=run.item.body,
-            attempt_id=run.item.item_id.encode("latin-1"),
-            last_event_id=str(run.last_event).encode() if run.last_event else b"",
-        )
-        async with self._parts.caller.call(known, call, True) as answer:
-            status = answer.reply.status
-            if answer.reply.is_not_run:
-                known.health.record_full(time.monotonic())
-                if answer.reply.is_other_target:
-                    self._parts.targets.record_replaced(known.target)
-                return _End.NOT_RUN, status
-            if status == _IMPOSSIBLE_STATUS:
-                return _End.IMPOSSIBLE, status
-            if status == _FAILED_STATUS:
-                return _End.FAILED, status
-            if status != _OK_STATUS:
-                return _End.BROKEN, status
-            end = await self._read_events(run, answer)
-            if end is _End.WHOLE:
-                known.health.record_success()
-            return end, status
-
-    async def _read_events(self, run: ItemRun, answer: target_calls.Answer) -> _End:
-        splitter = event_stream.EventSplitter()
-        while (data := await answer.read()) is not None:
-            for event in splitter.feed(data):
-                if not run.take(event):
-                    return _End.BROKEN
-        return _End.BROKEN if splitter.rest else _End.WHOLE
-
     def _settle(
         self,
-        owned: OwnedJob,
-        run: ItemRun,
+        owned: owned_jobs.OwnedJob,
+        run: owned_jobs.ItemRun,
         route: model.Route,
-        end: _End,
+        end: item_sender.RunEnd,
         has_advanced: bool,
     ) -> None:
         """Decide what follows a run."""
         if run.item.item_id not in owned.runs:
             return
-        if end is _End.WHOLE:
+        if end is item_sender.RunEnd.WHOLE:
             self._pace.record_whole(run.last_event)
-            text = b"\n".join(run.pieces).decode("utf-8", errors="surrogateescape")
+            text = b"\n".join(run.pieces).decode("utf-8", errors="replace")
             self._finish(owned, run, is_completed=True, text=text)
             return
-        if end is _End.FAILED:
+        if end is item_sender.RunEnd.FAILED:
             run.failed += 1
-        if end is _End.IMPOSSIBLE or run.failed >= max(1, route.max_attempts):
+        is_impossible = end is item_sender.RunEnd.IMPOSSIBLE
+        if is_impossible or run.failed >= max(1, route.max_attempts):
             self._finish(owned, run, is_completed=False, text="")
             return
-        if end is _End.YIELDED:
+        if end is item_sender.RunEnd.YIELDED:
             return
         run.breaks = 0 if has_advanced else run.breaks + 1
         pause_s = min(_LONGEST_PAUSE_S, _FIRST_PAUSE_S * 2 ** min(run.breaks, 6))
-        if end is _End.NOT_RUN:
+        if end is item_sender.RunEnd.NOT_RUN:
             pause_s = _FIRST_PAUSE_S
         run.not_before_s = time.monotonic() + pause_s
 
     def _finish(
-        self, owned: OwnedJob, run: ItemRun, is_completed: bool, text: str
-    ) -> None:
-        del owned.runs[run.item.item_id]
-        owned.results.append(jobs.ItemResult(run.item.item_id, is_completed, text))
-        if owned.committing is None:
-            owned.committing = asyncio.ensure_future(self._commit(owned))
-
-    async def _commit(self, owned: OwnedJob) -> None:
-        """Store results until there are none left or the job is no longer ours."""
-        try:
-            while owned.results and owned.entry.job.job_id in self._owned:
-                await self._commit_some(owned)
-        finally:
-            owned.committing = None
-
-    async def _commit_some(self, owned: OwnedJob) -> None:
-        entry = owned.entry
-        job = entry.job
-        batch: list[jobs.ItemResult] = []
-        puts: list[tuple[store.RowKey, bytes]] = []
-        size = 0
-        for result in owned.results[:_RESULTS_AT_ONCE]:
-            content = jobs.encode_result(result)
-            size += len(content)
-            if batch and size > _BYTES_AT_ONCE:
-                break
-            prefix = jobs.make_result_prefix(job.job_id, job.listed + len(batch))
-            puts.extend(jobs.split_rows(jobs.RESULT_TABLE, prefix, content))
-            batch.append(result)
-        unfinished = len(owned.runs) + len(owned.results) - len(batch)
-        advanced = dataclasses.replace(
-            job,
-            listed=job.listed + len(batch),
-            tokens_left=sum(run.item.tokens for run in owned.runs.values()),
-            state=jobs.JobState.OPEN if unfinished else jobs.JobState.DONE,
-            operation=secrets.token_hex(8),
-            failed_runs=owned.count_failed_runs(),
-        )
-        # Sent until its outcome is known: a second change with the same results could
-        # put them at two positions.
-        stands = await self._parts.changes.replace(entry, advanced, _FOREVER_S, puts)
-        if stands is None:
-            self._release(owned, "row is gone")
-            return
-        self._note_commit(owned, stands, advanced, batch)
-
-    def _note_commit(
         self,
-        owned: OwnedJob,
-        stands: job_book.BookEntry,
-        advanced: jobs.Job,
-        batch: list[jobs.ItemResult],
+        owned: owned_jobs.OwnedJob,
+        run: owned_jobs.ItemRun,
+        is_completed: bool,
+        text: str,
     ) -> None:
-        job = stands.job
-        if job.operation == advanced.operation:
-            owned.entry = stands
-            del owned.results[: len(batch)]
-            start = job.listed - len(batch)
-            kept = {start + number: result for number, result in enumerate(batch)}
-            self._parts.reader.keep_results(job.job_id, kept)
-            metrics.BATCH_COMMITS.labels("applied").inc()
-            logs.limited_info(
-                "results_stored",
-                job=job.job_id,
-                listed=job.listed,
-                total=job.total,
-                version=stands.version,
-            )
-            if not job.is_open:
-                self._release(owned, job.state.value)
-            return
-        metrics.BATCH_COMMITS.labels("conflict").inc()
-        if job.is_open and job.owner == self._parts.owner:
-            owned.entry = stands
-            return
-        self._release(owned, "moved" if job.is_open else job.state.value)
+        del owned.runs[run.item.item_id]
+        result = jobs.ItemResult(run.item.item_id, is_completed, text)
+        self._commits.add(owned, result)
 
-    def _release(self, owned: OwnedJob, cause: str) -> None:
-        job_id = owned.entry.job.job_id
-        if self._owned.get(job_id) is not owned:
+    def _release(self, owned: owned_jobs.OwnedJob, cause: str) -> None:
+        """Stop running a job that has ended or that another daemon runs."""
+        if self._owned.get(owned.job_id) is not owned:
             return
-        del self._owned[job_id]
-        logs.info("job_released", job=job_id, cause=cause)
-        self._cancel_runs(owned)
+        del self._owned[owned.job_id]
+        logs.info("job_released", job=owned.job_id, cause=cause)
+        owned.cancel_runs()
         owned.runs.clear()
         if owned.committing is not None:
             owned.committing.cancel()
-
-    def _cancel_runs(self, owned: OwnedJob) -> None:
-        for run in owned.runs.values():
-            if run.task is not None:
-                run.task.cancel()
--- a/src/endivevane/serving/job_sweeper.py
+++ b/src/endivevane/serving/job_sweeper.py
@@ -56,7 +56,11 @@
         """Delete the payload and the results first, so that the job names them."""
         job_id = entry.job.job_id
         keys: list[store.RowKey] = []
-        for table in (jobs.PAYLOAD_TABLE, jobs.RESULT_TABLE):
+        for table in (
+            jobs.PAYLOAD_TABLE,
+            jobs.RESULT_TABLE,
+            jobs.PROGRESS_TABLE,
+        ):
             page = await self._store.read_rows(
                 table, jobs.PARTITION, job_id + "/", job_id + "0"
             )
--- a/src/endivevane/serving/jobs.py
+++ b/src/endivevane/serving/jobs.py
@@ -17,6 +17,7 @@
 STATE_TABLE = "state"
 PAYLOAD_TABLE = "payloads"
 RESULT_TABLE = "results"
+PROGRESS_TABLE = "progress"
 JOB_PREFIX = "job/"
 MEMBER_PREFIX = "member/"
 QUOTA_PREFIX = "quota/"
@@ -27,6 +28,29 @@
 _COMPRESSION_LEVEL = 1
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Progress:
+    """How far an item without a result has come.
+
+    :param pieces: data of the events up to the last one
+    """
+
+    last_event: int
+    pieces: abc.Sequence[bytes]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Taken:
+    """What former owners have done of a job.
+
+    :param done: ids of the items that have results
+    :param progress: progress of others, by id
+    """
+
+    done: frozenset[str] = frozenset()
+    progress: abc.Mapping[str, Progress] = dataclasses.field(default_factory=dict)
+
+
 class JobState(enum.StrEnum):
     """Whether a job still runs."""
 
@@ -187,6 +211,30 @@
     return ItemResult(item_id, is_completed, text)
 
 
+def make_progress_key(job_id: str, item_id: str) -> store.RowKey:
+    """Return the key of an item's progress."""
+    return store.RowKey(PROGRESS_TABLE, PARTITION, f"{job_id}/{item_id}")
+
+
+def encode_progress(progress: Progress) -> bytes:
+    """Return the value of a progress row, compressed."""
+    text = [piece.decode("latin-1") for piece in progress.pieces]
+    return zlib.compress(orjson.dumps((progress.last_event, text)), _COMPRESSION_LEVEL)
+
+
+def decode_progress(value: bytes) -> Progress:
+    """Return the progress of an item from its row's value.
+
+    :raises ValueError: when the value is not one of a progress row
+    """
+    try:
+        last_event, text = orjson.loads(zlib.decompress(value))
+        pieces = [piece.encode("latin-1") for piece in text]
+        return Progress(int(last_event), pieces)
+    except (AttributeError, TypeError, zlib.error) as error:
+        raise ValueError(str(error)) from error
+
+
 def split_rows(
     table: str, prefix: str, content: bytes
 ) -> list[tuple[store.RowKey, bytes]]:
--- a/src/endivevane/serving/placement.py
+++ b/src/endivevane/serving/placement.py
@@ -132,9 +132,8 @@
             if health.is_silent(now_s):
                 continue
             load = self._board.total(target.target_id)
-            has_room = target.target_id not in excluded and self._has_batch_room(
-                target, load, peak_room
-            )
+            room = self._count_batch_room(target, load, peak_room)
+            has_room = target.target_id not in excluded and room > 0
             if not has_room and not (is_urgent and _has_urgent_room(target, load)):
                 continue
             cost = self._cost(target, load.total)
@@ -142,6 +141,31 @@
                 best, best_cost = target, cost
         return best
 
+    def draw_batch_share(self, service: str, now_s: float, is_urgent: bool) -> int:
+        """Return how many items this daemon may start of those that find places now.
+
+        Daemons with waiting items share the places by the number of their items; parts
+        of an item are drawn. So they do not all start items at the same free places.
+        """
+        usable = self._targets.list_usable(service)
+        peak_room = self._find_peak_room(service, usable)
+        places = 0
+        for known in usable:
+            health = known.health
+            if health.is_paused(now_s) or health.is_silent(now_s):
+                continue
+            load = self._board.total(known.target.target_id)
+            free = self._count_batch_room(known.target, load, peak_room)
+            if is_urgent and _has_urgent_room(known.target, load):
+                free = max(free, URGENT_PLACES - load.batch)
+            places += max(0, free)
+        own = self._board.own_waiting_items
+        share = places * own / max(1, own, self._board.waiting_items)
+        whole = int(share)
+        if self._generator.random() < share - whole:
+            whole += 1
+        return whole
+
     def count_to_yield(self, target: model.Target) -> int:
         """Return how many own batch items should leave a target for online requests.
 
@@ -199,15 +223,15 @@
             return None
         return room
 
-    def _has_batch_room(
+    def _count_batch_room(
         self, target: model.Target, load: load_board.Load, peak_room: float | None
-    ) -> bool:
-        """Whether a target has room that online requests do not need now."""
-        if load.total + 1 > max(1, target.slots - _BATCH_RESERVE):
-            return False
+    ) -> int:
+        """Return how many more items fit where online requests need no room now."""
+        free = max(1, target.slots - _BATCH_RESERVE) - load.total
         if peak_room is None:
-            return True
-        return load.batch + 1 <= int(peak_room * target.slots) - _PEAK_RESERVE
+            return free
+        beside_peak = int(peak_room * target.slots) - _PEAK_RESERVE
+        return min(free, beside_peak - load.batch)
 
     def _cost(self, target: model.Target, total: int) -> float:
         cost = (total + 1) / target.slots
