Let stopping daemons take over and own no jobs

Change: reports say that a daemon is stopping; it claims nothing and ranks for nothing, and the jobs that it accepts have no owner, so that others claim them at once.

--- a/features/serving_state.feature
+++ b/features/serving_state.feature
@@ -82,6 +82,19 @@
     When a daemon adopts a job of 4 items, and again after 100 ms
     Then each of the 4 items was sent to a target once
 
+  # Pattern: daemons are stopped one after the other, a second apart.
+  # Guards against jobs that wait for the end of a daemon which is stopping, because it
+  # took them over or because the others leave them to it.
+  Scenario Outline: A job that was handed back goes to a daemon that stays
+    Given a job without an owner and two daemons, of which <stopping> is stopping
+    When both look for jobs to take over
+    Then <owner> owns the job
+
+    Examples:
+      | stopping   | owner      |
+      | the first  | the second |
+      | the second | the first  |
+
   # Guards against items that fail at each run and get all attempts again from each
   # daemon that takes the job over.
   Scenario: Failed runs of an item count on with the next owner
--- a/features/steps/serving_state_steps.py
+++ b/features/steps/serving_state_steps.py
@@ -15,10 +15,12 @@
     follower,
     job_book,
     job_changes,
+    job_claims,
     job_reader,
     job_runner,
     jobs,
     model,
+    peers,
     routing_table,
     store,
 )
@@ -513,3 +515,56 @@
     begun = context.runs["job-0"]
     assert (begun.last_event, begun.pieces) == (2, [b"one", b"two"])
     assert context.runs["job-1"].last_event == 0
+
+
+class _NamedNetwork:
+    """Says which daemons live; the loads and datagrams are left out."""
+
+    def __init__(self, name, stopping):
+        self.is_stopping = name == stopping
+        self._staying = [item for item in ("a", "b") if item != stopping]
+
+    def list_staying(self):
+        return self._staying
+
+    def is_alive(self, name, incarnation=""):
+        return True
+
+
+@given("a job without an owner and two daemons, of which the {which} is stopping")
+def step_unowned(context, which):
+    context.stopping = "a" if which == "first" else "b"
+
+
+@when("both look for jobs to take over")
+def step_claim(context):
+    async def run():
+        rows = serving_fakes.FakeStore()
+        daemons = {name: _Daemon(rows, name) for name in ("a", "b")}
+        daemons["a"].changes.stop_owning()
+        await daemons["a"].changes.accept(_submission("job"))
+        tasks = []
+        for name, daemon in daemons.items():
+            claims = job_claims.JobClaims(
+                peers.Identity(name, "r", "1", "10.0.0.1", 1),
+                _NamedNetwork(name, context.stopping),
+                daemon.state,
+                daemon.book,
+                daemon.changes,
+                _make_runner(daemon, serving_fakes.Fleet([]), None),
+            )
+            # The daemons have been running for long.
+            claims._settled_s = 0.0
+            tasks.append(asyncio.ensure_future(claims.run()))
+        await asyncio.sleep(1.2)
+        entry = await daemons["a"].changes.refresh("job")
+        context.owner = entry.job.owner
+        for task in (*tasks, *(daemon.feed for daemon in daemons.values())):
+            task.cancel()
+
+    asyncio.run(run())
+
+
+@then("the {which} owns the job")
+def step_owner(context, which):
+    assert context.owner == ("a/1" if which == "first" else "b/1"), context.owner
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -380,6 +380,8 @@
         self._is_stopping = True
         self._clients.is_stopping = True
         logs.info("daemon_stopping", busy=self._clients.busy)
+        self._network.announce_stop()
+        self._changes.stop_owning()
         handing_back = asyncio.ensure_future(self._runner.hand_back())
         last_s = began_s + self._settings.stopping.grace_s - _GRACE_MARGIN_S
         await asyncio.sleep(_LEAVE_ROTATION_S)
--- a/src/endivevane/serving/job_api.py
+++ b/src/endivevane/serving/job_api.py
@@ -74,7 +74,7 @@
         except failures.JobUncertain:
             logs.limited_info("job_uncertain", job=job_id)
             return responder.WholeAnswer(http.HTTPStatus.GATEWAY_TIMEOUT)
-        if entry is not None:
+        if entry is not None and entry.job.owner:
             self._runner.adopt(entry, items)
         logs.info(
             "job_accepted",
--- a/src/endivevane/serving/job_changes.py
+++ b/src/endivevane/serving/job_changes.py
@@ -52,6 +52,10 @@
         self._book = book
         self._owner = owner
 
+    def stop_owning(self) -> None:
+        """Leave jobs that are accepted from now on to other daemons."""
+        self._owner = ""
+
     async def accept(self, submission: Submission) -> job_book.BookEntry | None:
         """Store a job; return its entry when this call has created it.
 
--- a/src/endivevane/serving/job_claims.py
+++ b/src/endivevane/serving/job_claims.py
@@ -63,7 +63,7 @@
         while True:
             await asyncio.sleep(_TICK_S)
             now_s = time.monotonic()
-            if now_s < self._settled_s:
+            if now_s < self._settled_s or self._network.is_stopping:
                 continue
             if not self._state.is_confirmed(now_s, _CONFIRMED_S):
                 continue
@@ -84,8 +84,7 @@
             return False
         if name and now_s - entry.changed_s < _CLAIM_LIFE_S:
             return False
-        members = {peer.name: 1.0 for peer in self._network.list_alive()}
-        members[self._identity.name] = 1.0
+        members = dict.fromkeys(self._network.list_staying(), 1.0)
         return rendezvous.choose_member(job.job_id, members) == self._identity.name
 
     async def _take_over(self, entry: job_book.BookEntry) -> None:
--- a/src/endivevane/serving/job_sweeper.py
+++ b/src/endivevane/serving/job_sweeper.py
@@ -48,8 +48,7 @@
                     logs.limited_info("job_not_deleted", job=job.job_id, cause=error)
 
     def _is_ours(self, job_id: str) -> bool:
-        members = {peer.name: 1.0 for peer in self._network.list_alive()}
-        members[self._name] = 1.0
+        members = dict.fromkeys(self._network.list_staying(), 1.0)
         return rendezvous.choose_member(job_id, members) == self._name
 
     async def _delete(self, entry: job_book.BookEntry) -> None:
--- a/src/endivevane/serving/peer_messages.py
+++ b/src/endivevane/serving/peer_messages.py
@@ -18,6 +18,7 @@
     :param waiting_items: batch items that could start now
     :param waiting_requests: online requests that wait for a place and can be on time,
         by service
+    :param is_stopping: whether the daemon is about to end
     :param living: names and incarnations of the region's daemons; empty in the report
         of a single daemon
     """
@@ -29,6 +30,7 @@
     loads: abc.Mapping[str, load_board.Load]
     waiting_items: int = 0
     waiting_requests: abc.Mapping[str, int] = dataclasses.field(default_factory=dict)
+    is_stopping: bool = False
     living: tuple[tuple[str, str], ...] = ()
 
 
@@ -44,6 +46,7 @@
             loads,
             report.waiting_items,
             dict(report.waiting_requests),
+            report.is_stopping,
             report.living,
         )
     )
@@ -56,7 +59,8 @@
     """
     try:
         fields = orjson.loads(data)
-        name, region, incarnation, sequence, loads, items, requests, living = fields
+        name, region, incarnation, sequence, loads, *counts, living = fields
+        items, requests, is_stopping = counts
         return Report(
             name=str(name),
             region=str(region),
@@ -70,6 +74,7 @@
             waiting_requests={
                 str(service): int(count) for service, count in requests.items()
             },
+            is_stopping=bool(is_stopping),
             living=tuple((str(peer), str(run)) for peer, run in living),
         )
     except (AttributeError, TypeError, ValueError) as error:
--- a/src/endivevane/serving/peers.py
+++ b/src/endivevane/serving/peers.py
@@ -43,6 +43,7 @@
 
     :param incarnation: names one run of its process
     :param heard_s: monotonic time of its last sign of life, 0 if there was none
+    :ivar is_stopping: whether it said that it is about to end
     :ivar known_s: monotonic time since which it is known
     """
 
@@ -52,6 +53,7 @@
     port: int
     incarnation: str
     heard_s: float = 0.0
+    is_stopping: bool = False
     known_s: float = dataclasses.field(default_factory=time.monotonic)
 
     def is_lost(self, now_s: float) -> bool:
@@ -81,6 +83,7 @@
 class PeerNetwork(asyncio.DatagramProtocol):
     """Sends and receives reports, and knows which daemons live.
 
+    :ivar is_stopping: whether this daemon is about to end
     :ivar interval_s: time between two reports of a changing load, about the age of
         what is known of the others' loads
     """
@@ -92,6 +95,7 @@
         on_report: abc.Callable[[], None],
     ) -> None:
         self.peers: dict[str, Peer] = {}
+        self.is_stopping = False
         self.interval_s = _SHORTEST_INTERVAL_S
         self._identity = identity
         self._board = board
@@ -169,6 +173,18 @@
         """Return the other daemons that live."""
         return [peer for peer in self.peers.values() if self.is_alive(peer.name)]
 
+    def list_staying(self) -> list[str]:
+        """Return the names of the daemons that live and go on, this one included."""
+        names = [peer.name for peer in self.list_alive() if not peer.is_stopping]
+        if not self.is_stopping:
+            names.append(self._identity.name)
+        return names
+
+    def announce_stop(self) -> None:
+        """Tell the others that this daemon is about to end."""
+        self.is_stopping = True
+        self._report(time.monotonic())
+
     async def run(self) -> None:
         """Report whenever the load changes, and now and then besides."""
         sent_version = -1
@@ -211,6 +227,7 @@
             self.peers[message.name] = peer
         peer.host = host
         peer.heard_s = now_s
+        peer.is_stopping = message.is_stopping
 
     def _note_living(self, living: abc.Iterable[tuple[str, str]], now_s: float) -> None:
         """Note the daemons that another region names as alive."""
@@ -275,8 +292,12 @@
         if rendezvous.choose_member(region, members) != self._identity.name:
             return
         self._sequence += 1
-        living = [(peer.name, peer.incarnation) for peer in near]
-        living.append((self._identity.name, self._identity.incarnation))
+        # Others claim the jobs of daemons that are not named.
+        living = [
+            (peer.name, peer.incarnation) for peer in near if not peer.is_stopping
+        ]
+        if not self.is_stopping or not living:
+            living.append((self._identity.name, self._identity.incarnation))
         loads = self._board.sum_with(members)
         report = dataclasses.replace(
             self._make_report(loads),
@@ -313,6 +334,7 @@
             incarnation=self._identity.incarnation,
             sequence=self._sequence,
             loads=loads,
+            is_stopping=self.is_stopping,
         )
 
     def _send(self, data: bytes, host: str, port: int) -> None:
