--- a/Makefile
+++ b/Makefile
@@ -18,12 +18,12 @@
 test: lint types model features
 
 format: $(STAMP)
-	$(BIN)/ruff format src standins features bench tools
-	$(BIN)/ruff check --fix src standins features bench tools
+	$(BIN)/ruff format src standins features bench tools deploy
+	$(BIN)/ruff check --fix src standins features bench tools deploy
 
 lint: $(STAMP)
-	$(BIN)/ruff format --check src standins features bench tools
-	$(BIN)/ruff check src standins features bench tools
+	$(BIN)/ruff format --check src standins features bench tools deploy
+	$(BIN)/ruff check src standins features bench tools deploy
 
 types: $(STAMP)
 	$(BIN)/mypy
--- a/src/endivevane/serving/exchange.py
+++ b/src/endivevane/serving/exchange.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
-import enum
 import random
 import time
 
 from endivevane import logs, metrics
 from endivevane.serving import (
     admission,
+    attempts,
     directory,
     event_stream,
     failures,
@@ -23,12 +22,6 @@
 
 # Answers of routes that do not stream are passed on whole up to this size.
 _MAX_WHOLE_BYTES = 1 << 20
-# Time limit of a request whose client and route name none.
-_DEFAULT_LIMIT_S = 30.0
-# The answer to a request out of time leaves this long before the route's timeout.
-_TIMEOUT_LEAD_S = 0.0
-# A client with at least this share of the route's time left has not tried before.
-_FIRST_TRY_SHARE = 0.95
 # Attempts that did not run a request are bounded too, against endless refusals.
 _MAX_SENDS = 12
 # Statuses that promise that a request has not run.
@@ -36,62 +29,6 @@
 _FIRST_FAILED_STATUS = 500
 
 
-class Outcome(enum.StrEnum):
-    """How a request ended."""
-
-    SERVED = "served"
-    REFUSED = "refused"
-    FAILED = "failed"
-    BROKEN = "broken"
-    TIMED_OUT = "timed_out"
-    CLIENT_LEFT = "client_left"
-
-
-@dataclasses.dataclass(slots=True)
-class Progress:
-    """What has happened to a request so far.
-
-    :ivar version: configuration version that the route is from
-    :ivar patience_until_s: monotonic time at which the client gives up for silence
-    :ivar may_return: whether the client comes again after a refusal
-    :ivar ran_on: targets that may have run it
-    :ivar gone: those of them that are known to have ended
-    :ivar last_event_id: last event that the client has, or that it said it has
-    :ivar fruitless: runs in a row that brought no event
-    :ivar causes: why attempts failed
-    """
-
-    request_id: str
-    version: int
-    route: model.Route
-    service: str
-    objective_s: float
-    deadline_s: float
-    last_event_id: bytes
-    patience_until_s: float
-    may_return: bool
-    ran_on: set[str] = dataclasses.field(default_factory=set)
-    gone: set[str] = dataclasses.field(default_factory=set)
-    refused_by: set[str] = dataclasses.field(default_factory=set)
-    sends: int = 0
-    fruitless: int = 0
-    causes: list[str] = dataclasses.field(default_factory=list)
-    first_event_s: float | None = None
-    placed_s: float = 0.0
-    delivered: int = 0
-
-    @property
-    def may_have_run(self) -> bool:
-        """Whether any target may have run the request."""
-        return bool(self.ran_on)
-
-    def list_allowed(self) -> frozenset[str] | None:
-        """Return the targets that it may go to, ``None`` for any."""
-        if len(self.ran_on - self.gone) < self.route.max_attempts:
-            return None
-        return frozenset(self.ran_on - self.gone)
-
-
 class OnlineService:
     """Serves online requests."""
 
@@ -115,52 +52,32 @@
         route: model.Route,
         version: int,
         answer: responder.Responder,
-    ) -> Outcome:
+    ) -> attempts.Outcome:
         """Answer a request; every path writes one answer or closes the connection.
 
         :param version: configuration version that the route is from
         """
-        progress = self._start(request, route, version)
+        service = routing_table.choose_service(route, self._generator)
+        progress = attempts.begin(request, route, service, version)
         try:
-            async with asyncio.timeout_at(
-                _loop_time(progress.deadline_s - _TIMEOUT_LEAD_S)
-            ):
+            async with asyncio.timeout_at(_loop_time(progress.deadline_s)):
                 outcome = await self._run(request, progress, answer)
         except TimeoutError:
             outcome = self._give_up_in_time(progress, answer)
         except asyncio.CancelledError:
-            self._log(request, progress, Outcome.CLIENT_LEFT)
+            self._log(request, progress, attempts.Outcome.CLIENT_LEFT)
             raise
         except ConnectionError:
-            outcome = Outcome.CLIENT_LEFT
+            outcome = attempts.Outcome.CLIENT_LEFT
         self._log(request, progress, outcome)
         return outcome
 
-    def _start(
-        self, request: model.ClientRequest, route: model.Route, version: int
-    ) -> Progress:
-        limit_s = route.timeout_s or _DEFAULT_LIMIT_S
-        deadline_s = request.received_s + limit_s
-        if request.deadline_s is not None:
-            deadline_s = min(deadline_s, request.deadline_s)
-        return Progress(
-            request_id=request.attempt_id.decode("latin-1"),
-            version=version,
-            route=route,
-            service=routing_table.choose_service(route, self._generator),
-            objective_s=request.received_s + route.objective_s,
-            deadline_s=deadline_s,
-            last_event_id=request.last_event_id,
-            patience_until_s=request.received_s + route.patience_s,
-            may_return=_is_first_try(request, route),
-        )
-
     async def _run(
         self,
         request: model.ClientRequest,
-        progress: Progress,
+        progress: attempts.Progress,
         answer: responder.Responder,
-    ) -> Outcome:
+    ) -> attempts.Outcome:
         while True:
             target = await self._places.acquire(self._make_wish(progress))
             if target is None:
@@ -172,7 +89,7 @@
                 return self._give_up(progress, answer)
             metrics.RETRIES.labels(progress.causes[-1][:20]).inc()
 
-    def _make_wish(self, progress: Progress) -> admission.Wish:
+    def _make_wish(self, progress: attempts.Progress) -> admission.Wish:
         usable = {
             known.target.target_id
             for known in self._targets.list_usable(progress.service)
@@ -199,9 +116,9 @@
         self,
         target: model.Target,
         request: model.ClientRequest,
-        progress: Progress,
+        progress: attempts.Progress,
         answer: responder.Responder,
-    ) -> Outcome | None:
+    ) -> attempts.Outcome | None:
         """Send the request to a target; ``None`` when another attempt may follow."""
         started_s = time.monotonic()
         progress.placed_s = started_s
@@ -227,9 +144,9 @@
         self,
         known: directory.KnownTarget,
         request: model.ClientRequest,
-        progress: Progress,
+        progress: attempts.Progress,
         answer: responder.Responder,
-    ) -> Outcome | None:
+    ) -> attempts.Outcome | None:
         route = progress.route
         call = model.TargetCall(
             method=request.method,
@@ -255,9 +172,9 @@
         self,
         known: directory.KnownTarget,
         reply: target_calls.Answer,
-        progress: Progress,
+        progress: attempts.Progress,
         answer: responder.Responder,
-    ) -> Outcome:
+    ) -> attempts.Outcome:
         """Pass on whole events, so that a broken stream can go on elsewhere."""
         splitter = event_stream.EventSplitter()
         while True:
@@ -285,15 +202,15 @@
             await answer.write(splitter.rest)
         known.health.record_success()
         answer.finish()
-        return Outcome.SERVED
+        return attempts.Outcome.SERVED
 
     async def _relay_whole(
         self,
         known: directory.KnownTarget,
         reply: target_calls.Answer,
-        progress: Progress,
+        progress: attempts.Progress,
         answer: responder.Responder,
-    ) -> Outcome | None:
+    ) -> attempts.Outcome | None:
         """Pass on an answer once it is whole."""
         head = reply.reply
         chunks: list[bytes] = []
@@ -310,7 +227,7 @@
         if answer.is_begun:
             await answer.write(b"".join(chunks))
             answer.finish()
-            return Outcome.SERVED
+            return attempts.Outcome.SERVED
         is_failure = head.status >= _FIRST_FAILED_STATUS or head.status in _PROMISES
         if is_failure and progress.route.is_idempotent and self._may_go_on(progress):
             progress.causes.append(f"status {head.status}")
@@ -320,12 +237,12 @@
         if head.status in _PROMISES:
             # The target may have run the request, so its status promises too much.
             answer.send(responder.WholeAnswer(502))
-            return Outcome.FAILED
+            return attempts.Outcome.FAILED
         whole = responder.WholeAnswer(
             head.status, b"".join(chunks), head.headers, head.reason
         )
         answer.send(whole)
-        return Outcome.FAILED if is_failure else Outcome.SERVED
+        return attempts.Outcome.FAILED if is_failure else attempts.Outcome.SERVED
 
     async def _drain(self, reply: target_calls.Answer) -> None:
         """Read the body of a refusal, so that the connection can be kept."""
@@ -338,7 +255,7 @@
     def _note_refusal(
         self,
         known: directory.KnownTarget,
-        progress: Progress,
+        progress: attempts.Progress,
         head: model.TargetReply,
     ) -> None:
         progress.causes.append(f"not run, status {head.status}")
@@ -352,7 +269,7 @@
     def _note_failure(
         self,
         target: model.Target,
-        progress: Progress,
+        progress: attempts.Progress,
         error: failures.TargetCallError,
     ) -> None:
         if error.may_have_run:
@@ -367,7 +284,7 @@
             if self._targets.find(target_id) is None:
                 progress.gone.add(target_id)
 
-    def _may_go_on(self, progress: Progress) -> bool:
+    def _may_go_on(self, progress: attempts.Progress) -> bool:
         """Whether another attempt is allowed."""
         if progress.sends >= _MAX_SENDS:
             return False
@@ -380,7 +297,9 @@
         allowed = progress.list_allowed()
         return allowed is None or bool(allowed)
 
-    def _refuse(self, progress: Progress, answer: responder.Responder) -> Outcome:
+    def _refuse(
+        self, progress: attempts.Progress, answer: responder.Responder
+    ) -> attempts.Outcome:
         """End a request that finds no target."""
         if progress.may_have_run or answer.is_begun:
             return self._give_up(progress, answer)
@@ -394,33 +313,38 @@
             **self._places.explain(progress.service),
         )
         answer.send(responder.WholeAnswer(503, retry_after_s=retry_after_s))
-        return Outcome.REFUSED
+        return attempts.Outcome.REFUSED
 
-    def _give_up(self, progress: Progress, answer: responder.Responder) -> Outcome:
+    def _give_up(
+        self, progress: attempts.Progress, answer: responder.Responder
+    ) -> attempts.Outcome:
         """End a request whose last attempt failed."""
         if answer.is_begun:
             answer.abort()
-            return Outcome.BROKEN
+            return attempts.Outcome.BROKEN
         if not progress.may_have_run:
             return self._refuse(progress, answer)
         metrics.REFUSALS.labels("target_failed", "may-have-run").inc()
         answer.send(responder.WholeAnswer(502))
-        return Outcome.FAILED
+        return attempts.Outcome.FAILED
 
     def _give_up_in_time(
-        self, progress: Progress, answer: responder.Responder
-    ) -> Outcome:
+        self, progress: attempts.Progress, answer: responder.Responder
+    ) -> attempts.Outcome:
         """End a request that has reached its time limit."""
         if answer.is_begun:
             answer.abort()
-            return Outcome.TIMED_OUT
+            return attempts.Outcome.TIMED_OUT
         # A request that was under way when time ran out may have run.
         metrics.REFUSALS.labels("deadline", "may-have-run").inc()
         answer.send(responder.WholeAnswer(504))
-        return Outcome.TIMED_OUT
+        return attempts.Outcome.TIMED_OUT
 
     def _log(
-        self, request: model.ClientRequest, progress: Progress, outcome: Outcome
+        self,
+        request: model.ClientRequest,
+        progress: attempts.Progress,
+        outcome: attempts.Outcome,
     ) -> None:
         ended_s = time.monotonic()
         metrics.ONLINE_REQUESTS.labels(outcome.value).inc()
@@ -446,17 +370,6 @@
         )
 
 
-def _is_first_try(request: model.ClientRequest, route: model.Route) -> bool:
-    """Whether a client has most of its time left, so that it can come again.
-
-    Clients have the same time for all their tries; one that came back has less.
-    """
-    if request.deadline_s is None or request.last_event_id:
-        return False
-    left_s = request.deadline_s - request.received_s
-    return left_s >= _FIRST_TRY_SHARE * (route.timeout_s or _DEFAULT_LIMIT_S)
-
-
 def _loop_time(monotonic_s: float) -> float:
     """Return the event loop's time for a monotonic time."""
     loop = asyncio.get_running_loop()
