--- a/bench/decision_parts.py
+++ b/bench/decision_parts.py
@@ -9,8 +9,8 @@
 from endivevane import types
 from endivevane.configuration import snapshot
 from endivevane.coordination import clock
-from endivevane.online import contract, routing, scheduler
 from endivevane.external import engine
+from endivevane.online import contract, routing, scheduler
 
 SERVICE = "answers"
 MODEL = "small-lm"
--- a/deploy/entry.py
+++ b/deploy/entry.py
@@ -5,6 +5,6 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "src"))
 
-from endivevane.entry import main  # noqa: E402
+from endivevane.entry import main
 
 sys.exit(main.main())
