Add a soak of daemons as processes with faults from outside

Each seed starts a store, three targets behind proxies that delay, reset, cut one way or silence connections, and three daemons; it kills, stops, pauses and reloads daemons, replaces targets, changes the configuration and spoils the store, in series that overlap, while clients check their answers and the positions and texts of jobs.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 KEEP ?= 0
 
-.PHONY: setup demo test bench lint format types model features clean
+.PHONY: setup demo test soak bench lint format types model features clean
 
 setup: $(STAMP)
 
@@ -18,12 +18,12 @@
 test: lint types model features
 
 format: $(STAMP)
-	$(BIN)/ruff format src standins features bench tools deploy
-	$(BIN)/ruff check --fix src standins features bench tools deploy
+	$(BIN)/ruff format src standins features bench tools deploy soak
+	$(BIN)/ruff check --fix src standins features bench tools deploy soak
 
 lint: $(STAMP)
-	$(BIN)/ruff format --check src standins features bench tools deploy
-	$(BIN)/ruff check src standins features bench tools deploy
+	$(BIN)/ruff format --check src standins features bench tools deploy soak
+	$(BIN)/ruff check src standins features bench tools deploy soak
 
 types: $(STAMP)
 	$(BIN)/mypy
@@ -35,6 +35,9 @@
 features: $(STAMP)
 	$(BIN)/python -m tools.run_features
 
+soak: $(STAMP)
+	$(BIN)/python -m soak.run --seeds 1-50
+
 bench: $(STAMP)
 	$(BIN)/python -m bench.run
 
--- a/features/steps/serving_process_steps.py
+++ b/features/steps/serving_process_steps.py
@@ -222,7 +222,7 @@
 def step_turn_away(context):
     # Nothing listens at the port that the daemon now has for the store.
     daemon = context.fleet.daemons[0]
-    daemon.write_settings(serving_processes._free_ports(1)[0])
+    daemon.write_settings(serving_processes.find_free_ports(1)[0])
     daemon.process.send_signal(signal.SIGHUP)
     time.sleep(3.5)
 
--- a/features/support/serving_processes.py
+++ b/features/support/serving_processes.py
@@ -20,7 +20,8 @@
 _START_S = 20.0
 
 
-def _free_ports(count):
+def find_free_ports(count):
+    """Return ports of loopback that are free now."""
     sockets = []
     for _ in range(count):
         item = socket.socket()
@@ -32,6 +33,28 @@
     return ports
 
 
+def make_fleet_configuration():
+    """Return a configuration with a resumable and a batch route."""
+    configuration = serving_world.make_configuration()
+    configuration["routes"].append(
+        {
+            "name": "digest",
+            "host": serving_world.HOST,
+            "prefix": "/digest/",
+            "kind": "batch",
+            "timeoutMs": 4000,
+            "goalMs": 400,
+            "priority": 2,
+            "service": "lm",
+            "maxAttempts": 3,
+            "completionTargetMs": 18000,
+            "retentionS": 60,
+            "cap": 100000,
+        }
+    )
+    return configuration
+
+
 class Loop:
     """An event loop on a thread, for stand-ins that run while steps block."""
 
@@ -57,7 +80,7 @@
         # All daemons have the same internal port, so each one has an address.
         self.ip = f"127.0.0.{number + 1}"
         self.internal_port = internal_port
-        ports = _free_ports(3)
+        ports = find_free_ports(3)
         self.port, self.ready_port, self.metrics_port = ports
         self.path = pathlib.Path(folder) / f"{self.name}.toml"
         self.log_path = pathlib.Path(folder) / f"{self.name}.log"
@@ -114,25 +137,9 @@
         self.folder = tempfile.TemporaryDirectory()
         self.store = self.loop.run(self._make_store())
         self.replicas = [replica.Replica(f"i-{n}") for n in range(targets)]
-        self.configuration = serving_world.make_configuration()
-        self.configuration["routes"].append(
-            {
-                "name": "digest",
-                "host": serving_world.HOST,
-                "prefix": "/digest/",
-                "kind": "batch",
-                "timeoutMs": 4000,
-                "goalMs": 400,
-                "priority": 2,
-                "service": "lm",
-                "maxAttempts": 3,
-                "completionTargetMs": 18000,
-                "retentionS": 60,
-                "cap": 100000,
-            }
-        )
+        self.configuration = make_fleet_configuration()
         self.loop.run(self._prepare())
-        (internal_port,) = _free_ports(1)
+        (internal_port,) = find_free_ports(1)
         self.daemons = [
             Daemon(n + 1, self.store_port, internal_port, self.folder.name)
             for n in range(daemons)
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of daemons as processes, with faults from outside."""
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,120 @@
+"""The store, the targets behind faulty proxies, and the daemons of a soak."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import random
+import tempfile
+import time
+
+from features.support import serving_processes, serving_world
+from soak import proxy
+from standins import replica, row_store
+
+_DAEMONS = 3
+_TARGETS = 3
+_START_S = 20.0
+EVENTS = 12
+
+
+class World:
+    """Everything that a soak runs; the processes are ended by their own handles."""
+
+    def __init__(self) -> None:
+        self.store = row_store.RowStore()
+        self.replicas: list[replica.Replica] = []
+        self.former: list[replica.Replica] = []
+        self.proxies: list[proxy.FaultyProxy] = []
+        self.daemons: list[serving_processes.Daemon] = []
+        self.configuration = serving_processes.make_fleet_configuration()
+        self.configuration["routes"].append(
+            {
+                **self.configuration["routes"][0],
+                "name": "once",
+                "prefix": "/once/",
+                "resumable": False,
+            }
+        )
+        self._folder = tempfile.TemporaryDirectory()
+        self._started = 0
+
+    async def start(self) -> None:
+        """Start everything and wait until the daemons are ready."""
+        store_port = await self.store.start()
+        self.store.write("op", "config", self.configuration)
+        for _ in range(_TARGETS):
+            await self._add_target()
+        (internal_port,) = serving_processes.find_free_ports(1)
+        self.daemons = [
+            serving_processes.Daemon(
+                number + 1, store_port, internal_port, self._folder.name
+            )
+            for number in range(_DAEMONS)
+        ]
+        for daemon in self.daemons:
+            daemon.start()
+        until_s = time.monotonic() + _START_S
+        while not await asyncio.to_thread(self._are_ready):
+            if time.monotonic() > until_s:
+                raise TimeoutError(self.read_logs()[-2000:])
+            await asyncio.sleep(0.05)
+
+    async def stop(self) -> None:
+        """End the processes that were started here, and the stand-ins."""
+        for daemon in self.daemons:
+            daemon.stop()
+        for item in (*self.replicas, *self.proxies):
+            await item.stop()
+        await self.store.stop()
+        self._folder.cleanup()
+
+    async def replace_target(self, number: int) -> None:
+        """Let a target crash and another one start beside the others."""
+        old = self.replicas.pop(number)
+        self.former.append(old)
+        await old.stop()
+        await self.proxies.pop(number).stop()
+        self.store.write("servers", old.name, None)
+        await self._add_target()
+
+    def change_configuration(self, generator: random.Random) -> None:
+        """Write the next version, with another route added or taken away."""
+        routes = self.configuration["routes"]
+        if routes[-1]["name"] == "extra":
+            routes.pop()
+        elif generator.random() < 0.8:
+            routes.append({**routes[0], "name": "extra", "prefix": "/extra/"})
+        self.configuration["version"] += generator.randint(1, 5)
+        self.store.write("op", "config", self.configuration)
+
+    def list_runs(self) -> list[replica.Run]:
+        """Return the runs of all targets there have been."""
+        return [run for item in (*self.former, *self.replicas) for run in item.runs]
+
+    def read_logs(self) -> str:
+        """Return what the daemons have logged."""
+        paths = sorted(pathlib.Path(self._folder.name).glob("*.log"))
+        return "\n".join(f"== {path.name}\n{path.read_text()}" for path in paths)
+
+    def _are_ready(self) -> bool:
+        return all(daemon.is_ready() for daemon in self.daemons)
+
+    async def _add_target(self) -> None:
+        self._started += 1
+        item = replica.Replica(f"i-{self._started}")
+        item.manner.events, item.manner.gap_s = EVENTS, 0.02
+        await item.start()
+        before = proxy.FaultyProxy(item.port)
+        await before.start()
+        self.replicas.append(item)
+        self.proxies.append(before)
+        entry = {**item.describe("lm"), "address": f"127.0.0.1:{before.port}"}
+        self.store.write("servers", item.name, entry)
+
+
+def make_stream(prefix: str, attempt: str) -> bytes:
+    """Return the bytes of an online request."""
+    return serving_world.make_request(
+        f"{prefix}{attempt}", attempt, b"hello", ("Deadline-Ms: 3000",)
+    )
