Take a sample of a daemon from one moment

Cause (finding on the landed code: regions.feature sampled daemon-0 ready with revision 0 and no members): the sampler asked for the status, got a refusal since a daemon without a revision can't check the operator's key, and then asked whether it is ready; a daemon that got its revision in between was sampled as ready without one. members={} shows that path: only the sampler writes it. Ruled out: readiness without a revision, which a sample still shows (second example). Change: the status is asked again when the daemon has become ready.

--- a/features/regions.feature
+++ b/features/regions.feature
@@ -60,6 +60,18 @@
     And within 12 s of the return all members see each other alive
     And no daemon ever went back or was ready with less than it had
 
+  Scenario Outline: A sample of a daemon joins no answers of two moments
+    # Guards against a daemon that seems ready without a revision because it got its
+    # revision between two questions (a failed run of the scenario before).
+    When a daemon that <daemon> is sampled
+    Then the sample says <sample>
+
+    Examples:
+      | daemon                                       | sample                       |
+      | gets its revision between two questions      | ready with revision 7        |
+      | is ready and never shows a revision          | ready with revision 0        |
+      | has no revision and is not ready             | not ready with revision 0    |
+
   Scenario: Two daemons whose connections go silent find each other again
     Guards against a daemon that takes a silent connection for a dead peer, and against
     messages that go into it for good.
--- a/features/steps/regions_steps.py
+++ b/features/steps/regions_steps.py
@@ -315,3 +315,32 @@
         assert len(states) > 10, (name, len(states))
         dead = [item for item in states if "dead" in item]
         assert not dead, (name, len(dead), len(states))
+
+
+_STATUS = {"ready": True, "revision": 7, "members": []}
+_SCRIPTS = {
+    "gets its revision between two questions": {
+        "/admin/status": [(503, {}, {}), (200, {}, _STATUS)],
+        "/readyz": [(200, {}, {})],
+    },
+    "is ready and never shows a revision": {
+        "/admin/status": [(503, {}, {}), (503, {}, {})],
+        "/readyz": [(200, {}, {})],
+    },
+    "has no revision and is not ready": {
+        "/admin/status": [(503, {}, {})],
+        "/readyz": [(503, {}, {})],
+    },
+}
+
+
+@when("a daemon that {script} is sampled")
+def step_sample_scripted(context, script):
+    answers = {path: list(items) for path, items in _SCRIPTS[script].items()}
+    context.sample = region_fleet.take_sample(lambda path: answers[path].pop(0))
+
+
+@then("the sample says {state} with revision {revision:d}")
+def step_sample_says(context, state, revision):
+    assert context.sample.ready == (state == "ready"), context.sample
+    assert context.sample.revision == revision, context.sample
--- a/features/support/region_fleet.py
+++ b/features/support/region_fleet.py
@@ -42,6 +42,26 @@
         return self.status == 200 and self.text == wanted
 
 
+def take_sample(get):
+    """Return what a daemon says at one moment.
+
+    :param get: returns status, headers and body of a path
+    """
+    status, _, body = get("/admin/status")
+    if status != 200:
+        # Without a revision a daemon can't check the operator's key. One that has got
+        # its revision between the two questions is asked again, so that the sample
+        # does not join answers of two moments.
+        ready_status, _, _ = get("/readyz")
+        if ready_status == 200:
+            status, _, body = get("/admin/status")
+    if status != 200:
+        is_ready = ready_status == 200
+        return Sample(time.monotonic(), is_ready, 0, {})
+    members = {item["name"]: item["state"] for item in body["members"]}
+    return Sample(time.monotonic(), body["ready"], body["revision"], members)
+
+
 class RegionFleet(batch_fleet.BatchFleet):
     """A fleet whose daemons are sampled and called all the time."""
 
@@ -116,17 +136,11 @@
         key = {"Authorization": f"Bearer {self.fleet.operator_key}"}
         while not self._stopped.wait(0.1):
             try:
-                status, _, body = engine_caller.get(
-                    daemon.address, "/admin/status", key
+                sample = take_sample(
+                    lambda path: engine_caller.get(daemon.address, path, key)
                 )
-                if status != 200:
-                    # Without a revision a daemon can't check the operator's key.
-                    status, _, _ = engine_caller.get(daemon.address, "/readyz")
-                    body = {"ready": status == 200, "revision": 0, "members": []}
             except (OSError, http.client.HTTPException, ValueError):
                 continue
-            members = {item["name"]: item["state"] for item in body["members"]}
-            sample = Sample(time.monotonic(), body["ready"], body["revision"], members)
             self.samples[daemon.name].append(sample)
 
     def _call_often(self, daemon):
