--- a/features/serving_process.feature
+++ b/features/serving_process.feature
@@ -86,6 +86,16 @@
     And the client has all events and the end
     And the daemon has ended with status 0 within 8 s
 
+  # Guards against requests that are taken late in a stop, while the jobs wait for the
+  # store, and are cut at its end (hunt finding, LOST on mmw-serve).
+  Scenario: A daemon that stops while the store is silent takes nothing late
+    Given a store, 2 targets and 2 daemons
+    And targets that take 400 ms for an event
+    When a job of 6 items is handed to the first daemon
+    And the platform's store falls silent and the first daemon is asked to stop
+    Then 3.2 s later it takes no connection
+    And the daemon has ended with status 0 within 8 s
+
   # Guards against requests cut or settings lost at a reload.
   Scenario: A settings file that is wrong is refused and the former one stays
     Given a store, 2 targets and 2 daemons
--- a/features/steps/serving_process_steps.py
+++ b/features/steps/serving_process_steps.py
@@ -2,6 +2,7 @@
 import json
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -318,3 +319,23 @@
 def step_check_failed(context, status, key):
     assert context.run.returncode == status, context.run
     assert key in context.run.stderr, context.run
+
+
+@when("the platform's store falls silent and the first daemon is asked to stop")
+def step_silent_stop(context):
+    time.sleep(0.7)
+    context.fleet.store.faults.silent = True
+    context.stopped_s = time.monotonic()
+    serving_processes.send_signal(context.fleet.daemons[0])
+
+
+@then("{seconds:g} s later it takes no connection")
+def step_no_connection(context, seconds):
+    time.sleep(context.stopped_s + seconds - time.monotonic())
+    daemon = context.fleet.daemons[0]
+    assert daemon.process.poll() is None, "it has ended already"
+    try:
+        socket.create_connection(("127.0.0.1", daemon.port), 1).close()
+    except ConnectionRefusedError:
+        return
+    raise AssertionError("a connection was taken")
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -385,16 +385,14 @@
         handing_back = asyncio.ensure_future(self._runner.hand_back())
         last_s = began_s + self._settings.stopping.grace_s - _GRACE_MARGIN_S
         await asyncio.sleep(_LEAVE_ROTATION_S)
-        self._clients.close_idle()
+        # Nothing new is taken from here on: handing back may wait for the store until
+        # the end, which would cut what is begun meanwhile.
+        self._clients.close_listener()
         while time.monotonic() < last_s:
+            self._clients.close_idle()
+            await asyncio.sleep(_STOP_LOOK_S)
             if not self._clients.busy and handing_back.done():
                 break
-            await asyncio.sleep(_STOP_LOOK_S)
-        self._clients.close_listener()
-        await asyncio.sleep(_STOP_LOOK_S)
-        self._clients.close_idle()
-        while time.monotonic() < last_s and self._clients.busy:
-            await asyncio.sleep(_STOP_LOOK_S)
         logs.info(
             "daemon_stopped",
             cut=self._clients.busy,
