Let daemons tell each other of failing targets

A target that fails at once always has room, so least load sends it the requests of every one of 71 daemons, and each daemon learned of it alone, by a pause of 0.3 s.

Change: outcome_board keeps the decaying counts of answers and failures of each target, of this daemon and, by the load reports, of its peers. Failures add to a target's cost; from a share of 0.4 on it gets no work while at least half of the targets are sound. What one peer says is capped, and silence and failed connections, which may be due to the path, are not told. Late first events (three times the usual, half of the objective) count nearly as failures. A reset of a kept connection is no longer held against the target, and requests that must run once go out only on connections idle for under 0.25 s (before: 1 s). The log line of a request says how long it waited for its place.

"A target may drop a kept connection" fails on the sources before.

--- a/features/serving_online.feature
+++ b/features/serving_online.feature
@@ -93,6 +93,20 @@
     Then it gets each of the 6 events once, in order, and the end
     And it took less than 2 s
 
+  # Guards against blame on a target that dropped a connection while it was idle, and
+  # against a request that must run once and goes out on such a connection.
+  Scenario Outline: A target may drop a kept connection without notice
+    Given 1 targets behind a daemon with <route>
+    And the target resets kept connections when something is sent on them
+    When 3 clients ask for a stream, one every <pause> ms
+    Then all of them get 6 events
+    And the target is not held to be failing
+
+    Examples:
+      | route                             | pause |
+      | a resumable route                 | 10    |
+      | a route that may not be resumed   | 400   |
+
   # Guards against a send to whoever has a former target's address.
   Scenario: A target whose address has another target gets no more work
     Given 2 targets behind a daemon with a route that may not be resumed
--- a/features/steps/serving_online_steps.py
+++ b/features/steps/serving_online_steps.py
@@ -81,6 +81,11 @@
     _prepare_first(context, extra=True)
 
 
+@given("the target resets kept connections when something is sent on them")
+def step_reset_kept(context):
+    _prepare_first(context, reset_kept=True)
+
+
 @given("the target makes an event every {gap_ms:d} ms")
 def step_slow(context, gap_ms):
     _prepare_first(context, gap_s=gap_ms / 1000)
@@ -156,6 +161,27 @@
     context.replies = _play(context, play)
 
 
+@when("{count:d} clients ask for a stream, one every {pause_ms:d} ms")
+def step_ask_at_intervals(context, count, pause_ms):
+    async def play(world):
+        replies = []
+        for number in range(count):
+            request = serving_world.make_request(attempt=f"attempt{number}")
+            replies.append(await serving_world.ask(world.port, request))
+            await asyncio.sleep(pause_ms / 1000)
+        return replies
+
+    context.replies = _play(context, play)
+
+
+@then("the target is not held to be failing")
+def step_not_failing(context):
+    now_s = time.monotonic()
+    known = context.world.directory.find("a")
+    assert not known.health.is_paused(now_s)
+    assert context.world.board.outcomes.find_failed_share("a", now_s) == 0.0
+
+
 def _expect(attempt, count):
     return b"".join(replica.make_event(attempt, n) for n in range(1, count + 1))
 
--- /dev/null
+++ b/features/steps/serving_outcomes_steps.py
@@ -0,0 +1,279 @@
+import collections
+import heapq
+import random
+import time
+
+from behave import given, then, when
+
+from endivevane.serving import (
+    admission,
+    attempts,
+    failures,
+    load_board,
+    model,
+    outcome_board,
+    outcome_recorder,
+    peer_messages,
+)
+from features.support import serving_fakes
+
+_SERVICE_S = 0.5
+_FAILURE_S = 0.005
+
+
+class OutcomeFleet:
+    """Daemons that place requests by each other's reports, on a clock of its own."""
+
+    def __init__(self, daemons, targets, bad, bad_share):
+        self.names = [f"t{number}" for number in range(targets)]
+        self.daemons = [
+            serving_fakes.Fleet(self.names, seed=seed, age_s=0.1)
+            for seed in range(daemons)
+        ]
+        self.bad = set(self.names[:bad])
+        self.bad_share = bad_share
+        self.generator = random.Random(7)
+        self.now_s = 1000.0
+        self.failed = 0
+        self.served = []
+        self._ends = []
+        self._number = 0
+
+    def play(self, rate, seconds, report_s):
+        until_s = self.now_s + seconds
+        next_report_s = self.now_s
+        while self.now_s < until_s:
+            self.now_s += self.generator.expovariate(rate)
+            while next_report_s <= self.now_s:
+                self._end_until(next_report_s)
+                self._share(next_report_s)
+                next_report_s += report_s
+            self._end_until(self.now_s)
+            self._place()
+
+    def _place(self):
+        daemon = self.generator.choice(self.daemons)
+        target = daemon.choices.choose_online("lm", self.now_s)
+        if target is None:
+            return
+        name = target.target_id
+        is_failing = name in self.bad and self.generator.random() < self.bad_share
+        daemon.board.begin(name, is_batch=False)
+        took_s = _FAILURE_S if is_failing else _SERVICE_S
+        self._number += 1
+        entry = (self.now_s + took_s, self._number, daemon, name, is_failing)
+        heapq.heappush(self._ends, entry)
+
+    def _end_until(self, now_s):
+        while self._ends and self._ends[0][0] <= now_s:
+            end_s, _, daemon, name, is_failing = heapq.heappop(self._ends)
+            daemon.board.end(name, is_batch=False)
+            daemon.board.outcomes.record(name, end_s, 1.0 if is_failing else 0.0)
+            if is_failing:
+                self.failed += 1
+            else:
+                self.served.append((end_s, name))
+
+    def _share(self, now_s):
+        reports = [
+            load_board.LoadReport(
+                loads={
+                    name: load_board.Load(load.online, load.batch)
+                    for name, load in daemon.board.own.items()
+                },
+                received_s=now_s,
+                outcomes=daemon.board.outcomes.list_own(now_s),
+            )
+            for daemon in self.daemons
+        ]
+        for number, daemon in enumerate(self.daemons):
+            for sender, report in enumerate(reports):
+                if sender != number:
+                    daemon.board.set_report(str(sender), report)
+
+
+@given("{daemons:d} daemons before {count:d} targets of which {bad:d} {manner}")
+def step_outcome_fleet(context, daemons, count, bad, manner):
+    share = {
+        "fail every request at once": 1.0,
+        "fail two of five requests at once": 0.4,
+    }[manner]
+    context.outcome_fleet = OutcomeFleet(daemons, count, bad, share)
+
+
+@when(
+    "{rate:d} requests a second come for {seconds:d} s, and reports are {age:g} s old"
+)
+def step_outcome_play(context, rate, seconds, age):
+    context.outcome_fleet.play(rate, seconds, age)
+
+
+@when("the failing targets are sound again")
+def step_outcome_sound(context):
+    context.outcome_fleet.bad_share = 0.0
+
+
+@then("at most {most:d} requests fail")
+def step_outcome_failed(context, most):
+    # The bound is 5 in 100 of the requests for each failing target: what chance gives
+    # one of 12 targets is 8, and one that always has room gets far more.
+    assert context.outcome_fleet.failed <= most, context.outcome_fleet.failed
+
+
+@then("each target has served at least {least:d} requests in the last {last_s:d} s")
+def step_outcome_share(context, least, last_s):
+    # An equal share is 30 a target; two thirds of it are asked for.
+    fleet = context.outcome_fleet
+    served = collections.Counter(
+        name for end_s, name in fleet.served if end_s > fleet.now_s - last_s
+    )
+    assert min(served[name] for name in fleet.names) >= least, served
+
+
+def _tell(context, peers, answers, names):
+    for peer in range(peers):
+        report = load_board.LoadReport(
+            loads={},
+            received_s=time.monotonic(),
+            outcomes={name: outcome_board.Outcomes(answers, answers) for name in names},
+        )
+        context.fleet.board.set_report(f"peer{peer}", report)
+
+
+@given("one peer has seen {count:d} answers of the first target fail")
+def step_one_peer(context, count):
+    _tell(context, 1, count, ["t0"])
+
+
+@given(
+    "{peers:d} peers have each seen {count:d} answers of the first {bad:d} targets fail"
+)
+@when(
+    "{peers:d} peers have each seen {count:d} answers of the first {bad:d} targets fail"
+)
+def step_many_peers(context, peers, count, bad):
+    _tell(context, peers, count, context.names[:bad])
+
+
+def _is_left_out(context):
+    """Whether the first target gets no work although all others are full."""
+    now_s = time.monotonic()
+    board = context.fleet.board
+    for name in context.names[1:]:
+        for _ in range(9):
+            board.begin(name, is_batch=False)
+    target = context.fleet.choices.choose_online("lm", now_s)
+    for name in context.names[1:]:
+        for _ in range(9):
+            board.end(name, is_batch=False)
+    return target is None
+
+
+@then("the first target still gets work when the second is full")
+@then("no target is left out")
+def step_not_left_out(context):
+    assert not _is_left_out(context)
+
+
+@then("the first target is left out")
+def step_left_out(context):
+    assert _is_left_out(context)
+
+
+def _make_progress(now_s):
+    route = model.Route(
+        name="quote",
+        host="shop.example",
+        prefix="/",
+        kind=model.RouteKind.STREAMING,
+        services=(model.WeightedService("lm", 1.0),),
+        timeout_s=5.0,
+        objective_s=0.3,
+        priority=0,
+        max_attempts=1,
+    )
+    request = model.ClientRequest(
+        b"POST", "shop.example", "/1", (), b"", b"a", now_s, now_s + 5.0
+    )
+    progress = attempts.begin(request, route, "lm", 1)
+    progress.placed_s = now_s
+    return progress
+
+
+def _make_recorder(context):
+    places = admission.Admission(
+        context.fleet.choices, context.fleet.board, random.Random(1)
+    )
+    return outcome_recorder.OutcomeRecorder(context.fleet.board.outcomes, places)
+
+
+@when(
+    "{count:d} first events of the first target come after {slow_ms:d} ms, and others "
+    "after {usual_ms:d} ms"
+)
+def step_slow_events(context, count, slow_ms, usual_ms):
+    recorder = _make_recorder(context)
+    slow = context.fleet.find("t0").target
+    usual = context.fleet.find("t1").target
+    for _ in range(count):
+        now_s = time.monotonic()
+        for _ in range(8):
+            progress = _make_progress(now_s)
+            recorder.record_first_event(usual, progress, now_s + usual_ms / 1000)
+        progress = _make_progress(now_s)
+        recorder.record_first_event(slow, progress, now_s + slow_ms / 1000)
+
+
+@when("an answer of the first target is {answer}")
+def step_one_answer(context, answer):
+    recorder = _make_recorder(context)
+    target = context.fleet.find("t0").target
+    if answer.startswith("status"):
+        status = int(answer.split()[1])
+        recorder.record_status(target, status, is_failure=status >= 500)
+        return
+    error = failures.TargetCallError(
+        "t0",
+        answer,
+        may_have_run="no connection" not in answer,
+        is_bad_answer=answer == "broken off",
+    )
+    recorder.record_error(target, error)
+
+
+@then("it {counts} against the target")
+def step_counts(context, counts):
+    outcomes = context.fleet.board.outcomes
+    share = outcomes.find_failed_share("t0", time.monotonic())
+    assert (share > 0) == (counts == "counts"), share
+
+
+@when('a daemon that has seen 2 of 5 answers of "{name}" fail reports to another one')
+def step_report_outcomes(context, name):
+    sender = outcome_board.OutcomeBoard()
+    now_s = time.monotonic()
+    for failed in (1.0, 0.0, 1.0, 0.0, 0.0):
+        sender.record(name, now_s, failed)
+    data = peer_messages.encode(
+        peer_messages.Report("d1", "r1", "i1", 1, {}, outcomes=sender.list_own(now_s))
+    )
+    message = peer_messages.decode(data)
+    context.board = load_board.LoadBoard()
+    context.reported_s = now_s
+    report = load_board.LoadReport({}, now_s, outcomes=message.outcomes)
+    context.board.set_report("d1", report)
+
+
+@then('the other daemon counts {failed:d} failures of {answers:d} answers of "{name}"')
+def step_counted_outcomes(context, failed, answers, name):
+    summed = context.board.outcomes.sum_with(["d1"], context.reported_s)
+    counted = (summed[name].failures, summed[name].answers)
+    assert counted == (failed, answers), counted
+
+
+@then("after the daemon has been silent for {silence_s:d} s it counts none")
+def step_silent_outcomes(context, silence_s):
+    later_s = context.reported_s + silence_s
+    context.board.drop_silent(later_s)
+    assert context.board.outcomes.sum_with(["d1"], later_s) == {}
+    assert context.board.outcomes.find_failed_share("t1", later_s) == 0.0
--- a/src/endivevane/serving/admission.py
+++ b/src/endivevane/serving/admission.py
@@ -159,6 +159,10 @@
         mean_s = self._start_s.get(service, _FIRST_START_S)
         self._start_s[service] = mean_s + _START_WEIGHT * (start_s - mean_s)
 
+    def find_usual_start_s(self, service: str) -> float:
+        """Return the mean time from a place to the first event."""
+        return self._start_s.get(service, _FIRST_START_S)
+
     def estimate_wait_s(self, service: str) -> float:
         """Return how long one more request that can be on time waits for a place."""
         slots = self._choices.count_slots(service)
@@ -217,7 +221,7 @@
         return wish.may_return and served_s + start_s > wish.objective_s
 
     def _find_start_s(self, service: str) -> float:
-        return _START_MARGIN * self._start_s.get(service, _FIRST_START_S)
+        return _START_MARGIN * self.find_usual_start_s(service)
 
     def _choose(self, wish: Wish, now_s: float) -> model.Target | None:
         return self._choices.choose_online(
--- a/src/endivevane/serving/attempts.py
+++ b/src/endivevane/serving/attempts.py
@@ -34,6 +34,8 @@
     :ivar ran_on: targets that may have run it
     :ivar gone: those of them that are known to have ended
     :ivar last_event_id: last event that the client has, or that it said it has
+    :ivar placed_s: monotonic time at which the current attempt got its place, 0 before
+        the first one
     :ivar fruitless: runs in a row that brought no event
     :ivar causes: why attempts failed
     """
--- a/src/endivevane/serving/exchange.py
+++ b/src/endivevane/serving/exchange.py
@@ -15,6 +15,7 @@
     failures,
     load_board,
     model,
+    outcome_recorder,
     responder,
     routing_table,
     target_calls,
@@ -45,6 +46,7 @@
         self._places = places
         self._caller = caller
         self._generator = generator
+        self._outcomes = outcome_recorder.OutcomeRecorder(board.outcomes, places)
 
     async def serve(
         self,
@@ -133,6 +135,7 @@
             return await self._call(known, request, progress, answer)
         except failures.TargetCallError as error:
             progress.causes.append(error.cause)
+            self._outcomes.record_error(target, error)
             self._note_failure(target, progress, error)
             return None
         finally:
@@ -188,7 +191,7 @@
             progress.patience_until_s = now_s + progress.route.patience_s
             if progress.first_event_s is None:
                 progress.first_event_s = now_s
-                self._places.record_start(progress.service, now_s - progress.placed_s)
+                self._outcomes.record_first_event(known.target, progress, now_s)
             if not answer.is_begun:
                 answer.begin(reply.reply)
             progress.delivered += len(events)
@@ -229,6 +232,7 @@
             answer.finish()
             return attempts.Outcome.SERVED
         is_failure = head.status >= _FIRST_FAILED_STATUS or head.status in _PROMISES
+        self._outcomes.record_status(known.target, head.status, is_failure)
         if is_failure and progress.route.is_idempotent and self._may_go_on(progress):
             progress.causes.append(f"status {head.status}")
             return None
@@ -362,14 +366,18 @@
             refused_by=",".join(sorted(progress.refused_by)) or None,
             sends=progress.sends,
             events=progress.delivered,
-            first_ms=None
-            if first_s is None
-            else int((first_s - request.received_s) * 1000),
+            wait_ms=_count_ms(request.received_s, progress.placed_s or None),
+            first_ms=_count_ms(request.received_s, first_s),
             total_ms=int((ended_s - request.received_s) * 1000),
             causes="; ".join(progress.causes) or None,
         )
 
 
+def _count_ms(start_s: float, end_s: float | None) -> int | None:
+    """Return the whole milliseconds from one time to another that may be missing."""
+    return None if end_s is None else int((end_s - start_s) * 1000)
+
+
 def _loop_time(monotonic_s: float) -> float:
     """Return the event loop's time for a monotonic time."""
     loop = asyncio.get_running_loop()
--- a/src/endivevane/serving/http_client.py
+++ b/src/endivevane/serving/http_client.py
@@ -79,10 +79,14 @@
 
 
 class Connection:
-    """One connection to a peer, used for one call at a time."""
+    """One connection to a peer, used for one call at a time.
+
+    :ivar is_kept: whether it has carried a call before this one
+    """
 
     def __init__(self, stream: byte_stream.ByteStream) -> None:
         self.stream = stream
+        self.is_kept = False
         self.idle_since_s = 0.0
         self.idle_limit_s = _DEFAULT_IDLE_S
         self._http = h11.Connection(h11.CLIENT)
@@ -138,6 +142,7 @@
             self._http.start_next_cycle()
         except h11.LocalProtocolError:
             return False
+        self.is_kept = True
         self.idle_since_s = time.monotonic()
         if idle_limit_s is not None:
             self.idle_limit_s = max(0.0, idle_limit_s - _IDLE_MARGIN_S)
--- a/src/endivevane/serving/job_runner.py
+++ b/src/endivevane/serving/job_runner.py
@@ -285,6 +285,10 @@
             end = item_sender.RunEnd.NOT_RUN
             if error.may_have_run:
                 end = item_sender.RunEnd.BROKEN
+            if error.is_bad_answer:
+                # Answers of failure may be due to the item, broken ones are not.
+                now_s = time.monotonic()
+                self._parts.board.outcomes.record(target.target_id, now_s, 1.0)
             logs.limited_info(
                 "item_run_failed",
                 job=owned.job_id,
--- a/src/endivevane/serving/load_board.py
+++ b/src/endivevane/serving/load_board.py
@@ -6,6 +6,8 @@
 import dataclasses
 from collections import abc
 
+from endivevane.serving import outcome_board
+
 # A peer that has not reported for this long is left out of the totals.
 _REPORT_LIFE_S = 1.5
 
@@ -35,12 +37,18 @@
     :param waiting_items: batch items that could start now
     :param waiting_requests: online requests that wait for a place and can be on time,
         by service
+    :param outcomes: what it has to say against targets
+    :param is_of_region: whether it speaks for all daemons of its region
     """
 
     loads: abc.Mapping[str, Load]
     received_s: float
     waiting_items: int = 0
     waiting_requests: abc.Mapping[str, int] = dataclasses.field(default_factory=dict)
+    outcomes: abc.Mapping[str, outcome_board.Outcomes] = dataclasses.field(
+        default_factory=dict
+    )
+    is_of_region: bool = False
 
 
 class LoadBoard:
@@ -49,6 +57,7 @@
     :ivar version: changes with each change of this daemon's own counts
     :ivar own_waiting_items: batch items of this daemon that could start now
     :ivar own_waiting_requests: the same of the online requests that wait here
+    :ivar outcomes: what became of the requests
     """
 
     def __init__(self) -> None:
@@ -58,6 +67,7 @@
         self.own_waiting_requests: collections.Counter[str] = collections.Counter()
         self._peers_waiting_items = 0
         self._peers_waiting_requests: collections.Counter[str] = collections.Counter()
+        self.outcomes = outcome_board.OutcomeBoard()
         self._reports: dict[str, LoadReport] = {}
         self._peers: dict[str, Load] = {}
 
@@ -88,6 +98,7 @@
             self._add(former, -1)
         self._reports[peer] = report
         self._add(report, 1)
+        self.outcomes.set_report(peer, report.outcomes, report.is_of_region)
 
     def drop_silent(self, now_s: float) -> None:
         """Leave out the peers that have not reported for long."""
@@ -98,6 +109,7 @@
         ]
         for peer in silent:
             self._add(self._reports.pop(peer), -1)
+            self.outcomes.drop_report(peer)
 
     @property
     def waiting_items(self) -> int:
--- /dev/null
+++ b/src/endivevane/serving/outcome_board.py
@@ -0,0 +1,140 @@
+"""How often the answers of each target fail, as all daemons have seen it.
+
+A target that fails fast always has room, so that it attracts the requests of every
+daemon unless they tell each other what became of theirs.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections import abc
+
+# After this time an answer counts half.
+_HALF_LIFE_S = 2.0
+# Sound answers that every target is taken to have given, so that one failure among
+# few answers does not condemn it.
+_PRIOR_ANSWERS = 6.0
+# Share of failed answers from which on a target gets no work while others do.
+_CONDEMNED_SHARE = 0.4
+# What one peer may say against a target: its own path may be what fails.
+_MOST_FAILURES_OF_PEER = 2.0
+# Counts below this are forgotten.
+_LEAST_COUNT = 0.05
+
+
+@dataclasses.dataclass(slots=True)
+class Outcomes:
+    """Answers of one target; older ones count less.
+
+    :param answers: all answers
+    :param failures: those that failed; an answer of little use counts in part
+    """
+
+    answers: float = 0.0
+    failures: float = 0.0
+
+
+class OutcomeBoard:
+    """Collects what became of the calls of this daemon and of its peers, by target."""
+
+    def __init__(self) -> None:
+        self._own: dict[str, Outcomes] = {}
+        self._aged_s = 0.0
+        self._reports: dict[str, dict[str, Outcomes]] = {}
+        self._peers: dict[str, Outcomes] = {}
+
+    def record(self, target_id: str, now_s: float, failed: float) -> None:
+        """Take in an answer of a target.
+
+        :param failed: 0 for a sound answer, 1 for a failure, between them for an
+            answer of less use
+        """
+        self._age(now_s)
+        own = self._own.setdefault(target_id, Outcomes())
+        own.answers += 1.0
+        own.failures += failed
+
+    def find_failed_share(self, target_id: str, now_s: float) -> float:
+        """Return the share of a target's answers that failed lately, 0 to 1."""
+        self._age(now_s)
+        own = self._own.get(target_id)
+        peers = self._peers.get(target_id)
+        failures = (own.failures if own else 0.0) + (peers.failures if peers else 0.0)
+        if failures < _LEAST_COUNT:
+            return 0.0
+        answers = (own.answers if own else 0.0) + (peers.answers if peers else 0.0)
+        return failures / (answers + _PRIOR_ANSWERS)
+
+    def is_condemned(self, target_id: str, now_s: float) -> bool:
+        """Whether so much fails that a target should get no work."""
+        return self.find_failed_share(target_id, now_s) >= _CONDEMNED_SHARE
+
+    def list_own(self, now_s: float) -> dict[str, Outcomes]:
+        """Return what this daemon has to say against targets."""
+        self._age(now_s)
+        return {
+            target_id: own
+            for target_id, own in self._own.items()
+            if own.failures >= _LEAST_COUNT
+        }
+
+    def sum_with(self, peers: abc.Iterable[str], now_s: float) -> dict[str, Outcomes]:
+        """Return what this daemon and some peers have to say against targets."""
+        summed = {
+            target_id: Outcomes(own.answers, own.failures)
+            for target_id, own in self.list_own(now_s).items()
+        }
+        for peer in peers:
+            for target_id, outcomes in self._reports.get(peer, {}).items():
+                entry = summed.setdefault(target_id, Outcomes())
+                entry.answers += outcomes.answers
+                entry.failures += outcomes.failures
+        return summed
+
+    def set_report(
+        self,
+        peer: str,
+        outcomes: abc.Mapping[str, Outcomes],
+        is_of_region: bool = False,
+    ) -> None:
+        """Replace what a peer has said.
+
+        :param is_of_region: whether it speaks for all daemons of its region
+        """
+        self.drop_report(peer)
+        if not outcomes:
+            return
+        most = float("inf") if is_of_region else _MOST_FAILURES_OF_PEER
+        report = {
+            target_id: Outcomes(each.answers, min(each.failures, most))
+            for target_id, each in outcomes.items()
+        }
+        self._reports[peer] = report
+        for target_id, each in report.items():
+            summed = self._peers.setdefault(target_id, Outcomes())
+            summed.answers += each.answers
+            summed.failures += each.failures
+
+    def drop_report(self, peer: str) -> None:
+        """Forget what a peer has said."""
+        for target_id, each in self._reports.pop(peer, {}).items():
+            summed = self._peers.get(target_id)
+            if summed is None:
+                continue
+            summed.answers -= each.answers
+            summed.failures -= each.failures
+            if summed.answers < _LEAST_COUNT:
+                del self._peers[target_id]
+
+    def _age(self, now_s: float) -> None:
+        """Let the own counts lose weight with time."""
+        elapsed_s = now_s - self._aged_s
+        if elapsed_s <= 0:
+            return
+        self._aged_s = now_s
+        factor = 0.5 ** (elapsed_s / _HALF_LIFE_S)
+        for target_id, own in list(self._own.items()):
+            own.answers *= factor
+            own.failures *= factor
+            if own.answers < _LEAST_COUNT:
+                del self._own[target_id]
--- a/src/endivevane/serving/peer_messages.py
+++ b/src/endivevane/serving/peer_messages.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-from endivevane.serving import load_board
+from endivevane.serving import load_board, outcome_board
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -18,6 +18,7 @@
     :param waiting_items: batch items that could start now
     :param waiting_requests: online requests that wait for a place and can be on time,
         by service
+    :param outcomes: what the sender has to say against targets
     :param is_stopping: whether the daemon is about to end
     :param living: names and incarnations of the region's daemons; empty in the report
         of a single daemon
@@ -30,6 +31,9 @@
     loads: abc.Mapping[str, load_board.Load]
     waiting_items: int = 0
     waiting_requests: abc.Mapping[str, int] = dataclasses.field(default_factory=dict)
+    outcomes: abc.Mapping[str, outcome_board.Outcomes] = dataclasses.field(
+        default_factory=dict
+    )
     is_stopping: bool = False
     living: tuple[tuple[str, str], ...] = ()
 
@@ -37,6 +41,10 @@
 def encode(report: Report) -> bytes:
     """Return a report as a datagram."""
     loads = [(key, load.online, load.batch) for key, load in report.loads.items()]
+    outcomes = [
+        (key, round(each.answers, 2), round(each.failures, 2))
+        for key, each in report.outcomes.items()
+    ]
     return orjson.dumps(
         (
             report.name,
@@ -46,6 +54,7 @@
             loads,
             report.waiting_items,
             dict(report.waiting_requests),
+            outcomes,
             report.is_stopping,
             report.living,
         )
@@ -60,7 +69,7 @@
     try:
         fields = orjson.loads(data)
         name, region, incarnation, sequence, loads, *counts, living = fields
-        items, requests, is_stopping = counts
+        items, requests, outcomes, is_stopping = counts
         return Report(
             name=str(name),
             region=str(region),
@@ -74,6 +83,10 @@
             waiting_requests={
                 str(service): int(count) for service, count in requests.items()
             },
+            outcomes={
+                str(target): outcome_board.Outcomes(float(answers), float(failed))
+                for target, answers, failed in outcomes
+            },
             is_stopping=bool(is_stopping),
             living=tuple((str(peer), str(run)) for peer, run in living),
         )
--- a/src/endivevane/serving/peers.py
+++ b/src/endivevane/serving/peers.py
@@ -126,7 +126,12 @@
             return
         now_s = time.monotonic()
         report = load_board.LoadReport(
-            message.loads, now_s, message.waiting_items, message.waiting_requests
+            loads=message.loads,
+            received_s=now_s,
+            waiting_items=message.waiting_items,
+            waiting_requests=message.waiting_requests,
+            outcomes=message.outcomes,
+            is_of_region=bool(message.living),
         )
         is_direct = not message.living or self._is_from(message.name, addr[0])
         if is_direct:
@@ -259,6 +264,7 @@
             self._make_report(own),
             waiting_items=self._board.own_waiting_items,
             waiting_requests=self._board.sum_waiting_requests(()),
+            outcomes=self._board.outcomes.list_own(now_s),
         )
         data = peer_messages.encode(report)
         is_lost_turn = self._sequence % _LOST_PERIOD == 0
@@ -303,6 +309,7 @@
             self._make_report(loads),
             waiting_items=self._board.sum_waiting_items(members),
             waiting_requests=self._board.sum_waiting_requests(members),
+            outcomes=self._board.outcomes.sum_with(members, now_s),
             living=tuple(living),
         )
         data = peer_messages.encode(report)
--- a/src/endivevane/serving/placement.py
+++ b/src/endivevane/serving/placement.py
@@ -7,7 +7,13 @@
 import random
 from collections import abc
 
-from endivevane.serving import directory, load_board, load_peaks, model
+from endivevane.serving import (
+    directory,
+    load_board,
+    load_peaks,
+    model,
+    target_health,
+)
 
 # Requests beyond its slots that a target may have waiting, so that a slot that
 # becomes free is taken before the daemons have heard of it.
@@ -24,6 +30,11 @@
 # What distance adds to the share of slots in use, when targets are compared.
 _OTHER_ZONE_COST = 0.06
 _OTHER_REGION_COST = 0.35
+# What failed answers add, as above, for each unit of their share.
+_FAILED_COST = 2.0
+# While more than this share of a service's targets fails, none of them is left out:
+# the cause then lies elsewhere, or there is nothing better.
+_MOST_CONDEMNED_SHARE = 0.5
 # Spread of the choices of daemons that see the same loads, in shares of a target's
 # slots: a fixed part, and a part for each second of age of what they see.
 _SPREAD = 0.02
@@ -90,21 +101,22 @@
         """
         best: model.Target | None = None
         best_cost = float("inf")
-        for known in self._targets.list_usable(service):
+        usable = self._targets.list_usable(service)
+        condemned = self._find_condemned(usable, now_s)
+        for known in usable:
             target = known.target
             if target.target_id in excluded:
                 continue
-            if only is not None and target.target_id not in only:
+            if only is None and target.target_id in condemned:
                 continue
-            health = known.health
-            if health.is_paused(now_s) or health.is_full(now_s):
+            if only is not None and target.target_id not in only:
                 continue
-            if health.is_silent(now_s):
+            if not _may_get_work(known.health, now_s):
                 continue
             total = self._board.total(target.target_id).total
             if total >= target.slots + _QUEUE_AHEAD:
                 continue
-            cost = self._cost(target, total)
+            cost = self._cost(target, total, now_s)
             if cost < best_cost:
                 best, best_cost = target, cost
         return best
@@ -122,21 +134,21 @@
         """
         usable = self._targets.list_usable(service)
         peak_room = self._find_peak_room(service, usable)
+        condemned = self._find_condemned(usable, now_s)
         best: model.Target | None = None
         best_cost = float("inf")
         for known in usable:
             target = known.target
-            health = known.health
-            if health.is_paused(now_s) or health.is_full(now_s):
+            if target.target_id in condemned:
                 continue
-            if health.is_silent(now_s):
+            if not _may_get_work(known.health, now_s):
                 continue
             load = self._board.total(target.target_id)
             room = self._count_batch_room(target, load, peak_room)
             has_room = target.target_id not in excluded and room > 0
             if not has_room and not (is_urgent and _has_urgent_room(target, load)):
                 continue
-            cost = self._cost(target, load.total)
+            cost = self._cost(target, load.total, now_s)
             if cost < best_cost:
                 best, best_cost = target, cost
         return best
@@ -149,11 +161,14 @@
         """
         usable = self._targets.list_usable(service)
         peak_room = self._find_peak_room(service, usable)
+        condemned = self._find_condemned(usable, now_s)
         places = 0
         for known in usable:
             health = known.health
             if health.is_paused(now_s) or health.is_silent(now_s):
                 continue
+            if known.target.target_id in condemned:
+                continue
             load = self._board.total(known.target.target_id)
             free = self._count_batch_room(known.target, load, peak_room)
             if is_urgent and _has_urgent_room(known.target, load):
@@ -201,6 +216,20 @@
             for known in self._targets.list_usable(service)
         )
 
+    def _find_condemned(
+        self, usable: abc.Sequence[directory.KnownTarget], now_s: float
+    ) -> abc.Set[str]:
+        """Return the targets that get no work because so many of their answers fail."""
+        outcomes = self._board.outcomes
+        condemned = {
+            known.target.target_id
+            for known in usable
+            if outcomes.is_condemned(known.target.target_id, now_s)
+        }
+        if len(condemned) > _MOST_CONDEMNED_SHARE * len(usable):
+            return frozenset()
+        return condemned
+
     def _find_peak_room(
         self, service: str, usable: abc.Sequence[directory.KnownTarget]
     ) -> float | None:
@@ -233,8 +262,10 @@
         beside_peak = int(peak_room * target.slots) - _PEAK_RESERVE
         return min(free, beside_peak - load.batch)
 
-    def _cost(self, target: model.Target, total: int) -> float:
+    def _cost(self, target: model.Target, total: int, now_s: float) -> float:
         cost = (total + 1) / target.slots
+        failed_share = self._board.outcomes.find_failed_share(target.target_id, now_s)
+        cost += _FAILED_COST * failed_share
         if target.availability_zone != self._place.availability_zone:
             region = self._place.regions.get(target.availability_zone)
             is_near = region == self._place.region
@@ -245,6 +276,13 @@
         return cost + spread * math.log(-math.log(min(uniform, 1.0 - 1e-9)))
 
 
+def _may_get_work(health: target_health.TargetHealth, now_s: float) -> bool:
+    """Whether this daemon has seen nothing against a target a moment ago."""
+    return not (
+        health.is_paused(now_s) or health.is_full(now_s) or health.is_silent(now_s)
+    )
+
+
 def _has_urgent_room(target: model.Target, load: load_board.Load) -> bool:
     """Whether a target has one of the places for urgent items free."""
     return load.batch < URGENT_PLACES and load.total < target.slots + _QUEUE_AHEAD
--- a/src/endivevane/serving/target_calls.py
+++ b/src/endivevane/serving/target_calls.py
@@ -15,8 +15,8 @@
 # Silence of targets is looked for this often while an answer is awaited.
 _WATCH_S = 0.1
 # A request that may run once only goes out on a connection that was used this
-# recently, since a target may drop an idle one without notice.
-UNSAFE_IDLE_S = 1.0
+# recently: targets may drop an idle one without notice, some after 0.3 s.
+UNSAFE_IDLE_S = 0.25
 
 
 class CallCodec(typing.Protocol):
@@ -75,7 +75,10 @@
             )
         except (http_client.BrokenAnswer, OSError) as error:
             raise failures.TargetCallError(
-                self._known.target.target_id, str(error), may_have_run=True
+                self._known.target.target_id,
+                str(error),
+                may_have_run=True,
+                is_bad_answer=True,
             ) from error
         self._known.health.record_heard(time.monotonic())
         if data is None:
@@ -164,9 +167,16 @@
                 target_id, str(error), may_have_run=False
             ) from error
         except (http_client.BrokenAnswer, OSError) as error:
+            if connection.is_kept:
+                # The target may have dropped the connection while it was idle, which
+                # says nothing about the target.
+                cause = f"kept connection: {error}"
+                raise failures.TargetCallError(
+                    target_id, cause, may_have_run=True
+                ) from error
             known.health.record_failure(time.monotonic())
             raise failures.TargetCallError(
-                target_id, str(error), may_have_run=True
+                target_id, str(error), may_have_run=True, is_bad_answer=True
             ) from error
 
     def _make_answer(
@@ -182,7 +192,10 @@
         )
         if reply.attempt_id and reply.attempt_id != call.attempt_id:
             raise failures.TargetCallError(
-                known.target.target_id, "answer to another request", may_have_run=True
+                known.target.target_id,
+                "answer to another request",
+                may_have_run=True,
+                is_bad_answer=True,
             )
         known.health.record_heard(time.monotonic())
         return Answer(known, connection, reply, is_watched)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -39,6 +39,7 @@
     :ivar torn: send half of the event at which a stream is cut
     :ivar pause_after: go silent behind this many events, -1 for never
     :ivar pauses: how many streams go silent
+    :ivar reset_kept: reset a kept connection as soon as something is sent on it
     :ivar plain: answer with a length instead of a stream of events
     """
 
@@ -54,6 +55,7 @@
     extra: bool = False
     plain: bool = False
     torn: bool = False
+    reset_kept: bool = False
     pause_after: int = -1
     pauses: int = 0
 
@@ -104,7 +106,9 @@
         self.connections += 1
         try:
             while await self._serve_one(reader, writer):
-                continue
+                if self.manner.reset_kept:
+                    await reader.read(1)
+                    return
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             return
         finally:
