Split membership, store endpoints and operators' answers from the wiring

Cause: entry/wiring.py had 410 lines and four jobs. Change: entry/membership.py (rows of daemons), entry/store_endpoints.py (store or relay), entry/operations.py (readiness, metrics); wiring.py has 338 lines. No change of behaviour.

--- /dev/null
+++ b/src/endivevane/entry/store_endpoints.py
@@ -0,0 +1,58 @@
+"""Where calls to the store go: to the store, or through another daemon."""
+
+from __future__ import annotations
+
+import random
+import time
+
+from endivevane import types
+from endivevane.entry import settings
+from endivevane.serving import http_client, peers
+
+# Other daemons that a store call may try besides the store.
+_RELAYS = 2
+
+
+class StoreEndpoints:
+    """Lists the endpoints of a store call, best first."""
+
+    def __init__(
+        self,
+        loaded: settings.Settings,
+        network: peers.PeerNetwork,
+        generator: random.Random,
+    ) -> None:
+        self.store = _make_endpoint(loaded)
+        self._network = network
+        self._generator = generator
+        # One endpoint for each daemon, so that its failures are remembered.
+        self._relays: dict[str, http_client.Endpoint] = {}
+
+    def apply_settings(self, loaded: settings.Settings) -> None:
+        """Follow the store to a new address."""
+        endpoint = _make_endpoint(loaded)
+        known = (self.store.host, self.store.port)
+        if (endpoint.host, endpoint.port) != known:
+            self.store = endpoint
+
+    def list_all(self) -> list[http_client.Endpoint]:
+        """Return the store and, while it fails, daemons that may reach it first."""
+        now_s = time.monotonic()
+        relays = [self._find_relay(peer) for peer in self._network.list_alive()]
+        usable = [item for item in relays if item.paused_until_s <= now_s]
+        chosen = self._generator.sample(usable, min(_RELAYS, len(usable)))
+        if self.store.paused_until_s <= now_s:
+            return [self.store, *chosen]
+        return [*chosen, self.store]
+
+    def _find_relay(self, peer: peers.Peer) -> http_client.Endpoint:
+        endpoint = self._relays.get(peer.host)
+        if endpoint is None:
+            endpoint = http_client.Endpoint(peer.host, peer.port)
+            self._relays[peer.host] = endpoint
+        return endpoint
+
+
+def _make_endpoint(loaded: settings.Settings) -> http_client.Endpoint:
+    address = types.parse_address(loaded.store.address)
+    return http_client.Endpoint(address.host, address.port)
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-import http
 import pathlib
 import random
 import secrets
 import signal
 import time
 
-import orjson
-import prometheus_client
-
 from endivevane import exceptions, logs, metrics, types
-from endivevane.entry import reloading, settings, standstill
+from endivevane.entry import (
+    membership,
+    operations,
+    reloading,
+    settings,
+    standstill,
+    store_endpoints,
+)
 from endivevane.platform import (
     headers,
     job_codec,
@@ -42,7 +45,6 @@
     model,
     peers,
     placement,
-    responder,
     routing_table,
     store,
     target_calls,
@@ -55,12 +57,10 @@
 # What a planned stop leaves of the grace before the process is killed.
 _GRACE_MARGIN_S = 1.2
 _STOP_LOOK_S = 0.05
-# Endpoints besides the store's own that a store call may try.
-_RELAYS = 2
 _INTERNAL_LIMITS = model.ClientLimits(
     max_body_bytes=16 << 20, header_timeout_s=3.0, idle_timeout_s=60.0
 )
-_MEMBER_RETRY_S = 0.5
+_EXPIRY_LOOK_S = 0.5
 # Changes of jobs are collected for this long, so that a result does not cost a call
 # at each daemon; operators' changes and those of targets are taken in at once.
 _STATE_PAUSE_S = 0.3
@@ -83,6 +83,12 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._stop_asked = asyncio.Event()
         self._is_stopping = False
+        self._board = load_board.LoadBoard()
+        self._network = peers.PeerNetwork(self._identity, self._board, self._on_report)
+        self._network.set_seeds(
+            (types.parse_address(seed).host, self._identity.port)
+            for seed in self._settings.peers.seeds
+        )
         self._make_store()
         self._make_targets()
         self._make_jobs()
@@ -112,7 +118,7 @@
             self._runner.run(),
             self._claims.run(),
             self._sweeper.run(),
-            self._join(),
+            self._members.join(),
             self._drop_expired(),
             watch.run(),
             standstill.watch_standstills(self._claims.note_standstill),
@@ -122,10 +128,14 @@
         await self._stop()
 
     def _make_store(self) -> None:
-        self._store_endpoint = self._make_store_endpoint(self._settings)
+        self._endpoints = store_endpoints.StoreEndpoints(
+            self._settings, self._network, self._generator
+        )
         self._store_pool = http_client.ConnectionPool(_CONNECT_TIMEOUT_S)
-        self._relay_endpoints: dict[str, http_client.Endpoint] = {}
-        self._store = table_store.TableStore(self._store_pool, self._list_endpoints)
+        self._store = table_store.TableStore(self._store_pool, self._endpoints.list_all)
+        self._members = membership.Membership(
+            self._identity, self._network, self._store
+        )
         self._book = job_book.JobBook()
         self._state_feed = follower.TableFollower(
             self._store,
@@ -148,7 +158,6 @@
 
     def _make_targets(self) -> None:
         vm = self._settings.vm
-        self._board = load_board.LoadBoard()
         self._directory = directory.Directory(records.decode_target)
         place = placement.Place(
             vm.availability_zone, vm.region, dict(self._settings.regions)
@@ -166,11 +175,6 @@
             http_client.ConnectionPool(_CONNECT_TIMEOUT_S), self._codec
         )
         self._directory.call_when_gone(self._caller.forget)
-        self._network = peers.PeerNetwork(self._identity, self._board, self._on_report)
-        self._network.set_seeds(
-            (types.parse_address(seed).host, self._identity.port)
-            for seed in self._settings.peers.seeds
-        )
 
     def _make_jobs(self) -> None:
         self._changes = job_changes.JobChanges(
@@ -219,7 +223,7 @@
         self._front_door = front_door.FrontDoor(online, batch, codec)
         relay = store_relay.StoreRelay(
             self._store_pool,
-            lambda: self._store_endpoint,
+            lambda: self._endpoints.store,
             (
                 (records.CONFIGURATION_TABLE, self._configuration_feed),
                 (records.TARGETS_TABLE, self._targets_feed),
@@ -232,10 +236,12 @@
             self._codec, relay.handle, lambda: _INTERNAL_LIMITS
         )
         self._readiness = ingress.Server(
-            self._codec, self._answer_readiness, lambda: _INTERNAL_LIMITS
+            self._codec,
+            operations.make_readiness(lambda: self._is_ready),
+            lambda: _INTERNAL_LIMITS,
         )
         self._metrics = ingress.Server(
-            self._codec, _answer_metrics, lambda: _INTERNAL_LIMITS
+            self._codec, operations.answer_metrics, lambda: _INTERNAL_LIMITS
         )
 
     async def _listen(self) -> None:
@@ -252,32 +258,6 @@
             lambda: self._network, local_addr=(ip, listen.internal_port)
         )
 
-    def _make_store_endpoint(self, loaded: settings.Settings) -> http_client.Endpoint:
-        address = types.parse_address(loaded.store.address)
-        return http_client.Endpoint(address.host, address.port)
-
-    def _list_endpoints(self) -> list[http_client.Endpoint]:
-        """Return the store and, while it fails, some daemons that may reach it."""
-        now_s = time.monotonic()
-        if self._store_endpoint.paused_until_s <= now_s:
-            direct_first = [self._store_endpoint]
-        else:
-            direct_first = []
-        alive = self._network.list_alive()
-        relays = [self._find_relay(peer) for peer in alive]
-        usable = [item for item in relays if item.paused_until_s <= now_s]
-        chosen = self._generator.sample(usable, min(_RELAYS, len(usable)))
-        if not direct_first:
-            return [*chosen, self._store_endpoint]
-        return [*direct_first, *chosen]
-
-    def _find_relay(self, peer: peers.Peer) -> http_client.Endpoint:
-        endpoint = self._relay_endpoints.get(peer.host)
-        if endpoint is None:
-            endpoint = http_client.Endpoint(peer.host, peer.port)
-            self._relay_endpoints[peer.host] = endpoint
-        return endpoint
-
     def _find_limits(self) -> model.ClientLimits:
         table = self._front_door.table
         return model.ClientLimits() if table is None else table.configuration.limits
@@ -285,12 +265,7 @@
     def _apply_settings(self, loaded: settings.Settings) -> None:
         self._settings = loaded
         logs.set_level(loaded.log.level)
-        endpoint = self._make_store_endpoint(loaded)
-        if (endpoint.host, endpoint.port) != (
-            self._store_endpoint.host,
-            self._store_endpoint.port,
-        ):
-            self._store_endpoint = endpoint
+        self._endpoints.apply_settings(loaded)
 
     def _on_operator_row(self, row: store.Row) -> None:
         if row.row_key.key != records.CONFIGURATION_KEY or row.value is None:
@@ -320,60 +295,21 @@
         if key.startswith(jobs.JOB_PREFIX):
             self._book.apply(row)
         elif key.startswith(jobs.MEMBER_PREFIX):
-            self._on_member_row(key.removeprefix(jobs.MEMBER_PREFIX), row)
-
-    def _on_member_row(self, name: str, row: store.Row) -> None:
-        if row.value is None:
-            self._network.remove_member(name)
-            return
-        try:
-            region, host, port, incarnation = orjson.loads(row.value)
-        except ValueError as error:
-            logs.error("member_row_unreadable", member=name, cause=error)
-            return
-        self._network.add_member(
-            peers.Peer(name, str(region), str(host), int(port), str(incarnation))
-        )
+            self._members.apply(row)
 
     def _on_report(self) -> None:
         self._places.pump()
         self._runner.wake()
 
-    async def _join(self) -> None:
-        """Name this daemon in the store."""
-        key = store.RowKey(
-            jobs.STATE_TABLE, jobs.PARTITION, jobs.MEMBER_PREFIX + self._identity.name
-        )
-        identity = self._identity
-        value = orjson.dumps(
-            (identity.region, identity.host, identity.port, identity.incarnation)
-        )
-        while True:
-            try:
-                await self._store.apply(store.Transaction(puts=((key, value),)))
-            except exceptions.EndivevaneError as error:
-                logs.limited_info("join_delayed", cause=error)
-                await asyncio.sleep(_MEMBER_RETRY_S)
-                continue
-            return
-
     async def _drop_expired(self) -> None:
         while True:
-            await asyncio.sleep(_MEMBER_RETRY_S)
+            await asyncio.sleep(_EXPIRY_LOOK_S)
             self._directory.drop_expired(time.monotonic())
 
     @property
     def _is_ready(self) -> bool:
         return not self._is_stopping and self._front_door.is_open.is_set()
 
-    async def _answer_readiness(
-        self, _request: model.ClientRequest, answer: responder.Responder
-    ) -> None:
-        status = http.HTTPStatus.OK
-        if not self._is_ready:
-            status = http.HTTPStatus.SERVICE_UNAVAILABLE
-        answer.send(responder.WholeAnswer(status))
-
     async def _stop(self) -> None:
         """Leave the rotation, hand back batch work, and finish what was begun."""
         began_s = time.monotonic()
@@ -400,11 +336,3 @@
         )
         for task in self._tasks:
             task.cancel()
-
-
-async def _answer_metrics(
-    _request: model.ClientRequest, answer: responder.Responder
-) -> None:
-    body = prometheus_client.generate_latest()
-    content_type = prometheus_client.CONTENT_TYPE_LATEST
-    answer.send(responder.WholeAnswer(200, body, content_type=content_type))
