--- /dev/null
+++ b/bench/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""A model of the fleet: the daemons' own decisions on a simulated clock."""
--- /dev/null
+++ b/bench/fleet/simulation.py
@@ -0,0 +1,271 @@
+"""Plays a pattern: real placement and load boards, simulated engines and clock."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import random
+import typing
+from collections import abc
+
+from bench.fleet import batch, engines, pattern
+from endivevane.serving import directory, load_board, model, peers, placement, store
+
+# Requests without a place are looked at this often.
+_WAIT_LOOK_S = 0.02
+_NEAR_DELAY_S = 0.001
+_SERVICE = "lm"
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Request:
+    """An online request."""
+
+    arrived_s: float
+    hold_s: float
+    daemon: Daemon
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Daemon:
+    """A daemon's view of the fleet."""
+
+    name: str
+    region: int
+    board: load_board.LoadBoard
+    choices: placement.Placement
+    waiting: collections.deque[Request] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    reported: int = -1
+
+
+@dataclasses.dataclass(slots=True)
+class Tally:
+    """What became of the requests.
+
+    :ivar crowded: requests that met an engine with three or more too many
+    """
+
+    served: int = 0
+    late: int = 0
+    far: int = 0
+    far_late: int = 0
+    crowded: int = 0
+    items_due: int = 0
+    items_on_time: int = 0
+    yields: int = 0
+
+
+class Simulation:
+    """One play of a pattern.
+
+    :param is_view_perfect: whether each daemon knows the loads as they are
+    """
+
+    def __init__(
+        self, played: pattern.Pattern, seed: int, is_view_perfect: bool = False
+    ) -> None:
+        self.pattern = played
+        self.generator = random.Random(seed)
+        self.now_s = 0.0
+        self.tally = Tally()
+        self._is_view_perfect = is_view_perfect
+        self._events: list[tuple[float, int, abc.Callable[[], None]]] = []
+        self._numbers = itertools.count()
+        self._truth = load_board.LoadBoard()
+        self._engines = {
+            engine.name: engine
+            for region, count in enumerate(played.targets)
+            for engine in self._make_engines(region, count)
+        }
+        self.targets = {name: self._decode(name, b"") for name in self._engines}
+        self.daemons = [
+            self._make_daemon(region, number)
+            for region, count in enumerate(played.daemons)
+            for number in range(count)
+        ]
+        self._batch = batch.BatchPlay(self)
+
+    def run(self) -> Tally:
+        """Play the pattern and return what became of the requests."""
+        self._schedule_arrival()
+        for daemon in self.daemons:
+            self.later(self.generator.random() * 0.1, self._report, daemon)
+        for region in range(len(self.pattern.daemons)):
+            self.later(self.generator.random() * 0.1, self._report_region, region)
+        self._batch.start()
+        while self._events:
+            self.now_s, _, action = heapq.heappop(self._events)
+            if self.now_s > self.pattern.duration_s:
+                break
+            action()
+        return self.tally
+
+    def later(
+        self, delay_s: float, action: abc.Callable[..., None], *given: typing.Any
+    ) -> None:
+        """Call a function after a simulated delay."""
+        entry = (self.now_s + delay_s, next(self._numbers), lambda: action(*given))
+        heapq.heappush(self._events, entry)
+
+    def find_engine(self, target: model.Target) -> engines.Engine:
+        """Return the engine of a target."""
+        return self._engines[target.target_id]
+
+    def find_delay_s(self, daemon: Daemon, engine: engines.Engine) -> float:
+        """Return the time of one way between a daemon and an engine."""
+        if engine.region != daemon.region:
+            return self.pattern.region_delay_s
+        return _NEAR_DELAY_S
+
+    def _make_engines(self, region: int, count: int) -> list[engines.Engine]:
+        return [
+            engines.Engine(
+                f"r{region}t{number}",
+                region,
+                self.pattern.slots,
+                self.later,
+                lambda: self.now_s,
+            )
+            for number in range(count)
+        ]
+
+    def _make_daemon(self, region: int, number: int) -> Daemon:
+        zone = f"r{region}z{number % self.pattern.zones}"
+        board = self._truth if self._is_view_perfect else load_board.LoadBoard()
+        known = directory.Directory(self._decode)
+        for version, name in enumerate(self._engines, 1):
+            row_key = store.RowKey("targets", "", name)
+            known.apply(store.Row(row_key, b"x", version), 0.0)
+        regions = {
+            f"r{each}z{item}": f"r{each}"
+            for each in range(len(self.pattern.daemons))
+            for item in range(self.pattern.zones)
+        }
+        choices = placement.Placement(
+            placement.Place(zone, f"r{region}", regions),
+            known,
+            board,
+            random.Random(self.generator.random()),
+        )
+        daemon = Daemon(f"r{region}d{number}", region, board, choices)
+        if not self._is_view_perfect:
+            board.near_age_s = peers.find_interval_s(self.pattern.daemons[region])
+            board.far_age_s = peers.find_region_interval_s(sum(self.pattern.daemons))
+        return daemon
+
+    def _decode(self, name: str, _value: bytes) -> model.Target:
+        """Return the registration of an engine."""
+        engine = self._engines[name]
+        number = int(name.partition("t")[2])
+        return model.Target(
+            target_id=name,
+            service=_SERVICE,
+            host="10.0.0.1",
+            port=1,
+            availability_zone=f"r{engine.region}z{number % self.pattern.zones}",
+            slots=engine.slots,
+            is_leaving=False,
+        )
+
+    def _schedule_arrival(self) -> None:
+        gap_s = self.generator.expovariate(self.pattern.find_rate(self.now_s))
+        self.later(gap_s, self._arrive)
+
+    def _arrive(self) -> None:
+        self._schedule_arrival()
+        factor = max(0.2, self.generator.gauss(1.0, self.pattern.hold_spread))
+        daemon = self.generator.choice(self.daemons)
+        request = Request(self.now_s, self.pattern.hold_s * factor, daemon)
+        if not self._place(request):
+            daemon.waiting.append(request)
+            self.later(_WAIT_LOOK_S, self._look, daemon)
+
+    def _look(self, daemon: Daemon) -> None:
+        while daemon.waiting:
+            if not self._place(daemon.waiting[0]):
+                self.later(_WAIT_LOOK_S, self._look, daemon)
+                return
+            daemon.waiting.popleft()
+
+    def _place(self, request: Request) -> bool:
+        daemon = request.daemon
+        target = daemon.choices.choose_online(_SERVICE, self.now_s)
+        if target is None:
+            return False
+        engine = self.find_engine(target)
+        daemon.board.begin(engine.name, is_batch=False)
+        run = engines.Run(
+            request.hold_s,
+            lambda: self._note_begin(request, engine),
+            lambda: self._note_end(daemon, engine),
+        )
+        self.later(self.find_delay_s(daemon, engine), self._reach, engine, run)
+        return True
+
+    def _reach(self, engine: engines.Engine, run: engines.Run) -> None:
+        self.tally.crowded += engine.load >= engine.slots + 3
+        engine.take(run)
+
+    def _note_begin(self, request: Request, engine: engines.Engine) -> None:
+        back_s = self.find_delay_s(request.daemon, engine)
+        first_s = self.now_s + self.pattern.start_s + back_s - request.arrived_s
+        is_late = first_s > self.pattern.objective_s
+        is_far = engine.region != request.daemon.region
+        self.tally.served += 1
+        self.tally.late += is_late
+        self.tally.far += is_far
+        self.tally.far_late += is_far and is_late
+
+    def _note_end(self, daemon: Daemon, engine: engines.Engine) -> None:
+        delay_s = self.find_delay_s(daemon, engine)
+        self.later(delay_s, daemon.board.end, engine.name, False)
+
+    def _report(self, daemon: Daemon) -> None:
+        near = self.pattern.daemons[daemon.region]
+        self.later(peers.find_interval_s(near), self._report, daemon)
+        if self._is_view_perfect or daemon.board.version == daemon.reported:
+            return
+        daemon.reported = daemon.board.version
+        report = load_board.LoadReport(
+            _copy_loads(daemon.board.own), self.now_s, daemon.board.own_waiting_items
+        )
+        self.later(_NEAR_DELAY_S, self._deliver, daemon, report)
+
+    def _deliver(self, sender: Daemon, report: load_board.LoadReport) -> None:
+        for daemon in self.daemons:
+            if daemon.region == sender.region and daemon is not sender:
+                daemon.board.set_report(sender.name, report)
+
+    def _report_region(self, region: int) -> None:
+        interval_s = peers.find_region_interval_s(len(self.daemons))
+        self.later(interval_s, self._report_region, region)
+        if self._is_view_perfect:
+            return
+        members = [item for item in self.daemons if item.region == region]
+        names = [item.name for item in members]
+        board = members[0].board
+        report = load_board.LoadReport(
+            board.sum_with(names),
+            self.now_s,
+            board.sum_waiting_items(names),
+            is_of_region=True,
+        )
+        delay_s = self.pattern.region_delay_s + 2 * _NEAR_DELAY_S
+        self.later(delay_s, self._deliver_region, region, report)
+
+    def _deliver_region(self, region: int, report: load_board.LoadReport) -> None:
+        for daemon in self.daemons:
+            if daemon.region != region:
+                daemon.board.set_report(f"region {region}", report)
+
+
+def _copy_loads(
+    loads: abc.Mapping[str, load_board.Load],
+) -> dict[str, load_board.Load]:
+    return {
+        name: load_board.Load(load.online, load.batch) for name, load in loads.items()
+    }
