Let operators look at a deployment on the platform from the command line

Change: endivevanectl fleet members, targets, routes, jobs (rows of the store, as a table or JSON), explain (a request, job or item from the logs of all daemons, with what became of the targets that they name) and check (settings, configuration).

--- /dev/null
+++ b/src/endivevane/ctl/fleet_commands.py
@@ -0,0 +1,247 @@
+"""Commands on a deployment on the platform: its store's rows and its daemons' logs."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import dataclasses
+import pathlib
+import typing
+from collections import abc
+
+from endivevane import exceptions, types
+from endivevane.ctl import exits, log_search, output, settings
+from endivevane.entry import inspection
+from endivevane.entry import settings as entry_settings
+from endivevane.platform import records
+from endivevane.serving import failures
+
+_MEMBER_COLUMNS = ("name", "region", "address", "incarnation")
+_TARGET_COLUMNS = ("name", "service", "zone", "address", "slots", "state", "problem")
+_ROUTE_COLUMNS = (
+    "name",
+    "host",
+    "prefix",
+    "kind",
+    "services",
+    "timeout_s",
+    "objective_s",
+    "attempts",
+)
+_JOB_COLUMNS = (
+    "job_id",
+    "route",
+    "state",
+    "owner",
+    "listed",
+    "total",
+    "due_in_s",
+    "failed_runs",
+)
+_LINE_COLUMNS = ("time_s", "source", "event", "detail")
+
+_Views = abc.Sequence[typing.Any]
+
+
+class StoreUnreachable(exceptions.EndivevaneError):
+    """The platform's store does not answer.
+
+    :param address: where it was asked
+    :param cause: what happened
+    """
+
+    def __init__(self, address: str, cause: str) -> None:
+        super().__init__()
+        self.address = address
+        self.cause = cause
+
+    def format_message(self) -> str:
+        """Return the address, the cause and what to do next."""
+        return (
+            f"the store at {self.address} does not answer: {self.cause}; check the "
+            "address, which the daemons' settings hold as store.address, and try again"
+        )
+
+
+class NoLines(exceptions.EndivevaneError):
+    """No log line names a request, job or item.
+
+    :param subject: the id that was looked for
+    """
+
+    def __init__(self, subject: str) -> None:
+        super().__init__()
+        self.subject = subject
+
+    def format_message(self) -> str:
+        """Return what to do next."""
+        return (
+            f"no line names {self.subject}: give the logs of all daemons of the region "
+            "at that time; lines under load are thinned out, see left_out in them"
+        )
+
+
+def add_parsers(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    """Add the parsers of these commands."""
+    fleet = commands.add_parser(
+        "fleet", help="look at a deployment on the platform, by its store and logs"
+    )
+    nested = fleet.add_subparsers(dest="fleet", required=True, metavar="COMMAND")
+    for name, text, run in (
+        ("members", "list the daemons", run_members),
+        ("targets", "list the registered targets", run_targets),
+        ("routes", "list the routes in force", run_routes),
+        ("jobs", "list the batch jobs, by due time", run_jobs),
+    ):
+        parser = nested.add_parser(name, help=text)
+        parser.add_argument(
+            "--store",
+            required=True,
+            type=types.parse_address,
+            metavar="HOST:PORT",
+            help="address of the store",
+        )
+        if run is run_jobs:
+            parser.add_argument("--open", action="store_true", help="only open jobs")
+        parser.set_defaults(run=run)
+    explain = nested.add_parser(
+        "explain", help="show what logs say of a request, a job or an item"
+    )
+    explain.add_argument("subject", help="id of the request, job or item")
+    explain.add_argument("logs", nargs="+", type=pathlib.Path, help="daemons' logs")
+    explain.set_defaults(run=run_explain)
+    check = nested.add_parser("check", help="check settings or a configuration")
+    check.add_argument("--settings", type=pathlib.Path, metavar="FILE")
+    check.add_argument("--configuration", type=pathlib.Path, metavar="FILE")
+    check.set_defaults(run=run_check)
+
+
+def run_members(
+    arguments: argparse.Namespace, _settings: settings.CtlSettings
+) -> exits.Exit:
+    """Print the daemons that have named themselves in the store."""
+    reader = _open_reader(arguments.store)
+    members = _read(arguments.store, reader.read_members())
+    _print_views(arguments, _MEMBER_COLUMNS, members)
+    return exits.Exit.OK
+
+
+def run_targets(
+    arguments: argparse.Namespace, _settings: settings.CtlSettings
+) -> exits.Exit:
+    """Print the registered targets."""
+    reader = _open_reader(arguments.store)
+    targets = _read(arguments.store, reader.read_targets())
+    _print_views(arguments, _TARGET_COLUMNS, targets)
+    return exits.Exit.OK
+
+
+def run_routes(
+    arguments: argparse.Namespace, _settings: settings.CtlSettings
+) -> exits.Exit:
+    """Print the version of the configuration in force and its routes."""
+    reader = _open_reader(arguments.store)
+    configuration = _read(arguments.store, reader.read_configuration())
+    if configuration is None:
+        output.print_note("the operator has not written a configuration yet")
+        return exits.Exit.FAILED
+    output.print_note(f"configuration version {configuration.version}")
+    views = [inspection.view_route(route) for route in configuration.routes]
+    _print_views(arguments, _ROUTE_COLUMNS, views)
+    return exits.Exit.OK
+
+
+def run_jobs(
+    arguments: argparse.Namespace, _settings: settings.CtlSettings
+) -> exits.Exit:
+    """Print the batch jobs, those that are due first before the others."""
+    reader = _open_reader(arguments.store)
+    found = _read(arguments.store, reader.read_jobs())
+    if arguments.open:
+        found = [view for view in found if view.state == "open"]
+    _print_views(arguments, _JOB_COLUMNS, found)
+    return exits.Exit.OK
+
+
+def run_explain(
+    arguments: argparse.Namespace, _settings: settings.CtlSettings
+) -> exits.Exit:
+    """Print the log lines on a request, job or item in the order of time."""
+    lines = log_search.search(arguments.logs, arguments.subject)
+    if not lines:
+        raise NoLines(arguments.subject)
+    if arguments.output == "json":
+        output.print_json([dataclasses.asdict(line) for line in lines])
+        return exits.Exit.OK
+    rows = [
+        {
+            "time_s": f"{line.time_s:.3f}",
+            "source": line.source,
+            "event": line.event,
+            "detail": " ".join(
+                f"{name}={value}"
+                for name, value in line.fields.items()
+                if name not in ("event", "level")
+            ),
+        }
+        for line in lines
+    ]
+    output.print_table(_LINE_COLUMNS, rows)
+    return exits.Exit.OK
+
+
+def run_check(
+    arguments: argparse.Namespace, _settings: settings.CtlSettings
+) -> exits.Exit:
+    """Check files as a daemon does, and say what is wrong."""
+    if arguments.settings is None and arguments.configuration is None:
+        output.print_error("name a file with --settings or --configuration")
+        return exits.Exit.USAGE
+    if arguments.settings is not None:
+        entry_settings.load_settings(arguments.settings)
+        output.print_note(f"{arguments.settings}: the settings are valid")
+    if arguments.configuration is not None:
+        _check_configuration(arguments.configuration)
+    return exits.Exit.OK
+
+
+def _check_configuration(path: pathlib.Path) -> None:
+    """Decode a configuration file as it is in the store.
+
+    :raises exceptions.SettingsError: when it can't be read or used
+    """
+    try:
+        configuration = records.decode_configuration(path.read_bytes())
+    except (OSError, exceptions.ProtocolError) as error:
+        problem = exceptions.InputProblem(str(path), "", str(error))
+        raise exceptions.SettingsError([problem]) from error
+    output.print_note(
+        f"{path}: version {configuration.version} with {len(configuration.routes)} "
+        "routes is valid"
+    )
+
+
+def _open_reader(address: types.Address) -> inspection.FleetReader:
+    return inspection.FleetReader(address.host, address.port)
+
+
+_T = typing.TypeVar("_T")
+
+
+def _read(
+    address: types.Address, reading: abc.Coroutine[typing.Any, typing.Any, _T]
+) -> _T:
+    try:
+        return asyncio.run(reading)
+    except failures.StoreFailure as error:
+        raise StoreUnreachable(f"{address.host}:{address.port}", error.cause) from error
+
+
+def _print_views(
+    arguments: argparse.Namespace, columns: abc.Sequence[str], views: _Views
+) -> None:
+    rows = [dataclasses.asdict(view) for view in views]
+    if arguments.output == "json":
+        output.print_json(rows)
+        return
+    output.print_table(columns, rows)
--- a/src/endivevane/ctl/main.py
+++ b/src/endivevane/ctl/main.py
@@ -15,6 +15,7 @@
     config_commands,
     daemon_commands,
     exits,
+    fleet_commands,
     job_commands,
     output,
     settings,
@@ -26,7 +27,7 @@
   2  wrong usage
   3  a file or setting is invalid
   4  another publisher changed the same document
-  5  the table service or the daemons can't be reached
+  5  the store, the table service or the daemons can't be reached
   6  published, but some zone has not confirmed it yet
 """
 
@@ -51,6 +52,7 @@
     config_commands.add_parsers(commands)
     daemon_commands.add_parsers(commands)
     job_commands.add_parsers(commands)
+    fleet_commands.add_parsers(commands)
     _add_output_option(commands)
     return parser
 
@@ -86,7 +88,7 @@
     except exceptions.InputError as error:
         output.print_error(error.format_message())
         return exits.Exit.INVALID_INPUT
-    except client.NoDaemonAnswers as error:
+    except (client.NoDaemonAnswers, fleet_commands.StoreUnreachable) as error:
         output.print_error(error.format_message())
         return exits.Exit.UNAVAILABLE
     except exceptions.EndivevaneError as error:
--- /dev/null
+++ b/src/endivevane/entry/inspection.py
@@ -0,0 +1,188 @@
+"""Reading the state of a deployment from the platform's store."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+
+import orjson
+
+from endivevane import exceptions, logs
+from endivevane.platform import records, table_store
+from endivevane.serving import http_client, jobs, model, store
+
+_CONNECT_TIMEOUT_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberView:
+    """A daemon as it named itself at its last start."""
+
+    name: str
+    region: str
+    address: str
+    incarnation: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetView:
+    """A registered target.
+
+    :param problem: why the registration can't be used, empty if it can
+    """
+
+    name: str
+    service: str = ""
+    zone: str = ""
+    address: str = ""
+    slots: int = 0
+    state: str = ""
+    problem: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteView:
+    """A route of the configuration in force."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    services: str
+    timeout_s: float
+    objective_s: float
+    attempts: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobView:
+    """A batch job.
+
+    :param due_in_s: time until it is due, negative once that has passed
+    :param failed_runs: answers of failure of its unfinished items
+    """
+
+    job_id: str
+    route: str
+    state: str
+    owner: str
+    listed: int
+    total: int
+    due_in_s: float
+    failed_runs: int
+
+
+class FleetReader:
+    """Reads the rows of daemons, targets, routes and jobs; it changes nothing.
+
+    :param host: host of the store
+    :param port: port of the store
+    """
+
+    def __init__(self, host: str, port: int) -> None:
+        endpoint = http_client.Endpoint(host, port)
+        pool = http_client.ConnectionPool(_CONNECT_TIMEOUT_S)
+        self._store = table_store.TableStore(pool, lambda: [endpoint])
+
+    async def read_members(self) -> list[MemberView]:
+        """Return the daemons, also those that have ended since.
+
+        :raises failures.StoreFailure: when the store does not answer
+        """
+        members = []
+        for row in await self._read_state(jobs.MEMBER_PREFIX):
+            name = row.row_key.key.removeprefix(jobs.MEMBER_PREFIX)
+            try:
+                region, host, port, incarnation = orjson.loads(row.value or b"")
+            except (TypeError, ValueError) as error:
+                logs.warning("member_row_unreadable", member=name, cause=error)
+                continue
+            members.append(MemberView(name, region, f"{host}:{port}", incarnation))
+        return members
+
+    async def read_targets(self) -> list[TargetView]:
+        """Return the registered targets, and the registrations that are unusable.
+
+        :raises failures.StoreFailure: when the store does not answer
+        """
+        page = await self._store.read_rows(records.TARGETS_TABLE, "")
+        return [_view_target(row) for row in page.rows]
+
+    async def read_configuration(self) -> model.Configuration | None:
+        """Return the configuration in force, ``None`` if there is none yet.
+
+        :raises failures.StoreFailure: when the store does not answer
+        :raises exceptions.ProtocolError: when it can't be used
+        """
+        page = await self._store.read_rows(records.CONFIGURATION_TABLE, "")
+        for row in page.rows:
+            if row.row_key.key == records.CONFIGURATION_KEY and row.value is not None:
+                return records.decode_configuration(row.value)
+        return None
+
+    async def read_jobs(self) -> list[JobView]:
+        """Return the batch jobs, those that are due first before the others.
+
+        :raises failures.StoreFailure: when the store does not answer
+        """
+        views = []
+        for row in await self._read_state(jobs.JOB_PREFIX):
+            try:
+                views.append(_view_job(jobs.decode_job(row.value or b"")))
+            except ValueError as error:
+                logs.warning("job_row_unreadable", row=row.row_key.key, cause=error)
+        views.sort(key=lambda view: view.due_in_s)
+        return views
+
+    async def _read_state(self, prefix: str) -> tuple[store.Row, ...]:
+        end = prefix[:-1] + chr(ord(prefix[-1]) + 1)
+        page = await self._store.read_rows(
+            jobs.STATE_TABLE, jobs.PARTITION, prefix, end
+        )
+        return page.rows
+
+
+def view_route(route: model.Route) -> RouteView:
+    """Return what operators look for in a route."""
+    services = ",".join(
+        f"{service.name}:{service.weight:g}" for service in route.services
+    )
+    return RouteView(
+        name=route.name,
+        host=route.host,
+        prefix=route.prefix,
+        kind=route.kind.value,
+        services=services,
+        timeout_s=route.timeout_s,
+        objective_s=route.objective_s,
+        attempts=route.max_attempts,
+    )
+
+
+def _view_target(row: store.Row) -> TargetView:
+    name = row.row_key.key
+    try:
+        target = records.decode_target(name, row.value or b"")
+    except exceptions.ProtocolError as error:
+        return TargetView(name, problem=error.format_message())
+    return TargetView(
+        name=name,
+        service=target.service,
+        zone=target.availability_zone,
+        address=f"{target.host}:{target.port}",
+        slots=target.slots,
+        state="leaving" if target.is_leaving else "ready",
+    )
+
+
+def _view_job(job: jobs.Job) -> JobView:
+    return JobView(
+        job_id=job.job_id,
+        route=job.route,
+        state=job.state.value,
+        owner=job.owner,
+        listed=job.listed,
+        total=job.total,
+        due_in_s=round(job.due_ms / 1000.0 - time.time(), 1),
+        failed_runs=sum(job.failed_runs.values()),
+    )
