--- a/src/endivevane/ctl/fleet_commands.py
+++ b/src/endivevane/ctl/fleet_commands.py
@@ -120,47 +120,40 @@
     arguments: argparse.Namespace, _settings: settings.CtlSettings
 ) -> exits.Exit:
     """Print the daemons that have named themselves in the store."""
-    reader = _open_reader(arguments.store)
-    members = _read(arguments.store, reader.read_members())
-    _print_views(arguments, _MEMBER_COLUMNS, members)
-    return exits.Exit.OK
+    reading = _open_reader(arguments.store).read_members()
+    return _print_views(arguments, _MEMBER_COLUMNS, _read(arguments.store, reading))
 
 
 def run_targets(
     arguments: argparse.Namespace, _settings: settings.CtlSettings
 ) -> exits.Exit:
     """Print the registered targets."""
-    reader = _open_reader(arguments.store)
-    targets = _read(arguments.store, reader.read_targets())
-    _print_views(arguments, _TARGET_COLUMNS, targets)
-    return exits.Exit.OK
+    reading = _open_reader(arguments.store).read_targets()
+    return _print_views(arguments, _TARGET_COLUMNS, _read(arguments.store, reading))
 
 
 def run_routes(
     arguments: argparse.Namespace, _settings: settings.CtlSettings
 ) -> exits.Exit:
     """Print the version of the configuration in force and its routes."""
-    reader = _open_reader(arguments.store)
-    configuration = _read(arguments.store, reader.read_configuration())
+    reading = _open_reader(arguments.store).read_configuration()
+    configuration = _read(arguments.store, reading)
     if configuration is None:
         output.print_note("the operator has not written a configuration yet")
         return exits.Exit.FAILED
     output.print_note(f"configuration version {configuration.version}")
     views = [inspection.view_route(route) for route in configuration.routes]
-    _print_views(arguments, _ROUTE_COLUMNS, views)
-    return exits.Exit.OK
+    return _print_views(arguments, _ROUTE_COLUMNS, views)
 
 
 def run_jobs(
     arguments: argparse.Namespace, _settings: settings.CtlSettings
 ) -> exits.Exit:
     """Print the batch jobs, those that are due first before the others."""
-    reader = _open_reader(arguments.store)
-    found = _read(arguments.store, reader.read_jobs())
+    found = _read(arguments.store, _open_reader(arguments.store).read_jobs())
     if arguments.open:
         found = [view for view in found if view.state == "open"]
-    _print_views(arguments, _JOB_COLUMNS, found)
-    return exits.Exit.OK
+    return _print_views(arguments, _JOB_COLUMNS, found)
 
 
 def run_explain(
@@ -239,9 +232,10 @@
 
 def _print_views(
     arguments: argparse.Namespace, columns: abc.Sequence[str], views: _Views
-) -> None:
+) -> exits.Exit:
     rows = [dataclasses.asdict(view) for view in views]
     if arguments.output == "json":
         output.print_json(rows)
-        return
-    output.print_table(columns, rows)
+    else:
+        output.print_table(columns, rows)
+    return exits.Exit.OK
