--- a/features/serving_decisions.feature
+++ b/features/serving_decisions.feature
@@ -42,6 +42,16 @@
       | 0.43 | 9    | 6   | goes to the second target |
       | 0.43 | 9    | 7   | finds no target           |
 
+  # Pattern: all targets of a region are gone.
+  # Guards against places of the other region that stay free while this one has none.
+  Scenario: A region without targets uses all places of the other one
+    Given a near and a far target of 8 slots
+    And the loads of the other region are 1.7 s old
+    And peers run 0, 8 and 0 online requests on them
+    Then an online request goes to the first target
+    When the first target says that it leaves
+    Then an online request goes to the second target
+
   # Pattern: a pulse every five seconds, with batch between the pulses.
   # Guards against more than 5 in 100 late first events although all places suffice.
   Scenario Outline: A pulse that fits is served on time
--- a/src/endivevane/serving/placement.py
+++ b/src/endivevane/serving/placement.py
@@ -103,6 +103,10 @@
         candidates: list[even_fill.Candidate] = []
         usable = self._targets.list_usable(service)
         condemned = self._find_condemned(usable, now_s)
+        has_near = any(
+            not self._is_far(known.target) and _may_get_work(known.health, now_s)
+            for known in usable
+        )
         for known in usable:
             target = known.target
             if target.target_id in excluded:
@@ -114,7 +118,7 @@
             if not _may_get_work(known.health, now_s):
                 continue
             total = self._board.total(target.target_id).total
-            if total >= self._find_limit(target):
+            if total >= self._find_limit(target, has_near):
                 continue
             cost = self._cost(target, total, now_s)
             candidates.append(even_fill.Candidate(target, cost))
@@ -271,12 +275,16 @@
         beside_peak = int(peak_room * target.slots) - _PEAK_RESERVE
         return min(free, beside_peak - load.batch)
 
-    def _find_limit(self, target: model.Target) -> int:
-        """Return the requests from which on a target counts as full."""
-        if self._is_far(target):
-            reserve = int(_FAR_RESERVE_PER_S * self._board.far_age_s)
-            return target.slots + _QUEUE_AHEAD - reserve
-        return target.slots + _QUEUE_AHEAD
+    def _find_limit(self, target: model.Target, has_near: bool) -> int:
+        """Return the requests from which on a target counts as full.
+
+        :param has_near: whether any target of this region may get work
+        """
+        limit = target.slots + _QUEUE_AHEAD
+        if not has_near or not self._is_far(target):
+            return limit
+        reserve = int(_FAR_RESERVE_PER_S * self._board.far_age_s)
+        return limit - min(reserve, target.slots // 2)
 
     def _is_far(self, target: model.Target) -> bool:
         """Whether a target stands in another region."""
