--- a/features/serving_decisions.feature
+++ b/features/serving_decisions.feature
@@ -13,10 +13,10 @@
     And 2 run on the first of them and 6 on each other one
     Then no target holds more than 14 of them in 95 of 100 plays
 
-  Scenario Outline: Requests are poured over the targets, the lowest first
+  Scenario Outline: Requests raise the lowest loads to a common level
     # Guards against shares that overfill the lowest target or leave it out.
     Given targets of 8 slots with costs 0.25, 0.5 and 0.5
-    When <amount> requests are poured over them
+    When <amount> requests are shared out over them
     Then they get <first>, <second> and <third> of them
 
     Examples:
--- a/features/serving_outcomes.feature
+++ b/features/serving_outcomes.feature
@@ -15,7 +15,7 @@
       | 2   | fail two of five requests at once  | 54   |
 
   # Pattern: the fault of a target ends after some seconds.
-  # Guards against targets that are left out for good.
+  # Guards against targets that stay ejected.
   Scenario: A target that is sound again gets its share back
     Given 24 daemons before 12 targets of which 1 fail every request at once
     When 90 requests a second come for 6 s, and reports are 0.1 s old
@@ -23,26 +23,26 @@
     And 90 requests a second come for 8 s, and reports are 0.1 s old
     Then each target has served at least 20 requests in the last 4 s
 
-  # Guards against good targets that are left out because one daemon's path is broken.
-  Scenario: One daemon alone can't condemn a target
+  # Guards against good targets that are ejected because one daemon's path is broken.
+  Scenario: One daemon alone can't eject a target
     Given 2 targets of 8 slots
     And one peer has seen 50 answers of the first target fail
     Then the first target still gets work when the second is full
 
   # Guards against a service without targets when something else breaks its answers.
-  Scenario: No target is left out when most of them fail
+  Scenario: No target is ejected when most of them fail
     Given 3 targets of 8 slots
     And 6 peers have each seen 2 answers of the first 2 targets fail
-    Then no target is left out
+    Then no target is ejected
     When 6 peers have each seen 2 answers of the first 1 targets fail
-    Then the first target is left out
+    Then the first target is ejected
 
   # Pattern: a target that has become slow answers all it gets, late.
   # Guards against a place that is taken for answers of little use while others are free.
   Scenario: A target whose first events come late counts as failing
     Given 2 targets of 8 slots
     When 6 first events of the first target come after 250 ms, and others after 60 ms
-    Then the first target is left out
+    Then the first target is ejected
 
   # Guards against blame on a target for the time limit of a request.
   Scenario Outline: What counts against a target
--- a/features/steps/serving_decisions_steps.py
+++ b/features/steps/serving_decisions_steps.py
@@ -81,16 +81,16 @@
     ]
 
 
-@when("{amount:d} requests are poured over them")
-def step_pour(context, amount):
-    context.poured = even_fill.weigh(context.candidates, amount)
+@when("{amount:d} requests are shared out over them")
+def step_share_out(context, amount):
+    context.shares = even_fill.weigh(context.candidates, amount)
 
 
 @then("they get {first:d}, {second:d} and {third:d} of them")
-def step_poured(context, first, second, third):
+def step_shares(context, first, second, third):
     wanted = (first, second, third)
-    for got, expected in zip(context.poured, wanted, strict=True):
-        assert abs(got - expected) < 1e-9, context.poured
+    for got, expected in zip(context.shares, wanted, strict=True):
+        assert abs(got - expected) < 1e-9, context.shares
 
 
 @given("the loads of the other region are {age_s:g} s old")
--- a/features/steps/serving_outcomes_steps.py
+++ b/features/steps/serving_outcomes_steps.py
@@ -155,7 +155,7 @@
     _tell(context, peers, count, context.names[:bad])
 
 
-def _is_left_out(context):
+def _is_ejected(context):
     """Whether the first target gets no work although all others are full."""
     now_s = time.monotonic()
     board = context.fleet.board
@@ -170,14 +170,14 @@
 
 
 @then("the first target still gets work when the second is full")
-@then("no target is left out")
-def step_not_left_out(context):
-    assert not _is_left_out(context)
+@then("no target is ejected")
+def step_not_ejected(context):
+    assert not _is_ejected(context)
 
 
-@then("the first target is left out")
-def step_left_out(context):
-    assert _is_left_out(context)
+@then("the first target is ejected")
+def step_ejected(context):
+    assert _is_ejected(context)
 
 
 def _make_progress(now_s):
--- a/src/endivevane/serving/even_fill.py
+++ b/src/endivevane/serving/even_fill.py
@@ -2,8 +2,8 @@
 
 Daemons that all choose the least loaded target fill it together before any of them
 hears of it. So what the others have placed meanwhile is taken into account: it is
-poured over the targets like water, the lowest first, and a target is drawn by what it
-gets.
+shared out by water-filling, which raises the lowest loads to a common level, and a
+target is drawn by its share.
 """
 
 from __future__ import annotations
@@ -28,7 +28,7 @@
 
 
 def weigh(candidates: abc.Sequence[Candidate], amount: float) -> list[float]:
-    """Return what each candidate gets of requests that are poured over all of them.
+    """Return what each candidate gets when requests are shared out by water-filling.
 
     :param candidates: by rising cost
     :param amount: requests, more than 0
--- a/src/endivevane/serving/load_board.py
+++ b/src/endivevane/serving/load_board.py
@@ -37,7 +37,7 @@
     :param waiting_items: batch items that could start now
     :param waiting_requests: online requests that wait for a place and can be on time,
         by service
-    :param outcomes: what it has to say against targets
+    :param outcomes: answers of targets with failures
     :param is_of_region: whether it speaks for all daemons of its region
     """
 
--- a/src/endivevane/serving/outcome_board.py
+++ b/src/endivevane/serving/outcome_board.py
@@ -12,11 +12,11 @@
 # After this time an answer counts half.
 _HALF_LIFE_S = 2.0
 # Sound answers that every target is taken to have given, so that one failure among
-# few answers does not condemn it.
+# few answers does not eject it.
 _PRIOR_ANSWERS = 6.0
-# Share of failed answers from which on a target gets no work while others do.
-_CONDEMNED_SHARE = 0.4
-# What one peer may say against a target: its own path may be what fails.
+# Share of failed answers from which on a target is ejected: others get its work.
+_EJECTION_SHARE = 0.4
+# Failures of a target that count from one peer, whose own path may be what fails.
 _MOST_FAILURES_OF_PEER = 2.0
 # Counts below this are forgotten.
 _LEAST_COUNT = 0.05
@@ -65,12 +65,12 @@
         answers = (own.answers if own else 0.0) + (peers.answers if peers else 0.0)
         return failures / (answers + _PRIOR_ANSWERS)
 
-    def is_condemned(self, target_id: str, now_s: float) -> bool:
-        """Whether so much fails that a target should get no work."""
-        return self.find_failed_share(target_id, now_s) >= _CONDEMNED_SHARE
+    def is_ejected(self, target_id: str, now_s: float) -> bool:
+        """Whether so many answers of a target fail that it should get no work."""
+        return self.find_failed_share(target_id, now_s) >= _EJECTION_SHARE
 
     def list_own(self, now_s: float) -> dict[str, Outcomes]:
-        """Return what this daemon has to say against targets."""
+        """Return what this daemon has seen of targets with failures."""
         self._age(now_s)
         return {
             target_id: own
@@ -79,7 +79,7 @@
         }
 
     def sum_with(self, peers: abc.Iterable[str], now_s: float) -> dict[str, Outcomes]:
-        """Return what this daemon and some peers have to say against targets."""
+        """Return what this daemon and some peers have seen of targets with failures."""
         summed = {
             target_id: Outcomes(own.answers, own.failures)
             for target_id, own in self.list_own(now_s).items()
@@ -97,7 +97,7 @@
         outcomes: abc.Mapping[str, Outcomes],
         is_of_region: bool = False,
     ) -> None:
-        """Replace what a peer has said.
+        """Replace the outcomes that a peer has reported.
 
         :param is_of_region: whether it speaks for all daemons of its region
         """
@@ -116,7 +116,7 @@
             summed.failures += each.failures
 
     def drop_report(self, peer: str) -> None:
-        """Forget what a peer has said."""
+        """Forget the outcomes that a peer has reported."""
         for target_id, each in self._reports.pop(peer, {}).items():
             summed = self._peers.get(target_id)
             if summed is None:
--- a/src/endivevane/serving/peer_messages.py
+++ b/src/endivevane/serving/peer_messages.py
@@ -18,7 +18,7 @@
     :param waiting_items: batch items that could start now
     :param waiting_requests: online requests that wait for a place and can be on time,
         by service
-    :param outcomes: what the sender has to say against targets
+    :param outcomes: answers of targets with failures
     :param version: newest version of the store that the sender knows of
     :param is_stopping: whether the daemon is about to end
     :param living: names and incarnations of the region's daemons; empty in the report
--- a/src/endivevane/serving/placement.py
+++ b/src/endivevane/serving/placement.py
@@ -35,9 +35,9 @@
 _FAR_COST_PER_S = 1.4
 # What failed answers add, as above, for each unit of their share.
 _FAILED_COST = 2.0
-# While more than this share of a service's targets fails, none of them is left out:
-# the cause then lies elsewhere, or there is nothing better.
-_MOST_CONDEMNED_SHARE = 0.5
+# While more than this share of a service's targets fails, none of them is ejected: the
+# cause then lies elsewhere, or there is nothing better.
+_MOST_EJECTED_SHARE = 0.5
 # Slots of a target in another region that are left to the daemons there, for each
 # second of that age.
 _FAR_RESERVE_PER_S = 5.0
@@ -102,7 +102,7 @@
         """
         candidates: list[even_fill.Candidate] = []
         usable = self._targets.list_usable(service)
-        condemned = self._find_condemned(usable, now_s)
+        ejected = self._find_ejected(usable, now_s)
         has_near = any(
             not self._is_far(known.target) and _may_get_work(known.health, now_s)
             for known in usable
@@ -111,7 +111,7 @@
             target = known.target
             if target.target_id in excluded:
                 continue
-            if only is None and target.target_id in condemned:
+            if only is None and target.target_id in ejected:
                 continue
             if only is not None and target.target_id not in only:
                 continue
@@ -147,11 +147,11 @@
         """
         usable = self._targets.list_usable(service)
         peak_room = self._find_peak_room(service, usable)
-        condemned = self._find_condemned(usable, now_s)
+        ejected = self._find_ejected(usable, now_s)
         candidates: list[even_fill.Candidate] = []
         for known in usable:
             target = known.target
-            if target.target_id in condemned:
+            if target.target_id in ejected:
                 continue
             if not _may_get_work(known.health, now_s):
                 continue
@@ -174,13 +174,13 @@
         """
         usable = self._targets.list_usable(service)
         peak_room = self._find_peak_room(service, usable)
-        condemned = self._find_condemned(usable, now_s)
+        ejected = self._find_ejected(usable, now_s)
         places = 0
         for known in usable:
             health = known.health
             if health.is_paused(now_s) or health.is_silent(now_s):
                 continue
-            if known.target.target_id in condemned:
+            if known.target.target_id in ejected:
                 continue
             load = self._board.total(known.target.target_id)
             free = self._count_batch_room(known.target, load, peak_room)
@@ -229,19 +229,19 @@
             for known in self._targets.list_usable(service)
         )
 
-    def _find_condemned(
+    def _find_ejected(
         self, usable: abc.Sequence[directory.KnownTarget], now_s: float
     ) -> abc.Set[str]:
-        """Return the targets that get no work because so many of their answers fail."""
+        """Return the targets that get no work, since so many of their answers fail."""
         outcomes = self._board.outcomes
-        condemned = {
+        ejected = {
             known.target.target_id
             for known in usable
-            if outcomes.is_condemned(known.target.target_id, now_s)
+            if outcomes.is_ejected(known.target.target_id, now_s)
         }
-        if len(condemned) > _MOST_CONDEMNED_SHARE * len(usable):
+        if len(ejected) > _MOST_EJECTED_SHARE * len(usable):
             return frozenset()
-        return condemned
+        return ejected
 
     def _find_peak_room(
         self, service: str, usable: abc.Sequence[directory.KnownTarget]
