--- a/features/soak.feature
+++ b/features/soak.feature
@@ -18,3 +18,4 @@
       | 11   |
       | 16   |
       | 21   |
+      | 47   |
--- a/src/endivevane/serving/job_reader.py
+++ b/src/endivevane/serving/job_reader.py
@@ -13,9 +13,10 @@
 # Texts kept in memory; the oldest jobs are read from the store again.
 _CACHE_BYTES = 24_000_000
 _CACHED_PAYLOADS = 32
-# Before a job is said not to exist: by then a daemon that has just accepted it has
-# reported the version of its row, and an answer that is older is known to be.
-_SECOND_LOOK_S = 0.25
+# Before a job is said not to exist: by then every daemon has reported once more, also
+# one whose load does not change, and an answer that is older than the acceptance of a
+# job is known to be.
+_SECOND_LOOK_S = 0.5
 
 
 class JobReader:
