Ask at the same time, so that a replaced target is certainly chosen

Test changed: the six clients ask at once, so that both targets are chosen; what is checked is the same.

--- a/features/serving_online.feature
+++ b/features/serving_online.feature
@@ -111,7 +111,7 @@
   Scenario: A target whose address has another target gets no more work
     Given 2 targets behind a daemon with a route that may not be resumed
     And the first target is replaced by another one at its address
-    When 6 clients ask for a stream one after the other
+    When 6 clients ask for a stream at the same time
     Then all of them get 6 events
     And the replaced target is no longer known
 
--- a/features/steps/serving_online_steps.py
+++ b/features/steps/serving_online_steps.py
@@ -161,6 +161,19 @@
     context.replies = _play(context, play)
 
 
+@when("{count:d} clients ask for a stream at the same time")
+def step_ask_together(context, count):
+    async def play(world):
+        requests = [
+            serving_world.make_request(attempt=f"attempt{number}")
+            for number in range(count)
+        ]
+        asked = [serving_world.ask(world.port, request) for request in requests]
+        return await asyncio.gather(*asked)
+
+    context.replies = _play(context, play)
+
+
 @when("{count:d} clients ask for a stream, one every {pause_ms:d} ms")
 def step_ask_at_intervals(context, count, pause_ms):
     async def play(world):
