Give up items whose route was removed, and keep each rule of batch in one place

Change: it is listed as given up after 12.5 s without a route. Test: "Items whose route is gone for good are given up"; on the sources before it failed for a field that it uses, not for the promise.

--- a/bench/fleet/batch.py
+++ b/bench/fleet/batch.py
@@ -6,20 +6,14 @@
 import typing
 
 from bench.fleet import engines
-from endivevane.serving import item_pace, model, placement
+from endivevane.serving import giving_way, item_pace, job_runner, model
 
 if typing.TYPE_CHECKING:
     from bench.fleet import simulation
 
 _SERVICE = "lm"
-# As in job_runner: rounds, starts in one round, rest after giving way.
-_TICK_S = 0.04
-_STARTS_AT_ONCE = 4
-_REST_S = 0.5
 # Time of an item besides its work: connection, queue and prefill of each run.
 _START_S = 0.05
-_START_SPARE_S = 0.2
-_URGENT_SPARE_S = 4.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -27,24 +21,23 @@
     """A batch item.
 
     :ivar left_s: time for which it still has to run
+    :ivar started_s: when its current run was sent
     """
 
     left_s: float
     due_s: float
+    started_s: float = 0.0
     run: engines.Run | None = None
     engine: engines.Engine | None = None
 
     def rate(self, now_s: float) -> item_pace.Urgency:
-        """Return how urgent the item is, by the rule of item_pace."""
+        """Return how urgent the item is, by the rule of the runner."""
         left_s = self.left_s
         if self.run is not None and self.run.began_s is not None:
             left_s -= now_s - self.run.began_s
-        spare_s = self.due_s - now_s - left_s - _START_SPARE_S
-        if spare_s < 0:
-            return item_pace.Urgency.LATE
-        if spare_s < _URGENT_SPARE_S:
-            return item_pace.Urgency.URGENT
-        return item_pace.Urgency.NORMAL
+        # One event a second, so that what is left counts in seconds.
+        pace = item_pace.ItemPace(event_s=1.0, events=max(0.0, left_s))
+        return pace.rate(0, self.due_s - now_s)
 
 
 class BatchPlay:
@@ -78,7 +71,7 @@
         self._items[owner.name].append(item)
 
     def _round(self, daemon: simulation.Daemon) -> None:
-        wait_s = max(_TICK_S, daemon.board.near_age_s)
+        wait_s = max(job_runner.TICK_S, daemon.board.near_age_s)
         self._play.later(wait_s, self._round, daemon)
         daemon.choices.record_peaks(self._play.now_s)
         items = self._items[daemon.name]
@@ -96,12 +89,12 @@
         resting = frozenset(
             target
             for (name, target), yielded_s in self._yielded_s.items()
-            if name == daemon.name and now_s - yielded_s < _REST_S
+            if name == daemon.name and now_s - yielded_s < job_runner.REST_S
         )
         budgets: dict[bool, int] = {}
         starts = 0
         for item in ready:
-            if starts >= _STARTS_AT_ONCE:
+            if starts >= job_runner.STARTS_AT_ONCE:
                 return
             is_urgent = item.rate(now_s) is item_pace.Urgency.URGENT
             if is_urgent not in budgets:
@@ -129,6 +122,7 @@
             on_end=lambda: self._note_end(daemon, item, run),
         )
         item.run = run
+        item.started_s = self._play.now_s
         delay_s = self._play.find_delay_s(daemon, engine)
         self._play.later(delay_s, engine.take, run)
 
@@ -155,13 +149,12 @@
             if surplus <= 0:
                 continue
             self._yielded_s[daemon.name, name] = now_s
-            running.sort(key=lambda item: item.rate(now_s), reverse=True)
             batch = daemon.board.total(name).batch
-            for item in running[:surplus]:
-                is_urgent = item.rate(now_s) is item_pace.Urgency.URGENT
-                if is_urgent and batch <= placement.URGENT_PLACES:
-                    break
-                batch -= 1
+            candidates = [
+                giving_way.Candidate(item, item.rate(now_s), item.started_s)
+                for item in running
+            ]
+            for item in giving_way.choose(candidates, surplus, batch):
                 self._cancel(daemon, item)
 
     def _cancel(self, daemon: simulation.Daemon, item: Item) -> None:
--- a/features/serving_state.feature
+++ b/features/serving_state.feature
@@ -44,6 +44,12 @@
     When the history is gone and reads are 3 versions behind for a while
     Then the daemon has seen only rising versions and ends with the last one
 
+  # Guards against a feed that brings an older version than the daemon has written itself.
+  Scenario: A version that is older than a known one is not taken
+    Given a table that a daemon follows, with a row written 5 times
+    When the daemon takes versions 9, 5 and 9 of a row, its end at 7, and version 10
+    Then it has told of versions 9 and 10 only
+
   Scenario: A row that was deleted while the daemon could not follow is dropped
     # Guards against targets that live on because their end was missed.
     Given a table that a daemon follows, with a row written 5 times
@@ -101,11 +107,19 @@
     Given a daemon that has accepted a job, and another one whose store answers are old
     When the other daemon is asked for the job before any report has come
     Then it knows of no job
+    When it is asked again and a report of the first one comes 100 ms later
+    Then it can't be sure
     When it is asked again after a report of the first one
     Then it can't be sure
     When the answers of the store are up to date again
     Then it finds the job
 
+  # Guards against a job that never ends since the operator has removed its route.
+  Scenario: Items whose route is gone for good are given up
+    When a daemon runs a job of 3 items whose route is removed
+    Then 0.5 s later nothing is listed
+    And once the route has been gone for longer than a daemon lags behind, all are listed as given up
+
   # Guards against items that fail at each run and get all attempts again from each
   # daemon that takes the job over.
   Scenario: Failed runs of an item count on with the next owner
--- a/features/steps/serving_state_steps.py
+++ b/features/steps/serving_state_steps.py
@@ -139,6 +139,17 @@
     asyncio.run(run())
 
 
+@when("the daemon takes versions 9, 5 and 9 of a row, its end at 7, and version 10")
+def step_take_older(context):
+    for version, value in ((9, b"a"), (5, b"b"), (9, b"c"), (7, None), (10, b"d")):
+        context.follower.take(store.Row(_KEY, value, version))
+
+
+@then("it has told of versions 9 and 10 only")
+def step_told(context):
+    assert context.seen == [(9, b"a"), (10, b"d")], context.seen
+
+
 @when("the history is gone and reads are 3 versions behind for a while")
 def step_stale(context):
     async def change():
@@ -457,8 +468,47 @@
     assert set(attempts.values()) == {1}, attempts
 
 
-def _make_runner(daemon, fleet, caller):
-    configuration = model.Configuration(1, (_route(),), {}, model.ClientLimits())
+@when("a daemon runs a job of {count:d} items whose route is removed")
+def step_route_removed(context, count):
+    async def run():
+        daemon = _Daemon(serving_fakes.FakeStore(), "a")
+        fleet = serving_fakes.Fleet(["t0"])
+        runner = _make_runner(daemon, fleet, _EndlessCaller(), routes=())
+        task = asyncio.ensure_future(runner.run())
+        submission = _submission("job", items=count)
+        entry = await daemon.changes.accept(submission)
+        runner.adopt(entry, submission.items)
+        await asyncio.sleep(0.5)
+        context.early = daemon.book.entries["job"].job
+        for item in runner._owned["job"].runs.values():
+            item.routeless_since_s -= job_runner._ROUTE_GONE_S
+        await asyncio.sleep(0.5)
+        context.late = daemon.book.entries["job"].job
+        listed = await daemon.changes.load_results("job", 0, count)
+        context.states = [result.is_completed for result in listed.values()]
+        task.cancel()
+        daemon.feed.cancel()
+
+    asyncio.run(run())
+
+
+@then("0.5 s later nothing is listed")
+def step_nothing_listed(context):
+    assert context.early.is_open and not context.early.listed, context.early
+
+
+@then(
+    "once the route has been gone for longer than a daemon lags behind, all are listed "
+    "as given up"
+)
+def step_given_up(context):
+    assert context.late.state is jobs.JobState.DONE, context.late
+    assert context.states == [False] * context.late.total, context.states
+
+
+def _make_runner(daemon, fleet, caller, routes=None):
+    given = (_route(),) if routes is None else routes
+    configuration = model.Configuration(1, given, {}, model.ClientLimits())
     table = routing_table.RoutingTable(configuration)
     return job_runner.JobRunner(
         job_runner.RunnerParts(
@@ -506,7 +556,9 @@
             "a", "r", "1", 1, {}, version=first.state.newest.value
         )
         received = peer_messages.decode(peer_messages.encode(report))
-        second.state.newest.note(received.version)
+        newest = second.state.newest
+        asyncio.get_running_loop().call_later(0.1, newest.note, received.version)
+        context.answers.append(await _ask_for_job(reader))
         context.answers.append(await _ask_for_job(reader))
         rows.is_old = False
         context.answers.append(await _ask_for_job(reader))
@@ -523,6 +575,7 @@
 
 
 @when("the other daemon is asked for the job before any report has come")
+@when("it is asked again and a report of the first one comes 100 ms later")
 @when("it is asked again after a report of the first one")
 @when("the answers of the store are up to date again")
 def step_asked(context):
--- a/src/endivevane/serving/exchange.py
+++ b/src/endivevane/serving/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import http
 import random
 import time
 
@@ -65,7 +66,7 @@
             async with asyncio.timeout_at(_loop_time(progress.deadline_s)):
                 outcome = await self._run(request, progress, answer)
         except TimeoutError:
-            outcome = self._give_up_in_time(progress, answer)
+            outcome = self._give_up_in_time(answer)
         except asyncio.CancelledError:
             self._log(request, progress, attempts.Outcome.CLIENT_LEFT)
             raise
@@ -328,20 +329,16 @@
             return attempts.Outcome.BROKEN
         if not progress.may_have_run:
             return self._refuse(progress, answer)
-        metrics.REFUSALS.labels("target_failed", "may-have-run").inc()
-        answer.send(responder.WholeAnswer(502))
+        _end_uncertain(answer, http.HTTPStatus.BAD_GATEWAY, "target_failed")
         return attempts.Outcome.FAILED
 
-    def _give_up_in_time(
-        self, progress: attempts.Progress, answer: responder.Responder
-    ) -> attempts.Outcome:
+    def _give_up_in_time(self, answer: responder.Responder) -> attempts.Outcome:
         """End a request that has reached its time limit."""
         if answer.is_begun:
             answer.abort()
-            return attempts.Outcome.TIMED_OUT
-        # A request that was under way when time ran out may have run.
-        metrics.REFUSALS.labels("deadline", "may-have-run").inc()
-        answer.send(responder.WholeAnswer(504))
+        else:
+            # A request that was under way when time ran out may have run.
+            _end_uncertain(answer, http.HTTPStatus.GATEWAY_TIMEOUT, "deadline")
         return attempts.Outcome.TIMED_OUT
 
     def _log(
@@ -373,6 +370,14 @@
         )
 
 
+def _end_uncertain(
+    answer: responder.Responder, status: http.HTTPStatus, cause: str
+) -> None:
+    """Answer that a request may have run, with a status that promises nothing."""
+    metrics.REFUSALS.labels(cause, "may-have-run").inc()
+    answer.send(responder.WholeAnswer(status))
+
+
 def _count_ms(start_s: float, end_s: float | None) -> int | None:
     """Return the whole milliseconds from one time to another that may be missing."""
     return None if end_s is None else int((end_s - start_s) * 1000)
--- a/src/endivevane/serving/job_changes.py
+++ b/src/endivevane/serving/job_changes.py
@@ -68,9 +68,7 @@
             return None
         job = self._make_job(submission)
         payload = jobs.encode_items(submission.items)
-        rows: list[tuple[store.RowKey, bytes]] = []
-        if job.chunks:
-            rows = jobs.split_rows(jobs.PAYLOAD_TABLE, job.job_id, payload)
+        rows = _split_payload(job, payload)
         is_uncertain = False
         is_payload_stored = bool(job.chunks)
         cause = "no time left"
@@ -83,12 +81,9 @@
                 result = await self._store.apply(
                     self._make_acceptance(submission, job, rows)
                 )
-            except failures.StoreUncertain as error:
-                is_uncertain = is_uncertain or is_payload_stored
-                cause = error.cause
-                await asyncio.sleep(_RETRY_S)
-                continue
             except failures.StoreFailure as error:
+                if isinstance(error, failures.StoreUncertain):
+                    is_uncertain = is_uncertain or is_payload_stored
                 cause = error.cause
                 await asyncio.sleep(_RETRY_S)
                 continue
@@ -303,3 +298,10 @@
         """Wait until the rows behind a conflict are known here."""
         newest = max((row.version for row in conflict.rows), default=0)
         await self._state.wait_until(newest, _CATCH_UP_S)
+
+
+def _split_payload(job: jobs.Job, payload: bytes) -> list[tuple[store.RowKey, bytes]]:
+    """Return the rows of a payload, none if it is kept as an object."""
+    if not job.chunks:
+        return []
+    return jobs.split_rows(jobs.PAYLOAD_TABLE, job.job_id, payload)
--- a/src/endivevane/serving/job_runner.py
+++ b/src/endivevane/serving/job_runner.py
@@ -13,6 +13,7 @@
 from endivevane.serving import (
     directory,
     failures,
+    giving_way,
     item_pace,
     item_sender,
     job_book,
@@ -29,14 +30,17 @@
     target_calls,
 )
 
-# Items that a daemon starts at once at most.
-_STARTS_AT_ONCE = 4
-_TICK_S = 0.04
+# Items that a daemon starts in one round at most, and the shortest time between rounds.
+STARTS_AT_ONCE = 4
+TICK_S = 0.04
 # Items do not return to a target for this long after some have left it.
-_REST_S = 0.5
+REST_S = 0.5
 # Pause of an item after its run broke, doubled with each break in a row.
 _FIRST_PAUSE_S = 0.1
 _LONGEST_PAUSE_S = 4.0
+# After this time without a route in the newest configuration an item is given up: a
+# daemon may lag behind the operator for nearly as long while the store is in trouble.
+_ROUTE_GONE_S = 12.5
 # How long the last results and the hand-over may take when the daemon stops.
 _HAND_BACK_S = 4.0
 
@@ -130,7 +134,7 @@
                 self._commits.store_progress_soon(self._owned.values(), now_s)
             self._count_waiting()
             # What the others see of the last changes is as old as their reports.
-            await asyncio.sleep(max(_TICK_S, self._parts.board.near_age_s))
+            await asyncio.sleep(max(TICK_S, self._parts.board.near_age_s))
 
     async def hand_back(self) -> None:
         """Stop all items and leave the jobs, with their progress, to other daemons."""
@@ -165,11 +169,13 @@
         budgets: dict[tuple[str, bool], int] = {}
         resting = self._list_resting(now_s)
         for urgency, owned, run in self._list_ready(now_s):
-            if starts >= _STARTS_AT_ONCE:
+            if starts >= STARTS_AT_ONCE:
                 return
             route = table.find(owned.entry.job.host, run.item.path)
             if route is None:
+                self._note_no_route(owned, run, now_s)
                 continue
+            run.routeless_since_s = 0.0
             service = routing_table.choose_service(route, self._parts.generator)
             is_urgent = urgency is item_pace.Urgency.URGENT
             if service in full and not is_urgent:
@@ -191,6 +197,17 @@
             self._start(owned, run, route, target)
             starts += 1
 
+    def _note_no_route(
+        self, owned: owned_jobs.OwnedJob, run: owned_jobs.ItemRun, now_s: float
+    ) -> None:
+        """Give an item up whose route the operator has removed for good."""
+        if not run.routeless_since_s:
+            run.routeless_since_s = now_s
+        if now_s - run.routeless_since_s < _ROUTE_GONE_S:
+            return
+        logs.limited_info("item_without_route", job=owned.job_id, item=run.item.item_id)
+        self._finish(owned, run, is_completed=False, text="")
+
     def _list_ready(
         self, now_s: float
     ) -> list[tuple[item_pace.Urgency, owned_jobs.OwnedJob, owned_jobs.ItemRun]]:
@@ -225,7 +242,7 @@
     def _list_resting(self, now_s: float) -> frozenset[str]:
         """Return the targets that items have left a moment ago."""
         for target_id, yielded_s in list(self._yielded_s.items()):
-            if now_s - yielded_s > _REST_S:
+            if now_s - yielded_s > REST_S:
                 del self._yielded_s[target_id]
         return frozenset(self._yielded_s)
 
@@ -244,12 +261,14 @@
     def _give_way(self) -> None:
         """Cancel items on targets that online requests fill."""
         now_s = time.monotonic()
-        by_target: dict[str, list[tuple[item_pace.Urgency, owned_jobs.ItemRun]]] = {}
+        by_target: dict[str, list[giving_way.Candidate[owned_jobs.ItemRun]]] = {}
         for owned in self._owned.values():
             for run in owned.list_running():
-                entry = (self._rate(owned, run), run)
-                by_target.setdefault(run.target_id, []).append(entry)
-        for target_id, runs in by_target.items():
+                candidate = giving_way.Candidate(
+                    run, self._rate(owned, run), run.started_s
+                )
+                by_target.setdefault(run.target_id, []).append(candidate)
+        for target_id, running in by_target.items():
             known = self._parts.targets.find(target_id)
             if known is None:
                 continue
@@ -257,16 +276,10 @@
             if surplus <= 0:
                 continue
             self._yielded_s[target_id] = now_s
-            # Late items first; among others, those that started last lose least.
-            runs.sort(key=lambda entry: (entry[0], entry[1].started_s), reverse=True)
             batch = self._parts.board.total(target_id).batch
-            for urgency, run in runs[:surplus]:
-                is_urgent = urgency is item_pace.Urgency.URGENT
-                if is_urgent and batch <= placement.URGENT_PLACES:
-                    break
+            for run in giving_way.choose(running, surplus, batch):
                 if run.task is not None:
                     run.task.cancel()
-                    batch -= 1
 
     async def _run_item(
         self,
@@ -281,21 +294,7 @@
         try:
             end, status = await self._sender.send(owned.entry.job, run, target)
         except failures.TargetCallError as error:
-            end = item_sender.RunEnd.NOT_RUN
-            if error.may_have_run:
-                end = item_sender.RunEnd.BROKEN
-            if error.is_bad_answer:
-                # Answers of failure may be due to the item, broken ones are not.
-                now_s = time.monotonic()
-                self._parts.board.outcomes.record(target.target_id, now_s, 1.0)
-            logs.limited_info(
-                "item_run_failed",
-                job=owned.job_id,
-                item=run.item.item_id,
-                target=target.target_id,
-                cause=error.cause,
-                events=run.last_event,
-            )
+            end = self._note_failed_call(owned, run, error)
         finally:
             run_s = time.monotonic() - run.started_s
             self._pace.record_run(run.last_event - started_at, run_s)
@@ -316,6 +315,29 @@
             )
             self.wake()
 
+    def _note_failed_call(
+        self,
+        owned: owned_jobs.OwnedJob,
+        run: owned_jobs.ItemRun,
+        error: failures.TargetCallError,
+    ) -> item_sender.RunEnd:
+        """Log a call without a whole answer and return how the run ended."""
+        if error.is_bad_answer:
+            # Answers of failure may be due to the item, broken ones are not.
+            now_s = time.monotonic()
+            self._parts.board.outcomes.record(error.target_id, now_s, 1.0)
+        logs.limited_info(
+            "item_run_failed",
+            job=owned.job_id,
+            item=run.item.item_id,
+            target=error.target_id,
+            cause=error.cause,
+            events=run.last_event,
+        )
+        if error.may_have_run:
+            return item_sender.RunEnd.BROKEN
+        return item_sender.RunEnd.NOT_RUN
+
     def _settle(
         self,
         owned: owned_jobs.OwnedJob,
--- a/src/endivevane/serving/outcome_board.py
+++ b/src/endivevane/serving/outcome_board.py
@@ -41,7 +41,7 @@
         self._own: dict[str, Outcomes] = {}
         self._aged_s = 0.0
         self._reports: dict[str, dict[str, Outcomes]] = {}
-        self._peers: dict[str, Outcomes] = {}
+        self._peers: dict[str, Outcomes] | None = None
 
     def record(self, target_id: str, now_s: float, failed: float) -> None:
         """Take in an answer of a target.
@@ -58,7 +58,7 @@
         """Return the share of a target's answers that failed lately, 0 to 1."""
         self._age(now_s)
         own = self._own.get(target_id)
-        peers = self._peers.get(target_id)
+        peers = self._sum_peers().get(target_id)
         failures = (own.failures if own else 0.0) + (peers.failures if peers else 0.0)
         if failures < _LEAST_COUNT:
             return 0.0
@@ -80,15 +80,10 @@
 
     def sum_with(self, peers: abc.Iterable[str], now_s: float) -> dict[str, Outcomes]:
         """Return what this daemon and some peers have seen of targets with failures."""
-        summed = {
-            target_id: Outcomes(own.answers, own.failures)
-            for target_id, own in self.list_own(now_s).items()
-        }
+        summed: dict[str, Outcomes] = {}
+        _add(summed, self.list_own(now_s))
         for peer in peers:
-            for target_id, outcomes in self._reports.get(peer, {}).items():
-                entry = summed.setdefault(target_id, Outcomes())
-                entry.answers += outcomes.answers
-                entry.failures += outcomes.failures
+            _add(summed, self._reports.get(peer, {}))
         return summed
 
     def set_report(
@@ -110,21 +105,20 @@
             for target_id, each in outcomes.items()
         }
         self._reports[peer] = report
-        for target_id, each in report.items():
-            summed = self._peers.setdefault(target_id, Outcomes())
-            summed.answers += each.answers
-            summed.failures += each.failures
+        self._peers = None
 
     def drop_report(self, peer: str) -> None:
         """Forget the outcomes that a peer has reported."""
-        for target_id, each in self._reports.pop(peer, {}).items():
-            summed = self._peers.get(target_id)
-            if summed is None:
-                continue
-            summed.answers -= each.answers
-            summed.failures -= each.failures
-            if summed.answers < _LEAST_COUNT:
-                del self._peers[target_id]
+        if self._reports.pop(peer, None) is not None:
+            self._peers = None
+
+    def _sum_peers(self) -> dict[str, Outcomes]:
+        """Return the sums of all reports, made anew after a change."""
+        if self._peers is None:
+            self._peers = {}
+            for report in self._reports.values():
+                _add(self._peers, report)
+        return self._peers
 
     def _age(self, now_s: float) -> None:
         """Let the own counts lose weight with time."""
@@ -138,3 +132,11 @@
             own.failures *= factor
             if own.answers < _LEAST_COUNT:
                 del self._own[target_id]
+
+
+def _add(summed: dict[str, Outcomes], outcomes: abc.Mapping[str, Outcomes]) -> None:
+    """Add outcomes to sums by target."""
+    for target_id, each in outcomes.items():
+        entry = summed.setdefault(target_id, Outcomes())
+        entry.answers += each.answers
+        entry.failures += each.failures
--- a/src/endivevane/serving/owned_jobs.py
+++ b/src/endivevane/serving/owned_jobs.py
@@ -18,6 +18,8 @@
     :ivar failed: answers of failure
     :ivar breaks: runs in a row that brought nothing
     :ivar not_before_s: monotonic time of the next run
+    :ivar routeless_since_s: monotonic time since which no route leads to a service, 0
+        while one does
     :ivar target_id: target of the current run
     :ivar started_s: monotonic time of its start
     """
@@ -29,6 +31,7 @@
     failed: int = 0
     breaks: int = 0
     not_before_s: float = 0.0
+    routeless_since_s: float = 0.0
     target_id: str = ""
     started_s: float = 0.0
     task: asyncio.Task[None] | None = None
