Take out each mechanism of the platform and check that a scenario fails

Cause: for the promises on the platform nobody had looked whether a scenario would fail without them; and break_mechanisms had not run since the soak came (its copy lacked the folder, so that every entry "failed whole"). A foreign answer where the next one is due has a scenario of its own (standins/replica.py). Free ports of tests are free on every address, since daemons of soaks beside each other met on one.

--- a/features/serving_decisions.feature
+++ b/features/serving_decisions.feature
@@ -152,6 +152,7 @@
     When 6 daemons of two regions report for 2 s and one has 3 requests on a target
     Then every daemon counts 3 requests on the target
     And every daemon knows that the other 5 live
+    And every daemon has heard that the target has failed, and of the newest version
     And at most 80 reports crossed between the regions
 
   # Pattern: half of the targets gone in a pulse.
--- a/features/serving_online.feature
+++ b/features/serving_online.feature
@@ -70,6 +70,13 @@
     When 4 clients ask for a stream one after the other
     Then all of them get 6 events
 
+  # Guards against an answer to a former request that is taken for the next one's.
+  Scenario: A foreign answer where the next one is due is passed to nobody
+    Given 1 targets behind a daemon with a resumable route
+    And the target sends a second answer where the next one is due
+    When 4 clients ask for a stream one after the other
+    Then all of them get 6 events
+
   # Guards against work for clients that are gone.
   Scenario: A client that leaves frees the target within half a second
     Given 1 targets behind a daemon with a resumable route
@@ -78,6 +85,14 @@
     Then within 500 ms the target has cancelled its run
     And no request is counted on the target
 
+  # Guards against work for a client that is gone before there is anything to send it.
+  Scenario: A client that leaves before the first event frees the target too
+    Given 1 targets behind a daemon with a resumable route
+    And the target takes 900 ms before it answers
+    When a client asks for a stream and leaves after 300 ms
+    Then within 500 ms the target has cancelled its run
+    And no request is counted on the target
+
   # Guards against requests that outlive the operator's limit.
   Scenario: A request ends at the timeout of its route
     Given 1 targets behind a daemon with a route of 400 ms timeout
--- a/features/serving_outcomes.feature
+++ b/features/serving_outcomes.feature
@@ -29,6 +29,12 @@
     And one peer has seen 50 answers of the first target fail
     Then the first target still gets work when the second is full
 
+  # Guards against an equal share for a target that fails less than ejects it.
+  Scenario: A target that fails some of its answers gets less work
+    Given 2 targets of 8 slots
+    And one peer has seen 2 answers of the first target fail
+    Then at most 5 of 100 online requests go to the first target while both are idle
+
   # Guards against a service without targets when something else breaks its answers.
   Scenario: No target is ejected when most of them fail
     Given 3 targets of 8 slots
--- a/features/steps/serving_decisions_steps.py
+++ b/features/steps/serving_decisions_steps.py
@@ -398,15 +398,16 @@
 def step_report(context, count, seconds, load):
     wire = context.wire = _Wire()
     context.daemons = []
+    context.newest = []
 
     async def run():
         for number in range(count):
             host, region = f"10.0.0.{number}", f"r{number % 2}"
             identity = peers.Identity(f"d{number}", region, "run", host, 1)
             board = load_board.LoadBoard()
-            network = peers.PeerNetwork(
-                identity, board, newest_version.NewestVersion(), lambda: None
-            )
+            newest = newest_version.NewestVersion()
+            network = peers.PeerNetwork(identity, board, newest, lambda: None)
+            context.newest.append(newest)
             network.connection_made(wire.make_transport(host))
             wire.networks[host], wire.regions[host] = network, region
             context.daemons.append((network, board))
@@ -417,6 +418,9 @@
                 network.add_member(peer)
         for _ in range(load):
             context.daemons[0][1].begin("t0", is_batch=False)
+        context.newest[0].note(7)
+        for _ in range(2):
+            context.daemons[0][1].outcomes.record("t0", time.monotonic(), 1.0)
         tasks = [asyncio.ensure_future(item.run()) for item, _ in context.daemons]
         await asyncio.sleep(seconds)
         context.alive = [len(item.list_alive()) for item, _ in context.daemons]
@@ -437,6 +441,16 @@
     assert context.alive == [count] * len(context.daemons), context.alive
 
 
+@then("every daemon has heard that the target has failed, and of the newest version")
+def step_heard_everywhere(context):
+    now_s = time.monotonic()
+    shares = [
+        board.outcomes.find_failed_share("t0", now_s) for _, board in context.daemons
+    ]
+    assert min(shares) > 0, shares
+    assert [newest.value for newest in context.newest] == [7] * len(shares)
+
+
 @then("at most {most:d} reports crossed between the regions")
 def step_crossed(context, most):
     # Two regions, ten reports a second each at most, and a second one to an unheard
--- a/features/steps/serving_online_steps.py
+++ b/features/steps/serving_online_steps.py
@@ -86,11 +86,21 @@
     _prepare_first(context, reset_kept=True)
 
 
+@given("the target sends a second answer where the next one is due")
+def step_extra_late(context):
+    _prepare_first(context, extra_late=True)
+
+
 @given("the target makes an event every {gap_ms:d} ms")
 def step_slow(context, gap_ms):
     _prepare_first(context, gap_s=gap_ms / 1000)
 
 
+@given("the target takes {first_ms:d} ms before it answers")
+def step_slow_start(context, first_ms):
+    _prepare_first(context, first_s=first_ms / 1000)
+
+
 @given("the target reads requests and says nothing")
 def step_silent(context):
     _prepare_first(context, silent=True)
--- a/features/steps/serving_outcomes_steps.py
+++ b/features/steps/serving_outcomes_steps.py
@@ -180,6 +180,17 @@
     assert _is_ejected(context)
 
 
+@then(
+    "at most {most:d} of 100 online requests go to the first target while both are idle"
+)
+def step_less_work(context, most):
+    now_s = time.monotonic()
+    chosen = collections.Counter(
+        context.fleet.choices.choose_online("lm", now_s).target_id for _ in range(100)
+    )
+    assert chosen["t0"] <= most, chosen
+
+
 def _make_progress(now_s):
     route = model.Route(
         name="quote",
--- a/features/support/serving_processes.py
+++ b/features/support/serving_processes.py
@@ -21,11 +21,14 @@
 
 
 def find_free_ports(count):
-    """Return ports of loopback that are free now."""
+    """Return ports that are free now on every address of this machine.
+
+    Daemons of other tests have addresses of their own on loopback.
+    """
     sockets = []
     for _ in range(count):
         item = socket.socket()
-        item.bind(("127.0.0.1", 0))
+        item.bind(("", 0))
         sockets.append(item)
     ports = [item.getsockname()[1] for item in sockets]
     for item in sockets:
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -40,6 +40,7 @@
     :ivar pause_after: go silent behind this many events, -1 for never
     :ivar pauses: how many streams go silent
     :ivar reset_kept: reset a kept connection as soon as something is sent on it
+    :ivar extra_late: send the second answer where the next one is due
     :ivar plain: answer with a length instead of a stream of events
     """
 
@@ -53,6 +54,7 @@
     drop: int = 0
     silent: bool = False
     extra: bool = False
+    extra_late: bool = False
     plain: bool = False
     torn: bool = False
     reset_kept: bool = False
@@ -72,6 +74,8 @@
         self.port = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        # Connections that have carried an answer.
+        self._answered: set[asyncio.StreamWriter] = set()
 
     async def start(self, port: int = 0) -> None:
         """Listen on loopback."""
@@ -113,6 +117,7 @@
             return
         finally:
             self._writers.discard(writer)
+            self._answered.discard(writer)
             writer.transport.abort()
 
     async def _serve_one(
@@ -175,6 +180,9 @@
         if manner.silent:
             await asyncio.sleep(3600)
         await asyncio.sleep(manner.first_s)
+        if manner.extra_late and writer in self._answered:
+            self._write(writer, 200, "another-attempt", b"late answer", [])
+        self._answered.add(writer)
         if manner.status != 200 or manner.plain:
             self._write(writer, manner.status, run.attempt, b"plain body", [])
             run.ended = "done"
--- a/tools/break_mechanisms.py
+++ b/tools/break_mechanisms.py
@@ -22,7 +22,17 @@
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _LIST = _ROOT / "tools" / "mechanisms.toml"
 _RECORD = _ROOT / "docs" / "measurements" / "broken-mechanisms.json"
-_COPIED = ("src", "features", "standins", "tools", "bench", "docs", "KNOWN-RED.txt")
+_COPIED = (
+    "src",
+    "features",
+    "standins",
+    "soak",
+    "tools",
+    "bench",
+    "deploy",
+    "docs",
+    "KNOWN-RED.txt",
+)
 _TIMEOUT_S = 300
 
 
