--- a/bench/fleet/batch.py
+++ b/bench/fleet/batch.py
@@ -6,7 +6,7 @@
 import typing
 
 from bench.fleet import engines
-from endivevane.serving import giving_way, item_pace, job_runner, model
+from endivevane.serving import batch_places, giving_way, item_pace, model
 
 if typing.TYPE_CHECKING:
     from bench.fleet import simulation
@@ -71,7 +71,7 @@
         self._items[owner.name].append(item)
 
     def _round(self, daemon: simulation.Daemon) -> None:
-        wait_s = max(job_runner.TICK_S, daemon.board.near_age_s)
+        wait_s = max(batch_places.TICK_S, daemon.board.near_age_s)
         self._play.later(wait_s, self._round, daemon)
         daemon.choices.record_peaks(self._play.now_s)
         items = self._items[daemon.name]
@@ -89,12 +89,12 @@
         resting = frozenset(
             target
             for (name, target), yielded_s in self._yielded_s.items()
-            if name == daemon.name and now_s - yielded_s < job_runner.REST_S
+            if name == daemon.name and now_s - yielded_s < batch_places.REST_S
         )
         budgets: dict[bool, int] = {}
         starts = 0
         for item in ready:
-            if starts >= job_runner.STARTS_AT_ONCE:
+            if starts >= batch_places.STARTS_AT_ONCE:
                 return
             is_urgent = item.rate(now_s) is item_pace.Urgency.URGENT
             if is_urgent not in budgets:
--- a/bench/fleet/simulation.py
+++ b/bench/fleet/simulation.py
@@ -11,7 +11,15 @@
 from collections import abc
 
 from bench.fleet import batch, engines, pattern
-from endivevane.serving import directory, load_board, model, peers, placement, store
+from endivevane.serving import (
+    directory,
+    load_board,
+    model,
+    peers,
+    placement,
+    region_reports,
+    store,
+)
 
 # Requests without a place are looked at this often.
 _WAIT_LOOK_S = 0.02
@@ -146,7 +154,7 @@
             for item in range(self.pattern.zones)
         }
         choices = placement.Placement(
-            placement.Place(zone, f"r{region}", regions),
+            placement.Location(zone, f"r{region}", regions),
             known,
             board,
             random.Random(self.generator.random()),
@@ -154,7 +162,7 @@
         daemon = Daemon(f"r{region}d{number}", region, board, choices)
         if not self._is_view_perfect:
             board.near_age_s = peers.find_interval_s(self.pattern.daemons[region])
-            board.far_age_s = peers.find_region_interval_s(sum(self.pattern.daemons))
+            board.far_age_s = region_reports.find_interval_s(sum(self.pattern.daemons))
         return daemon
 
     def _decode(self, name: str, _value: bytes) -> model.Target:
@@ -241,7 +249,7 @@
                 daemon.board.set_report(sender.name, report)
 
     def _report_region(self, region: int) -> None:
-        interval_s = peers.find_region_interval_s(len(self.daemons))
+        interval_s = region_reports.find_interval_s(len(self.daemons))
         self.later(interval_s, self._report_region, region)
         if self._is_view_perfect:
             return
--- a/features/steps/serving_decisions_steps.py
+++ b/features/steps/serving_decisions_steps.py
@@ -2,19 +2,20 @@
 import collections
 import dataclasses
 import pathlib
-import random
 import time
 
 from behave import given, then, when
 
 from bench.fleet import pattern, simulation
 from endivevane.serving import (
-    admission,
     even_fill,
     item_pace,
     load_board,
     newest_version,
     peers,
+    place_queue,
+    places,
+    roster,
 )
 from features.support import serving_fakes
 
@@ -225,14 +226,12 @@
 def _fill(context, online):
     context.fleet = serving_fakes.Fleet(["t0"])
     context.fleet.report("peer", {"t0": (online, 0)})
-    context.places = admission.Admission(
-        context.fleet.choices, context.fleet.board, random.Random(1)
-    )
+    context.places = context.fleet.make_admission()
 
 
 def _wish(priority, objective_s, left_s=5.0):
     now_s = time.monotonic()
-    return admission.Wish(
+    return place_queue.Wish(
         service="lm",
         priority=priority,
         objective_s=now_s + objective_s,
@@ -302,7 +301,7 @@
         began_s = time.monotonic()
         context.granted = await context.places.acquire(_wish(0, 0.3, left_ms / 1000))
         context.took_s = time.monotonic() - began_s
-        context.advice_s = context.places.retry_after_s("lm")
+        context.advice_s = context.places.queue.retry_after_s("lm")
         for task in waiting:
             task.cancel()
         await asyncio.wait(waiting)
@@ -312,7 +311,7 @@
 
 @then("it is refused within {limit_ms:d} ms")
 def step_refused(context, limit_ms):
-    assert context.granted is None
+    assert isinstance(context.granted, place_queue.Refused), context.granted
     assert context.took_s <= limit_ms / 1000, context.took_s
 
 
@@ -403,27 +402,31 @@
     async def run():
         for number in range(count):
             host, region = f"10.0.0.{number}", f"r{number % 2}"
-            identity = peers.Identity(f"d{number}", region, "run", host, 1)
+            identity = roster.Identity(f"d{number}", region, "run", host, 1)
             board = load_board.LoadBoard()
             newest = newest_version.NewestVersion()
-            network = peers.PeerNetwork(identity, board, newest, lambda: None)
+            members = roster.Roster(identity)
+            book = places.PlaceBook(board)
+            network = peers.PeerNetwork(
+                identity, members, board, newest, book, lambda: None
+            )
             context.newest.append(newest)
             network.connection_made(wire.make_transport(host))
             wire.networks[host], wire.regions[host] = network, region
-            context.daemons.append((network, board))
-        for network, _ in context.daemons:
+            context.daemons.append((network, members, board))
+        for _, members, _ in context.daemons:
             for number in range(count):
                 region = f"r{number % 2}"
-                peer = peers.Peer(f"d{number}", region, f"10.0.0.{number}", 1, "run")
-                network.add_member(peer)
+                peer = roster.Peer(f"d{number}", region, f"10.0.0.{number}", 1, "run")
+                members.add(peer)
         for _ in range(load):
-            context.daemons[0][1].begin("t0", is_batch=False)
+            context.daemons[0][2].begin("t0", is_batch=False)
         context.newest[0].note(7)
         for _ in range(2):
-            context.daemons[0][1].outcomes.record("t0", time.monotonic(), 1.0)
-        tasks = [asyncio.ensure_future(item.run()) for item, _ in context.daemons]
+            context.daemons[0][2].outcomes.record("t0", time.monotonic(), 1.0)
+        tasks = [asyncio.ensure_future(item.run()) for item, _, _ in context.daemons]
         await asyncio.sleep(seconds)
-        context.alive = [len(item.list_alive()) for item, _ in context.daemons]
+        context.alive = [len(item.list_alive()) for _, item, _ in context.daemons]
         for task in tasks:
             task.cancel()
 
@@ -432,7 +435,7 @@
 
 @then("every daemon counts {load:d} requests on the target")
 def step_counted_everywhere(context, load):
-    counts = [board.total("t0").online for _, board in context.daemons]
+    counts = [board.total("t0").online for _, _, board in context.daemons]
     assert counts == [load] * len(counts), counts
 
 
@@ -445,7 +448,7 @@
 def step_heard_everywhere(context):
     now_s = time.monotonic()
     shares = [
-        board.outcomes.find_failed_share("t0", now_s) for _, board in context.daemons
+        board.outcomes.find_failed_share("t0", now_s) for _, _, board in context.daemons
     ]
     assert min(shares) > 0, shares
     assert [newest.value for newest in context.newest] == [7] * len(shares)
@@ -479,8 +482,10 @@
         wish = dataclasses.replace(wish, may_return=which == "first")
         asked = asyncio.ensure_future(context.places.acquire(wish))
         done, _ = await asyncio.wait((asked,), timeout=0.05)
-        context.is_refused = bool(done) and asked.result() is None
-        context.advice_s = context.places.retry_after_s("lm")
+        context.is_refused = bool(done) and isinstance(
+            asked.result(), place_queue.Refused
+        )
+        context.advice_s = context.places.queue.retry_after_s("lm")
         for task in (*waiting, asked):
             task.cancel()
         await asyncio.wait((*waiting, asked))
--- a/features/steps/serving_outcomes_steps.py
+++ b/features/steps/serving_outcomes_steps.py
@@ -6,7 +6,6 @@
 from behave import given, then, when
 
 from endivevane.serving import (
-    admission,
     attempts,
     failures,
     load_board,
@@ -212,10 +211,8 @@
 
 
 def _make_recorder(context):
-    places = admission.Admission(
-        context.fleet.choices, context.fleet.board, random.Random(1)
-    )
-    return outcome_recorder.OutcomeRecorder(context.fleet.board.outcomes, places)
+    queue = context.fleet.make_queue()
+    return outcome_recorder.OutcomeRecorder(context.fleet.board.outcomes, queue)
 
 
 @when(
--- a/features/steps/serving_state_steps.py
+++ b/features/steps/serving_state_steps.py
@@ -11,6 +11,7 @@
 from endivevane import exceptions
 from endivevane.platform import headers, records
 from endivevane.serving import (
+    batch_places,
     failures,
     follower,
     job_book,
@@ -21,7 +22,8 @@
     jobs,
     model,
     peer_messages,
-    peers,
+    places,
+    roster,
     routing_table,
     store,
 )
@@ -515,10 +517,13 @@
             targets=fleet.directory,
             board=fleet.board,
             choices=fleet.choices,
+            places=batch_places.BatchPlaces(
+                fleet.choices, fleet.board, places.PlaceBook(fleet.board)
+            ),
             caller=caller,
             rows=daemon.rows,
             changes=daemon.changes,
-            reader=job_reader.JobReader(daemon.book, daemon.changes),
+            reader=job_reader.JobReader(daemon.book, daemon.changes, lambda: 0.5),
             routes=lambda: table,
             encode_headers=headers.HeaderCodec().encode_item_headers,
             generator=random.Random(1),
@@ -549,7 +554,7 @@
             # What they learn by their feeds is left out.
             daemon.feed.cancel()
         await first.changes.accept(_submission("job"))
-        reader = job_reader.JobReader(second.book, second.changes)
+        reader = job_reader.JobReader(second.book, second.changes, lambda: 0.5)
         rows.is_old = True
         context.answers = [await _ask_for_job(reader)]
         report = peer_messages.Report(
@@ -666,7 +671,7 @@
         tasks = []
         for name, daemon in daemons.items():
             claims = job_claims.JobClaims(
-                peers.Identity(name, "r", "1", "10.0.0.1", 1),
+                roster.Identity(name, "r", "1", "10.0.0.1", 1),
                 _NamedNetwork(name, context.stopping),
                 daemon.state,
                 daemon.book,
--- a/features/support/serving_fakes.py
+++ b/features/support/serving_fakes.py
@@ -5,11 +5,14 @@
 import time
 
 from endivevane.serving import (
+    admission,
     directory,
     failures,
     load_board,
     model,
+    place_queue,
     placement,
+    places,
     store,
 )
 
@@ -38,7 +41,7 @@
         self.targets = {}
         self.directory = directory.Directory(lambda key, _value: self.targets[key])
         self.board = load_board.LoadBoard()
-        place = placement.Place(zone, "near", {"z1": "near", "z2": "far"})
+        place = placement.Location(zone, "near", {"z1": "near", "z2": "far"})
         self.board.near_age_s = age_s
         self.choices = placement.Placement(
             place, self.directory, self.board, random.Random(seed)
@@ -46,6 +49,13 @@
         for number, name in enumerate(names):
             self.add(name, zone=(zones or {}).get(name, "z1"), version=number + 1)
 
+    def make_queue(self, seed=1):
+        return place_queue.PlaceQueue(self.choices, self.board, random.Random(seed))
+
+    def make_admission(self, client=None):
+        book = places.PlaceBook(self.board)
+        return admission.Admission(self.make_queue(), book, client)
+
     def add(self, name, version=1, **fields):
         self.targets[name] = make_target(name, **fields)
         self.directory.apply(make_row(name, b"x", version), time.monotonic())
--- a/features/support/serving_world.py
+++ b/features/support/serving_world.py
@@ -17,7 +17,9 @@
     ingress,
     load_board,
     model,
+    place_queue,
     placement,
+    places,
     routing_table,
     target_calls,
 )
@@ -72,14 +74,15 @@
         self.directory = directory.Directory(records.decode_target)
         self.board = load_board.LoadBoard()
         generator = random.Random(5)
-        place = placement.Place("z1", "near", {"z1": "near"})
+        place = placement.Location("z1", "near", {"z1": "near"})
         choices = placement.Placement(place, self.directory, self.board, generator)
-        places = admission.Admission(choices, self.board, generator)
+        queue = place_queue.PlaceQueue(choices, self.board, generator)
+        admitted = admission.Admission(queue, places.PlaceBook(self.board))
         codec = headers.HeaderCodec()
         caller = target_calls.TargetCaller(http_client.ConnectionPool(0.35), codec)
         self.directory.call_when_gone(caller.forget)
         online = exchange.OnlineService(
-            self.directory, self.board, places, caller, generator
+            self.directory, self.board, admitted, caller, generator
         )
         self.door = front_door.FrontDoor(online, None, job_codec.JobCodec())
         if configuration is not None:
--- a/src/endivevane/entry/membership.py
+++ b/src/endivevane/entry/membership.py
@@ -7,7 +7,7 @@
 import orjson
 
 from endivevane import exceptions, logs
-from endivevane.serving import jobs, peers, store
+from endivevane.serving import jobs, roster, store
 
 _RETRY_S = 0.5
 
@@ -16,10 +16,10 @@
     """Names this daemon in the store and takes in the rows of the others."""
 
     def __init__(
-        self, identity: peers.Identity, network: peers.PeerNetwork, rows: store.Store
+        self, identity: roster.Identity, members: roster.Roster, rows: store.Store
     ) -> None:
         self._identity = identity
-        self._network = network
+        self._roster = members
         self._store = rows
 
     async def join(self) -> None:
@@ -29,7 +29,13 @@
             jobs.STATE_TABLE, jobs.PARTITION, jobs.MEMBER_PREFIX + identity.name
         )
         value = orjson.dumps(
-            (identity.region, identity.host, identity.port, identity.incarnation)
+            (
+                identity.region,
+                identity.host,
+                identity.port,
+                identity.incarnation,
+                identity.weight,
+            )
         )
         while True:
             try:
@@ -44,12 +50,16 @@
         """Take in the row of a daemon."""
         name = row.row_key.key.removeprefix(jobs.MEMBER_PREFIX)
         if row.value is None:
-            self._network.remove_member(name)
+            self._roster.remove(name)
             return
         try:
-            region, host, port, incarnation = orjson.loads(row.value)
-            peer = peers.Peer(name, str(region), str(host), int(port), str(incarnation))
+            region, host, port, incarnation, *weight = orjson.loads(row.value)
+            peer = roster.Peer(
+                name, str(region), str(host), int(port), str(incarnation)
+            )
+            if weight:
+                peer.weight = float(weight[0])
         except (TypeError, ValueError) as error:
             logs.error("member_row_unreadable", member=name, cause=error)
             return
-        self._network.add_member(peer)
+        self._roster.add(peer)
--- a/src/endivevane/entry/settings.py
+++ b/src/endivevane/entry/settings.py
@@ -29,12 +29,23 @@
 
 
 class VmSection(_Section):
-    """Name and place of the VM."""
+    """Name, place and size of the VM.
+
+    :param core_share: share of a core that the daemon has
+    :param core_speed: speed of that core, where 1 is the usual one
+    """
 
     name: typing.Annotated[str, pydantic.Field(min_length=1)]
     ip: typing.Annotated[str, pydantic.Field(min_length=1)]
     availability_zone: str
     region: str
+    core_share: typing.Annotated[float, pydantic.Field(gt=0)] = 1.0
+    core_speed: typing.Annotated[float, pydantic.Field(gt=0)] = 1.0
+
+    @property
+    def processor_share(self) -> float:
+        """What the daemon has of a core of the usual speed."""
+        return self.core_share * self.core_speed
 
 
 class ListenSection(_Section):
--- a/src/endivevane/entry/store_endpoints.py
+++ b/src/endivevane/entry/store_endpoints.py
@@ -7,7 +7,7 @@
 
 from endivevane import types
 from endivevane.entry import settings
-from endivevane.serving import http_client, peers
+from endivevane.serving import http_client, roster
 
 # Other daemons that a store call may try besides the store.
 _RELAYS = 2
@@ -19,11 +19,11 @@
     def __init__(
         self,
         loaded: settings.Settings,
-        network: peers.PeerNetwork,
+        members: roster.Roster,
         generator: random.Random,
     ) -> None:
         self.store = _make_endpoint(loaded)
-        self._network = network
+        self._roster = members
         self._generator = generator
         # One endpoint for each daemon, so that its failures are remembered.
         self._relays: dict[str, http_client.Endpoint] = {}
@@ -38,14 +38,14 @@
     def list_all(self) -> list[http_client.Endpoint]:
         """Return the store and, while it fails, daemons that may reach it first."""
         now_s = time.monotonic()
-        relays = [self._find_relay(peer) for peer in self._network.list_alive()]
+        relays = [self._find_relay(peer) for peer in self._roster.list_alive()]
         usable = [item for item in relays if item.paused_until_s <= now_s]
         chosen = self._generator.sample(usable, min(_RELAYS, len(usable)))
         if self.store.paused_until_s <= now_s:
             return [self.store, *chosen]
         return [*chosen, self.store]
 
-    def _find_relay(self, peer: peers.Peer) -> http_client.Endpoint:
+    def _find_relay(self, peer: roster.Peer) -> http_client.Endpoint:
         endpoint = self._relays.get(peer.host)
         if endpoint is None:
             endpoint = http_client.Endpoint(peer.host, peer.port)
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -27,6 +27,8 @@
 )
 from endivevane.serving import (
     admission,
+    batch_places,
+    coordinator,
     directory,
     exchange,
     follower,
@@ -45,7 +47,11 @@
     model,
     newest_version,
     peers,
+    place_client,
+    place_queue,
     placement,
+    places,
+    roster,
     routing_table,
     store,
     target_calls,
@@ -62,6 +68,9 @@
     max_body_bytes=16 << 20, header_timeout_s=3.0, idle_timeout_s=60.0
 )
 _EXPIRY_LOOK_S = 0.5
+# A daemon that has just started, or stood still, hears what the others hold in this
+# time.
+_SETTLE_S = 0.5
 # Changes of jobs are collected for this long, so that a result does not cost a call
 # at each daemon; operators' changes and those of targets are taken in at once.
 _STATE_PAUSE_S = 0.3
@@ -74,20 +83,28 @@
         self._settings = loaded
         self._path = path
         self._generator = random.Random(secrets.randbits(64))
-        self._identity = peers.Identity(
+        self._identity = roster.Identity(
             name=loaded.vm.name,
             region=loaded.vm.region,
             incarnation=secrets.token_hex(4),
             host=loaded.vm.ip,
             port=loaded.listen.internal_port,
+            weight=loaded.vm.processor_share,
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._stop_asked = asyncio.Event()
         self._is_stopping = False
         self._board = load_board.LoadBoard()
         self._newest = newest_version.NewestVersion()
+        self._roster = roster.Roster(self._identity)
+        self._book_of_places = places.PlaceBook(self._board)
         self._network = peers.PeerNetwork(
-            self._identity, self._board, self._newest, self._on_report
+            self._identity,
+            self._roster,
+            self._board,
+            self._newest,
+            self._book_of_places,
+            self._on_report,
         )
         self._network.set_seeds(
             (types.parse_address(seed).host, self._identity.port)
@@ -125,7 +142,7 @@
             self._members.join(),
             self._drop_expired(),
             watch.run(),
-            standstill.watch_standstills(self._claims.note_standstill),
+            standstill.watch_standstills(self._note_standstill),
         ):
             self._tasks.append(asyncio.ensure_future(job))
         await self._stop_asked.wait()
@@ -133,13 +150,11 @@
 
     def _make_store(self) -> None:
         self._endpoints = store_endpoints.StoreEndpoints(
-            self._settings, self._network, self._generator
+            self._settings, self._roster, self._generator
         )
         self._store_pool = http_client.ConnectionPool(_CONNECT_TIMEOUT_S)
         self._store = table_store.TableStore(self._store_pool, self._endpoints.list_all)
-        self._members = membership.Membership(
-            self._identity, self._network, self._store
-        )
+        self._members = membership.Membership(self._identity, self._roster, self._store)
         self._book = job_book.JobBook()
         self._state_feed = follower.TableFollower(
             self._store,
@@ -147,6 +162,7 @@
             jobs.PARTITION,
             self._on_state_row,
             pause_s=_STATE_PAUSE_S,
+            on_loaded=self._settle_when_known,
             newest=self._newest,
         )
         self._targets_feed = follower.TableFollower(
@@ -164,16 +180,35 @@
     def _make_targets(self) -> None:
         vm = self._settings.vm
         self._directory = directory.Directory(records.decode_target)
-        place = placement.Place(
+        location = placement.Location(
             vm.availability_zone, vm.region, dict(self._settings.regions)
         )
         self._choices = placement.Placement(
-            place,
+            location,
             self._directory,
             self._board,
             self._generator,
         )
-        self._places = admission.Admission(self._choices, self._board, self._generator)
+        queue = place_queue.PlaceQueue(self._choices, self._board, self._generator)
+        self._client = place_client.PlaceClient(
+            self._identity,
+            vm.availability_zone,
+            self._roster,
+            self._directory,
+            self._book_of_places,
+            self._network.send_place_message,
+        )
+        self._network.connect(
+            self._client,
+            coordinator.Coordinator(
+                self._directory,
+                self._board,
+                queue,
+                self._choices,
+                self._network.send_place_message,
+            ),
+        )
+        self._places = admission.Admission(queue, self._book_of_places, self._client)
         self._codec = headers.HeaderCodec()
         self._caller = target_calls.TargetCaller(
             http_client.ConnectionPool(_CONNECT_TIMEOUT_S), self._codec
@@ -184,12 +219,17 @@
         self._changes = job_changes.JobChanges(
             self._store, self._state_feed, self._book, self._identity.owner
         )
-        self._reader = job_reader.JobReader(self._book, self._changes)
+        self._reader = job_reader.JobReader(
+            self._book, self._changes, lambda: self._network.spread_s
+        )
         self._runner = job_runner.JobRunner(
             job_runner.RunnerParts(
                 targets=self._directory,
                 board=self._board,
                 choices=self._choices,
+                places=batch_places.BatchPlaces(
+                    self._choices, self._board, self._book_of_places, self._client
+                ),
                 caller=self._caller,
                 rows=self._store,
                 changes=self._changes,
@@ -201,9 +241,10 @@
             )
         )
         self._book.call_when_changed(self._runner.take_change)
+        self._client.call_for_batch(self._runner.wake, self._runner.give_way_at)
         self._claims = job_claims.JobClaims(
             self._identity,
-            self._network,
+            self._roster,
             self._state_feed,
             self._book,
             self._changes,
@@ -212,7 +253,7 @@
         self._sweeper = job_sweeper.JobSweeper(
             self._store,
             self._book,
-            self._network,
+            self._roster,
             self._identity.name,
             self._settings.retention.job_s,
         )
@@ -293,6 +334,19 @@
         if self._front_door.table is not None and self._targets_feed.is_loaded:
             self._front_door.is_open.set()
 
+        self._settle_when_known()
+
+    def _settle_when_known(self) -> None:
+        """Coordinate the region, if it comes to that, once this daemon knows enough."""
+        is_known = self._front_door.is_open.is_set() and self._state_feed.is_loaded
+        if is_known and self._roster.settled_s == float("inf"):
+            self._roster.settled_s = time.monotonic() + _SETTLE_S
+
+    def _note_standstill(self) -> None:
+        """Hear of the others anew before anything is decided for them."""
+        self._claims.note_standstill()
+        self._roster.settled_s = time.monotonic() + _SETTLE_S
+
     def _on_state_row(self, row: store.Row) -> None:
         key = row.row_key.key
         if key.startswith(jobs.JOB_PREFIX):
--- a/src/endivevane/metrics.py
+++ b/src/endivevane/metrics.py
@@ -66,6 +66,15 @@
 MEMBERS = prometheus_client.Gauge(
     "endivevane_members", "Daemons known, by state.", ["state"]
 )
+PLACES_WITHOUT_COORDINATOR = prometheus_client.Counter(
+    "endivevane_places_without_coordinator",
+    "Requests placed by the daemon's own view, since no coordinator answered.",
+)
+TARGET_FAULTS = prometheus_client.Counter(
+    "endivevane_target_faults",
+    "Answers of targets that break HTTP, by cause.",
+    ["cause"],
+)
 LINK_BYTES = prometheus_client.Counter(
     "endivevane_link_bytes",
     "Bytes over the inter-region link, by purpose.",
--- a/src/endivevane/serving/directory.py
+++ b/src/endivevane/serving/directory.py
@@ -22,11 +22,18 @@
 
     :param gone_at_s: monotonic time at which it is dropped unless it registers again,
         ``None`` while it is registered
+    :param has_said_leaving: whether one of its answers said that it is leaving
     """
 
     target: model.Target
     health: target_health.TargetHealth
     gone_at_s: float | None = None
+    has_said_leaving: bool = False
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it gets no new work, by its registration or by its own answers."""
+        return self.has_said_leaving or self.target.is_leaving
 
 
 class Directory:
@@ -102,13 +109,32 @@
         return [
             known
             for known in self._by_service.get(service, {}).values()
-            if not known.target.is_leaving
+            if not known.is_leaving
         ]
 
+    def list_service(self, service: str) -> list[KnownTarget]:
+        """Return the targets of a service, also those that are leaving."""
+        return list(self._by_service.get(service, {}).values())
+
     def list_all(self) -> list[KnownTarget]:
         """Return every target, also those that are leaving."""
         return list(self._targets.values())
 
+    def record_leaving(self, known: KnownTarget) -> None:
+        """Give a target no new work, since one of its answers said that it leaves.
+
+        The mark ends with this run of the target: a later one under its id is another
+        target here.
+        """
+        if known.has_said_leaving:
+            return
+        known.has_said_leaving = True
+        logs.info(
+            "target_said_leaving",
+            target=known.target.target_id,
+            registered_leaving=known.target.is_leaving,
+        )
+
     def record_replaced(self, target: model.Target) -> None:
         """Drop a target whose address has answered as another one."""
         self._drop(target.target_id, "address has another target")
--- a/src/endivevane/serving/exchange.py
+++ b/src/endivevane/serving/exchange.py
@@ -17,6 +17,8 @@
     load_board,
     model,
     outcome_recorder,
+    place_queue,
+    places,
     responder,
     routing_table,
     target_calls,
@@ -38,16 +40,17 @@
         self,
         targets: directory.Directory,
         board: load_board.LoadBoard,
-        places: admission.Admission,
+        admitted: admission.Admission,
         caller: target_calls.TargetCaller,
         generator: random.Random,
     ) -> None:
         self._targets = targets
-        self._board = board
-        self._places = places
+        self._places = admitted
         self._caller = caller
         self._generator = generator
-        self._outcomes = outcome_recorder.OutcomeRecorder(board.outcomes, places)
+        self._outcomes = outcome_recorder.OutcomeRecorder(
+            board.outcomes, admitted.queue
+        )
 
     async def serve(
         self,
@@ -82,30 +85,30 @@
         answer: responder.Responder,
     ) -> attempts.Outcome:
         while True:
-            target = await self._places.acquire(self._make_wish(progress))
-            if target is None:
-                return self._refuse(progress, answer)
-            is_final = await self._attempt(target, request, progress, answer)
+            place = await self._places.acquire(self._make_wish(progress))
+            if isinstance(place, place_queue.Refused):
+                return self._refuse(progress, answer, place.retry_after_s)
+            is_final = await self._attempt(place, request, progress, answer)
             if is_final is not None:
                 return is_final
             if not self._may_go_on(progress):
                 return self._give_up(progress, answer)
             metrics.RETRIES.labels(progress.causes[-1][:20]).inc()
 
-    def _make_wish(self, progress: attempts.Progress) -> admission.Wish:
+    def _make_wish(self, progress: attempts.Progress) -> place_queue.Wish:
         usable = {
             known.target.target_id
             for known in self._targets.list_usable(progress.service)
         }
-        excluded = (progress.refused_by | progress.ran_on) & usable
-        if excluded == usable:
+        excluded = progress.refused_by | progress.ran_on
+        if usable <= excluded:
             # Every target has been tried: the first one may have room again.
             progress.refused_by.clear()
             excluded = set()
         only = progress.list_allowed()
         if only is not None:
             excluded = set()
-        return admission.Wish(
+        return place_queue.Wish(
             service=progress.service,
             priority=progress.route.priority,
             objective_s=progress.objective_s,
@@ -117,17 +120,19 @@
 
     async def _attempt(
         self,
-        target: model.Target,
+        place: places.Place,
         request: model.ClientRequest,
         progress: attempts.Progress,
         answer: responder.Responder,
     ) -> attempts.Outcome | None:
         """Send the request to a target; ``None`` when another attempt may follow."""
+        target = place.target
         started_s = time.monotonic()
+        had_event = progress.first_event_s is not None
         progress.placed_s = started_s
         try:
             known = self._targets.find(target.target_id)
-            if known is None or known.target.is_leaving:
+            if known is None or known.is_leaving:
                 progress.causes.append("target left")
                 progress.refused_by.add(target.target_id)
                 return None
@@ -140,9 +145,10 @@
             self._note_failure(target, progress, error)
             return None
         finally:
-            self._board.end(target.target_id, is_batch=False)
-            self._places.record_hold(progress.service, time.monotonic() - started_s)
-            self._places.pump()
+            start_s = None
+            if progress.first_event_s is not None and not had_event:
+                start_s = progress.first_event_s - started_s
+            self._places.release(place, time.monotonic() - started_s, start_s)
 
     async def _call(
         self,
@@ -303,19 +309,21 @@
         return allowed is None or bool(allowed)
 
     def _refuse(
-        self, progress: attempts.Progress, answer: responder.Responder
+        self,
+        progress: attempts.Progress,
+        answer: responder.Responder,
+        retry_after_s: float,
     ) -> attempts.Outcome:
         """End a request that finds no target."""
         if progress.may_have_run or answer.is_begun:
             return self._give_up(progress, answer)
-        retry_after_s = self._places.retry_after_s(progress.service)
         metrics.REFUSALS.labels("no_place", "not-run").inc()
         logs.limited_info(
             "request_refused",
             request=progress.request_id,
             retry_after_ms=int(retry_after_s * 1000),
             left_ms=int((progress.deadline_s - time.monotonic()) * 1000),
-            **self._places.explain(progress.service),
+            **self._places.queue.explain(progress.service),
         )
         answer.send(responder.WholeAnswer(503, retry_after_s=retry_after_s))
         return attempts.Outcome.REFUSED
@@ -328,7 +336,8 @@
             answer.abort()
             return attempts.Outcome.BROKEN
         if not progress.may_have_run:
-            return self._refuse(progress, answer)
+            retry_after_s = self._places.queue.retry_after_s(progress.service)
+            return self._refuse(progress, answer, retry_after_s)
         _end_uncertain(answer, http.HTTPStatus.BAD_GATEWAY, "target_failed")
         return attempts.Outcome.FAILED
 
--- a/src/endivevane/serving/item_sender.py
+++ b/src/endivevane/serving/item_sender.py
@@ -55,7 +55,7 @@
         :raises failures.TargetCallError: when the answer does not come or breaks off
         """
         known = self._targets.find(target.target_id)
-        if known is None or known.target.is_leaving:
+        if known is None or known.is_leaving:
             return RunEnd.NOT_RUN, 0
         call = model.TargetCall(
             method=b"POST",
--- a/src/endivevane/serving/job_claims.py
+++ b/src/endivevane/serving/job_claims.py
@@ -16,7 +16,7 @@
     job_changes,
     job_runner,
     jobs,
-    peers,
+    roster,
 )
 
 _TICK_S = 0.25
@@ -38,15 +38,15 @@
 
     def __init__(
         self,
-        identity: peers.Identity,
-        network: peers.PeerNetwork,
+        identity: roster.Identity,
+        members: roster.Roster,
         state: follower.TableFollower,
         book: job_book.JobBook,
         changes: job_changes.JobChanges,
         runner: job_runner.JobRunner,
     ) -> None:
         self._identity = identity
-        self._network = network
+        self._roster = members
         self._state = state
         self._book = book
         self._changes = changes
@@ -63,7 +63,7 @@
         while True:
             await asyncio.sleep(_TICK_S)
             now_s = time.monotonic()
-            if now_s < self._settled_s or self._network.is_stopping:
+            if now_s < self._settled_s or self._roster.is_stopping:
                 continue
             if not self._state.is_confirmed(now_s, _CONFIRMED_S):
                 continue
@@ -80,11 +80,11 @@
         if job.owner == self._identity.owner:
             return True
         name, _, incarnation = job.owner.partition("/")
-        if name and self._network.is_alive(name, incarnation):
+        if name and self._roster.is_alive(name, incarnation):
             return False
         if name and now_s - entry.changed_s < _CLAIM_LIFE_S:
             return False
-        members = dict.fromkeys(self._network.list_staying(), 1.0)
+        members = dict.fromkeys(self._roster.list_staying(), 1.0)
         return rendezvous.choose_member(job.job_id, members) == self._identity.name
 
     async def _take_over(self, entry: job_book.BookEntry) -> None:
--- a/src/endivevane/serving/job_reader.py
+++ b/src/endivevane/serving/job_reader.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import time
+from collections import abc
 
 from endivevane.serving import failures, job_book, job_changes, jobs
 
@@ -13,18 +14,23 @@
 # Texts kept in memory; the oldest jobs are read from the store again.
 _CACHE_BYTES = 24_000_000
 _CACHED_PAYLOADS = 32
-# Before a job is said not to exist: by then every daemon has reported once more, also
-# one whose load does not change, and an answer that is older than the acceptance of a
-# job is known to be.
-_SECOND_LOOK_S = 0.5
 
 
 class JobReader:
-    """Reads results and item bodies, from memory where they are known."""
+    """Reads results and item bodies, from memory where they are known.
 
-    def __init__(self, book: job_book.JobBook, changes: job_changes.JobChanges) -> None:
+    :param find_spread_s: returns the time in which daemons hear of each other's changes
+    """
+
+    def __init__(
+        self,
+        book: job_book.JobBook,
+        changes: job_changes.JobChanges,
+        find_spread_s: abc.Callable[[], float],
+    ) -> None:
         self._book = book
         self._changes = changes
+        self._find_spread_s = find_spread_s
         self._results: collections.OrderedDict[str, dict[int, jobs.ItemResult]]
         self._results = collections.OrderedDict()
         self._result_bytes = 0
@@ -41,7 +47,9 @@
         if entry is None:
             entry = await self._changes.refresh(job_id)
         if entry is None:
-            await asyncio.sleep(_SECOND_LOOK_S)
+            # By then every daemon has said which version it has seen, so that an
+            # answer that is older than the acceptance of the job is known to be.
+            await asyncio.sleep(self._find_spread_s())
             entry = await self._changes.refresh(job_id)
         return entry
 
--- a/src/endivevane/serving/job_runner.py
+++ b/src/endivevane/serving/job_runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
 import random
 import secrets
@@ -11,6 +12,7 @@
 
 from endivevane import logs, metrics
 from endivevane.serving import (
+    batch_places,
     directory,
     failures,
     giving_way,
@@ -24,17 +26,15 @@
     model,
     owned_jobs,
     placement,
+    places,
     result_commits,
     routing_table,
     store,
     target_calls,
 )
 
-# Items that a daemon starts in one round at most, and the shortest time between rounds.
-STARTS_AT_ONCE = 4
-TICK_S = 0.04
-# Items do not return to a target for this long after some have left it.
-REST_S = 0.5
+# Least time between two rounds where places come one by one.
+_SHORTEST_ROUND_S = 0.005
 # Pause of an item after its run broke, doubled with each break in a row.
 _FIRST_PAUSE_S = 0.1
 _LONGEST_PAUSE_S = 4.0
@@ -54,6 +54,7 @@
     targets: directory.Directory
     board: load_board.LoadBoard
     choices: placement.Placement
+    places: batch_places.BatchPlaces
     caller: target_calls.TargetCaller
     rows: store.Store
     changes: job_changes.JobChanges
@@ -79,8 +80,6 @@
         self._commits = result_commits.ResultCommitter(
             parts.rows, parts.changes, parts.reader, parts.owner, self._release
         )
-        # Target -> monotonic time at which items last left it for online requests.
-        self._yielded_s: dict[str, float] = {}
 
     @property
     def owned(self) -> abc.Collection[str]:
@@ -103,6 +102,16 @@
         self._owned[entry.job.job_id] = owned
         self.wake()
 
+    def give_way_at(self, number: int) -> None:
+        """Cancel the item of a place, as the coordinator asks."""
+        for owned in self._owned.values():
+            for run in owned.list_running():
+                if run.place is None or run.place.number != number:
+                    continue
+                if run.task is not None:
+                    run.task.cancel()
+                return
+
     def wake(self) -> None:
         """Look for work that can start."""
         self._wake.set()
@@ -123,18 +132,32 @@
         while True:
             if not self._owned:
                 self._parts.board.own_waiting_items = 0
+                self._parts.places.begin_round({})
                 self._wake.clear()
                 await self._wake.wait()
             now_s = time.monotonic()
-            self._parts.choices.record_peaks(now_s)
             self._give_way()
             if not self._is_stopping:
-                self._count_waiting()
                 self._start_items()
                 self._commits.store_progress_soon(self._owned.values(), now_s)
             self._count_waiting()
+            await self._pause()
+
+    async def _pause(self) -> None:
+        """Wait for the next round."""
+        round_s = self._parts.places.round_s
+        if not self._parts.places.is_coordinated:
             # What the others see of the last changes is as old as their reports.
-            await asyncio.sleep(max(TICK_S, self._parts.board.near_age_s))
+            await asyncio.sleep(round_s)
+            return
+        await asyncio.sleep(_SHORTEST_ROUND_S)
+        self._wake.clear()
+        try:
+            async with asyncio.timeout(round_s):
+                await self._wake.wait()
+        except TimeoutError:
+            # Nothing has come: asks are repeated and progress is stored.
+            return
 
     async def hand_back(self) -> None:
         """Stop all items and leave the jobs, with their progress, to other daemons."""
@@ -164,38 +187,23 @@
         table = self._parts.routes()
         if table is None:
             return
-        starts = 0
-        full: set[str] = set()
-        budgets: dict[tuple[str, bool], int] = {}
-        resting = self._list_resting(now_s)
+        wishes = []
+        waiting: collections.Counter[str] = collections.Counter()
         for urgency, owned, run in self._list_ready(now_s):
-            if starts >= STARTS_AT_ONCE:
-                return
             route = table.find(owned.entry.job.host, run.item.path)
             if route is None:
                 self._note_no_route(owned, run, now_s)
                 continue
             run.routeless_since_s = 0.0
             service = routing_table.choose_service(route, self._parts.generator)
-            is_urgent = urgency is item_pace.Urgency.URGENT
-            if service in full and not is_urgent:
-                continue
-            kind = (service, is_urgent)
-            if kind not in budgets:
-                budgets[kind] = self._parts.choices.draw_batch_share(
-                    service, now_s, is_urgent
-                )
-            if budgets[kind] <= 0:
-                continue
-            target = self._parts.choices.choose_batch(
-                service, now_s, resting, is_urgent
-            )
-            if target is None:
-                full.add(service)
-                continue
-            budgets[kind] -= 1
-            self._start(owned, run, route, target)
-            starts += 1
+            waiting[service] += 1
+            wishes.append((urgency, owned, run, route, service))
+        self._parts.board.own_waiting_items = waiting.total()
+        places_now = self._parts.places.begin_round(waiting)
+        for urgency, owned, run, route, service in wishes:
+            place = places_now.find(service, urgency, _find_left_s(owned))
+            if place is not None:
+                self._start(owned, run, route, place)
 
     def _note_no_route(
         self, owned: owned_jobs.OwnedJob, run: owned_jobs.ItemRun, now_s: float
@@ -229,8 +237,7 @@
     def _rate(
         self, owned: owned_jobs.OwnedJob, run: owned_jobs.ItemRun
     ) -> item_pace.Urgency:
-        left_s = owned.entry.job.due_ms / 1000.0 - time.time()
-        return self._pace.rate(run.last_event, left_s)
+        return self._pace.rate(run.last_event, _find_left_s(owned))
 
     def _count_waiting(self) -> None:
         """Tell the others how many items could start."""
@@ -239,35 +246,29 @@
             len(owned.list_ready(now_s)) for owned in self._owned.values()
         )
 
-    def _list_resting(self, now_s: float) -> frozenset[str]:
-        """Return the targets that items have left a moment ago."""
-        for target_id, yielded_s in list(self._yielded_s.items()):
-            if now_s - yielded_s > REST_S:
-                del self._yielded_s[target_id]
-        return frozenset(self._yielded_s)
-
     def _start(
         self,
         owned: owned_jobs.OwnedJob,
         run: owned_jobs.ItemRun,
         route: model.Route,
-        target: model.Target,
+        place: places.Place,
     ) -> None:
-        run.target_id = target.target_id
+        run.place = place
         run.started_s = time.monotonic()
-        self._parts.board.begin(target.target_id, is_batch=True)
-        run.task = asyncio.ensure_future(self._run_item(owned, run, route, target))
+        run.task = asyncio.ensure_future(self._run_item(owned, run, route, place))
 
     def _give_way(self) -> None:
         """Cancel items on targets that online requests fill."""
-        now_s = time.monotonic()
+        if self._parts.places.is_coordinated:
+            return
         by_target: dict[str, list[giving_way.Candidate[owned_jobs.ItemRun]]] = {}
         for owned in self._owned.values():
             for run in owned.list_running():
                 candidate = giving_way.Candidate(
                     run, self._rate(owned, run), run.started_s
                 )
-                by_target.setdefault(run.target_id, []).append(candidate)
+                target_id = run.place.target.target_id if run.place else ""
+                by_target.setdefault(target_id, []).append(candidate)
         for target_id, running in by_target.items():
             known = self._parts.targets.find(target_id)
             if known is None:
@@ -275,7 +276,7 @@
             surplus = self._parts.choices.count_to_yield(known.target)
             if surplus <= 0:
                 continue
-            self._yielded_s[target_id] = now_s
+            self._parts.places.note_yielded(target_id)
             batch = self._parts.board.total(target_id).batch
             for run in giving_way.choose(running, surplus, batch):
                 if run.task is not None:
@@ -286,8 +287,9 @@
         owned: owned_jobs.OwnedJob,
         run: owned_jobs.ItemRun,
         route: model.Route,
-        target: model.Target,
+        place: places.Place,
     ) -> None:
+        target = place.target
         end = item_sender.RunEnd.YIELDED
         started_at = run.last_event
         status = 0
@@ -299,8 +301,8 @@
             run_s = time.monotonic() - run.started_s
             self._pace.record_run(run.last_event - started_at, run_s)
             run.task = None
-            run.target_id = ""
-            self._parts.board.end(target.target_id, is_batch=True)
+            run.place = None
+            self._parts.places.release(place, run_s)
             self._settle(owned, run, route, end, run.last_event > started_at)
             metrics.BATCH_ITEMS.labels(end.value).inc()
             logs.limited_info(
@@ -389,3 +391,8 @@
         owned.runs.clear()
         if owned.committing is not None:
             owned.committing.cancel()
+
+
+def _find_left_s(owned: owned_jobs.OwnedJob) -> float:
+    """Return the time until a job is due."""
+    return owned.entry.job.due_ms / 1000.0 - time.time()
--- a/src/endivevane/serving/job_sweeper.py
+++ b/src/endivevane/serving/job_sweeper.py
@@ -7,7 +7,7 @@
 
 from endivevane import logs
 from endivevane.coordination import rendezvous
-from endivevane.serving import failures, job_book, jobs, peers, store
+from endivevane.serving import failures, job_book, jobs, roster, store
 
 _LOOK_S = 5.0
 # Clocks of VMs differ and clients may read a little longer than they need.
@@ -22,13 +22,13 @@
         self,
         rows: store.Store,
         book: job_book.JobBook,
-        network: peers.PeerNetwork,
+        members: roster.Roster,
         name: str,
         job_life_s: float,
     ) -> None:
         self._store = rows
         self._book = book
-        self._network = network
+        self._roster = members
         self._name = name
         self._job_life_s = job_life_s
 
@@ -48,7 +48,7 @@
                     logs.limited_info("job_not_deleted", job=job.job_id, cause=error)
 
     def _is_ours(self, job_id: str) -> bool:
-        members = dict.fromkeys(self._network.list_staying(), 1.0)
+        members = dict.fromkeys(self._roster.list_staying(), 1.0)
         return rendezvous.choose_member(job_id, members) == self._name
 
     async def _delete(self, entry: job_book.BookEntry) -> None:
--- a/src/endivevane/serving/load_board.py
+++ b/src/endivevane/serving/load_board.py
@@ -74,27 +74,31 @@
         self.outcomes = outcome_board.OutcomeBoard()
         self._reports: dict[str, LoadReport] = {}
         self._peers: dict[str, Load] = {}
+        # Places that this daemon has given to others of its region.
+        self._given: dict[str, Load] = collections.defaultdict(Load)
 
     def begin(self, target_id: str, is_batch: bool) -> None:
         """Count a request of this daemon."""
-        load = self.own[target_id]
-        if is_batch:
-            load.batch += 1
-        else:
-            load.online += 1
+        _add_one(self.own, target_id, is_batch)
         self.version += 1
 
     def end(self, target_id: str, is_batch: bool) -> None:
         """Stop counting a request of this daemon."""
-        load = self.own[target_id]
-        if is_batch:
-            load.batch -= 1
-        else:
-            load.online -= 1
-        if not load.total:
-            del self.own[target_id]
+        _remove_one(self.own, target_id, is_batch)
         self.version += 1
 
+    def give(self, target_id: str, is_batch: bool) -> None:
+        """Count a request of another daemon that has its place from this one."""
+        _add_one(self._given, target_id, is_batch)
+
+    def take_back(self, target_id: str, is_batch: bool) -> None:
+        """Stop counting a request of another daemon."""
+        _remove_one(self._given, target_id, is_batch)
+
+    def find_given(self, target_id: str) -> Load:
+        """Return the requests of other daemons that have their places from this one."""
+        return self._given.get(target_id) or Load()
+
     def set_report(self, peer: str, report: LoadReport) -> None:
         """Replace what a peer has said."""
         former = self._reports.get(peer)
@@ -150,22 +154,28 @@
         """Return the requests of all daemons on a target."""
         own = self.own.get(target_id)
         peers = self._peers.get(target_id)
-        return Load(
-            (own.online if own else 0) + (peers.online if peers else 0),
-            (own.batch if own else 0) + (peers.batch if peers else 0),
-        )
+        given = self._given.get(target_id)
+        online = batch = 0
+        for load in (own, peers, given):
+            if load is None:
+                continue
+            online += load.online
+            batch += load.batch
+        return Load(online, batch)
 
     def sum_with(self, peers: abc.Iterable[str]) -> dict[str, Load]:
-        """Return the requests of this daemon and of some peers, by target."""
-        summed = {
-            target_id: Load(load.online, load.batch)
-            for target_id, load in self.own.items()
-        }
-        for peer in peers:
-            report = self._reports.get(peer)
-            if report is None:
-                continue
-            for target_id, load in report.loads.items():
+        """Return the requests of this daemon and of some peers, by target.
+
+        Those of daemons that have their places from this one are included.
+        """
+        reports = (self._reports.get(peer) for peer in peers)
+        summed: dict[str, Load] = {}
+        for loads in (
+            self.own,
+            self._given,
+            *(report.loads for report in reports if report is not None),
+        ):
+            for target_id, load in loads.items():
                 entry = summed.setdefault(target_id, Load())
                 entry.online += load.online
                 entry.batch += load.batch
@@ -182,3 +192,21 @@
             summed.batch += sign * load.batch
             if not summed.total:
                 del self._peers[target_id]
+
+
+def _add_one(loads: dict[str, Load], target_id: str, is_batch: bool) -> None:
+    load = loads[target_id]
+    if is_batch:
+        load.batch += 1
+    else:
+        load.online += 1
+
+
+def _remove_one(loads: dict[str, Load], target_id: str, is_batch: bool) -> None:
+    load = loads[target_id]
+    if is_batch:
+        load.batch -= 1
+    else:
+        load.online -= 1
+    if not load.total:
+        del loads[target_id]
--- a/src/endivevane/serving/outcome_recorder.py
+++ b/src/endivevane/serving/outcome_recorder.py
@@ -6,11 +6,11 @@
 import time
 
 from endivevane.serving import (
-    admission,
     attempts,
     failures,
     model,
     outcome_board,
+    place_queue,
 )
 
 # A first event that takes this share of the objective, and this many times the usual
@@ -25,10 +25,10 @@
     """Tells the outcome board what became of online requests."""
 
     def __init__(
-        self, board: outcome_board.OutcomeBoard, places: admission.Admission
+        self, board: outcome_board.OutcomeBoard, queue: place_queue.PlaceQueue
     ) -> None:
         self._board = board
-        self._places = places
+        self._queue = queue
 
     def record_error(
         self, target: model.Target, error: failures.TargetCallError
@@ -52,11 +52,11 @@
     ) -> None:
         """Note the time from a place to the first event of a stream."""
         start_s = now_s - progress.placed_s
-        usual_s = self._places.find_usual_start_s(progress.service)
+        usual_s = self._queue.find_usual_start_s(progress.service)
         slow_s = max(
             _SLOW_OBJECTIVE_SHARE * progress.route.objective_s,
             _SLOW_START_RATIO * usual_s,
         )
         failed = _SLOW_FAILED if start_s > slow_s else 0.0
         self._board.record(target.target_id, now_s, failed)
-        self._places.record_start(progress.service, start_s)
+        self._queue.record_start(progress.service, start_s)
--- a/src/endivevane/serving/owned_jobs.py
+++ b/src/endivevane/serving/owned_jobs.py
@@ -5,7 +5,7 @@
 import asyncio
 import dataclasses
 
-from endivevane.serving import event_stream, job_book, jobs
+from endivevane.serving import event_stream, job_book, jobs, places
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -20,7 +20,7 @@
     :ivar not_before_s: monotonic time of the next run
     :ivar routeless_since_s: monotonic time since which no route leads to a service, 0
         while one does
-    :ivar target_id: target of the current run
+    :ivar place: where it runs, ``None`` while it does not
     :ivar started_s: monotonic time of its start
     """
 
@@ -32,7 +32,7 @@
     breaks: int = 0
     not_before_s: float = 0.0
     routeless_since_s: float = 0.0
-    target_id: str = ""
+    place: places.Place | None = None
     started_s: float = 0.0
     task: asyncio.Task[None] | None = None
 
--- a/src/endivevane/serving/peer_messages.py
+++ b/src/endivevane/serving/peer_messages.py
@@ -3,17 +3,43 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
+import typing
 from collections import abc
 
 import orjson
 
-from endivevane.serving import load_board, outcome_board
+from endivevane.serving import load_board, outcome_board, place_messages, places
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stranger:
+    """A living daemon that the store may not have named to all others yet."""
+
+    name: str
+    host: str
+    incarnation: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RegionState:
+    """Which daemons of a region live, told by those that do not.
+
+    :param silent: daemons that have been silent for long
+    :param stopping: daemons that are about to end
+    """
+
+    region: str
+    silent: tuple[str, ...] = ()
+    stopping: tuple[str, ...] = ()
+    strangers: tuple[Stranger, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
-    """The load that a daemon, or all daemons of a region, put on targets.
+    """What a daemon says of itself, or of all daemons of its region.
 
+    :param incarnation: run of the sender's process
     :param sequence: number of the report among those of its sender
     :param waiting_items: batch items that could start now
     :param waiting_requests: online requests that wait for a place and can be on time,
@@ -23,6 +49,10 @@
     :param is_stopping: whether the daemon is about to end
     :param living: names and incarnations of the region's daemons; empty in the report
         of a single daemon
+    :param weight: processor share of the sender's VM, in cores
+    :param held: all places that the daemon holds, for its coordinator; ``None`` where
+        the loads are told instead
+    :param state: which daemons of the region live, where a coordinator speaks for it
     """
 
     name: str
@@ -38,61 +68,179 @@
     version: int = -1
     is_stopping: bool = False
     living: tuple[tuple[str, str], ...] = ()
+    weight: float = 1.0
+    held: tuple[places.Holding, ...] | None = None
+    state: RegionState | None = None
+
+    @property
+    def is_of_region(self) -> bool:
+        """Whether it speaks for all daemons of its region."""
+        return bool(self.living) or self.state is not None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Notice:
+    """What a coordinator tells the daemons of its region.
+
+    :param incarnation: run of the sender's process
+    :param sequence: number of the notice among the messages of its sender
+    :param version: newest version of the store that the sender knows of
+    :param weight: processor share of the sender's VM, in cores
+    :param states: which daemons live, by region
+    """
+
+    name: str
+    region: str
+    incarnation: str
+    sequence: int
+    version: int
+    weight: float
+    states: tuple[RegionState, ...]
+
 
+Message = Report | Notice | place_messages.Message
 
-def encode(report: Report) -> bytes:
-    """Return a report as a datagram."""
-    loads = [(key, load.online, load.batch) for key, load in report.loads.items()]
+_REPORT = "report"
+_NOTICE = "notice"
+
+
+@functools.singledispatch
+def encode(message: typing.Any) -> bytes:
+    """Return a message as a datagram."""
+    return place_messages.encode(message)
+
+
+@encode.register
+def _(message: Report) -> bytes:
+    loads = [(key, load.online, load.batch) for key, load in message.loads.items()]
     outcomes = [
         (key, round(each.answers, 2), round(each.failures, 2))
-        for key, each in report.outcomes.items()
+        for key, each in message.outcomes.items()
     ]
+    held = message.held
+    state = message.state
     return orjson.dumps(
         (
-            report.name,
-            report.region,
-            report.incarnation,
-            report.sequence,
+            _REPORT,
+            message.name,
+            message.region,
+            message.incarnation,
+            message.sequence,
             loads,
-            report.waiting_items,
-            dict(report.waiting_requests),
+            message.waiting_items,
+            dict(message.waiting_requests),
             outcomes,
-            report.version,
-            report.is_stopping,
-            report.living,
+            message.version,
+            message.is_stopping,
+            message.living,
+            round(message.weight, 2),
+            None if held is None else [_list_fields(item) for item in held],
+            None if state is None else _list_state(state),
         )
     )
 
 
-def decode(data: bytes) -> Report:
-    """Return the report in a datagram.
+@encode.register
+def _(message: Notice) -> bytes:
+    return orjson.dumps(
+        (
+            _NOTICE,
+            message.name,
+            message.region,
+            message.incarnation,
+            message.sequence,
+            message.version,
+            round(message.weight, 2),
+            [_list_state(state) for state in message.states],
+        )
+    )
+
+
+def decode(data: bytes) -> Message:
+    """Return the message in a datagram.
 
     :raises ValueError: when the datagram holds none
     """
     try:
-        fields = orjson.loads(data)
-        name, region, incarnation, sequence, loads, *counts, living = fields
-        items, requests, outcomes, version, is_stopping = counts
-        return Report(
-            name=str(name),
-            region=str(region),
-            incarnation=str(incarnation),
-            sequence=int(sequence),
-            loads={
-                str(target): load_board.Load(int(online), int(batch))
-                for target, online, batch in loads
-            },
-            waiting_items=int(items),
-            waiting_requests={
-                str(service): int(count) for service, count in requests.items()
-            },
-            outcomes={
-                str(target): outcome_board.Outcomes(float(answers), float(failed))
-                for target, answers, failed in outcomes
-            },
-            version=int(version),
-            is_stopping=bool(is_stopping),
-            living=tuple((str(peer), str(run)) for peer, run in living),
-        )
+        kind, *fields = orjson.loads(data)
+        if kind == _REPORT:
+            return _decode_report(fields)
+        if kind == _NOTICE:
+            return _decode_notice(fields)
+        return place_messages.decode(kind, fields)
     except (AttributeError, TypeError, ValueError) as error:
-        raise ValueError(f"not a report: {error}") from error
+        raise ValueError(f"not a message: {error}") from error
+
+
+def _decode_report(fields: abc.Sequence[typing.Any]) -> Report:
+    name, region, incarnation, sequence, loads, *counts, weight, held, state = fields
+    items, requests, outcomes, version, is_stopping, living = counts
+    return Report(
+        name=str(name),
+        region=str(region),
+        incarnation=str(incarnation),
+        sequence=int(sequence),
+        loads={
+            str(target): load_board.Load(int(online), int(batch))
+            for target, online, batch in loads
+        },
+        waiting_items=int(items),
+        waiting_requests={
+            str(service): int(count) for service, count in requests.items()
+        },
+        outcomes={
+            str(target): outcome_board.Outcomes(float(answers), float(failed))
+            for target, answers, failed in outcomes
+        },
+        version=int(version),
+        is_stopping=bool(is_stopping),
+        living=tuple((str(peer), str(run)) for peer, run in living),
+        weight=float(weight),
+        held=None if held is None else tuple(_decode_holding(*item) for item in held),
+        state=None if state is None else _decode_state(*state),
+    )
+
+
+def _decode_notice(fields: abc.Sequence[typing.Any]) -> Notice:
+    name, region, incarnation, sequence, version, weight, states = fields
+    return Notice(
+        name=str(name),
+        region=str(region),
+        incarnation=str(incarnation),
+        sequence=int(sequence),
+        version=int(version),
+        weight=float(weight),
+        states=tuple(_decode_state(*state) for state in states),
+    )
+
+
+def _list_fields(holding: places.Holding) -> tuple[int, str, bool]:
+    return (holding.number, holding.target_id, holding.is_batch)
+
+
+def _decode_holding(
+    number: typing.Any, target_id: typing.Any, is_batch: typing.Any
+) -> places.Holding:
+    return places.Holding(int(number), str(target_id), bool(is_batch))
+
+
+def _list_state(state: RegionState) -> tuple[typing.Any, ...]:
+    strangers = [(item.name, item.host, item.incarnation) for item in state.strangers]
+    return (state.region, state.silent, state.stopping, strangers)
+
+
+def _decode_state(
+    region: typing.Any,
+    silent: typing.Any,
+    stopping: typing.Any,
+    strangers: typing.Any,
+) -> RegionState:
+    return RegionState(
+        region=str(region),
+        silent=tuple(str(name) for name in silent),
+        stopping=tuple(str(name) for name in stopping),
+        strangers=tuple(
+            Stranger(str(name), str(host), str(incarnation))
+            for name, host, incarnation in strangers
+        ),
+    )
--- a/src/endivevane/serving/peers.py
+++ b/src/endivevane/serving/peers.py
@@ -1,110 +1,97 @@
 """Datagrams between daemons: signs of life and the load that each puts on targets.
 
-Daemons of a region report to each other. Between regions, one daemon of each region
-reports the sum of its region, with the names of the daemons that live there, to one
-daemon of each other region, which passes it on. So the traffic between regions does
-not grow with the number of daemons.
+Daemons of a small region report to each other. Those of a large one report to its
+coordinator and the deputy, which give out the places (see :mod:`coordinator`). Between
+regions, one daemon of each region reports the sum of its region.
 """
 
 from __future__ import annotations
 
 import asyncio
 import dataclasses
+import functools
 import time
 import typing
 from collections import abc
 
 from endivevane import logs
-from endivevane.coordination import rendezvous
-from endivevane.serving import load_board, newest_version, peer_messages
+from endivevane.serving import (
+    coordinator,
+    load_board,
+    newest_version,
+    peer_messages,
+    place_client,
+    place_messages,
+    places,
+    region_reports,
+    roster,
+)
 
-# A daemon that has not been heard of for this long is taken for dead.
-_DEATH_S = 1.6
 # Shortest time between two reports of a daemon with few peers.
 _SHORTEST_INTERVAL_S = 0.03
 # What each peer of the region adds to that, which bounds the datagrams a second.
 _INTERVAL_PER_PEER_S = 0.00125
 # A daemon whose load does not change reports this often.
 _QUIET_INTERVAL_S = 0.4
-# A region reports to the others at most this often, and more seldom with many daemons
-# that the report is passed on to.
-_REGION_INTERVAL_S = 0.1
-_REGION_INTERVAL_PER_PEER_S = 0.005
-# Daemons of another region that take turns in getting the reports of this one.
-_ENTRY_PEERS = 2
+# Time between two reports of a daemon to its coordinator, and what each peer of the
+# region beyond a hundred adds, which bounds the datagrams that the coordinator gets.
+_COORDINATED_INTERVAL_S = 0.4
+_COORDINATED_PER_PEER_S = 0.004
+# A coordinator looks at what waits this often, besides after each change.
+_COORDINATOR_TICK_S = 0.05
+# Notices that may be missed in a row before a coordinator is passed over.
+_MISSED_NOTICES = 3
 # Peers that have been silent for this long only get every eighth report.
 _LOST_S = 5.0
 _LOST_PERIOD = 8
 
 
-@dataclasses.dataclass(slots=True)
-class Peer:
-    """Another daemon.
-
-    :param incarnation: names one run of its process
-    :param heard_s: monotonic time of its last sign of life, 0 if there was none
-    :ivar is_stopping: whether it said that it is about to end
-    :ivar known_s: monotonic time since which it is known
-    """
-
-    name: str
-    region: str
-    host: str
-    port: int
-    incarnation: str
-    heard_s: float = 0.0
-    is_stopping: bool = False
-    known_s: float = dataclasses.field(default_factory=time.monotonic)
-
-    def is_lost(self, now_s: float) -> bool:
-        """Whether it has been silent for so long that most reports are in vain."""
-        return now_s - max(self.heard_s, self.known_s) > _LOST_S
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Identity:
-    """Who this daemon is.
-
-    :param incarnation: names this run of the process
-    """
-
-    name: str
-    region: str
-    incarnation: str
-    host: str
-    port: int
-
-    @property
-    def owner(self) -> str:
-        """The name under which this run of the process owns jobs."""
-        return f"{self.name}/{self.incarnation}"
-
-
 class PeerNetwork(asyncio.DatagramProtocol):
-    """Sends and receives reports, and knows which daemons live.
+    """Sends and receives reports, and hands on what is said about places.
 
-    :ivar is_stopping: whether this daemon is about to end
+    :param book: the places that this daemon holds
+    :param on_report: called when the loads that others have told may have changed
     """
 
     def __init__(
         self,
-        identity: Identity,
+        identity: roster.Identity,
+        members: roster.Roster,
         board: load_board.LoadBoard,
         newest: newest_version.NewestVersion,
+        book: places.PlaceBook,
         on_report: abc.Callable[[], None],
     ) -> None:
-        self.peers: dict[str, Peer] = {}
-        self.is_stopping = False
         self._identity = identity
+        self._roster = members
         self._board = board
         self._newest = newest
+        self._book = book
         self._on_report = on_report
+        self._regions = region_reports.RegionReports(
+            identity, members, board, self._make_report, self._send_to_peer
+        )
+        self._client: place_client.PlaceClient | None = None
+        self._coordinator: coordinator.Coordinator | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._sequence = 0
         # Sender -> (incarnation, number of its last report).
         self._received: dict[str, tuple[str, int]] = {}
+        self._names: dict[str, str] = {}
         self._seeds: list[tuple[str, int]] = []
-        self._region_sent_s = 0.0
+        self._sent_version = -1
+        self._sent_s = 0.0
+        self._noticed_s = 0.0
+        self._notice_heard_s = 0.0
+        self._coordinating_since_s: float | None = None
+        self._ranked: list[str] = []
+
+    def connect(
+        self, client: place_client.PlaceClient, giver: coordinator.Coordinator
+    ) -> None:
+        """Set what takes messages about places."""
+        self._client = client
+        self._coordinator = giver
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
@@ -115,102 +102,239 @@
         logs.limited_info("peer_unreachable", cause=repr(exc))
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Take in a report of a daemon or of a region."""
+        """Take in a message of another daemon."""
         try:
             message = peer_messages.decode(data)
         except ValueError as error:
-            logs.limited_info("peer_report_unusable", sender=addr[0], cause=error)
+            logs.limited_info("peer_message_unusable", sender=addr[0], cause=error)
             return
-        if message.name == self._identity.name or not self._is_news(message):
-            return
-        now_s = time.monotonic()
-        self._newest.note(message.version)
-        report = load_board.LoadReport(
-            loads=message.loads,
-            received_s=now_s,
-            waiting_items=message.waiting_items,
-            waiting_requests=message.waiting_requests,
-            outcomes=message.outcomes,
-            is_of_region=bool(message.living),
-        )
-        is_direct = not message.living or self._is_from(message.name, addr[0])
-        if is_direct:
-            self._note_life(message, addr[0], now_s)
-        if not message.living:
-            if message.region == self._identity.region:
-                self._board.set_report(message.name, report)
-        elif message.region != self._identity.region:
-            self._board.set_report(_region_key(message.region), report)
-            self._note_living(message.living, now_s)
-            if is_direct:
-                self._pass_on(data)
-        self._on_report()
+        self._take(message, addr[0])
 
     def set_seeds(self, addresses: abc.Iterable[tuple[str, int]]) -> None:
         """Set addresses to report to until their daemons are known."""
         self._seeds = list(addresses)
 
-    def add_member(self, peer: Peer) -> None:
-        """Take in a daemon that the store knows of."""
-        if peer.name == self._identity.name:
-            return
-        known = self.peers.get(peer.name)
-        if known is not None and known.incarnation == peer.incarnation:
-            known.host, known.port = peer.host, peer.port
-            return
-        if known is None or not self.is_alive(peer.name):
-            self.peers[peer.name] = peer
-
-    def remove_member(self, name: str) -> None:
-        """Forget a daemon that has left."""
-        self.peers.pop(name, None)
-
-    def is_alive(self, name: str, incarnation: str = "") -> bool:
-        """Whether a daemon, or one run of its process, has given a sign of life."""
-        if name == self._identity.name:
-            return incarnation in ("", self._identity.incarnation)
-        peer = self.peers.get(name)
-        if peer is None or (incarnation and peer.incarnation != incarnation):
-            return False
-        return time.monotonic() - peer.heard_s < _DEATH_S
-
-    def list_alive(self) -> list[Peer]:
-        """Return the other daemons that live."""
-        return [peer for peer in self.peers.values() if self.is_alive(peer.name)]
-
-    def list_staying(self) -> list[str]:
-        """Return the names of the daemons that live and go on, this one included."""
-        names = [peer.name for peer in self.list_alive() if not peer.is_stopping]
-        if not self.is_stopping:
-            names.append(self._identity.name)
-        return names
-
     def announce_stop(self) -> None:
         """Tell the others that this daemon is about to end."""
-        self.is_stopping = True
-        self._report(time.monotonic())
+        self._roster.is_stopping = True
+        now_s = time.monotonic()
+        if self._roster.is_large:
+            self._report_to_coordinators(now_s)
+        else:
+            self._report(now_s)
+
+    def send_place_message(self, name: str, message: place_messages.Message) -> None:
+        """Send a message about places to a daemon."""
+        peer = self._roster.peers.get(name)
+        if peer is not None:
+            self._send(peer_messages.encode(message), peer.host, peer.port)
+
+    @property
+    def spread_s(self) -> float:
+        """Time in which every daemon hears what any other one has to say."""
+        if not self._roster.is_large:
+            return _QUIET_INTERVAL_S + 0.1
+        return 2 * self._find_coordinated_interval_s() + 0.2
 
     async def run(self) -> None:
         """Report whenever the load changes, and now and then besides."""
-        sent_version = -1
-        sent_s = 0.0
         while True:
-            interval_s = find_interval_s(self._count_near())
-            self._board.near_age_s = interval_s
-            self._board.far_age_s = find_region_interval_s(len(self.peers))
+            is_large = self._roster.is_large
+            interval_s = find_interval_s(self._roster.count_near())
+            if is_large:
+                interval_s = _COORDINATOR_TICK_S
+            elif self._roster.peers:
+                self._board.near_age_s = interval_s
+                self._board.far_age_s = region_reports.find_interval_s(
+                    len(self._roster.peers)
+                )
             await asyncio.sleep(interval_s)
             now_s = time.monotonic()
-            self._report_region(now_s)
-            is_changed = self._board.version != sent_version
-            if not is_changed and now_s - sent_s < _QUIET_INTERVAL_S:
+            if is_large:
+                await self._run_coordinated(now_s)
+                continue
+            self._regions.report(now_s)
+            is_changed = self._board.version != self._sent_version
+            if not is_changed and now_s - self._sent_s < _QUIET_INTERVAL_S:
                 continue
-            sent_version, sent_s = self._board.version, now_s
+            self._sent_version, self._sent_s = self._board.version, now_s
             self._report(now_s)
             self._board.drop_silent(now_s)
 
-    def _is_news(self, message: peer_messages.Report) -> bool:
-        """Whether a report is not older than another one of its sender."""
-        sender = message.name + ("/region" if message.living else "")
+    async def _run_coordinated(self, now_s: float) -> None:
+        """Do what a daemon of a region with a coordinator does in one round."""
+        interval_s = self._find_coordinated_interval_s()
+        ranked = self._roster.rank(self._identity.region, now_s)
+        if ranked != self._ranked:
+            # Whoever gives out places from now on has to know what is held.
+            self._ranked = ranked
+            self._notice_heard_s = now_s
+            self._sent_s = 0.0
+        if now_s - self._sent_s >= interval_s:
+            self._sent_s = now_s
+            self._report_to_coordinators(now_s)
+            self._board.drop_silent(now_s)
+            if self._coordinator is not None:
+                self._coordinator.drop_silent(now_s)
+        if self._roster.is_coordinator(now_s):
+            self._coordinate(now_s, interval_s)
+            return
+        self._coordinating_since_s = None
+        self._board.near_age_s = interval_s
+        is_missing = now_s - self._notice_heard_s >= _MISSED_NOTICES * interval_s
+        if is_missing and ranked:
+            logs.info("coordinator_missing", coordinator=ranked[0])
+            self._roster.suspect(ranked[0], now_s)
+            return
+        await asyncio.sleep(_COORDINATOR_TICK_S)
+
+    def _coordinate(self, now_s: float, interval_s: float) -> None:
+        """Give out places and tell the others who lives."""
+        if self._coordinating_since_s is None:
+            self._coordinating_since_s = now_s
+            logs.info("coordinating", region=self._identity.region)
+        self._board.near_age_s = 0.0
+        self._board.far_age_s = region_reports.SHORTEST_INTERVAL_S
+        self._regions.report(now_s, self._coordinating_since_s)
+        if self._coordinator is not None:
+            self._coordinator.tick(now_s)
+        if now_s - self._noticed_s < interval_s:
+            return
+        self._noticed_s = now_s
+        self._sequence += 1
+        regions = {self._identity.region}
+        regions.update(peer.region for peer in self._roster.peers.values())
+        notice = peer_messages.Notice(
+            name=self._identity.name,
+            region=self._identity.region,
+            incarnation=self._identity.incarnation,
+            sequence=self._sequence,
+            version=self._newest.value,
+            weight=self._identity.weight,
+            states=tuple(
+                self._roster.describe_region(region, self._coordinating_since_s, now_s)
+                for region in sorted(regions)
+            ),
+        )
+        data = peer_messages.encode(notice)
+        for peer in self._roster.list_near():
+            if self._may_be_lost(peer, now_s):
+                continue
+            self._send(data, peer.host, peer.port)
+
+    def _report_to_coordinators(self, now_s: float) -> None:
+        """Tell the first daemons in rank what this one holds."""
+        self._sequence += 1
+        report = dataclasses.replace(
+            self._make_report({}),
+            held=self._book.list_holdings(),
+            waiting_items=self._board.own_waiting_items,
+            outcomes=self._board.outcomes.list_own(now_s),
+        )
+        data = peer_messages.encode(report)
+        ranked = self._roster.rank(self._identity.region, now_s)
+        for name in ranked:
+            if name != self._identity.name:
+                peer = self._roster.peers[name]
+                self._send(data, peer.host, peer.port)
+        if not ranked or self._sequence <= _LOST_PERIOD:
+            self._send_to_seeds(data, frozenset())
+
+    @functools.singledispatchmethod
+    def _take(self, message: typing.Any, host: str) -> None:
+        """Take in a message about places."""
+        sender = self._find_name(host)
+        if sender is None or self._client is None or self._coordinator is None:
+            return
+        if not isinstance(message, place_messages.Ask | place_messages.Ended):
+            self._client.take(sender, message)
+            return
+        now_s = time.monotonic()
+        if self._roster.is_settled(now_s):
+            self._coordinator.take(sender, message, now_s)
+        else:
+            self._coordinator.refuse(sender, message)
+
+    @_take.register
+    def _(self, message: peer_messages.Notice, host: str) -> None:
+        if message.name == self._identity.name or not self._is_news(message):
+            return
+        now_s = time.monotonic()
+        self._newest.note(message.version)
+        self._note_life(message, host, now_s)
+        if message.region != self._identity.region:
+            return
+        if self._roster.rank(message.region, now_s)[:1] == [message.name]:
+            self._notice_heard_s = now_s
+        for state in message.states:
+            self._roster.note_state(state, now_s)
+
+    @_take.register
+    def _(self, message: peer_messages.Report, host: str) -> None:
+        if message.name == self._identity.name or not self._is_news(message):
+            return
+        now_s = time.monotonic()
+        self._newest.note(message.version)
+        report = load_board.LoadReport(
+            loads=message.loads,
+            received_s=now_s,
+            waiting_items=message.waiting_items,
+            waiting_requests=message.waiting_requests,
+            outcomes=message.outcomes,
+            is_of_region=message.is_of_region,
+        )
+        peer = self._roster.peers.get(message.name)
+        is_direct = not message.is_of_region or peer is None or peer.host == host
+        if is_direct and self._note_life(message, host, now_s):
+            self._greet(host)
+        if message.is_of_region:
+            self._take_region(message, report, is_direct, now_s)
+        elif message.region == self._identity.region:
+            self._board.set_report(message.name, report)
+            if message.held is not None and self._coordinator is not None:
+                self._coordinator.take_holdings(
+                    message.name, message.incarnation, message.held, now_s
+                )
+        self._on_report()
+
+    def _take_region(
+        self,
+        message: peer_messages.Report,
+        report: load_board.LoadReport,
+        is_direct: bool,
+        now_s: float,
+    ) -> None:
+        """Take in the report of another region, and pass it on within this one."""
+        if message.region == self._identity.region:
+            return
+        self._board.set_report(region_reports.make_key(message.region), report)
+        self._roster.note_living(message.living, now_s)
+        if message.state is not None:
+            self._roster.note_state(message.state, now_s)
+        if not is_direct:
+            return
+        data = peer_messages.encode(message)
+        for peer in self._list_recipients(now_s):
+            self._send(data, peer.host, peer.port)
+
+    def _list_recipients(self, now_s: float) -> list[roster.Peer]:
+        """Return the daemons of this region that need the report of another one."""
+        if not self._roster.is_large:
+            region = self._identity.region
+            alive = self._roster.list_alive()
+            return [peer for peer in alive if peer.region == region]
+        ranked = self._roster.rank(self._identity.region, now_s)
+        if self._identity.name in ranked:
+            return []
+        return [self._roster.peers[name] for name in ranked]
+
+    def _is_news(self, message: peer_messages.Report | peer_messages.Notice) -> bool:
+        """Whether a message is not older than another one of its sender."""
+        sender = message.name
+        if isinstance(message, peer_messages.Notice):
+            sender += "/notice"
+        elif message.is_of_region:
+            sender += "/region"
         incarnation, last = self._received.get(sender, ("", -1))
         if incarnation == message.incarnation and message.sequence <= last:
             return False
@@ -218,44 +342,47 @@
         return True
 
     def _note_life(
-        self, message: peer_messages.Report, host: str, now_s: float
-    ) -> None:
-        peer = self.peers.get(message.name)
-        if peer is None or peer.incarnation != message.incarnation:
-            logs.info("peer_heard", peer=message.name, incarnation=message.incarnation)
-            peer = Peer(
-                message.name,
-                message.region,
-                host,
-                self._identity.port,
-                message.incarnation,
-            )
-            self.peers[message.name] = peer
-        peer.host = host
-        peer.heard_s = now_s
-        peer.is_stopping = message.is_stopping
-
-    def _note_living(self, living: abc.Iterable[tuple[str, str]], now_s: float) -> None:
-        """Note the daemons that another region names as alive."""
-        for name, incarnation in living:
-            peer = self.peers.get(name)
-            if peer is not None and peer.incarnation == incarnation:
-                peer.heard_s = now_s
-
-    def _is_from(self, name: str, host: str) -> bool:
-        """Whether a host is the one of a daemon, or the daemon is not known yet."""
-        peer = self.peers.get(name)
-        return peer is None or peer.host == host
-
-    def _pass_on(self, data: bytes) -> None:
-        """Send the report of another region to the daemons of this one."""
-        for peer in self.list_alive():
-            if peer.region == self._identity.region:
-                self._send(data, peer.host, peer.port)
+        self,
+        message: peer_messages.Report | peer_messages.Notice,
+        host: str,
+        now_s: float,
+    ) -> bool:
+        """Note a sign of life; return whether its daemon was not known to live."""
+        heard = roster.Peer(
+            message.name,
+            message.region,
+            host,
+            self._identity.port,
+            message.incarnation,
+            weight=message.weight,
+            heard_s=now_s,
+        )
+        if isinstance(message, peer_messages.Report):
+            heard.is_stopping = message.is_stopping
+        self._names[host] = message.name
+        return self._roster.note_heard(heard)
+
+    def _greet(self, host: str) -> None:
+        """Answer a daemon that was not known, which may know of no other one.
 
-    def _count_near(self) -> int:
-        region = self._identity.region
-        return sum(1 for peer in self.peers.values() if peer.region == region)
+        Daemons of a small region report to each other anyway.
+        """
+        if not self._roster.is_large:
+            return
+        self._sequence += 1
+        data = peer_messages.encode(self._make_report({}))
+        self._send(data, host, self._identity.port)
+
+    def _find_name(self, host: str) -> str | None:
+        """Return the daemon of an address, ``None`` if it is not known."""
+        name = self._names.get(host)
+        if name is not None:
+            return name
+        for peer in self._roster.peers.values():
+            if peer.host == host:
+                self._names[host] = peer.name
+                return peer.name
+        return None
 
     def _report(self, now_s: float) -> None:
         """Send the own load to the daemons of the region."""
@@ -270,68 +397,25 @@
         data = peer_messages.encode(report)
         is_lost_turn = self._sequence % _LOST_PERIOD == 0
         known = set()
-        for peer in self.peers.values():
+        for peer in self._roster.peers.values():
             known.add(peer.host)
-            is_lost = peer.is_lost(now_s)
+            is_lost = _is_lost(peer, now_s)
             is_far = peer.region != self._identity.region
             if (is_far or is_lost) and not (is_lost and is_lost_turn):
                 continue
             self._send(data, peer.host, peer.port)
-        if not is_lost_turn:
-            return
+        if is_lost_turn:
+            self._send_to_seeds(data, known)
+
+    def _may_be_lost(self, peer: roster.Peer, now_s: float) -> bool:
+        """Whether a notice to a daemon can be left out this time."""
+        return _is_lost(peer, now_s) and self._sequence % _LOST_PERIOD != 0
+
+    def _send_to_seeds(self, data: bytes, known: abc.Container[str]) -> None:
         for host, port in self._seeds:
             if host not in known and host != self._identity.host:
                 self._send(data, host, port)
 
-    def _report_region(self, now_s: float) -> None:
-        """Send the load of the region to the others, if this daemon speaks for it."""
-        if now_s - self._region_sent_s < find_region_interval_s(len(self.peers)):
-            return
-        self._region_sent_s = now_s
-        region = self._identity.region
-        far = [peer for peer in self.peers.values() if peer.region != region]
-        if not far:
-            return
-        near = [peer for peer in self.list_alive() if peer.region == region]
-        members = {peer.name: 1.0 for peer in near}
-        members[self._identity.name] = 1.0
-        if rendezvous.choose_member(region, members) != self._identity.name:
-            return
-        self._sequence += 1
-        # Others claim the jobs of daemons that are not named.
-        living = [
-            (peer.name, peer.incarnation) for peer in near if not peer.is_stopping
-        ]
-        if not self.is_stopping or not living:
-            living.append((self._identity.name, self._identity.incarnation))
-        loads = self._board.sum_with(members)
-        report = dataclasses.replace(
-            self._make_report(loads),
-            waiting_items=self._board.sum_waiting_items(members),
-            waiting_requests=self._board.sum_waiting_requests(members),
-            outcomes=self._board.outcomes.sum_with(members, now_s),
-            living=tuple(living),
-        )
-        data = peer_messages.encode(report)
-        for peer in self._list_entries(far):
-            self._send(data, peer.host, peer.port)
-
-    def _list_entries(self, far: abc.Iterable[Peer]) -> list[Peer]:
-        """Return the daemon of each other region whose turn it is to get a report."""
-        regions: dict[str, dict[str, float]] = {}
-        for peer in far:
-            # While nobody there has been heard, any daemon may be the one that lives.
-            weight = 1.0 if self.is_alive(peer.name) else 1e-6
-            regions.setdefault(peer.region, {})[peer.name] = weight
-        entries = []
-        for region, members in regions.items():
-            ranked = rendezvous.choose_subset(region, members, _ENTRY_PEERS)
-            entries.append(self.peers[ranked[self._sequence % len(ranked)]])
-            if not any(weight == 1.0 for weight in members.values()):
-                names = sorted(members)
-                entries.append(self.peers[names[self._sequence % len(names)]])
-        return entries
-
     def _make_report(
         self, loads: abc.Mapping[str, load_board.Load]
     ) -> peer_messages.Report:
@@ -342,9 +426,17 @@
             sequence=self._sequence,
             loads=loads,
             version=self._newest.value,
-            is_stopping=self.is_stopping,
+            is_stopping=self._roster.is_stopping,
+            weight=self._identity.weight,
         )
 
+    def _find_coordinated_interval_s(self) -> float:
+        near = self._roster.count_near()
+        return max(_COORDINATED_INTERVAL_S, near * _COORDINATED_PER_PEER_S)
+
+    def _send_to_peer(self, data: bytes, peer: roster.Peer) -> None:
+        self._send(data, peer.host, peer.port)
+
     def _send(self, data: bytes, host: str, port: int) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.sendto(data, (host, port))
@@ -358,14 +450,6 @@
     return max(_SHORTEST_INTERVAL_S, near * _INTERVAL_PER_PEER_S)
 
 
-def find_region_interval_s(count: int) -> float:
-    """Return the time between two reports of a region.
-
-    :param count: daemons of all regions
-    """
-    return max(_REGION_INTERVAL_S, count * _REGION_INTERVAL_PER_PEER_S)
-
-
-def _region_key(region: str) -> str:
-    """Return the name under which the board keeps the report of a region."""
-    return f"region {region}"
+def _is_lost(peer: roster.Peer, now_s: float) -> bool:
+    """Whether a daemon has been silent for so long that most reports are in vain."""
+    return now_s - max(peer.heard_s, peer.known_s) > _LOST_S
--- a/src/endivevane/serving/placement.py
+++ b/src/endivevane/serving/placement.py
@@ -47,7 +47,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Place:
+class Location:
     """Where a daemon stands.
 
     :param regions: region of each availability zone
@@ -63,12 +63,12 @@
 
     def __init__(
         self,
-        place: Place,
+        location: Location,
         targets: directory.Directory,
         board: load_board.LoadBoard,
         generator: random.Random,
     ) -> None:
-        self._place = place
+        self._location = location
         self._targets = targets
         self._board = board
         self._generator = generator
@@ -94,11 +94,13 @@
         now_s: float,
         excluded: abc.Set[str] = frozenset(),
         only: abc.Set[str] | None = None,
+        zone: str = "",
     ) -> model.Target | None:
         """Return the target for an online request, ``None`` if none has room.
 
         :param excluded: targets that the request must not go to
         :param only: the targets that the request may go to, ``None`` for any
+        :param zone: availability zone of the request's daemon, empty for the own one
         """
         candidates: list[even_fill.Candidate] = []
         usable = self._targets.list_usable(service)
@@ -120,7 +122,7 @@
             total = self._board.total(target.target_id).total
             if total >= self._find_limit(target, has_near):
                 continue
-            cost = self._cost(target, total, now_s)
+            cost = self._cost(target, total, now_s, zone)
             candidates.append(even_fill.Candidate(target, cost))
         unknown = self._count_unknown(service, usable)
         return even_fill.draw(candidates, unknown, self._generator)
@@ -140,10 +142,12 @@
         now_s: float,
         excluded: abc.Set[str] = frozenset(),
         is_urgent: bool = False,
+        zone: str = "",
     ) -> model.Target | None:
         """Return a target with room for a batch item, ``None`` if none has.
 
         :param is_urgent: whether the item misses its due time unless it runs now
+        :param zone: availability zone of the item's daemon, empty for the own one
         """
         usable = self._targets.list_usable(service)
         peak_room = self._find_peak_room(service, usable)
@@ -160,7 +164,7 @@
             has_room = target.target_id not in excluded and room > 0
             if not has_room and not (is_urgent and _has_urgent_room(target, load)):
                 continue
-            cost = self._cost(target, load.total, now_s)
+            cost = self._cost(target, load.total, now_s, zone)
             candidates.append(even_fill.Candidate(target, cost))
         # Others start items in the same moment.
         unknown = self._board.waiting_items - self._board.own_waiting_items
@@ -188,28 +192,26 @@
                 free = max(free, URGENT_PLACES - load.batch)
             places += max(0, free)
         own = self._board.own_waiting_items
-        share = places * own / max(1, own, self._board.waiting_items)
-        whole = int(share)
-        if self._generator.random() < share - whole:
-            whole += 1
-        return whole
+        return self._round(places * own / max(1, own, self._board.waiting_items))
 
-    def count_to_yield(self, target: model.Target) -> int:
-        """Return how many own batch items should leave a target for online requests.
+    def count_to_yield(self, target: model.Target, items: int | None = None) -> int:
+        """Return how many batch items should leave a target for online requests.
 
         The daemons with batch items there share what has to leave; parts of an item
         are drawn, so that few items more or less than needed leave.
+
+        :param items: items there that the caller can make leave, ``None`` for those of
+            this daemon
         """
         load = self._board.total(target.target_id)
         surplus = load.total - (target.slots - _YIELD_RESERVE)
-        own = self._board.own.get(target.target_id)
-        if surplus <= 0 or own is None or not own.batch or not load.online:
+        if items is None:
+            own = self._board.own.get(target.target_id)
+            items = own.batch if own is not None else 0
+        if surplus <= 0 or not items or not load.online:
             return 0
-        share = surplus * own.batch / max(1, load.batch)
-        whole = int(share)
-        if self._generator.random() < share - whole:
-            whole += 1
-        return min(own.batch, whole)
+        share = surplus * items / max(1, load.batch)
+        return min(items, self._round(share))
 
     def has_targets(self, service: str, now_s: float) -> bool:
         """Whether any target of a service may get work now or after a pause."""
@@ -229,6 +231,13 @@
             for known in self._targets.list_usable(service)
         )
 
+    def _round(self, share: float) -> int:
+        """Return a share as a whole number, drawn so that its mean is the share."""
+        whole = int(share)
+        if self._generator.random() < share - whole:
+            whole += 1
+        return whole
+
     def _find_ejected(
         self, usable: abc.Sequence[directory.KnownTarget], now_s: float
     ) -> abc.Set[str]:
@@ -288,8 +297,8 @@
 
     def _is_far(self, target: model.Target) -> bool:
         """Whether a target stands in another region."""
-        region = self._place.regions.get(target.availability_zone)
-        return region != self._place.region
+        region = self._location.regions.get(target.availability_zone)
+        return region != self._location.region
 
     def _count_unknown(
         self, service: str, usable: abc.Sequence[directory.KnownTarget]
@@ -303,11 +312,11 @@
         )
         return online * self._board.near_age_s / self.find_hold_s(service)
 
-    def _cost(self, target: model.Target, total: int, now_s: float) -> float:
+    def _cost(self, target: model.Target, total: int, now_s: float, zone: str) -> float:
         cost = (total + 1) / target.slots
         failed_share = self._board.outcomes.find_failed_share(target.target_id, now_s)
         cost += _FAILED_COST * failed_share
-        if target.availability_zone != self._place.availability_zone:
+        if target.availability_zone != (zone or self._location.availability_zone):
             cost += _OTHER_ZONE_COST
             if self._is_far(target):
                 cost += _FAR_COST + _FAR_COST_PER_S * self._board.far_age_s
