--- a/features/support/serving_world.py
+++ b/features/support/serving_world.py
@@ -79,7 +79,9 @@
         queue = place_queue.PlaceQueue(choices, self.board, generator)
         admitted = admission.Admission(queue, places.PlaceBook(self.board))
         codec = headers.HeaderCodec()
-        caller = target_calls.TargetCaller(http_client.ConnectionPool(0.35), codec)
+        caller = target_calls.TargetCaller(
+            http_client.ConnectionPool(0.35), codec, self.directory.record_leaving
+        )
         self.directory.call_when_gone(caller.forget)
         online = exchange.OnlineService(
             self.directory, self.board, admitted, caller, generator
@@ -98,7 +100,7 @@
 
     async def start(self):
         await self.server.listen("127.0.0.1", 0)
-        self.port = self.server._server.sockets[0].getsockname()[1]
+        self.port = self.server.port
         for number, item in enumerate(self.replicas.values()):
             await item.start()
             self.register(item, number + 1)
--- a/src/endivevane/entry/main.py
+++ b/src/endivevane/entry/main.py
@@ -11,7 +11,7 @@
 
 import endivevane
 from endivevane import exceptions, logs
-from endivevane.entry import settings, wiring
+from endivevane.entry import event_loop, settings, wiring
 
 _EXIT_INVALID = 3
 _SETTINGS_VARIABLE = "ENDIVEVANE_SETTINGS"
@@ -54,9 +54,14 @@
     if parsed.check:
         return 0
     logs.configure(loaded.log.level, logs.NonBlockingStream(_STDOUT))
-    asyncio.run(wiring.EntryDaemon(path, loaded).run())
+    with asyncio.Runner(loop_factory=event_loop.make_loop) as runner:
+        runner.run(_serve(path, loaded))
     return 0
 
 
+async def _serve(path: pathlib.Path, loaded: settings.Settings) -> None:
+    await wiring.EntryDaemon(path, loaded).run()
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/src/endivevane/entry/reloading.py
+++ b/src/endivevane/entry/reloading.py
@@ -30,6 +30,7 @@
         self._apply = apply
         self._wake = asyncio.Event()
         self._refused: str | None = None
+        self._content: bytes | None = None
 
     def request(self) -> None:
         """Read the file again now, as SIGHUP asks."""
@@ -39,6 +40,8 @@
         """Look at the file until cancelled."""
         while True:
             is_asked = await self._wait()
+            if not is_asked and not self._has_changed():
+                continue
             try:
                 found = settings.load_settings(self._path)
             except exceptions.SettingsError as error:
@@ -57,6 +60,17 @@
             metrics.SETTINGS_RELOADS.labels("applied").inc()
             logs.info("settings_reloaded", changed=",".join(changed) or "nothing")
 
+    def _has_changed(self) -> bool:
+        """Whether the file is another one than at the last look."""
+        try:
+            content = self._path.read_bytes()
+        except OSError:
+            # Loading it says what is wrong.
+            return True
+        is_changed = content != self._content
+        self._content = content
+        return is_changed
+
     async def _wait(self) -> bool:
         """Wait for a request or the next look; return whether it was a request."""
         try:
--- a/src/endivevane/entry/standstill.py
+++ b/src/endivevane/entry/standstill.py
@@ -8,7 +8,7 @@
 
 from endivevane import logs
 
-_TICK_S = 0.2
+_TICK_S = 0.4
 # A pause of the process beyond this makes what it knows doubtful.
 _STANDSTILL_S = 0.8
 
--- a/src/endivevane/entry/store_endpoints.py
+++ b/src/endivevane/entry/store_endpoints.py
@@ -11,6 +11,8 @@
 
 # Other daemons that a store call may try besides the store.
 _RELAYS = 2
+# Daemons that are drawn to find them, as some may have failed a moment ago.
+_DRAWN_RELAYS = 6
 
 
 class StoreEndpoints:
@@ -38,13 +40,19 @@
     def list_all(self) -> list[http_client.Endpoint]:
         """Return the store and, while it fails, daemons that may reach it first."""
         now_s = time.monotonic()
-        relays = [self._find_relay(peer) for peer in self._roster.list_alive()]
-        usable = [item for item in relays if item.paused_until_s <= now_s]
-        chosen = self._generator.sample(usable, min(_RELAYS, len(usable)))
+        chosen = self._choose_relays(now_s)
         if self.store.paused_until_s <= now_s:
             return [self.store, *chosen]
         return [*chosen, self.store]
 
+    def _choose_relays(self, now_s: float) -> list[http_client.Endpoint]:
+        """Return some daemons that have not failed a moment ago."""
+        alive = self._roster.list_alive()
+        drawn = self._generator.sample(alive, min(_DRAWN_RELAYS, len(alive)))
+        relays = (self._find_relay(peer) for peer in drawn)
+        usable = [item for item in relays if item.paused_until_s <= now_s]
+        return usable[:_RELAYS]
+
     def _find_relay(self, peer: roster.Peer) -> http_client.Endpoint:
         endpoint = self._relays.get(peer.host)
         if endpoint is None:
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -211,7 +211,9 @@
         self._places = admission.Admission(queue, self._book_of_places, self._client)
         self._codec = headers.HeaderCodec()
         self._caller = target_calls.TargetCaller(
-            http_client.ConnectionPool(_CONNECT_TIMEOUT_S), self._codec
+            http_client.ConnectionPool(_CONNECT_TIMEOUT_S),
+            self._codec,
+            self._directory.record_leaving,
         )
         self._directory.call_when_gone(self._caller.forget)
 
--- a/src/endivevane/platform/headers.py
+++ b/src/endivevane/platform/headers.py
@@ -18,6 +18,8 @@
 _SIGNATURE = b"response-signature"
 # Present when the target did not run the request.
 _NOT_RUN = b"not-executed"
+# "1" in all answers of a target that leaves.
+_LEAVING = b"server-leaving"
 # Milliseconds for which the answer to a read may be kept back.
 _WAIT = b"wait-ms"
 
@@ -131,6 +133,7 @@
             attempt_id=found.get(_ATTEMPT, b""),
             is_signed=_SIGNATURE in found,
             idle_timeout_s=None if match is None else float(match.group(1)),
+            is_leaving=found.get(_LEAVING, b"0").strip() not in (b"", b"0"),
         )
 
     def encode_item_headers(
--- a/src/endivevane/serving/byte_stream.py
+++ b/src/endivevane/serving/byte_stream.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import socket
+import struct
 import typing
 from collections import abc
 
@@ -15,6 +16,8 @@
 _KEEPALIVE_IDLE_S = 2
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
+# Linger for no time, so that closing resets the connection.
+_RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 
 class ByteStream(asyncio.Protocol):
@@ -37,6 +40,8 @@
         self._readable = asyncio.Event()
         self._writable = asyncio.Event()
         self._writable.set()
+        self._lost = asyncio.Event()
+        self._is_parked = False
         self._on_ended: abc.Callable[[], None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -47,7 +52,11 @@
             self._on_connected(self)
 
     def data_received(self, data: bytes) -> None:
-        """Buffer bytes of the peer."""
+        """Buffer bytes of the peer; on a parked connection they end it."""
+        if self._is_parked:
+            self.abort()
+            self._end()
+            return
         self._chunks.append(data)
         self._unread_bytes += len(data)
         if self._unread_bytes > _HIGH_WATERMARK_BYTES and self._transport is not None:
@@ -62,6 +71,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Note that the connection is gone."""
         self._is_lost = True
+        self._lost.set()
         if isinstance(exc, OSError):
             self._error = exc
         self._writable.set()
@@ -116,6 +126,25 @@
             self._transport.resume_reading()
         return data
 
+    def fail(self, error: OSError) -> None:
+        """Let the task that reads, or reads next, fail with an error."""
+        self._error = self._error or error
+        self._chunks.clear()
+        self._unread_bytes = 0
+        self._readable.set()
+        self._writable.set()
+
+    def park(self) -> None:
+        """Expect nothing of the peer until the connection is used again.
+
+        Bytes that come meanwhile belong to no call; nobody would read them.
+        """
+        self._is_parked = True
+
+    def unpark(self) -> None:
+        """Take bytes of the peer again."""
+        self._is_parked = False
+
     def write(self, data: bytes) -> None:
         """Send bytes without waiting.
 
@@ -132,14 +161,37 @@
         :raises ConnectionResetError: when the connection is lost
         """
         await self._writable.wait()
-        if self._is_lost:
-            raise ConnectionResetError
+        if self._is_lost or self._error is not None:
+            raise ConnectionResetError from self._error
 
     def close(self) -> None:
         """Close the connection once everything written has been sent."""
         if self._transport is not None:
             self._transport.close()
 
+    async def wait_lost(self, timeout_s: float) -> bool:
+        """Wait until all that was written has left and the connection is gone.
+
+        :returns: whether that was so in time
+        """
+        if self._transport is None:
+            return True
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._lost.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def reset(self) -> None:
+        """Close the connection such that the peer sees it fail."""
+        if self._transport is None:
+            return
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None and not self._is_lost:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_AT_CLOSE)
+        self._transport.abort()
+
     def abort(self) -> None:
         """Close the connection at once and drop what was not sent."""
         if self._transport is not None:
--- a/src/endivevane/serving/directory.py
+++ b/src/endivevane/serving/directory.py
@@ -13,6 +13,9 @@
 # return; what is missing then is gone.
 _RETURN_GRACE_S = 2.2
 
+# Runs of targets that are remembered as leaving.
+_MOST_REMEMBERED = 1024
+
 Decoder = abc.Callable[[str, bytes], model.Target]
 
 
@@ -46,6 +49,10 @@
             dict
         )
         self._grace_until_s = 0.0
+        # Runs of targets that have said that they leave, by id and start; registrations
+        # may lapse and come back meanwhile.
+        self._said_leaving: collections.deque[tuple[str, int]]
+        self._said_leaving = collections.deque(maxlen=_MOST_REMEMBERED)
         self._on_gone: list[abc.Callable[[model.Target], None]] = []
 
     def call_when_gone(self, function: abc.Callable[[model.Target], None]) -> None:
@@ -74,6 +81,10 @@
             known = None
         if known is None:
             known = KnownTarget(target, target_health.TargetHealth())
+            known.has_said_leaving = (
+                target_id,
+                target.started_ms,
+            ) in self._said_leaving
             self._targets[target_id] = known
             logs.info(
                 "target_registered",
@@ -129,6 +140,7 @@
         if known.has_said_leaving:
             return
         known.has_said_leaving = True
+        self._said_leaving.append((known.target.target_id, known.target.started_ms))
         logs.info(
             "target_said_leaving",
             target=known.target.target_id,
--- a/src/endivevane/serving/event_stream.py
+++ b/src/endivevane/serving/event_stream.py
@@ -5,7 +5,12 @@
 import dataclasses
 import re
 
+from endivevane.serving import failures
+
 _BOUNDARY = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_BOUNDARY_BYTES = 4
+# An event carries some tokens; what is larger is no event.
+_MOST_EVENT_BYTES = 256 * 1024
 _LINE_END = re.compile(rb"\r\n|\n|\r")
 
 
@@ -23,6 +28,14 @@
     data: bytes | None
 
 
+class EventTooLarge(failures.ServingError):
+    """Bytes came that do not make an event."""
+
+    def format_message(self) -> str:
+        """Return what is wrong."""
+        return "event too large"
+
+
 class EventSplitter:
     """Collects bytes until they make whole events."""
 
@@ -35,14 +48,21 @@
         return self._rest
 
     def feed(self, data: bytes) -> list[Event]:
-        """Return the events that are whole now."""
+        """Return the events that are whole now.
+
+        :raises EventTooLarge: when an event does not end
+        """
+        # A boundary may begin in the last bytes that were searched before.
+        searched = max(0, len(self._rest) - _BOUNDARY_BYTES)
         self._rest += data
         events = []
         start = 0
-        for match in _BOUNDARY.finditer(self._rest):
+        for match in _BOUNDARY.finditer(self._rest, searched):
             events.append(_parse_event(self._rest[start : match.end()]))
             start = match.end()
         self._rest = self._rest[start:]
+        if len(self._rest) > _MOST_EVENT_BYTES:
+            raise EventTooLarge
         return events
 
 
--- a/src/endivevane/serving/exchange.py
+++ b/src/endivevane/serving/exchange.py
@@ -28,6 +28,11 @@
 _MAX_WHOLE_BYTES = 1 << 20
 # Attempts that did not run a request are bounded too, against endless refusals.
 _MAX_SENDS = 12
+# The body of a refusal is read this long and up to this size.
+_REFUSAL_S = 0.1
+_MOST_REFUSAL_BYTES = 64 * 1024
+# Share of the client's patience after which a stream without events goes on elsewhere.
+_STALL_SHARE = 0.7
 # Statuses that promise that a request has not run.
 _PROMISES = frozenset((408, 421, 429, 503))
 _FIRST_FAILED_STATUS = 500
@@ -91,7 +96,7 @@
             is_final = await self._attempt(place, request, progress, answer)
             if is_final is not None:
                 return is_final
-            if not self._may_go_on(progress):
+            if not self._may_go_on(progress, answer):
                 return self._give_up(progress, answer)
             metrics.RETRIES.labels(progress.causes[-1][:20]).inc()
 
@@ -166,6 +171,7 @@
             attempt_id=request.attempt_id,
             time_left_s=progress.deadline_s - time.monotonic(),
             last_event_id=progress.last_event_id,
+            stall_s=_STALL_SHARE * route.patience_s,
         )
         async with self._caller.call(known, call, route.is_idempotent) as reply:
             head = reply.reply
@@ -174,8 +180,13 @@
                 self._note_refusal(known, progress, head)
                 return None
             progress.ran_on.add(known.target.target_id)
+            if _is_success(head.status) and not head.is_signed:
+                raise _make_bad_answer(known, "success without a signature")
             if route.kind is model.RouteKind.STREAMING and head.status == 200:
                 return await self._relay_events(known, reply, progress, answer)
+            if answer.is_begun:
+                # A stream was to go on here; another answer can't be joined to it.
+                raise _make_bad_answer(known, f"status {head.status}")
             return await self._relay_whole(known, reply, progress, answer)
 
     async def _relay_events(
@@ -191,9 +202,10 @@
             data = await reply.read()
             if data is None:
                 break
-            events = splitter.feed(data)
+            events = _split(known, splitter, data)
             if not events:
                 continue
+            reply.note_event()
             now_s = time.monotonic()
             progress.patience_until_s = now_s + progress.route.patience_s
             if progress.first_event_s is None:
@@ -206,10 +218,10 @@
             for event in events:
                 progress.last_event_id = event.event_id or progress.last_event_id
             await answer.write(b"".join(event.raw for event in events))
+        if splitter.rest:
+            raise _make_bad_answer(known, "stream ends in the middle of an event")
         if not answer.is_begun:
             answer.begin(reply.reply)
-        if splitter.rest:
-            await answer.write(splitter.rest)
         known.health.record_success()
         answer.finish()
         return attempts.Outcome.SERVED
@@ -240,7 +252,8 @@
             return attempts.Outcome.SERVED
         is_failure = head.status >= _FIRST_FAILED_STATUS or head.status in _PROMISES
         self._outcomes.record_status(known.target, head.status, is_failure)
-        if is_failure and progress.route.is_idempotent and self._may_go_on(progress):
+        is_idempotent = progress.route.is_idempotent
+        if is_failure and is_idempotent and self._may_go_on(progress, answer):
             progress.causes.append(f"status {head.status}")
             return None
         if not is_failure:
@@ -256,12 +269,22 @@
         return attempts.Outcome.FAILED if is_failure else attempts.Outcome.SERVED
 
     async def _drain(self, reply: target_calls.Answer) -> None:
-        """Read the body of a refusal, so that the connection can be kept."""
+        """Read the body of a refusal, so that the connection can be kept.
+
+        A body that does not end soon is left, and its connection with it.
+        """
+        size = 0
         try:
-            while await reply.read() is not None:
-                continue
+            async with asyncio.timeout(_REFUSAL_S):
+                while (data := await reply.read()) is not None:
+                    size += len(data)
+                    if size > _MOST_REFUSAL_BYTES:
+                        logs.limited_info("refusal_too_large", size=size)
+                        return
         except failures.TargetCallError as error:
-            logs.info("refusal_cut", cause=error.cause)
+            logs.limited_info("refusal_cut", cause=error.cause)
+        except TimeoutError:
+            logs.limited_info("refusal_without_end", size=size)
 
     def _note_refusal(
         self,
@@ -295,8 +318,14 @@
             if self._targets.find(target_id) is None:
                 progress.gone.add(target_id)
 
-    def _may_go_on(self, progress: attempts.Progress) -> bool:
+    def _may_go_on(
+        self, progress: attempts.Progress, answer: responder.Responder
+    ) -> bool:
         """Whether another attempt is allowed."""
+        is_stream = progress.route.kind is model.RouteKind.STREAMING
+        if answer.is_begun and not is_stream:
+            # The bodies of two answers must not be joined.
+            return False
         if progress.sends >= _MAX_SENDS:
             return False
         if not progress.may_have_run:
@@ -379,6 +408,33 @@
         )
 
 
+def _is_success(status: int) -> bool:
+    return 200 <= status < 300
+
+
+def _make_bad_answer(
+    known: directory.KnownTarget, cause: str
+) -> failures.TargetCallError:
+    """Return the failure of a target whose answer can't be passed on."""
+    metrics.TARGET_FAULTS.labels("bad_answer").inc()
+    return failures.TargetCallError(
+        known.target.target_id, cause, may_have_run=True, is_bad_answer=True
+    )
+
+
+def _split(
+    known: directory.KnownTarget, splitter: event_stream.EventSplitter, data: bytes
+) -> list[event_stream.Event]:
+    """Return the events that are whole now.
+
+    :raises failures.TargetCallError: when the bytes make no events
+    """
+    try:
+        return splitter.feed(data)
+    except event_stream.EventTooLarge as error:
+        raise _make_bad_answer(known, error.format_message()) from error
+
+
 def _end_uncertain(
     answer: responder.Responder, status: http.HTTPStatus, cause: str
 ) -> None:
--- a/src/endivevane/serving/http_client.py
+++ b/src/endivevane/serving/http_client.py
@@ -17,6 +17,10 @@
 # Whole seconds of the Keep-Alive header may have been rounded up.
 _IDLE_MARGIN_S = 0.6
 _MAX_IDLE_PER_ENDPOINT = 16
+# Interim answers before the final one; more of them are no answer.
+_MOST_INTERIM_ANSWERS = 8
+# Whole answers above this size are not taken.
+_MOST_WHOLE_BYTES = 64 << 20
 _FIRST_PAUSE_S = 0.25
 _LONGEST_PAUSE_S = 2.0
 
@@ -82,11 +86,15 @@
     """One connection to a peer, used for one call at a time.
 
     :ivar is_kept: whether it has carried a call before this one
+    :ivar has_sent: whether any byte of the current call may have left
+    :ivar last_attempt: attempt of the last call; a second copy of its answer may come
     """
 
     def __init__(self, stream: byte_stream.ByteStream) -> None:
         self.stream = stream
         self.is_kept = False
+        self.has_sent = False
+        self.last_attempt = b""
         self.idle_since_s = 0.0
         self.idle_limit_s = _DEFAULT_IDLE_S
         self._http = h11.Connection(h11.CLIENT)
@@ -104,6 +112,7 @@
         if body:
             data += self._http.send(h11.Data(data=body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
+        self.has_sent = True
         self.stream.write(data)
         await self.stream.drain()
 
@@ -112,13 +121,14 @@
 
         :raises BrokenAnswer: when the peer breaks off or does not speak HTTP
         """
-        while True:
+        for _ in range(_MOST_INTERIM_ANSWERS):
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
                 continue
             if isinstance(event, h11.Response):
                 return event
             raise BrokenAnswer(f"{type(event).__name__} instead of a head")
+        raise BrokenAnswer("no final answer")
 
     async def read_data(self) -> bytes | None:
         """Return the next bytes of the body, ``None`` at its end.
@@ -143,6 +153,7 @@
         except h11.LocalProtocolError:
             return False
         self.is_kept = True
+        self.has_sent = False
         self.idle_since_s = time.monotonic()
         if idle_limit_s is not None:
             self.idle_limit_s = max(0.0, idle_limit_s - _IDLE_MARGIN_S)
@@ -176,24 +187,36 @@
         self.opened = 0
 
     async def open(
-        self, host: str, port: int, longest_idle_s: float = float("inf")
+        self,
+        host: str,
+        port: int,
+        longest_idle_s: float = float("inf"),
+        attempt: bytes = b"",
     ) -> Connection:
         """Return a connection, the most recently used one if there is any.
 
         :param longest_idle_s: how long the connection may have been idle
+        :param attempt: names the attempt; a connection that has carried it is not
+            used, since a late copy of the former answer could not be told from the new
+            one
         :raises OSError: when no connection can be made in time
         """
         idle = self._idle.get((host, port))
         while idle:
             connection = idle.pop()
-            if connection.is_fresh(longest_idle_s):
+            is_same = bool(attempt) and connection.last_attempt == attempt
+            if connection.is_fresh(longest_idle_s) and not is_same:
+                connection.stream.unpark()
+                connection.last_attempt = attempt
                 return connection
             connection.stream.close()
         self.opened += 1
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(self._connect_timeout_s):
             _, stream = await loop.create_connection(byte_stream.ByteStream, host, port)
-        return Connection(stream)
+        connection = Connection(stream)
+        connection.last_attempt = attempt
+        return connection
 
     def keep(
         self,
@@ -207,6 +230,7 @@
         if len(idle) >= _MAX_IDLE_PER_ENDPOINT or not connection.finish(idle_limit_s):
             connection.stream.close()
             return
+        connection.stream.park()
         idle.append(connection)
 
     def forget(self, host: str, port: int) -> None:
@@ -240,8 +264,12 @@
             await connection.send(method, path, lines, body)
             head = await connection.read_head()
             chunks = []
+            size = 0
             while (data := await connection.read_data()) is not None:
                 chunks.append(data)
+                size += len(data)
+                if size > _MOST_WHOLE_BYTES:
+                    raise BrokenAnswer("body too large")
             is_whole = True
         finally:
             if is_whole:
--- a/src/endivevane/serving/ingress.py
+++ b/src/endivevane/serving/ingress.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import http
+import socket
 import time
 import typing
 from collections import abc
@@ -76,7 +77,10 @@
         except (OSError, TimeoutError, h11.LocalProtocolError) as error:
             logs.limited_info("client_connection_ended", cause=repr(error))
         finally:
+            self.is_idle = False
             self._stream.close()
+            # A stop waits for what has been answered to leave.
+            await self._stream.wait_lost(_FLUSH_S)
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or served."""
@@ -240,7 +244,17 @@
     def abort(self) -> None:
         """Close the connection, so that the answer does not look complete."""
         self.is_aborted = True
-        self._stream.close()
+        if self._is_ended_by_close:
+            # To this client an orderly close is the end of a whole answer.
+            self._stream.reset()
+        else:
+            self._stream.close()
+
+    @property
+    def _is_ended_by_close(self) -> bool:
+        """Whether the client takes the end of the connection for that of the answer."""
+        version = self._http.their_http_version
+        return self.is_begun and version is not None and version < b"1.1"
 
     def _write_head(
         self, status: int, reason: bytes, headers: list[tuple[bytes, bytes]]
@@ -266,28 +280,62 @@
         self.limits = limits
         self.is_stopping = False
         self._server: asyncio.Server | None = None
+        self._socket: socket.socket | None = None
         self._connections: dict[_ClientConnection, asyncio.Task[None]] = {}
+        self._adopting: set[asyncio.Task[None]] = set()
 
     async def listen(self, host: str, port: int) -> None:
         """Begin to accept connections."""
         loop = asyncio.get_running_loop()
+        self._socket = socket.create_server((host, port), backlog=_BACKLOG)
+        self._socket.setblocking(False)
         self._server = await loop.create_server(
-            lambda: byte_stream.ByteStream(self._accept),
-            host,
-            port,
-            backlog=_BACKLOG,
-            reuse_address=True,
+            self._make_stream, sock=self._socket, backlog=_BACKLOG
         )
 
+    @property
+    def port(self) -> int:
+        """The port that is listened to, 0 before :meth:`listen`."""
+        if self._socket is None:
+            return 0
+        return int(self._socket.getsockname()[1])
+
     @property
     def busy(self) -> int:
         """Number of connections on which a request is read or served."""
-        return sum(1 for item in self._connections if not item.is_idle)
+        served = sum(1 for item in self._connections if not item.is_idle)
+        return served + len(self._adopting)
 
     def close_listener(self) -> None:
-        """Accept no more connections."""
-        if self._server is not None:
-            self._server.close()
+        """Accept no more connections, but those that clients have made already.
+
+        The system would reset what waits to be accepted.
+        """
+        if self._server is None or self._socket is None:
+            return
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                accepted, _ = self._socket.accept()
+            except OSError:
+                # None is left, or the listener was closed before.
+                break
+            accepted.setblocking(False)
+            task = loop.create_task(self._adopt(accepted))
+            self._adopting.add(task)
+            task.add_done_callback(self._adopting.discard)
+        self._server.close()
+
+    async def _adopt(self, accepted: socket.socket) -> None:
+        """Serve a connection that was accepted by hand."""
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.connect_accepted_socket(self._make_stream, accepted)
+        except OSError as error:
+            logs.limited_info("client_connection_ended", cause=repr(error))
+
+    def _make_stream(self) -> byte_stream.ByteStream:
+        return byte_stream.ByteStream(self._accept)
 
     def close_idle(self) -> None:
         """Close the connections on which nothing is under way."""
--- a/src/endivevane/serving/item_sender.py
+++ b/src/endivevane/serving/item_sender.py
@@ -19,6 +19,11 @@
 _IMPOSSIBLE_STATUS = 422
 _FAILED_STATUS = 500
 _OK_STATUS = 200
+# Time without a whole event after which an item goes on elsewhere; a sound target may
+# keep it waiting for some seconds.
+_STALL_S = 5.0
+# Text of an item above which its answer is taken for broken.
+_MOST_TEXT_BYTES = 4 << 20
 
 HeaderEncoder = abc.Callable[[str, abc.Mapping[str, str]], model.Headers]
 
@@ -64,6 +69,7 @@
             body=run.item.body,
             attempt_id=run.item.item_id.encode("latin-1"),
             last_event_id=str(run.last_event).encode() if run.last_event else b"",
+            stall_s=_STALL_S,
         )
         async with self._caller.call(known, call, True) as answer:
             status = answer.reply.status
@@ -76,6 +82,8 @@
                 return RunEnd.FAILED, status
             if status != _OK_STATUS:
                 return RunEnd.BROKEN, status
+            if not answer.reply.is_signed:
+                return RunEnd.BROKEN, status
             end = await _read_events(run, answer)
             if end is RunEnd.WHOLE:
                 known.health.record_success()
@@ -91,8 +99,17 @@
 
 async def _read_events(run: owned_jobs.ItemRun, answer: target_calls.Answer) -> RunEnd:
     splitter = event_stream.EventSplitter()
+    size = sum(len(piece) for piece in run.pieces)
     while (data := await answer.read()) is not None:
-        for event in splitter.feed(data):
+        size += len(data)
+        try:
+            events = splitter.feed(data)
+        except event_stream.EventTooLarge:
+            return RunEnd.BROKEN
+        for event in events:
+            answer.note_event()
             if not run.take(event):
                 return RunEnd.BROKEN
+        if size > _MOST_TEXT_BYTES:
+            return RunEnd.BROKEN
     return RunEnd.BROKEN if splitter.rest else RunEnd.WHOLE
--- a/src/endivevane/serving/job_claims.py
+++ b/src/endivevane/serving/job_claims.py
@@ -20,6 +20,8 @@
 )
 
 _TICK_S = 0.25
+# The same while no job is open.
+_IDLE_TICK_S = 0.5
 # A daemon that has just started, or stood still, first hears of the others.
 _SETTLE_S = 2.0
 # A job that was claimed by somebody is left alone for this long.
@@ -61,7 +63,7 @@
     async def run(self) -> None:
         """Look for jobs to take over until cancelled."""
         while True:
-            await asyncio.sleep(_TICK_S)
+            await asyncio.sleep(_TICK_S if self._has_open() else _IDLE_TICK_S)
             now_s = time.monotonic()
             if now_s < self._settled_s or self._roster.is_stopping:
                 continue
@@ -74,6 +76,9 @@
                     task = asyncio.ensure_future(self._take_over(entry))
                     self._loading[job_id] = task
 
+    def _has_open(self) -> bool:
+        return any(entry.job.is_open for entry in self._book.entries.values())
+
     def _is_ours(self, entry: job_book.BookEntry, now_s: float) -> bool:
         """Whether this daemon should run a job."""
         job = entry.job
--- a/src/endivevane/serving/model.py
+++ b/src/endivevane/serving/model.py
@@ -133,6 +133,8 @@
     :param attempt_id: names the client's attempt, empty if it gave no name
     :param time_left_s: how long the target may take, ``None`` for no limit
     :param last_event_id: event after which a stream goes on, empty for its start
+    :param stall_s: time without a whole event after which a call that may go on
+        elsewhere is broken off, also while single bytes come
     """
 
     method: bytes
@@ -142,6 +144,7 @@
     attempt_id: bytes
     time_left_s: float | None = None
     last_event_id: bytes = b""
+    stall_s: float = float("inf")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -154,6 +157,7 @@
     :param attempt_id: name of the attempt that is answered, empty if there is none
     :param is_signed: whether the answer carries the target's signature
     :param idle_timeout_s: how long the connection may stay idle, ``None`` if unsaid
+    :param is_leaving: whether the target says that it leaves
     """
 
     status: int
@@ -164,6 +168,7 @@
     attempt_id: bytes
     is_signed: bool
     idle_timeout_s: float | None
+    is_leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/endivevane/serving/peers.py
+++ b/src/endivevane/serving/peers.py
@@ -39,6 +39,8 @@
 _COORDINATED_PER_PEER_S = 0.004
 # A coordinator looks at what waits this often, besides after each change.
 _COORDINATOR_TICK_S = 0.05
+# The other daemons of its region look this often whether it is still the same one.
+_MEMBER_TICK_S = 0.2
 # Notices that may be missed in a row before a coordinator is passed over.
 _MISSED_NOTICES = 3
 # Peers that have been silent for this long only get every eighth report.
@@ -142,7 +144,8 @@
             is_large = self._roster.is_large
             interval_s = find_interval_s(self._roster.count_near())
             if is_large:
-                interval_s = _COORDINATOR_TICK_S
+                is_active = self._coordinating_since_s is not None
+                interval_s = _COORDINATOR_TICK_S if is_active else _MEMBER_TICK_S
             elif self._roster.peers:
                 self._board.near_age_s = interval_s
                 self._board.far_age_s = region_reports.find_interval_s(
@@ -151,7 +154,7 @@
             await asyncio.sleep(interval_s)
             now_s = time.monotonic()
             if is_large:
-                await self._run_coordinated(now_s)
+                self._run_coordinated(now_s)
                 continue
             self._regions.report(now_s)
             is_changed = self._board.version != self._sent_version
@@ -161,7 +164,7 @@
             self._report(now_s)
             self._board.drop_silent(now_s)
 
-    async def _run_coordinated(self, now_s: float) -> None:
+    def _run_coordinated(self, now_s: float) -> None:
         """Do what a daemon of a region with a coordinator does in one round."""
         interval_s = self._find_coordinated_interval_s()
         ranked = self._roster.rank(self._identity.region, now_s)
@@ -185,8 +188,6 @@
         if is_missing and ranked:
             logs.info("coordinator_missing", coordinator=ranked[0])
             self._roster.suspect(ranked[0], now_s)
-            return
-        await asyncio.sleep(_COORDINATOR_TICK_S)
 
     def _coordinate(self, now_s: float, interval_s: float) -> None:
         """Give out places and tell the others who lives."""
--- a/src/endivevane/serving/target_calls.py
+++ b/src/endivevane/serving/target_calls.py
@@ -10,6 +10,7 @@
 
 import h11
 
+from endivevane import logs, metrics
 from endivevane.serving import directory, failures, http_client, model
 
 # Silence of targets is looked for this often while an answer is awaited.
@@ -17,6 +18,8 @@
 # A request that may run once only goes out on a connection that was used this
 # recently: targets may drop an idle one without notice, some after 0.3 s.
 UNSAFE_IDLE_S = 0.25
+_SILENT = "silent"
+_STALLED = "stalled"
 
 
 class CallCodec(typing.Protocol):
@@ -33,6 +36,58 @@
         """Return the head of an answer."""
 
 
+class _Watch:
+    """Breaks a call off whose target has gone silent, or whose events do not come.
+
+    :ivar cause: why the call was broken off, empty while it was not
+    """
+
+    def __init__(
+        self,
+        known: directory.KnownTarget,
+        connection: http_client.Connection,
+        stall_s: float,
+    ) -> None:
+        self.cause = ""
+        self._known = known
+        self._connection = connection
+        self._stall_s = stall_s
+        self._progress_s = time.monotonic()
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def is_stalled(self) -> bool:
+        """Whether bytes came, but no event."""
+        return self.cause == _STALLED
+
+    def start(self) -> None:
+        """Look at the call now and then."""
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(_WATCH_S, self._look)
+
+    def stop(self) -> None:
+        """Leave the call alone."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def note_progress(self) -> None:
+        """Note a whole event."""
+        self._progress_s = time.monotonic()
+
+    def _look(self) -> None:
+        now_s = time.monotonic()
+        health = self._known.health
+        if health.is_silent(now_s):
+            self.cause = _SILENT
+        elif now_s - self._progress_s > self._stall_s:
+            self.cause = _STALLED
+        else:
+            self.start()
+            return
+        health.record_failure(now_s)
+        self._connection.stream.fail(TimeoutError(self.cause))
+
+
 class Answer:
     """An answer that is being read.
 
@@ -44,13 +99,13 @@
         known: directory.KnownTarget,
         connection: http_client.Connection,
         reply: model.TargetReply,
-        is_watched: bool,
+        watch: _Watch,
     ) -> None:
         self.reply = reply
         self.is_whole = False
         self._known = known
         self._connection = connection
-        self._is_watched = is_watched
+        self._watch = watch
         self._has_events = False
 
     @property
@@ -63,6 +118,10 @@
         """Whether any byte of the body has come."""
         return self._has_events
 
+    def note_event(self) -> None:
+        """Note that a whole event has come."""
+        self._watch.note_progress()
+
     async def read(self) -> bytes | None:
         """Return the next bytes of the body, ``None`` at its end.
 
@@ -70,16 +129,9 @@
             silent and the answer is watched
         """
         try:
-            data = await _watch(
-                self._known, self._connection.read_data(), self._is_watched
-            )
+            data = await self._connection.read_data()
         except (http_client.BrokenAnswer, OSError) as error:
-            raise failures.TargetCallError(
-                self._known.target.target_id,
-                str(error),
-                may_have_run=True,
-                is_bad_answer=True,
-            ) from error
+            raise _make_error(self._known, self._watch, str(error)) from error
         self._known.health.record_heard(time.monotonic())
         if data is None:
             self.is_whole = True
@@ -91,11 +143,20 @@
 
 
 class TargetCaller:
-    """Opens calls to targets and keeps their connections."""
+    """Opens calls to targets and keeps their connections.
+
+    :param on_leaving: called with a target that says that it leaves
+    """
 
-    def __init__(self, pool: http_client.ConnectionPool, codec: CallCodec) -> None:
+    def __init__(
+        self,
+        pool: http_client.ConnectionPool,
+        codec: CallCodec,
+        on_leaving: abc.Callable[[directory.KnownTarget], None],
+    ) -> None:
         self._pool = pool
         self._codec = codec
+        self._on_leaving = on_leaving
 
     @contextlib.asynccontextmanager
     async def call(
@@ -111,15 +172,19 @@
         :raises failures.TargetCallError: when there is no answer
         """
         target = known.target
-        connection = await self._connect(known, is_idempotent)
+        connection = await self._connect(known, call, is_idempotent)
         known.health.begin_call(time.monotonic())
+        watch = _Watch(known, connection, call.stall_s)
+        if is_idempotent:
+            watch.start()
         answer: Answer | None = None
         try:
             headers = self._codec.encode_call(call, target)
-            head = await self._exchange(known, connection, call, headers, is_idempotent)
-            answer = self._make_answer(known, connection, head, call, is_idempotent)
+            head = await self._exchange(known, connection, call, headers, watch)
+            answer = self._make_answer(known, connection, head, call, watch)
             yield answer
         finally:
+            watch.stop()
             has_events = answer is not None and answer.has_events
             known.health.end_call(has_events)
             if answer is not None and answer.is_whole:
@@ -137,12 +202,14 @@
         self._pool.forget(target.host, target.port)
 
     async def _connect(
-        self, known: directory.KnownTarget, is_idempotent: bool
+        self, known: directory.KnownTarget, call: model.TargetCall, is_idempotent: bool
     ) -> http_client.Connection:
         target = known.target
         idle_s = float("inf") if is_idempotent else UNSAFE_IDLE_S
         try:
-            return await self._pool.open(target.host, target.port, idle_s)
+            return await self._pool.open(
+                target.host, target.port, idle_s, call.attempt_id
+            )
         except (TimeoutError, OSError) as error:
             known.health.record_failure(time.monotonic())
             raise failures.TargetCallError(
@@ -155,19 +222,19 @@
         connection: http_client.Connection,
         call: model.TargetCall,
         headers: list[tuple[bytes, bytes]],
-        is_watched: bool,
+        watch: _Watch,
     ) -> h11.Response:
         """Send the call and return the head of the answer."""
         target_id = known.target.target_id
         try:
             await connection.send(call.method, call.path, headers, call.body)
-            return await _watch(known, connection.read_head(), is_watched)
+            return await connection.read_head()
         except h11.LocalProtocolError as error:
             raise failures.TargetCallError(
-                target_id, str(error), may_have_run=False
+                target_id, str(error), may_have_run=connection.has_sent
             ) from error
         except (http_client.BrokenAnswer, OSError) as error:
-            if connection.is_kept:
+            if connection.is_kept and not watch.cause:
                 # The target may have dropped the connection while it was idle, which
                 # says nothing about the target.
                 cause = f"kept connection: {error}"
@@ -175,9 +242,7 @@
                     target_id, cause, may_have_run=True
                 ) from error
             known.health.record_failure(time.monotonic())
-            raise failures.TargetCallError(
-                target_id, str(error), may_have_run=True, is_bad_answer=True
-            ) from error
+            raise _make_error(known, watch, str(error)) from error
 
     def _make_answer(
         self,
@@ -185,45 +250,55 @@
         connection: http_client.Connection,
         head: h11.Response,
         call: model.TargetCall,
-        is_watched: bool,
+        watch: _Watch,
     ) -> Answer:
         reply = self._codec.decode_reply(
             head.status_code, bytes(head.reason), list(head.headers.raw_items())
         )
-        if reply.attempt_id and reply.attempt_id != call.attempt_id:
-            raise failures.TargetCallError(
-                known.target.target_id,
-                "answer to another request",
-                may_have_run=True,
-                is_bad_answer=True,
-            )
-        known.health.record_heard(time.monotonic())
-        return Answer(known, connection, reply, is_watched)
+        if reply.is_leaving:
+            self._on_leaving(known)
+        if _is_answer_to(call, reply, connection):
+            known.health.record_heard(time.monotonic())
+            return Answer(known, connection, reply, watch)
+        metrics.TARGET_FAULTS.labels("foreign_answer").inc()
+        raise failures.TargetCallError(
+            known.target.target_id,
+            "answer to another request",
+            may_have_run=True,
+            is_bad_answer=True,
+        )
 
 
-_T = typing.TypeVar("_T")
+def _is_answer_to(
+    call: model.TargetCall,
+    reply: model.TargetReply,
+    connection: http_client.Connection,
+) -> bool:
+    """Whether an answer belongs to a call.
 
+    On a connection that has carried another call, an answer that does not say to whom
+    may be a late copy of the former one.
+    """
+    if not call.attempt_id or reply.attempt_id == call.attempt_id:
+        return True
+    return not reply.attempt_id and not connection.is_kept
 
-async def _watch(
-    known: directory.KnownTarget, reading: abc.Coroutine[object, object, _T], on: bool
-) -> _T:
-    """Return what a read returns, unless the target goes silent before.
 
-    :raises failures.TargetCallError: when the target is silent and ``on`` is set
-    """
-    if not on:
-        return await reading
-    task = asyncio.ensure_future(reading)
-    try:
-        while True:
-            done, _ = await asyncio.wait((task,), timeout=_WATCH_S)
-            if done:
-                return task.result()
-            now_s = time.monotonic()
-            if known.health.is_silent(now_s):
-                known.health.record_failure(now_s)
-                raise failures.TargetCallError(
-                    known.target.target_id, "silent", may_have_run=True
-                )
-    finally:
-        task.cancel()
+def _make_error(
+    known: directory.KnownTarget, watch: _Watch, cause: str
+) -> failures.TargetCallError:
+    """Return what a broken call means for its request and for the target."""
+    # Silence may be due to the path; bytes that are no events are not.
+    is_bad_answer = not watch.cause or watch.is_stalled
+    if is_bad_answer:
+        label = "stalled" if watch.is_stalled else "broken_answer"
+        metrics.TARGET_FAULTS.labels(label).inc()
+        logs.limited_info(
+            "target_fault", target=known.target.target_id, cause=watch.cause or cause
+        )
+    return failures.TargetCallError(
+        known.target.target_id,
+        watch.cause or cause,
+        may_have_run=True,
+        is_bad_answer=is_bad_answer,
+    )
