--- /dev/null
+++ b/features/steps/coordinated_places_steps.py
@@ -0,0 +1,276 @@
+import collections
+
+from behave import given, then, when
+
+from endivevane.serving import coordinator, item_pace, place_messages, places
+from features.support import serving_fakes
+
+
+class Region:
+    """A coordinator, and what it has told each daemon."""
+
+    def __init__(self, daemons, targets):
+        names = [f"t{number}" for number in range(targets)]
+        self.fleet = serving_fakes.Fleet(names, age_s=0.0)
+        self.names = names
+        self.daemons = [f"d{number}" for number in range(daemons)]
+        self.told = []
+        self.now_s = 100.0
+        self.coordinator = coordinator.Coordinator(
+            self.fleet.directory,
+            self.fleet.board,
+            self.fleet.make_queue(),
+            self.fleet.choices,
+            lambda name, message: self.told.append((name, message)),
+        )
+        self._numbers = collections.Counter()
+
+    def ask(self, name, objective_s=0.3, **fields):
+        self._numbers[name] += 1
+        message = place_messages.Ask(
+            incarnation="run",
+            number=self._numbers[name],
+            service="lm",
+            availability_zone="z1",
+            objective_left_s=objective_s,
+            deadline_left_s=5.0,
+            **fields,
+        )
+        self.send(name, message)
+        return message
+
+    def send(self, name, message):
+        # Each message takes the way that it takes between two daemons.
+        data = place_messages.encode(message)
+        kind, *fields = serving_fakes.load(data)
+        self.coordinator.take(name, place_messages.decode(kind, fields), self.now_s)
+
+    def list_granted(self):
+        found = {}
+        for name, message in self.told:
+            if isinstance(message, place_messages.Granted):
+                found[(name, message.number)] = message.target_id
+        return found
+
+    def count(self, kind):
+        return sum(isinstance(message, kind) for _, message in self.told)
+
+    def free(self, count):
+        for (name, number), _ in list(self.list_granted().items())[:count]:
+            self.send(name, place_messages.Ended("run", number, 0.5, 0.1))
+
+    def list_loads(self):
+        return [self.fleet.board.total(name).total for name in self.names]
+
+    def list_holdings(self, name):
+        return [
+            places.Holding(number, target_id, False)
+            for (holder, number), target_id in self.list_granted().items()
+            if holder == name
+        ]
+
+
+@given("a coordinator of {daemons:d} daemons before {targets:d} targets of 8 slots")
+def step_region(context, daemons, targets):
+    context.region = Region(daemons, targets)
+
+
+@when("each daemon asks for {each:d} places at once")
+def step_pulse(context, each):
+    for name in context.region.daemons:
+        for _ in range(each):
+            context.region.ask(name)
+
+
+@then(
+    "no target has more than {most:d} requests and the fullest one 1 more than the "
+    "emptiest"
+)
+def step_even(context, most):
+    loads = context.region.list_loads()
+    assert max(loads) <= most, loads
+    assert max(loads) - min(loads) <= 1, loads
+
+
+@then("{granted:d} places are given and {rest:d} requests wait or are refused")
+def step_granted(context, granted, rest):
+    region = context.region
+    assert len(region.list_granted()) == granted
+    waiting = region.count(place_messages.Queued)
+    refused = region.count(place_messages.Refused)
+    assert waiting + refused == rest, (waiting, refused)
+
+
+@when("a daemon asks for a request that is late, and another one for an urgent one")
+def step_late_and_urgent(context):
+    region = context.region
+    region.fleet.board.set_waiting_requests(collections.Counter())
+    context.late = ("d0", region.ask("d0", objective_s=-1.0, priority=0).number)
+    context.urgent = ("d1", region.ask("d1", objective_s=0.25, priority=-1).number)
+
+
+@when("{count:d} places become free")
+def step_free(context, count):
+    context.region.free(count)
+
+
+@then("the urgent request has got one of them and the late one none")
+def step_one_queue(context):
+    granted = context.region.list_granted()
+    assert context.urgent in granted
+    assert context.late not in granted
+
+
+@when("a daemon asks for the same request {times:d} times")
+def step_repeat(context, times):
+    message = context.region.ask("d0")
+    for _ in range(times - 1):
+        context.region.send("d0", message)
+
+
+@then("it has been given the same place {times:d} times and {count:d} request counts")
+def step_same(context, times, count):
+    granted = [
+        message
+        for _, message in context.region.told
+        if isinstance(message, place_messages.Granted)
+    ]
+    assert len(granted) == times and len(set(granted)) == 1, granted
+    assert sum(context.region.list_loads()) == count
+
+
+@when("all daemons report what they hold to a deputy")
+def step_deputy(context):
+    context.deputy = Region(len(context.region.daemons), len(context.region.names))
+    for name in context.region.daemons:
+        context.deputy.coordinator.take_holdings(
+            name, "run", context.region.list_holdings(name), context.deputy.now_s
+        )
+
+
+@then("the deputy counts the same requests on each target")
+def step_same_loads(context):
+    assert context.deputy.list_loads() == context.region.list_loads()
+
+
+@then("the deputy gives at most {most:d} more places")
+def step_deputy_rest(context, most):
+    for name in context.deputy.daemons:
+        context.deputy._numbers[name] = 100
+        context.deputy.ask(name)
+    assert len(context.deputy.list_granted()) <= most
+    assert max(context.deputy.list_loads()) <= 9
+
+
+@when(
+    "a daemon gets {count:d} places and reports {after_s:g} s later that it holds none"
+)
+def step_no_longer(context, count, after_s):
+    region = context.region
+    for _ in range(count):
+        region.ask("d0")
+    region.now_s += after_s
+    region.coordinator.take_holdings("d0", "run", [], region.now_s)
+
+
+@when("a daemon gets {count:d} places and {fate}")
+def step_fate(context, count, fate):
+    region = context.region
+    for _ in range(count):
+        region.ask("d0")
+    if fate == "starts again":
+        region.coordinator.take_holdings("d0", "second run", [], region.now_s)
+        return
+    region.now_s += 2.0
+    region.coordinator.tick(region.now_s)
+
+
+@then("{count:d} requests count on the target")
+def step_count(context, count):
+    assert context.region.list_loads() == [count]
+
+
+@when(
+    "{items:d} daemons run a batch item there and {online:d} get a place for an online "
+    "request"
+)
+def step_batch_pulse(context, items, online):
+    region = context.region
+    for name in region.daemons[:items]:
+        urgency = int(item_pace.Urgency.NORMAL)
+        region.ask(name, objective_s=15.0, is_batch=True, urgency=urgency)
+    assert len(region.list_granted()) == items, region.told
+    for name in region.daemons[items : items + online]:
+        # The target takes one request more than its slots.
+        region.fleet.board.give("t0", False)
+        del name
+
+
+@then("after {after_s:g} s {count:d} items have been asked to leave")
+def step_leave(context, after_s, count):
+    region = context.region
+    region.coordinator.tick(region.now_s + after_s)
+    assert region.count(place_messages.GiveWay) == count, region.told
+
+
+@given("{count:d} online requests that fill it and {waiting:d} that waits")
+def step_filled(context, count, waiting):
+    region = context.region
+    for _ in range(count):
+        region.ask("d0", objective_s=5.0)
+    context.waiting = ("d1", region.ask("d1", objective_s=5.0).number)
+    assert len(region.list_granted()) == count
+
+
+@when("a normal and an urgent batch item ask for places")
+def step_items(context):
+    region = context.region
+    numbers = {
+        urgency: region.ask(
+            name, objective_s=10.0, is_batch=True, urgency=int(urgency)
+        ).number
+        for name, urgency in (
+            ("d2", item_pace.Urgency.NORMAL),
+            ("d3", item_pace.Urgency.URGENT),
+        )
+    }
+    context.normal = ("d2", numbers[item_pace.Urgency.NORMAL])
+    context.urgent = ("d3", numbers[item_pace.Urgency.URGENT])
+
+
+@then("the waiting request has got a place before the items")
+def step_online_first(context):
+    context.order = list(context.region.list_granted())
+    first = context.order.index(context.waiting)
+    assert first < context.order.index(context.urgent), context.order
+
+
+@then("the urgent item has got a place before the normal one")
+def step_urgent_first(context):
+    order = context.order
+    assert context.urgent in order
+    if context.normal in order:
+        assert order.index(context.urgent) < order.index(context.normal)
+
+
+@when("{count:d} daemons that avoid the first target ask for places")
+def step_witnesses(context, count):
+    for number in range(count):
+        context.region.ask(f"d{number}", avoided=("t0",))
+
+
+@when("{count:d} other daemons ask for places")
+def step_others(context, count):
+    for number in range(count):
+        context.region.ask(f"d{number + 6}")
+    context.others = count
+
+
+@then("the first target has {count:d} requests")
+def step_first_target(context, count):
+    loads = context.region.list_loads()
+    if count:
+        # Witnesses' own requests are on the other target, which evens out.
+        assert loads[0] >= count, loads
+    else:
+        assert loads[0] == 0, loads
--- /dev/null
+++ b/features/steps/misbehaving_targets_steps.py
@@ -0,0 +1,222 @@
+import asyncio
+import dataclasses
+import time
+
+from behave import given, then, when
+
+from endivevane.serving import directory, http_client
+from features.support import serving_fakes, serving_world
+from standins import replica
+
+_FLOODS = {
+    "its head": "head",
+    "one line of its head": "line",
+    "answers before the final": "interim",
+    "the body of a refusal": "refusal",
+    "an event": "event",
+}
+
+
+@given("the first target says that it leaves, in {answer}")
+def step_leaving(context, answer):
+    manner = {
+        "a whole answer": {},
+        "a refusal": {"refuse": 100},
+        "an answer that is cut": {"cut_after": 1, "cuts": 1},
+    }[answer]
+    serving_world.prepare_first(context, leaving=True, **manner)
+
+
+@then("the first target has had at most {most:d} request")
+def step_few(context, most):
+    first = context.world.replicas["a"]
+    assert len(first.runs) + first.refused <= most, (first.runs, first.refused)
+
+
+@when("{count:d} clients ask for a stream at the same time, after one of them")
+def step_after_one(context, count):
+    async def play(world):
+        # Whichever target the first ones meet, the leaving one has answered then.
+        replies = []
+        number = 0
+        while not world.replicas["a"].runs:
+            request = serving_world.make_request(attempt=f"attempt{number}")
+            replies.append(await serving_world.ask(world.port, request))
+            number += 1
+        requests = [
+            serving_world.make_request(attempt=f"attempt{number + each}")
+            for each in range(count)
+        ]
+        asked = [serving_world.ask(world.port, request) for request in requests]
+        return replies + await asyncio.gather(*asked)
+
+    context.replies = serving_world.play(context, play)
+
+
+@given("a target that has said that it leaves")
+def step_said(context):
+    context.targets = {"t0": serving_fakes.make_target("t0", born=1)}
+    context.directory = directory.Directory(lambda key, _value: context.targets[key])
+    row = serving_fakes.make_row("t0", b"x", 1)
+    context.directory.apply(row, 0.0)
+    context.directory.record_leaving(context.directory.find("t0"))
+
+
+@when("its registration lapses and comes back {how}")
+def step_lapse(context, how):
+    context.directory.apply(serving_fakes.make_row("t0", None, 2), 1.0)
+    if how == "with a later start":
+        context.targets["t0"] = dataclasses.replace(context.targets["t0"], started_ms=2)
+    context.directory.apply(serving_fakes.make_row("t0", b"x", 3), 2.0)
+
+
+@then("the target gets {work}")
+def step_gets(context, work):
+    usable = context.directory.list_usable("lm")
+    assert bool(usable) == (work == "work again"), usable
+
+
+@given("each target's first answer is a flood in {where}")
+def step_flood(context, where):
+    def prepare(world):
+        # The first of the two that is asked floods, the other one answers.
+        shared = replica.Manner(flood=_FLOODS[where], floods=1)
+        for item in world.replicas.values():
+            item.manner = shared
+
+    context.prepare.append(prepare)
+
+
+@then("no target has sent more than {most:d} MB of a flood")
+def step_flooded(context, most):
+    sent = [item.flooded_bytes for item in context.world.replicas.values()]
+    assert max(sent) > 0, "nothing was flooded"
+    # Buffers of the system hold some MB on both sides.
+    assert max(sent) <= most * 1_000_000, sent
+
+
+@given("the first stream sends single bytes behind {events:d} events")
+def step_drip(context, events):
+    def prepare(world):
+        shared = replica.Manner(drip_after=events, drips=1)
+        for item in world.replicas.values():
+            item.manner = shared
+
+    context.prepare.append(prepare)
+
+
+@given("each target makes an event every {gap_ms:d} ms")
+def step_all_slow(context, gap_ms):
+    serving_world.prepare_all(context, gap_s=gap_ms / 1000)
+
+
+@given("the target leaves out its signature and answers with {body}")
+def step_unsigned(context, body):
+    serving_world.prepare_first(context, unsigned=True, plain=body == "a length")
+
+
+@given("each target closes behind half of its first answer of {size_mb:d} MB")
+def step_large_cut(context, size_mb):
+    serving_world.prepare_all(
+        context, plain=True, plain_bytes=size_mb * 1_000_000, plain_cut=1
+    )
+
+
+@then("the answer is not whole and belongs to one target")
+def step_not_joined(context):
+    reply = context.reply
+    assert not reply.is_whole, len(reply.body)
+    # Half of one answer at most: more would be the bytes of two.
+    assert len(reply.body) <= 1_500_000, len(reply.body)
+
+
+@given("the first stream is closed in the middle of its last event")
+def step_closed(context):
+    def prepare(world):
+        shared = replica.Manner(by_close=1)
+        for item in world.replicas.values():
+            item.manner = shared
+
+    context.prepare.append(prepare)
+
+
+@when("a client of HTTP/1.0 asks for a stream")
+def step_old_client(context):
+    async def play(world):
+        reader, writer = await asyncio.open_connection("127.0.0.1", world.port)
+        request = serving_world.make_request().replace(b"HTTP/1.1", b"HTTP/1.0")
+        writer.write(request)
+        try:
+            await asyncio.wait_for(reader.read(-1), 5)
+        except ConnectionResetError:
+            return True
+        finally:
+            writer.close()
+        return False
+
+    context.is_reset = serving_world.play(context, play)
+
+
+@then("its connection is reset")
+def step_reset(context):
+    assert context.is_reset
+
+
+@given("the target refuses one request and sends the refusal again later")
+def step_copied_refusal(context):
+    serving_world.prepare_first(context, refuse=1, copy_refusal=True)
+
+
+@given("an idle connection to a target")
+def step_idle(context):
+    context.sent = b"x" * 100_000
+
+
+@when("the target sends bytes on it")
+def step_unasked(context):
+    async def run():
+        received = asyncio.Event()
+        writers = []
+
+        async def serve(reader, writer):
+            writers.append(writer)
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            received.set()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        pool = http_client.ConnectionPool(1.0)
+        connection = await pool.open("127.0.0.1", port)
+        host = [(b"Host", b"t")]
+        await connection.send(b"GET", b"/", host, b"")
+        await connection.read_head()
+        assert await connection.read_data() is None
+        pool.keep("127.0.0.1", port, connection)
+        writers[0].write(context.sent)
+        limit_s = time.monotonic() + 2.0
+        while connection.stream.is_usable and time.monotonic() < limit_s:
+            await asyncio.sleep(0.01)
+        context.is_usable = connection.stream.is_usable
+        context.has_unread = connection.stream.has_unread
+        server.close()
+        for writer in writers:
+            writer.close()
+
+    asyncio.run(run())
+
+
+@then("the connection is closed and none of the bytes are kept")
+def step_unasked_closed(context):
+    assert not context.is_usable
+    assert not context.has_unread
+
+
+@given("the route's timeout is {timeout_s:d} s")
+def step_timeout(context, timeout_s):
+    context.configuration["routes"][0]["timeoutMs"] = timeout_s * 1000
+
+
+@then("the targets have run it at most {most:d} times")
+def step_few_runs(context, most):
+    assert len(context.world.runs) <= most, context.world.runs
--- /dev/null
+++ b/features/steps/region_coordinator_steps.py
@@ -0,0 +1,225 @@
+import asyncio
+import time
+
+from behave import given, then, when
+
+from endivevane.serving import places
+from features.support import region_daemons
+
+
+@given("a region of {daemons:d} daemons and {targets:d} targets")
+def step_region(context, daemons, targets):
+    context.make = lambda: region_daemons.Region(daemons, targets)
+
+
+def _run(context, act):
+    async def run():
+        context.region = context.make()
+        await context.region.start()
+        try:
+            await act(context.region)
+        finally:
+            context.region.stop()
+
+    asyncio.run(run())
+
+
+@when("they run for {seconds:d} s")
+def step_run(context, seconds):
+    async def act(region):
+        region.wire.datagrams.clear()
+        region.wire.bytes.clear()
+        await asyncio.sleep(seconds)
+        context.seconds = seconds
+        context.coordinators = {item.find_coordinator() for item in region.daemons}
+        context.alive = [len(item.roster.list_alive()) for item in region.daemons]
+        context.ranked = region.list_ranked()
+
+    _run(context, act)
+
+
+@then("all of them have the same coordinator")
+def step_same(context):
+    assert len(context.coordinators) == 1, context.coordinators
+
+
+@then("all of them know that the others live")
+def step_alive(context):
+    count = len(context.region.daemons)
+    assert context.alive == [count - 1] * count, context.alive
+
+
+@then(
+    "every other daemon but the deputy has had at most {datagrams:d} datagrams and "
+    "{size:d} bytes a second"
+)
+def step_cost(context, datagrams, size):
+    wire = context.region.wire
+    for daemon in context.region.daemons:
+        if daemon.identity.name in context.ranked:
+            continue
+        assert wire.datagrams[daemon.host] / context.seconds <= datagrams
+        assert wire.bytes[daemon.host] / context.seconds <= size
+
+
+_FATES = {
+    "is killed": lambda daemon: daemon.kill(),
+    "stands still": lambda daemon: daemon.freeze(),
+    "hears nothing": lambda daemon: daemon.wire.deaf.add(daemon.host),
+    "can say nothing": lambda daemon: daemon.wire.silenced.add(daemon.host),
+}
+
+
+@when("the coordinator {fate} and each other daemon asks for a place")
+def step_lost(context, fate):
+    async def act(region):
+        first, second = region.list_ranked()
+        _FATES[fate](region.find(first))
+        others = [
+            item for item in region.daemons if item.identity.name not in (first, second)
+        ]
+        context.answers = await asyncio.gather(*(item.ask() for item in others))
+
+    _run(context, act)
+
+
+@then("{count:d} places are given within {limit_ms:d} ms each")
+def step_given(context, count, limit_ms):
+    given_s = [
+        took_s for answer, took_s in context.answers if isinstance(answer, places.Place)
+    ]
+    assert len(given_s) == count, context.answers
+    assert max(given_s) <= limit_ms / 1000, max(given_s)
+
+
+@then("no target has more than {most:d} of them")
+def step_most(context, most):
+    held = [answer.target.target_id for answer, _ in context.answers]
+    assert max(held.count(name) for name in set(held)) <= most, held
+
+
+@when("all daemons but one are killed and it asks for a place")
+def step_alone(context):
+    async def act(region):
+        first, second = region.list_ranked()
+        alone = next(
+            item for item in region.daemons if item.identity.name not in (first, second)
+        )
+        for item in region.daemons:
+            if item is not alone:
+                item.kill()
+        context.answers = [await alone.ask()]
+
+    _run(context, act)
+
+
+@then("it gets a place within {limit_ms:d} ms")
+def step_alone_given(context, limit_ms):
+    step_given(context, 1, limit_ms)
+
+
+@when("{count:d} daemons, the coordinator and its deputy among them, are killed")
+def step_herd(context, count):
+    async def act(region):
+        killed = [region.find(name) for name in region.list_ranked()]
+        killed += [item for item in region.daemons if item not in killed]
+        killed = killed[:count]
+        living = [item for item in region.daemons if item not in killed]
+        names = {item.identity.name for item in living}
+        for item in killed:
+            item.kill()
+        context.mistaken = 0
+        context.is_known = False
+        limit_s = time.monotonic() + 5.0
+        while time.monotonic() < limit_s and not context.is_known:
+            await asyncio.sleep(0.1)
+            context.is_known = True
+            for item in living:
+                alive = {peer.name for peer in item.roster.list_alive()}
+                others = names - {item.identity.name}
+                context.mistaken += len(others - alive)
+                if alive != others:
+                    context.is_known = False
+        context.coordinators = {item.find_coordinator() for item in living}
+        context.views = [len(item.roster.list_alive()) for item in living]
+
+    _run(context, act)
+
+
+@then("within {limit_s:d} s all others know who lives and have the same coordinator")
+def step_herd_known(context, limit_s):
+    assert context.is_known, context.views
+    assert len(context.coordinators) == 1, context.coordinators
+
+
+@then("none of them has taken a living daemon for dead")
+def step_none_mistaken(context):
+    assert not context.mistaken, context.mistaken
+
+
+@when(
+    "the coordinator stands still for {pause_s:g} s in a pulse and then acts as before"
+)
+def step_both_act(context, pause_s):
+    async def act(region):
+        first = region.find(region.list_ranked()[0])
+        others = [item for item in region.daemons if item is not first]
+
+        async def serve(daemon):
+            answer, _ = await daemon.ask(objective_s=3.0)
+            if isinstance(answer, places.Place):
+                held = daemon.book.list_holdings()
+                context.held.append(len(held))
+                await asyncio.sleep(0.3)
+                daemon.admission.release(answer, 0.3)
+
+        context.held = []
+        pulse = [asyncio.ensure_future(serve(item)) for item in others]
+        await asyncio.sleep(0.05)
+        first.freeze()
+        pulse += [asyncio.ensure_future(serve(item)) for item in others]
+        await asyncio.sleep(pause_s)
+        first.thaw()
+        pulse += [asyncio.ensure_future(serve(item)) for item in others]
+        await asyncio.wait(pulse, timeout=4.0)
+        context.unserved = [task for task in pulse if not task.done()]
+        await asyncio.sleep(2.0)
+        context.counted = {
+            item.identity.name: sum(
+                item.board.total(name).total for name in item.fleet.targets
+            )
+            for item in region.daemons
+        }
+
+    _run(context, act)
+
+
+@then("each request has had one place")
+def step_one_place(context):
+    assert not context.unserved
+    # A daemon has at most the requests of two pulses at a time.
+    assert max(context.held) <= 2, context.held
+
+
+@then("{after_s:d} s after the pulse all coordinators count no request")
+def step_counted_none(context, after_s):
+    assert not any(context.counted.values()), context.counted
+
+
+@when("the coordinator says that it stops")
+def step_stops(context):
+    async def act(region):
+        first = region.find(region.list_ranked()[0])
+        first.network.announce_stop()
+        await asyncio.sleep(1.0)
+        others = [item for item in region.daemons if item is not first]
+        context.former = first.identity.name
+        context.coordinators = {item.find_coordinator() for item in others}
+
+    _run(context, act)
+
+
+@then("within {limit_s:d} s all others have another one")
+def step_another(context, limit_s):
+    assert len(context.coordinators) == 1, context.coordinators
+    assert context.former not in context.coordinators
--- a/features/steps/serving_online_steps.py
+++ b/features/steps/serving_online_steps.py
@@ -9,6 +9,7 @@
 _ROUTES = {
     "a resumable route": {},
     "a route that may not be resumed": {"resumable": False},
+    "a route that may be repeated": {"kind": "safe"},
     "a route of 400 ms timeout": {"timeoutMs": 400},
 }
 
@@ -27,23 +28,6 @@
     context.prepare = []
 
 
-def _prepare_all(context, **manner):
-    def prepare(world):
-        for item in world.replicas.values():
-            for name, value in manner.items():
-                setattr(item.manner, name, value)
-
-    context.prepare.append(prepare)
-
-
-def _prepare_first(context, **manner):
-    def prepare(world):
-        for name, value in manner.items():
-            setattr(world.replicas["a"].manner, name, value)
-
-    context.prepare.append(prepare)
-
-
 @given("each target's first stream is {cut}")
 def step_cut(context, cut):
     manners = {
@@ -63,47 +47,47 @@
 
 @given("each target reads its first request and closes the connection")
 def step_drop(context):
-    _prepare_all(context, drop=1)
+    serving_world.prepare_all(context, drop=1)
 
 
 @given("the first target refuses its next {count:d} requests")
 def step_refuse(context, count):
-    _prepare_first(context, refuse=count)
+    serving_world.prepare_first(context, refuse=count)
 
 
 @given("the target answers with status {status:d}")
 def step_status(context, status):
-    _prepare_first(context, status=status)
+    serving_world.prepare_first(context, status=status)
 
 
 @given("the target sends a second answer behind each whole one")
 def step_extra(context):
-    _prepare_first(context, extra=True)
+    serving_world.prepare_first(context, extra=True)
 
 
 @given("the target resets kept connections when something is sent on them")
 def step_reset_kept(context):
-    _prepare_first(context, reset_kept=True)
+    serving_world.prepare_first(context, reset_kept=True)
 
 
 @given("the target sends a second answer where the next one is due")
 def step_extra_late(context):
-    _prepare_first(context, extra_late=True)
+    serving_world.prepare_first(context, extra_late=True)
 
 
 @given("the target makes an event every {gap_ms:d} ms")
 def step_slow(context, gap_ms):
-    _prepare_first(context, gap_s=gap_ms / 1000)
+    serving_world.prepare_first(context, gap_s=gap_ms / 1000)
 
 
 @given("the target takes {first_ms:d} ms before it answers")
 def step_slow_start(context, first_ms):
-    _prepare_first(context, first_s=first_ms / 1000)
+    serving_world.prepare_first(context, first_s=first_ms / 1000)
 
 
 @given("the target reads requests and says nothing")
 def step_silent(context):
-    _prepare_first(context, silent=True)
+    serving_world.prepare_first(context, silent=True)
 
 
 @given("the first target is replaced by another one at its address")
@@ -129,25 +113,9 @@
     context.prepare.append(prepare)
 
 
-def _play(context, play):
-    """Run a daemon and its targets while clients act."""
-
-    async def run():
-        context.world = serving_world.World(context.configuration, context.names)
-        await context.world.start()
-        for prepare in context.prepare:
-            prepare(context.world)
-        try:
-            return await play(context.world)
-        finally:
-            await context.world.stop()
-
-    return asyncio.run(run())
-
-
 @when("a client asks for a stream")
 def step_ask(context):
-    context.reply = _play(
+    context.reply = serving_world.play(
         context,
         lambda world: serving_world.ask(world.port, serving_world.make_request()),
     )
@@ -156,7 +124,9 @@
 @when('a client asks for the path "{path}"')
 def step_ask_path(context, path):
     request = serving_world.make_request(path=path)
-    context.reply = _play(context, lambda world: serving_world.ask(world.port, request))
+    context.reply = serving_world.play(
+        context, lambda world: serving_world.ask(world.port, request)
+    )
 
 
 @when("{count:d} clients ask for a stream one after the other")
@@ -168,7 +138,7 @@
             replies.append(await serving_world.ask(world.port, request))
         return replies
 
-    context.replies = _play(context, play)
+    context.replies = serving_world.play(context, play)
 
 
 @when("{count:d} clients ask for a stream at the same time")
@@ -181,7 +151,7 @@
         asked = [serving_world.ask(world.port, request) for request in requests]
         return await asyncio.gather(*asked)
 
-    context.replies = _play(context, play)
+    context.replies = serving_world.play(context, play)
 
 
 @when("{count:d} clients ask for a stream, one every {pause_ms:d} ms")
@@ -194,7 +164,7 @@
             await asyncio.sleep(pause_ms / 1000)
         return replies
 
-    context.replies = _play(context, play)
+    context.replies = serving_world.play(context, play)
 
 
 @then("the target is not held to be failing")
@@ -283,7 +253,7 @@
         context.ended = world.runs[0].ended
         context.loads = dict(world.board.own)
 
-    _play(context, play)
+    serving_world.play(context, play)
 
 
 @then("within 500 ms the target has cancelled its run")
@@ -312,7 +282,7 @@
         request = serving_world.make_request()
         return await serving_world.ask(world.port, request)
 
-    context.reply = _play(context, play)
+    context.reply = serving_world.play(context, play)
 
 
 @then("it took less than {limit_s:g} s")
@@ -335,7 +305,7 @@
         writer.close()
         return replies
 
-    context.replies = _play(context, play)
+    context.replies = serving_world.play(context, play)
 
 
 @then("it gets {count:d} answers, each with the events of its own request")
@@ -356,6 +326,6 @@
 
 @when("a client sends {name}")
 def step_send(context, name):
-    context.reply = _play(
+    context.reply = serving_world.play(
         context, lambda world: serving_world.ask(world.port, _INPUTS[name])
     )
--- a/features/steps/serving_state_steps.py
+++ b/features/steps/serving_state_steps.py
@@ -655,6 +655,9 @@
     def is_alive(self, name, incarnation=""):
         return True
 
+    def is_informed(self, now_s):
+        return True
+
 
 @given("a job without an owner and two daemons, of which the {which} is stopping")
 def step_unowned(context, which):
--- a/features/support/serving_fakes.py
+++ b/features/support/serving_fakes.py
@@ -1,6 +1,7 @@
 """Doubles of the serving tasks' ports that need no network."""
 
 import asyncio
+import json
 import random
 import time
 
@@ -30,6 +31,11 @@
     )
 
 
+def load(data):
+    """Return the fields of a datagram."""
+    return json.loads(data)
+
+
 def make_row(key, value, version, table="servers"):
     return store.Row(store.RowKey(table, "", key), value, version)
 
@@ -52,9 +58,10 @@
     def make_queue(self, seed=1):
         return place_queue.PlaceQueue(self.choices, self.board, random.Random(seed))
 
-    def make_admission(self, client=None):
-        book = places.PlaceBook(self.board)
-        return admission.Admission(self.make_queue(), book, client)
+    def make_admission(self, client=None, book=None, queue=None):
+        return admission.Admission(
+            queue or self.make_queue(), book or places.PlaceBook(self.board), client
+        )
 
     def add(self, name, version=1, **fields):
         self.targets[name] = make_target(name, **fields)
--- a/features/support/serving_world.py
+++ b/features/support/serving_world.py
@@ -171,3 +171,40 @@
         return await asyncio.wait_for(read_reply(reader), wait_s)
     finally:
         writer.close()
+
+
+def prepare_all(context, **manner):
+    """Give all targets of the scenario a manner."""
+
+    def prepare(world):
+        for item in world.replicas.values():
+            for name, value in manner.items():
+                setattr(item.manner, name, value)
+
+    context.prepare.append(prepare)
+
+
+def prepare_first(context, **manner):
+    """Give the first target of the scenario a manner."""
+
+    def prepare(world):
+        for name, value in manner.items():
+            setattr(world.replicas["a"].manner, name, value)
+
+    context.prepare.append(prepare)
+
+
+def play(context, act):
+    """Run the daemon and the targets of the scenario while clients act."""
+
+    async def run():
+        context.world = World(context.configuration, context.names)
+        await context.world.start()
+        for prepare in context.prepare:
+            prepare(context.world)
+        try:
+            return await act(context.world)
+        finally:
+            await context.world.stop()
+
+    return asyncio.run(run())
--- a/src/endivevane/serving/job_claims.py
+++ b/src/endivevane/serving/job_claims.py
@@ -69,6 +69,8 @@
                 continue
             if not self._state.is_confirmed(now_s, _CONFIRMED_S):
                 continue
+            if not self._roster.is_informed(now_s):
+                continue
             for job_id, entry in list(self._book.entries.items()):
                 if job_id in self._loading or job_id in self._runner.owned:
                     continue
--- a/src/endivevane/serving/peer_messages.py
+++ b/src/endivevane/serving/peer_messages.py
@@ -25,11 +25,14 @@
 class RegionState:
     """Which daemons of a region live, told by those that do not.
 
+    :param is_known: whether its daemons have had time to report; else nothing is said
+        of who is silent
     :param silent: daemons that have been silent for long
     :param stopping: daemons that are about to end
     """
 
     region: str
+    is_known: bool = True
     silent: tuple[str, ...] = ()
     stopping: tuple[str, ...] = ()
     strangers: tuple[Stranger, ...] = ()
@@ -226,17 +229,19 @@
 
 def _list_state(state: RegionState) -> tuple[typing.Any, ...]:
     strangers = [(item.name, item.host, item.incarnation) for item in state.strangers]
-    return (state.region, state.silent, state.stopping, strangers)
+    return (state.region, state.is_known, state.silent, state.stopping, strangers)
 
 
 def _decode_state(
     region: typing.Any,
+    is_known: typing.Any,
     silent: typing.Any,
     stopping: typing.Any,
     strangers: typing.Any,
 ) -> RegionState:
     return RegionState(
         region=str(region),
+        is_known=bool(is_known),
         silent=tuple(str(name) for name in silent),
         stopping=tuple(str(name) for name in stopping),
         strangers=tuple(
--- a/src/endivevane/serving/peers.py
+++ b/src/endivevane/serving/peers.py
@@ -43,6 +43,12 @@
 _MEMBER_TICK_S = 0.2
 # Notices that may be missed in a row before a coordinator is passed over.
 _MISSED_NOTICES = 3
+# The same for the deputy, so that it acts before the others look for it.
+_MISSED_BY_DEPUTY = 2
+# Daemons that are passed over at once when a later one in rank coordinates.
+_MOST_PASSED_OVER = 16
+# A coordinator without notices is passed over for this long, unless it is heard.
+_MISSING_S = 10.0
 # Peers that have been silent for this long only get every eighth report.
 _LOST_S = 5.0
 _LOST_PERIOD = 8
@@ -85,7 +91,9 @@
         self._sent_s = 0.0
         self._noticed_s = 0.0
         self._notice_heard_s = 0.0
-        self._coordinating_since_s: float | None = None
+        self._is_coordinating = False
+        # Since when the others report here, as to a coordinator or a deputy.
+        self._ranked_since_s: float | None = None
         self._ranked: list[str] = []
 
     def connect(
@@ -144,7 +152,7 @@
             is_large = self._roster.is_large
             interval_s = find_interval_s(self._roster.count_near())
             if is_large:
-                is_active = self._coordinating_since_s is not None
+                is_active = self._is_coordinating
                 interval_s = _COORDINATOR_TICK_S if is_active else _MEMBER_TICK_S
             elif self._roster.peers:
                 self._board.near_age_s = interval_s
@@ -171,8 +179,12 @@
         if ranked != self._ranked:
             # Whoever gives out places from now on has to know what is held.
             self._ranked = ranked
-            self._notice_heard_s = now_s
+            self._notice_heard_s = now_s - interval_s
             self._sent_s = 0.0
+        if self._identity.name not in ranked:
+            self._ranked_since_s = None
+        elif self._ranked_since_s is None:
+            self._ranked_since_s = now_s
         if now_s - self._sent_s >= interval_s:
             self._sent_s = now_s
             self._report_to_coordinators(now_s)
@@ -182,21 +194,26 @@
         if self._roster.is_coordinator(now_s):
             self._coordinate(now_s, interval_s)
             return
-        self._coordinating_since_s = None
+        self._is_coordinating = False
         self._board.near_age_s = interval_s
-        is_missing = now_s - self._notice_heard_s >= _MISSED_NOTICES * interval_s
+        is_deputy = self._identity.name in ranked
+        most_missed = _MISSED_BY_DEPUTY if is_deputy else _MISSED_NOTICES
+        is_missing = now_s - self._notice_heard_s >= most_missed * interval_s
         if is_missing and ranked:
             logs.info("coordinator_missing", coordinator=ranked[0])
-            self._roster.suspect(ranked[0], now_s)
+            self._roster.suspect(ranked[0], now_s, _MISSING_S)
 
     def _coordinate(self, now_s: float, interval_s: float) -> None:
         """Give out places and tell the others who lives."""
-        if self._coordinating_since_s is None:
-            self._coordinating_since_s = now_s
+        if not self._is_coordinating:
+            self._is_coordinating = True
             logs.info("coordinating", region=self._identity.region)
+        since_s = self._ranked_since_s or now_s
+        if now_s - since_s >= roster.DEATH_S:
+            self._roster.informed_s = now_s
         self._board.near_age_s = 0.0
         self._board.far_age_s = region_reports.SHORTEST_INTERVAL_S
-        self._regions.report(now_s, self._coordinating_since_s)
+        self._regions.report(now_s, since_s)
         if self._coordinator is not None:
             self._coordinator.tick(now_s)
         if now_s - self._noticed_s < interval_s:
@@ -205,6 +222,12 @@
         self._sequence += 1
         regions = {self._identity.region}
         regions.update(peer.region for peer in self._roster.peers.values())
+        states = tuple(
+            self._roster.describe_region(region, since_s, now_s)
+            for region in sorted(regions)
+        )
+        for state in states:
+            self._roster.note_silent(state)
         notice = peer_messages.Notice(
             name=self._identity.name,
             region=self._identity.region,
@@ -212,10 +235,7 @@
             sequence=self._sequence,
             version=self._newest.value,
             weight=self._identity.weight,
-            states=tuple(
-                self._roster.describe_region(region, self._coordinating_since_s, now_s)
-                for region in sorted(regions)
-            ),
+            states=states,
         )
         data = peer_messages.encode(notice)
         for peer in self._roster.list_near():
@@ -265,11 +285,28 @@
         self._note_life(message, host, now_s)
         if message.region != self._identity.region:
             return
-        if self._roster.rank(message.region, now_s)[:1] == [message.name]:
-            self._notice_heard_s = now_s
+        self._note_notice(message.name, now_s)
         for state in message.states:
             self._roster.note_state(state, now_s)
 
+    def _note_notice(self, name: str, now_s: float) -> None:
+        """Note that a daemon coordinates, which may not be the first in rank here.
+
+        It has passed over those before it; this daemon does so too unless it has heard
+        of its own coordinator a moment ago.
+        """
+        region = self._identity.region
+        silence_s = _MISSED_BY_DEPUTY * self._find_coordinated_interval_s()
+        is_silent = now_s - self._notice_heard_s >= silence_s
+        for _ in range(_MOST_PASSED_OVER):
+            ranked = self._roster.rank(region, now_s)
+            if ranked[:1] == [name]:
+                self._notice_heard_s = now_s
+                return
+            if not is_silent or not ranked or ranked[0] == self._identity.name:
+                return
+            self._roster.suspect(ranked[0], now_s, _MISSING_S)
+
     @_take.register
     def _(self, message: peer_messages.Report, host: str) -> None:
         if message.name == self._identity.name or not self._is_news(message):
--- a/src/endivevane/serving/roster.py
+++ b/src/endivevane/serving/roster.py
@@ -19,13 +19,15 @@
 
 # A daemon that has not been heard of for this long is taken for dead.
 DEATH_S = 1.6
-# The same where the coordinator passes on who lives, which comes later and more
-# seldom than what the daemons say themselves.
-_RELAYED_DEATH_S = 3.0
+# The same where the coordinator says who is silent: what was known lasts until several
+# daemons in rank have been replaced.
+_RELAYED_DEATH_S = 6.0
 # A daemon that the store names and that has not been heard yet may live.
 _FRESH_S = 1.5
 # Daemons of a region beyond this many, this one left out, have a coordinator.
 _MOST_PEERS_IN_MESH = 15
+# Daemons that have a new coordinator report to it within this time.
+_REPORTING_S = 1.0
 # A daemon that did not answer is passed over for this long, unless it is heard.
 _SUSPECT_S = 3.0
 # How long the list of the first in rank stays in use.
@@ -88,12 +90,14 @@
 
     :ivar is_stopping: whether this daemon is about to end
     :ivar settled_s: monotonic time from which this daemon knows enough to coordinate
+    :ivar informed_s: monotonic time at which a coordinator last said who lives
     """
 
     def __init__(self, identity: Identity) -> None:
         self.peers: dict[str, Peer] = {}
         self.is_stopping = False
         self.settled_s = float("inf")
+        self.informed_s = 0.0
         self._identity = identity
         self._scores: dict[tuple[str, str, float], float] = {}
         self._ranks: dict[str, tuple[float, list[str]]] = {}
@@ -159,6 +163,8 @@
         """Take in which daemons of a region live, from its coordinator."""
         for stranger in state.strangers:
             self._note_stranger(stranger, state.region)
+        if state.is_known and state.region == self._identity.region:
+            self.informed_s = now_s
         silent = frozenset(state.silent)
         stopping = frozenset(state.stopping)
         for peer in self.peers.values():
@@ -168,12 +174,19 @@
             if peer.is_stopping != is_stopping:
                 peer.is_stopping = is_stopping
                 self._ranks.clear()
+            if not state.is_known:
+                continue
             if peer.name not in silent:
                 peer.heard_s = now_s
             elif peer.heard_s:
                 peer.heard_s = 0.0
                 self._ranks.clear()
 
+    def note_silent(self, state: peer_messages.RegionState) -> None:
+        """Take for dead what this daemon, as coordinator, has found silent."""
+        for name in state.silent:
+            self.peers[name].heard_s = 0.0
+
     def describe_region(
         self, region: str, since_s: float, now_s: float
     ) -> peer_messages.RegionState:
@@ -182,13 +195,15 @@
         :param since_s: monotonic time since which they report here; they have some
             time to do so
         """
+        is_known = now_s - since_s >= _REPORTING_S
         silent: list[str] = []
         stopping: list[str] = []
         strangers: list[peer_messages.Stranger] = []
         for peer in self.peers.values():
             if peer.region != region:
                 continue
-            if now_s - max(peer.heard_s, peer.known_s, since_s) >= DEATH_S:
+            is_fresh = now_s - peer.known_s < _REPORTING_S
+            if is_known and not is_fresh and now_s - peer.heard_s >= DEATH_S:
                 silent.append(peer.name)
                 continue
             if peer.is_stopping:
@@ -201,7 +216,7 @@
         if self.is_stopping and region == self._identity.region:
             stopping.append(self._identity.name)
         return peer_messages.RegionState(
-            region, tuple(silent), tuple(stopping), tuple(strangers)
+            region, is_known, tuple(silent), tuple(stopping), tuple(strangers)
         )
 
     def is_alive(self, name: str, incarnation: str = "") -> bool:
@@ -262,6 +277,10 @@
         self._ranks[region] = (now_s, ranked)
         return ranked
 
+    def is_informed(self, now_s: float) -> bool:
+        """Whether this daemon has heard a moment ago who lives."""
+        return not self.is_large or now_s - self.informed_s < DEATH_S
+
     def is_settled(self, now_s: float) -> bool:
         """Whether this daemon knows enough to coordinate its region."""
         return now_s >= self.settled_s
--- a/src/endivevane/serving/target_calls.py
+++ b/src/endivevane/serving/target_calls.py
@@ -79,6 +79,7 @@
         health = self._known.health
         if health.is_silent(now_s):
             self.cause = _SILENT
+            health.record_silence()
         elif now_s - self._progress_s > self._stall_s:
             self.cause = _STALLED
         else:
--- a/src/endivevane/serving/target_health.py
+++ b/src/endivevane/serving/target_health.py
@@ -8,8 +8,12 @@
 _FIRST_PAUSE_S = 0.3
 _LONGEST_PAUSE_S = 3.0
 # Silence of a target with running requests after which it is taken for lost: many
-# steps of an engine, and longer than a round trip between regions.
+# steps of an engine, and longer than a round trip between regions; longer for a target
+# whose events come slowly.
 _SILENCE_S = 0.45
+_LONGEST_SILENCE_S = 1.5
+_SILENCE_GAPS = 4.0
+_GAP_WEIGHT = 0.3
 # The same where no request has got an event yet, which a queue may explain.
 _QUEUE_SILENCE_S = 1.2
 # How long a target that refused a request as full is taken for full.
@@ -32,6 +36,7 @@
     _failures: int = 0
     _paused_until_s: float = 0.0
     _full_until_s: float = 0.0
+    _gap_s: float = _SILENCE_S / _SILENCE_GAPS
 
     def begin_call(self, now_s: float) -> None:
         """Note a call that is about to be sent."""
@@ -53,8 +58,16 @@
 
     def record_heard(self, now_s: float) -> None:
         """Note bytes from the target."""
+        if self.running:
+            gap_s = now_s - max(self.heard_s, self._busy_since_s)
+            self._gap_s += _GAP_WEIGHT * (gap_s - self._gap_s)
         self.heard_s = now_s
 
+    def record_silence(self) -> None:
+        """Note that a call was given up for silence; the target may only be slow."""
+        longest_s = _LONGEST_SILENCE_S / _SILENCE_GAPS
+        self._gap_s = min(longest_s, max(self._gap_s, _SILENCE_S / _SILENCE_GAPS) * 2)
+
     def record_success(self) -> None:
         """Note a whole answer."""
         self._failures = 0
@@ -85,5 +98,9 @@
         if not self.running + self.waiting:
             return False
         since_s = max(self.heard_s, self._busy_since_s)
-        limit_s = _SILENCE_S if self.running else _QUEUE_SILENCE_S
-        return now_s - since_s > limit_s
+        return now_s - since_s > self._find_limit_s()
+
+    def _find_limit_s(self) -> float:
+        """Return the silence after which the target is taken for lost."""
+        limit_s = min(_LONGEST_SILENCE_S, max(_SILENCE_S, _SILENCE_GAPS * self._gap_s))
+        return limit_s if self.running else max(limit_s, _QUEUE_SILENCE_S)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -42,6 +42,17 @@
     :ivar reset_kept: reset a kept connection as soon as something is sent on it
     :ivar extra_late: send the second answer where the next one is due
     :ivar plain: answer with a length instead of a stream of events
+    :ivar plain_bytes: size of that answer
+    :ivar plain_cut: close behind half of that answer, this many times
+    :ivar leaving: say in all answers that the target leaves
+    :ivar unsigned: leave the signature out
+    :ivar flood: where bytes come without end, empty for nowhere; one of ``FLOODS``
+    :ivar floods: how many answers do so
+    :ivar drip_after: send single bytes of the next event behind this many events, -1
+        for never
+    :ivar drips: how many streams do so
+    :ivar by_close: end a stream by closing the connection, in the middle of an event
+    :ivar copy_refusal: send a refusal again where the next answer is due
     """
 
     events: int = 6
@@ -60,6 +71,22 @@
     reset_kept: bool = False
     pause_after: int = -1
     pauses: int = 0
+    plain_bytes: int = 10
+    plain_cut: int = 0
+    leaving: bool = False
+    unsigned: bool = False
+    flood: str = ""
+    floods: int = 0
+    drip_after: int = -1
+    drips: int = 0
+    by_close: int = 0
+    copy_refusal: bool = False
+
+
+# Where bytes may come without end: in the head, in one line of it, as interim answers,
+# in the body of a refusal, in an event.
+FLOODS = ("head", "line", "interim", "refusal", "event")
+_FLOOD_BYTES = 4096
 
 
 class Replica:
@@ -76,6 +103,9 @@
         self._writers: set[asyncio.StreamWriter] = set()
         # Connections that have carried an answer.
         self._answered: set[asyncio.StreamWriter] = set()
+        # Refused attempts whose refusal is sent once more, by connection.
+        self._copies: dict[asyncio.StreamWriter, str] = {}
+        self.flooded_bytes = 0
 
     async def start(self, port: int = 0) -> None:
         """Listen on loopback."""
@@ -139,7 +169,22 @@
             manner.refuse -= 1
             self.refused += 1
             self._write(writer, 503, attempt, b"", [("Not-Executed", "1")])
+            if manner.copy_refusal:
+                self._copies[writer] = attempt
             return True
+        if manner.flood == "refusal" and manner.floods:
+            manner.floods -= 1
+            self.refused += 1
+            writer.write(
+                b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\n"
+                + f"Attempt-Id: {attempt}\r\n".encode()
+                + b"Transfer-Encoding: chunked\r\n\r\n"
+            )
+            await self._flood(writer, _chunk(b"x" * _FLOOD_BYTES))
+            return False
+        if writer in self._copies:
+            copied = self._copies.pop(writer)
+            self._write(writer, 503, copied, b"", [("Not-Executed", "1")])
         run = Run(
             attempt=attempt,
             path=request_line.split(" ")[1],
@@ -183,30 +228,19 @@
         if manner.extra_late and writer in self._answered:
             self._write(writer, 200, "another-attempt", b"late answer", [])
         self._answered.add(writer)
+        if manner.floods and manner.flood in ("head", "line", "interim"):
+            manner.floods -= 1
+            await self._flood_head(writer)
+            return False
         if manner.status != 200 or manner.plain:
-            self._write(writer, manner.status, run.attempt, b"plain body", [])
-            run.ended = "done"
-            return True
-        writer.write(
-            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-            + f"Attempt-Id: {run.attempt}\r\n".encode()
-            + f"Response-Signature: sig-{self.name}-{run.attempt}\r\n".encode()
-            + b"Transfer-Encoding: chunked\r\n\r\n"
-        )
+            return self._answer_plain(run, writer)
+        writer.write(self._make_stream_head(run))
         for number in range(run.last_event + 1, manner.events + 1):
             await asyncio.sleep(manner.gap_s)
-            if manner.pauses and number - run.last_event > manner.pause_after:
-                manner.pauses -= 1
-                await asyncio.sleep(3600)
             event = make_event(run.attempt, number)
-            if manner.cuts and number - run.last_event > manner.cut_after:
-                manner.cuts -= 1
-                if manner.torn:
-                    writer.write(_chunk(event[: len(event) // 2]))
-                    await writer.drain()
-                run.ended = "cut"
+            if await self._spoil(run, writer, number, event):
                 return False
-            writer.write(_chunk(event))
+            writer.write(event if manner.by_close else _chunk(event))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
         if manner.extra:
@@ -215,6 +249,93 @@
         run.ended = "done"
         return True
 
+    async def _spoil(
+        self, run: Run, writer: asyncio.StreamWriter, number: int, event: bytes
+    ) -> bool:
+        """Break the stream off at an event if that is due; return whether it was."""
+        manner = self.manner
+        sent = number - run.last_event
+        if manner.pauses and sent > manner.pause_after:
+            manner.pauses -= 1
+            await asyncio.sleep(3600)
+        if manner.flood == "event" and manner.floods:
+            manner.floods -= 1
+            await self._flood(writer, _chunk(b"x" * _FLOOD_BYTES))
+            return True
+        if manner.drips and sent > manner.drip_after:
+            manner.drips -= 1
+            run.ended = "dripped"
+            await _drip(writer, event)
+            return True
+        if manner.by_close and number == manner.events:
+            manner.by_close -= 1
+            run.ended = "closed"
+            writer.write(event[: len(event) // 2])
+            await writer.drain()
+            writer.close()
+            await writer.wait_closed()
+            return True
+        if not manner.cuts or sent <= manner.cut_after:
+            return False
+        manner.cuts -= 1
+        run.ended = "cut"
+        if manner.torn:
+            writer.write(_chunk(event[: len(event) // 2]))
+            await writer.drain()
+        return True
+
+    def _make_stream_head(self, run: Run) -> bytes:
+        lines = [
+            "HTTP/1.1 200 OK",
+            "Content-Type: text/event-stream",
+            f"Attempt-Id: {run.attempt}",
+        ]
+        if not self.manner.unsigned:
+            lines.append(f"Response-Signature: sig-{self.name}-{run.attempt}")
+        if self.manner.leaving:
+            lines.append("Server-Leaving: 1")
+        if not self.manner.by_close:
+            lines.append("Transfer-Encoding: chunked")
+        return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+    def _answer_plain(self, run: Run, writer: asyncio.StreamWriter) -> bool:
+        """Answer with a length; return whether the connection goes on."""
+        manner = self.manner
+        body = (b"plain body" * (manner.plain_bytes // 10 + 1))[: manner.plain_bytes]
+        if not manner.plain_cut:
+            self._write(writer, manner.status, run.attempt, body, [])
+            run.ended = "done"
+            return True
+        manner.plain_cut -= 1
+        head = (
+            f"HTTP/1.1 200 OK\r\nAttempt-Id: {run.attempt}\r\n"
+            f"Response-Signature: sig-{self.name}-{run.attempt}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        writer.write(head.encode() + body[: len(body) // 2])
+        run.ended = "cut"
+        writer.close()
+        return False
+
+    async def _flood_head(self, writer: asyncio.StreamWriter) -> None:
+        """Send bytes that never make the head of an answer."""
+        pieces = {
+            "head": b"X-Long: " + b"x" * 80 + b"\r\n",
+            "line": b"x" * _FLOOD_BYTES,
+            "interim": b"HTTP/1.1 102 Processing\r\n\r\n",
+        }
+        if self.manner.flood != "interim":
+            writer.write(b"HTTP/1.1 200 OK\r\nX-First: ")
+        await self._flood(writer, pieces[self.manner.flood])
+
+    async def _flood(self, writer: asyncio.StreamWriter, piece: bytes) -> None:
+        """Send the same bytes until the caller closes."""
+        while not writer.transport.is_closing():
+            writer.write(piece)
+            self.flooded_bytes += len(piece)
+            await writer.drain()
+            await asyncio.sleep(0)
+
     def _write(
         self,
         writer: asyncio.StreamWriter,
@@ -225,9 +346,12 @@
     ) -> None:
         lines = [f"HTTP/1.1 {status} X", f"Attempt-Id: {attempt}"]
         lines += [f"Content-Length: {len(body)}"]
-        if not any(name == "Not-Executed" for name, _ in headers):
+        is_run = not any(name == "Not-Executed" for name, _ in headers)
+        if is_run and not self.manner.unsigned:
             lines.append(f"Response-Signature: sig-{self.name}-{attempt}")
         lines += [f"{name}: {value}" for name, value in headers]
+        if self.manner.leaving:
+            lines.append("Server-Leaving: 1")
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
 
@@ -236,5 +360,13 @@
     return f"id: {number}\ndata: {attempt} piece {number}\n\n".encode()
 
 
+async def _drip(writer: asyncio.StreamWriter, event: bytes) -> None:
+    """Send an event so slowly that it does not end while anybody waits."""
+    for position in range(len(event) - 1):
+        writer.write(_chunk(event[position : position + 1]))
+        await writer.drain()
+        await asyncio.sleep(0.2)
+
+
 def _chunk(data: bytes) -> bytes:
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
