--- a/features/steps/region_coordinator_steps.py
+++ b/features/steps/region_coordinator_steps.py
@@ -15,7 +15,8 @@
 def _run(context, act):
     async def run():
         context.region = context.make()
-        await context.region.start()
+        # By then the coordinator has said who lives.
+        await context.region.start(settle_s=2.5)
         try:
             await act(context.region)
         finally:
--- a/features/support/region_daemons.py
+++ b/features/support/region_daemons.py
@@ -141,7 +141,7 @@
                     roster.Peer(identity.name, "near", other.host, 1, "run")
                 )
 
-    async def start(self, settle_s=1.0):
+    async def start(self, settle_s):
         for daemon in self.daemons:
             daemon.start()
         await asyncio.sleep(settle_s)
--- a/src/endivevane/serving/exchange.py
+++ b/src/endivevane/serving/exchange.py
@@ -21,6 +21,7 @@
     places,
     responder,
     routing_table,
+    target_answers,
     target_calls,
 )
 
@@ -28,9 +29,6 @@
 _MAX_WHOLE_BYTES = 1 << 20
 # Attempts that did not run a request are bounded too, against endless refusals.
 _MAX_SENDS = 12
-# The body of a refusal is read this long and up to this size.
-_REFUSAL_S = 0.1
-_MOST_REFUSAL_BYTES = 64 * 1024
 # Share of the client's patience after which a stream without events goes on elsewhere.
 _STALL_SHARE = 0.7
 # Statuses that promise that a request has not run.
@@ -176,17 +174,16 @@
         async with self._caller.call(known, call, route.is_idempotent) as reply:
             head = reply.reply
             if head.is_not_run:
-                await self._drain(reply)
+                await target_answers.drain_refusal(reply)
                 self._note_refusal(known, progress, head)
                 return None
             progress.ran_on.add(known.target.target_id)
-            if _is_success(head.status) and not head.is_signed:
-                raise _make_bad_answer(known, "success without a signature")
+            target_answers.check_signed(known, head)
             if route.kind is model.RouteKind.STREAMING and head.status == 200:
                 return await self._relay_events(known, reply, progress, answer)
             if answer.is_begun:
                 # A stream was to go on here; another answer can't be joined to it.
-                raise _make_bad_answer(known, f"status {head.status}")
+                raise target_answers.make_bad_answer(known, f"status {head.status}")
             return await self._relay_whole(known, reply, progress, answer)
 
     async def _relay_events(
@@ -202,7 +199,7 @@
             data = await reply.read()
             if data is None:
                 break
-            events = _split(known, splitter, data)
+            events = target_answers.split_events(known, splitter, data)
             if not events:
                 continue
             reply.note_event()
@@ -219,7 +216,9 @@
                 progress.last_event_id = event.event_id or progress.last_event_id
             await answer.write(b"".join(event.raw for event in events))
         if splitter.rest:
-            raise _make_bad_answer(known, "stream ends in the middle of an event")
+            raise target_answers.make_bad_answer(
+                known, "stream ends in the middle of an event"
+            )
         if not answer.is_begun:
             answer.begin(reply.reply)
         known.health.record_success()
@@ -268,24 +267,6 @@
         answer.send(whole)
         return attempts.Outcome.FAILED if is_failure else attempts.Outcome.SERVED
 
-    async def _drain(self, reply: target_calls.Answer) -> None:
-        """Read the body of a refusal, so that the connection can be kept.
-
-        A body that does not end soon is left, and its connection with it.
-        """
-        size = 0
-        try:
-            async with asyncio.timeout(_REFUSAL_S):
-                while (data := await reply.read()) is not None:
-                    size += len(data)
-                    if size > _MOST_REFUSAL_BYTES:
-                        logs.limited_info("refusal_too_large", size=size)
-                        return
-        except failures.TargetCallError as error:
-            logs.limited_info("refusal_cut", cause=error.cause)
-        except TimeoutError:
-            logs.limited_info("refusal_without_end", size=size)
-
     def _note_refusal(
         self,
         known: directory.KnownTarget,
@@ -408,33 +389,6 @@
         )
 
 
-def _is_success(status: int) -> bool:
-    return 200 <= status < 300
-
-
-def _make_bad_answer(
-    known: directory.KnownTarget, cause: str
-) -> failures.TargetCallError:
-    """Return the failure of a target whose answer can't be passed on."""
-    metrics.TARGET_FAULTS.labels("bad_answer").inc()
-    return failures.TargetCallError(
-        known.target.target_id, cause, may_have_run=True, is_bad_answer=True
-    )
-
-
-def _split(
-    known: directory.KnownTarget, splitter: event_stream.EventSplitter, data: bytes
-) -> list[event_stream.Event]:
-    """Return the events that are whole now.
-
-    :raises failures.TargetCallError: when the bytes make no events
-    """
-    try:
-        return splitter.feed(data)
-    except event_stream.EventTooLarge as error:
-        raise _make_bad_answer(known, error.format_message()) from error
-
-
 def _end_uncertain(
     answer: responder.Responder, status: http.HTTPStatus, cause: str
 ) -> None:
--- a/src/endivevane/serving/item_sender.py
+++ b/src/endivevane/serving/item_sender.py
@@ -12,6 +12,7 @@
     jobs,
     model,
     owned_jobs,
+    target_answers,
     target_calls,
 )
 
@@ -82,9 +83,8 @@
                 return RunEnd.FAILED, status
             if status != _OK_STATUS:
                 return RunEnd.BROKEN, status
-            if not answer.reply.is_signed:
-                return RunEnd.BROKEN, status
-            end = await _read_events(run, answer)
+            target_answers.check_signed(known, answer.reply)
+            end = await _read_events(known, run, answer)
             if end is RunEnd.WHOLE:
                 known.health.record_success()
             return end, status
@@ -97,16 +97,16 @@
             self._targets.record_replaced(known.target)
 
 
-async def _read_events(run: owned_jobs.ItemRun, answer: target_calls.Answer) -> RunEnd:
+async def _read_events(
+    known: directory.KnownTarget,
+    run: owned_jobs.ItemRun,
+    answer: target_calls.Answer,
+) -> RunEnd:
     splitter = event_stream.EventSplitter()
     size = sum(len(piece) for piece in run.pieces)
     while (data := await answer.read()) is not None:
         size += len(data)
-        try:
-            events = splitter.feed(data)
-        except event_stream.EventTooLarge:
-            return RunEnd.BROKEN
-        for event in events:
+        for event in target_answers.split_events(known, splitter, data):
             answer.note_event()
             if not run.take(event):
                 return RunEnd.BROKEN
--- a/src/endivevane/serving/peers.py
+++ b/src/endivevane/serving/peers.py
@@ -16,6 +16,7 @@
 
 from endivevane import logs
 from endivevane.serving import (
+    coordinated_reports,
     coordinator,
     load_board,
     newest_version,
@@ -33,24 +34,7 @@
 _INTERVAL_PER_PEER_S = 0.00125
 # A daemon whose load does not change reports this often.
 _QUIET_INTERVAL_S = 0.4
-# Time between two reports of a daemon to its coordinator, and what each peer of the
-# region beyond a hundred adds, which bounds the datagrams that the coordinator gets.
-_COORDINATED_INTERVAL_S = 0.4
-_COORDINATED_PER_PEER_S = 0.004
-# A coordinator looks at what waits this often, besides after each change.
-_COORDINATOR_TICK_S = 0.05
-# The other daemons of its region look this often whether it is still the same one.
-_MEMBER_TICK_S = 0.2
-# Notices that may be missed in a row before a coordinator is passed over.
-_MISSED_NOTICES = 3
-# The same for the deputy, so that it acts before the others look for it.
-_MISSED_BY_DEPUTY = 2
-# Daemons that are passed over at once when a later one in rank coordinates.
-_MOST_PASSED_OVER = 16
-# A coordinator without notices is passed over for this long, unless it is heard.
-_MISSING_S = 10.0
-# Peers that have been silent for this long only get every eighth report.
-_LOST_S = 5.0
+# Peers that have been silent for long only get every eighth report.
 _LOST_PERIOD = 8
 
 
@@ -79,6 +63,15 @@
         self._regions = region_reports.RegionReports(
             identity, members, board, self._make_report, self._send_to_peer
         )
+        self._coordinated = coordinated_reports.CoordinatedReports(
+            identity,
+            members,
+            board,
+            newest,
+            self._regions,
+            self._make_held_report,
+            self._send_to_peer,
+        )
         self._client: place_client.PlaceClient | None = None
         self._coordinator: coordinator.Coordinator | None = None
         self._transport: asyncio.DatagramTransport | None = None
@@ -89,12 +82,6 @@
         self._seeds: list[tuple[str, int]] = []
         self._sent_version = -1
         self._sent_s = 0.0
-        self._noticed_s = 0.0
-        self._notice_heard_s = 0.0
-        self._is_coordinating = False
-        # Since when the others report here, as to a coordinator or a deputy.
-        self._ranked_since_s: float | None = None
-        self._ranked: list[str] = []
 
     def connect(
         self, client: place_client.PlaceClient, giver: coordinator.Coordinator
@@ -102,6 +89,7 @@
         """Set what takes messages about places."""
         self._client = client
         self._coordinator = giver
+        self._coordinated.connect(giver)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
@@ -129,7 +117,7 @@
         self._roster.is_stopping = True
         now_s = time.monotonic()
         if self._roster.is_large:
-            self._report_to_coordinators(now_s)
+            self._coordinated.report(now_s)
         else:
             self._report(now_s)
 
@@ -144,7 +132,7 @@
         """Time in which every daemon hears what any other one has to say."""
         if not self._roster.is_large:
             return _QUIET_INTERVAL_S + 0.1
-        return 2 * self._find_coordinated_interval_s() + 0.2
+        return 2 * self._coordinated.interval_s + 0.2
 
     async def run(self) -> None:
         """Report whenever the load changes, and now and then besides."""
@@ -152,8 +140,7 @@
             is_large = self._roster.is_large
             interval_s = find_interval_s(self._roster.count_near())
             if is_large:
-                is_active = self._is_coordinating
-                interval_s = _COORDINATOR_TICK_S if is_active else _MEMBER_TICK_S
+                interval_s = self._coordinated.tick_s
             elif self._roster.peers:
                 self._board.near_age_s = interval_s
                 self._board.far_age_s = region_reports.find_interval_s(
@@ -162,7 +149,8 @@
             await asyncio.sleep(interval_s)
             now_s = time.monotonic()
             if is_large:
-                self._run_coordinated(now_s)
+                self._coordinated.run_once(now_s)
+                self._find_others()
                 continue
             self._regions.report(now_s)
             is_changed = self._board.version != self._sent_version
@@ -172,95 +160,6 @@
             self._report(now_s)
             self._board.drop_silent(now_s)
 
-    def _run_coordinated(self, now_s: float) -> None:
-        """Do what a daemon of a region with a coordinator does in one round."""
-        interval_s = self._find_coordinated_interval_s()
-        ranked = self._roster.rank(self._identity.region, now_s)
-        if ranked != self._ranked:
-            # Whoever gives out places from now on has to know what is held.
-            self._ranked = ranked
-            self._notice_heard_s = now_s - interval_s
-            self._sent_s = 0.0
-        if self._identity.name not in ranked:
-            self._ranked_since_s = None
-        elif self._ranked_since_s is None:
-            self._ranked_since_s = now_s
-        if now_s - self._sent_s >= interval_s:
-            self._sent_s = now_s
-            self._report_to_coordinators(now_s)
-            self._board.drop_silent(now_s)
-            if self._coordinator is not None:
-                self._coordinator.drop_silent(now_s)
-        if self._roster.is_coordinator(now_s):
-            self._coordinate(now_s, interval_s)
-            return
-        self._is_coordinating = False
-        self._board.near_age_s = interval_s
-        is_deputy = self._identity.name in ranked
-        most_missed = _MISSED_BY_DEPUTY if is_deputy else _MISSED_NOTICES
-        is_missing = now_s - self._notice_heard_s >= most_missed * interval_s
-        if is_missing and ranked:
-            logs.info("coordinator_missing", coordinator=ranked[0])
-            self._roster.suspect(ranked[0], now_s, _MISSING_S)
-
-    def _coordinate(self, now_s: float, interval_s: float) -> None:
-        """Give out places and tell the others who lives."""
-        if not self._is_coordinating:
-            self._is_coordinating = True
-            logs.info("coordinating", region=self._identity.region)
-        since_s = self._ranked_since_s or now_s
-        if now_s - since_s >= roster.DEATH_S:
-            self._roster.informed_s = now_s
-        self._board.near_age_s = 0.0
-        self._board.far_age_s = region_reports.SHORTEST_INTERVAL_S
-        self._regions.report(now_s, since_s)
-        if self._coordinator is not None:
-            self._coordinator.tick(now_s)
-        if now_s - self._noticed_s < interval_s:
-            return
-        self._noticed_s = now_s
-        self._sequence += 1
-        regions = {self._identity.region}
-        regions.update(peer.region for peer in self._roster.peers.values())
-        states = tuple(
-            self._roster.describe_region(region, since_s, now_s)
-            for region in sorted(regions)
-        )
-        for state in states:
-            self._roster.note_silent(state)
-        notice = peer_messages.Notice(
-            name=self._identity.name,
-            region=self._identity.region,
-            incarnation=self._identity.incarnation,
-            sequence=self._sequence,
-            version=self._newest.value,
-            weight=self._identity.weight,
-            states=states,
-        )
-        data = peer_messages.encode(notice)
-        for peer in self._roster.list_near():
-            if self._may_be_lost(peer, now_s):
-                continue
-            self._send(data, peer.host, peer.port)
-
-    def _report_to_coordinators(self, now_s: float) -> None:
-        """Tell the first daemons in rank what this one holds."""
-        self._sequence += 1
-        report = dataclasses.replace(
-            self._make_report({}),
-            held=self._book.list_holdings(),
-            waiting_items=self._board.own_waiting_items,
-            outcomes=self._board.outcomes.list_own(now_s),
-        )
-        data = peer_messages.encode(report)
-        ranked = self._roster.rank(self._identity.region, now_s)
-        for name in ranked:
-            if name != self._identity.name:
-                peer = self._roster.peers[name]
-                self._send(data, peer.host, peer.port)
-        if not ranked or self._sequence <= _LOST_PERIOD:
-            self._send_to_seeds(data, frozenset())
-
     @functools.singledispatchmethod
     def _take(self, message: typing.Any, host: str) -> None:
         """Take in a message about places."""
@@ -285,28 +184,10 @@
         self._note_life(message, host, now_s)
         if message.region != self._identity.region:
             return
-        self._note_notice(message.name, now_s)
+        self._coordinated.note_notice(message.name, now_s)
         for state in message.states:
             self._roster.note_state(state, now_s)
 
-    def _note_notice(self, name: str, now_s: float) -> None:
-        """Note that a daemon coordinates, which may not be the first in rank here.
-
-        It has passed over those before it; this daemon does so too unless it has heard
-        of its own coordinator a moment ago.
-        """
-        region = self._identity.region
-        silence_s = _MISSED_BY_DEPUTY * self._find_coordinated_interval_s()
-        is_silent = now_s - self._notice_heard_s >= silence_s
-        for _ in range(_MOST_PASSED_OVER):
-            ranked = self._roster.rank(region, now_s)
-            if ranked[:1] == [name]:
-                self._notice_heard_s = now_s
-                return
-            if not is_silent or not ranked or ranked[0] == self._identity.name:
-                return
-            self._roster.suspect(ranked[0], now_s, _MISSING_S)
-
     @_take.register
     def _(self, message: peer_messages.Report, host: str) -> None:
         if message.name == self._identity.name or not self._is_news(message):
@@ -407,7 +288,6 @@
         """
         if not self._roster.is_large:
             return
-        self._sequence += 1
         data = peer_messages.encode(self._make_report({}))
         self._send(data, host, self._identity.port)
 
@@ -424,7 +304,6 @@
 
     def _report(self, now_s: float) -> None:
         """Send the own load to the daemons of the region."""
-        self._sequence += 1
         own = {key: load for key, load in self._board.own.items() if load.total}
         report = dataclasses.replace(
             self._make_report(own),
@@ -437,7 +316,7 @@
         known = set()
         for peer in self._roster.peers.values():
             known.add(peer.host)
-            is_lost = _is_lost(peer, now_s)
+            is_lost = peer.is_lost(now_s)
             is_far = peer.region != self._identity.region
             if (is_far or is_lost) and not (is_lost and is_lost_turn):
                 continue
@@ -445,18 +324,35 @@
         if is_lost_turn:
             self._send_to_seeds(data, known)
 
-    def _may_be_lost(self, peer: roster.Peer, now_s: float) -> bool:
-        """Whether a notice to a daemon can be left out this time."""
-        return _is_lost(peer, now_s) and self._sequence % _LOST_PERIOD != 0
-
     def _send_to_seeds(self, data: bytes, known: abc.Container[str]) -> None:
         for host, port in self._seeds:
             if host not in known and host != self._identity.host:
                 self._send(data, host, port)
 
+    def _make_held_report(self, now_s: float) -> peer_messages.Report:
+        """Return a report of the places that this daemon holds."""
+        return dataclasses.replace(
+            self._make_report({}),
+            held=self._book.list_holdings(),
+            waiting_items=self._board.own_waiting_items,
+            outcomes=self._board.outcomes.list_own(now_s),
+        )
+
+    def _find_others(self) -> None:
+        """Report to the seeds while no daemon of the region is known to live."""
+        now_s = time.monotonic()
+        if self._roster.rank(self._identity.region, now_s):
+            return
+        if now_s - self._sent_s < _QUIET_INTERVAL_S:
+            return
+        self._sent_s = now_s
+        report = self._make_held_report(now_s)
+        self._send_to_seeds(peer_messages.encode(report), frozenset())
+
     def _make_report(
         self, loads: abc.Mapping[str, load_board.Load]
     ) -> peer_messages.Report:
+        self._sequence += 1
         return peer_messages.Report(
             name=self._identity.name,
             region=self._identity.region,
@@ -468,10 +364,6 @@
             weight=self._identity.weight,
         )
 
-    def _find_coordinated_interval_s(self) -> float:
-        near = self._roster.count_near()
-        return max(_COORDINATED_INTERVAL_S, near * _COORDINATED_PER_PEER_S)
-
     def _send_to_peer(self, data: bytes, peer: roster.Peer) -> None:
         self._send(data, peer.host, peer.port)
 
@@ -486,8 +378,3 @@
     :param near: daemons of its region
     """
     return max(_SHORTEST_INTERVAL_S, near * _INTERVAL_PER_PEER_S)
-
-
-def _is_lost(peer: roster.Peer, now_s: float) -> bool:
-    """Whether a daemon has been silent for so long that most reports are in vain."""
-    return now_s - max(peer.heard_s, peer.known_s) > _LOST_S
--- a/src/endivevane/serving/roster.py
+++ b/src/endivevane/serving/roster.py
@@ -23,7 +23,9 @@
 # daemons in rank have been replaced.
 _RELAYED_DEATH_S = 6.0
 # A daemon that the store names and that has not been heard yet may live.
-_FRESH_S = 1.5
+_FRESH_S = 3.0
+# A daemon that has been silent for this long may be gone for good.
+_LOST_S = 5.0
 # Daemons of a region beyond this many, this one left out, have a coordinator.
 _MOST_PEERS_IN_MESH = 15
 # Daemons that have a new coordinator report to it within this time.
@@ -63,6 +65,10 @@
     known_s: float = dataclasses.field(default_factory=time.monotonic)
     suspect_until_s: float = 0.0
 
+    def is_lost(self, now_s: float) -> bool:
+        """Whether it has been silent for so long that most messages are in vain."""
+        return now_s - max(self.heard_s, self.known_s) > _LOST_S
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Identity:
