--- a/bench/fleet/pattern.py
+++ b/bench/fleet/pattern.py
@@ -2,12 +2,21 @@
 
 from __future__ import annotations
 
+import enum
 import pathlib
 import tomllib
 
 import pydantic
 
 
+class View(enum.StrEnum):
+    """How daemons know the loads that all of them put on targets."""
+
+    REPORTS = "reports"
+    COORDINATED = "coordinated"
+    PERFECT = "perfect"
+
+
 class Pattern(pydantic.BaseModel):
     """A fleet and the load on it.
 
--- a/bench/fleet/run.py
+++ b/bench/fleet/run.py
@@ -15,10 +15,10 @@
 from bench.fleet import pattern, simulation
 
 
-def play(path: pathlib.Path, seed: int, is_view_perfect: bool) -> dict[str, float]:
+def play(path: pathlib.Path, seed: int, view: pattern.View) -> dict[str, float]:
     """Play a pattern once and return its figures, in parts of the requests."""
     played = pattern.load_pattern(path)
-    tally = simulation.Simulation(played, seed, is_view_perfect).run()
+    tally = simulation.Simulation(played, seed, view).run()
     served = max(1, tally.served)
     return {
         "served": tally.served,
@@ -50,7 +50,11 @@
     parser.add_argument("--seeds", type=int, default=4, help="plays of each pattern")
     parser.add_argument("--processes", type=int, default=2)
     parser.add_argument(
-        "--perfect", action="store_true", help="daemons know the loads as they are"
+        "--view",
+        type=pattern.View,
+        choices=list(pattern.View),
+        default=pattern.View.REPORTS,
+        help="how daemons know the loads",
     )
     parser.add_argument("--output", type=pathlib.Path, help="JSON file for the figures")
     parsed = parser.parse_args()
@@ -58,7 +62,7 @@
     with concurrent.futures.ProcessPoolExecutor(parsed.processes) as pool:
         for path in parsed.patterns:
             calls = [
-                pool.submit(play, path, seed, parsed.perfect)
+                pool.submit(play, path, seed, parsed.view)
                 for seed in range(1, parsed.seeds + 1)
             ]
             summary = summarise([call.result() for call in calls])
--- a/bench/fleet/simulation.py
+++ b/bench/fleet/simulation.py
@@ -70,20 +70,25 @@
 class Simulation:
     """One play of a pattern.
 
-    :param is_view_perfect: whether each daemon knows the loads as they are
+    :param view: how daemons know the loads
     """
 
     def __init__(
-        self, played: pattern.Pattern, seed: int, is_view_perfect: bool = False
+        self,
+        played: pattern.Pattern,
+        seed: int,
+        view: pattern.View = pattern.View.REPORTS,
     ) -> None:
         self.pattern = played
         self.generator = random.Random(seed)
         self.now_s = 0.0
         self.tally = Tally()
-        self._is_view_perfect = is_view_perfect
+        self._view = view
         self._events: list[tuple[float, int, abc.Callable[[], None]]] = []
         self._numbers = itertools.count()
         self._truth = load_board.LoadBoard()
+        # What the coordinator of each region knows.
+        self._coordinators = [load_board.LoadBoard() for _ in played.daemons]
         self._engines = {
             engine.name: engine
             for region, count in enumerate(played.targets)
@@ -143,7 +148,7 @@
 
     def _make_daemon(self, region: int, number: int) -> Daemon:
         zone = f"r{region}z{number % self.pattern.zones}"
-        board = self._truth if self._is_view_perfect else load_board.LoadBoard()
+        board = self._find_board(region)
         known = directory.Directory(self._decode)
         for version, name in enumerate(self._engines, 1):
             row_key = store.RowKey("targets", "", name)
@@ -160,11 +165,27 @@
             random.Random(self.generator.random()),
         )
         daemon = Daemon(f"r{region}d{number}", region, board, choices)
-        if not self._is_view_perfect:
+        if self._view is pattern.View.REPORTS:
             board.near_age_s = peers.find_interval_s(self.pattern.daemons[region])
-            board.far_age_s = region_reports.find_interval_s(sum(self.pattern.daemons))
+        board.far_age_s = self._find_region_interval_s()
         return daemon
 
+    def _find_board(self, region: int) -> load_board.LoadBoard:
+        """Return the board that a daemon of a region decides by."""
+        if self._view is pattern.View.PERFECT:
+            return self._truth
+        if self._view is pattern.View.COORDINATED:
+            return self._coordinators[region]
+        return load_board.LoadBoard()
+
+    def _find_region_interval_s(self) -> float:
+        """Return the time between two reports of a region."""
+        if self._view is pattern.View.REPORTS:
+            return region_reports.find_interval_s(sum(self.pattern.daemons))
+        if self._view is pattern.View.COORDINATED:
+            return region_reports.SHORTEST_INTERVAL_S
+        return 0.0
+
     def _decode(self, name: str, _value: bytes) -> model.Target:
         """Return the registration of an engine."""
         engine = self._engines[name]
@@ -188,6 +209,14 @@
         factor = max(0.2, self.generator.gauss(1.0, self.pattern.hold_spread))
         daemon = self.generator.choice(self.daemons)
         request = Request(self.now_s, self.pattern.hold_s * factor, daemon)
+        if self._view is pattern.View.COORDINATED:
+            # The way to the coordinator and back.
+            self.later(2 * _NEAR_DELAY_S, self._place_or_wait, request)
+        else:
+            self._place_or_wait(request)
+
+    def _place_or_wait(self, request: Request) -> None:
+        daemon = request.daemon
         if not self._place(request):
             daemon.waiting.append(request)
             self.later(_WAIT_LOOK_S, self._look, daemon)
@@ -235,7 +264,9 @@
     def _report(self, daemon: Daemon) -> None:
         near = self.pattern.daemons[daemon.region]
         self.later(peers.find_interval_s(near), self._report, daemon)
-        if self._is_view_perfect or daemon.board.version == daemon.reported:
+        if self._view is not pattern.View.REPORTS:
+            return
+        if daemon.board.version == daemon.reported:
             return
         daemon.reported = daemon.board.version
         report = load_board.LoadReport(
@@ -249,10 +280,10 @@
                 daemon.board.set_report(sender.name, report)
 
     def _report_region(self, region: int) -> None:
-        interval_s = region_reports.find_interval_s(len(self.daemons))
-        self.later(interval_s, self._report_region, region)
-        if self._is_view_perfect:
+        if self._view is pattern.View.PERFECT:
             return
+        interval_s = self._find_region_interval_s()
+        self.later(interval_s, self._report_region, region)
         members = [item for item in self.daemons if item.region == region]
         names = [item.name for item in members]
         board = members[0].board
--- a/src/endivevane/serving/attempts.py
+++ b/src/endivevane/serving/attempts.py
@@ -36,6 +36,7 @@
     :ivar last_event_id: last event that the client has, or that it said it has
     :ivar placed_s: monotonic time at which the current attempt got its place, 0 before
         the first one
+    :ivar coordinator: daemon that gave the current place, empty if this one did
     :ivar fruitless: runs in a row that brought no event
     :ivar causes: why attempts failed
     """
@@ -57,6 +58,7 @@
     causes: list[str] = dataclasses.field(default_factory=list)
     first_event_s: float | None = None
     placed_s: float = 0.0
+    coordinator: str = ""
     delivered: int = 0
 
     @property
--- a/src/endivevane/serving/coordinator.py
+++ b/src/endivevane/serving/coordinator.py
@@ -12,6 +12,7 @@
 import typing
 from collections import abc
 
+from endivevane import logs
 from endivevane.serving import (
     directory,
     giving_way,
@@ -60,6 +61,7 @@
     urgency: item_pace.Urgency = item_pace.Urgency.NORMAL
     due_s: float = 0.0
     avoided: frozenset[str] = frozenset()
+    request: str = ""
     target_id: str = ""
     waiter: place_queue.Waiter | None = None
     told_s: float = 0.0
@@ -217,6 +219,7 @@
             service=ask.service,
             availability_zone=ask.availability_zone,
             avoided=frozenset(ask.avoided),
+            request=ask.request,
         )
         member.entries[ask.number] = entry
         if ask.is_batch:
@@ -253,6 +256,14 @@
         entry.waiter = None
         if isinstance(verdict, place_queue.Refused):
             member.entries.pop(entry.number, None)
+            logs.limited_info(
+                "place_refused",
+                request=entry.request,
+                daemon=member.name,
+                retry_after_ms=int(verdict.retry_after_s * 1000),
+                avoided=",".join(sorted(entry.avoided)) or None,
+                **self._queue.explain(entry.service),
+            )
             answer = place_messages.Refused(entry.number, verdict.retry_after_s)
             self._send(member.name, answer)
             return
--- a/src/endivevane/serving/directory.py
+++ b/src/endivevane/serving/directory.py
@@ -81,10 +81,8 @@
             known = None
         if known is None:
             known = KnownTarget(target, target_health.TargetHealth())
-            known.has_said_leaving = (
-                target_id,
-                target.started_ms,
-            ) in self._said_leaving
+            run = (target_id, target.started_ms)
+            known.has_said_leaving = run in self._said_leaving
             self._targets[target_id] = known
             logs.info(
                 "target_registered",
--- a/src/endivevane/serving/exchange.py
+++ b/src/endivevane/serving/exchange.py
@@ -90,7 +90,7 @@
         while True:
             place = await self._places.acquire(self._make_wish(progress))
             if isinstance(place, place_queue.Refused):
-                return self._refuse(progress, answer, place.retry_after_s)
+                return self._refuse(progress, answer, place)
             is_final = await self._attempt(place, request, progress, answer)
             if is_final is not None:
                 return is_final
@@ -119,6 +119,7 @@
             may_return=progress.may_return and not progress.sends,
             excluded=frozenset(excluded),
             only=only,
+            request=progress.request_id,
         )
 
     async def _attempt(
@@ -133,6 +134,7 @@
         started_s = time.monotonic()
         had_event = progress.first_event_s is not None
         progress.placed_s = started_s
+        progress.coordinator = place.coordinator
         try:
             known = self._targets.find(target.target_id)
             if known is None or known.is_leaving:
@@ -322,15 +324,17 @@
         self,
         progress: attempts.Progress,
         answer: responder.Responder,
-        retry_after_s: float,
+        refused: place_queue.Refused,
     ) -> attempts.Outcome:
         """End a request that finds no target."""
         if progress.may_have_run or answer.is_begun:
             return self._give_up(progress, answer)
         metrics.REFUSALS.labels("no_place", "not-run").inc()
+        retry_after_s = refused.retry_after_s
         logs.limited_info(
             "request_refused",
             request=progress.request_id,
+            coordinator=refused.coordinator or None,
             retry_after_ms=int(retry_after_s * 1000),
             left_ms=int((progress.deadline_s - time.monotonic()) * 1000),
             **self._places.queue.explain(progress.service),
@@ -346,8 +350,8 @@
             answer.abort()
             return attempts.Outcome.BROKEN
         if not progress.may_have_run:
-            retry_after_s = self._places.queue.retry_after_s(progress.service)
-            return self._refuse(progress, answer, retry_after_s)
+            wait_s = self._places.queue.retry_after_s(progress.service)
+            return self._refuse(progress, answer, place_queue.Refused(wait_s))
         _end_uncertain(answer, http.HTTPStatus.BAD_GATEWAY, "target_failed")
         return attempts.Outcome.FAILED
 
@@ -380,6 +384,7 @@
             outcome=outcome.value,
             targets=",".join(sorted(progress.ran_on)) or None,
             refused_by=",".join(sorted(progress.refused_by)) or None,
+            coordinator=progress.coordinator or None,
             sends=progress.sends,
             events=progress.delivered,
             wait_ms=_count_ms(request.received_s, progress.placed_s or None),
--- a/src/endivevane/serving/place_client.py
+++ b/src/endivevane/serving/place_client.py
@@ -229,6 +229,7 @@
             excluded=tuple(sorted(wish.excluded)),
             avoided=self._list_avoided(wish.service, now_s),
             only=only,
+            request=wish.request,
         )
 
     def _ask_for_batch(
@@ -299,7 +300,7 @@
     def _(self, message: place_messages.Refused, sender: str) -> None:
         asked = self._online.get(message.number)
         if asked is not None and not asked.answer.done():
-            asked.answer.set_result(place_queue.Refused(message.retry_after_s))
+            asked.answer.set_result(place_queue.Refused(message.retry_after_s, sender))
 
     @_take.register
     def _(self, message: place_messages.Queued, sender: str) -> None:
--- a/src/endivevane/serving/place_messages.py
+++ b/src/endivevane/serving/place_messages.py
@@ -16,6 +16,7 @@
 
     :param incarnation: run of the asking daemon's process
     :param number: names the place among those of the daemon
+    :param request: the request's id, for the log; empty for a batch item
     :param urgency: rank of a batch item among others, the lowest first
     :param objective_left_s: time in which an answer is on time; for a batch item, time
         until it is due
@@ -37,6 +38,7 @@
     excluded: tuple[str, ...] = ()
     avoided: tuple[str, ...] = ()
     only: tuple[str, ...] | None = None
+    request: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -124,6 +126,7 @@
             message.excluded,
             message.avoided,
             message.only,
+            message.request,
         )
     )
 
@@ -190,6 +193,7 @@
     excluded: typing.Any,
     avoided: typing.Any,
     only: typing.Any,
+    request: typing.Any,
 ) -> Ask:
     is_batch, may_return = flags
     return Ask(
@@ -206,6 +210,7 @@
         excluded=_list_names(excluded),
         avoided=_list_names(avoided),
         only=None if only is None else _list_names(only),
+        request=str(request),
     )
 
 
--- a/src/endivevane/serving/place_queue.py
+++ b/src/endivevane/serving/place_queue.py
@@ -39,6 +39,7 @@
     :param only: targets that it may go to, ``None`` for any
     :param avoided: targets that its daemon has seen fail a moment ago
     :param availability_zone: where its daemon stands, empty for this daemon's own
+    :param request: the request's id, for the log
     """
 
     service: str
@@ -50,6 +51,7 @@
     only: frozenset[str] | None = None
     avoided: frozenset[str] = frozenset()
     availability_zone: str = ""
+    request: str = ""
 
     @property
     def is_limited(self) -> bool:
@@ -69,9 +71,11 @@
     """A request gets no place.
 
     :param retry_after_s: when its client finds room best
+    :param coordinator: daemon that decided so, empty if this one did
     """
 
     retry_after_s: float
+    coordinator: str = ""
 
 
 Verdict = Granted | Refused
