Split the log of ended requests from the exchange, and guard the name of the attempt again

The mechanism of the attempt's name went unnoticed when it was taken out: torn events catch a foreign answer on a stream now, so that a scenario on a route without streams guards it.

--- a/features/misbehaving_targets.feature
+++ b/features/misbehaving_targets.feature
@@ -127,6 +127,13 @@
     Then the targets have run it 1 times
     And it gets each of the 6 events once, in order, and the end
 
+  # Guards against the answer to another request that is passed on as this one's.
+  Scenario: A late answer to another request is passed to nobody
+    Given 1 targets behind a daemon with a route that may be repeated
+    And the target answers with a length, and late once more where the next one is due
+    When 4 clients ask for a stream one after the other
+    Then all of them get the body that the target made for them
+
   # Guards against bytes that fill the memory behind idle connections.
   Scenario: A connection on which bytes come unasked is closed
     Given an idle connection to a target
--- a/features/steps/misbehaving_targets_steps.py
+++ b/features/steps/misbehaving_targets_steps.py
@@ -220,3 +220,15 @@
 @then("the targets have run it at most {most:d} times")
 def step_few_runs(context, most):
     assert len(context.world.runs) <= most, context.world.runs
+
+
+@given("the target answers with a length, and late once more where the next one is due")
+def step_late_plain(context):
+    serving_world.prepare_first(context, plain=True, extra_late=True)
+
+
+@then("all of them get the body that the target made for them")
+def step_own_body(context):
+    for number, reply in enumerate(context.replies):
+        assert reply.body == b"plain body", (number, reply)
+        assert reply.headers["attempt-id"] == f"attempt{number}", reply
--- a/src/endivevane/serving/exchange.py
+++ b/src/endivevane/serving/exchange.py
@@ -19,6 +19,7 @@
     outcome_recorder,
     place_queue,
     places,
+    request_log,
     responder,
     routing_table,
     target_answers,
@@ -74,11 +75,11 @@
         except TimeoutError:
             outcome = self._give_up_in_time(answer)
         except asyncio.CancelledError:
-            self._log(request, progress, attempts.Outcome.CLIENT_LEFT)
+            request_log.record_end(request, progress, attempts.Outcome.CLIENT_LEFT)
             raise
         except ConnectionError:
             outcome = attempts.Outcome.CLIENT_LEFT
-        self._log(request, progress, outcome)
+        request_log.record_end(request, progress, outcome)
         return outcome
 
     async def _run(
@@ -364,35 +365,6 @@
             _end_uncertain(answer, http.HTTPStatus.GATEWAY_TIMEOUT, "deadline")
         return attempts.Outcome.TIMED_OUT
 
-    def _log(
-        self,
-        request: model.ClientRequest,
-        progress: attempts.Progress,
-        outcome: attempts.Outcome,
-    ) -> None:
-        ended_s = time.monotonic()
-        metrics.ONLINE_REQUESTS.labels(outcome.value).inc()
-        first_s = progress.first_event_s
-        if first_s is not None:
-            metrics.FIRST_TOKEN_SECONDS.observe(first_s - request.received_s)
-        logs.limited_info(
-            "request_ended",
-            request=progress.request_id,
-            route=progress.route.name,
-            config=progress.version,
-            service=progress.service,
-            outcome=outcome.value,
-            targets=",".join(sorted(progress.ran_on)) or None,
-            refused_by=",".join(sorted(progress.refused_by)) or None,
-            coordinator=progress.coordinator or None,
-            sends=progress.sends,
-            events=progress.delivered,
-            wait_ms=_count_ms(request.received_s, progress.placed_s or None),
-            first_ms=_count_ms(request.received_s, first_s),
-            total_ms=int((ended_s - request.received_s) * 1000),
-            causes="; ".join(progress.causes) or None,
-        )
-
 
 def _end_uncertain(
     answer: responder.Responder, status: http.HTTPStatus, cause: str
@@ -402,11 +374,6 @@
     answer.send(responder.WholeAnswer(status))
 
 
-def _count_ms(start_s: float, end_s: float | None) -> int | None:
-    """Return the whole milliseconds from one time to another that may be missing."""
-    return None if end_s is None else int((end_s - start_s) * 1000)
-
-
 def _loop_time(monotonic_s: float) -> float:
     """Return the event loop's time for a monotonic time."""
     loop = asyncio.get_running_loop()
--- /dev/null
+++ b/src/endivevane/serving/request_log.py
@@ -0,0 +1,43 @@
+"""What is logged and counted when an online request ends."""
+
+from __future__ import annotations
+
+import time
+
+from endivevane import logs, metrics
+from endivevane.serving import attempts, model
+
+
+def record_end(
+    request: model.ClientRequest,
+    progress: attempts.Progress,
+    outcome: attempts.Outcome,
+) -> None:
+    """Log and count the end of a request."""
+    ended_s = time.monotonic()
+    metrics.ONLINE_REQUESTS.labels(outcome.value).inc()
+    first_s = progress.first_event_s
+    if first_s is not None:
+        metrics.FIRST_TOKEN_SECONDS.observe(first_s - request.received_s)
+    logs.limited_info(
+        "request_ended",
+        request=progress.request_id,
+        route=progress.route.name,
+        config=progress.version,
+        service=progress.service,
+        outcome=outcome.value,
+        targets=",".join(sorted(progress.ran_on)) or None,
+        refused_by=",".join(sorted(progress.refused_by)) or None,
+        coordinator=progress.coordinator or None,
+        sends=progress.sends,
+        events=progress.delivered,
+        wait_ms=_count_ms(request.received_s, progress.placed_s or None),
+        first_ms=_count_ms(request.received_s, first_s),
+        total_ms=int((ended_s - request.received_s) * 1000),
+        causes="; ".join(progress.causes) or None,
+    )
+
+
+def _count_ms(start_s: float, end_s: float | None) -> int | None:
+    """Return the whole milliseconds from one time to another that may be missing."""
+    return None if end_s is None else int((end_s - start_s) * 1000)
