Let online requests go first wherever a batch item asks for a place

The check for waiting requests went unnoticed when it was taken out: the order in which the coordinator looks is what guards them. It is gone, the queue is looked at first also when an item asks, and a scenario notices the order.

--- a/features/coordinated_places.feature
+++ b/features/coordinated_places.feature
@@ -78,6 +78,13 @@
     Then the waiting request has got a place before the items
     And the urgent item has got a place before the normal one
 
+  # Guards against an urgent item that takes the one place which an online request waits for.
+  Scenario: A place that becomes free goes to the request that waits
+    Given a coordinator of 4 daemons before 1 targets of 8 slots
+    And 9 online requests that fill it and 1 that waits
+    When an urgent batch item asks for a place and 1 place becomes free
+    Then the waiting request has got it and the item has not
+
   # Pattern: targets go dark in a pulse. Guards against a failure that each of many daemons
   # has to see for itself.
   Scenario Outline: What several daemons have seen fail is avoided for all
--- a/features/steps/coordinated_places_steps.py
+++ b/features/steps/coordinated_places_steps.py
@@ -253,6 +253,21 @@
         assert order.index(context.urgent) < order.index(context.normal)
 
 
+@when("an urgent batch item asks for a place and {count:d} place becomes free")
+def step_urgent_item(context, count):
+    urgency = int(item_pace.Urgency.URGENT)
+    message = context.region.ask("d2", objective_s=5.0, is_batch=True, urgency=urgency)
+    context.urgent = ("d2", message.number)
+    context.region.free(count)
+
+
+@then("the waiting request has got it and the item has not")
+def step_waiting_first(context):
+    granted = context.region.list_granted()
+    assert context.waiting in granted
+    assert context.urgent not in granted
+
+
 @when("{count:d} daemons that avoid the first target ask for places")
 def step_witnesses(context, count):
     for number in range(count):
--- a/src/endivevane/serving/coordinator.py
+++ b/src/endivevane/serving/coordinator.py
@@ -226,7 +226,7 @@
             entry.urgency = item_pace.Urgency(ask.urgency)
             entry.due_s = now_s + ask.objective_left_s
             self._batch[(member.name, ask.number)] = entry
-            self._pump_batch(now_s)
+            self._pump(now_s)
             return
         entry.waiter = self._queue.ask(
             self._make_wish(ask, now_s),
@@ -295,7 +295,7 @@
         for (name, number), entry in ordered:
             is_urgent = entry.urgency is item_pace.Urgency.URGENT
             kind = (entry.service, is_urgent)
-            if kind in full or self._queue.has_waiting(entry.service):
+            if kind in full:
                 continue
             target = self._choices.choose_batch(
                 entry.service,
--- a/src/endivevane/serving/place_queue.py
+++ b/src/endivevane/serving/place_queue.py
@@ -124,10 +124,6 @@
         """Number of requests that wait."""
         return len(self._waiters)
 
-    def has_waiting(self, service: str) -> bool:
-        """Whether a request waits for a service."""
-        return any(item.wish.service == service for item in self._waiters)
-
     def ask(self, wish: Wish, settle: Settle, now_s: float) -> Waiter | None:
         """Settle a request at once, or keep it waiting.
 
