Give back places for batch items that will not come

Found by reading: a daemon that stopped, or whose jobs ended, kept the places that the coordinator had granted a moment before, and named them in its reports until its process ended, up to the whole grace.

--- a/features/coordinated_places.feature
+++ b/features/coordinated_places.feature
@@ -98,3 +98,10 @@
       | 0         | 3     |
       | 1         | 3     |
       | 2         | 0     |
+
+  # Pattern: a daemon is stopped, or its jobs end, while it asks for places. Guards against
+  # places that stay taken for items which will not come.
+  Scenario: A daemon that has no more items gives its places back
+    Given a daemon that has asked for 3 places for batch items and got 2 of them
+    When it has no more items
+    Then it holds no place and has given up all 3
--- a/features/steps/coordinated_places_steps.py
+++ b/features/steps/coordinated_places_steps.py
@@ -2,7 +2,14 @@
 
 from behave import given, then, when
 
-from endivevane.serving import coordinator, item_pace, place_messages, places
+from endivevane.serving import (
+    coordinator,
+    item_pace,
+    place_client,
+    place_messages,
+    places,
+    roster,
+)
 from features.support import serving_fakes
 
 
@@ -289,3 +296,47 @@
         assert loads[0] >= count, loads
     else:
         assert loads[0] == 0, loads
+
+
+@given(
+    "a daemon that has asked for {asked:d} places for batch items and got {got:d} of them"
+)
+def step_batch_client(context, asked, got):
+    context.sent = []
+    fleet = serving_fakes.Fleet(["t0"])
+    members = roster.Roster(roster.Identity("d0", "near", "run", "10.0.0.0", 1))
+    for number in range(1, 20):
+        host = f"10.0.0.{number}"
+        members.add(roster.Peer(f"d{number}", "near", host, 1, "run"))
+    context.book = places.PlaceBook(fleet.board)
+    context.client = place_client.PlaceClient(
+        members._identity,
+        "z1",
+        members,
+        fleet.directory,
+        context.book,
+        lambda name, message: context.sent.append((name, message)),
+    )
+    for _ in range(asked):
+        context.client.find_batch("lm", item_pace.Urgency.NORMAL, 10.0)
+    context.asks = list(context.sent)
+    for name, message in context.asks[:got]:
+        context.client.take(name, place_messages.Granted(message.number, "t0"))
+    assert len(context.book.list_holdings()) == got
+
+
+@when("it has no more items")
+def step_no_items(context):
+    context.client.refresh_batch({})
+
+
+@then("it holds no place and has given up all {count:d}")
+def step_gave_up(context, count):
+    assert not context.book.list_holdings()
+    ended = {
+        message.number
+        for _, message in context.sent
+        if isinstance(message, place_messages.Ended)
+    }
+    assert ended == {message.number for _, message in context.asks}
+    assert len(ended) == count
--- a/src/endivevane/entry/store_endpoints.py
+++ b/src/endivevane/entry/store_endpoints.py
@@ -25,6 +25,7 @@
         generator: random.Random,
     ) -> None:
         self.store = _make_endpoint(loaded)
+        self._region = loaded.vm.region
         self._roster = members
         self._generator = generator
         # One endpoint for each daemon, so that its failures are remembered.
@@ -47,7 +48,10 @@
 
     def _choose_relays(self, now_s: float) -> list[http_client.Endpoint]:
         """Return some daemons that have not failed a moment ago."""
-        alive = self._roster.list_alive()
+        # The way through another region costs its link twice.
+        everywhere = self._roster.list_alive()
+        near = [peer for peer in everywhere if peer.region == self._region]
+        alive = near or everywhere
         drawn = self._generator.sample(alive, min(_DRAWN_RELAYS, len(alive)))
         relays = (self._find_relay(peer) for peer in drawn)
         usable = [item for item in relays if item.paused_until_s <= now_s]
--- a/src/endivevane/serving/job_runner.py
+++ b/src/endivevane/serving/job_runner.py
@@ -137,7 +137,9 @@
                 await self._wake.wait()
             now_s = time.monotonic()
             self._give_way()
-            if not self._is_stopping:
+            if self._is_stopping:
+                self._parts.places.begin_round({})
+            else:
                 self._start_items()
                 self._commits.store_progress_soon(self._owned.values(), now_s)
             self._count_waiting()
--- a/src/endivevane/serving/place_client.py
+++ b/src/endivevane/serving/place_client.py
@@ -167,10 +167,12 @@
                 asked.asked_s = now_s
                 self._send(asked.coordinator, asked.message)
         for number, (place, granted_s) in list(self._granted.items()):
-            if now_s - granted_s >= _UNUSED_S:
-                del self._granted[number]
-                self._book.close(place)
-                self._withdraw(number, place.coordinator)
+            is_wanted = waiting.get(place.target.service, 0) > 0
+            if is_wanted and now_s - granted_s < _UNUSED_S:
+                continue
+            del self._granted[number]
+            self._book.close(place)
+            self._withdraw(number, place.coordinator)
 
     async def _ask_one(
         self, name: str, wish: place_queue.Wish
