--- a/features/steps/coordinated_places_steps.py
+++ b/features/steps/coordinated_places_steps.py
@@ -299,7 +299,8 @@
 
 
 @given(
-    "a daemon that has asked for {asked:d} places for batch items and got {got:d} of them"
+    "a daemon that has asked for {asked:d} places for batch items and got {got:d} of "
+    "them"
 )
 def step_batch_client(context, asked, got):
     context.sent = []
