--- a/src/endivevane/serving/coordinated_reports.py
+++ b/src/endivevane/serving/coordinated_reports.py
@@ -38,7 +38,6 @@
 _LOST_PERIOD = 8
 
 HeldReport = abc.Callable[[float], peer_messages.Report]
-Send = abc.Callable[[bytes, roster.Peer], None]
 
 
 class CoordinatedReports:
@@ -56,7 +55,7 @@
         newest: newest_version.NewestVersion,
         regions: region_reports.RegionReports,
         make_held_report: HeldReport,
-        send: Send,
+        send: region_reports.Send,
     ) -> None:
         self._identity = identity
         self._roster = members
--- a/src/endivevane/serving/coordinator.py
+++ b/src/endivevane/serving/coordinator.py
@@ -40,8 +40,6 @@
 _WITNESSES = 2
 _WITNESS_LIFE_S = 0.5
 
-Send = abc.Callable[[str, place_messages.Message], None]
-
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Entry:
@@ -89,7 +87,7 @@
         board: load_board.LoadBoard,
         queue: place_queue.PlaceQueue,
         choices: placement.Placement,
-        send: Send,
+        send: place_messages.Send,
     ) -> None:
         self._targets = targets
         self._board = board
--- a/src/endivevane/serving/place_client.py
+++ b/src/endivevane/serving/place_client.py
@@ -34,8 +34,6 @@
 # A place for a batch item that nobody takes for this long is given back.
 _UNUSED_S = 0.2
 
-Send = abc.Callable[[str, place_messages.Message], None]
-
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _OnlineAsk:
@@ -74,7 +72,7 @@
         members: roster.Roster,
         targets: directory.Directory,
         book: places.PlaceBook,
-        send: Send,
+        send: place_messages.Send,
     ) -> None:
         self._identity = identity
         self._availability_zone = availability_zone
--- a/src/endivevane/serving/place_messages.py
+++ b/src/endivevane/serving/place_messages.py
@@ -92,6 +92,9 @@
     number: int
 
 
+# Sends a message to the daemon of a name.
+Send = abc.Callable[[str, "Message"], None]
+
 Message = Ask | Granted | Refused | Queued | NotCoordinating | Ended | GiveWay
 
 _ASK = "ask"
