Know a daemon that starts again by its new run

Daemons of a large region hear of each other by the coordinator's notices, which name the silent ones; a daemon that starts again at once is never silent, and its new row was not taken while its former run counted as alive. So its jobs were taken over by nobody but the coordinator, its deputy or itself, if one of them ranked first. A row counts now unless the daemon has spoken here a moment ago.

--- a/features/region_coordinator.feature
+++ b/features/region_coordinator.feature
@@ -71,3 +71,10 @@
       | before   | no    |
       | after    | no    |
       | never to | yes   |
+
+  # Guards against jobs of a daemon that starts again at once and that nobody takes over,
+  # since all others take its former run for alive (LOST on sweep-100 of the large site).
+  Scenario: A daemon that starts again at once is known by its new run
+    Given a daemon that starts again
+    When notices name nobody as silent before and after its new row
+    Then its new run is alive and its former run is not
--- a/features/steps/region_coordinator_steps.py
+++ b/features/steps/region_coordinator_steps.py
@@ -3,7 +3,7 @@
 
 from behave import given, then, when
 
-from endivevane.serving import places, roster
+from endivevane.serving import peer_messages, places, roster
 from features.support import region_daemons
 
 
@@ -260,3 +260,20 @@
     now_s = time.monotonic()
     state = context.roster.describe_region("near", now_s, now_s)
     assert [item.name for item in state.strangers] == (["d1"] if named == "yes" else [])
+
+
+@when("notices name nobody as silent before and after its new row")
+def step_new_run(context):
+    # A daemon that does not coordinate hears of the other one by rows and notices only.
+    identity = roster.Identity("d0", "near", "run", "10.0.0.0", 1)
+    context.roster = roster.Roster(identity)
+    state = peer_messages.RegionState("near")
+    for incarnation in ("first", "second"):
+        context.roster.add(_make_run(incarnation))
+        context.roster.note_state(state, time.monotonic())
+
+
+@then("its new run is alive and its former run is not")
+def step_known_run(context):
+    assert context.roster.is_alive("d1", "second")
+    assert not context.roster.is_alive("d1", "first")
--- a/src/endivevane/serving/roster.py
+++ b/src/endivevane/serving/roster.py
@@ -47,6 +47,7 @@
     :param incarnation: names one run of its process
     :param weight: processor share of its VM, in cores
     :param heard_s: monotonic time of its last sign of life, 0 if there was none
+    :ivar spoke_s: monotonic time at which it last said something to this daemon itself
     :ivar is_stopping: whether it said that it is about to end
     :ivar known_s: monotonic time since which it is known
     :ivar suspect_until_s: monotonic time until which it is passed over
@@ -62,6 +63,7 @@
     is_stopping: bool = False
     known_s: float = dataclasses.field(default_factory=time.monotonic)
     suspect_until_s: float = 0.0
+    spoke_s: float = 0.0
 
     def is_lost(self, now_s: float) -> bool:
         """Whether it has been silent for so long that most messages are in vain."""
@@ -133,7 +135,8 @@
         if known is not None and known.incarnation == peer.incarnation:
             known.host, known.port, known.weight = peer.host, peer.port, peer.weight
             return
-        if known is None or not self.is_alive(peer.name):
+        # What others say of a daemon does not tell one run of it from the next.
+        if known is None or time.monotonic() - known.spoke_s >= DEATH_S:
             self._set(peer)
 
     def remove(self, name: str) -> None:
@@ -144,6 +147,7 @@
     def note_heard(self, heard: Peer) -> bool:
         """Take in a sign of life; return whether the daemon was not known to live."""
         known = self.peers.get(heard.name)
+        heard.spoke_s = heard.heard_s
         if known is None or known.incarnation != heard.incarnation:
             logs.info("peer_heard", peer=heard.name, incarnation=heard.incarnation)
             self._set(heard)
@@ -153,6 +157,7 @@
             self._ranks.clear()
         known.host, known.weight = heard.host, heard.weight
         known.heard_s = max(known.heard_s, heard.heard_s)
+        known.spoke_s = heard.spoke_s
         known.is_stopping = heard.is_stopping
         known.suspect_until_s = 0.0
         return is_new
