Log attempts that break off with the segments of their prompt

Change: the platform's header of prompt parts is decoded; event=attempt_broken has request, target, segments, events and cause. No logic is changed.

--- a/src/endivevane/platform/headers.py
+++ b/src/endivevane/platform/headers.py
@@ -22,6 +22,9 @@
 _DRAINING = b"server-leaving"
 # Milliseconds for which a read may wait for news (long poll).
 _WAIT = b"wait-ms"
+# Parts of a prompt in order, as comma-separated ID:TOKENS; the last one belongs to the
+# request or its session.
+_PROMPT_PREFIX = b"prompt-prefix"
 
 _WRONG_TARGET_STATUS = 421
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -69,6 +72,12 @@
     return milliseconds / 1000.0 if milliseconds >= 0 else None
 
 
+def parse_prompt_segments(value: bytes) -> tuple[str, ...]:
+    """Return the ids of a prompt's segments that requests may share, in order."""
+    ids = [part.partition(b":")[0].strip() for part in value.split(b",")]
+    return tuple(segment.decode("latin-1") for segment in ids[:-1] if segment)
+
+
 class HeaderCodec:
     """Translates between headers on the wire and types of the serving package."""
 
@@ -94,6 +103,7 @@
             deadline_s=None if timeout_s is None else received_s + timeout_s,
             last_event_id=values.get(_LAST_EVENT_ID, b""),
             wait_s=_parse_milliseconds(values.get(_WAIT)) or 0.0,
+            prompt_segments=parse_prompt_segments(values.get(_PROMPT_PREFIX, b"")),
         )
 
     def encode_call(
--- a/src/endivevane/serving/model.py
+++ b/src/endivevane/serving/model.py
@@ -182,6 +182,8 @@
     :param deadline_s: monotonic time until which the client waits, ``None`` if not
         given
     :param wait_s: longest time to hold the response until there is news (long poll)
+    :param prompt_segments: ids of the prompt's segments, in order, without the last
+        one, which no other request shares
     """
 
     method: bytes
@@ -194,3 +196,4 @@
     deadline_s: float | None
     last_event_id: bytes = b""
     wait_s: float = 0.0
+    prompt_segments: tuple[str, ...] = ()
--- a/src/endivevane/serving/online_service.py
+++ b/src/endivevane/serving/online_service.py
@@ -136,6 +136,7 @@
         target = slot.target
         started_s = time.monotonic()
         had_event = progress.first_event_s is not None
+        events_before = progress.delivered_events
         progress.slot_granted_s = started_s
         progress.coordinator = slot.coordinator
         try:
@@ -149,6 +150,13 @@
             return await self._call(known, request, progress, response)
         except failures.TargetCallError as error:
             progress.causes.append(error.cause)
+            request_log.record_broken_attempt(
+                request,
+                target,
+                error,
+                events=progress.delivered_events - events_before,
+                run_s=time.monotonic() - started_s,
+            )
             self._outcomes.record_error(target, error)
             self._record_failure(target, progress, error)
             return None
--- a/src/endivevane/serving/request_log.py
+++ b/src/endivevane/serving/request_log.py
@@ -1,11 +1,11 @@
-"""Log entry and metrics of an online request that has ended."""
+"""Log entries and metrics of online requests and their attempts."""
 
 from __future__ import annotations
 
 import time
 
 from endivevane import logs, metrics
-from endivevane.serving import attempts, model
+from endivevane.serving import attempts, failures, model
 
 
 def record_end(
@@ -38,6 +38,30 @@
     )
 
 
+def record_broken_attempt(
+    request: model.ClientRequest,
+    target: model.Target,
+    error: failures.TargetCallError,
+    events: int,
+    run_s: float,
+) -> None:
+    """Log an attempt without a complete response.
+
+    :param events: events that the target sent in this attempt
+    :param run_s: time since the slot was granted
+    """
+    logs.limited_info(
+        "attempt_broken",
+        request=request.attempt_id.decode("latin-1"),
+        target=target.target_id,
+        segments=",".join(request.prompt_segments) or None,
+        may_have_run=error.may_have_run,
+        events=events,
+        run_ms=int(run_s * 1000),
+        cause=error.cause,
+    )
+
+
 def _measure_ms(start_s: float, end_s: float | None) -> int | None:
     """Return the milliseconds between two times, ``None`` without an end."""
     return None if end_s is None else int((end_s - start_s) * 1000)
