Reproduce crashing prompt segments with daemons and targets of our own

Change: the stand-in target crashes on a segment and returns as another incarnation; a scenario sends such requests beside sound ones to three daemons.

--- a/features/support/serving_processes.py
+++ b/features/support/serving_processes.py
@@ -140,6 +140,7 @@
         self.folder = tempfile.TemporaryDirectory()
         self.store = self.loop.run(self._make_store())
         self.replicas = [replica.Replica(f"i-{n}") for n in range(targets)]
+        self._replacements = []
         self.configuration = make_fleet_configuration()
         self.loop.run(self._prepare())
         (internal_port,) = find_free_ports(1)
@@ -186,6 +187,25 @@
             for name, value in manner.items():
                 setattr(item.manner, name, value)
 
+    def restart_after_crashes(self, delay_s):
+        """Replace each target that crashes by a new incarnation after a time."""
+
+        async def replace(crashed):
+            await asyncio.sleep(delay_s)
+            self.store.write("servers", crashed.name, None)
+            fresh = replica.Replica(f"{crashed.name}x")
+            fresh.manner = crashed.manner
+            fresh.on_crash = crashed.on_crash
+            await fresh.start()
+            self.replicas.append(fresh)
+            self.store.write("servers", fresh.name, fresh.describe("lm"))
+
+        def begin(crashed):
+            self._replacements.append(asyncio.ensure_future(replace(crashed)))
+
+        for item in self.replicas:
+            item.on_crash = begin
+
     def ask(self, daemon, data, wait_s=10.0):
         return self.loop.run(
             serving_world.send_request(daemon.port, data, wait_s), timeout_s=wait_s + 5
@@ -200,6 +220,8 @@
         self.folder.cleanup()
 
     async def _stop_standins(self):
+        for item in self._replacements:
+            item.cancel()
         for item in self.replicas:
             await item.stop()
         await self.store.stop()
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -9,6 +9,8 @@
 import asyncio
 import contextlib
 import dataclasses
+import time
+from collections import abc
 
 
 @dataclasses.dataclass
@@ -21,6 +23,12 @@
     last_event: int
     headers: dict[str, str]
     ended: str = "running"
+    started_s: float = dataclasses.field(default_factory=time.monotonic)
+
+    def has_segment(self, segment: str) -> bool:
+        """Return whether a segment is part of the prompt."""
+        parts = self.headers.get("prompt-prefix", "").split(",")
+        return any(part.partition(":")[0] == segment for part in parts)
 
 
 @dataclasses.dataclass
@@ -54,6 +62,8 @@
     :ivar drips: number of such streams
     :ivar by_close: number of streams to end by closing the connection within an event
     :ivar copy_refusal: send a refusal again ahead of the next response
+    :ivar crash_segment: prompt segment on which the target crashes when it begins to
+        write an answer; empty for none
     """
 
     events: int = 6
@@ -82,6 +92,7 @@
     drips: int = 0
     by_close: int = 0
     copy_refusal: bool = False
+    crash_segment: str = ""
 
 
 # Parts that can be endless: the head, one line of it, interim responses, the body of a
@@ -107,6 +118,8 @@
         # Attempts whose refusal is to be sent again, by connection.
         self._copied_refusals: dict[asyncio.StreamWriter, str] = {}
         self.flooded_bytes = 0
+        self.crashed_s: float | None = None
+        self.on_crash: abc.Callable[[Replica], None] | None = None
 
     async def start(self, port: int = 0) -> None:
         """Listen on loopback."""
@@ -120,6 +133,16 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def crash(self) -> None:
+        """Abort all connections and refuse new ones."""
+        self.crashed_s = time.monotonic()
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        if self.on_crash is not None:
+            self.on_crash(self)
+
     def describe(self, service: str, state: str = "ready") -> dict:
         """Return the target's registration."""
         return {
@@ -238,6 +261,12 @@
         if manner.status != 200 or manner.plain:
             return self._respond_plain(run, writer)
         writer.write(self._make_stream_head(run))
+        if manner.crash_segment and run.has_segment(manner.crash_segment):
+            await writer.drain()
+            await asyncio.sleep(manner.gap_s)
+            run.ended = "crashed"
+            self.crash()
+            return False
         for number in range(run.last_event + 1, manner.events + 1):
             await asyncio.sleep(manner.gap_s)
             event = make_event(run.attempt, number)
