Quarantine prompt segments and requests under which targets end

What callers saw: requests that share one segment of their prompt crashed target after target; most streams beside them were cut. Change: src/endivevane/quarantine. A daemon whose attempt breaks off before its first event checks whether the target refuses connections, and reports the end with the segments and a fingerprint of each such request. All daemons collect the reports. An answer that begins clears its segments. A segment without any answer that two targets ended under, in two requests, is quarantined together with the uncleared segments that these requests share; requests that have them all are answered 503 at once. The row in the store outlasts the daemons, and a change of it decides who tries one request after 30 s, 60 s, and so on. Batch items are never accused nor refused; they clear. Conclusion: the class of the fault is a fault of one input spread by retries and arrivals over redundant servers, for lack of shared memory of the cause.

--- a/features/steps/serving_state_steps.py
+++ b/features/steps/serving_state_steps.py
@@ -530,6 +530,8 @@
             reader=job_reader.JobReader(daemon.registry, daemon.changes, lambda: 0.5),
             routes=lambda: table,
             encode_headers=headers.HeaderCodec().encode_item_headers,
+            decode_segments=headers.HeaderCodec().decode_item_segments,
+            quarantine=serving_fakes.make_quarantine(),
             generator=random.Random(1),
             owner=daemon.owner,
         )
--- a/features/support/region_daemons.py
+++ b/features/support/region_daemons.py
@@ -81,7 +81,7 @@
             self.roster,
             self.fleet.directory,
             self.registry,
-            self.network.send_slot_message,
+            self.network.send_message,
         )
         queue = slot_queue.SlotQueue(
             self.fleet.choices, self.board, self.fleet.choices._generator
@@ -91,7 +91,7 @@
             self.board,
             queue,
             self.fleet.choices,
-            self.network.send_slot_message,
+            self.network.send_message,
         )
         self.network.connect(self.client, self.coordinator)
         self.network.connection_made(wire.make_transport(self.host))
--- a/features/support/serving_fakes.py
+++ b/features/support/serving_fakes.py
@@ -5,11 +5,13 @@
 import random
 import time
 
+from endivevane.quarantine import exchange, rows, service
 from endivevane.serving import (
     admission,
     failures,
     load_table,
     model,
+    peer_registry,
     slot_queue,
     slot_registry,
     store,
@@ -31,6 +33,25 @@
     )
 
 
+def make_identity(name="front-1", region="near"):
+    return peer_registry.Identity(name, region, "run1", "127.0.0.1", 1)
+
+
+def make_quarantine(name="front-1", registry=None, store_rows=None, send=None, seed=1):
+    """Return the quarantine of a daemon, without peers unless a registry is given."""
+    identity = make_identity(name)
+    news_exchange = exchange.QuarantineExchange(
+        identity,
+        registry or peer_registry.PeerRegistry(identity),
+        send or (lambda _name, _news: None),
+    )
+    quarantine_rows = rows.QuarantineRows(store_rows or FakeStore())
+    generator = random.Random(seed)
+    return service.QuarantineService(
+        identity.region, news_exchange, quarantine_rows, generator
+    )
+
+
 def load(data):
     """Return the fields of a datagram."""
     return json.loads(data)
--- a/features/support/serving_world.py
+++ b/features/support/serving_world.py
@@ -87,8 +87,14 @@
             http_client.ConnectionPool(0.35), codec, self.registry.record_draining
         )
         self.registry.add_removal_callback(client.forget)
+        self.quarantine = serving_fakes.make_quarantine()
         online = online_service.OnlineService(
-            self.registry, self.loads, slot_admission, client, generator
+            self.registry,
+            self.loads,
+            slot_admission,
+            client,
+            self.quarantine,
+            generator,
         )
         self.router = request_router.RequestRouter(online, None, job_codec.JobCodec())
         if configuration is not None:
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -25,6 +25,9 @@
     store_relay,
     table_store,
 )
+from endivevane.quarantine import exchange as quarantine_exchange
+from endivevane.quarantine import rows as quarantine_rows
+from endivevane.quarantine import service as quarantine_service
 from endivevane.serving import (
     admission,
     batch_slots,
@@ -140,6 +143,7 @@
             self._runner.run(),
             self._takeover.run(),
             self._sweeper.run(),
+            self._quarantine.run(),
             self._membership.join(),
             self._drop_expired(),
             watch.run(),
@@ -201,7 +205,15 @@
             self._peer_registry,
             self._target_registry,
             self._slot_registry,
-            self._network.send_slot_message,
+            self._network.send_message,
+        )
+        self._quarantine = quarantine_service.QuarantineService(
+            vm.region,
+            quarantine_exchange.QuarantineExchange(
+                self._identity, self._peer_registry, self._network.send_message
+            ),
+            quarantine_rows.QuarantineRows(self._store),
+            self._generator,
         )
         self._network.connect(
             self._slot_client,
@@ -210,8 +222,9 @@
                 self._load_table,
                 queue,
                 self._target_selector,
-                self._network.send_slot_message,
+                self._network.send_message,
             ),
+            self._quarantine,
         )
         self._admission = admission.Admission(
             queue, self._slot_registry, self._slot_client
@@ -248,6 +261,8 @@
                 reader=self._reader,
                 routes=lambda: self._router.table,
                 encode_headers=self._codec.encode_item_headers,
+                decode_segments=self._codec.decode_item_segments,
+                quarantine=self._quarantine,
                 generator=self._generator,
                 owner=self._identity.owner,
             )
@@ -278,6 +293,7 @@
             self._load_table,
             self._admission,
             self._target_client,
+            self._quarantine,
             self._generator,
         )
         codec = job_codec.JobCodec()
@@ -371,6 +387,8 @@
             self._job_registry.apply(row)
         elif key.startswith(jobs.MEMBER_PREFIX):
             self._membership.apply(row)
+        elif key.startswith(quarantine_rows.ROW_PREFIX):
+            self._quarantine.apply_row(row)
 
     def _on_report(self) -> None:
         self._admission.dispatch()
--- a/src/endivevane/metrics.py
+++ b/src/endivevane/metrics.py
@@ -75,6 +75,14 @@
     "Answers of targets that break HTTP, by cause.",
     ["cause"],
 )
+TARGET_ENDS = prometheus_client.Counter(
+    "endivevane_target_ends",
+    "Targets that ended while a request of this daemon waited for its first event.",
+)
+QUARANTINES = prometheus_client.Counter(
+    "endivevane_quarantines",
+    "Quarantines of requests that crash targets, as decided by this daemon.",
+)
 LINK_BYTES = prometheus_client.Counter(
     "endivevane_link_bytes",
     "Bytes over the inter-region link, by purpose.",
--- a/src/endivevane/platform/headers.py
+++ b/src/endivevane/platform/headers.py
@@ -72,7 +72,7 @@
     return milliseconds / 1000.0 if milliseconds >= 0 else None
 
 
-def parse_prompt_segments(value: bytes) -> tuple[str, ...]:
+def _parse_prompt_segments(value: bytes) -> tuple[str, ...]:
     """Return the ids of a prompt's segments that requests may share, in order."""
     ids = [part.partition(b":")[0].strip() for part in value.split(b",")]
     return tuple(segment.decode("latin-1") for segment in ids[:-1] if segment)
@@ -103,7 +103,7 @@
             deadline_s=None if timeout_s is None else received_s + timeout_s,
             last_event_id=values.get(_LAST_EVENT_ID, b""),
             wait_s=_parse_milliseconds(values.get(_WAIT)) or 0.0,
-            prompt_segments=parse_prompt_segments(values.get(_PROMPT_PREFIX, b"")),
+            prompt_segments=_parse_prompt_segments(values.get(_PROMPT_PREFIX, b"")),
         )
 
     def encode_call(
@@ -157,3 +157,10 @@
             if name.lower() != "host"
         )
         return _drop_hop_by_hop_headers(raw)
+
+    def decode_item_segments(self, headers: abc.Mapping[str, str]) -> tuple[str, ...]:
+        """Return the shared prompt segments of a batch item's request."""
+        for name, value in headers.items():
+            if name.lower().encode("latin-1", "replace") == _PROMPT_PREFIX:
+                return _parse_prompt_segments(value.encode("latin-1", "replace"))
+        return ()
--- /dev/null
+++ b/src/endivevane/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Quarantine of requests that crash the targets which run them."""
--- /dev/null
+++ b/src/endivevane/quarantine/decisions.py
@@ -0,0 +1,140 @@
+"""Decision which traits of requests crash targets.
+
+Requests that crash targets share segments with sound ones, and other requests wait at
+the same targets when these end. So a segment needs several ends under several requests,
+and what is quarantined are all the segments that these requests share: a sound request
+that lacks one of them is still served, and clears the others by its answer.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections import abc
+
+from endivevane.quarantine import evidence
+
+# Summed weight of ends and number of requests that accuse a trait without any answer:
+# two targets that ended while they began to answer two requests.
+_MIN_SCORE = 2.0
+_MIN_REQUESTS = 2
+# The same for a trait on which answers have begun before. While a service is out, many
+# requests that share a sound segment end together, so others must be answered since.
+_MIN_SCORE_AFTER_ANSWER = 4.0
+_MIN_REQUESTS_AFTER_ANSWER = 4
+_MIN_OTHER_ANSWERS = 8
+
+
+@dataclasses.dataclass(slots=True)
+class _Case:
+    """What accuses a trait.
+
+    :ivar depth: largest position of the trait in a prompt
+    :ivar first_end: the earliest of the ends
+    """
+
+    score: float = 0.0
+    depth: int = 0
+    suspects: list[evidence.Suspect] = dataclasses.field(default_factory=list)
+    first_end: evidence.TargetEnd | None = None
+
+    def add(
+        self, end: evidence.TargetEnd, suspects: list[evidence.Suspect], trait: str
+    ) -> None:
+        """Add an end and its requests that have the trait."""
+        self.score += max(suspect.weight for suspect in suspects)
+        self.suspects += suspects
+        for suspect in suspects:
+            if trait in suspect.segments:
+                self.depth = max(self.depth, suspect.segments.index(trait))
+        if self.first_end is None or end.ended_s < self.first_end.ended_s:
+            self.first_end = end
+
+    def count_requests(self) -> int:
+        """Return the number of different requests."""
+        return len({suspect.fingerprint for suspect in self.suspects})
+
+
+def find_crashing_traits(
+    known: evidence.Evidence, quarantined: abc.Iterable[frozenset[str]]
+) -> frozenset[str] | None:
+    """Return traits that together are to be quarantined, ``None`` if there are none.
+
+    :param quarantined: traits in quarantine; the ends that they explain accuse no other
+    """
+    explanations = list(quarantined)
+    ends = [
+        end
+        for end in known.ends
+        if not any(end.is_explained_by(traits) for traits in explanations)
+    ]
+    return _find_segments(known, ends) or _find_fingerprint(known, ends)
+
+
+def _find_segments(
+    known: evidence.Evidence, ends: abc.Sequence[evidence.TargetEnd]
+) -> frozenset[str] | None:
+    candidates = {
+        segment
+        for end in ends
+        for suspect in end.suspects.values()
+        for segment in suspect.segments
+    }
+    accused = []
+    for segment in candidates:
+        case = _make_case(known, ends, segment)
+        if _is_segment_accused(known, case, segment):
+            accused.append((case.depth, case.score, segment, case))
+    if not accused:
+        return None
+    # Of segments with the same ends, the later one is shared by fewer requests.
+    _, _, segment, case = max(accused, key=lambda entry: entry[:3])
+    shared = set(case.suspects[0].segments).intersection(
+        *(suspect.segments for suspect in case.suspects)
+    )
+    unanswered = {item for item in shared if known.find_answered_s(item) is None}
+    return frozenset(unanswered | {segment})
+
+
+def _find_fingerprint(
+    known: evidence.Evidence, ends: abc.Sequence[evidence.TargetEnd]
+) -> frozenset[str] | None:
+    """Return the fingerprint of a request that crashed several targets by itself.
+
+    Requests without a body may all have the same one, so it must never have been
+    answered.
+    """
+    candidates = sorted({key for end in ends for key in end.suspects})
+    for fingerprint in candidates:
+        if known.find_answered_s(fingerprint) is not None:
+            continue
+        if _make_case(known, ends, fingerprint).score >= _MIN_SCORE:
+            return frozenset((fingerprint,))
+    return None
+
+
+def _make_case(
+    known: evidence.Evidence, ends: abc.Iterable[evidence.TargetEnd], trait: str
+) -> _Case:
+    """Return what accuses a trait since the last answer that began on it."""
+    answered_s = known.find_answered_s(trait) or 0.0
+    case = _Case()
+    for end in ends:
+        if end.ended_s <= answered_s:
+            continue
+        suspects = [item for item in end.suspects.values() if item.has_trait(trait)]
+        if suspects:
+            case.add(end, suspects, trait)
+    return case
+
+
+def _is_segment_accused(known: evidence.Evidence, case: _Case, segment: str) -> bool:
+    if case.first_end is None:
+        return False
+    if known.find_answered_s(segment) is None:
+        return case.score >= _MIN_SCORE and case.count_requests() >= _MIN_REQUESTS
+    other_answers = known.answer_count - case.first_end.answers_before
+    return (
+        case.score >= _MIN_SCORE_AFTER_ANSWER
+        and case.count_requests() >= _MIN_REQUESTS_AFTER_ANSWER
+        and other_answers >= _MIN_OTHER_ANSWERS
+    )
--- /dev/null
+++ b/src/endivevane/quarantine/messages.py
@@ -0,0 +1,148 @@
+"""Messages by which daemons tell each other of ended targets and quarantines.
+
+Times are sent as ages, since daemons share no clock.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+from collections import abc
+
+from endivevane.quarantine import evidence
+
+# Kind of the datagram that carries these messages.
+KIND = "quarantine"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndReport:
+    """What a daemon saw of a target's end.
+
+    :param run_key: identifies the run of the target
+    :param age_s: time since the end
+    :param suspects: requests of this daemon that waited for their first event there
+    :param answered: age of the last answer that the daemon saw begin, by trait, of
+        those that the suspects have
+    """
+
+    run_key: str
+    age_s: float
+    suspects: tuple[evidence.Suspect, ...]
+    answered: abc.Mapping[str, float]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryNotice:
+    """A quarantine in force.
+
+    :param age_s: time since the decision
+    :param retry_in_s: time until one request may be tried, negative when it is due
+    """
+
+    entry_id: str
+    traits: tuple[str, ...]
+    tries: int
+    age_s: float
+    retry_in_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerNotice:
+    """Answers that have begun on traits which others accuse.
+
+    :param ages_s: time since the last one, by trait
+    """
+
+    ages_s: abc.Mapping[str, float]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuarantineNews:
+    """What a daemon tells others in one datagram.
+
+    :param region: region of the sender
+    """
+
+    region: str
+    ends: tuple[EndReport, ...] = ()
+    entries: tuple[EntryNotice, ...] = ()
+    answers: tuple[AnswerNotice, ...] = ()
+
+
+def encode_fields(news: QuarantineNews) -> tuple[typing.Any, ...]:
+    """Return the fields of a datagram."""
+    return (
+        KIND,
+        news.region,
+        [_encode_end(end) for end in news.ends],
+        [
+            (
+                entry.entry_id,
+                entry.traits,
+                entry.tries,
+                round(entry.age_s, 3),
+                round(entry.retry_in_s, 3),
+            )
+            for entry in news.entries
+        ],
+        [_round_ages(answer.ages_s) for answer in news.answers],
+    )
+
+
+def decode_fields(fields: abc.Sequence[typing.Any]) -> QuarantineNews:
+    """Return the news in the fields of a datagram.
+
+    :raises ValueError: when they are malformed; ``TypeError`` and ``AttributeError``
+        may be raised too
+    """
+    region, ends, entries, answers = fields
+    return QuarantineNews(
+        region=str(region),
+        ends=tuple(_decode_end(*end) for end in ends),
+        entries=tuple(
+            EntryNotice(
+                entry_id=str(entry_id),
+                traits=tuple(str(trait) for trait in traits),
+                tries=int(tries),
+                age_s=max(0.0, float(age_s)),
+                retry_in_s=float(retry_in_s),
+            )
+            for entry_id, traits, tries, age_s, retry_in_s in entries
+        ),
+        answers=tuple(AnswerNotice(_decode_ages(ages_s)) for ages_s in answers),
+    )
+
+
+def _encode_end(end: EndReport) -> tuple[typing.Any, ...]:
+    suspects = [
+        (suspect.fingerprint, suspect.segments, suspect.had_head)
+        for suspect in end.suspects
+    ]
+    return (end.run_key, round(end.age_s, 3), suspects, _round_ages(end.answered))
+
+
+def _decode_end(
+    run_key: typing.Any, age_s: typing.Any, suspects: typing.Any, answered: typing.Any
+) -> EndReport:
+    return EndReport(
+        run_key=str(run_key),
+        age_s=max(0.0, float(age_s)),
+        suspects=tuple(
+            evidence.Suspect(
+                str(fingerprint),
+                tuple(str(segment) for segment in segments),
+                bool(had_head),
+            )
+            for fingerprint, segments, had_head in suspects
+        ),
+        answered=_decode_ages(answered),
+    )
+
+
+def _round_ages(ages_s: abc.Mapping[str, float]) -> dict[str, float]:
+    return {trait: round(age_s, 3) for trait, age_s in ages_s.items()}
+
+
+def _decode_ages(ages_s: typing.Any) -> dict[str, float]:
+    return {str(trait): max(0.0, float(age_s)) for trait, age_s in ages_s.items()}
--- /dev/null
+++ b/src/endivevane/quarantine/service.py
@@ -0,0 +1,349 @@
+"""Quarantine at one daemon: what it observes, decides, tells others and refuses."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+import time
+from collections import abc
+
+from endivevane import logs, metrics
+from endivevane.quarantine import (
+    crash_check,
+    evidence,
+    exchange,
+    messages,
+    registry,
+    rows,
+)
+from endivevane.serving import failures, model, store
+
+# Time for the others' reports and answers on the same segments to arrive, twice the
+# way between regions.
+_DECISION_DELAY_S = 0.1
+# A daemon answers a report after a random part of this, unless another one has.
+_REPLY_JITTER_S = 0.04
+# An answer on a trait that is this much newer than what a report says is told.
+_REPLY_AGE_S = 1.0
+# The first writer of a row spares the others theirs.
+_WRITE_JITTER_S = 0.3
+# Pause after the store could not decide who tries a request.
+_CLAIM_RETRY_S = 2.0
+_EXPIRY_INTERVAL_S = 5.0
+
+
+class QuarantineService:
+    """Keeps requests that crash targets away from them.
+
+    :param region: region of this daemon
+    """
+
+    def __init__(
+        self,
+        region: str,
+        news_exchange: exchange.QuarantineExchange,
+        quarantine_rows: rows.QuarantineRows,
+        generator: random.Random,
+    ) -> None:
+        self._region = region
+        self._registry = registry.QuarantineRegistry()
+        self._exchange = news_exchange
+        self._rows = quarantine_rows
+        self._generator = generator
+        self._check = crash_check.CrashCheck(self._report_end)
+        self._own_ends: set[str] = set()
+        # Trait -> monotonic time at which a daemon last told of an answer on it.
+        self._announced: dict[str, float] = {}
+        self._claims: set[str] = set()
+        self._decision: asyncio.TimerHandle | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Drop what has expired until cancelled."""
+        while True:
+            await asyncio.sleep(_EXPIRY_INTERVAL_S)
+            for entry_id in self._registry.expire(time.monotonic()):
+                await self._rows.delete(entry_id)
+            if not len(self._registry.evidence):
+                self._own_ends.clear()
+                self._announced.clear()
+
+    def find_blocking(self, request: model.ClientRequest) -> float | None:
+        """Return how long a request is in quarantine, ``None`` if it may be sent.
+
+        :return: time in seconds until the next try
+        """
+        now_s = time.monotonic()
+        entry = self._registry.check(request, now_s)
+        if entry is None or now_s >= entry.retry_at_s:
+            return None
+        logs.limited_info(
+            "request_quarantined",
+            request=request.attempt_id.decode("latin-1"),
+            entry=entry.entry_id,
+        )
+        return entry.retry_at_s - now_s
+
+    async def allow(self, request: model.ClientRequest) -> bool:
+        """Return whether a request may be sent to a target now.
+
+        When a try is due, the first daemon whose claim the store takes may send one
+        request that falls under the quarantine.
+        """
+        now_s = time.monotonic()
+        entry = self._registry.check(request, now_s)
+        if entry is None:
+            return True
+        return now_s >= entry.retry_at_s and await self._claim_try(entry)
+
+    async def wait_for_decision(self, request: model.ClientRequest) -> None:
+        """Wait before a request is sent again after a target has ended under it.
+
+        The wait is only for requests whose segments are accused and not cleared.
+        """
+        if self._registry.is_suspect(request):
+            await asyncio.sleep(_DECISION_DELAY_S + crash_check.COLLECT_S)
+
+    def record_answer(self, request: model.ClientRequest) -> None:
+        """Record that a target has begun to answer a request."""
+        fingerprint = evidence.make_fingerprint(request)
+        self.record_answer_on((*request.prompt_segments, fingerprint))
+
+    def record_answer_on(self, traits: tuple[str, ...]) -> None:
+        """Record that a target has begun to answer on some traits."""
+        self._registry.evidence.answer_count += 1
+        self._record_answered(dict.fromkeys(traits, 0.0), is_own=True)
+
+    def record_broken(
+        self,
+        request: model.ClientRequest,
+        target: model.Target,
+        error: failures.TargetCallError,
+    ) -> None:
+        """Record that a target broke off an attempt before its first event."""
+        if not (error.may_have_run and error.is_disconnect):
+            return
+        suspect = evidence.Suspect(
+            evidence.make_fingerprint(request), request.prompt_segments, error.had_head
+        )
+        self._check.add(target, suspect)
+
+    def handle(self, news: messages.QuarantineNews, sender: str) -> None:
+        """Apply the news of another daemon, and pass on what is new."""
+        now_s = time.monotonic()
+        ends = tuple(end for end in news.ends if self._apply_end(end, now_s))
+        entries = tuple(
+            notice for notice in news.entries if self._apply_notice(notice, now_s)
+        )
+        answers = tuple(
+            answer for answer in news.answers if self._apply_answer(answer, now_s)
+        )
+        if ends or entries or answers:
+            fresh = messages.QuarantineNews(news.region, ends, entries, answers)
+            self._exchange.relay(fresh, sender, now_s)
+
+    def greet(self, name: str) -> None:
+        """Tell a daemon that has just appeared what is in quarantine."""
+        now_s = time.monotonic()
+        entries = tuple(_make_notice(entry, now_s) for entry in self._registry.entries)
+        if entries:
+            news = messages.QuarantineNews(self._region, entries=entries)
+            self._exchange.send_to(name, news)
+
+    def apply_row(self, row: store.Row) -> None:
+        """Apply the row of a quarantine, or its deletion."""
+        entry = self._rows.record_row(row)
+        if entry is not None:
+            self._registry.apply(entry, time.monotonic())
+        elif row.value is None:
+            self._registry.drop(row.row_key.key.removeprefix(rows.ROW_PREFIX))
+
+    def _report_end(
+        self, run_key: str, ended_s: float, suspects: tuple[evidence.Suspect, ...]
+    ) -> None:
+        """Record the end of a target and tell the others."""
+        now_s = time.monotonic()
+        known = self._registry.evidence
+        if not known.add_end(run_key, ended_s, suspects):
+            return
+        self._own_ends.add(run_key)
+        answered = {}
+        for trait in _list_traits(suspects):
+            answered_s = known.find_answered_s(trait)
+            if answered_s is not None:
+                answered[trait] = now_s - answered_s
+        logs.limited_info(
+            "target_ended",
+            run=run_key,
+            suspects=len(suspects),
+            running=sum(suspect.had_head for suspect in suspects),
+        )
+        metrics.TARGET_ENDS.inc()
+        report = messages.EndReport(run_key, now_s - ended_s, suspects, answered)
+        self._publish(messages.QuarantineNews(self._region, ends=(report,)))
+        self._schedule_decision()
+
+    def _apply_end(self, end: messages.EndReport, now_s: float) -> bool:
+        known = self._registry.evidence
+        if not known.add_end(end.run_key, now_s - end.age_s, end.suspects):
+            return False
+        self._record_answered(end.answered, is_own=False)
+        self._reply_later(end, now_s)
+        self._schedule_decision()
+        return True
+
+    def _apply_notice(self, notice: messages.EntryNotice, now_s: float) -> bool:
+        entry = registry.Entry(
+            entry_id=notice.entry_id,
+            traits=frozenset(notice.traits),
+            tries=notice.tries,
+            decided_s=now_s - notice.age_s,
+            retry_at_s=now_s + notice.retry_in_s,
+            used_s=now_s,
+        )
+        return self._registry.apply(entry, now_s)
+
+    def _apply_answer(self, answer: messages.AnswerNotice, now_s: float) -> bool:
+        known = self._registry.evidence
+        news = {
+            trait: age_s
+            for trait, age_s in answer.ages_s.items()
+            if now_s - age_s - (known.find_answered_s(trait) or 0.0) > _REPLY_AGE_S
+        }
+        for trait in answer.ages_s:
+            self._announced[trait] = now_s
+        self._record_answered(answer.ages_s, is_own=False)
+        return bool(news)
+
+    def _record_answered(self, ages_s: abc.Mapping[str, float], is_own: bool) -> None:
+        now_s = time.monotonic()
+        by_age: dict[float, list[str]] = {}
+        for trait, age_s in ages_s.items():
+            by_age.setdefault(age_s, []).append(trait)
+        lifted: list[str] = []
+        for age_s, traits in by_age.items():
+            before = {entry.entry_id for entry in self._registry.entries}
+            lifted += self._registry.record_answers(traits, now_s - age_s)
+            after = {entry.entry_id for entry in self._registry.entries}
+            for entry_id in before - after:
+                self._start(self._rows.delete(entry_id))
+        if lifted and is_own:
+            notice = messages.AnswerNotice(dict.fromkeys(lifted, 0.0))
+            self._publish(messages.QuarantineNews(self._region, answers=(notice,)))
+
+    def _reply_later(self, end: messages.EndReport, now_s: float) -> None:
+        """Tell of answers on accused traits that the reporter may not know."""
+        known = self._registry.evidence
+        newer = []
+        for trait in _list_traits(end.suspects):
+            answered_s = known.find_answered_s(trait)
+            if answered_s is None:
+                continue
+            reported_age_s = end.answered.get(trait, float("inf"))
+            if reported_age_s - (now_s - answered_s) > _REPLY_AGE_S:
+                newer.append(trait)
+        if newer:
+            delay_s = self._generator.uniform(0.0, _REPLY_JITTER_S)
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, self._reply, newer, now_s)
+
+    def _reply(self, traits: list[str], asked_s: float) -> None:
+        now_s = time.monotonic()
+        ages_s = {}
+        for trait in traits:
+            answered_s = self._registry.evidence.find_answered_s(trait)
+            if answered_s is None or self._announced.get(trait, 0.0) >= asked_s:
+                continue
+            self._announced[trait] = now_s
+            ages_s[trait] = now_s - answered_s
+        if ages_s:
+            notice = messages.AnswerNotice(ages_s)
+            self._publish(messages.QuarantineNews(self._region, answers=(notice,)))
+
+    def _schedule_decision(self) -> None:
+        if self._decision is None:
+            loop = asyncio.get_running_loop()
+            self._decision = loop.call_later(_DECISION_DELAY_S, self._decide)
+
+    def _decide(self) -> None:
+        self._decision = None
+        now_s = time.monotonic()
+        for entry in self._registry.decide(now_s):
+            metrics.QUARANTINES.inc()
+            if not self._has_observed(entry):
+                continue
+            notice = _make_notice(entry, now_s)
+            self._publish(messages.QuarantineNews(self._region, entries=(notice,)))
+            self._start(self._store_entry(entry))
+
+    def _has_observed(self, entry: registry.Entry) -> bool:
+        """Return whether this daemon saw one of the ends that speak for an entry."""
+        return any(
+            end.is_explained_by(entry.traits)
+            for end in self._registry.evidence.select_ends(self._own_ends)
+        )
+
+    async def _store_entry(self, entry: registry.Entry) -> None:
+        if not rows.is_storable(entry):
+            logs.info("quarantine_not_stored", entry=entry.entry_id)
+            return
+        await asyncio.sleep(self._generator.uniform(0.0, _WRITE_JITTER_S))
+        if self._rows.has_row(entry.entry_id):
+            return
+        try:
+            await self._rows.write(entry)
+        except failures.StoreFailure as error:
+            logs.info("quarantine_not_stored", entry=entry.entry_id, cause=error)
+
+    async def _claim_try(self, entry: registry.Entry) -> bool:
+        """Return whether the store lets this daemon try a request of a quarantine."""
+        if entry.entry_id in self._claims:
+            return False
+        self._claims.add(entry.entry_id)
+        now_s = time.monotonic()
+        tries = entry.tries + 1
+        retry_at_s = now_s + registry.find_period_s(tries)
+        claimed = dataclasses.replace(entry, tries=tries, retry_at_s=retry_at_s)
+        try:
+            is_taken = await self._rows.write(claimed)
+        except failures.StoreFailure as error:
+            logs.limited_info("try_not_claimed", entry=entry.entry_id, cause=error)
+            is_taken = False
+        finally:
+            self._claims.discard(entry.entry_id)
+        if not is_taken:
+            entry.retry_at_s = max(entry.retry_at_s, now_s + _CLAIM_RETRY_S)
+            return False
+        entry.tries, entry.retry_at_s = tries, retry_at_s
+        logs.info("quarantine_tried", entry=entry.entry_id, tries=tries)
+        notice = _make_notice(entry, now_s)
+        self._publish(messages.QuarantineNews(self._region, entries=(notice,)))
+        return True
+
+    def _publish(self, news: messages.QuarantineNews) -> None:
+        self._exchange.publish(news, time.monotonic())
+
+    def _start(self, work: abc.Coroutine[None, None, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _list_traits(suspects: abc.Iterable[evidence.Suspect]) -> set[str]:
+    """Return the traits of some requests."""
+    traits: set[str] = set()
+    for suspect in suspects:
+        traits.update(suspect.segments)
+        traits.add(suspect.fingerprint)
+    return traits
+
+
+def _make_notice(entry: registry.Entry, now_s: float) -> messages.EntryNotice:
+    return messages.EntryNotice(
+        entry_id=entry.entry_id,
+        traits=tuple(sorted(entry.traits)),
+        tries=entry.tries,
+        age_s=now_s - entry.decided_s,
+        retry_in_s=entry.retry_at_s - now_s,
+    )
--- a/src/endivevane/serving/failures.py
+++ b/src/endivevane/serving/failures.py
@@ -17,6 +17,8 @@
     :param may_have_run: whether the target may have run the request
     :param is_target_fault: whether the target sent an invalid response; timeouts and
         failed connections may be due to the network path
+    :param is_disconnect: whether the target's side ended the connection
+    :param had_head: whether the head of a response had arrived
     """
 
     def __init__(
@@ -25,12 +27,16 @@
         cause: str,
         may_have_run: bool,
         is_target_fault: bool = False,
+        is_disconnect: bool = False,
+        had_head: bool = False,
     ) -> None:
         super().__init__()
         self.target_id = target_id
         self.cause = cause
         self.may_have_run = may_have_run
         self.is_target_fault = is_target_fault
+        self.is_disconnect = is_disconnect
+        self.had_head = had_head
 
     def format_message(self) -> str:
         """Return a message with the target and the cause."""
--- a/src/endivevane/serving/item_sender.py
+++ b/src/endivevane/serving/item_sender.py
@@ -6,6 +6,7 @@
 import time
 from collections import abc
 
+from endivevane.quarantine import service as quarantine_service
 from endivevane.serving import (
     jobs,
     model,
@@ -27,6 +28,7 @@
 _MAX_OUTPUT_BYTES = 4 << 20
 
 HeaderEncoder = abc.Callable[[str, abc.Mapping[str, str]], model.Headers]
+SegmentDecoder = abc.Callable[[abc.Mapping[str, str]], tuple[str, ...]]
 
 
 class RunEnd(enum.Enum):
@@ -48,7 +50,11 @@
         targets: target_registry.TargetRegistry,
         caller: target_client.TargetClient,
         encode_headers: HeaderEncoder,
+        decode_segments: SegmentDecoder,
+        quarantine: quarantine_service.QuarantineService,
     ) -> None:
+        self._decode_segments = decode_segments
+        self._quarantine = quarantine
         self._targets = targets
         self._caller = caller
         self._encode_headers = encode_headers
@@ -84,32 +90,37 @@
             if status != _OK_STATUS:
                 return RunEnd.BROKEN, status
             target_responses.check_signature(known, response.head)
-            end = await _read_events(known, run, response)
+            end = await self._read_events(known, run, response)
             if end is RunEnd.COMPLETED:
                 known.health.record_success()
             return end, status
 
+    async def _read_events(
+        self,
+        known: target_registry.KnownTarget,
+        run: owned_jobs.ItemRun,
+        response: target_client.TargetResponse,
+    ) -> RunEnd:
+        parser = sse.EventParser()
+        has_event = False
+        size = sum(len(piece) for piece in run.pieces)
+        while (data := await response.read()) is not None:
+            size += len(data)
+            for event in target_responses.parse_events(known, parser, data):
+                response.record_event()
+                if not has_event:
+                    has_event = True
+                    segments = self._decode_segments(run.item.headers)
+                    self._quarantine.record_answer_on(segments)
+                if not run.add_event(event):
+                    return RunEnd.BROKEN
+            if size > _MAX_OUTPUT_BYTES:
+                return RunEnd.BROKEN
+        return RunEnd.BROKEN if parser.remainder else RunEnd.COMPLETED
+
     def _record_refusal(
         self, known: target_registry.KnownTarget, reply: model.TargetReply
     ) -> None:
         known.health.record_full(time.monotonic())
         if reply.is_wrong_target:
             self._targets.record_replaced(known.target)
-
-
-async def _read_events(
-    known: target_registry.KnownTarget,
-    run: owned_jobs.ItemRun,
-    response: target_client.TargetResponse,
-) -> RunEnd:
-    parser = sse.EventParser()
-    size = sum(len(piece) for piece in run.pieces)
-    while (data := await response.read()) is not None:
-        size += len(data)
-        for event in target_responses.parse_events(known, parser, data):
-            response.record_event()
-            if not run.add_event(event):
-                return RunEnd.BROKEN
-        if size > _MAX_OUTPUT_BYTES:
-            return RunEnd.BROKEN
-    return RunEnd.BROKEN if parser.remainder else RunEnd.COMPLETED
--- a/src/endivevane/serving/job_runner.py
+++ b/src/endivevane/serving/job_runner.py
@@ -11,6 +11,7 @@
 from collections import abc
 
 from endivevane import logs, metrics
+from endivevane.quarantine import service as quarantine_service
 from endivevane.serving import (
     batch_slots,
     failures,
@@ -61,6 +62,8 @@
     reader: job_reader.JobReader
     routes: RoutingTableGetter
     encode_headers: item_sender.HeaderEncoder
+    decode_segments: item_sender.SegmentDecoder
+    quarantine: quarantine_service.QuarantineService
     generator: random.Random
     owner: str
 
@@ -75,7 +78,11 @@
         self._is_stopping = False
         self._estimates = item_estimates.ItemEstimator()
         self._sender = item_sender.ItemSender(
-            dependencies.targets, dependencies.caller, dependencies.encode_headers
+            dependencies.targets,
+            dependencies.caller,
+            dependencies.encode_headers,
+            dependencies.decode_segments,
+            dependencies.quarantine,
         )
         self._commits = result_commits.ResultCommitter(
             dependencies.row_store,
--- a/src/endivevane/serving/online_service.py
+++ b/src/endivevane/serving/online_service.py
@@ -8,6 +8,7 @@
 import time
 
 from endivevane import logs, metrics
+from endivevane.quarantine import service as quarantine_service
 from endivevane.serving import (
     admission,
     attempts,
@@ -48,8 +49,10 @@
         loads: load_table.LoadTable,
         slot_admission: admission.Admission,
         caller: target_client.TargetClient,
+        quarantine: quarantine_service.QuarantineService,
         generator: random.Random,
     ) -> None:
+        self._quarantine = quarantine
         self._targets = targets
         self._admission = slot_admission
         self._caller = caller
@@ -91,6 +94,9 @@
         response: responder.Responder,
     ) -> attempts.Outcome:
         while True:
+            blocked_s = self._quarantine.find_blocking(request)
+            if blocked_s is not None:
+                return self._end_quarantined(progress, response, blocked_s)
             slot = await self._admission.acquire(self._make_slot_request(progress))
             if isinstance(slot, slot_queue.Refused):
                 return self._end_refused(progress, response, slot)
@@ -100,6 +106,7 @@
             if not self._can_retry(progress, response):
                 return self._end_failed(progress, response)
             metrics.RETRIES.labels(progress.causes[-1][:20]).inc()
+            await self._quarantine.wait_for_decision(request)
 
     def _make_slot_request(self, progress: attempts.Progress) -> slot_queue.SlotRequest:
         usable = {
@@ -145,6 +152,9 @@
                 progress.causes.append("target left")
                 progress.refused_by.add(target.target_id)
                 return None
+            if not await self._quarantine.allow(request):
+                progress.causes.append("quarantine")
+                return None
             progress.sends += 1
             progress.runs_without_event += 1
             return await self._call(known, request, progress, response)
@@ -157,6 +167,8 @@
                 events=progress.delivered_events - events_before,
                 run_s=time.monotonic() - started_s,
             )
+            if progress.delivered_events == events_before:
+                self._quarantine.record_broken(request, target, error)
             self._outcomes.record_error(target, error)
             self._record_failure(target, progress, error)
             return None
@@ -198,25 +210,27 @@
             target_responses.check_signature(known, head)
             if route.kind is model.RouteKind.STREAMING and head.status == 200:
                 return await self._relay_events(
-                    known, target_response, progress, response
+                    known, target_response, request, progress, response
                 )
             if response.is_started:
                 # The client already has part of a stream, which only events can
                 # continue.
                 raise target_responses.make_target_fault(known, f"status {head.status}")
             return await self._relay_buffered(
-                known, target_response, progress, response
+                known, target_response, request, progress, response
             )
 
     async def _relay_events(
         self,
         known: target_registry.KnownTarget,
         target_response: target_client.TargetResponse,
+        request: model.ClientRequest,
         progress: attempts.Progress,
         response: responder.Responder,
     ) -> attempts.Outcome:
         """Relay complete events, so that another target can resume a broken stream."""
         parser = sse.EventParser()
+        has_event = False
         while True:
             data = await target_response.read()
             if data is None:
@@ -225,6 +239,9 @@
             if not events:
                 continue
             target_response.record_event()
+            if not has_event:
+                has_event = True
+                self._quarantine.record_answer(request)
             now_s = time.monotonic()
             progress.idle_deadline_s = now_s + progress.route.stream_idle_timeout_s
             if progress.first_event_s is None:
@@ -251,6 +268,7 @@
         self,
         known: target_registry.KnownTarget,
         target_response: target_client.TargetResponse,
+        request: model.ClientRequest,
         progress: attempts.Progress,
         response: responder.Responder,
     ) -> attempts.Outcome | None:
@@ -281,6 +299,7 @@
             return None
         if not is_failure:
             known.health.record_success()
+            self._quarantine.record_answer(request)
         if head.status in _NOT_RUN_STATUSES:
             # The target may have run the request, so the client must not be told that
             # it has not run.
@@ -365,6 +384,20 @@
         response.send(responder.Response(503, retry_after_s=retry_after_s))
         return attempts.Outcome.REFUSED
 
+    def _end_quarantined(
+        self,
+        progress: attempts.Progress,
+        response: responder.Responder,
+        retry_after_s: float,
+    ) -> attempts.Outcome:
+        """End a request that has crashed targets, or shares what has."""
+        progress.causes.append("quarantine")
+        if progress.may_have_run or response.is_started:
+            return self._end_failed(progress, response)
+        metrics.REFUSALS.labels("quarantine", "not-run").inc()
+        response.send(responder.Response(503, retry_after_s=retry_after_s))
+        return attempts.Outcome.REFUSED
+
     def _end_failed(
         self, progress: attempts.Progress, response: responder.Responder
     ) -> attempts.Outcome:
--- a/src/endivevane/serving/peer_messages.py
+++ b/src/endivevane/serving/peer_messages.py
@@ -9,6 +9,7 @@
 
 import orjson
 
+from endivevane.quarantine import messages as quarantine_messages
 from endivevane.serving import load_table, outcome_table, slot_messages, slot_registry
 
 
@@ -102,7 +103,12 @@
     states: tuple[RegionState, ...]
 
 
-Message = Report | MembershipNotice | slot_messages.Message
+Message = (
+    Report
+    | MembershipNotice
+    | quarantine_messages.QuarantineNews
+    | slot_messages.Message
+)
 
 _REPORT = "report"
 _NOTICE = "notice"
@@ -160,6 +166,11 @@
     )
 
 
+@encode.register
+def _(message: quarantine_messages.QuarantineNews) -> bytes:
+    return orjson.dumps(quarantine_messages.encode_fields(message))
+
+
 def decode(data: bytes) -> Message:
     """Return the message in a datagram.
 
@@ -171,6 +182,8 @@
             return _decode_report(fields)
         if kind == _NOTICE:
             return _decode_notice(fields)
+        if kind == quarantine_messages.KIND:
+            return quarantine_messages.decode_fields(fields)
         return slot_messages.decode(kind, fields)
     except (AttributeError, TypeError, ValueError) as error:
         raise ValueError(f"malformed datagram: {error}") from error
--- a/src/endivevane/serving/peers.py
+++ b/src/endivevane/serving/peers.py
@@ -15,6 +15,8 @@
 from collections import abc
 
 from endivevane import logs
+from endivevane.quarantine import messages as quarantine_messages
+from endivevane.quarantine import service as quarantine_service
 from endivevane.serving import (
     coordinated_reports,
     coordinator,
@@ -75,6 +77,7 @@
         )
         self._client: slot_client.SlotClient | None = None
         self._coordinator: coordinator.Coordinator | None = None
+        self._quarantine: quarantine_service.QuarantineService | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._sequence = 0
         # Sender -> (incarnation, sequence number of its last message).
@@ -86,9 +89,13 @@
         self._sent_s = 0.0
 
     def connect(
-        self, client: slot_client.SlotClient, granter: coordinator.Coordinator
+        self,
+        client: slot_client.SlotClient,
+        granter: coordinator.Coordinator,
+        quarantine: quarantine_service.QuarantineService | None = None,
     ) -> None:
-        """Set the handlers of slot messages."""
+        """Set the handlers of slot messages and of quarantine news."""
+        self._quarantine = quarantine
         self._client = client
         self._coordinator = granter
         self._coordinated.connect(granter)
@@ -123,8 +130,12 @@
         else:
             self._report(now_s)
 
-    def send_slot_message(self, name: str, message: slot_messages.Message) -> None:
-        """Send a slot message to a daemon."""
+    def send_message(
+        self,
+        name: str,
+        message: slot_messages.Message | quarantine_messages.QuarantineNews,
+    ) -> None:
+        """Send a message to a daemon by its name."""
         peer = self._registry.peers.get(name)
         if peer is not None:
             self._send(peer_messages.encode(message), peer.host, peer.port)
@@ -177,6 +188,12 @@
         else:
             self._coordinator.refuse(sender, message)
 
+    @_handle.register
+    def _(self, message: quarantine_messages.QuarantineNews, host: str) -> None:
+        sender = self._find_name(host)
+        if sender is not None and self._quarantine is not None:
+            self._quarantine.handle(message, sender)
+
     @_handle.register
     def _(self, message: peer_messages.MembershipNotice, host: str) -> None:
         if message.name == self._identity.name or not self._is_newer(message):
@@ -283,7 +300,10 @@
         if isinstance(message, peer_messages.Report):
             seen.is_stopping = message.is_stopping
         self._names[host] = message.name
-        return self._registry.record_heartbeat(seen)
+        is_new = self._registry.record_heartbeat(seen)
+        if is_new and self._quarantine is not None:
+            self._quarantine.greet(message.name)
+        return is_new
 
     def _answer_new_peer(self, host: str) -> None:
         """Send a report to a new daemon, which may not know any other one yet.
--- a/src/endivevane/serving/target_client.py
+++ b/src/endivevane/serving/target_client.py
@@ -132,7 +132,9 @@
         try:
             data = await self._connection.read_data()
         except (http_client.BrokenAnswer, OSError) as error:
-            raise _make_call_error(self._known, self._watchdog, str(error)) from error
+            raise _make_call_error(
+                self._known, self._watchdog, str(error), had_head=True
+            ) from error
         self._known.health.record_data(time.monotonic())
         if data is None:
             self.is_complete = True
@@ -246,10 +248,12 @@
                 # as a failure of the target.
                 cause = f"kept connection: {error}"
                 raise failures.TargetCallError(
-                    target_id, cause, may_have_run=True
+                    target_id, cause, may_have_run=True, is_disconnect=True
                 ) from error
             known.health.record_failure(time.monotonic())
-            raise _make_call_error(known, watchdog, str(error)) from error
+            raise _make_call_error(
+                known, watchdog, str(error), had_head=False
+            ) from error
 
     def _make_response(
         self,
@@ -292,7 +296,10 @@
 
 
 def _make_call_error(
-    known: target_registry.KnownTarget, watchdog: _Watchdog, cause: str
+    known: target_registry.KnownTarget,
+    watchdog: _Watchdog,
+    cause: str,
+    had_head: bool,
 ) -> failures.TargetCallError:
     """Return the error of a failed call, and count faults of the target."""
     # An unresponsive target may be due to the network path, invalid bytes are not.
@@ -308,4 +315,6 @@
         watchdog.cause or cause,
         may_have_run=True,
         is_target_fault=is_faulty,
+        is_disconnect=not watchdog.cause,
+        had_head=had_head,
     )
