Let a quarantined request not hide the segment that it shares

Change: only quarantined segments explain ends when segments are judged. Result: the example 'a segment that crashes targets though each request is repeated' fails without the change (found: the fingerprints only) and passes with it. Conclusion: the two kinds of traits have to be judged one after the other.

--- a/features/crashing_prompts.feature
+++ b/features/crashing_prompts.feature
@@ -10,3 +10,54 @@
     Then at most 3 requests with "bad" reach targets later than 4 s after the fifth crash
     And at least 90% of the sound requests of the last 4 s are served
     And a request with "bad" is refused as not run within 100 ms
+
+  # Guards against blame that misses the segment, or falls on one that sound requests share.
+  Scenario Outline: What the ends of targets accuse
+    Given a daemon that has seen answers on <answered>
+    When targets end under <ends>
+    Then in quarantine are <quarantined>
+
+    Examples: a segment needs two ends under two requests
+      | answered | ends                              | quarantined  |
+      | a        | 1:r1/a,p                          | nothing      |
+      | a        | 1:r1/a,p 2:r2/a,p                 | p            |
+      | a        | 1:r1/a,p 1:r2/a,p                 | nothing      |
+      | a        | 1:r1/a,p 2:r2/b,p                 | p            |
+      | nothing  | 1:r1/a,p 2:r2/b,p                 | p            |
+
+    Examples: a segment that crashes targets though each request is repeated
+      | answered | ends                                       | quarantined |
+      | a        | 1:r1/a,p 2:r1/a,p                          | request r1  |
+      | a        | 1:r1/a,p 2:r1/a,p 3:r2/a,p                 | request r1, p |
+
+    Examples: segments that always come together are refused together
+      | answered | ends                        | quarantined |
+      | nothing  | 1:r1/a,p 2:r2/a,p           | a+p         |
+      | a        | 1:r1/a,s,p 2:r2/a,s,p       | p+s         |
+      | a        | 1:r1/a,s,p 2:r2/a,p         | p           |
+
+    Examples: requests that waited beside the one that crashed the target
+      | answered | ends                                                | quarantined |
+      | a        | 1:r1/a,p 1:r3/a,x 2:r2/a,p 2:r4/a,y                 | p           |
+      | a        | 1:r1/a,p 1:~r3/a,x 2:r2/a,p 2:~r4/a,x               | p           |
+      | a        | 1:~r1/a,x 2:~r2/a,x                                 | nothing     |
+      | a        | 1:~r1/a,x 2:~r2/a,x 3:~r3/a,x 4:~r4/a,x             | x           |
+
+    Examples: a segment that has been answered needs twice the evidence, and others' answers
+      | answered | ends                                    | quarantined |
+      | a        | 1:r1/a 2:r2/a 3:r3/a                    | nothing     |
+      | a        | 1:r1/a 2:r2/a 3:r3/a 4:r4/a             | nothing     |
+      | a, b x 9 | 1:r1/a 2:r2/a 3:r3/a 4:r4/a             | a           |
+
+  # Guards against a quarantine that no answer ends.
+  Scenario Outline: An answer clears the segments of its request
+    Given a daemon that has seen answers on a
+    When targets end under 1:r1/a,s,p 2:r2/a,s,p
+    And an answer begins on <segments>
+    Then in quarantine are <quarantined>
+
+    Examples:
+      | segments | quarantined |
+      | a        | p+s         |
+      | a, s     | p           |
+      | a, s, p  | nothing     |
--- a/src/endivevane/quarantine/decisions.py
+++ b/src/endivevane/quarantine/decisions.py
@@ -59,15 +59,27 @@
 ) -> frozenset[str] | None:
     """Return traits that together are to be quarantined, ``None`` if there are none.
 
-    :param quarantined: traits in quarantine; the ends that they explain accuse no other
+    :param quarantined: traits in quarantine; the ends that they explain accuse no
+        other, but a single request may have crashed targets for one of its segments
     """
     explanations = list(quarantined)
-    ends = [
+    segments = [
+        traits
+        for traits in explanations
+        if not any(evidence.is_fingerprint(trait) for trait in traits)
+    ]
+    found = _find_segments(known, _list_unexplained(known, segments))
+    return found or _find_fingerprint(known, _list_unexplained(known, explanations))
+
+
+def _list_unexplained(
+    known: evidence.Evidence, explanations: abc.Collection[frozenset[str]]
+) -> list[evidence.TargetEnd]:
+    return [
         end
         for end in known.ends
         if not any(end.is_explained_by(traits) for traits in explanations)
     ]
-    return _find_segments(known, ends) or _find_fingerprint(known, ends)
 
 
 def _find_segments(
