Accept the evidence of one request where many answers are known

Cause: on resumable routes two requests were needed, each of which ends two targets. Change: a daemon that has seen eight answers quarantines an unanswered segment after two ends under one request; the other daemons' answers still veto it.

--- a/features/crashing_prompts.feature
+++ b/features/crashing_prompts.feature
@@ -29,6 +29,8 @@
       | answered | ends                                       | quarantined |
       | a        | 1:r1/a,p 2:r1/a,p                          | request r1  |
       | a        | 1:r1/a,p 2:r1/a,p 3:r2/a,p                 | request r1, p |
+      | a, 9 earlier | 1:r1/a,p 2:r1/a,p                      | p           |
+      | a, 9 earlier | 1:r1/a 2:r1/a                          | request r1  |
 
     Examples: segments that always come together are refused together
       | answered | ends                        | quarantined |
--- a/features/steps/crash_evidence_steps.py
+++ b/features/steps/crash_evidence_steps.py
@@ -13,7 +13,11 @@
     context.later_answers = []
     for item in _list_items(answered):
         segment, _, count = item.partition(" x ")
-        if count:
+        earlier, _, is_earlier = item.partition(" ")
+        if is_earlier == "earlier":
+            # Answers on other segments before any target ended.
+            context.registry.evidence.answer_count += int(earlier)
+        elif count:
             # Answers on other segments while targets end.
             context.later_answers = [segment] * int(count)
         else:
--- a/src/endivevane/quarantine/decisions.py
+++ b/src/endivevane/quarantine/decisions.py
@@ -13,10 +13,13 @@
 
 from endivevane.quarantine import evidence
 
-# Summed weight of ends and number of requests that accuse a trait without any answer:
-# two targets that ended while they began to answer two requests.
+# Summed weight of ends that accuse a trait without any answer: two targets that ended
+# while they began to answer.
 _MIN_SCORE = 2.0
+# Number of requests that must accuse a segment at a daemon that has seen fewer answers
+# than the second figure: it may not know the segments yet that most requests share.
 _MIN_REQUESTS = 2
+_MIN_ANSWERS_SEEN = 8
 # The same for a trait on which answers have begun before. While a service is out, many
 # requests that share a sound segment end together, so others must be answered since.
 _MIN_SCORE_AFTER_ANSWER = 4.0
@@ -143,7 +146,10 @@
     if case.first_end is None:
         return False
     if known.find_answered_s(segment) is None:
-        return case.score >= _MIN_SCORE and case.count_requests() >= _MIN_REQUESTS
+        has_seen_answers = known.answer_count >= _MIN_ANSWERS_SEEN
+        return case.score >= _MIN_SCORE and (
+            has_seen_answers or case.count_requests() >= _MIN_REQUESTS
+        )
     other_answers = known.answer_count - case.first_end.answers_before
     return (
         case.score >= _MIN_SCORE_AFTER_ANSWER
