Send requests with a suspect segment to one target

Change: a request with an unanswered segment under which a target has ended goes to the running target that ranks first for the segment, at every daemon.

--- a/src/endivevane/quarantine/registry.py
+++ b/src/endivevane/quarantine/registry.py
@@ -77,15 +77,16 @@
                 return entry
         return None
 
-    def is_suspect(self, request: model.ClientRequest) -> bool:
-        """Return whether a target has ended under a segment without an answer since."""
+    def find_suspect_segment(self, request: model.ClientRequest) -> str | None:
+        """Return a segment under which a target has ended and none has answered."""
         if not len(self.evidence):
-            return False
-        return any(
-            self.evidence.find_answered_s(segment) is None
-            and self.evidence.is_accused(segment)
-            for segment in request.prompt_segments
-        )
+            return None
+        for segment in reversed(request.prompt_segments):
+            if self.evidence.find_answered_s(segment) is not None:
+                continue
+            if self.evidence.is_accused(segment):
+                return segment
+        return None
 
     def record_answers(self, traits: abc.Iterable[str], began_s: float) -> list[str]:
         """Record that an answer began on some traits.
--- a/src/endivevane/quarantine/service.py
+++ b/src/endivevane/quarantine/service.py
@@ -9,6 +9,7 @@
 from collections import abc
 
 from endivevane import logs, metrics
+from endivevane.coordination import rendezvous
 from endivevane.quarantine import (
     crash_check,
     evidence,
@@ -97,12 +98,25 @@
             return True
         return now_s >= entry.retry_at_s and await self._claim_try(entry)
 
+    def choose_target(
+        self, request: model.ClientRequest, target_ids: abc.Iterable[str]
+    ) -> str | None:
+        """Return the only target for a request that may crash it, ``None`` for any.
+
+        All daemons send requests with a suspect segment to the same target, so that
+        those which arrive before the decision end one target.
+        """
+        segment = self._registry.find_suspect_segment(request)
+        if segment is None:
+            return None
+        return rendezvous.choose_member(segment, dict.fromkeys(target_ids, 1.0))
+
     async def wait_for_decision(self, request: model.ClientRequest) -> None:
         """Wait before a request is sent again after a target has ended under it.
 
         The wait is only for requests whose segments are accused and not cleared.
         """
-        if self._registry.is_suspect(request):
+        if self._registry.find_suspect_segment(request) is not None:
             await asyncio.sleep(_DECISION_DELAY_S + crash_check.COLLECT_S)
 
     def record_answer(self, request: model.ClientRequest) -> None:
--- a/src/endivevane/serving/online_service.py
+++ b/src/endivevane/serving/online_service.py
@@ -6,6 +6,7 @@
 import http
 import random
 import time
+from collections import abc
 
 from endivevane import logs, metrics
 from endivevane.quarantine import service as quarantine_service
@@ -97,7 +98,9 @@
             blocked_s = self._quarantine.find_blocking(request)
             if blocked_s is not None:
                 return self._end_quarantined(progress, response, blocked_s)
-            slot = await self._admission.acquire(self._make_slot_request(progress))
+            slot = await self._admission.acquire(
+                self._make_slot_request(request, progress)
+            )
             if isinstance(slot, slot_queue.Refused):
                 return self._end_refused(progress, response, slot)
             final_outcome = await self._attempt(slot, request, progress, response)
@@ -108,7 +111,23 @@
             metrics.RETRIES.labels(progress.causes[-1][:20]).inc()
             await self._quarantine.wait_for_decision(request)
 
-    def _make_slot_request(self, progress: attempts.Progress) -> slot_queue.SlotRequest:
+    def _isolate(
+        self, request: model.ClientRequest, target_ids: abc.Iterable[str]
+    ) -> frozenset[str] | None:
+        """Return the target that a suspect request may go to, ``None`` for any."""
+        now_s = time.monotonic()
+        running = [
+            target_id
+            for target_id in target_ids
+            if (known := self._targets.find(target_id)) is not None
+            and not known.health.is_paused(now_s)
+        ]
+        chosen = self._quarantine.choose_target(request, running)
+        return None if chosen is None else frozenset((chosen,))
+
+    def _make_slot_request(
+        self, request: model.ClientRequest, progress: attempts.Progress
+    ) -> slot_queue.SlotRequest:
         usable = {
             known.target.target_id
             for known in self._targets.list_usable(progress.service)
@@ -121,6 +140,8 @@
         allowed_targets = progress.find_allowed_targets()
         if allowed_targets is not None:
             excluded = set()
+        else:
+            allowed_targets = self._isolate(request, usable - excluded)
         return slot_queue.SlotRequest(
             service=progress.service,
             priority=progress.route.priority,
