Abort requests that wait at targets when they fall under a quarantine

Change: requests that wait for their first event are checked at each new quarantine; their calls are aborted, and the target drops them.

--- a/features/crashing_prompts.feature
+++ b/features/crashing_prompts.feature
@@ -63,3 +63,20 @@
       | a        | p+s         |
       | a, s     | p           |
       | a, s, p  | nothing     |
+
+  # Guards against a target that ends under a request which waited there when the decision came.
+  Scenario: A request that waits at a target leaves it when it falls under a quarantine
+    Given 1 targets behind a daemon with a resumable route
+    And the target responds after 2000 ms
+    When the daemon hears of a quarantine while a request waits for its first event
+    Then the answer has status 502
+    And it took less than 1 s
+    And the target has seen its caller leave
+
+  # Guards against requests that wait for a slot, or come later, and are sent all the same.
+  Scenario: A request in quarantine is refused as not run, with the time of the next try
+    Given 1 targets behind a daemon with a resumable route
+    When the daemon hears of a quarantine before a request arrives
+    Then the answer has status 503
+    And it says to return after 20 to 30 s
+    And the target has run nothing
--- a/features/steps/crash_evidence_steps.py
+++ b/features/steps/crash_evidence_steps.py
@@ -1,6 +1,9 @@
+import asyncio
+
 from behave import given, then, when
 
-from endivevane.quarantine import evidence, registry
+from endivevane.quarantine import evidence, messages, registry
+from features.support import serving_world
 
 
 def _list_items(text):
@@ -60,3 +63,48 @@
         expected.add(item.replace("request ", "request:"))
     found = {"+".join(sorted(entry.traits)) for entry in context.registry.entries}
     assert found == expected, (found, expected)
+
+
+def _make_news(now_retry_s=30.0):
+    notice = messages.EntryNotice("p", ("p",), 0, 0.0, now_retry_s)
+    return messages.QuarantineNews("near", entries=(notice,))
+
+
+@when("the daemon hears of a quarantine while a request waits for its first event")
+def step_hear_during(context):
+    async def play(world):
+        request = serving_world.make_request(extra=("Prompt-Prefix: a:5,p:5,own:5",))
+        call = asyncio.ensure_future(serving_world.send_request(world.port, request))
+        while not world.runs:
+            await asyncio.sleep(0.01)
+        world.quarantine.handle(_make_news(), "front-2")
+        reply = await call
+        await asyncio.sleep(0.1)
+        return reply
+
+    context.reply = serving_world.play(context, play)
+
+
+@when("the daemon hears of a quarantine before a request arrives")
+def step_hear_before(context):
+    async def play(world):
+        world.quarantine.handle(_make_news(), "front-2")
+        request = serving_world.make_request(extra=("Prompt-Prefix: a:5,p:5,own:5",))
+        return await serving_world.send_request(world.port, request)
+
+    context.reply = serving_world.play(context, play)
+
+
+@then("the target has seen its caller leave")
+def step_left(context):
+    assert [run.ended for run in context.world.runs] == ["cancelled"]
+
+
+@then("it says to return after {least:d} to {most:d} s")
+def step_return(context, least, most):
+    assert least <= float(context.reply.headers["retry-after"]) <= most, context.reply
+
+
+@then("the target has run nothing")
+def step_nothing(context):
+    assert not context.world.runs, context.world.runs
--- a/src/endivevane/quarantine/service.py
+++ b/src/endivevane/quarantine/service.py
@@ -32,6 +32,35 @@
 # Pause after the store could not decide who tries a request.
 _CLAIM_RETRY_S = 2.0
 _EXPIRY_INTERVAL_S = 5.0
+_QUARANTINED = "quarantine"
+
+
+class Watch:
+    """A request that waits for its first event at a target.
+
+    :param abort: called with a cause when the request falls under a quarantine
+    """
+
+    def __init__(
+        self,
+        watches: set[Watch],
+        request: model.ClientRequest,
+        abort: abc.Callable[[str], None],
+    ) -> None:
+        self.request = request
+        self.abort = abort
+        self._watches = watches
+
+    def __enter__(self) -> Watch:
+        self._watches.add(self)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.end()
+
+    def end(self) -> None:
+        """Stop watching, since an answer has begun or the attempt has ended."""
+        self._watches.discard(self)
 
 
 class QuarantineService:
@@ -57,6 +86,7 @@
         # Trait -> monotonic time at which a daemon last told of an answer on it.
         self._announced: dict[str, float] = {}
         self._claims: set[str] = set()
+        self._watches: set[Watch] = set()
         self._decision: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -111,6 +141,16 @@
             return None
         return rendezvous.choose_member(segment, dict.fromkeys(target_ids, 1.0))
 
+    def watch(
+        self, request: model.ClientRequest, abort: abc.Callable[[str], None]
+    ) -> Watch:
+        """Return a context in which a request waits for its first event.
+
+        :param abort: called with a cause when the request falls under a quarantine,
+            which most targets take as the end of the request
+        """
+        return Watch(self._watches, request, abort)
+
     async def wait_for_decision(self, request: model.ClientRequest) -> None:
         """Wait before a request is sent again after a target has ended under it.
 
@@ -153,6 +193,8 @@
         answers = tuple(
             answer for answer in news.answers if self._apply_answer(answer, now_s)
         )
+        if entries:
+            self._abort_quarantined()
         if ends or entries or answers:
             fresh = messages.QuarantineNews(news.region, ends, entries, answers)
             self._exchange.relay(fresh, sender, now_s)
@@ -283,7 +325,10 @@
     def _decide(self) -> None:
         self._decision = None
         now_s = time.monotonic()
-        for entry in self._registry.decide(now_s):
+        decided = self._registry.decide(now_s)
+        if decided:
+            self._abort_quarantined()
+        for entry in decided:
             metrics.QUARANTINES.inc()
             if not self._has_observed(entry):
                 continue
@@ -335,6 +380,15 @@
         self._publish(messages.QuarantineNews(self._region, entries=(notice,)))
         return True
 
+    def _abort_quarantined(self) -> None:
+        """Abort the requests in quarantine that still wait at targets."""
+        now_s = time.monotonic()
+        for watch in list(self._watches):
+            entry = self._registry.check(watch.request, now_s)
+            if entry is not None and now_s < entry.retry_at_s:
+                watch.end()
+                watch.abort(_QUARANTINED)
+
     def _publish(self, news: messages.QuarantineNews) -> None:
         self._exchange.publish(news, time.monotonic())
 
--- a/src/endivevane/serving/attempts.py
+++ b/src/endivevane/serving/attempts.py
@@ -11,6 +11,9 @@
 _DEFAULT_TIMEOUT_S = 30.0
 # A request with at least this share of the route's timeout left is not a retry.
 _FIRST_REQUEST_SHARE = 0.95
+# Attempts that did not run the request are bounded too, in case every target keeps
+# refusing it.
+_MAX_SENDS = 12
 
 
 class Outcome(enum.StrEnum):
@@ -73,6 +76,26 @@
             return None
         return frozenset(self.ran_on - self.ended_targets)
 
+    def may_retry(self, is_response_started: bool) -> bool:
+        """Return whether another attempt is allowed.
+
+        :param is_response_started: whether the client has a part of a response
+        """
+        is_stream = self.route.kind is model.RouteKind.STREAMING
+        if is_response_started and not is_stream:
+            # Parts of two response bodies must not be joined.
+            return False
+        if self.sends >= _MAX_SENDS:
+            return False
+        if not self.may_have_run:
+            return True
+        if not self.route.is_idempotent:
+            return False
+        if self.runs_without_event >= self.route.max_attempts:
+            return False
+        allowed = self.find_allowed_targets()
+        return allowed is None or bool(allowed)
+
 
 def begin(
     request: model.ClientRequest, route: model.Route, service: str, version: int
--- a/src/endivevane/serving/online_service.py
+++ b/src/endivevane/serving/online_service.py
@@ -12,6 +12,7 @@
 from endivevane.quarantine import service as quarantine_service
 from endivevane.serving import (
     admission,
+    answer_relay,
     attempts,
     failures,
     load_table,
@@ -22,23 +23,13 @@
     routing_table,
     slot_queue,
     slot_registry,
-    sse,
     target_client,
     target_registry,
-    target_responses,
 )
 
-# Responses of routes that do not stream are buffered completely up to this size.
-_MAX_BUFFERED_BYTES = 1 << 20
-# Attempts that did not run the request are bounded too, in case every target keeps
-# refusing it.
-_MAX_SENDS = 12
 # Share of the client's idle timeout after which a stream without events resumes on
 # another target.
 _STALL_TIMEOUT_SHARE = 0.7
-# Statuses that tell the client that its request has not run.
-_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
-_FIRST_FAILED_STATUS = 500
 
 
 class OnlineService:
@@ -61,6 +52,7 @@
         self._outcomes = outcome_recorder.OutcomeRecorder(
             loads.outcomes, slot_admission.queue
         )
+        self._relay = answer_relay.AnswerRelay(targets, self._outcomes, quarantine)
 
     async def serve(
         self,
@@ -106,7 +98,7 @@
             final_outcome = await self._attempt(slot, request, progress, response)
             if final_outcome is not None:
                 return final_outcome
-            if not self._can_retry(progress, response):
+            if not progress.may_retry(response.is_started):
                 return self._end_failed(progress, response)
             metrics.RETRIES.labels(progress.causes[-1][:20]).inc()
             await self._quarantine.wait_for_decision(request)
@@ -219,132 +211,13 @@
             last_event_id=progress.last_event_id,
             stall_timeout_s=_STALL_TIMEOUT_SHARE * route.stream_idle_timeout_s,
         )
-        async with self._caller.call(
-            known, call, route.is_idempotent
-        ) as target_response:
-            head = target_response.head
-            if head.is_not_run:
-                await target_responses.drain_refusal(target_response)
-                self._record_refusal(known, progress, head)
-                return None
-            progress.ran_on.add(known.target.target_id)
-            target_responses.check_signature(known, head)
-            if route.kind is model.RouteKind.STREAMING and head.status == 200:
-                return await self._relay_events(
-                    known, target_response, request, progress, response
-                )
-            if response.is_started:
-                # The client already has part of a stream, which only events can
-                # continue.
-                raise target_responses.make_target_fault(known, f"status {head.status}")
-            return await self._relay_buffered(
-                known, target_response, request, progress, response
-            )
-
-    async def _relay_events(
-        self,
-        known: target_registry.KnownTarget,
-        target_response: target_client.TargetResponse,
-        request: model.ClientRequest,
-        progress: attempts.Progress,
-        response: responder.Responder,
-    ) -> attempts.Outcome:
-        """Relay complete events, so that another target can resume a broken stream."""
-        parser = sse.EventParser()
-        has_event = False
-        while True:
-            data = await target_response.read()
-            if data is None:
-                break
-            events = target_responses.parse_events(known, parser, data)
-            if not events:
-                continue
-            target_response.record_event()
-            if not has_event:
-                has_event = True
-                self._quarantine.record_answer(request)
-            now_s = time.monotonic()
-            progress.idle_deadline_s = now_s + progress.route.stream_idle_timeout_s
-            if progress.first_event_s is None:
-                progress.first_event_s = now_s
-                self._outcomes.record_first_event(known.target, progress, now_s)
-            if not response.is_started:
-                response.begin(target_response.head)
-            progress.delivered_events += len(events)
-            progress.runs_without_event = 0
-            for event in events:
-                progress.last_event_id = event.event_id or progress.last_event_id
-            await response.write(b"".join(event.raw for event in events))
-        if parser.remainder:
-            raise target_responses.make_target_fault(
-                known, "stream ends in the middle of an event"
-            )
-        if not response.is_started:
-            response.begin(target_response.head)
-        known.health.record_success()
-        response.finish()
-        return attempts.Outcome.SERVED
-
-    async def _relay_buffered(
-        self,
-        known: target_registry.KnownTarget,
-        target_response: target_client.TargetResponse,
-        request: model.ClientRequest,
-        progress: attempts.Progress,
-        response: responder.Responder,
-    ) -> attempts.Outcome | None:
-        """Relay a response: small ones once complete, large ones as they arrive."""
-        head = target_response.head
-        chunks: list[bytes] = []
-        size = 0
-        while (data := await target_response.read()) is not None:
-            chunks.append(data)
-            size += len(data)
-            if size <= _MAX_BUFFERED_BYTES:
-                continue
-            if not response.is_started:
-                response.begin(head)
-            await response.write(b"".join(chunks))
-            chunks.clear()
-        if response.is_started:
-            await response.write(b"".join(chunks))
-            response.finish()
-            return attempts.Outcome.SERVED
-        is_failure = (
-            head.status >= _FIRST_FAILED_STATUS or head.status in _NOT_RUN_STATUSES
-        )
-        self._outcomes.record_status(known.target, head.status, is_failure)
-        is_idempotent = progress.route.is_idempotent
-        if is_failure and is_idempotent and self._can_retry(progress, response):
-            progress.causes.append(f"status {head.status}")
-            return None
-        if not is_failure:
-            known.health.record_success()
-            self._quarantine.record_answer(request)
-        if head.status in _NOT_RUN_STATUSES:
-            # The target may have run the request, so the client must not be told that
-            # it has not run.
-            response.send(responder.Response(502))
-            return attempts.Outcome.FAILED
-        full_response = responder.Response(
-            head.status, b"".join(chunks), head.headers, head.reason
-        )
-        response.send(full_response)
-        return attempts.Outcome.FAILED if is_failure else attempts.Outcome.SERVED
-
-    def _record_refusal(
-        self,
-        known: target_registry.KnownTarget,
-        progress: attempts.Progress,
-        head: model.TargetReply,
-    ) -> None:
-        progress.causes.append(f"not run, status {head.status}")
-        progress.runs_without_event -= 1
-        progress.refused_by.add(known.target.target_id)
-        if head.is_wrong_target:
-            self._targets.record_replaced(known.target)
-            return
-        known.health.record_full(time.monotonic())
+        call_abort = target_client.CallAbort()
+        with self._quarantine.watch(request, call_abort.abort) as waiting:
+            attempt = answer_relay.Attempt(known, request, progress, response, waiting)
+            async with self._caller.call(
+                known, call, route.is_idempotent, call_abort
+            ) as target_response:
+                return await self._relay.relay(attempt, target_response)
 
     def _record_failure(
         self,
@@ -364,25 +237,6 @@
             if self._targets.find(target_id) is None:
                 progress.ended_targets.add(target_id)
 
-    def _can_retry(
-        self, progress: attempts.Progress, response: responder.Responder
-    ) -> bool:
-        """Return whether another attempt is allowed."""
-        is_stream = progress.route.kind is model.RouteKind.STREAMING
-        if response.is_started and not is_stream:
-            # Parts of two response bodies must not be joined.
-            return False
-        if progress.sends >= _MAX_SENDS:
-            return False
-        if not progress.may_have_run:
-            return True
-        if not progress.route.is_idempotent:
-            return False
-        if progress.runs_without_event >= progress.route.max_attempts:
-            return False
-        allowed = progress.find_allowed_targets()
-        return allowed is None or bool(allowed)
-
     def _end_refused(
         self,
         progress: attempts.Progress,
--- a/src/endivevane/serving/target_client.py
+++ b/src/endivevane/serving/target_client.py
@@ -70,6 +70,12 @@
         if self._timer is not None:
             self._timer.cancel()
 
+    def abort(self, cause: str) -> None:
+        """Abort the call for a reason that is not the target's."""
+        if not self.cause:
+            self.cause = cause
+            self._connection.stream.fail(TimeoutError(cause))
+
     def record_progress(self) -> None:
         """Record that an event is complete, which restarts the stall timeout."""
         self._last_progress_s = time.monotonic()
@@ -89,6 +95,22 @@
         self._connection.stream.fail(TimeoutError(self.cause))
 
 
+class CallAbort:
+    """Aborts a call from outside, once it has been sent."""
+
+    def __init__(self) -> None:
+        self._watchdog: _Watchdog | None = None
+
+    def attach(self, watchdog: _Watchdog | None) -> None:
+        """Set the call that can be aborted, ``None`` for none any longer."""
+        self._watchdog = watchdog
+
+    def abort(self, cause: str) -> None:
+        """Abort the call."""
+        if self._watchdog is not None:
+            self._watchdog.abort(cause)
+
+
 class TargetResponse:
     """A response of a target whose body is being read.
 
@@ -167,6 +189,7 @@
         known: target_registry.KnownTarget,
         call: model.TargetCall,
         is_idempotent: bool,
+        call_abort: CallAbort | None = None,
     ) -> abc.AsyncIterator[TargetResponse]:
         """Send a call and yield its response.
 
@@ -175,6 +198,7 @@
 
         :param is_idempotent: whether the call may be retried on another target; only
             then is it aborted when the target is unresponsive or stalls
+        :param call_abort: can abort the call until its block ends
         :raises failures.TargetCallError: when there is no valid response
         """
         target = known.target
@@ -183,6 +207,8 @@
         watchdog = _Watchdog(known, connection, call.stall_timeout_s)
         if is_idempotent:
             watchdog.start()
+        if call_abort is not None:
+            call_abort.attach(watchdog)
         response: TargetResponse | None = None
         try:
             headers = self._codec.encode_call(call, target)
@@ -191,6 +217,8 @@
             yield response
         finally:
             watchdog.stop()
+            if call_abort is not None:
+                call_abort.attach(None)
             has_body_data = response is not None and response.has_body_data
             known.health.end_call(has_body_data)
             if response is not None and response.is_complete:
