Take an empty stream without framing for a broken one

What callers saw: a stream without a length or chunks whose target ended after the head was passed on as a whole answer without events; a batch item was completed with an empty text. Found by reading for the users' line on answers that end with their channel. Cause: the end of the connection is the only end that such a stream has, and only a partial event counted as a sign that it was broken off. Change: one check of a stream's end for online requests and items; it also counts as the target ending the connection, so that it is evidence for the quarantine. Conclusion: a stream that stops between two events can't be told from a whole one; the users say that a broken one stops inside an event.

--- a/features/misbehaving_targets.feature
+++ b/features/misbehaving_targets.feature
@@ -141,3 +141,26 @@
     Given an idle connection to a target
     When the target sends bytes on the connection
     Then the connection is closed and none of the bytes are buffered
+
+  # Guards against an empty stream that counts as whole although its target ended: without
+  # a length or chunks the connection's end is the only end that a stream has.
+  Scenario: A stream without framing that ends before its first event goes on elsewhere
+    Given 2 targets behind a daemon with a resumable route
+    And each target's first stream ends with its connection after the head
+    When a client requests a stream
+    Then it receives each of the 6 events once, in order, and the end
+
+  # The same where it may not run again: the client must not see a whole answer.
+  Scenario: An empty stream without framing that may not be resumed is a failure
+    Given 2 targets behind a daemon with a route that may not be resumed
+    And each target's first stream ends with its connection after the head
+    When a client requests a stream
+    Then the answer has status 502
+
+  # The same for a batch item, which would be listed as completed without its text.
+  Scenario: An item whose stream without framing ends before its first event is run again
+    Given a store, 2 targets and 2 daemons
+    And targets whose first stream ends with its connection after the head
+    When a job of 4 items is submitted to the first daemon
+    Then the second daemon lists 4 completed results within 8 s
+    And each result has the text of 6 events
--- a/features/steps/misbehaving_targets_steps.py
+++ b/features/steps/misbehaving_targets_steps.py
@@ -240,3 +240,27 @@
     for number, reply in enumerate(context.replies):
         assert reply.body == b"plain body", (number, reply)
         assert reply.headers["attempt-id"] == f"attempt{number}", reply
+
+
+@given("each target's first stream ends with its connection after the head")
+def step_empty_stream(context):
+    shared = replica.Manner(empty_by_close=1)
+
+    def prepare(world):
+        for item in world.replicas.values():
+            item.manner = shared
+
+    context.prepare.append(prepare)
+
+
+@given("targets whose first stream ends with its connection after the head")
+def step_empty_item(context):
+    context.fleet.set_manner(empty_by_close=1)
+
+
+@then("each result has the text of {events:d} events")
+def step_item_texts(context, events):
+    assert context.results, "no results were read"
+    for result in context.results:
+        lines = result["text"].split("\n")
+        assert len(lines) == events, result
--- a/src/endivevane/serving/answer_relay.py
+++ b/src/endivevane/serving/answer_relay.py
@@ -106,10 +106,9 @@
             for event in events:
                 progress.last_event_id = event.event_id or progress.last_event_id
             await response.write(b"".join(event.raw for event in events))
-        if parser.remainder:
-            raise target_responses.make_target_fault(
-                known, "stream ends in the middle of an event"
-            )
+        target_responses.check_stream_end(
+            known, parser, has_event, target_response.is_framed
+        )
         if not response.is_started:
             response.begin(target_response.head)
         known.health.record_success()
--- a/src/endivevane/serving/item_sender.py
+++ b/src/endivevane/serving/item_sender.py
@@ -116,7 +116,8 @@
                     return RunEnd.BROKEN
             if size > _MAX_OUTPUT_BYTES:
                 return RunEnd.BROKEN
-        return RunEnd.BROKEN if parser.remainder else RunEnd.COMPLETED
+        target_responses.check_stream_end(known, parser, has_event, response.is_framed)
+        return RunEnd.COMPLETED
 
     def _record_refusal(
         self, known: target_registry.KnownTarget, reply: model.TargetReply
--- a/src/endivevane/serving/target_client.py
+++ b/src/endivevane/serving/target_client.py
@@ -115,6 +115,8 @@
     """A response of a target whose body is being read.
 
     :ivar head: head of the response
+    :ivar is_framed: whether the body has a length or chunks; otherwise it ends with the
+        connection, also when the target does
     """
 
     def __init__(
@@ -123,9 +125,11 @@
         connection: http_client.Connection,
         reply: model.TargetReply,
         watchdog: _Watchdog,
+        is_framed: bool = True,
     ) -> None:
         self.head = reply
         self.is_complete = False
+        self.is_framed = is_framed
         self._known = known
         self._connection = connection
         self._watchdog = watchdog
@@ -298,7 +302,7 @@
             self._on_draining(known)
         if _belongs_to_call(call, reply, connection):
             known.health.record_data(time.monotonic())
-            return TargetResponse(known, connection, reply, watchdog)
+            return TargetResponse(known, connection, reply, watchdog, _is_framed(head))
         metrics.TARGET_FAULTS.labels("foreign_answer").inc()
         raise failures.TargetCallError(
             known.target.target_id,
@@ -308,6 +312,13 @@
         )
 
 
+def _is_framed(head: h11.Response) -> bool:
+    """Return whether a response gives its length or comes in chunks."""
+    return any(
+        name in (b"content-length", b"transfer-encoding") for name, _ in head.headers
+    )
+
+
 def _belongs_to_call(
     call: model.TargetCall,
     reply: model.TargetReply,
--- a/src/endivevane/serving/target_responses.py
+++ b/src/endivevane/serving/target_responses.py
@@ -39,6 +39,41 @@
     )
 
 
+def check_stream_end(
+    known: target_registry.KnownTarget,
+    parser: sse.EventParser,
+    has_event: bool,
+    is_framed: bool,
+) -> None:
+    """Check that a stream that ended without an error is whole.
+
+    A stream without a length or chunks ends with its connection, also when its target
+    ends; then it has stopped within an event or before the first one.
+
+    :param has_event: whether it has sent an event
+    :param is_framed: whether it has a length or chunks
+    :raises failures.TargetCallError: when the target broke it off
+    """
+    if parser.remainder:
+        raise _make_broken_stream(known, "stream ends in the middle of an event")
+    if not has_event and not is_framed:
+        raise _make_broken_stream(known, "stream ends before its first event")
+
+
+def _make_broken_stream(
+    known: target_registry.KnownTarget, cause: str
+) -> failures.TargetCallError:
+    metrics.TARGET_FAULTS.labels("broken_answer").inc()
+    return failures.TargetCallError(
+        known.target.target_id,
+        cause,
+        may_have_run=True,
+        is_target_fault=True,
+        is_disconnect=True,
+        had_head=True,
+    )
+
+
 def parse_events(
     known: target_registry.KnownTarget, parser: sse.EventParser, data: bytes
 ) -> list[sse.Event]:
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -64,6 +64,7 @@
     :ivar copy_refusal: send a refusal again ahead of the next response
     :ivar crash_segment: prompt segment on which the target crashes when it begins to
         write an answer; empty for none
+    :ivar empty_by_close: number of streams without chunks to end after the head
     """
 
     events: int = 6
@@ -93,6 +94,7 @@
     by_close: int = 0
     copy_refusal: bool = False
     crash_segment: str = ""
+    empty_by_close: int = 0
 
 
 # Parts that can be endless: the head, one line of it, interim responses, the body of a
@@ -261,6 +263,13 @@
         if manner.status != 200 or manner.plain:
             return self._respond_plain(run, writer)
         writer.write(self._make_stream_head(run))
+        if manner.empty_by_close:
+            manner.empty_by_close -= 1
+            run.ended = "closed"
+            await writer.drain()
+            writer.close()
+            await writer.wait_closed()
+            return False
         if manner.crash_segment and run.has_segment(manner.crash_segment):
             await writer.drain()
             await asyncio.sleep(manner.gap_s)
@@ -326,7 +335,7 @@
             lines.append(f"Response-Signature: sig-{self.name}-{run.attempt}")
         if self.manner.leaving:
             lines.append("Server-Leaving: 1")
-        if not self.manner.by_close:
+        if not (self.manner.by_close or self.manner.empty_by_close):
             lines.append("Transfer-Encoding: chunked")
         return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
