Spare a target that has ended, as soon as any daemon has seen it end

Change: a report of a target's end pauses that run of it for 4 s at every daemon. Conclusion: the reports of ends serve all crashes, not only those by requests.

--- a/features/crashing_prompts.feature
+++ b/features/crashing_prompts.feature
@@ -80,3 +80,10 @@
     Then the answer has status 503
     And it says to return after 20 to 30 s
     And the target has run nothing
+
+  # Guards against each daemon trying an ended target anew until its registration expires.
+  Scenario: A target that has ended gets no requests from daemons that have heard of it
+    Given 2 targets behind a daemon with a resumable route
+    When the daemon hears that the first target has ended, and 20 clients request a stream
+    Then the first target has received at most 0 request
+    And each client receives 6 events
--- a/features/steps/crash_evidence_steps.py
+++ b/features/steps/crash_evidence_steps.py
@@ -108,3 +108,23 @@
 @then("the target has run nothing")
 def step_nothing(context):
     assert not context.world.runs, context.world.runs
+
+
+@when(
+    "the daemon hears that the first target has ended, and {count:d} clients request a "
+    "stream"
+)
+def step_hear_end(context, count):
+    async def play(world):
+        run_key = world.registry.find("a").target.run_key
+        suspect = evidence.Suspect("request:r1", ("p",), had_head=True)
+        report = messages.EndReport(run_key, 0.0, (suspect,), {})
+        news = messages.QuarantineNews("near", ends=(report,))
+        world.quarantine.handle(news, "front-2")
+        replies = []
+        for number in range(count):
+            request = serving_world.make_request(attempt=f"attempt{number}")
+            replies.append(await serving_world.send_request(world.port, request))
+        return replies
+
+    context.replies = serving_world.play(context, play)
--- a/features/support/serving_fakes.py
+++ b/features/support/serving_fakes.py
@@ -37,7 +37,14 @@
     return peer_registry.Identity(name, region, "run1", "127.0.0.1", 1)
 
 
-def make_quarantine(name="front-1", registry=None, store_rows=None, send=None, seed=1):
+def make_quarantine(
+    name="front-1",
+    registry=None,
+    store_rows=None,
+    send=None,
+    seed=1,
+    on_target_end=None,
+):
     """Return the quarantine of a daemon, without peers unless a registry is given."""
     identity = make_identity(name)
     news_exchange = exchange.QuarantineExchange(
@@ -48,7 +55,11 @@
     quarantine_rows = rows.QuarantineRows(store_rows or FakeStore())
     generator = random.Random(seed)
     return service.QuarantineService(
-        identity.region, news_exchange, quarantine_rows, generator
+        identity.region,
+        news_exchange,
+        quarantine_rows,
+        generator,
+        on_target_end or (lambda _run_key, _now_s: None),
     )
 
 
--- a/features/support/serving_world.py
+++ b/features/support/serving_world.py
@@ -87,7 +87,9 @@
             http_client.ConnectionPool(0.35), codec, self.registry.record_draining
         )
         self.registry.add_removal_callback(client.forget)
-        self.quarantine = serving_fakes.make_quarantine()
+        self.quarantine = serving_fakes.make_quarantine(
+            on_target_end=self.registry.record_ended
+        )
         online = online_service.OnlineService(
             self.registry,
             self.loads,
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -214,6 +214,7 @@
             ),
             quarantine_rows.QuarantineRows(self._store),
             self._generator,
+            self._target_registry.record_ended,
         )
         self._network.connect(
             self._slot_client,
--- a/src/endivevane/quarantine/crash_check.py
+++ b/src/endivevane/quarantine/crash_check.py
@@ -53,7 +53,7 @@
 
     def add(self, target: model.Target, suspect: evidence.Suspect) -> None:
         """Add an attempt that a target broke off before its first event."""
-        run_key = make_run_key(target)
+        run_key = target.run_key
         now_s = time.monotonic()
         if now_s < self._alive_until_s.get(run_key, 0.0):
             return
@@ -81,11 +81,6 @@
         self._on_end(run_key, ended_s, tuple(examination.suspects))
 
 
-def make_run_key(target: model.Target) -> str:
-    """Return what identifies one run of a target, which may keep its id."""
-    return f"{target.target_id}/{target.started_ms}"
-
-
 async def _is_refused(target: model.Target) -> bool:
     """Return whether a target's address refuses connections."""
     try:
--- a/src/endivevane/quarantine/service.py
+++ b/src/endivevane/quarantine/service.py
@@ -67,6 +67,8 @@
     """Keeps requests that crash targets away from them.
 
     :param region: region of this daemon
+    :param on_target_end: called with the run of a target that has ended, whoever saw
+        it, and the monotonic time
     """
 
     def __init__(
@@ -75,7 +77,9 @@
         news_exchange: exchange.QuarantineExchange,
         quarantine_rows: rows.QuarantineRows,
         generator: random.Random,
+        on_target_end: abc.Callable[[str, float], None],
     ) -> None:
+        self._on_target_end = on_target_end
         self._region = region
         self._registry = registry.QuarantineRegistry()
         self._exchange = news_exchange
@@ -224,6 +228,7 @@
         if not known.add_end(run_key, ended_s, suspects):
             return
         self._own_ends.add(run_key)
+        self._on_target_end(run_key, now_s)
         answered = {}
         for trait in _list_traits(suspects):
             answered_s = known.find_answered_s(trait)
@@ -244,6 +249,7 @@
         known = self._registry.evidence
         if not known.add_end(end.run_key, now_s - end.age_s, end.suspects):
             return False
+        self._on_target_end(end.run_key, now_s)
         self._record_answered(end.answered, is_own=False)
         self._reply_later(end, now_s)
         self._schedule_decision()
--- a/src/endivevane/serving/model.py
+++ b/src/endivevane/serving/model.py
@@ -121,6 +121,11 @@
     is_draining: bool
     started_ms: int = 0
 
+    @property
+    def run_key(self) -> str:
+        """What identifies one run of the target, which may keep its id."""
+        return f"{self.target_id}/{self.started_ms}"
+
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
--- a/src/endivevane/serving/target_health.py
+++ b/src/endivevane/serving/target_health.py
@@ -16,6 +16,9 @@
 _GAP_SMOOTHING = 0.3
 # The same before the first event of any request, since requests may be queued there.
 _QUEUED_INACTIVITY_S = 1.2
+# Back-off of a target that has ended: its registration expires within this time, after
+# three missed heartbeats.
+_ENDED_BACKOFF_S = 4.0
 # How long a target counts as full after it refused a request for lack of a slot.
 _FULL_TTL_S = 0.06
 
@@ -83,6 +86,11 @@
         self._failures += 1
         self._backoff_until_s = now_s + backoff_s
 
+    def record_ended(self, now_s: float) -> None:
+        """Start a back-off until the registration of a target that ended expires."""
+        until_s = now_s + _ENDED_BACKOFF_S
+        self._backoff_until_s = max(self._backoff_until_s, until_s)
+
     def record_full(self, now_s: float) -> None:
         """Record that the target refused a request for lack of a slot."""
         self._full_until_s = now_s + _FULL_TTL_S
--- a/src/endivevane/serving/target_registry.py
+++ b/src/endivevane/serving/target_registry.py
@@ -149,6 +149,12 @@
             registered_leaving=known.target.is_draining,
         )
 
+    def record_ended(self, run_key: str, now_s: float) -> None:
+        """Give a target no new work, since one run of it has ended."""
+        known = self._targets.get(run_key.rpartition("/")[0])
+        if known is not None and known.target.run_key == run_key:
+            known.health.record_ended(now_s)
+
     def record_replaced(self, target: model.Target) -> None:
         """Remove a target whose address now belongs to another one."""
         self._remove(target.target_id, "address has another target")
