Repeat quarantines, and try daemons that start, lose datagrams or the store

Cause: of 60 daemons that lose 30% of their datagrams, 3 had not heard of a quarantine after three sends; the row in the store is their only other source. Change: the daemon that ranks first in a region repeats the quarantines in force every 2 s. Scenarios with 9 to 340 daemons in one process cover lost datagrams, a start again of one and of all daemons, tries with the store up, down and losing writes, and items.

--- a/features/crashing_prompts.feature
+++ b/features/crashing_prompts.feature
@@ -87,3 +87,66 @@
     When the daemon hears that the first target has ended, and 20 clients request a stream
     Then the first target has received at most 0 request
     And each client receives 6 events
+
+  # Guards against daemons that go on sending since the news of a quarantine misses them.
+  Scenario Outline: All daemons hear of ends and quarantines
+    Given <near> daemons in one region and <far> in another, of whose datagrams <lost>% are lost
+    When two daemons see targets end under requests with "p"
+    Then within 4 s requests with "p" are in quarantine at every daemon
+    And requests without it are in quarantine at none
+    And a daemon has sent at most <most> datagrams and 400 bytes in each, on average
+
+    Examples: in a region of at most 16 daemons each one tells all others
+      | near | far | lost | most |
+      | 6    | 3   | 0    | 40   |
+      | 6    | 3   | 30   | 40   |
+      | 9    | 0   | 30   | 40   |
+
+    Examples: in a larger one the coordinator passes on what is new
+      | near | far | lost | most |
+      | 30   | 30  | 0    | 40   |
+      | 30   | 30  | 30   | 40   |
+      | 170  | 170 | 10   | 40   |
+
+  # Guards against a daemon that starts without the quarantines of the others.
+  Scenario: A daemon that starts again learns of a quarantine from the others
+    Given 6 daemons in one region and 3 in another, of whose datagrams 0% are lost
+    When two daemons see targets end under requests with "p"
+    And the third daemon starts again while the store is down
+    Then within 1 s requests with "p" are in quarantine at every daemon
+
+  # Guards against a series of crashes after all daemons have lost power.
+  Scenario: A quarantine outlasts all daemons
+    Given 6 daemons in one region and 3 in another, of whose datagrams 0% are lost
+    When two daemons see targets end under requests with "p"
+    And 1 s later all daemons start again
+    Then within 1 s requests with "p" are in quarantine at every daemon
+
+  # Guards against a try by each daemon, which would crash as many targets.
+  Scenario Outline: When a try is due, one daemon sends one request
+    Given 6 daemons in one region and 3 in another, of whose datagrams 0% are lost
+    And the store <state>
+    When a quarantine of "p" is due for a try, and 4 requests with "p" come to each daemon
+    Then <sent> requests with "p" may be sent
+
+    Examples:
+      | state        | sent |
+      | is up        | 1    |
+      | is down      | 0    |
+      | loses writes | 0    |
+
+  # Guards against a segment that stays refused for ever although it does no harm.
+  Scenario: The answer to a try ends the quarantine everywhere
+    Given 6 daemons in one region and 3 in another, of whose datagrams 0% are lost
+    And the store is up
+    When a quarantine of "p" is due for a try, and 4 requests with "p" come to each daemon
+    And the request that was sent is answered
+    Then within 2 s requests with "p" are in quarantine at no daemon
+    And the store holds no quarantine
+
+  # Guards against refusing items, which are handed in for later and have to be done.
+  Scenario: A batch item is neither accused nor refused, and clears its segments
+    Given 6 daemons in one region and 3 in another, of whose datagrams 0% are lost
+    When two daemons see targets end under requests with "p"
+    And an item with "p" is answered at the fourth daemon
+    Then within 2 s requests with "p" are in quarantine at no daemon
--- a/features/support/serving_fakes.py
+++ b/features/support/serving_fakes.py
@@ -44,9 +44,10 @@
     send=None,
     seed=1,
     on_target_end=None,
+    identity=None,
 ):
     """Return the quarantine of a daemon, without peers unless a registry is given."""
-    identity = make_identity(name)
+    identity = identity or make_identity(name)
     news_exchange = exchange.QuarantineExchange(
         identity,
         registry or peer_registry.PeerRegistry(identity),
--- a/src/endivevane/quarantine/exchange.py
+++ b/src/endivevane/quarantine/exchange.py
@@ -72,9 +72,24 @@
         own_news = dataclasses.replace(news, region=self._identity.region)
         self._enqueue(recipients, own_news)
 
+    def repeat(self, news: messages.QuarantineNews, now_s: float) -> None:
+        """Repeat old news, if this daemon ranks first in its region.
+
+        Recipients to which it is new pass it on like any other.
+        """
+        region = self._identity.region
+        if self._registry.rank(region, now_s)[:1] != [self._identity.name]:
+            return
+        names = [peer.name for peer in self._registry.list_region_peers()]
+        for piece in _split(_Outbox((), entries=list(news.entries)), region):
+            for name in (*names, *self._list_other_regions(now_s)):
+                self._send(name, piece)
+
     def send_to(self, name: str, news: messages.QuarantineNews) -> None:
-        """Send news to a single daemon."""
-        self._send(name, news)
+        """Send quarantines to a single daemon."""
+        outbox = _Outbox((name,), entries=list(news.entries))
+        for piece in _split(outbox, self._identity.region):
+            self._send(name, piece)
 
     def _list_recipients(self, now_s: float) -> tuple[str, ...]:
         region = self._identity.region
--- a/src/endivevane/quarantine/service.py
+++ b/src/endivevane/quarantine/service.py
@@ -31,7 +31,8 @@
 _WRITE_JITTER_S = 0.3
 # Pause after the store could not decide who tries a request.
 _CLAIM_RETRY_S = 2.0
-_EXPIRY_INTERVAL_S = 5.0
+# Quarantines are repeated at this interval, for daemons that have missed the news.
+_REPEAT_INTERVAL_S = 2.0
 _QUARANTINED = "quarantine"
 
 
@@ -85,7 +86,7 @@
         self._exchange = news_exchange
         self._rows = quarantine_rows
         self._generator = generator
-        self._check = crash_check.CrashCheck(self._report_end)
+        self._check = crash_check.CrashCheck(self.report_end)
         self._own_ends: set[str] = set()
         # Trait -> monotonic time at which a daemon last told of an answer on it.
         self._announced: dict[str, float] = {}
@@ -95,9 +96,14 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
-        """Drop what has expired until cancelled."""
+        """Repeat quarantines and drop what has expired until cancelled."""
         while True:
-            await asyncio.sleep(_EXPIRY_INTERVAL_S)
+            await asyncio.sleep(_REPEAT_INTERVAL_S)
+            now_s = time.monotonic()
+            notices = self._make_notices(now_s)
+            if notices:
+                news = messages.QuarantineNews(self._region, entries=notices)
+                self._exchange.repeat(news, now_s)
             for entry_id in self._registry.expire(time.monotonic()):
                 await self._rows.delete(entry_id)
             if not len(self._registry.evidence):
@@ -187,6 +193,37 @@
         )
         self._check.add(target, suspect)
 
+    def report_end(
+        self, run_key: str, ended_s: float, suspects: tuple[evidence.Suspect, ...]
+    ) -> None:
+        """Record the end of a target and tell the others.
+
+        :param run_key: identifies the run of the target
+        :param ended_s: monotonic time of the end
+        :param suspects: requests of this daemon that waited for their first event there
+        """
+        now_s = time.monotonic()
+        known = self._registry.evidence
+        if not known.add_end(run_key, ended_s, suspects):
+            return
+        self._own_ends.add(run_key)
+        self._on_target_end(run_key, now_s)
+        answered = {}
+        for trait in _list_traits(suspects):
+            answered_s = known.find_answered_s(trait)
+            if answered_s is not None:
+                answered[trait] = now_s - answered_s
+        logs.limited_info(
+            "target_ended",
+            run=run_key,
+            suspects=len(suspects),
+            running=sum(suspect.had_head for suspect in suspects),
+        )
+        metrics.TARGET_ENDS.inc()
+        report = messages.EndReport(run_key, now_s - ended_s, suspects, answered)
+        self._publish(messages.QuarantineNews(self._region, ends=(report,)))
+        self._schedule_decision()
+
     def handle(self, news: messages.QuarantineNews, sender: str) -> None:
         """Apply the news of another daemon, and pass on what is new."""
         now_s = time.monotonic()
@@ -205,10 +242,9 @@
 
     def greet(self, name: str) -> None:
         """Tell a daemon that has just appeared what is in quarantine."""
-        now_s = time.monotonic()
-        entries = tuple(_make_notice(entry, now_s) for entry in self._registry.entries)
-        if entries:
-            news = messages.QuarantineNews(self._region, entries=entries)
+        notices = self._make_notices(time.monotonic())
+        if notices:
+            news = messages.QuarantineNews(self._region, entries=notices)
             self._exchange.send_to(name, news)
 
     def apply_row(self, row: store.Row) -> None:
@@ -219,31 +255,8 @@
         elif row.value is None:
             self._registry.drop(row.row_key.key.removeprefix(rows.ROW_PREFIX))
 
-    def _report_end(
-        self, run_key: str, ended_s: float, suspects: tuple[evidence.Suspect, ...]
-    ) -> None:
-        """Record the end of a target and tell the others."""
-        now_s = time.monotonic()
-        known = self._registry.evidence
-        if not known.add_end(run_key, ended_s, suspects):
-            return
-        self._own_ends.add(run_key)
-        self._on_target_end(run_key, now_s)
-        answered = {}
-        for trait in _list_traits(suspects):
-            answered_s = known.find_answered_s(trait)
-            if answered_s is not None:
-                answered[trait] = now_s - answered_s
-        logs.limited_info(
-            "target_ended",
-            run=run_key,
-            suspects=len(suspects),
-            running=sum(suspect.had_head for suspect in suspects),
-        )
-        metrics.TARGET_ENDS.inc()
-        report = messages.EndReport(run_key, now_s - ended_s, suspects, answered)
-        self._publish(messages.QuarantineNews(self._region, ends=(report,)))
-        self._schedule_decision()
+    def _make_notices(self, now_s: float) -> tuple[messages.EntryNotice, ...]:
+        return tuple(_make_notice(entry, now_s) for entry in self._registry.entries)
 
     def _apply_end(self, end: messages.EndReport, now_s: float) -> bool:
         known = self._registry.evidence
