Guard items under which targets crash again and again

Cause: the users' report of an item that is never placed again after a burst of crashes. Change: a scenario with three targets that crash on their next four runs.

--- a/features/crashing_prompts.feature
+++ b/features/crashing_prompts.feature
@@ -150,3 +150,12 @@
     When two daemons see targets end under requests with "p"
     And an item with "p" is answered at the fourth daemon
     Then within 2 s requests with "p" are in quarantine at no daemon
+
+  # Guards against an item that is never placed again after a burst of crashes, of which it
+  # was in several: items are handed in for later and owed whatever ends beside them.
+  Scenario: An item under which targets crashed again and again is done once all is calm
+    Given a store, 3 targets and 2 daemons
+    And targets that crash on their next 4 runs and return after 300 ms
+    When a job of 2 items is submitted to the first daemon
+    Then the second daemon lists 2 completed results within 30 s
+    And targets have crashed at least 6 times
--- a/features/steps/crashing_prompts_steps.py
+++ b/features/steps/crashing_prompts_steps.py
@@ -95,3 +95,15 @@
     assert reply.status == 503, reply
     assert float(reply.headers["retry-after"]) > 0, reply
     assert reply.elapsed_s * 1000 < limit_ms, reply
+
+
+@given("targets that crash on their next {runs:d} runs and return after {back_ms:d} ms")
+def step_crash_runs(context, runs, back_ms):
+    context.fleet.set_manner(crash_runs=runs)
+    context.fleet.call(context.fleet.restart_after_crashes, back_ms / 1000)
+
+
+@then("targets have crashed at least {count:d} times")
+def step_crashed(context, count):
+    crashed = [item for item in context.fleet.replicas if item.crashed_s]
+    assert len(crashed) >= count, len(crashed)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -64,6 +64,7 @@
     :ivar copy_refusal: send a refusal again ahead of the next response
     :ivar crash_segment: prompt segment on which the target crashes when it begins to
         write an answer; empty for none
+    :ivar crash_runs: number of runs on which the target crashes, whatever they hold
     :ivar empty_by_close: number of streams without chunks to end after the head
     """
 
@@ -95,6 +96,7 @@
     copy_refusal: bool = False
     crash_segment: str = ""
     empty_by_close: int = 0
+    crash_runs: int = 0
 
 
 # Parts that can be endless: the head, one line of it, interim responses, the body of a
@@ -270,7 +272,9 @@
             writer.close()
             await writer.wait_closed()
             return False
-        if manner.crash_segment and run.has_segment(manner.crash_segment):
+        is_poisoned = manner.crash_segment and run.has_segment(manner.crash_segment)
+        if manner.crash_runs or is_poisoned:
+            manner.crash_runs = max(0, manner.crash_runs - 1)
             await writer.drain()
             await asyncio.sleep(manner.gap_s)
             run.ended = "crashed"
