Bound the work of a decision, and list quarantines by endivevanectl

Cause: read as a newcomer, the decision went over all ends for each segment (with queues of 64 requests at 128 ends some 10^8 steps), a request with an accused segment searched all ends, a body that had begun still accused, and nothing showed operators a quarantine. Change: one pass over the ends for all traits, times of accusations kept by segment, at most 16 requests a report, rows of the store abort waiting requests too, expired rows are deleted by the first daemon; 'endivevanectl fleet quarantines'.

--- a/features/fleet_commands.feature
+++ b/features/fleet_commands.feature
@@ -15,6 +15,7 @@
       | routes      | 2     | /quote/       |
       | jobs        | 2     | front-1/ab    |
       | jobs --open | 1     | open          |
+      | quarantines | 1     | p,s           |
 
   # Guards against invalid registrations that go unnoticed.
   Scenario: An invalid registration is listed with its problem
--- a/features/steps/fleet_commands_steps.py
+++ b/features/steps/fleet_commands_steps.py
@@ -94,6 +94,10 @@
         key = jobs.make_job_key(job.job_id)
         entries.append((key.table, key.partition, key.key, jobs.encode_job(job)))
 
+    now_ms = int(time.time() * 1000)
+    value = json.dumps((("p", "s"), 1, now_ms - 5000, now_ms + 55000)).encode()
+    entries.append((jobs.STATE_TABLE, jobs.PARTITION, "quarantine/p+s", value))
+
     async def put_all():
         for table, part, key, value in entries:
             assert not part
--- a/src/endivevane/ctl/fleet_commands.py
+++ b/src/endivevane/ctl/fleet_commands.py
@@ -38,6 +38,7 @@
     "due_in_s",
     "failed_runs",
 )
+_QUARANTINE_COLUMNS = ("traits", "tries", "age_s", "retry_in_s")
 _LINE_COLUMNS = ("time_s", "source", "event", "detail")
 
 _Views = abc.Sequence[typing.Any]
@@ -92,6 +93,7 @@
         ("targets", "list the registered targets", run_targets),
         ("routes", "list the routes in force", run_routes),
         ("jobs", "list the batch jobs, by due time", run_jobs),
+        ("quarantines", "list what is refused as crashing targets", run_quarantines),
     ):
         parser = nested.add_parser(name, help=text)
         parser.add_argument(
@@ -156,6 +158,14 @@
     return _print_views(arguments, _JOB_COLUMNS, found)
 
 
+def run_quarantines(
+    arguments: argparse.Namespace, _settings: settings.CtlSettings
+) -> exits.Exit:
+    """Print the traits of requests that are refused since they crash targets."""
+    found = _read(arguments.store, _open_reader(arguments.store).read_quarantines())
+    return _print_views(arguments, _QUARANTINE_COLUMNS, found)
+
+
 def run_explain(
     arguments: argparse.Namespace, _settings: settings.CtlSettings
 ) -> exits.Exit:
--- a/src/endivevane/entry/inspection.py
+++ b/src/endivevane/entry/inspection.py
@@ -8,6 +8,7 @@
 from endivevane import exceptions, logs
 from endivevane.entry import membership
 from endivevane.platform import records, table_store
+from endivevane.quarantine import rows as quarantine_rows
 from endivevane.serving import http_client, jobs, model, store
 
 _CONNECT_TIMEOUT_S = 2.0
@@ -75,8 +76,23 @@
     failed_runs: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuarantineView:
+    """Traits of requests that are refused since they crash targets.
+
+    :param traits: prompt segments, or the fingerprint of a single request
+    :param tries: requests that were tried since the decision
+    :param retry_in_s: time until the next try, negative once it is due
+    """
+
+    traits: str
+    tries: int
+    age_s: float
+    retry_in_s: float
+
+
 class FleetReader:
-    """Reads the rows of daemons, targets, routes and jobs; read-only.
+    """Reads the rows of daemons, targets, routes, jobs and quarantines; read-only.
 
     :param host: host of the store
     :param port: port of the store
@@ -142,6 +158,30 @@
         views.sort(key=lambda view: view.due_in_s)
         return views
 
+    async def read_quarantines(self) -> list[QuarantineView]:
+        """Return the quarantines that the store holds.
+
+        :raises failures.StoreFailure: when the store does not answer
+        """
+        views = []
+        now_ms = time.time() * 1000
+        for row in await self._read_state(quarantine_rows.ROW_PREFIX):
+            entry_id = row.row_key.key.removeprefix(quarantine_rows.ROW_PREFIX)
+            try:
+                stored = quarantine_rows.decode(entry_id, row.value or b"")
+            except exceptions.ProtocolError as error:
+                logs.warning("quarantine_row_unreadable", entry=entry_id, cause=error)
+                continue
+            views.append(
+                QuarantineView(
+                    traits=",".join(stored.traits),
+                    tries=stored.tries,
+                    age_s=round((now_ms - stored.decided_ms) / 1000, 1),
+                    retry_in_s=round((stored.retry_ms - now_ms) / 1000, 1),
+                )
+            )
+        return views
+
     async def _read_state(self, prefix: str) -> tuple[store.Row, ...]:
         end = prefix[:-1] + chr(ord(prefix[-1]) + 1)
         page = await self._store.read_rows(
--- a/src/endivevane/quarantine/crash_check.py
+++ b/src/endivevane/quarantine/crash_check.py
@@ -78,7 +78,9 @@
             until_s = time.monotonic() + _ALIVE_TTL_S
             _remember(self._alive_until_s, run_key, until_s)
             return
-        self._on_end(run_key, ended_s, tuple(examination.suspects))
+        suspects = sorted(examination.suspects, key=lambda item: -item.weight)
+        reported = tuple(suspects[: evidence.MAX_REPORTED_SUSPECTS])
+        self._on_end(run_key, ended_s, reported)
 
 
 async def _is_refused(target: model.Target) -> bool:
--- a/src/endivevane/quarantine/decisions.py
+++ b/src/endivevane/quarantine/decisions.py
@@ -88,21 +88,17 @@
 def _find_segments(
     known: evidence.Evidence, ends: abc.Sequence[evidence.TargetEnd]
 ) -> frozenset[str] | None:
-    candidates = {
-        segment
-        for end in ends
-        for suspect in end.suspects.values()
-        for segment in suspect.segments
-    }
-    accused = []
-    for segment in candidates:
-        case = _make_case(known, ends, segment)
-        if _is_segment_accused(known, case, segment):
-            accused.append((case.depth, case.score, segment, case))
+    cases = _make_cases(known, ends, lambda suspect: suspect.segments)
+    accused = [
+        (case.depth, case.score, segment)
+        for segment, case in cases.items()
+        if _is_segment_accused(known, case, segment)
+    ]
     if not accused:
         return None
     # Of segments with the same ends, the later one is shared by fewer requests.
-    _, _, segment, case = max(accused, key=lambda entry: entry[:3])
+    _, _, segment = max(accused)
+    case = cases[segment]
     shared = set(case.suspects[0].segments).intersection(
         *(suspect.segments for suspect in case.suspects)
     )
@@ -118,28 +114,31 @@
     Requests without a body may all have the same one, so it must never have been
     answered.
     """
-    candidates = sorted({key for end in ends for key in end.suspects})
-    for fingerprint in candidates:
+    cases = _make_cases(known, ends, lambda suspect: (suspect.fingerprint,))
+    for fingerprint, case in sorted(cases.items()):
         if known.find_answered_s(fingerprint) is not None:
             continue
-        if _make_case(known, ends, fingerprint).score >= _MIN_SCORE:
+        if case.score >= _MIN_SCORE:
             return frozenset((fingerprint,))
     return None
 
 
-def _make_case(
-    known: evidence.Evidence, ends: abc.Iterable[evidence.TargetEnd], trait: str
-) -> _Case:
-    """Return what accuses a trait since the last answer that began on it."""
-    answered_s = known.find_answered_s(trait) or 0.0
-    case = _Case()
+def _make_cases(
+    known: evidence.Evidence,
+    ends: abc.Iterable[evidence.TargetEnd],
+    list_traits: abc.Callable[[evidence.Suspect], tuple[str, ...]],
+) -> dict[str, _Case]:
+    """Return what accuses each trait since the last answer that began on it."""
+    cases: dict[str, _Case] = {}
     for end in ends:
-        if end.ended_s <= answered_s:
-            continue
-        suspects = [item for item in end.suspects.values() if item.has_trait(trait)]
-        if suspects:
-            case.add(end, suspects, trait)
-    return case
+        suspects: dict[str, list[evidence.Suspect]] = {}
+        for suspect in end.suspects.values():
+            for trait in list_traits(suspect):
+                suspects.setdefault(trait, []).append(suspect)
+        for trait, having in suspects.items():
+            if end.ended_s > (known.find_answered_s(trait) or 0.0):
+                cases.setdefault(trait, _Case()).add(end, having, trait)
+    return cases
 
 
 def _is_segment_accused(known: evidence.Evidence, case: _Case, segment: str) -> bool:
--- a/src/endivevane/quarantine/evidence.py
+++ b/src/endivevane/quarantine/evidence.py
@@ -20,6 +20,8 @@
 _MAX_ENDS = 128
 # Requests of one end that are kept; a crash may end a long queue.
 _MAX_SUSPECTS_PER_END = 64
+# Requests of one end that a daemon reports, those that were running first.
+MAX_REPORTED_SUSPECTS = 16
 # Traits of each kind whose last answer is remembered, the newest ones.
 _MAX_ANSWERED_TRAITS = 4096
 # A request whose answer had begun was running; one without a head may only have waited.
@@ -110,6 +112,8 @@
     def __init__(self) -> None:
         self.answer_count = 0
         self._ends: collections.OrderedDict[str, TargetEnd] = collections.OrderedDict()
+        # Segment -> monotonic time of the last end under a request that was running.
+        self._accused: dict[str, float] = {}
         self._segment_answers = _AnswerTimes()
         self._fingerprint_answers = _AnswerTimes()
 
@@ -139,8 +143,14 @@
             if len(self._ends) > _MAX_ENDS:
                 self._ends.popitem(last=False)
         end.ended_s = min(end.ended_s, ended_s)
-        news = [end.add(suspect) for suspect in suspects]
-        return any(news)
+        is_news = False
+        for suspect in suspects:
+            if not end.add(suspect):
+                continue
+            is_news = True
+            if suspect.had_head:
+                self._accuse(suspect, end.ended_s)
+        return is_news
 
     def add_answer(self, traits: abc.Iterable[str], began_s: float) -> None:
         """Record that an answer has begun on some traits."""
@@ -151,17 +161,16 @@
         """Return the monotonic time of the last answer on a trait, if there was one."""
         return self._find_answer_times(trait).find(trait)
 
-    def is_accused(self, trait: str) -> bool:
-        """Return whether a target has ended under a trait since its last answer."""
-        answered_s = self.find_answered_s(trait) or 0.0
-        return any(
-            end.ended_s > answered_s
-            and any(
-                suspect.had_head and suspect.has_trait(trait)
-                for suspect in end.suspects.values()
-            )
-            for end in self._ends.values()
-        )
+    def is_accused(self, segment: str) -> bool:
+        """Return whether a target has ended under a segment since its last answer."""
+        accused_s = self._accused.get(segment)
+        if accused_s is None:
+            return False
+        return accused_s > (self.find_answered_s(segment) or 0.0)
+
+    def _accuse(self, suspect: Suspect, ended_s: float) -> None:
+        for segment in suspect.segments:
+            self._accused[segment] = max(self._accused.get(segment, 0.0), ended_s)
 
     def _find_answer_times(self, trait: str) -> _AnswerTimes:
         if is_fingerprint(trait):
@@ -173,6 +182,9 @@
         for run_key, end in list(self._ends.items()):
             if now_s - end.ended_s > _EVIDENCE_TTL_S:
                 del self._ends[run_key]
+        for segment, accused_s in list(self._accused.items()):
+            if now_s - accused_s > _EVIDENCE_TTL_S:
+                del self._accused[segment]
 
 
 def make_fingerprint(request: model.ClientRequest) -> str:
--- a/src/endivevane/quarantine/rows.py
+++ b/src/endivevane/quarantine/rows.py
@@ -51,7 +51,7 @@
             return None
         self._versions[entry_id] = row.version
         try:
-            stored = _decode(entry_id, row.value)
+            stored = decode(entry_id, row.value)
         except exceptions.ProtocolError as error:
             logs.error("quarantine_row_unreadable", entry=entry_id, cause=error)
             return None
@@ -120,7 +120,7 @@
     )
 
 
-def _decode(entry_id: str, value: bytes) -> StoredEntry:
+def decode(entry_id: str, value: bytes) -> StoredEntry:
     """Return the content of a row.
 
     :raises exceptions.ProtocolError: when it is malformed
--- a/src/endivevane/quarantine/service.py
+++ b/src/endivevane/quarantine/service.py
@@ -29,6 +29,8 @@
 _REPLY_AGE_S = 1.0
 # The first writer of a row spares the others theirs.
 _WRITE_JITTER_S = 0.3
+# The first daemon that deletes an expired row spares the others theirs.
+_DELETE_JITTER_S = 10.0
 # Pause after the store could not decide who tries a request.
 _CLAIM_RETRY_S = 2.0
 # Quarantines are repeated at this interval, for daemons that have missed the news.
@@ -59,6 +61,11 @@
     def __exit__(self, *_: object) -> None:
         self.end()
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether no answer has begun yet."""
+        return self in self._watches
+
     def end(self) -> None:
         """Stop watching, since an answer has begun or the attempt has ended."""
         self._watches.discard(self)
@@ -104,8 +111,8 @@
             if notices:
                 news = messages.QuarantineNews(self._region, entries=notices)
                 self._exchange.repeat(news, now_s)
-            for entry_id in self._registry.expire(time.monotonic()):
-                await self._rows.delete(entry_id)
+            for entry_id in self._registry.expire(now_s):
+                self._start(self._delete_later(entry_id))
             if not len(self._registry.evidence):
                 self._own_ends.clear()
                 self._announced.clear()
@@ -180,14 +187,13 @@
         self._record_answered(dict.fromkeys(traits, 0.0), is_own=True)
 
     def record_broken(
-        self,
-        request: model.ClientRequest,
-        target: model.Target,
-        error: failures.TargetCallError,
+        self, watch: Watch, target: model.Target, error: failures.TargetCallError
     ) -> None:
-        """Record that a target broke off an attempt before its first event."""
-        if not (error.may_have_run and error.is_disconnect):
+        """Record that a target broke off an attempt, if no answer had begun."""
+        is_crash = error.may_have_run and error.is_disconnect
+        if not is_crash or not watch.is_waiting:
             return
+        request = watch.request
         suspect = evidence.Suspect(
             evidence.make_fingerprint(request), request.prompt_segments, error.had_head
         )
@@ -251,7 +257,8 @@
         """Apply the row of a quarantine, or its deletion."""
         entry = self._rows.record_row(row)
         if entry is not None:
-            self._registry.apply(entry, time.monotonic())
+            if self._registry.apply(entry, time.monotonic()):
+                self._abort_quarantined()
         elif row.value is None:
             self._registry.drop(row.row_key.key.removeprefix(rows.ROW_PREFIX))
 
@@ -374,6 +381,11 @@
         except failures.StoreFailure as error:
             logs.info("quarantine_not_stored", entry=entry.entry_id, cause=error)
 
+    async def _delete_later(self, entry_id: str) -> None:
+        """Delete a row that has expired at all daemons, unless another one has."""
+        await asyncio.sleep(self._generator.uniform(0.0, _DELETE_JITTER_S))
+        await self._rows.delete(entry_id)
+
     async def _claim_try(self, entry: registry.Entry) -> bool:
         """Return whether the store lets this daemon try a request of a quarantine."""
         if entry.entry_id in self._claims:
--- a/src/endivevane/serving/answer_relay.py
+++ b/src/endivevane/serving/answer_relay.py
@@ -91,9 +91,8 @@
             if not events:
                 continue
             target_response.record_event()
-            if not has_event:
-                has_event = True
-                self._record_answer(attempt)
+            has_event = True
+            self._record_answer(attempt)
             now_s = time.monotonic()
             progress.idle_deadline_s = now_s + progress.route.stream_idle_timeout_s
             if progress.first_event_s is None:
@@ -123,7 +122,12 @@
         response, head = attempt.response, target_response.head
         chunks: list[bytes] = []
         size = 0
+        is_failure = (
+            head.status >= _FIRST_FAILED_STATUS or head.status in _NOT_RUN_STATUSES
+        )
         while (data := await target_response.read()) is not None:
+            if not is_failure:
+                self._record_answer(attempt)
             chunks.append(data)
             size += len(data)
             if size <= _MAX_BUFFERED_BYTES:
@@ -136,9 +140,6 @@
             await response.write(b"".join(chunks))
             response.finish()
             return attempts.Outcome.SERVED
-        is_failure = (
-            head.status >= _FIRST_FAILED_STATUS or head.status in _NOT_RUN_STATUSES
-        )
         self._outcomes.record_status(known.target, head.status, is_failure)
         is_idempotent = progress.route.is_idempotent
         may_retry = progress.may_retry(response.is_started)
@@ -147,7 +148,6 @@
             return None
         if not is_failure:
             known.health.record_success()
-            self._record_answer(attempt)
         if head.status in _NOT_RUN_STATUSES:
             # The target may have run the request, so the client must not be told that
             # it has not run.
@@ -160,6 +160,9 @@
         return attempts.Outcome.FAILED if is_failure else attempts.Outcome.SERVED
 
     def _record_answer(self, attempt: Attempt) -> None:
+        """Record that an answer has begun, once in an attempt."""
+        if not attempt.waiting.is_waiting:
+            return
         attempt.waiting.end()
         self._quarantine.record_answer(attempt.request)
 
--- a/src/endivevane/serving/online_service.py
+++ b/src/endivevane/serving/online_service.py
@@ -180,8 +180,6 @@
                 events=progress.delivered_events - events_before,
                 run_s=time.monotonic() - started_s,
             )
-            if progress.delivered_events == events_before:
-                self._quarantine.record_broken(request, target, error)
             self._outcomes.record_error(target, error)
             self._record_failure(target, progress, error)
             return None
@@ -214,10 +212,14 @@
         call_abort = target_client.CallAbort()
         with self._quarantine.watch(request, call_abort.abort) as waiting:
             attempt = answer_relay.Attempt(known, request, progress, response, waiting)
-            async with self._caller.call(
-                known, call, route.is_idempotent, call_abort
-            ) as target_response:
-                return await self._relay.relay(attempt, target_response)
+            try:
+                async with self._caller.call(
+                    known, call, route.is_idempotent, call_abort
+                ) as target_response:
+                    return await self._relay.relay(attempt, target_response)
+            except failures.TargetCallError as error:
+                self._quarantine.record_broken(waiting, known.target, error)
+                raise
 
     def _record_failure(
         self,
