--- a/src/endivevane/quarantine/evidence.py
+++ b/src/endivevane/quarantine/evidence.py
@@ -17,9 +17,9 @@
 
 # Ends of targets older than this accuse no one.
 _EVIDENCE_TTL_S = 60.0
-_MAX_ENDS = 128
+_MAX_ENDS = 64
 # Requests of one end that are kept; a crash may end a long queue.
-_MAX_SUSPECTS_PER_END = 64
+_MAX_SUSPECTS_PER_END = 32
 # Requests of one end that a daemon reports, those that were running first.
 MAX_REPORTED_SUSPECTS = 16
 # Traits of each kind whose last answer is remembered, the newest ones.
--- a/src/endivevane/quarantine/registry.py
+++ b/src/endivevane/quarantine/registry.py
@@ -53,6 +53,7 @@
     def __init__(self) -> None:
         self.evidence = evidence.Evidence()
         self._entries: dict[str, Entry] = {}
+        self._by_trait: dict[str, list[Entry]] = {}
         self.has_fingerprints = False
 
     @property
@@ -71,10 +72,11 @@
         fingerprint = ""
         if self.has_fingerprints:
             fingerprint = evidence.make_fingerprint(request)
-        for entry in self._entries.values():
-            if entry.matches(request, fingerprint):
-                entry.used_s = now_s
-                return entry
+        for trait in (*request.prompt_segments, fingerprint):
+            for entry in self._by_trait.get(trait, ()):
+                if entry.matches(request, fingerprint):
+                    entry.used_s = now_s
+                    return entry
         return None
 
     def find_suspect_segment(self, request: model.ClientRequest) -> str | None:
@@ -98,20 +100,11 @@
         if not self._entries:
             return []
         lifted = []
-        for entry in list(self._entries.values()):
-            innocent = entry.traits.intersection(cleared)
-            if not innocent or began_s <= entry.decided_s:
-                continue
-            lifted += sorted(innocent)
-            entry.traits -= innocent
-            logs.info(
-                "quarantine_narrowed",
-                entry=entry.entry_id,
-                cleared=",".join(sorted(innocent)),
-                left=",".join(sorted(entry.traits)) or None,
-            )
-            if not entry.traits:
-                self.drop(entry.entry_id)
+        for trait in cleared:
+            for entry in list(self._by_trait.get(trait, ())):
+                if began_s > entry.decided_s:
+                    lifted.append(trait)
+                    self._narrow(entry, trait)
         return lifted
 
     def decide(self, now_s: float) -> list[Entry]:
@@ -177,6 +170,20 @@
             self.drop(entry_id)
         return unused
 
+    def _narrow(self, entry: Entry, trait: str) -> None:
+        """Leave a trait out of a quarantine, which ends with its last one."""
+        entry.traits -= {trait}
+        logs.info(
+            "quarantine_narrowed",
+            entry=entry.entry_id,
+            cleared=trait,
+            left=",".join(sorted(entry.traits)) or None,
+        )
+        if entry.traits:
+            self._refresh()
+        else:
+            self.drop(entry.entry_id)
+
     def _make_room(self) -> None:
         if len(self._entries) < _MAX_ENTRIES:
             return
@@ -184,11 +191,12 @@
         self.drop(least_used.entry_id)
 
     def _refresh(self) -> None:
-        self.has_fingerprints = any(
-            evidence.is_fingerprint(trait)
-            for entry in self._entries.values()
-            for trait in entry.traits
-        )
+        """Index the quarantines by trait after a change."""
+        self._by_trait = {}
+        for entry in self._entries.values():
+            for trait in entry.traits:
+                self._by_trait.setdefault(trait, []).append(entry)
+        self.has_fingerprints = any(map(evidence.is_fingerprint, self._by_trait))
 
 
 def make_entry(traits: frozenset[str], now_s: float) -> Entry:
