Quarantine all segments that have the same evidence

Cause: where a sound segment had been at the same two ends as the deadly one, the name decided which one was taken; the deadly one then ended two targets more.

--- a/features/steps/crash_evidence_steps.py
+++ b/features/steps/crash_evidence_steps.py
@@ -30,7 +30,8 @@
 @when("targets end under {ends}")
 def step_ends(context, ends):
     """Report ends, written as RUN:REQUEST/SEGMENT,... with ~ for one without a head."""
-    for item in ends.split():
+    items = ends.split()
+    for position, item in enumerate(items):
         run, _, suspect = item.partition(":")
         name, _, segments = suspect.partition("/")
         context.registry.evidence.add_end(
@@ -44,7 +45,8 @@
                 )
             ],
         )
-        context.registry.decide(10.0 + int(run))
+        if not any(later.startswith(f"{run}:") for later in items[position + 1 :]):
+            context.registry.decide(10.0 + int(run))
     for segment in context.later_answers:
         context.registry.evidence.answer_count += 1
         context.registry.record_answers([segment], 20.0)
--- a/features/support/quarantine_net.py
+++ b/features/support/quarantine_net.py
@@ -11,6 +11,8 @@
 # Delays of a datagram within a region and between regions.
 _NEAR_S = 0.003
 _FAR_S = 0.02
+# There are no heartbeats here, so the daemons count as alive for a whole scenario.
+_ALIVE_S = 600.0
 
 
 class SwitchableStore(serving_fakes.FakeStore):
@@ -60,7 +62,7 @@
                 peer = peer_registry.Peer(
                     other.name, other.region, other.name, 1, "run1"
                 )
-                peer.last_seen_s = time.monotonic()
+                peer.last_seen_s = time.monotonic() + _ALIVE_S
                 self.registry.record_heartbeat(peer)
 
     def _send(self, name, news):
--- a/src/endivevane/quarantine/decisions.py
+++ b/src/endivevane/quarantine/decisions.py
@@ -59,8 +59,10 @@
 
 def find_crashing_traits(
     known: evidence.Evidence, quarantined: abc.Iterable[frozenset[str]]
-) -> frozenset[str] | None:
-    """Return traits that together are to be quarantined, ``None`` if there are none.
+) -> set[frozenset[str]]:
+    """Return what is to be quarantined: traits that crash targets together.
+
+    There are several sets only where the evidence is the same for each of them.
 
     :param quarantined: traits in quarantine; the ends that they explain accuse no
         other, but a single request may have crashed targets for one of its segments
@@ -72,7 +74,7 @@
         if not any(evidence.is_fingerprint(trait) for trait in traits)
     ]
     found = _find_segments(known, _list_unexplained(known, segments))
-    return found or _find_fingerprint(known, _list_unexplained(known, explanations))
+    return found or _find_fingerprints(known, _list_unexplained(known, explanations))
 
 
 def _list_unexplained(
@@ -87,18 +89,28 @@
 
 def _find_segments(
     known: evidence.Evidence, ends: abc.Sequence[evidence.TargetEnd]
-) -> frozenset[str] | None:
+) -> set[frozenset[str]]:
     cases = _make_cases(known, ends, lambda suspect: suspect.segments)
-    accused = [
-        (case.depth, case.score, segment)
+    accused = {
+        segment: case
         for segment, case in cases.items()
         if _is_segment_accused(known, case, segment)
-    ]
+    }
     if not accused:
-        return None
+        return set()
     # Of segments with the same ends, the later one is shared by fewer requests.
-    _, _, segment = max(accused)
-    case = cases[segment]
+    strongest = max((case.depth, case.score) for case in accused.values())
+    return {
+        _join_unanswered(known, segment, case)
+        for segment, case in accused.items()
+        if (case.depth, case.score) == strongest
+    }
+
+
+def _join_unanswered(
+    known: evidence.Evidence, segment: str, case: _Case
+) -> frozenset[str]:
+    """Return a segment with the unanswered ones that all accused requests share."""
     shared = set(case.suspects[0].segments).intersection(
         *(suspect.segments for suspect in case.suspects)
     )
@@ -106,21 +118,20 @@
     return frozenset(unanswered | {segment})
 
 
-def _find_fingerprint(
+def _find_fingerprints(
     known: evidence.Evidence, ends: abc.Sequence[evidence.TargetEnd]
-) -> frozenset[str] | None:
-    """Return the fingerprint of a request that crashed several targets by itself.
+) -> set[frozenset[str]]:
+    """Return the fingerprints of requests that crashed several targets by themselves.
 
     Requests without a body may all have the same one, so it must never have been
     answered.
     """
     cases = _make_cases(known, ends, lambda suspect: (suspect.fingerprint,))
-    for fingerprint, case in sorted(cases.items()):
-        if known.find_answered_s(fingerprint) is not None:
-            continue
-        if case.score >= _MIN_SCORE:
-            return frozenset((fingerprint,))
-    return None
+    return {
+        frozenset((fingerprint,))
+        for fingerprint, case in cases.items()
+        if case.score >= _MIN_SCORE and known.find_answered_s(fingerprint) is None
+    }
 
 
 def _make_cases(
--- a/src/endivevane/quarantine/registry.py
+++ b/src/endivevane/quarantine/registry.py
@@ -112,13 +112,12 @@
         decided: list[Entry] = []
         while True:
             quarantined = [entry.traits for entry in self._entries.values()]
-            traits = decisions.find_crashing_traits(self.evidence, quarantined)
-            if traits is None:
+            found = decisions.find_crashing_traits(self.evidence, quarantined)
+            entries = [make_entry(traits, now_s) for traits in found]
+            fresh = [entry for entry in entries if self.apply(entry, now_s)]
+            if not fresh:
                 return decided
-            entry = make_entry(traits, now_s)
-            if not self.apply(entry, now_s):
-                return decided
-            decided.append(entry)
+            decided += fresh
 
     def apply(self, entry: Entry, now_s: float) -> bool:
         """Apply a quarantine of any daemon; return whether it is news."""
