Cover answers that end with their connection, whole and reset

Cause: the users' line on answers without a length or chunks had scenarios for torn streams only. Change: the stand-in target sends bodies and streams without framing, and resets bodies half-way; scenarios for whole ones and for the reset, on routes that may and may not run again.

--- a/features/misbehaving_targets.feature
+++ b/features/misbehaving_targets.feature
@@ -164,3 +164,29 @@
     When a job of 4 items is submitted to the first daemon
     Then the second daemon lists 4 completed results within 8 s
     And each result has the text of 6 events
+
+  # Guards against refusing what is whole: an answer may end with its connection.
+  Scenario Outline: A response without a length or chunks is passed on whole
+    Given 1 targets behind a daemon with <route>
+    And the target ends <response> with its connection, without a length or chunks
+    When a client requests a stream
+    Then the answer has status 200
+    And the response is complete, with the target's body of <size> bytes
+
+    Examples:
+      | route                         | response   | size |
+      | a route that may be repeated  | a body     | 4000 |
+      | a resumable route             | a stream   | 150  |
+
+  # Guards against half a body that looks whole, since its end is only the connection's.
+  Scenario Outline: A response without a length that is reset is not whole
+    Given 2 targets behind a daemon with <route>
+    And each target resets its first body without a length half-way
+    When a client requests a stream
+    Then the answer has status <status>
+    And the request has run <runs> times
+
+    Examples:
+      | route                           | status | runs |
+      | a route that may be repeated    | 200    | 2    |
+      | a route that may run once       | 502    | 1    |
--- a/features/steps/misbehaving_targets_steps.py
+++ b/features/steps/misbehaving_targets_steps.py
@@ -264,3 +264,28 @@
     for result in context.results:
         lines = result["text"].split("\n")
         assert len(lines) == events, result
+
+
+@given("the target ends {response} with its connection, without a length or chunks")
+def step_unframed(context, response):
+    is_plain = response == "a body"
+    serving_world.prepare_first(
+        context, unframed=True, plain=is_plain, plain_bytes=4000
+    )
+
+
+@given("each target resets its first body without a length half-way")
+def step_reset_body(context):
+    shared = replica.Manner(unframed=True, plain=True, plain_bytes=4000, resets=1)
+
+    def prepare(world):
+        for item in world.replicas.values():
+            item.manner = shared
+
+    context.prepare.append(prepare)
+
+
+@then("the response is complete, with the target's body of {size:d} bytes")
+def step_complete_body(context, size):
+    assert context.reply.is_complete, context.reply
+    assert len(context.reply.body) == size, len(context.reply.body)
--- a/features/steps/serving_online_steps.py
+++ b/features/steps/serving_online_steps.py
@@ -10,6 +10,7 @@
     "a resumable route": {},
     "a route that may not be resumed": {"resumable": False},
     "a route that may be repeated": {"kind": "safe"},
+    "a route that may run once": {"kind": "unsafe"},
     "a route of 400 ms timeout": {"timeoutMs": 400},
 }
 
--- a/src/endivevane/quarantine/rows.py
+++ b/src/endivevane/quarantine/rows.py
@@ -62,7 +62,7 @@
         return entry_id in self._versions
 
     async def write(self, entry: registry.Entry) -> bool:
-        """Write a quarantine unless it was changed meanwhile; return whether it was.
+        """Write a quarantine, unless another daemon has changed its row meanwhile.
 
         :return: whether this daemon's change was taken
         :raises failures.StoreFailure: when it is not known to be written
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -9,6 +9,8 @@
 import asyncio
 import contextlib
 import dataclasses
+import socket
+import struct
 import time
 from collections import abc
 
@@ -65,6 +67,8 @@
     :ivar crash_segment: prompt segment on which the target crashes when it begins to
         write an answer; empty for none
     :ivar crash_runs: number of runs on which the target crashes, whatever they hold
+    :ivar unframed: end responses with the connection, without a length or chunks
+    :ivar resets: number of unframed responses to reset half-way
     :ivar empty_by_close: number of streams without chunks to end after the head
     """
 
@@ -97,12 +101,16 @@
     crash_segment: str = ""
     empty_by_close: int = 0
     crash_runs: int = 0
+    unframed: bool = False
+    resets: int = 0
 
 
 # Parts that can be endless: the head, one line of it, interim responses, the body of a
 # refusal, an event.
 FLOODS = ("head", "line", "interim", "refusal", "event")
 _FLOOD_BYTES = 4096
+# SO_LINGER with a timeout of 0 s: closing the socket sends a reset.
+_LINGER_RESET = struct.pack("ii", 1, 0)
 
 
 class Replica:
@@ -263,30 +271,21 @@
             await self._flood_head(writer)
             return False
         if manner.status != 200 or manner.plain:
-            return self._respond_plain(run, writer)
+            return await self._respond_plain(run, writer)
         writer.write(self._make_stream_head(run))
-        if manner.empty_by_close:
-            manner.empty_by_close -= 1
-            run.ended = "closed"
-            await writer.drain()
-            writer.close()
-            await writer.wait_closed()
-            return False
-        is_poisoned = manner.crash_segment and run.has_segment(manner.crash_segment)
-        if manner.crash_runs or is_poisoned:
-            manner.crash_runs = max(0, manner.crash_runs - 1)
-            await writer.drain()
-            await asyncio.sleep(manner.gap_s)
-            run.ended = "crashed"
-            self.crash()
+        if await self._end_after_head(run, writer):
             return False
         for number in range(run.last_event + 1, manner.events + 1):
             await asyncio.sleep(manner.gap_s)
             event = make_event(run.attempt, number)
             if await self._interrupt(run, writer, number, event):
                 return False
-            writer.write(event if manner.by_close else _chunk(event))
+            is_raw = manner.by_close or manner.unframed
+            writer.write(event if is_raw else _chunk(event))
             await writer.drain()
+        if manner.unframed:
+            run.ended = "done"
+            return await _close(writer)
         writer.write(b"0\r\n\r\n")
         if manner.extra:
             self._write(writer, 200, "another-attempt", b"late answer", [])
@@ -294,6 +293,24 @@
         run.ended = "done"
         return True
 
+    async def _end_after_head(self, run: Run, writer: asyncio.StreamWriter) -> bool:
+        """End a stream before its first event if a fault applies."""
+        manner = self.manner
+        if manner.empty_by_close:
+            manner.empty_by_close -= 1
+            run.ended = "closed"
+            await _close(writer)
+            return True
+        is_poisoned = manner.crash_segment and run.has_segment(manner.crash_segment)
+        if not (manner.crash_runs or is_poisoned):
+            return False
+        manner.crash_runs = max(0, manner.crash_runs - 1)
+        await writer.drain()
+        await asyncio.sleep(manner.gap_s)
+        run.ended = "crashed"
+        self.crash()
+        return True
+
     async def _interrupt(
         self, run: Run, writer: asyncio.StreamWriter, number: int, event: bytes
     ) -> bool:
@@ -339,13 +356,40 @@
             lines.append(f"Response-Signature: sig-{self.name}-{run.attempt}")
         if self.manner.leaving:
             lines.append("Server-Leaving: 1")
-        if not (self.manner.by_close or self.manner.empty_by_close):
+        manner = self.manner
+        if not (manner.by_close or manner.empty_by_close or manner.unframed):
             lines.append("Transfer-Encoding: chunked")
         return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
-    def _respond_plain(self, run: Run, writer: asyncio.StreamWriter) -> bool:
-        """Respond with a Content-Length; return whether to keep the connection."""
+    async def _respond_unframed(self, run: Run, writer: asyncio.StreamWriter) -> bool:
+        """Respond without a length; the body ends with the connection."""
+        body = (b"plain body" * (self.manner.plain_bytes // 10 + 1))[
+            : self.manner.plain_bytes
+        ]
+        head = (
+            f"HTTP/1.1 200 OK\r\nAttempt-Id: {run.attempt}\r\n"
+            f"Response-Signature: sig-{self.name}-{run.attempt}\r\n\r\n"
+        )
+        if not self.manner.resets:
+            writer.write(head.encode() + body)
+            run.ended = "done"
+            return await _close(writer)
+        self.manner.resets -= 1
+        writer.write(head.encode() + body[: len(body) // 2])
+        await writer.drain()
+        # Lets the bytes arrive before the reset.
+        await asyncio.sleep(0.05)
+        run.ended = "reset"
+        connection = writer.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
+        writer.transport.abort()
+        return False
+
+    async def _respond_plain(self, run: Run, writer: asyncio.StreamWriter) -> bool:
+        """Respond with a whole body; return whether to keep the connection."""
         manner = self.manner
+        if manner.unframed:
+            return await self._respond_unframed(run, writer)
         body = (b"plain body" * (manner.plain_bytes // 10 + 1))[: manner.plain_bytes]
         if not manner.plain_cut:
             self._write(writer, manner.status, run.attempt, body, [])
@@ -405,6 +449,14 @@
     return f"id: {number}\ndata: {attempt} piece {number}\n\n".encode()
 
 
+async def _close(writer: asyncio.StreamWriter) -> bool:
+    """Close a connection in order; return that it can't be kept."""
+    await writer.drain()
+    writer.close()
+    await writer.wait_closed()
+    return False
+
+
 async def _drip(writer: asyncio.StreamWriter, event: bytes) -> None:
     """Send an event byte by byte, too slowly to finish within a caller's timeout."""
     for position in range(len(event) - 1):
