Look for suspects before the targets of a request are listed

Cause: read as a newcomer, each request listed all running targets of its service, hundreds on the large site, though nearly none is a suspect. The choice of one target had no scenario. Change: the segment is looked for first; a scenario for the choice, which taking it out must fail. Result: the scenario passes; no change of what is chosen.

--- a/features/crashing_prompts.feature
+++ b/features/crashing_prompts.feature
@@ -161,3 +161,11 @@
     When a job of 2 items is submitted to the first daemon
     Then the second daemon lists 2 completed results within 30 s
     And targets have crashed at least 6 times
+
+  # Guards against suspects at several targets at a time, each of which they would end.
+  Scenario: Requests with a suspect segment go to one target until the decision
+    Given 2 targets behind a daemon with a resumable route
+    And each target sends an event every 400 ms
+    When the daemon hears that another target has ended under "p", and 6 requests with "p" come
+    Then one target has run all of them
+    And each client receives 6 events
--- a/features/steps/crash_evidence_steps.py
+++ b/features/steps/crash_evidence_steps.py
@@ -130,3 +130,33 @@
         return replies
 
     context.replies = serving_world.play(context, play)
+
+
+@when(
+    'the daemon hears that another target has ended under "{segment}", and {count:d} '
+    'requests with "{segment_again}" come'
+)
+def step_suspects(context, segment, count, segment_again):
+    async def play(world):
+        suspect = evidence.Suspect("request:r1", ("a", segment), had_head=True)
+        report = messages.EndReport("other/1", 0.0, (suspect,), {})
+        news = messages.QuarantineNews("near", ends=(report,))
+        world.quarantine.handle(news, "front-2")
+        extra = (f"Prompt-Prefix: a:5,{segment}:5,own:5",)
+        # Sent together, since the first answer clears the segment.
+        calls = [
+            serving_world.send_request(
+                world.port,
+                serving_world.make_request(attempt=f"attempt{number}", extra=extra),
+            )
+            for number in range(count)
+        ]
+        return await asyncio.gather(*calls)
+
+    context.replies = serving_world.play(context, play)
+
+
+@then("one target has run all of them")
+def step_one_target(context):
+    counts = [len(item.runs) for item in context.world.replicas.values()]
+    assert sorted(counts)[0] == 0, counts
--- a/src/endivevane/quarantine/service.py
+++ b/src/endivevane/quarantine/service.py
@@ -9,7 +9,6 @@
 from collections import abc
 
 from endivevane import logs, metrics
-from endivevane.coordination import rendezvous
 from endivevane.quarantine import (
     crash_check,
     evidence,
@@ -145,18 +144,9 @@
             return True
         return now_s >= entry.retry_at_s and await self._claim_try(entry)
 
-    def choose_target(
-        self, request: model.ClientRequest, target_ids: abc.Iterable[str]
-    ) -> str | None:
-        """Return the only target for a request that may crash it, ``None`` for any.
-
-        All daemons send requests with a suspect segment to the same target, so that
-        those which arrive before the decision end one target.
-        """
-        segment = self._registry.find_suspect_segment(request)
-        if segment is None:
-            return None
-        return rendezvous.choose_member(segment, dict.fromkeys(target_ids, 1.0))
+    def find_suspect_segment(self, request: model.ClientRequest) -> str | None:
+        """Return a segment under which a target has ended and none has answered."""
+        return self._registry.find_suspect_segment(request)
 
     def watch(
         self, request: model.ClientRequest, abort: abc.Callable[[str], None]
@@ -173,7 +163,7 @@
 
         The wait is only for requests whose segments are accused and not cleared.
         """
-        if self._registry.find_suspect_segment(request) is not None:
+        if self.find_suspect_segment(request) is not None:
             await asyncio.sleep(_DECISION_DELAY_S + crash_check.COLLECT_S)
 
     def record_answer(self, request: model.ClientRequest) -> None:
--- a/src/endivevane/serving/online_service.py
+++ b/src/endivevane/serving/online_service.py
@@ -9,6 +9,7 @@
 from collections import abc
 
 from endivevane import logs, metrics
+from endivevane.coordination import rendezvous
 from endivevane.quarantine import service as quarantine_service
 from endivevane.serving import (
     admission,
@@ -106,7 +107,14 @@
     def _isolate(
         self, request: model.ClientRequest, target_ids: abc.Iterable[str]
     ) -> frozenset[str] | None:
-        """Return the target that a suspect request may go to, ``None`` for any."""
+        """Return the target that a suspect request may go to, ``None`` for any.
+
+        All daemons send requests with a suspect segment to the same target, so that
+        those which arrive before the decision end one target.
+        """
+        segment = self._quarantine.find_suspect_segment(request)
+        if segment is None:
+            return None
         now_s = time.monotonic()
         running = [
             target_id
@@ -114,7 +122,7 @@
             if (known := self._targets.find(target_id)) is not None
             and not known.health.is_paused(now_s)
         ]
-        chosen = self._quarantine.choose_target(request, running)
+        chosen = rendezvous.choose_member(segment, dict.fromkeys(running, 1.0))
         return None if chosen is None else frozenset((chosen,))
 
     def _make_slot_request(
