Show by an example that a quarantine explains its ends

Cause: taking the explanation out was not noticed: the example's quarantined segment was the strongest again and stopped the search. Change: an example in which the other segment's second end comes without the quarantined one.

--- a/features/crashing_prompts.feature
+++ b/features/crashing_prompts.feature
@@ -42,7 +42,7 @@
       | answered | ends                                                | quarantined |
       | a        | 1:r1/a,p 1:r3/a,x 2:r2/a,p 2:r4/a,y                 | p           |
       | a        | 1:r1/a,p 1:~r3/a,x 2:r2/a,p 2:~r4/a,x               | p           |
-      | a        | 1:r1/a,p 1:r3/a,x 2:r2/a,p 3:r5/a,p 3:r6/a,x        | p           |
+      | a        | 1:r1/a,p 1:r3/a,x 2:r2/a,p 3:r6/a,x                 | p           |
       | a        | 1:r1/a,p 1:r3/a,x 2:r2/a,p 2:r4/a,x                 | p, x        |
       | a        | 1:~r1/a,x 2:~r2/a,x                                 | nothing     |
       | a        | 1:~r1/a,x 2:~r2/a,x 3:~r3/a,x 4:~r4/a,x             | x           |
