Try a cut between the regions on the quarantine

Cause: what is lost when a region is cut was written down, not shown. Change: a scenario: a quarantine reaches the other region by the store during a cut, and by the repeats after it where the store was down. Result: passes on the code as it is (44 scenarios of the feature). Conclusion: ends seen one in each region during a cut without the store accuse nobody until it heals, by design.

--- a/features/crashing_prompts.feature
+++ b/features/crashing_prompts.feature
@@ -124,6 +124,18 @@
     And 1 s later all daemons start again
     Then within 1 s requests with "p" are in quarantine at every daemon
 
+  # Guards against a region that is cut off from the others but not from the store, and
+  # against regions that differ once they hear each other again.
+  Scenario: Regions that lose each other share quarantines by the store, or after the cut
+    Given 6 daemons in one region and 3 in another, of whose datagrams 0% are lost
+    When the regions lose each other
+    And two daemons of the first region see targets end under requests with "p"
+    And every daemon reads the store
+    Then within 1 s requests with "p" are in quarantine at every daemon
+    When the store is down and two daemons of the first region see targets end under requests with "q"
+    And the regions hear each other again
+    Then within 4 s requests with "q" are in quarantine at every daemon
+
   # Guards against a try by each daemon, which would crash as many targets.
   Scenario Outline: When a try is due, one daemon sends one request
     Given 6 daemons in one region and 3 in another, of whose datagrams 0% are lost
--- a/features/steps/quarantine_net_steps.py
+++ b/features/steps/quarantine_net_steps.py
@@ -43,11 +43,56 @@
             for number in range(_WARM_ANSWERS):
                 request = quarantine_net.make_request(f"w{number}", "a", f"t{number}")
                 member.quarantine.record_answer(request)
-        first, second = context.members[0], context.members[-1]
-        context.net.end_target(first, "t1/1", "request:r1", ("a", segment))
-        await asyncio.sleep(0.05)
-        context.net.end_target(second, "t2/1", "request:r2", ("a", segment))
-        await asyncio.sleep(0.3)
+        await _end_two(context, context.members[0], context.members[-1], segment)
+
+    _run(context, act)
+
+
+async def _end_two(context, first, second, segment):
+    """Let two daemons find that targets have ended under requests with a segment."""
+    context.net.end_target(
+        first, f"{segment}1/1", f"request:{segment}1", ("a", segment)
+    )
+    await asyncio.sleep(0.05)
+    context.net.end_target(
+        second, f"{segment}2/1", f"request:{segment}2", ("a", segment)
+    )
+    await asyncio.sleep(0.5)
+
+
+@when("the regions lose each other")
+def step_cut(context):
+    context.net.is_cut = True
+
+
+@when("the regions hear each other again")
+def step_heal(context):
+    context.net.is_cut = False
+
+
+@when(
+    "two daemons of the first region see targets end under requests with " '"{segment}"'
+)
+def step_near_ends(context, segment):
+    first, second = context.members[:2]
+    _run(context, lambda: _end_two(context, first, second, segment))
+
+
+@when(
+    "the store is down and two daemons of the first region see targets end under "
+    'requests with "{segment}"'
+)
+def step_near_ends_without_store(context, segment):
+    context.net.store.state = "is down"
+    first, second = context.members[:2]
+    _run(context, lambda: _end_two(context, first, second, segment))
+
+
+@when("every daemon reads the store")
+def step_read(context):
+    async def act():
+        for member in context.members:
+            member.read_rows()
 
     _run(context, act)
 
--- a/features/support/quarantine_net.py
+++ b/features/support/quarantine_net.py
@@ -83,6 +83,7 @@
         self.loop = loop
         self.generator = random.Random(seed)
         self.lost_share = lost_share
+        self.is_cut = False
         self.store = SwitchableStore()
         self.sent = {}
         self.sent_bytes = 0
@@ -111,6 +112,8 @@
         if self.generator.random() < self.lost_share:
             return
         receiver = self.members[name]
+        if self.is_cut and receiver.region != sender.region:
+            return
         delay_s = _NEAR_S if receiver.region == sender.region else _FAR_S
         loop = asyncio.get_running_loop()
         loop.call_later(delay_s, self._deliver, receiver, sender.name, data)
