Give the requests that wait at targets a module of their own

Change: watches.py has the requests that wait; the traits of suspects are listed in evidence.py. No logic is changed.

--- a/src/endivevane/quarantine/evidence.py
+++ b/src/endivevane/quarantine/evidence.py
@@ -200,6 +200,15 @@
     return _FINGERPRINT_PREFIX + digest.hexdigest()
 
 
+def list_traits(suspects: abc.Iterable[Suspect]) -> set[str]:
+    """Return the traits of some requests."""
+    traits: set[str] = set()
+    for suspect in suspects:
+        traits.update(suspect.segments)
+        traits.add(suspect.fingerprint)
+    return traits
+
+
 def is_fingerprint(trait: str) -> bool:
     """Return whether a trait identifies a single request and its repeats."""
     return trait.startswith(_FINGERPRINT_PREFIX)
--- a/src/endivevane/quarantine/service.py
+++ b/src/endivevane/quarantine/service.py
@@ -16,6 +16,7 @@
     messages,
     registry,
     rows,
+    watches,
 )
 from endivevane.serving import failures, model, store
 
@@ -37,39 +38,6 @@
 _QUARANTINED = "quarantine"
 
 
-class Watch:
-    """A request that waits for its first event at a target.
-
-    :param abort: called with a cause when the request falls under a quarantine
-    """
-
-    def __init__(
-        self,
-        watches: set[Watch],
-        request: model.ClientRequest,
-        abort: abc.Callable[[str], None],
-    ) -> None:
-        self.request = request
-        self.abort = abort
-        self._watches = watches
-
-    def __enter__(self) -> Watch:
-        self._watches.add(self)
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self.end()
-
-    @property
-    def is_waiting(self) -> bool:
-        """Whether no answer has begun yet."""
-        return self in self._watches
-
-    def end(self) -> None:
-        """Stop watching, since an answer has begun or the attempt has ended."""
-        self._watches.discard(self)
-
-
 class QuarantineService:
     """Keeps requests that crash targets away from them.
 
@@ -97,7 +65,7 @@
         # Trait -> monotonic time at which a daemon last told of an answer on it.
         self._announced: dict[str, float] = {}
         self._claims: set[str] = set()
-        self._watches: set[Watch] = set()
+        self._waiting = watches.WaitingRequests()
         self._decision: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -150,13 +118,12 @@
 
     def watch(
         self, request: model.ClientRequest, abort: abc.Callable[[str], None]
-    ) -> Watch:
+    ) -> watches.Watch:
         """Return a context in which a request waits for its first event.
 
-        :param abort: called with a cause when the request falls under a quarantine,
-            which most targets take as the end of the request
+        :param abort: called with a cause when the request falls under a quarantine
         """
-        return Watch(self._watches, request, abort)
+        return self._waiting.watch(request, abort)
 
     async def wait_for_decision(self, request: model.ClientRequest) -> None:
         """Wait before a request is sent again after a target has ended under it.
@@ -177,7 +144,10 @@
         self._record_answered(dict.fromkeys(traits, 0.0), is_own=True)
 
     def record_broken(
-        self, watch: Watch, target: model.Target, error: failures.TargetCallError
+        self,
+        watch: watches.Watch,
+        target: model.Target,
+        error: failures.TargetCallError,
     ) -> None:
         """Record that a target broke off an attempt, if no answer had begun."""
         is_crash = error.may_have_run and error.is_disconnect
@@ -205,7 +175,7 @@
         self._own_ends.add(run_key)
         self._on_target_end(run_key, now_s)
         answered = {}
-        for trait in _list_traits(suspects):
+        for trait in evidence.list_traits(suspects):
             answered_s = known.find_answered_s(trait)
             if answered_s is not None:
                 answered[trait] = now_s - answered_s
@@ -308,7 +278,7 @@
         """Tell of answers on accused traits that the reporter may not know."""
         known = self._registry.evidence
         newer = []
-        for trait in _list_traits(end.suspects):
+        for trait in evidence.list_traits(end.suspects):
             answered_s = known.find_answered_s(trait)
             if answered_s is None:
                 continue
@@ -404,7 +374,7 @@
     def _abort_quarantined(self) -> None:
         """Abort the requests in quarantine that still wait at targets."""
         now_s = time.monotonic()
-        for watch in list(self._watches):
+        for watch in self._waiting.list_all():
             entry = self._registry.check(watch.request, now_s)
             if entry is not None and now_s < entry.retry_at_s:
                 watch.end()
@@ -419,15 +389,6 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def _list_traits(suspects: abc.Iterable[evidence.Suspect]) -> set[str]:
-    """Return the traits of some requests."""
-    traits: set[str] = set()
-    for suspect in suspects:
-        traits.update(suspect.segments)
-        traits.add(suspect.fingerprint)
-    return traits
-
-
 def _make_notice(entry: registry.Entry, now_s: float) -> messages.EntryNotice:
     return messages.EntryNotice(
         entry_id=entry.entry_id,
--- a/src/endivevane/serving/answer_relay.py
+++ b/src/endivevane/serving/answer_relay.py
@@ -6,6 +6,7 @@
 import time
 
 from endivevane.quarantine import service as quarantine_service
+from endivevane.quarantine import watches
 from endivevane.serving import (
     attempts,
     model,
@@ -35,7 +36,7 @@
     request: model.ClientRequest
     progress: attempts.Progress
     response: responder.Responder
-    waiting: quarantine_service.Watch
+    waiting: watches.Watch
 
 
 class AnswerRelay:
