--- a/src/endivevane/platform/headers.py
+++ b/src/endivevane/platform/headers.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import math
 import re
 from collections import abc
 
+from endivevane import logs
 from endivevane.serving import model
 
 # Id that the client gives to an attempt; targets echo it.
@@ -20,6 +22,8 @@
 _NOT_EXECUTED = b"not-executed"
 # "1" in all responses of a draining target.
 _DRAINING = b"server-leaving"
+# Requests a second that the target takes from all daemons together.
+_RATE_LIMIT = b"server-limit"
 # Milliseconds for which a read may wait for news (long poll).
 _WAIT = b"wait-ms"
 # Parts of a prompt in order, as comma-separated ID:TOKENS; the last one belongs to the
@@ -72,6 +76,20 @@
     return milliseconds / 1000.0 if milliseconds >= 0 else None
 
 
+def _parse_rate_limit(value: bytes | None) -> model.RateStatement:
+    """Return what a response says of the target's rate limit."""
+    if value is None:
+        return model.RateStatement()
+    try:
+        rate_per_s = float(value)
+    except ValueError:
+        rate_per_s = math.nan
+    if math.isfinite(rate_per_s) and rate_per_s >= 0:
+        return model.RateStatement(rate_per_s)
+    logs.limited_info("rate_limit_unusable", value=value.decode("latin-1"))
+    return model.RateStatement(is_usable=False)
+
+
 def _parse_prompt_segments(value: bytes) -> tuple[str, ...]:
     """Return the ids of a prompt's segments that requests may share, in order."""
     ids = [part.partition(b":")[0].strip() for part in value.split(b",")]
@@ -144,6 +162,7 @@
             is_signed=_SIGNATURE in values,
             idle_timeout_s=None if match is None else float(match.group(1)),
             is_draining=values.get(_DRAINING, b"0").strip() not in (b"", b"0"),
+            rate=_parse_rate_limit(values.get(_RATE_LIMIT)),
         )
 
     def encode_item_headers(
--- a/src/endivevane/serving/model.py
+++ b/src/endivevane/serving/model.py
@@ -153,6 +153,19 @@
     stall_timeout_s: float = float("inf")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateStatement:
+    """What one response says of its target's rate limit.
+
+    :param limit_per_s: requests a second that the target takes from all daemons
+        together, ``None`` for any number
+    :param is_usable: whether the response says anything that can be understood
+    """
+
+    limit_per_s: float | None = None
+    is_usable: bool = True
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetReply:
     """The head of a target's response.
@@ -165,6 +178,7 @@
     :param idle_timeout_s: how long the connection may stay idle, ``None`` if not
         given
     :param is_draining: whether the target says that it drains
+    :param rate: what it says of its rate limit
     """
 
     status: int
@@ -176,6 +190,7 @@
     is_signed: bool
     idle_timeout_s: float | None
     is_draining: bool = False
+    rate: RateStatement = RateStatement()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/endivevane/serving/target_client.py
+++ b/src/endivevane/serving/target_client.py
@@ -302,6 +302,13 @@
             self._on_draining(known)
         if _belongs_to_call(call, reply, connection):
             known.health.record_data(time.monotonic())
+            if reply.rate.limit_per_s is not None:
+                logs.limited_info(
+                    "rate_limit_named",
+                    target=known.target.target_id,
+                    limit_per_s=reply.rate.limit_per_s,
+                    request=call.attempt_id.decode("latin-1"),
+                )
             return TargetResponse(known, connection, reply, watchdog, _is_framed(head))
         metrics.TARGET_FAULTS.labels("foreign_answer").inc()
         raise failures.TargetCallError(
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -70,6 +70,8 @@
     :ivar unframed: end responses with the connection, without a length or chunks
     :ivar resets: number of unframed responses to reset half-way
     :ivar empty_by_close: number of streams without chunks to end after the head
+    :ivar rate_limit: requests a second that all responses name as the limit, as text;
+        empty for none
     """
 
     events: int = 6
@@ -103,6 +105,7 @@
     crash_runs: int = 0
     unframed: bool = False
     resets: int = 0
+    rate_limit: str = ""
 
 
 # Parts that can be endless: the head, one line of it, interim responses, the body of a
@@ -354,13 +357,21 @@
         ]
         if not self.manner.unsigned:
             lines.append(f"Response-Signature: sig-{self.name}-{run.attempt}")
-        if self.manner.leaving:
-            lines.append("Server-Leaving: 1")
+        lines += self._make_state_headers()
         manner = self.manner
         if not (manner.by_close or manner.empty_by_close or manner.unframed):
             lines.append("Transfer-Encoding: chunked")
         return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
+    def _make_state_headers(self) -> list[str]:
+        """Return the headers of all responses that tell of the target's state."""
+        lines = []
+        if self.manner.leaving:
+            lines.append("Server-Leaving: 1")
+        if self.manner.rate_limit:
+            lines.append(f"Server-Limit: {self.manner.rate_limit}")
+        return lines
+
     async def _respond_unframed(self, run: Run, writer: asyncio.StreamWriter) -> bool:
         """Respond without a length; the body ends with the connection."""
         body = (b"plain body" * (self.manner.plain_bytes // 10 + 1))[
@@ -439,8 +450,7 @@
         if is_run and not self.manner.unsigned:
             lines.append(f"Response-Signature: sig-{self.name}-{attempt}")
         lines += [f"{name}: {value}" for name, value in headers]
-        if self.manner.leaving:
-            lines.append("Server-Leaving: 1")
+        lines += self._make_state_headers()
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
 
