Share the limit that a target names among all daemons

Cause: targets were chosen by requests in flight, and nothing read or shared a rate. Class: a limit on a sum that no single process sees.

One daemon of a target's region issues tokens, as many in 4 s as the limit allows; others request one when a request waits. News of a limit goes to all daemons that choose targets, ordered by when the request was sent whose answer names it. Online requests that can be on time go before items, late ones last; items of which nothing is left to lose go first. Items on a target with a limit are not preempted, since each run counts.

--- a/bench/fleet/simulation.py
+++ b/bench/fleet/simulation.py
@@ -11,9 +11,11 @@
 from collections import abc
 
 from bench.fleet import batch, engines, pattern
+from endivevane.rate_limits import service as rate_limits
 from endivevane.serving import (
     load_table,
     model,
+    peer_registry,
     peers,
     region_reports,
     store,
@@ -165,6 +167,7 @@
             target_selection.Location(zone, f"r{region}", regions),
             known,
             table,
+            self._make_limits(known, region, number, regions),
             random.Random(self.generator.random()),
         )
         daemon = Daemon(f"r{region}d{number}", region, table, selector)
@@ -175,6 +178,22 @@
         table.cross_region_age_s = self._find_region_interval_s()
         return daemon
 
+    def _make_limits(
+        self,
+        known: target_registry.TargetRegistry,
+        region: int,
+        number: int,
+        regions: abc.Mapping[str, str],
+    ) -> rate_limits.RateLimits:
+        """Return the rate limits of a daemon, whose engines name none."""
+        identity = peer_registry.Identity(
+            f"r{region}d{number}", f"r{region}", "run", "10.0.0.1", 1
+        )
+        members = peer_registry.PeerRegistry(identity)
+        return rate_limits.RateLimits(
+            identity, members, known, regions.get, lambda _name, _message: None
+        )
+
     def _find_table(self, region: int) -> load_table.LoadTable:
         """Return the load table that a daemon of a region uses."""
         if self._view is pattern.View.PERFECT:
--- a/features/rate_limits.feature
+++ b/features/rate_limits.feature
@@ -8,3 +8,142 @@
     When for 9 s every daemon gets 8 requests a second
     Then from 1 s after it first named it no target has got more than 10 requests in 4 s
     And at least 4 requests a second were served
+
+  # Guards against a daemon that issues tokens alone, is gone, and takes the targets with it,
+  # or a successor that issues as many again.
+  Scenario: The limit holds while daemons are killed and started again
+    Given a store, 3 targets and 3 daemons
+    And targets that name a limit of 2 requests a second
+    When for 12 s every daemon gets 8 requests a second, and each in turn is killed and started
+    Then from 1 s after it first named it no target has got more than 17 requests in 4 s
+    And at least 4 requests a second were served
+
+  # Guards against a limit that is kept too strictly, so that parts of it lie idle, or that is
+  # exceeded by a daemon that has just begun to issue.
+  Scenario Outline: A daemon issues what the limit allows in each window, and no more
+    Given a daemon that issues the tokens of a target with a limit of <limit> a second
+    When for 40 s it is always asked for more
+    Then it issues at most <window> tokens in 4 s
+    And it issues between <least> and <most> tokens in all
+
+    Examples:
+      | limit | window | least | most |
+      | 0     | 1      | 4     | 5    |
+      | 0.05  | 1      | 4     | 5    |
+      | 0.3   | 2      | 12    | 13   |
+      | 1     | 4      | 40    | 41   |
+      | 2.3   | 10     | 91    | 93   |
+      | 3.3   | 14     | 131   | 133  |
+      | 50    | 200    | 1999  | 2001 |
+
+  # Guards against places that go to whoever asks first, and items that are never placed.
+  Scenario Outline: Tokens go to those that need them most
+    Given a daemon that issues the tokens of a target with a limit of 1 a second
+    When it is asked by <asked>
+    Then the tokens go to <order>
+
+    Examples:
+      | asked                                    | order      |
+      | a:item:0:9 b:waiting:0:0.3               | b, a       |
+      | a:waiting:1:0.1 b:waiting:0:0.3          | b, a       |
+      | a:waiting:0:0.3 b:waiting:0:0.2          | b, a       |
+      | a:late:0:-1 b:item:0:9 c:waiting:0:0.3   | c, b, a    |
+      | a:waiting:0:0.1 b:urgent_item:0:2        | b, a       |
+
+  # Guards against an old answer that comes late, or that of an earlier run, and ends a limit.
+  Scenario Outline: Of two answers the one to the later request counts
+    Given a daemon before a target
+    When it reads the answers <answers>
+    Then it believes a limit of <limit>
+
+    Examples: an answer is SENT@LIMIT, in the order of arrival
+      | answers             | limit |
+      | 1@2                 | 2     |
+      | 1@none              | none  |
+      | 1@2 2@none          | none  |
+      | 2@2 1@none          | 2     |
+      | 1@2 3@none 2@2      | none  |
+      | 1@2 2@1             | 1     |
+      | 2@1 1@2             | 1     |
+      | 1@2 2@0             | 0     |
+      | 1@2 2@unusable      | 2     |
+      | 1@unusable          | none  |
+
+    Examples: after a pause of the process any answer is newer
+      | answers             | limit |
+      | 9@2 pause 1@none    | none  |
+
+    Examples: a run of the target that has ended names no limit of the next one
+      | answers             | limit |
+      | 1@2 restart         | none  |
+      | 1@2 restart 2@old:1 | none  |
+      | 1@2 restart 2@3     | 3     |
+
+  # Guards against headers that are no number.
+  Scenario Outline: What a response says of a limit
+    When a response names the limit "<text>"
+    Then it says <meaning>
+
+    Examples:
+      | text | meaning        |
+      | 2.5  | 2.5 a second   |
+      | 0    | 0.0 a second   |
+      | nan  | nothing usable |
+      | inf  | nothing usable |
+      | -1   | nothing usable |
+      | many | nothing usable |
+
+  # Guards against shares that add up to more than the limit, or that lie idle at daemons that
+  # have no use for them, with 9 daemons, in a coordinator's region, and with 340.
+  Scenario Outline: All daemons together use the limit and keep it
+    Given <near> daemons in one region and <far> in another before limited targets, of whose datagrams <lost>% are lost
+    When <busy> of the daemons that choose targets always have requests waiting for 8 s
+    Then no target has got more than its limit in 4 s, and a request more
+    And the targets have got at least <used>% of their limits
+    And a daemon has sent at most 3000 bytes a second, on average
+
+    Examples:
+      | near | far | lost | busy | used |
+      | 5    | 4   | 0    | all  | 85   |
+      | 5    | 4   | 20   | all  | 70   |
+      | 5    | 4   | 0    | 1    | 85   |
+      | 40   | 31  | 0    | all  | 85   |
+      | 170  | 170 | 0    | all  | 85   |
+
+  # Guards against a rate that is lost, or issued twice, when the daemon that issues it goes.
+  Scenario Outline: The daemon that issues the tokens <event>
+    Given <near> daemons in one region and <far> in another before limited targets, of whose datagrams 0% are lost
+    When all of the daemons that choose targets have requests waiting, and after 4 s the issuer of a region <event>
+    Then no target has got more than 1.5 times its limit and 5 requests in 4 s
+    And in the last 3 s the targets of that region have got at least 60% of their limits
+
+    Examples:
+      | near | far | event                             |
+      | 5    | 4   | is killed                         |
+      | 5    | 4   | is killed and starts a second later |
+      | 5    | 4   | stops as planned                  |
+
+  # Guards against a limit that is believed after the target has stopped naming it, and against
+  # a daemon that starts without it.
+  Scenario: News of a limit and of its end reach all daemons that choose
+    Given 5 daemons in one region and 4 in another before limited targets, of whose datagrams 20% are lost
+    When one daemon reads the limits
+    Then within 3 s all daemons that choose know them
+    When a daemon starts again
+    Then within 3 s all daemons that choose know them
+    When the targets stop naming limits, and one daemon reads that
+    Then within 3 s no daemon that chooses believes a limit
+
+  # Guards against a region that holds back, or sends more, while it is cut off.
+  Scenario: Regions that lose each other keep the limits of the targets that they reach
+    Given 5 daemons in one region and 4 in another before limited targets, of whose datagrams 0% are lost
+    When the regions can't reach each other, and all of the daemons that choose targets have requests waiting for 8 s
+    Then no target has got more than its limit in 4 s, and a request more
+    And the targets have got at least 85% of their limits
+
+  # Guards against items that are cut for online requests and count against the limit again.
+  Scenario: Items are not preempted on a target with a limit
+    Given a daemon that has 3 items and 6 online requests on a target of 8 slots
+    Then 1 item is preempted
+    When the target names a limit of 2 requests a second
+    Then no item is preempted
--- a/features/steps/rate_limits_steps.py
+++ b/features/steps/rate_limits_steps.py
@@ -28,12 +28,19 @@
             request = serving_world.make_request(
                 attempt=attempt, extra=("Deadline-Ms: 1500",)
             )
-            sending = serving_world.send_request(item.port, request)
-            calls.append(asyncio.ensure_future(sending))
+            calls.append(asyncio.ensure_future(_send(item, request)))
         await asyncio.sleep(1 / rate)
     return await asyncio.gather(*calls)
 
 
+async def _send(daemon, request):
+    """Return the response, one without a status if the daemon is down."""
+    try:
+        return await serving_world.send_request(daemon.port, request)
+    except OSError:
+        return serving_world.Response()
+
+
 def count_most(times_s, window_s):
     """Return the most times that lie in a window of some length."""
     ordered = sorted(times_s)
@@ -66,3 +73,20 @@
     served = sum(1 for reply in context.replies if reply.status == 200)
     print(f"served={served} of {len(context.replies)}")
     assert served >= rate * context.duration_s, served
+
+
+@when(
+    "for {duration_s:d} s every daemon gets {rate:d} requests a second, and each in "
+    "turn is killed and started"
+)
+def step_load_with_kills(context, duration_s, rate):
+    fleet = context.fleet
+    context.duration_s = duration_s
+    future = asyncio.run_coroutine_threadsafe(
+        _load(fleet.daemons, duration_s, rate), fleet.loop.loop
+    )
+    for daemon in fleet.daemons:
+        time.sleep(duration_s / (len(fleet.daemons) + 1))
+        daemon.stop()
+        daemon.start()
+    context.replies = future.result(duration_s + 20)
--- a/features/support/serving_fakes.py
+++ b/features/support/serving_fakes.py
@@ -6,6 +6,7 @@
 import time
 
 from endivevane.quarantine import exchange, rows, service
+from endivevane.rate_limits import service as rate_limits
 from endivevane.serving import (
     admission,
     failures,
@@ -64,6 +65,18 @@
     )
 
 
+def make_limits(targets, identity=None, registry=None, send=None, regions=None):
+    """Return the rate limits of a daemon, without peers unless a registry is given."""
+    identity = identity or make_identity()
+    return rate_limits.RateLimits(
+        identity,
+        registry or peer_registry.PeerRegistry(identity),
+        targets,
+        (regions or {"z1": "near", "z2": "far"}).get,
+        send or (lambda _name, _message: None),
+    )
+
+
 def load(data):
     """Return the fields of a datagram."""
     return json.loads(data)
@@ -84,8 +97,9 @@
         self.board = load_table.LoadTable()
         location = target_selection.Location(zone, "near", {"z1": "near", "z2": "far"})
         self.board.same_region_age_s = age_s
+        self.limits = make_limits(self.directory)
         self.choices = target_selection.TargetSelector(
-            location, self.directory, self.board, random.Random(seed)
+            location, self.directory, self.board, self.limits, random.Random(seed)
         )
         for number, name in enumerate(names):
             self.add(name, zone=(zones or {}).get(name, "z1"), version=number + 1)
--- a/features/support/serving_world.py
+++ b/features/support/serving_world.py
@@ -75,8 +75,9 @@
         self.loads = load_table.LoadTable()
         generator = random.Random(5)
         location = target_selection.Location("z1", "near", {"z1": "near"})
+        self.limits = serving_fakes.make_limits(self.registry)
         selector = target_selection.TargetSelector(
-            location, self.registry, self.loads, generator
+            location, self.registry, self.loads, self.limits, generator
         )
         queue = slot_queue.SlotQueue(selector, self.loads, generator)
         slot_admission = admission.Admission(
@@ -84,7 +85,10 @@
         )
         codec = headers.HeaderCodec()
         client = target_client.TargetClient(
-            http_client.ConnectionPool(0.35), codec, self.registry.record_draining
+            http_client.ConnectionPool(0.35),
+            codec,
+            self.registry.record_draining,
+            self.limits,
         )
         self.registry.add_removal_callback(client.forget)
         self.quarantine = serving_fakes.make_quarantine(
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -28,6 +28,7 @@
 from endivevane.quarantine import exchange as quarantine_exchange
 from endivevane.quarantine import rows as quarantine_rows
 from endivevane.quarantine import service as quarantine_service
+from endivevane.rate_limits import service as rate_limits
 from endivevane.serving import (
     admission,
     batch_slots,
@@ -144,6 +145,7 @@
             self._takeover.run(),
             self._sweeper.run(),
             self._quarantine.run(),
+            self._limits.run(),
             self._membership.join(),
             self._drop_expired(),
             watch.run(),
@@ -190,10 +192,19 @@
         location = target_selection.Location(
             vm.availability_zone, vm.region, dict(self._settings.regions)
         )
+        self._limits = rate_limits.RateLimits(
+            self._identity,
+            self._peer_registry,
+            self._target_registry,
+            location.regions.get,
+            self._network.send_message,
+        )
+        self._limits.call_when_changed(self._on_limits_changed)
         self._target_selector = target_selection.TargetSelector(
             location,
             self._target_registry,
             self._load_table,
+            self._limits,
             self._generator,
         )
         queue = slot_queue.SlotQueue(
@@ -216,16 +227,15 @@
             self._generator,
             self._target_registry.record_ended,
         )
+        self._coordinator = coordinator.Coordinator(
+            self._target_registry,
+            self._load_table,
+            queue,
+            self._target_selector,
+            self._network.send_message,
+        )
         self._network.connect(
-            self._slot_client,
-            coordinator.Coordinator(
-                self._target_registry,
-                self._load_table,
-                queue,
-                self._target_selector,
-                self._network.send_message,
-            ),
-            self._quarantine,
+            self._slot_client, self._coordinator, self._quarantine, self._limits
         )
         self._admission = admission.Admission(
             queue, self._slot_registry, self._slot_client
@@ -235,6 +245,7 @@
             http_client.ConnectionPool(_CONNECT_TIMEOUT_S),
             self._codec,
             self._target_registry.record_draining,
+            self._limits,
         )
         self._target_registry.add_removal_callback(self._target_client.forget)
 
@@ -380,6 +391,7 @@
     def _on_process_pause(self) -> None:
         """Warm up again before any decision about others, whose state may be stale."""
         self._takeover.record_process_pause()
+        self._limits.record_process_pause()
         self._peer_registry.warmed_up_s = time.monotonic() + _WARM_UP_S
 
     def _on_state_row(self, row: store.Row) -> None:
@@ -395,6 +407,11 @@
         self._admission.dispatch()
         self._runner.wake()
 
+    def _on_limits_changed(self) -> None:
+        """Use a token that has come, or a target that has a limit no longer."""
+        self._coordinator.grant_free_slots(time.monotonic())
+        self._on_report()
+
     async def _drop_expired(self) -> None:
         while True:
             await asyncio.sleep(_EXPIRY_POLL_S)
--- a/src/endivevane/metrics.py
+++ b/src/endivevane/metrics.py
@@ -88,3 +88,12 @@
     "Bytes over the inter-region link, by purpose.",
     ["purpose"],
 )
+RATE_LIMITED_TARGETS = prometheus_client.Gauge(
+    "endivevane_rate_limited_targets", "Targets that name a rate limit."
+)
+RATE_TOKENS = prometheus_client.Counter(
+    "endivevane_rate_tokens",
+    "Tokens to send one request to a target with a rate limit, by outcome: issued for"
+    " other daemons or this one, used, or void as unused.",
+    ["outcome"],
+)
--- a/src/endivevane/quarantine/exchange.py
+++ b/src/endivevane/quarantine/exchange.py
@@ -67,7 +67,7 @@
             return
         names = [peer.name for peer in self._registry.list_region_peers()]
         if news.region == self._identity.region:
-            names += self._list_other_regions(now_s)
+            names += self._registry.list_deciders_elsewhere(now_s)
         recipients = tuple(name for name in names if name != sender)
         own_news = dataclasses.replace(news, region=self._identity.region)
         self._enqueue(recipients, own_news)
@@ -82,7 +82,7 @@
             return
         names = [peer.name for peer in self._registry.list_region_peers()]
         for piece in _split(_Outbox((), entries=list(news.entries)), region):
-            for name in (*names, *self._list_other_regions(now_s)):
+            for name in (*names, *self._registry.list_deciders_elsewhere(now_s)):
                 self._send(name, piece)
 
     def send_to(self, name: str, news: messages.QuarantineNews) -> None:
@@ -95,28 +95,13 @@
         region = self._identity.region
         if not self._registry.is_coordinated:
             names = [peer.name for peer in self._registry.list_region_peers()]
-            return (*names, *self._list_other_regions(now_s))
+            return (*names, *self._registry.list_deciders_elsewhere(now_s))
         ranked = self._registry.rank(region, now_s)
         if self._registry.is_coordinator(now_s):
             names = [peer.name for peer in self._registry.list_region_peers()]
-            return (*names, *self._list_other_regions(now_s))
+            return (*names, *self._registry.list_deciders_elsewhere(now_s))
         return tuple(name for name in ranked if name != self._identity.name)
 
-    def _list_other_regions(self, now_s: float) -> list[str]:
-        """Return the daemons of other regions that are told directly."""
-        names: list[str] = []
-        regions = {peer.region for peer in self._registry.peers.values()}
-        for region in sorted(regions - {self._identity.region}):
-            if self._registry.has_coordinator(region):
-                names += self._registry.rank(region, now_s)
-                continue
-            names += [
-                peer.name
-                for peer in self._registry.peers.values()
-                if peer.region == region
-            ]
-        return names
-
     def _enqueue(
         self, recipients: tuple[str, ...], news: messages.QuarantineNews
     ) -> None:
--- /dev/null
+++ b/src/endivevane/rate_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits that targets name, kept by all daemons together."""
--- a/src/endivevane/serving/batch_slots.py
+++ b/src/endivevane/serving/batch_slots.py
@@ -141,7 +141,11 @@
         if self._budgets[kind] <= 0:
             return None
         target = self._selector.choose_batch(
-            service, now_s, self._cooling_down, is_urgent
+            service,
+            now_s,
+            self._cooling_down,
+            is_urgent,
+            due_s=now_s + due_left_s,
         )
         if target is None:
             self._full.add(service)
--- a/src/endivevane/serving/coordinator.py
+++ b/src/endivevane/serving/coordinator.py
@@ -158,10 +158,11 @@
             del self._batch[key]
             self._members[key[0]].entries.pop(entry.number, None)
         self._selector.record_peaks(now_s)
-        self._grant_free_slots(now_s)
+        self.grant_free_slots(now_s)
         self._preempt_items(now_s)
 
-    def _grant_free_slots(self, now_s: float) -> None:
+    def grant_free_slots(self, now_s: float) -> None:
+        """Grant free slots to waiting online requests, then to batch items."""
         self._queue.grant_free_slots(now_s)
         self._grant_batch_slots(now_s)
 
@@ -194,7 +195,7 @@
         if message.first_event_s is not None and entry.service:
             self._queue.record_first_event(entry.service, message.first_event_s)
         self._remove_entry(member, entry, now_s)
-        self._grant_free_slots(now_s)
+        self.grant_free_slots(now_s)
 
     def _find_member(self, name: str, incarnation: str, now_s: float) -> _Member:
         member = self._members.get(name)
@@ -226,7 +227,7 @@
             entry.urgency = item_estimates.Urgency(ask.urgency)
             entry.due_s = now_s + ask.objective_left_s
             self._batch[(member.name, ask.number)] = entry
-            self._grant_free_slots(now_s)
+            self.grant_free_slots(now_s)
             return
         entry.waiter = self._queue.ask(
             self._make_slot_request(ask, now_s),
@@ -307,6 +308,7 @@
                 cooling_down | entry.avoided,
                 is_urgent,
                 entry.availability_zone,
+                entry.due_s,
             )
             if target is None:
                 full.add(kind)
--- a/src/endivevane/serving/model.py
+++ b/src/endivevane/serving/model.py
@@ -190,7 +190,7 @@
     is_signed: bool
     idle_timeout_s: float | None
     is_draining: bool = False
-    rate: RateStatement = RateStatement()
+    rate: RateStatement = dataclasses.field(default_factory=RateStatement)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/endivevane/serving/peer_messages.py
+++ b/src/endivevane/serving/peer_messages.py
@@ -10,6 +10,7 @@
 import orjson
 
 from endivevane.quarantine import messages as quarantine_messages
+from endivevane.rate_limits import messages as rate_messages
 from endivevane.serving import load_table, outcome_table, slot_messages, slot_registry
 
 
@@ -107,6 +108,7 @@
     Report
     | MembershipNotice
     | quarantine_messages.QuarantineNews
+    | rate_messages.Message
     | slot_messages.Message
 )
 
@@ -171,6 +173,14 @@
     return orjson.dumps(quarantine_messages.encode_fields(message))
 
 
+@encode.register(rate_messages.LimitNews)
+@encode.register(rate_messages.TokenRequest)
+@encode.register(rate_messages.TokenQueued)
+@encode.register(rate_messages.TokenGrant)
+def _(message: rate_messages.Message) -> bytes:
+    return orjson.dumps(rate_messages.encode_fields(message))
+
+
 def decode(data: bytes) -> Message:
     """Return the message in a datagram.
 
@@ -184,6 +194,8 @@
             return _decode_notice(fields)
         if kind == quarantine_messages.KIND:
             return quarantine_messages.decode_fields(fields)
+        if kind in rate_messages.KINDS:
+            return rate_messages.decode_fields(kind, fields)
         return slot_messages.decode(kind, fields)
     except (AttributeError, TypeError, ValueError) as error:
         raise ValueError(f"malformed datagram: {error}") from error
--- a/src/endivevane/serving/peer_registry.py
+++ b/src/endivevane/serving/peer_registry.py
@@ -302,6 +302,21 @@
         self._ranks[region] = (now_s, ranked)
         return ranked
 
+    def list_deciders(self, region: str, now_s: float) -> list[str]:
+        """Return the daemons of a region that choose the targets of requests."""
+        if self.has_coordinator(region):
+            return list(self.rank(region, now_s))
+        return [peer.name for peer in self.peers.values() if peer.region == region]
+
+    def list_deciders_elsewhere(self, now_s: float) -> list[str]:
+        """Return the daemons of the other regions that choose targets."""
+        regions = {peer.region for peer in self.peers.values()}
+        return [
+            name
+            for region in sorted(regions - {self._identity.region})
+            for name in self.list_deciders(region, now_s)
+        ]
+
     def is_membership_current(self, now_s: float) -> bool:
         """Return whether the last membership from a coordinator is recent."""
         return (
--- a/src/endivevane/serving/peers.py
+++ b/src/endivevane/serving/peers.py
@@ -17,6 +17,8 @@
 from endivevane import logs
 from endivevane.quarantine import messages as quarantine_messages
 from endivevane.quarantine import service as quarantine_service
+from endivevane.rate_limits import messages as rate_messages
+from endivevane.rate_limits import service as rate_limits
 from endivevane.serving import (
     coordinated_reports,
     coordinator,
@@ -78,6 +80,7 @@
         self._client: slot_client.SlotClient | None = None
         self._coordinator: coordinator.Coordinator | None = None
         self._quarantine: quarantine_service.QuarantineService | None = None
+        self._limits: rate_limits.RateLimits | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._sequence = 0
         # Sender -> (incarnation, sequence number of its last message).
@@ -93,9 +96,11 @@
         client: slot_client.SlotClient,
         granter: coordinator.Coordinator,
         quarantine: quarantine_service.QuarantineService | None = None,
+        limits: rate_limits.RateLimits | None = None,
     ) -> None:
-        """Set the handlers of slot messages and of quarantine news."""
+        """Set the handlers of slots, quarantine news and rate limits."""
         self._quarantine = quarantine
+        self._limits = limits
         self._client = client
         self._coordinator = granter
         self._coordinated.connect(granter)
@@ -133,7 +138,9 @@
     def send_message(
         self,
         name: str,
-        message: slot_messages.Message | quarantine_messages.QuarantineNews,
+        message: slot_messages.Message
+        | quarantine_messages.QuarantineNews
+        | rate_messages.Message,
     ) -> None:
         """Send a message to a daemon by its name."""
         peer = self._registry.peers.get(name)
@@ -194,6 +201,15 @@
         if sender is not None and self._quarantine is not None:
             self._quarantine.handle(message, sender)
 
+    @_handle.register(rate_messages.LimitNews)
+    @_handle.register(rate_messages.TokenRequest)
+    @_handle.register(rate_messages.TokenQueued)
+    @_handle.register(rate_messages.TokenGrant)
+    def _(self, message: rate_messages.Message, host: str) -> None:
+        sender = self._find_name(host)
+        if sender is not None and self._limits is not None:
+            self._limits.handle(message, sender)
+
     @_handle.register
     def _(self, message: peer_messages.MembershipNotice, host: str) -> None:
         if message.name == self._identity.name or not self._is_newer(message):
--- a/src/endivevane/serving/slot_queue.py
+++ b/src/endivevane/serving/slot_queue.py
@@ -12,6 +12,8 @@
 import random
 from collections import abc
 
+from endivevane.rate_limits import holder as token_holder
+from endivevane.rate_limits import messages as rate_messages
 from endivevane.serving import load_table, model, target_selection
 
 # Least time that a request needs at a target; one with less left is refused.
@@ -196,11 +198,11 @@
 
     def estimate_wait_s(self, service: str) -> float:
         """Estimate how long one more request that can be on time waits for a slot."""
-        slots = self._selector.count_slots(service)
-        if not slots:
+        rate_per_s = self._selector.estimate_rate_per_s(service)
+        if not rate_per_s:
             return _MAX_RETRY_S
         ahead = self._loads.count_waiting_requests(service)
-        return (ahead + 1) * self._selector.get_mean_hold_s(service) / slots
+        return (ahead + 1) / rate_per_s
 
     def retry_after_s(self, service: str) -> float:
         """Return when a refused client should retry, with jitter."""
@@ -292,10 +294,40 @@
             and served_s + first_event_s > slot_request.objective_s
         )
 
+    def _is_late(self, slot_request: SlotRequest, now_s: float) -> bool:
+        """Whether a request misses its objective even if it is granted a slot now."""
+        first_event_s = self._estimate_first_event_s(slot_request.service)
+        return now_s + first_event_s > slot_request.objective_s
+
     def _estimate_first_event_s(self, service: str) -> float:
         return _FIRST_EVENT_MARGIN * self.get_mean_first_event_s(service)
 
     def _choose(self, slot_request: SlotRequest, now_s: float) -> model.Target | None:
+        """Return the target for a request, ``None`` if it has to wait.
+
+        One that has to wait requests a token of the targets that have a limit.
+        """
+        target = self._find_target(slot_request, now_s)
+        if target is not None:
+            return target
+        is_late = self._is_late(slot_request, now_s)
+        need = token_holder.TokenNeed(
+            rate_messages.Need.LATE if is_late else rate_messages.Need.WAITING,
+            slot_request.priority,
+            slot_request.objective_s,
+        )
+        has_token = self._selector.request_online_token(
+            slot_request.service,
+            need,
+            now_s,
+            slot_request.excluded | slot_request.avoided,
+            slot_request.allowed,
+        )
+        return self._find_target(slot_request, now_s) if has_token else None
+
+    def _find_target(
+        self, slot_request: SlotRequest, now_s: float
+    ) -> model.Target | None:
         return self._selector.choose_online(
             slot_request.service,
             now_s,
--- a/src/endivevane/serving/target_client.py
+++ b/src/endivevane/serving/target_client.py
@@ -36,6 +36,18 @@
         """Return the head of a response."""
 
 
+class LimitObserver(typing.Protocol):
+    """Learns what responses say of the rate limits of their targets."""
+
+    def record_answer(
+        self, target: model.Target, rate: model.RateStatement, sent_s: float
+    ) -> None:
+        """Record what a response says.
+
+        :param sent_s: monotonic time at which the request was sent
+        """
+
+
 class _Watchdog:
     """Aborts a call when its target is unresponsive or its stream stalls.
 
@@ -182,7 +194,9 @@
         pool: http_client.ConnectionPool,
         codec: CallCodec,
         on_draining: abc.Callable[[target_registry.KnownTarget], None],
+        limits: LimitObserver,
     ) -> None:
+        self._limits = limits
         self._pool = pool
         self._codec = codec
         self._on_draining = on_draining
@@ -207,7 +221,8 @@
         """
         target = known.target
         connection = await self._connect(known, call, is_idempotent)
-        known.health.begin_call(time.monotonic())
+        sent_s = time.monotonic()
+        known.health.begin_call(sent_s)
         watchdog = _Watchdog(known, connection, call.stall_timeout_s)
         if is_idempotent:
             watchdog.start()
@@ -218,6 +233,7 @@
             headers = self._codec.encode_call(call, target)
             head = await self._send_request(known, connection, call, headers, watchdog)
             response = self._make_response(known, connection, head, call, watchdog)
+            self._limits.record_answer(target, response.head.rate, sent_s)
             yield response
         finally:
             watchdog.stop()
@@ -302,13 +318,6 @@
             self._on_draining(known)
         if _belongs_to_call(call, reply, connection):
             known.health.record_data(time.monotonic())
-            if reply.rate.limit_per_s is not None:
-                logs.limited_info(
-                    "rate_limit_named",
-                    target=known.target.target_id,
-                    limit_per_s=reply.rate.limit_per_s,
-                    request=call.attempt_id.decode("latin-1"),
-                )
             return TargetResponse(known, connection, reply, watchdog, _is_framed(head))
         metrics.TARGET_FAULTS.labels("foreign_answer").inc()
         raise failures.TargetCallError(
--- a/src/endivevane/serving/target_selection.py
+++ b/src/endivevane/serving/target_selection.py
@@ -6,6 +6,9 @@
 import random
 from collections import abc
 
+from endivevane.rate_limits import holder as token_holder
+from endivevane.rate_limits import messages as rate_messages
+from endivevane.rate_limits import service as rate_limits
 from endivevane.serving import (
     load_peaks,
     load_table,
@@ -66,8 +69,10 @@
         location: Location,
         targets: target_registry.TargetRegistry,
         loads: load_table.LoadTable,
+        limits: rate_limits.RateLimits,
         generator: random.Random,
     ) -> None:
+        self._limits = limits
         self._location = location
         self._targets = targets
         self._loads = loads
@@ -79,7 +84,7 @@
         """Record the online load of each service, as a share of its slots."""
         online: dict[str, int] = {}
         slots: dict[str, int] = {}
-        for known in self._targets.list_all():
+        for known in self._list_by_slots(self._targets.list_all()):
             target = known.target
             load = self._loads.total(target.target_id)
             online[target.service] = online.get(target.service, 0) + load.online
@@ -103,30 +108,49 @@
         :param zone: availability zone of the request's daemon, empty for this daemon's
         """
         candidates: list[water_filling.Candidate] = []
-        usable = self._targets.list_usable(service)
-        ejected = self._find_ejected(usable, now_s)
-        has_local = any(
-            not self._is_cross_region(known.target)
-            and _is_available(known.health, now_s)
-            for known in usable
-        )
-        for known in usable:
-            target = known.target
-            if target.target_id in excluded:
-                continue
-            if allowed is None and target.target_id in ejected:
-                continue
-            if allowed is not None and target.target_id not in allowed:
-                continue
-            if not _is_available(known.health, now_s):
+        for target in self._list_with_room(service, now_s, excluded, allowed):
+            if not self._limits.is_open(target.target_id, now_s):
                 continue
             total = self._loads.total(target.target_id).total
-            if total >= self._find_limit(target, has_local):
-                continue
             cost = self._cost(target, total, now_s, zone)
             candidates.append(water_filling.Candidate(target, cost))
+        usable = self._targets.list_usable(service)
         unreported = self._estimate_unreported(service, usable)
-        return water_filling.draw_target(candidates, unreported, self._generator)
+        return self._draw(candidates, unreported, now_s)
+
+    def request_online_token(
+        self,
+        service: str,
+        need: token_holder.TokenNeed,
+        now_s: float,
+        excluded: abc.Set[str] = frozenset(),
+        allowed: abc.Set[str] | None = None,
+    ) -> bool:
+        """Request a token for an online request; return whether one is there.
+
+        :param excluded: targets that the request must not go to
+        :param allowed: the targets that the request may go to, ``None`` for any
+        """
+        if not self._limits.has_limits:
+            return False
+        limited = [
+            target
+            for target in self._list_with_room(service, now_s, excluded, allowed)
+            if self._limits.find_limit_per_s(target.target_id) is not None
+        ]
+        return self._request_token(limited, need, now_s)
+
+    def estimate_rate_per_s(self, service: str) -> float:
+        """Return how many requests a second the targets of a service can serve."""
+        hold_s = self.get_mean_hold_s(service)
+        rate_per_s = 0.0
+        for known in self._targets.list_usable(service):
+            served_per_s = known.target.slots / hold_s
+            limit_per_s = self._limits.find_limit_per_s(known.target.target_id)
+            if limit_per_s is not None:
+                served_per_s = min(served_per_s, limit_per_s)
+            rate_per_s += served_per_s
+        return rate_per_s
 
     def record_hold(self, service: str, hold_s: float) -> None:
         """Record how long a request held its slot."""
@@ -144,16 +168,18 @@
         excluded: abc.Set[str] = frozenset(),
         is_urgent: bool = False,
         zone: str = "",
+        due_s: float = 0.0,
     ) -> model.Target | None:
         """Return a target with room for a batch item, ``None`` if none has.
 
         :param is_urgent: whether the item misses its due time unless it runs now
         :param zone: availability zone of the item's daemon, empty for this daemon's
+        :param due_s: monotonic time at which the item is due
         """
         usable = self._targets.list_usable(service)
         peak_room = self._find_peak_room(service, usable)
         ejected = self._find_ejected(usable, now_s)
-        candidates: list[water_filling.Candidate] = []
+        has_room: list[model.Target] = []
         for known in usable:
             target = known.target
             if target.target_id in ejected:
@@ -162,14 +188,24 @@
                 continue
             load = self._loads.total(target.target_id)
             room = self._count_batch_room(target, load, peak_room)
-            has_room = target.target_id not in excluded and room > 0
-            if not has_room and not (is_urgent and _has_urgent_room(target, load)):
-                continue
-            cost = self._cost(target, load.total, now_s, zone)
-            candidates.append(water_filling.Candidate(target, cost))
+            if (target.target_id not in excluded and room > 0) or (
+                is_urgent and _has_urgent_room(target, load)
+            ):
+                has_room.append(target)
+        candidates = [
+            water_filling.Candidate(
+                target,
+                self._cost(
+                    target, self._loads.total(target.target_id).total, now_s, zone
+                ),
+            )
+            for target in self._list_open_for_batch(
+                service, has_room, is_urgent, due_s, now_s
+            )
+        ]
         # Other daemons start items at the same time.
         unreported = self._loads.waiting_items - self._loads.own_waiting_items
-        return water_filling.draw_target(candidates, unreported, self._generator)
+        return self._draw(candidates, unreported, now_s)
 
     def draw_batch_share(self, service: str, now_s: float, is_urgent: bool) -> int:
         """Return how many items this daemon may start in the slots free for batch.
@@ -207,6 +243,9 @@
         :param items: items there that the caller can preempt, ``None`` for those of
             this daemon
         """
+        if self._limits.find_limit_per_s(target.target_id) is not None:
+            # Its limit bounds its load, and each run of an item counts against it.
+            return 0
         load = self._loads.total(target.target_id)
         surplus = load.total - (target.slots - _PREEMPTION_RESERVE)
         if items is None:
@@ -235,6 +274,115 @@
             for known in self._targets.list_usable(service)
         )
 
+    def _draw(
+        self,
+        candidates: abc.Iterable[water_filling.Candidate],
+        unreported: float,
+        now_s: float,
+    ) -> model.Target | None:
+        """Draw a target and use a token of it if it has a limit."""
+        target = water_filling.draw_target(candidates, unreported, self._generator)
+        if target is not None:
+            self._limits.take(target.target_id, now_s)
+        return target
+
+    def _request_token(
+        self,
+        limited: abc.Sequence[model.Target],
+        need: token_holder.TokenNeed,
+        now_s: float,
+    ) -> bool:
+        """Request a token unless one is there; return whether one is there now."""
+        if not limited:
+            return False
+        if self._has_open(limited, now_s):
+            return True
+        self._limits.request_token(limited, need, now_s)
+        return self._has_open(limited, now_s)
+
+    def _has_open(self, targets: abc.Iterable[model.Target], now_s: float) -> bool:
+        return any(self._limits.is_open(item.target_id, now_s) for item in targets)
+
+    def _list_with_room(
+        self,
+        service: str,
+        now_s: float,
+        excluded: abc.Set[str],
+        allowed: abc.Set[str] | None,
+    ) -> list[model.Target]:
+        """Return the targets with room for an online request, but for their limits."""
+        usable = self._targets.list_usable(service)
+        ejected = self._find_ejected(usable, now_s)
+        has_local = any(
+            not self._is_cross_region(known.target)
+            and _is_available(known.health, now_s)
+            and self._limits.is_open(known.target.target_id, now_s)
+            for known in usable
+        )
+        targets: list[model.Target] = []
+        for known in usable:
+            target = known.target
+            if target.target_id in excluded:
+                continue
+            if allowed is None and target.target_id in ejected:
+                continue
+            if allowed is not None and target.target_id not in allowed:
+                continue
+            if not _is_available(known.health, now_s):
+                continue
+            total = self._loads.total(target.target_id).total
+            if total >= self._find_limit(target, has_local):
+                continue
+            targets.append(target)
+        return targets
+
+    def _list_open_for_batch(
+        self,
+        service: str,
+        targets: abc.Sequence[model.Target],
+        is_urgent: bool,
+        due_s: float,
+        now_s: float,
+    ) -> list[model.Target]:
+        """Return the targets that an item may be sent to now.
+
+        Items leave the tokens of targets with a limit to online requests that wait.
+        """
+        if not self._limits.has_limits:
+            return list(targets)
+        limited = [
+            target
+            for target in targets
+            if self._limits.find_limit_per_s(target.target_id) is not None
+        ]
+        may_use_tokens = is_urgent or not self._loads.own_waiting_requests[service]
+        need = token_holder.TokenNeed(
+            rate_messages.Need.URGENT_ITEM if is_urgent else rate_messages.Need.ITEM,
+            0,
+            due_s,
+        )
+        self._request_token(limited, need, now_s)
+        return [
+            target
+            for target in targets
+            if target not in limited
+            or (may_use_tokens and self._limits.is_open(target.target_id, now_s))
+        ]
+
+    def _list_by_slots(
+        self, known_targets: abc.Sequence[target_registry.KnownTarget]
+    ) -> list[target_registry.KnownTarget]:
+        """Return the targets whose slots bound their load, rather than a limit.
+
+        All of them, if each has a limit.
+        """
+        unlimited = [
+            known
+            for known in known_targets
+            if self._limits.find_limit_per_s(known.target.target_id) is None
+        ]
+        return unlimited or list(known_targets)
+
     def _round_randomly(self, share: float) -> int:
         """Round a share up or down at random such that the mean is the share."""
         whole = int(share)
@@ -272,7 +420,10 @@
         running = 0
         for known in usable:
             target = known.target
-            available += max(0, int(room * target.slots) - _PEAK_RESERVE)
+            if self._limits.find_limit_per_s(target.target_id) is None:
+                available += max(0, int(room * target.slots) - _PEAK_RESERVE)
+            else:
+                available += max(0, target.slots - _BATCH_RESERVE)
             running += self._loads.total(target.target_id).batch
         if running + self._loads.waiting_items > available:
             return None
@@ -283,7 +434,8 @@
     ) -> int:
         """Return how many more items fit on a target beside online requests."""
         free = max(1, target.slots - _BATCH_RESERVE) - load.total
-        if peak_room is None:
+        is_limited = self._limits.find_limit_per_s(target.target_id) is not None
+        if peak_room is None or is_limited:
             return free
         beside_peak = int(peak_room * target.slots) - _PEAK_RESERVE
         return min(free, beside_peak - load.batch)
