Let clients return late, and late requests yield, where rates are limited

Refused clients came back after 0.2 to 0.4 s, into the same peak, where their one retry found no token either; and late requests of one daemon took slots and tokens that timely ones of another waited for.

Change: for services with limits, Retry-After is 1.3 s, and late requests leave their place while any daemon reports timely ones.

Both scenarios failed before.

--- a/features/rate_limits.feature
+++ b/features/rate_limits.feature
@@ -147,3 +147,18 @@
     Then 1 item is preempted
     When the target names a limit of 2 requests a second
     Then no item is preempted
+
+  # Guards against clients that return while nothing has come back, and lose their only retry.
+  Scenario: A client refused for lack of tokens returns when the window has moved on
+    Given a daemon before one target of 8 slots
+    When the target names a limit of 2 requests a second
+    And 3 requests come that may return and be late otherwise
+    Then the last is refused, to return after 0.9 to 1.7 s
+
+  # Guards against late requests of one daemon that take what timely ones of another wait for.
+  Scenario: A late request leaves its place to timely ones of another daemon
+    Given a daemon before one target of 8 slots
+    When the target names a limit of 2 requests a second
+    And another daemon reports 2 timely requests that wait, and a late one waits here
+    Then the late one is granted no slot while they wait
+    And it is granted a slot once they do not
--- a/features/steps/rate_net_steps.py
+++ b/features/steps/rate_net_steps.py
@@ -7,7 +7,7 @@
 
 from endivevane.platform import headers
 from endivevane.rate_limits import beliefs, issuer, messages
-from endivevane.serving import model
+from endivevane.serving import load_table, model, slot_queue
 from features.steps import rate_limits_steps
 from features.support import rate_net, serving_fakes
 
@@ -351,3 +351,78 @@
     expected = 0 if count == "no" else int(count)
     target = context.fleet.find("t0").target
     assert context.fleet.choices.count_to_preempt(target) == expected
+
+
+@given("a daemon before one target of 8 slots")
+def step_one_target(context):
+    context.fleet = serving_fakes.Fleet(["t0"])
+    context.queue = context.fleet.make_queue()
+
+
+def _make_slot_request(now_s, objective_s, may_retry):
+    return slot_queue.SlotRequest(
+        "lm", 0, now_s + objective_s, now_s + 5.0, may_retry=may_retry
+    )
+
+
+@when("{count:d} requests come that may return and be late otherwise")
+def step_come(context, count):
+    async def come():
+        now_s = time.monotonic()
+        context.decisions = []
+        for _ in range(count):
+            request = _make_slot_request(now_s, 0.3, may_retry=True)
+            context.queue.ask(request, context.decisions.append, now_s)
+
+    asyncio.run(come())
+
+
+@then("the last is refused, to return after {least:g} to {most:g} s")
+def step_returns(context, least, most):
+    decision = context.decisions[-1]
+    assert isinstance(decision, slot_queue.Refused), decision
+    assert least <= decision.retry_after_s <= most, decision
+
+
+@when(
+    "another daemon reports {count:d} timely requests that wait, and a late one waits "
+    "here"
+)
+def step_late(context, count):
+    async def wait():
+        now_s = time.monotonic()
+        report = load_table.LoadReport({}, now_s, waiting_requests={"lm": count})
+        context.fleet.board.set_report("other", report)
+        for _ in range(8 + 1):
+            context.fleet.board.begin("t0", is_batch=False)
+        context.decisions = []
+        request = _make_slot_request(now_s, -0.1, may_retry=False)
+        context.queue.ask(request, context.decisions.append, now_s)
+
+    asyncio.run(wait())
+
+
+def _free_slots(context):
+    async def grant():
+        # The first token of a new issuer is there within a second divided by the limit.
+        for _ in range(60):
+            context.queue.grant_free_slots(time.monotonic())
+            await asyncio.sleep(0.01)
+
+    asyncio.run(grant())
+
+
+@then("the late one is granted no slot while they wait")
+def step_not_granted(context):
+    for _ in range(5):
+        context.fleet.board.end("t0", is_batch=False)
+    _free_slots(context)
+    assert not context.decisions, context.decisions
+
+
+@then("it is granted a slot once they do not")
+def step_granted(context):
+    report = load_table.LoadReport({}, time.monotonic())
+    context.fleet.board.set_report("other", report)
+    _free_slots(context)
+    assert isinstance(context.decisions[0], slot_queue.Granted), context.decisions
--- a/src/endivevane/serving/slot_queue.py
+++ b/src/endivevane/serving/slot_queue.py
@@ -26,6 +26,9 @@
 _FIRST_EVENT_MARGIN = 1.3
 _MIN_RETRY_S = 0.1
 _MAX_RETRY_S = 1.5
+# Refused clients return after this time where targets have rate limits: their tokens
+# come back as a window of seconds moves on, and clients may return once only.
+_RATE_LIMITED_RETRY_S = 1.3
 # Restricted requests of a service that find no slot in one pass, after which the others
 # of that service are left for the next pass.
 _MAX_MISSES = 3
@@ -171,6 +174,8 @@
                 continue
             if misses[slot_request.service] >= _MAX_MISSES:
                 continue
+            if self._should_yield(slot_request, now_s):
+                continue
             target = self._choose(slot_request, now_s)
             if target is None:
                 misses[slot_request.service] += (
@@ -208,6 +213,8 @@
         """Return when a refused client should retry, with jitter."""
         wait_s = self.estimate_wait_s(service)
         wait_s = min(_MAX_RETRY_S, max(_MIN_RETRY_S, wait_s))
+        if self._selector.has_rate_limits(service):
+            wait_s = _RATE_LIMITED_RETRY_S
         return wait_s * (0.75 + 0.5 * self._generator.random())
 
     def describe_load(self, service: str) -> dict[str, object]:
@@ -294,6 +301,15 @@
             and served_s + first_event_s > slot_request.objective_s
         )
 
+    def _should_yield(self, slot_request: SlotRequest, now_s: float) -> bool:
+        """Whether a late request leaves its place to timely ones of any daemon."""
+        service = slot_request.service
+        return (
+            self._selector.has_rate_limits(service)
+            and self._is_late(slot_request, now_s)
+            and self._loads.count_waiting_requests(service) > 0
+        )
+
     def _is_late(self, slot_request: SlotRequest, now_s: float) -> bool:
         """Whether a request misses its objective even if it is granted a slot now."""
         first_event_s = self._estimate_first_event_s(slot_request.service)
--- a/src/endivevane/serving/target_selection.py
+++ b/src/endivevane/serving/target_selection.py
@@ -140,6 +140,15 @@
         ]
         return self._request_token(limited, need, now_s)
 
+    def has_rate_limits(self, service: str) -> bool:
+        """Whether any target of a service has a rate limit."""
+        if not self._limits.has_limits:
+            return False
+        return any(
+            self._limits.find_limit_per_s(known.target.target_id) is not None
+            for known in self._targets.list_usable(service)
+        )
+
     def estimate_rate_per_s(self, service: str) -> float:
         """Return how many requests a second the targets of a service can serve."""
         hold_s = self.get_mean_hold_s(service)
