Do not bring back a daemon's former run by an old word about it

Cause: a coordinator that has the row of a new run, but no report of it yet, told all others that the former run is alive and not registered. They went back to it, and the job's owner counted as alive for ever.

Change: a row that replaces the row of the known run is newer; a run that was replaced is not taken back for 10 s.

--- a/features/region_coordinator.feature
+++ b/features/region_coordinator.feature
@@ -78,3 +78,26 @@
     Given a daemon that restarts
     When notices list nobody as unresponsive before and after its new row
     Then its new run is alive and its former run is not
+
+  # Guards against jobs that lie unowned since a coordinator, which has the row of a new run
+  # but no report of it yet, tells all others that the former run is alive (LOST on
+  # quetzal-lanyard-grown).
+  Scenario: A notice sent between the row of a new run and its first report does no harm
+    Given a coordinator that knows a daemon by its reports
+    When the daemon restarts, and its row reaches all others before its first report
+    And the coordinator sends a notice before that report, and one after it
+    Then its new run is alive and its former run is not
+    When a notice of an earlier build names the former run as unregistered
+    Then its new run is alive and its former run is not
+
+  # Guards against a delayed message that brings back a run which has ended.
+  Scenario Outline: A message of a former run that arrives late is ignored
+    Given a daemon that restarts
+    When its row arrives after its first report
+    And <message> of its former run arrives late
+    Then its new run is alive and its former run is not
+
+    Examples:
+      | message  |
+      | a row    |
+      | a report |
--- a/features/steps/region_coordinator_steps.py
+++ b/features/steps/region_coordinator_steps.py
@@ -281,3 +281,51 @@
 def step_known_run(context):
     assert context.roster.is_alive("d1", "second")
     assert not context.roster.is_alive("d1", "first")
+
+
+@given("a coordinator that knows a daemon by its reports")
+def step_coordinator(context):
+    context.coordinator = peer_registry.PeerRegistry(
+        peer_registry.Identity("d2", "near", "run", "10.0.0.2", 1)
+    )
+    context.coordinator.add(_make_run("first"))
+    context.coordinator.record_heartbeat(_make_run("first", time.monotonic()))
+    context.roster = peer_registry.PeerRegistry(
+        peer_registry.Identity("d0", "near", "run", "10.0.0.0", 1)
+    )
+    context.roster.add(_make_run("first"))
+
+
+@when("the daemon restarts, and its row reaches all others before its first report")
+def step_row_first(context):
+    context.coordinator.add(_make_run("second"))
+    context.roster.add(_make_run("second"))
+
+
+def _send_notice(context):
+    now_s = time.monotonic()
+    # All daemons have had time to report to this coordinator.
+    state = context.coordinator.describe_region("near", now_s - 10.0, now_s)
+    context.roster.apply_region_state(state, now_s)
+
+
+@when("the coordinator sends a notice before that report, and one after it")
+def step_notices(context):
+    _send_notice(context)
+    context.coordinator.record_heartbeat(_make_run("second", time.monotonic()))
+    _send_notice(context)
+
+
+@when("a notice of an earlier build names the former run as unregistered")
+def step_old_notice(context):
+    former = peer_messages.UnregisteredPeer("d1", "10.0.0.1", "first")
+    state = peer_messages.RegionState("near", unregistered=(former,))
+    context.roster.apply_region_state(state, time.monotonic())
+
+
+@when("{message} of its former run arrives late")
+def step_late_message(context, message):
+    if message == "a row":
+        context.roster.add(_make_run("first"))
+    else:
+        context.roster.record_heartbeat(_make_run("first", time.monotonic()))
--- a/src/endivevane/serving/peer_registry.py
+++ b/src/endivevane/serving/peer_registry.py
@@ -32,6 +32,8 @@
 _FIRST_REPORT_S = 1.0
 # A daemon that did not answer is skipped for this long, unless it is seen again.
 _SUSPECT_S = 3.0
+# Messages about a run that has been replaced arrive within this time.
+_FORMER_TTL_S = 10.0
 # How long a computed ranking is cached.
 _RANK_TTL_S = 0.05
 # The highest-ranked daemon coordinates; the second one is ready to replace it.
@@ -111,6 +113,9 @@
         self._region_peer_count = 0
         # Incarnations registered in the store, which all daemons know.
         self._registered: dict[str, str] = {}
+        # Runs that a later one has replaced, as (name, incarnation), with the monotonic
+        # time until which messages about them are ignored.
+        self._former: dict[tuple[str, str], float] = {}
 
     @property
     def is_coordinated(self) -> bool:
@@ -129,13 +134,18 @@
 
     def add(self, peer: Peer) -> None:
         """Add or update a daemon that is registered in the store."""
-        if peer.name == self._identity.name:
+        if peer.name == self._identity.name or self._is_former(peer):
             return
+        previous = self._registered.get(peer.name)
         self._registered[peer.name] = peer.incarnation
         known = self.peers.get(peer.name)
         if known is not None and known.incarnation == peer.incarnation:
             known.host, known.port, known.weight = peer.host, peer.port, peer.weight
             return
+        if known is not None and known.incarnation == previous:
+            self._record_former(known)
+            self._set(peer)
+            return
         # Relayed heartbeats do not tell one incarnation from the next.
         if known is None or time.monotonic() - known.last_direct_s >= DEAD_AFTER_S:
             self._set(peer)
@@ -148,9 +158,13 @@
     def record_heartbeat(self, seen: Peer) -> bool:
         """Record a direct heartbeat; return whether the daemon was not known alive."""
         known = self.peers.get(seen.name)
+        if self._is_former(seen):
+            return False
         seen.last_direct_s = seen.last_seen_s
         if known is None or known.incarnation != seen.incarnation:
             logs.info("peer_heard", peer=seen.name, incarnation=seen.incarnation)
+            if known is not None:
+                self._record_former(known)
             self._set(seen)
             return True
         is_new = not self.is_alive(seen.name)
@@ -342,16 +356,28 @@
             return
         if known is not None and known.incarnation == unregistered_peer.incarnation:
             return
-        port = self._identity.port
-        self._set(
-            Peer(
-                unregistered_peer.name,
-                region,
-                unregistered_peer.host,
-                port,
-                unregistered_peer.incarnation,
-            )
+        peer = Peer(
+            unregistered_peer.name,
+            region,
+            unregistered_peer.host,
+            self._identity.port,
+            unregistered_peer.incarnation,
         )
+        if not self._is_former(peer):
+            self._set(peer)
+
+    def _record_former(self, peer: Peer) -> None:
+        """Record that a later run has replaced one."""
+        now_s = time.monotonic()
+        self._former = {
+            key: until_s for key, until_s in self._former.items() if now_s < until_s
+        }
+        self._former[(peer.name, peer.incarnation)] = now_s + _FORMER_TTL_S
+
+    def _is_former(self, peer: Peer) -> bool:
+        """Whether a later run of a daemon has replaced one a moment ago."""
+        until_s = self._former.get((peer.name, peer.incarnation), 0.0)
+        return time.monotonic() < until_s
 
     def _set(self, peer: Peer) -> None:
         self.peers[peer.name] = peer
