Refuse late requests that go on leaving their place

Cause: a late request that yields to timely ones was held to its deadline of 5 s while the overload lasted, with nothing left for it.

Change: 0.6 s after its objective it is refused.

The scenario failed before.

--- a/features/rate_limits.feature
+++ b/features/rate_limits.feature
@@ -162,3 +162,10 @@
     And another daemon reports 2 timely requests that wait, and a late one waits here
     Then the late one is granted no slot while they wait
     And it is granted a slot once they do not
+
+  # Guards against requests that are held to their deadline although nothing is left for them.
+  Scenario: A late request that goes on leaving its place is refused
+    Given a daemon before one target of 8 slots
+    When the target names a limit of 2 requests a second
+    And another daemon reports 2 timely requests that wait, and a late one waits here
+    Then it is refused between 0.4 and 0.8 s later
--- a/features/steps/rate_net_steps.py
+++ b/features/steps/rate_net_steps.py
@@ -426,3 +426,17 @@
     context.fleet.board.set_report("other", report)
     _free_slots(context)
     assert isinstance(context.decisions[0], slot_queue.Granted), context.decisions
+
+
+@then("it is refused between {least:g} and {most:g} s later")
+def step_refused_later(context, least, most):
+    async def wait():
+        started_s = time.monotonic()
+        while not context.decisions and time.monotonic() < started_s + 2 * most:
+            context.queue.grant_free_slots(time.monotonic())
+            await asyncio.sleep(0.01)
+        return time.monotonic() - started_s
+
+    took_s = asyncio.run(wait())
+    assert isinstance(context.decisions[0], slot_queue.Refused), context.decisions
+    assert least <= took_s <= most, took_s
--- a/src/endivevane/serving/slot_queue.py
+++ b/src/endivevane/serving/slot_queue.py
@@ -29,6 +29,9 @@
 # Refused clients return after this time where targets have rate limits: their tokens
 # come back as a window of seconds moves on, and clients may return once only.
 _RATE_LIMITED_RETRY_S = 1.3
+# A request that has left its place to timely ones until this long after its objective
+# is refused.
+_MAX_YIELD_S = 0.6
 # Restricted requests of a service that find no slot in one pass, after which the others
 # of that service are left for the next pass.
 _MAX_MISSES = 3
@@ -175,6 +178,8 @@
             if misses[slot_request.service] >= _MAX_MISSES:
                 continue
             if self._should_yield(slot_request, now_s):
+                if now_s > slot_request.objective_s + _MAX_YIELD_S:
+                    self._resolve(waiter, self._refuse(slot_request.service))
                 continue
             target = self._choose(slot_request, now_s)
             if target is None:
