Send suspect requests to a target without a limit

All requests with a suspect segment go to one target. If that one named a limit they waited for its tokens while others were free; found by reading. Now targets with a limit are chosen last. The scenario failed before (the limited target named 0 a second).

--- a/features/rate_limits.feature
+++ b/features/rate_limits.feature
@@ -169,3 +169,11 @@
     When the target names a limit of 2 requests a second
     And another daemon reports 2 timely requests that wait, and a late one waits here
     Then it is refused between 0.4 and 0.8 s later
+
+  # Guards against requests with a suspect segment that wait for tokens of the one target that
+  # they may go to, while another target takes them at once.
+  Scenario: Requests with a suspect segment go to a target without a limit
+    Given 2 targets behind a daemon with a resumable route
+    And the target that "p" would go to names a limit of 0 a second
+    When the daemon hears that another target has ended under "p", and 6 requests with "p" come
+    Then the other target has run all of them
--- a/features/steps/rate_net_steps.py
+++ b/features/steps/rate_net_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 
+from endivevane.coordination import rendezvous
 from endivevane.platform import headers
 from endivevane.rate_limits import beliefs, issuer, messages
 from endivevane.serving import load_table, model, slot_queue
@@ -404,8 +405,8 @@
 
 def _free_slots(context):
     async def grant():
-        # The first token of a new issuer is there within a second divided by the limit.
-        for _ in range(60):
+        # A new issuer has its first token at once; a late request waits for 0.5 s.
+        for _ in range(30):
             context.queue.grant_free_slots(time.monotonic())
             await asyncio.sleep(0.01)
 
@@ -440,3 +441,22 @@
     took_s = asyncio.run(wait())
     assert isinstance(context.decisions[0], slot_queue.Refused), context.decisions
     assert least <= took_s <= most, took_s
+
+
+@given('the target that "{segment}" would go to names a limit of {limit:g} a second')
+def step_suspect_target(context, segment, limit):
+    def prepare(world):
+        chosen = rendezvous.choose_member(segment, dict.fromkeys(world.replicas, 1.0))
+        context.limited_name = chosen
+        target = world.registry.find(chosen).target
+        statement = model.RateStatement(limit)
+        world.limits.record_answer(target, statement, time.monotonic())
+
+    context.prepare.append(prepare)
+
+
+@then("the other target has run all of them")
+def step_other_target(context):
+    counts = {name: len(item.runs) for name, item in context.world.replicas.items()}
+    assert counts.pop(context.limited_name) == 0, counts
+    assert sum(counts.values()) == len(context.replies), counts
--- a/features/support/serving_world.py
+++ b/features/support/serving_world.py
@@ -100,6 +100,7 @@
             slot_admission,
             client,
             self.quarantine,
+            self.limits,
             generator,
         )
         self.router = request_router.RequestRouter(online, None, job_codec.JobCodec())
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -306,6 +306,7 @@
             self._admission,
             self._target_client,
             self._quarantine,
+            self._limits,
             self._generator,
         )
         codec = job_codec.JobCodec()
--- a/src/endivevane/serving/online_service.py
+++ b/src/endivevane/serving/online_service.py
@@ -11,6 +11,7 @@
 from endivevane import logs, metrics
 from endivevane.coordination import rendezvous
 from endivevane.quarantine import service as quarantine_service
+from endivevane.rate_limits import service as rate_limits
 from endivevane.serving import (
     admission,
     answer_relay,
@@ -43,9 +44,11 @@
         slot_admission: admission.Admission,
         caller: target_client.TargetClient,
         quarantine: quarantine_service.QuarantineService,
+        limits: rate_limits.RateLimits,
         generator: random.Random,
     ) -> None:
         self._quarantine = quarantine
+        self._limits = limits
         self._targets = targets
         self._admission = slot_admission
         self._caller = caller
@@ -122,7 +125,15 @@
             if (known := self._targets.find(target_id)) is not None
             and not known.health.is_paused(now_s)
         ]
-        chosen = rendezvous.choose_member(segment, dict.fromkeys(running, 1.0))
+        # A target with a rate limit would let the request wait for a token.
+        unlimited = [
+            target_id
+            for target_id in running
+            if self._limits.find_limit_per_s(target_id) is None
+        ]
+        chosen = rendezvous.choose_member(
+            segment, dict.fromkeys(unlimited or running, 1.0)
+        )
         return None if chosen is None else frozenset((chosen,))
 
     def _make_slot_request(
