Name all limited targets in requests for tokens, and forget ended limits

Requests to other daemons name a part in turn, those to the daemon itself all. Limits that have ended are told and kept for 10 s, no longer for ever.

--- a/features/rate_limits.feature
+++ b/features/rate_limits.feature
@@ -177,3 +177,16 @@
     And the target that "p" would go to names a limit of 0 a second
     When the daemon hears that another target has ended under "p", and 6 requests with "p" come
     Then the other target has run all of them
+
+  # Guards against targets whose limits lie idle since a request for a token names only some.
+  Scenario: The limits of more targets than one datagram holds are used
+    Given 5 daemons in one region and 0 in another before 40 targets that name 0.5 a second
+    When all of the daemons that choose targets always have requests waiting for 8 s
+    Then no target has got more than its limit in 4 s, and a request more
+    And the targets have got at least 85% of their limits
+
+  # Guards against news and state that grow with all limits that there ever were.
+  Scenario: A limit that has ended is forgotten after a while
+    Given a daemon before a target
+    When it reads the answers 1@2 2@none
+    Then it has nothing to tell of the target 10 s later
--- a/features/steps/rate_net_steps.py
+++ b/features/steps/rate_net_steps.py
@@ -460,3 +460,21 @@
     counts = {name: len(item.runs) for name, item in context.world.replicas.items()}
     assert counts.pop(context.limited_name) == 0, counts
     assert sum(counts.values()) == len(context.replies), counts
+
+
+@given(
+    "{near:d} daemons in one region and {far:d} in another before {count:d} targets "
+    "that name {limit:g} a second"
+)
+def step_many_targets(context, near, far, count, limit):
+    context.loop = asyncio.new_event_loop()
+    context.cleanups.append(context.loop.close)
+    limits = [(f"t{number}", "near", limit) for number in range(count)]
+    context.net = rate_net.Net(context.loop, near, far, 0.0, limits)
+    context.cleanups.append(context.net.stop)
+
+
+@then("it has nothing to tell of the target {later_s:d} s later")
+def step_forgotten(context, later_s):
+    known = context.fleet.limits.list_beliefs(time.monotonic())
+    assert known == [], known
--- a/src/endivevane/rate_limits/beliefs.py
+++ b/src/endivevane/rate_limits/beliefs.py
@@ -71,6 +71,17 @@
         """Return the beliefs of all targets that have named a limit."""
         return list(self._beliefs.values())
 
+    def drop_ended(self, before_s: float) -> None:
+        """Drop the limits that have ended.
+
+        :param before_s: monotonic time before which the end must have been read
+        """
+        self._beliefs = {
+            target_id: belief
+            for target_id, belief in self._beliefs.items()
+            if belief.limit_per_s is not None or belief.sent_s >= before_s
+        }
+
     def forget(self, target: model.Target) -> None:
         """Drop the belief of a target that is gone."""
         self._beliefs.pop(target.target_id, None)
--- a/src/endivevane/rate_limits/service.py
+++ b/src/endivevane/rate_limits/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import functools
 import time
 import typing
@@ -17,6 +18,8 @@
 _REPEAT_INTERVAL_S = 1.0
 # A daemon tells the coordinator, which may be a new one, of a limit again after this.
 _RETELL_INTERVAL_S = 1.0
+# An answer from before a limit ended arrives within this time.
+_ENDED_TTL_S = 10.0
 # A daemon that runs sends at least one report in this time.
 _HEARD_WITHIN_S = 0.6
 # A datagram stays below the limits of the network.
@@ -66,7 +69,12 @@
             now_s = time.monotonic()
             ranked = self._peers.rank(self._identity.region, now_s)
             if ranked[:1] == [self._identity.name]:
-                self._publish(self._beliefs.list_all(), now_s)
+                self._publish(self.list_beliefs(now_s), now_s)
+
+    def list_beliefs(self, now_s: float) -> list[beliefs.Belief]:
+        """Return the limits in force, and those that have ended a moment ago."""
+        self._beliefs.drop_ended(now_s - _ENDED_TTL_S)
+        return self._beliefs.list_all()
 
     @property
     def has_limits(self) -> bool:
@@ -105,9 +113,7 @@
             region = self._find_region(target.availability_zone)
             if belief is None or region is None:
                 continue
-            notices = by_region.setdefault(region, [])
-            if len(notices) < _MAX_NOTICES:
-                notices.append(_make_notice(belief, now_s))
+            by_region.setdefault(region, []).append(_make_notice(belief, now_s))
         own_region = self._identity.region
         has_own = own_region in by_region
         for region, notices in by_region.items():
@@ -119,7 +125,7 @@
                 continue
             outgoing = self._holder.request(region, notices, need, now_s)
             if outgoing is not None:
-                self._send(outgoing.issuer, outgoing.message)
+                self._send_request(outgoing)
 
     def record_answer(
         self, target: model.Target, rate: model.RateStatement, sent_s: float
@@ -259,6 +265,16 @@
             loop = asyncio.get_running_loop()
             self._issue_timer = loop.call_later(wait_s, self._issue)
 
+    def _send_request(self, outgoing: holder.Outgoing) -> None:
+        """Send a request for a token; other daemons get a part of many targets."""
+        message = outgoing.message
+        if outgoing.issuer != self._identity.name:
+            # Each request begins elsewhere, so that in turn all targets are named.
+            start = message.number * _MAX_NOTICES % len(message.notices)
+            rotated = message.notices[start:] + message.notices[:start]
+            message = dataclasses.replace(message, notices=rotated[:_MAX_NOTICES])
+        self._send(outgoing.issuer, message)
+
     def _send(self, name: str, message: messages.Message) -> None:
         """Send a message, or handle one to this daemon itself."""
         if name == self._identity.name:
