--- a/features/soak.feature
+++ b/features/soak.feature
@@ -19,3 +19,14 @@
       | 16   |
       | 21   |
       | 47   |
+
+  # Guards against jobs that lie unfinished, and answers that are mixed or wrong about what has
+  # run, while targets crash on a prompt segment and name limits that change.
+  Scenario Outline: A short soak test with troubled targets violates no guarantee
+    When the soak test runs seed <seed> with 8 s of faults and troubled targets
+    Then no guarantee is violated and at least 10 streams and 1 job were served
+
+    Examples:
+      | seed |
+      | 101  |
+      | 102  |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -10,6 +10,15 @@
     context.report, context.faults, _ = asyncio.run(run.run_seed(seed, float(fault_s)))
 
 
+@when(
+    "the soak test runs seed {seed:d} with {fault_s:d} s of faults and troubled targets"
+)
+def step_troubled_soak(context, seed, fault_s):
+    context.report, context.faults, _ = asyncio.run(
+        run.run_seed(seed, float(fault_s), has_troubled_targets=True)
+    )
+
+
 @then(
     "no guarantee is violated and at least {streams:d} streams "
     "and {jobs:d} job were served"
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,7 +14,7 @@
 import sys
 import time
 
-from soak import callers, environment, faults
+from soak import callers, environment, faults, troubled_targets
 
 _FAULT_S = 10.0
 # Time limit for all jobs to complete after the last fault.
@@ -23,8 +23,13 @@
 _JOB_CALLERS = 3
 
 
-async def run_seed(seed: int, fault_s: float) -> tuple[callers.Report, list[str], str]:
-    """Run one seed; return the report, the names of the faults and the logs."""
+async def run_seed(
+    seed: int, fault_s: float, has_troubled_targets: bool = False
+) -> tuple[callers.Report, list[str], str]:
+    """Run one seed; return the report, the names of the faults and the logs.
+
+    :param has_troubled_targets: whether targets crash on a segment and name limits
+    """
     generator = random.Random(seed)
     env = environment.Environment()
     report = callers.Report()
@@ -45,6 +50,11 @@
                 env, report, random.Random(f"{seed} job {number}")
             )
             tasks.append(asyncio.ensure_future(caller.run(end_s + _FINISH_S)))
+        if has_troubled_targets:
+            trouble = random.Random(f"{seed} targets")
+            tasks.append(
+                asyncio.ensure_future(troubled_targets.run(env, trouble, end_s))
+            )
         names = await faults.inject(env, generator, end_s)
         await asyncio.gather(*tasks)
         callers.check_runs(env, report)
@@ -63,6 +73,11 @@
         "--fresh", type=int, default=0, help="number of random seeds to draw instead"
     )
     parser.add_argument("--fault-s", type=float, default=_FAULT_S)
+    parser.add_argument(
+        "--troubled-targets",
+        action="store_true",
+        help="targets also crash on a prompt segment and name rate limits",
+    )
     parser.add_argument("--logs", type=pathlib.Path, default=pathlib.Path("build/soak"))
     arguments = parser.parse_args()
     first, _, last = arguments.seeds.partition("-")
@@ -72,7 +87,9 @@
     failed = 0
     for seed in seeds:
         started_s = time.monotonic()
-        report, names, log = asyncio.run(run_seed(seed, arguments.fault_s))
+        report, names, log = asyncio.run(
+            run_seed(seed, arguments.fault_s, arguments.troubled_targets)
+        )
         elapsed_s = time.monotonic() - started_s
         print(
             f"seed {seed}: served {report.served} refused {report.refused} failed "
