--- a/src/endivevane/serving/target_selection.py
+++ b/src/endivevane/serving/target_selection.py
@@ -7,24 +7,20 @@
 from collections import abc
 
 from endivevane.rate_limits import holder as token_holder
-from endivevane.rate_limits import messages as rate_messages
 from endivevane.rate_limits import service as rate_limits
 from endivevane.serving import (
-    load_peaks,
+    batch_room,
     load_table,
     model,
     target_health,
     target_registry,
+    token_use,
     water_filling,
 )
 
 # Requests that may queue at a target beyond its slots, so that a slot that becomes free
 # is reused before the daemons learn of it.
 _QUEUE_AHEAD = 1
-# Slots of a target that batch leaves free for online requests in flight to it.
-_BATCH_RESERVE = 2
-# Slots of a target that batch leaves free above the online peak of the last seconds.
-_PEAK_RESERVE = 1
 # Slots of a target that urgent batch items, which would otherwise miss their due time,
 # may hold even when online requests need them.
 URGENT_SLOTS = 2
@@ -78,20 +74,12 @@
         self._loads = loads
         self._generator = generator
         self._hold_s: dict[str, float] = {}
-        self._peaks: dict[str, load_peaks.PeakWindow] = {}
+        self._batch_room = batch_room.BatchRoom(targets, loads, limits)
+        self._tokens = token_use.TokenUse(loads, limits)
 
     def record_peaks(self, now_s: float) -> None:
         """Record the online load of each service, as a share of its slots."""
-        online: dict[str, int] = {}
-        slots: dict[str, int] = {}
-        for known in self._list_by_slots(self._targets.list_all()):
-            target = known.target
-            load = self._loads.total(target.target_id)
-            online[target.service] = online.get(target.service, 0) + load.online
-            slots[target.service] = slots.get(target.service, 0) + target.slots
-        for service, count in online.items():
-            window = self._peaks.setdefault(service, load_peaks.PeakWindow())
-            window.record(now_s, count / slots[service])
+        self._batch_room.record_peaks(now_s)
 
     def choose_online(
         self,
@@ -133,12 +121,9 @@
         """
         if not self._limits.has_limits:
             return False
-        limited = [
-            target
-            for target in self._list_with_room(service, now_s, excluded, allowed)
-            if self._limits.find_limit_per_s(target.target_id) is not None
-        ]
-        return self._request_token(limited, need, now_s)
+        targets = self._list_with_room(service, now_s, excluded, allowed)
+        limited = self._tokens.list_limited(targets)
+        return self._tokens.request(limited, need, now_s)
 
     def has_rate_limits(self, service: str) -> bool:
         """Whether any target of a service has a rate limit."""
@@ -186,7 +171,7 @@
         :param due_s: monotonic time at which the item is due
         """
         usable = self._targets.list_usable(service)
-        peak_room = self._find_peak_room(service, usable)
+        peak_room = self._batch_room.find_peak_room(service, usable)
         ejected = self._find_ejected(usable, now_s)
         has_room: list[model.Target] = []
         for known in usable:
@@ -196,7 +181,7 @@
             if not _is_available(known.health, now_s):
                 continue
             load = self._loads.total(target.target_id)
-            room = self._count_batch_room(target, load, peak_room)
+            room = self._batch_room.count(target, load, peak_room)
             if (target.target_id not in excluded and room > 0) or (
                 is_urgent and _has_urgent_room(target, load)
             ):
@@ -208,7 +193,7 @@
                     target, self._loads.total(target.target_id).total, now_s, zone
                 ),
             )
-            for target in self._list_open_for_batch(
+            for target in self._tokens.list_open_for_batch(
                 service, has_room, is_urgent, due_s, now_s
             )
         ]
@@ -224,7 +209,7 @@
         slots.
         """
         usable = self._targets.list_usable(service)
-        peak_room = self._find_peak_room(service, usable)
+        peak_room = self._batch_room.find_peak_room(service, usable)
         ejected = self._find_ejected(usable, now_s)
         available = 0
         for known in usable:
@@ -234,7 +219,7 @@
             if known.target.target_id in ejected:
                 continue
             load = self._loads.total(known.target.target_id)
-            free = self._count_batch_room(known.target, load, peak_room)
+            free = self._batch_room.count(known.target, load, peak_room)
             if is_urgent and _has_urgent_room(known.target, load):
                 free = max(free, URGENT_SLOTS - load.batch)
             available += max(0, free)
@@ -295,23 +280,6 @@
             self._limits.take(target.target_id, now_s)
         return target
 
-    def _request_token(
-        self,
-        limited: abc.Sequence[model.Target],
-        need: token_holder.TokenNeed,
-        now_s: float,
-    ) -> bool:
-        """Request a token unless one is there; return whether one is there now."""
-        if not limited:
-            return False
-        if self._has_open(limited, now_s):
-            return True
-        self._limits.request_token(limited, need, now_s)
-        return self._has_open(limited, now_s)
-
-    def _has_open(self, targets: abc.Iterable[model.Target], now_s: float) -> bool:
-        return any(self._limits.is_open(item.target_id, now_s) for item in targets)
-
     def _list_with_room(
         self,
         service: str,
@@ -345,53 +313,6 @@
             targets.append(target)
         return targets
 
-    def _list_open_for_batch(
-        self,
-        service: str,
-        targets: abc.Sequence[model.Target],
-        is_urgent: bool,
-        due_s: float,
-        now_s: float,
-    ) -> list[model.Target]:
-        """Return the targets that an item may be sent to now.
-
-        Items leave the tokens of targets with a limit to online requests that wait.
-        """
-        if not self._limits.has_limits:
-            return list(targets)
-        limited = [
-            target
-            for target in targets
-            if self._limits.find_limit_per_s(target.target_id) is not None
-        ]
-        may_use_tokens = is_urgent or not self._loads.own_waiting_requests[service]
-        need = token_holder.TokenNeed(
-            rate_messages.Need.URGENT_ITEM if is_urgent else rate_messages.Need.ITEM,
-            0,
-            due_s,
-        )
-        self._request_token(limited, need, now_s)
-        return [
-            target
-            for target in targets
-            if target not in limited
-            or (may_use_tokens and self._limits.is_open(target.target_id, now_s))
-        ]
-
-    def _list_by_slots(
-        self, known_targets: abc.Sequence[target_registry.KnownTarget]
-    ) -> list[target_registry.KnownTarget]:
-        """Return the targets whose slots bound their load, rather than a limit.
-
-        All of them, if each has a limit.
-        """
-        unlimited = [
-            known
-            for known in known_targets
-            if self._limits.find_limit_per_s(known.target.target_id) is None
-        ]
-        return unlimited or list(known_targets)
-
     def _round_randomly(self, share: float) -> int:
         """Round a share up or down at random such that the mean is the share."""
         whole = int(share)
@@ -413,42 +334,6 @@
             return frozenset()
         return ejected
 
-    def _find_peak_room(
-        self, service: str, usable: abc.Sequence[target_registry.KnownTarget]
-    ) -> float | None:
-        """Return the share of slots that online requests leave free at their peak.
-
-        :returns: ``None`` when the running and waiting batch items do not fit into it,
-            so that the gaps between peaks have to be used too
-        """
-        window = self._peaks.get(service)
-        if window is None:
-            return None
-        room = max(0.0, 1.0 - window.peak())
-        available = 0
-        running = 0
-        for known in usable:
-            target = known.target
-            if self._limits.find_limit_per_s(target.target_id) is None:
-                available += max(0, int(room * target.slots) - _PEAK_RESERVE)
-            else:
-                available += max(0, target.slots - _BATCH_RESERVE)
-            running += self._loads.total(target.target_id).batch
-        if running + self._loads.waiting_items > available:
-            return None
-        return room
-
-    def _count_batch_room(
-        self, target: model.Target, load: load_table.Load, peak_room: float | None
-    ) -> int:
-        """Return how many more items fit on a target beside online requests."""
-        free = max(1, target.slots - _BATCH_RESERVE) - load.total
-        is_limited = self._limits.find_limit_per_s(target.target_id) is not None
-        if peak_room is None or is_limited:
-            return free
-        beside_peak = int(peak_room * target.slots) - _PEAK_RESERVE
-        return min(free, beside_peak - load.batch)
-
     def _find_limit(self, target: model.Target, has_local: bool) -> int:
         """Return the number of requests at which a target counts as full.
 
