Forget requests for tokens that are no longer wanted

Found by reading: a request that nobody wanted any more stayed open, so that one that came seconds later took the issuer for silent at once, asked other regions at once, and told a need that had become more urgent only with the next repetition.

--- a/features/rate_limits.feature
+++ b/features/rate_limits.feature
@@ -190,3 +190,18 @@
     Given a daemon before a target
     When it reads the answers 1@2 2@none
     Then it has nothing to tell of the target 10 s later
+
+  # Guards against an issuer that is passed over, and regions that are asked in vain, for a
+  # request that was wanted long ago.
+  Scenario: A request for a token that is no longer wanted proves nothing
+    Given a daemon that asks "a" for tokens, else "b", and hears nothing of either
+    When it needs a token for an online request at 0 s, and again at 10 s
+    Then it has asked a, a, and its region has not been waited for
+    When it needs a token at 10.1, 10.2, 10.3, 10.4 and 10.5 s too
+    Then it has asked b last, and its region has been waited for
+
+  # Guards against timely requests whose need is not told since an earlier one was as urgent.
+  Scenario: A more urgent need is told at once
+    Given a daemon that asks "a" for tokens, else "b", and hears nothing of either
+    When it needs tokens at 0 s for waiting, at 0.07 s for late, and at 0.08 s for waiting
+    Then it has told waiting, late, waiting
--- a/features/steps/rate_net_steps.py
+++ b/features/steps/rate_net_steps.py
@@ -1,6 +1,7 @@
 import asyncio
 import itertools
 import math
+import re
 import time
 
 from behave import given, then, when
@@ -8,6 +9,7 @@
 from endivevane.coordination import rendezvous
 from endivevane.platform import headers
 from endivevane.rate_limits import beliefs, issuer, messages
+from endivevane.rate_limits import holder as token_holder
 from endivevane.serving import load_table, model, slot_queue
 from features.steps import rate_limits_steps
 from features.support import rate_net, serving_fakes
@@ -475,3 +477,60 @@
 def step_forgotten(context, later_s):
     known = context.fleet.limits.list_beliefs(time.monotonic())
     assert known == [], known
+
+
+@given(
+    'a daemon that asks "{first}" for tokens, else "{second}", and hears nothing of '
+    "either"
+)
+def step_holder(context, first, second):
+    context.holder = token_holder.TokenHolder(
+        lambda _region, _now_s: (first, second), lambda _name, _now_s: False
+    )
+    context.asked = []
+
+
+def _need_token(context, kind, now_s):
+    notice = messages.LimitNotice("t0/1", 2.0, 0.1)
+    need = token_holder.TokenNeed(kind, 0, now_s + 0.3)
+    outgoing = context.holder.request("near", (notice,), need, now_s)
+    context.now_s = now_s
+    if outgoing is not None:
+        context.asked.append(outgoing)
+
+
+@when(
+    "it needs a token for an online request at {first:g} s, and again at {second:g} s"
+)
+def step_twice(context, first, second):
+    for now_s in (first, second):
+        _need_token(context, messages.Need.WAITING, now_s)
+
+
+@when("it needs a token at {times} s too")
+def step_times(context, times):
+    for now_s in re.findall(r"[\d.]+", times):
+        _need_token(context, messages.Need.WAITING, float(now_s))
+
+
+@then("it has asked {names}, and its region has {word} waited for")
+def step_asked_names(context, names, word):
+    asked = [item.issuer for item in context.asked]
+    if names.endswith(" last"):
+        assert asked[-1:] == [names.removesuffix(" last")], asked
+    else:
+        assert asked == names.split(", "), asked
+    expected = word == "been"
+    assert context.holder.has_waited("near", context.now_s) == expected
+
+
+@when("it needs tokens {needs}")
+def step_needs(context, needs):
+    for now_s, name in re.findall(r"at ([\d.]+) s for (\w+)", needs):
+        _need_token(context, messages.Need[name.upper()], float(now_s))
+
+
+@then("it has told {needs}")
+def step_told(context, needs):
+    told = [item.message.need.name.lower() for item in context.asked]
+    assert told == needs.split(", "), told
--- a/src/endivevane/rate_limits/holder.py
+++ b/src/endivevane/rate_limits/holder.py
@@ -127,6 +127,7 @@
 
         :param notices: the targets of a region that would do
         """
+        self._drop_unwanted(now_s)
         is_item = need.need in (messages.Need.ITEM, messages.Need.URGENT_ITEM)
         key = (region, is_item, frozenset(notice.run_key for notice in notices))
         known = self._open.get(key)
@@ -140,12 +141,12 @@
             if known.unanswered_s is None:
                 known.unanswered_s = now_s
             if is_more_urgent:
-                known.need, known.asked_s = need.need, now_s
+                known.asked_s = now_s
+            known.need = need.need
         issuer = self._choose_issuer(region, now_s)
         if issuer is None:
             return None
         if known is None or known.issuer != issuer:
-            self._drop_unwanted(now_s)
             if known is None and len(self._open) >= _MAX_OPEN:
                 return None
             number = next(self._numbers)
@@ -167,7 +168,9 @@
         return any(
             now_s - item.asked_s >= _CROSS_REGION_AFTER_S
             for (asked_region, _, _), item in self._open.items()
-            if asked_region == region and item.need is messages.Need.WAITING
+            if asked_region == region
+            and item.need is messages.Need.WAITING
+            and now_s - item.wanted_s < _WANTED_TTL_S
         )
 
     def clear(self) -> None:
