Take a limit that binds nothing for none

Found by reading: a window holds an entry for each request that a limit allows in 4 s, so a target that names 1e12 a second would have taken a daemon's memory. Limits over 1,000 a second count as none. Two examples failed before (1e12 was believed).

--- a/features/rate_limits.feature
+++ b/features/rate_limits.feature
@@ -67,6 +67,8 @@
       | 2@1 1@2             | 1     |
       | 1@2 2@0             | 0     |
       | 1@2 2@unusable      | 2     |
+      | 1@1e12              | none  |
+      | 1@2 2@1e12          | none  |
       | 1@unusable          | none  |
 
     Examples: after a pause of the process any answer is newer
--- a/src/endivevane/rate_limits/beliefs.py
+++ b/src/endivevane/rate_limits/beliefs.py
@@ -10,6 +10,10 @@
 
 from endivevane.serving import model
 
+# A higher limit binds nothing: no target gets as many requests. Each request within a
+# limit takes memory for some seconds.
+_MAX_LIMIT_PER_S = 1000.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Belief:
@@ -40,6 +44,8 @@
 
     def record(self, target_id: str, belief: Belief) -> bool:
         """Record a belief if it is newer; return whether the limit has changed."""
+        if belief.limit_per_s is not None and belief.limit_per_s > _MAX_LIMIT_PER_S:
+            belief = dataclasses.replace(belief, limit_per_s=None)
         known = self._beliefs.get(target_id)
         is_same_run = known is not None and known.run_key == belief.run_key
         if known is None or not is_same_run:
--- a/src/endivevane/rate_limits/service.py
+++ b/src/endivevane/rate_limits/service.py
@@ -224,14 +224,15 @@
         """Record a belief if it is newer; return whether the limit has changed."""
         if not self._beliefs.record(target_id, belief):
             return False
+        limit_per_s = self._beliefs.find_limit_per_s(target_id)
         metrics.RATE_LIMITED_TARGETS.set(self._beliefs.count_limits())
         logs.limited_info(
             "rate_limit_changed",
             target=target_id,
-            limit_per_s=belief.limit_per_s,
+            limit_per_s=limit_per_s,
             source=source,
         )
-        if belief.limit_per_s is None:
+        if limit_per_s is None:
             self._holder.forget(target_id)
             self._issuer.forget(target_id)
             self._notify()
