Close the HTTP server's wake-up pipe after its writers have ended

Cause: the stop is handed to the server's thread, which may be awake for a byte of a worker; it then ends and closes the pipe before the caller has written its own byte. With the descriptor in use again, that byte would have gone into another file or socket. Change: the pipe is closed by the stopping thread, once the server's thread and the workers have ended.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -32,6 +32,14 @@
     When the other connections are closed
     Then the waiting connections get a response
 
+  # Guards against an error at a stop, or a byte in a descriptor that is in use again, since
+  # the server's thread closes its wake-up pipe while another thread still writes to it.
+  Scenario: A server stops although its thread wakes before the call to stop it returns
+    Given an HTTP server whose thread is woken just before it is called
+    When it is stopped
+    Then it has ended without an error
+    And its wake-up pipe is closed
+
   Scenario: A request pipelined behind a stream is not run
     When a stream of 20 tokens is requested with a second request behind it
     Then the stream brings the engine's whole text
--- a/features/steps/connections_steps.py
+++ b/features/steps/connections_steps.py
@@ -1,11 +1,14 @@
 import contextlib
 import json
+import os
 import re
 import socket
 import time
 
 from behave import given, then, when
 
+from endivevane import types
+from endivevane.web import server
 from features.support import engine_caller, online_calls, online_machine, raw_http
 
 _CALL = raw_http.encode_request("GET", "/healthz")
@@ -219,3 +222,46 @@
 @then("the relay's thread has not woken up")
 def step_check_idle(context):
     assert context.rounds == 0, context.rounds
+
+
+@given("an HTTP server whose thread is woken just before it is called")
+def step_woken(context):
+    settings = server.ServerSettings(listen=types.Address("127.0.0.1", 0))
+    context.stopping = server.HttpServer(settings, lambda environ, respond: [])
+    context.stopping.start()
+    trigger = context.stopping._server.trigger
+    context.pipe = list(trigger._fds)
+    write = trigger._physical_pull
+
+    def write_late():
+        # The first byte stands for one of a worker; the thread then runs the call.
+        write()
+        context.stopping._thread.join(1.0)
+        write()
+
+    trigger._physical_pull = write_late
+
+
+@when("it is stopped")
+def step_stop(context):
+    context.error = None
+    try:
+        context.stopping.stop()
+    except OSError as error:
+        context.error = error
+
+
+@then("it has ended without an error")
+def step_ended(context):
+    assert context.error is None, context.error
+    assert not context.stopping._thread.is_alive()
+
+
+@then("its wake-up pipe is closed")
+def step_pipe_closed(context):
+    for descriptor in context.pipe:
+        try:
+            os.fstat(descriptor)
+        except OSError:
+            continue
+        raise AssertionError(f"descriptor {descriptor} is open")
--- a/src/endivevane/web/server.py
+++ b/src/endivevane/web/server.py
@@ -149,6 +149,7 @@
         self._server.call_on_loop(self._server.request_stop)
         self._thread.join(timeout=10.0)
         self._dispatcher.shutdown(timeout=5)
+        self._server.close_trigger()
 
     def _run(self) -> None:
         while not self._server.is_stopped:
@@ -216,13 +217,23 @@
         self.is_stopped = True
 
     def close_all(self) -> None:
-        """Close every socket that the server still owns."""
+        """Close every socket that the server still owns, but for the trigger."""
         for item in list(self._map.values()):
             if item is not self.trigger:
                 item.close()
-        self.trigger.close()
         self.drained.set()
 
+    def close(self) -> None:
+        """Close the listening socket; waitress would close the trigger with it."""
+        self.asyncore.dispatcher.close(self)
+
+    def close_trigger(self) -> None:
+        """Close the pipe that wakes the server's thread.
+
+        Other threads write to it, so they and the server's thread must have ended.
+        """
+        self.trigger.close()
+
     def maintenance(self, now: float) -> None:
         """Close idle, stalled and slow connections.
 
