--- a/src/endivevane/rate_limits/service.py
+++ b/src/endivevane/rate_limits/service.py
@@ -284,7 +284,7 @@
         self._send_to_peer(name, message)
 
     def _publish(self, changed: abc.Iterable[beliefs.Belief], now_s: float) -> None:
-        """Tell limits to the daemons that choose targets."""
+        """Send limits to the daemons that choose targets."""
         notices = [_make_notice(belief, now_s) for belief in changed]
         recipients = self._list_recipients(now_s)
         for start in range(0, len(notices), _MAX_NOTICES):
@@ -293,7 +293,7 @@
                 self._send_to_peer(name, news)
 
     def _list_recipients(self, now_s: float) -> list[str]:
-        """Return the daemons to tell of a limit.
+        """Return the daemons to notify of a limit.
 
         A daemon that does not coordinate its large region tells only those that do.
         """
--- a/src/endivevane/serving/peer_registry.py
+++ b/src/endivevane/serving/peer_registry.py
@@ -15,7 +15,7 @@
 
 from endivevane import logs
 from endivevane.coordination import rendezvous
-from endivevane.serving import peer_messages
+from endivevane.serving import former_runs, peer_messages
 
 # A daemon that was last seen this long ago is considered dead.
 DEAD_AFTER_S = 1.6
@@ -32,8 +32,6 @@
 _FIRST_REPORT_S = 1.0
 # A daemon that did not answer is skipped for this long, unless it is seen again.
 _SUSPECT_S = 3.0
-# Messages about a run that has been replaced arrive within this time.
-_FORMER_TTL_S = 10.0
 # How long a computed ranking is cached.
 _RANK_TTL_S = 0.05
 # The highest-ranked daemon coordinates; the second one is ready to replace it.
@@ -113,9 +111,7 @@
         self._region_peer_count = 0
         # Incarnations registered in the store, which all daemons know.
         self._registered: dict[str, str] = {}
-        # Runs that a later one has replaced, as (name, incarnation), with the monotonic
-        # time until which messages about them are ignored.
-        self._former: dict[tuple[str, str], float] = {}
+        self._former = former_runs.FormerRuns()
 
     @property
     def is_coordinated(self) -> bool:
@@ -134,7 +130,9 @@
 
     def add(self, peer: Peer) -> None:
         """Add or update a daemon that is registered in the store."""
-        if peer.name == self._identity.name or self._is_former(peer):
+        if peer.name == self._identity.name or self._former.includes(
+            peer.name, peer.incarnation
+        ):
             return
         previous = self._registered.get(peer.name)
         self._registered[peer.name] = peer.incarnation
@@ -143,7 +141,7 @@
             known.host, known.port, known.weight = peer.host, peer.port, peer.weight
             return
         if known is not None and known.incarnation == previous:
-            self._record_former(known)
+            self._former.record(known.name, known.incarnation)
             self._set(peer)
             return
         # Relayed heartbeats do not tell one incarnation from the next.
@@ -158,13 +156,13 @@
     def record_heartbeat(self, seen: Peer) -> bool:
         """Record a direct heartbeat; return whether the daemon was not known alive."""
         known = self.peers.get(seen.name)
-        if self._is_former(seen):
+        if self._former.includes(seen.name, seen.incarnation):
             return False
         seen.last_direct_s = seen.last_seen_s
         if known is None or known.incarnation != seen.incarnation:
             logs.info("peer_heard", peer=seen.name, incarnation=seen.incarnation)
             if known is not None:
-                self._record_former(known)
+                self._former.record(known.name, known.incarnation)
             self._set(seen)
             return True
         is_new = not self.is_alive(seen.name)
@@ -363,22 +361,9 @@
             self._identity.port,
             unregistered_peer.incarnation,
         )
-        if not self._is_former(peer):
+        if not self._former.includes(peer.name, peer.incarnation):
             self._set(peer)
 
-    def _record_former(self, peer: Peer) -> None:
-        """Record that a later run has replaced one."""
-        now_s = time.monotonic()
-        self._former = {
-            key: until_s for key, until_s in self._former.items() if now_s < until_s
-        }
-        self._former[(peer.name, peer.incarnation)] = now_s + _FORMER_TTL_S
-
-    def _is_former(self, peer: Peer) -> bool:
-        """Whether a later run of a daemon has replaced one a moment ago."""
-        until_s = self._former.get((peer.name, peer.incarnation), 0.0)
-        return time.monotonic() < until_s
-
     def _set(self, peer: Peer) -> None:
         self.peers[peer.name] = peer
         self._refresh()
--- a/src/endivevane/serving/peers.py
+++ b/src/endivevane/serving/peers.py
@@ -23,6 +23,7 @@
     coordinated_reports,
     coordinator,
     load_table,
+    message_order,
     newest_version,
     peer_messages,
     peer_registry,
@@ -83,8 +84,7 @@
         self._limits: rate_limits.RateLimits | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._sequence = 0
-        # Sender -> (incarnation, sequence number of its last message).
-        self._received: dict[str, tuple[str, int]] = {}
+        self._order = message_order.MessageOrder()
         # Host -> name of its daemon.
         self._names: dict[str, str] = {}
         self._seeds: list[tuple[str, int]] = []
@@ -212,7 +212,7 @@
 
     @_handle.register
     def _(self, message: peer_messages.MembershipNotice, host: str) -> None:
-        if message.name == self._identity.name or not self._is_newer(message):
+        if message.name == self._identity.name or not self._order.is_newer(message):
             return
         now_s = time.monotonic()
         self._newest.record(message.version)
@@ -225,7 +225,7 @@
 
     @_handle.register
     def _(self, message: peer_messages.Report, host: str) -> None:
-        if message.name == self._identity.name or not self._is_newer(message):
+        if message.name == self._identity.name or not self._order.is_newer(message):
             return
         now_s = time.monotonic()
         self._newest.record(message.version)
@@ -282,21 +282,6 @@
             return []
         return [self._registry.peers[name] for name in ranked]
 
-    def _is_newer(
-        self, message: peer_messages.Report | peer_messages.MembershipNotice
-    ) -> bool:
-        """Return whether a message is newer than all others of its sender."""
-        sender = message.name
-        if isinstance(message, peer_messages.MembershipNotice):
-            sender += "/notice"
-        elif message.covers_region:
-            sender += "/region"
-        incarnation, last = self._received.get(sender, ("", -1))
-        if incarnation == message.incarnation and message.sequence <= last:
-            return False
-        self._received[sender] = (message.incarnation, message.sequence)
-        return True
-
     def _record_heartbeat(
         self,
         message: peer_messages.Report | peer_messages.MembershipNotice,
