Split the wiring of the daemon, the names of hosts and what the runner needs

Moves without a change of behaviour: graceful_stop, internal_servers, configuration_rows, peer_names and runner_dependencies; BatchSlots chooses the items to preempt, and the registry of targets drops its expired ones.

--- a/features/steps/serving_state_steps.py
+++ b/features/steps/serving_state_steps.py
@@ -24,6 +24,7 @@
     peer_messages,
     peer_registry,
     routing_table,
+    runner_dependencies,
     slot_registry,
     store,
 )
@@ -517,7 +518,7 @@
     configuration = model.Configuration(1, given, {}, model.ClientLimits())
     table = routing_table.RoutingTable(configuration)
     return job_runner.JobRunner(
-        job_runner.RunnerDependencies(
+        runner_dependencies.RunnerDependencies(
             targets=fleet.directory,
             load_table=fleet.board,
             choices=fleet.choices,
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -9,9 +9,11 @@
 import signal
 import time
 
-from endivevane import exceptions, logs, metrics, types
+from endivevane import logs, types
 from endivevane.entry import (
-    health_endpoints,
+    configuration_rows,
+    graceful_stop,
+    internal_servers,
     membership,
     process_pause,
     settings,
@@ -51,7 +53,7 @@
     peer_registry,
     peers,
     request_router,
-    routing_table,
+    runner_dependencies,
     slot_client,
     slot_queue,
     slot_registry,
@@ -63,16 +65,6 @@
 
 # A connection between regions takes two round trips of 40 ms.
 _CONNECT_TIMEOUT_S = 0.35
-# The platform stops routing clients here about this long after readiness first fails.
-_LEAVE_ROTATION_S = 2.6
-# A graceful shutdown ends this long before the grace period, after which the process is
-# killed.
-_GRACE_MARGIN_S = 1.2
-_STOP_POLL_S = 0.05
-_INTERNAL_LIMITS = model.ClientLimits(
-    max_body_bytes=16 << 20, header_timeout_s=3.0, idle_timeout_s=60.0
-)
-_EXPIRY_POLL_S = 0.5
 # Within this time after a start or a process pause, a daemon has the others' reports of
 # the slots that they hold.
 _WARM_UP_S = 0.5
@@ -147,7 +139,7 @@
             self._quarantine.run(),
             self._limits.run(),
             self._membership.join(),
-            self._drop_expired(),
+            self._target_registry.run_expiry(),
             watch.run(),
             process_pause.watch_process_pauses(self._on_process_pause),
         ):
@@ -257,7 +249,7 @@
             self._job_registry, self._changes, lambda: self._network.propagation_s
         )
         self._runner = job_runner.JobRunner(
-            job_runner.RunnerDependencies(
+            runner_dependencies.RunnerDependencies(
                 targets=self._target_registry,
                 load_table=self._load_table,
                 choices=self._target_selector,
@@ -323,27 +315,16 @@
         self._client_server = http_server.Server(
             self._codec, self._router.handle, self._get_limits
         )
-        self._internal_server = http_server.Server(
-            self._codec, relay.handle, lambda: _INTERNAL_LIMITS
-        )
-        self._readiness_server = http_server.Server(
-            self._codec,
-            health_endpoints.make_readiness(lambda: self._is_ready),
-            lambda: _INTERNAL_LIMITS,
-        )
-        self._metrics_server = http_server.Server(
-            self._codec, health_endpoints.answer_metrics, lambda: _INTERNAL_LIMITS
+        self._internal_servers = internal_servers.InternalServers(
+            self._codec, relay.handle, lambda: self._is_ready
         )
 
     async def _listen(self) -> None:
         listen = self._settings.listen
         clients = types.parse_address(listen.clients)
-        readiness = types.parse_address(listen.readiness)
         ip = self._settings.vm.ip
         await self._client_server.listen(clients.host, clients.port)
-        await self._readiness_server.listen(readiness.host, readiness.port)
-        await self._internal_server.listen(ip, listen.internal_port)
-        await self._metrics_server.listen(ip, listen.metrics_port)
+        await self._internal_servers.listen(listen, ip)
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(
             lambda: self._network, local_addr=(ip, listen.internal_port)
@@ -361,20 +342,10 @@
     def _on_configuration_row(self, row: store.Row) -> None:
         if row.row_key.key != records.CONFIGURATION_KEY or row.value is None:
             return
-        try:
-            configuration = records.decode_configuration(row.value)
-        except exceptions.ProtocolError as error:
-            logs.error("configuration_unusable", version=row.version, cause=error)
-            return
-        self._router.table = routing_table.RoutingTable(configuration)
-        self._open_when_loaded()
-        metrics.CONFIG_REVISION.set(configuration.version)
-        logs.info(
-            "configuration_in_force",
-            version=configuration.version,
-            row_version=row.version,
-            routes=len(configuration.routes),
-        )
+        table = configuration_rows.decode_routes(row.value, row.version)
+        if table is not None:
+            self._router.table = table
+            self._open_when_loaded()
 
     def _open_when_loaded(self) -> None:
         """Accept requests once the configuration and the targets are loaded."""
@@ -413,38 +384,16 @@
         self._coordinator.grant_free_slots(time.monotonic())
         self._on_report()
 
-    async def _drop_expired(self) -> None:
-        while True:
-            await asyncio.sleep(_EXPIRY_POLL_S)
-            self._target_registry.drop_expired(time.monotonic())
-
     @property
     def _is_ready(self) -> bool:
         return not self._is_stopping and self._router.is_ready.is_set()
 
     async def _stop(self) -> None:
-        """Fail readiness, release the jobs, and finish the requests in flight."""
-        began_s = time.monotonic()
+        """Shut down gracefully, then end all tasks."""
         self._is_stopping = True
-        self._client_server.is_stopping = True
-        logs.info("daemon_stopping", busy=self._client_server.active_connections)
-        self._network.announce_stop()
-        self._changes.stop_owning()
-        release_task = asyncio.ensure_future(self._runner.release_jobs())
-        stop_by_s = began_s + self._settings.stopping.grace_s - _GRACE_MARGIN_S
-        await asyncio.sleep(_LEAVE_ROTATION_S)
-        # Accept no connections from here on: releasing the jobs may wait for the store
-        # until the end, which would cut requests that start in the meantime.
-        self._client_server.close_listener()
-        while time.monotonic() < stop_by_s:
-            self._client_server.close_idle()
-            await asyncio.sleep(_STOP_POLL_S)
-            if not self._client_server.active_connections and release_task.done():
-                break
-        logs.info(
-            "daemon_stopped",
-            cut=self._client_server.active_connections,
-            took_ms=int((time.monotonic() - began_s) * 1000),
+        parts = graceful_stop.StoppingParts(
+            self._client_server, self._network, self._changes, self._runner
         )
+        await graceful_stop.stop(parts, self._settings.stopping.grace_s)
         for task in self._tasks:
             task.cancel()
--- a/src/endivevane/serving/batch_slots.py
+++ b/src/endivevane/serving/batch_slots.py
@@ -9,11 +9,15 @@
 from endivevane.serving import (
     item_estimates,
     load_table,
+    model,
+    preemption,
     slot_client,
     slot_registry,
     target_selection,
 )
 
+T = typing.TypeVar("T")
+
 # Most items that a daemon starts in one round, and the shortest time between rounds.
 MAX_STARTS_PER_ROUND = 4
 MIN_ROUND_INTERVAL_S = 0.04
@@ -73,9 +77,21 @@
             self._selector, self._registry, self._list_cooling_down(now_s)
         )
 
-    def record_preemption(self, target_id: str) -> None:
-        """Record that items on a target are preempted, which starts its cooldown."""
-        self._preempted_s[target_id] = time.monotonic()
+    def choose_to_preempt(
+        self,
+        target: model.Target,
+        running: abc.Sequence[preemption.Candidate[T]],
+    ) -> list[T]:
+        """Return the items to preempt on a target, which starts its cooldown if any.
+
+        :param running: the items of this daemon there
+        """
+        surplus = self._selector.count_to_preempt(target)
+        if surplus <= 0:
+            return []
+        self._preempted_s[target.target_id] = time.monotonic()
+        batch = self._loads.total(target.target_id).batch
+        return preemption.choose_items(running, surplus, batch)
 
     def release(self, slot: slot_registry.Slot, hold_s: float) -> None:
         """Release a slot.
--- a/src/endivevane/serving/job_runner.py
+++ b/src/endivevane/serving/job_runner.py
@@ -5,33 +5,24 @@
 import asyncio
 import collections
 import dataclasses
-import random
 import secrets
 import time
 from collections import abc
 
 from endivevane import logs, metrics
-from endivevane.quarantine import service as quarantine_service
 from endivevane.serving import (
-    batch_slots,
     failures,
     item_estimates,
     item_sender,
-    job_changes,
-    job_reader,
     job_registry,
     jobs,
-    load_table,
     model,
     owned_jobs,
     preemption,
     result_commits,
     routing_table,
+    runner_dependencies,
     slot_registry,
-    store,
-    target_client,
-    target_registry,
-    target_selection,
 )
 
 # Minimum interval of rounds while a coordinator grants the slots one by one.
@@ -45,33 +36,11 @@
 # Time limit for committing results and releasing jobs when the daemon stops.
 _RELEASE_TIMEOUT_S = 4.0
 
-RoutingTableGetter = abc.Callable[[], routing_table.RoutingTable | None]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunnerDependencies:
-    """Collaborators of the job runner."""
-
-    targets: target_registry.TargetRegistry
-    load_table: load_table.LoadTable
-    choices: target_selection.TargetSelector
-    slots: batch_slots.BatchSlots
-    caller: target_client.TargetClient
-    row_store: store.Store
-    changes: job_changes.JobChanges
-    reader: job_reader.JobReader
-    routes: RoutingTableGetter
-    encode_headers: item_sender.HeaderEncoder
-    decode_segments: item_sender.SegmentDecoder
-    quarantine: quarantine_service.QuarantineService
-    generator: random.Random
-    owner: str
-
 
 class JobRunner:
     """Runs items in free slots and preempts them for online requests."""
 
-    def __init__(self, dependencies: RunnerDependencies) -> None:
+    def __init__(self, dependencies: runner_dependencies.RunnerDependencies) -> None:
         self._dependencies = dependencies
         self._owned: dict[str, owned_jobs.OwnedJob] = {}
         self._wake = asyncio.Event()
@@ -286,12 +255,8 @@
             known = self._dependencies.targets.find(target_id)
             if known is None:
                 continue
-            surplus = self._dependencies.choices.count_to_preempt(known.target)
-            if surplus <= 0:
-                continue
-            self._dependencies.slots.record_preemption(target_id)
-            batch = self._dependencies.load_table.total(target_id).batch
-            for run in preemption.choose_items(running, surplus, batch):
+            slots = self._dependencies.slots
+            for run in slots.choose_to_preempt(known.target, running):
                 if run.task is not None:
                     run.task.cancel()
 
--- a/src/endivevane/serving/peers.py
+++ b/src/endivevane/serving/peers.py
@@ -26,6 +26,7 @@
     message_order,
     newest_version,
     peer_messages,
+    peer_names,
     peer_registry,
     region_reports,
     slot_client,
@@ -85,8 +86,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._sequence = 0
         self._order = message_order.MessageOrder()
-        # Host -> name of its daemon.
-        self._names: dict[str, str] = {}
+        self._names = peer_names.PeerNames(registry)
         self._seeds: list[tuple[str, int]] = []
         self._sent_version = -1
         self._sent_s = 0.0
@@ -183,7 +183,7 @@
     @functools.singledispatchmethod
     def _handle(self, message: typing.Any, host: str) -> None:
         """Handle a slot message."""
-        sender = self._find_name(host)
+        sender = self._names.find(host)
         if sender is None or self._client is None or self._coordinator is None:
             return
         if not isinstance(message, slot_messages.Acquire | slot_messages.Release):
@@ -197,7 +197,7 @@
 
     @_handle.register
     def _(self, message: quarantine_messages.QuarantineNews, host: str) -> None:
-        sender = self._find_name(host)
+        sender = self._names.find(host)
         if sender is not None and self._quarantine is not None:
             self._quarantine.handle(message, sender)
 
@@ -206,7 +206,7 @@
     @_handle.register(rate_messages.TokenQueued)
     @_handle.register(rate_messages.TokenGrant)
     def _(self, message: rate_messages.Message, host: str) -> None:
-        sender = self._find_name(host)
+        sender = self._names.find(host)
         if sender is not None and self._limits is not None:
             self._limits.handle(message, sender)
 
@@ -300,7 +300,7 @@
         )
         if isinstance(message, peer_messages.Report):
             seen.is_stopping = message.is_stopping
-        self._names[host] = message.name
+        self._names.record(host, message.name)
         is_new = self._registry.record_heartbeat(seen)
         if is_new and self._quarantine is not None:
             self._quarantine.greet(message.name)
@@ -316,17 +316,6 @@
         data = peer_messages.encode(self._make_report({}))
         self._send(data, host, self._identity.port)
 
-    def _find_name(self, host: str) -> str | None:
-        """Return the name of the daemon at a host, ``None`` if unknown."""
-        name = self._names.get(host)
-        if name is not None:
-            return name
-        for peer in self._registry.peers.values():
-            if peer.host == host:
-                self._names[host] = peer.name
-                return peer.name
-        return None
-
     def _report(self, now_s: float) -> None:
         """Send the load of this daemon to the daemons of the region."""
         own = {key: load for key, load in self._load_table.own.items() if load.total}
--- a/src/endivevane/serving/target_registry.py
+++ b/src/endivevane/serving/target_registry.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections
 import dataclasses
+import time
 from collections import abc
 
 from endivevane import exceptions, logs
@@ -13,6 +15,7 @@
 # time of its recovery; a target whose registration is still missing then is gone.
 _RECOVERY_GRACE_S = 2.2
 
+_EXPIRY_POLL_S = 0.5
 # Maximum number of target runs that are remembered as draining.
 _MAX_REMEMBERED = 1024
 
@@ -111,6 +114,12 @@
             if known.removal_due_s is not None and now_s >= known.removal_due_s:
                 self._remove(target_id, "registration did not come back")
 
+    async def run_expiry(self) -> None:
+        """Remove targets whose registration was not renewed, until cancelled."""
+        while True:
+            await asyncio.sleep(_EXPIRY_POLL_S)
+            self.drop_expired(time.monotonic())
+
     def find(self, target_id: str) -> KnownTarget | None:
         """Return a target, ``None`` if it is not registered."""
         return self._targets.get(target_id)
