Write records of streams ahead of their first event, and let items wait for their version

Change: the record of a stream that is going to need one is written while its target prepares the first event. An item with events asks for a slot at their version for 3 s, while any target serves it.

--- a/src/endivevane/serving/answer_relay.py
+++ b/src/endivevane/serving/answer_relay.py
@@ -49,6 +49,14 @@
     is_presumed_run: bool = False
 
 
+def make_stream(attempt: Attempt) -> stream_records.BegunStream:
+    """Return the stream that an attempt begins, at the version of its target."""
+    progress = attempt.item.progress
+    return stream_records.BegunStream(
+        progress.stream, progress.service, attempt.target.version, time.monotonic()
+    )
+
+
 class AnswerRelay:
     """Passes responses on to clients, and records what they show of the targets."""
 
@@ -146,12 +154,7 @@
             return
         if not progress.route.has_resumable_streams:
             return
-        stream = stream_records.BegunStream(
-            progress.stream,
-            progress.service,
-            relaying.attempt.target.version,
-            time.monotonic(),
-        )
+        stream = make_stream(relaying.attempt)
         progress.stream_version = stream.version
         if not await self._versions.begin(progress.route, stream):
             progress.stream_version = None
--- a/src/endivevane/serving/attempt_runner.py
+++ b/src/endivevane/serving/attempt_runner.py
@@ -238,6 +238,8 @@
             stall_timeout_s=_STALL_TIMEOUT_SHARE * route.stream_idle_timeout_s,
             was_refused=known.target.target_id in progress.answered_refusals,
         )
+        if progress.stream_version is None and route.has_resumable_streams:
+            self._versions.prepare(route, answer_relay.make_stream(attempt))
         control = call_watchdog.CallControl(
             on_sent=lambda: self._take_over(known, item),
             on_silence=lambda: self._record_silence(known, attempt),
--- a/src/endivevane/serving/batch_slots.py
+++ b/src/endivevane/serving/batch_slots.py
@@ -114,11 +114,17 @@
     """The source of slots for the items that a daemon starts in one round."""
 
     def find(
-        self, service: str, urgency: item_estimates.Urgency, due_left_s: float
+        self,
+        service: str,
+        urgency: item_estimates.Urgency,
+        due_left_s: float,
+        version: str | None = None,
     ) -> slot_registry.Slot | None:
         """Return a slot for an item, ``None`` if none is free now.
 
         :param due_left_s: time until the item is due
+        :param version: software version at which the item goes on, ``None`` for any;
+            slots that a coordinator has granted may be at another one
         """
 
 
@@ -140,7 +146,11 @@
         self._starts = 0
 
     def find(
-        self, service: str, urgency: item_estimates.Urgency, due_left_s: float
+        self,
+        service: str,
+        urgency: item_estimates.Urgency,
+        due_left_s: float,
+        version: str | None = None,
     ) -> slot_registry.Slot | None:
         """Return a slot for an item, ``None`` if none is free now."""
         now_s = time.monotonic()
@@ -162,9 +172,11 @@
             self._cooling_down,
             is_urgent,
             due_s=now_s + due_left_s,
+            version=version,
         )
         if target is None:
-            self._full.add(service)
+            if version is None:
+                self._full.add(service)
             return None
         self._budgets[kind] -= 1
         self._starts += 1
@@ -178,7 +190,11 @@
         self._client = client
 
     def find(
-        self, service: str, urgency: item_estimates.Urgency, due_left_s: float
+        self,
+        service: str,
+        urgency: item_estimates.Urgency,
+        due_left_s: float,
+        version: str | None = None,
     ) -> slot_registry.Slot | None:
         """Return a slot for an item, ``None`` if none is free now."""
         return self._client.find_batch_slot(service, urgency, due_left_s)
--- a/src/endivevane/serving/item_sender.py
+++ b/src/endivevane/serving/item_sender.py
@@ -6,6 +6,7 @@
 import time
 from collections import abc
 
+from endivevane import logs
 from endivevane.quarantine import service as quarantine_service
 from endivevane.serving import (
     event_reader,
@@ -71,6 +72,15 @@
         if known is None or known.is_draining:
             return RunEnd.NOT_RUN, 0
         if not run.can_go_on_at(known.target.version):
+            logs.limited_info(
+                "item_restarted",
+                job=job.job_id,
+                item=run.item.item_id,
+                target=target.target_id,
+                software=known.target.version,
+                former=run.version,
+                events=run.last_event,
+            )
             run.restart()
         call = model.TargetCall(
             method=b"POST",
--- a/src/endivevane/serving/job_runner.py
+++ b/src/endivevane/serving/job_runner.py
@@ -34,6 +34,8 @@
 # An item without a route in the newest configuration fails after this time. While the
 # store is degraded, a daemon's configuration may be out of date for nearly as long.
 _ROUTE_MISSING_LIMIT_S = 12.5
+# How long an item waits for room at the version of its events before it starts again.
+_MAX_VERSION_WAIT_S = 3.0
 # Time limit for committing results and releasing jobs when the daemon stops.
 _RELEASE_TIMEOUT_S = 4.0
 
@@ -188,7 +190,8 @@
         while requests:
             first = requests[0]
             left_s = _get_time_left_s(first.owned)
-            slot = slot_round.find(first.service, first.urgency, left_s)
+            version = self._find_version(first, now_s)
+            slot = slot_round.find(first.service, first.urgency, left_s, version)
             if slot is None:
                 del requests[0]
                 continue
@@ -196,6 +199,23 @@
             chosen = requests.pop(fitting)
             self._start(chosen.owned, chosen.run, chosen.route, slot)
 
+    def _find_version(
+        self, request: item_requests.ItemRequest, now_s: float
+    ) -> str | None:
+        """Return the version that an item should go on at, ``None`` for any.
+
+        It starts again elsewhere if none serves that version, or has had no room.
+        """
+        run = request.run
+        if not run.last_event or now_s - run.ended_s > _MAX_VERSION_WAIT_S:
+            return None
+        if run.version is None:
+            return None
+        is_served = self._dependencies.choices.serves_version(
+            request.service, run.version
+        )
+        return run.version if is_served else None
+
     def _handle_missing_route(
         self, owned: owned_jobs.OwnedJob, run: owned_jobs.ItemRun, now_s: float
     ) -> None:
@@ -290,6 +310,7 @@
             self._estimates.record_run(received, run_s)
             run.task = None
             run.slot = None
+            run.ended_s = time.monotonic()
             self._dependencies.slots.release(slot, run_s)
             self._finish_run(owned, run, route, end, received > 0)
             metrics.BATCH_ITEMS.labels(end.value).inc()
--- a/src/endivevane/serving/owned_jobs.py
+++ b/src/endivevane/serving/owned_jobs.py
@@ -25,6 +25,7 @@
         it has one
     :ivar slot: slot that it occupies, ``None`` while it does not run
     :ivar started_s: monotonic time at which the current run started
+    :ivar ended_s: monotonic time at which the last run ended
     """
 
     item: jobs.Item
@@ -40,6 +41,7 @@
     routeless_since_s: float = 0.0
     slot: slot_registry.Slot | None = None
     started_s: float = 0.0
+    ended_s: float = 0.0
     task: asyncio.Task[None] | None = None
 
     def add_event(self, event: sse.Event, version: str) -> None:
--- a/src/endivevane/serving/target_selection.py
+++ b/src/endivevane/serving/target_selection.py
@@ -167,12 +167,14 @@
         is_urgent: bool = False,
         zone: str = "",
         due_s: float = 0.0,
+        version: str | None = None,
     ) -> model.Target | None:
         """Return a target with room for a batch item, ``None`` if none has.
 
         :param is_urgent: whether the item misses its due time unless it runs now
         :param zone: availability zone of the item's daemon, empty for this daemon's
         :param due_s: monotonic time at which the item is due
+        :param version: software version at which the item goes on, ``None`` for any
         """
         usable = self._targets.list_usable(service)
         peak_room = self._batch_room.find_peak_room(service, usable)
@@ -182,6 +184,8 @@
             target = known.target
             if target.target_id in ejected:
                 continue
+            if version not in (None, target.version):
+                continue
             if not _is_available(known.health, now_s):
                 continue
             load = self._loads.total(target.target_id)
--- a/src/endivevane/stream_versions/plan_writer.py
+++ b/src/endivevane/stream_versions/plan_writer.py
@@ -57,8 +57,8 @@
         self._table = table
         self._clock = clock
         self._list_services = list_services
-        # Service -> monotonic time since which its plan is out of date.
-        self._outdated_s: dict[str, float] = {}
+        # Service with a plan that is out of date -> monotonic time at which to write it.
+        self._due_s: dict[str, float] = {}
         self._not_before_s = 0.0
         self._sweep_due_s = float("inf")
         self._seen: object = None
@@ -76,10 +76,9 @@
         self._find_outdated(now_s)
         if now_s < self._not_before_s or not self._table.is_loaded:
             return
-        for service, since_s in list(self._outdated_s.items()):
-            if now_s - since_s < self._find_delay_s(service, now_s):
-                continue
-            await self._write(service)
+        for service, due_s in list(self._due_s.items()):
+            if now_s >= due_s:
+                await self._write(service)
 
     def count_slots(self, service: str) -> dict[str, int]:
         """Return the slots of a service's usable targets, by version."""
@@ -89,20 +88,20 @@
         return {version: slots for version, slots in shares.items() if slots}
 
     def _find_outdated(self, now_s: float) -> None:
-        """Note since when each plan differs from the targets that serve."""
+        """Note which plans differ from what serves, and when to write them."""
         services = self._list_services()
         seen = (self._targets.revision, self._table.revision, services)
         if seen == self._seen:
             return
         self._seen = seen
-        outdated = {
-            service
-            for service in services
-            if plans.needs_change(self._table.find(service), self.count_slots(service))
-        }
-        self._outdated_s = {
-            service: self._outdated_s.get(service, now_s) for service in outdated
-        }
+        for service in services:
+            plan = self._table.find(service)
+            if not plans.needs_change(plan, self.count_slots(service)):
+                self._due_s.pop(service, None)
+            elif service not in self._due_s:
+                self._due_s[service] = now_s + self._find_delay_s(service, now_s)
+        for service in self._due_s.keys() - services:
+            del self._due_s[service]
 
     def _find_delay_s(self, service: str, now_s: float) -> float:
         """Return how long this daemon leaves a change to the others."""
--- a/src/endivevane/stream_versions/records.py
+++ b/src/endivevane/stream_versions/records.py
@@ -61,8 +61,8 @@
         self._count_daemons = count_daemons
         self._streams: collections.OrderedDict[str, BegunStream]
         self._streams = collections.OrderedDict()
-        # Attempts whose records are written, or wait to be.
-        self._written: set[str] = set()
+        # Attempt -> the write of its record, unless that has failed.
+        self._writes: collections.OrderedDict[str, _Write] = collections.OrderedDict()
         self._failed_s = float("-inf")
         self._waiting: list[_Write] = []
         self._task: asyncio.Task[None] | None = None
@@ -75,18 +75,18 @@
         self._streams[stream.attempt] = stream
         self._streams.move_to_end(stream.attempt)
         if is_recorded:
-            self._written.add(stream.attempt)
+            self._keep(_Write(stream, _make_done()))
         oldest_s = stream.begun_s - _REMEMBER_S
         while len(self._streams) > _MAX_REMEMBERED or (
             next(iter(self._streams.values())).begun_s < oldest_s
         ):
             attempt, _ = self._streams.popitem(last=False)
-            self._written.discard(attempt)
+            self._writes.pop(attempt, None)
 
     def forget(self, attempt: str) -> None:
         """Forget a stream that its client has whole."""
         self._streams.pop(attempt, None)
-        self._written.discard(attempt)
+        self._writes.pop(attempt, None)
 
     def find(self, attempt: str) -> BegunStream | None:
         """Return a stream that this daemon has begun, ``None`` if it has not."""
@@ -97,7 +97,7 @@
         return [
             stream
             for stream in self._streams.values()
-            if stream.attempt not in self._written
+            if stream.attempt not in self._writes
         ]
 
     def is_failing(self, now_s: float) -> bool:
@@ -105,13 +105,16 @@
         return now_s - self._failed_s < _FAILING_S
 
     def write(self, stream: BegunStream) -> asyncio.Future[bool]:
-        """Write the record of a stream; the result says whether it is written."""
-        written: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
-        self._written.add(stream.attempt)
-        self._waiting.append(_Write(stream, written))
+        """Write the record of a stream, once; the result says whether it is written."""
+        known = self._writes.get(stream.attempt)
+        if known is not None and known.stream.version == stream.version:
+            return known.written
+        write = _Write(stream, asyncio.get_running_loop().create_future())
+        self._keep(write)
+        self._waiting.append(write)
         if self._task is None:
             self._task = asyncio.ensure_future(self._write_all())
-        return written
+        return write.written
 
     async def read(self, service: str, attempt: str) -> str | None:
         """Return the version of a stream by its record, ``None`` if there is none.
@@ -131,6 +134,11 @@
                 logs.error("stream_record_unreadable", cause=error)
         return None
 
+    def _keep(self, write: _Write) -> None:
+        self._writes[write.stream.attempt] = write
+        while len(self._writes) > _MAX_REMEMBERED:
+            self._writes.popitem(last=False)
+
     async def _write_all(self) -> None:
         """Write records in batches until none waits."""
         try:
@@ -159,8 +167,17 @@
         except failures.StoreFailure as error:
             logs.limited_info("stream_records_not_written", cause=error)
             self._failed_s = time.monotonic()
-            self._written.difference_update(item.stream.attempt for item in batch)
+            for item in batch:
+                if self._writes.get(item.stream.attempt) is item:
+                    del self._writes[item.stream.attempt]
             metrics.STREAM_RECORDS.labels("failed").inc(len(batch))
             return False
         metrics.STREAM_RECORDS.labels("written").inc(len(batch))
         return True
+
+
+def _make_done() -> asyncio.Future[bool]:
+    """Return the result of a record that is written."""
+    written: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+    written.set_result(True)
+    return written
--- a/src/endivevane/stream_versions/service.py
+++ b/src/endivevane/stream_versions/service.py
@@ -90,6 +90,17 @@
             return assigned
         return None
 
+    def prepare(self, route: model.Route, stream: records.BegunStream) -> None:
+        """Start to write the record of a stream, if it is going to need one.
+
+        The record is then written while the target prepares the first event.
+        """
+        if not stream.attempt or self._records.is_failing(time.monotonic()):
+            return
+        candidates = self._list_candidates(stream.service, stream.attempt, route)
+        if candidates != {stream.version}:
+            self._records.write(stream)
+
     async def begin(self, route: model.Route, stream: records.BegunStream) -> bool:
         """Take note of the first event of a stream; return whether it may go on.
 
