--- a/src/endivevane/stream_versions/plan_writer.py
+++ b/src/endivevane/stream_versions/plan_writer.py
@@ -57,7 +57,7 @@
         self._table = table
         self._clock = clock
         self._list_services = list_services
-        # Service with a plan that is out of date -> monotonic time at which to write it.
+        # Service whose plan is out of date -> monotonic time at which to write it.
         self._due_s: dict[str, float] = {}
         self._not_before_s = 0.0
         self._sweep_due_s = float("inf")
--- a/src/endivevane/stream_versions/service.py
+++ b/src/endivevane/stream_versions/service.py
@@ -63,6 +63,9 @@
         self._table = table
         self._records = stream_records
         self._clock = clock
+        # Versions by service, at one revision of the targets.
+        self._served: dict[str, frozenset[str]] = {}
+        self._served_revision = -1
         table.call_when_changed(self._record_moved)
 
     def choose(self, service: str, attempt: str) -> str | None:
@@ -71,8 +74,7 @@
         While no target of its assigned version can take work, it may begin at another
         one if that can be recorded.
         """
-        usable = self._targets.list_usable(service)
-        if len({known.target.version for known in usable}) <= 1:
+        if len(self._list_served(service)) <= 1:
             return None
         plan = self._table.find(service)
         if plan is None:
@@ -84,7 +86,7 @@
             known.target.version == assigned
             and not known.health.is_paused(now_s)
             and not known.health.is_unresponsive(now_s)
-            for known in usable
+            for known in self._targets.list_usable(service)
         )
         if is_running or self._records.is_failing(now_s):
             return assigned
@@ -163,6 +165,17 @@
             return Finding(None, Source.UNKNOWN)
         return Finding(version, Source.RECORD)
 
+    def _list_served(self, service: str) -> frozenset[str]:
+        """Return the versions that the usable targets of a service have."""
+        if self._served_revision != self._targets.revision:
+            self._served.clear()
+            self._served_revision = self._targets.revision
+        if service not in self._served:
+            self._served[service] = frozenset(
+                known.target.version for known in self._targets.list_usable(service)
+            )
+        return self._served[service]
+
     def _list_candidates(
         self, service: str, attempt: str, route: model.Route
     ) -> frozenset[str | None]:
