--- a/features/soak.feature
+++ b/features/soak.feature
@@ -41,6 +41,18 @@
       | seed |
       | 201  |
 
+  # Guards against streams and items that are joined from two software versions, over the
+  # tries of their clients too, while targets are replaced by other versions and daemons
+  # are killed, also all of them at once.
+  Scenario Outline: A short soak test with releases joins no two versions
+    When the soak test runs seed <seed> with 8 s of faults and releases
+    Then no guarantee is violated and at least 15 streams and 1 job were served
+    And clients have resumed streams
+
+    Examples:
+      | seed |
+      | 301  |
+
   # Guards against a second process of a daemon that no later fault reaches and that
   # outlives the test, when a stop and a kill of the same daemon overlap.
   Scenario: Overlapping stops in the soak test leave no daemon behind
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -29,6 +29,18 @@
     )
 
 
+@when("the soak test runs seed {seed:d} with {fault_s:d} s of faults and releases")
+def step_release_soak(context, seed, fault_s):
+    context.report, context.faults, _ = asyncio.run(
+        run.run_seed(seed, float(fault_s), trouble=run.Trouble.RELEASES)
+    )
+
+
+@then("clients have resumed streams")
+def step_resumed(context):
+    assert context.report.resumed, context.report
+
+
 @then(
     "no guarantee is violated and at least {streams:d} streams "
     "and {jobs:d} job were served"
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -20,6 +20,7 @@
 class Report:
     """Counts of outcomes as the clients saw them.
 
+    :ivar resumed: tries of clients to go on with a stream
     :ivar violations: descriptions of violated guarantees
     """
 
@@ -28,6 +29,7 @@
     failed: int = 0
     jobs: int = 0
     items: int = 0
+    resumed: int = 0
     violations: list[str] = dataclasses.field(default_factory=list)
 
 
@@ -180,11 +182,7 @@
 
     def _check_results(self) -> None:
         for result in self._seen:
-            lines = [
-                f"{result['id']} piece {number}"
-                for number in range(1, environment.EVENTS + 1)
-            ]
-            is_expected = result["text"] == "\n".join(lines)
+            is_expected = result["text"] == "\n".join(list_pieces(result["id"]))
             if result["state"] == "completed" and not is_expected:
                 self._report.violations.append(f"ORDER {self._job_id}: {result}")
             if result["state"] != "completed":
@@ -198,3 +196,8 @@
             return await serving_world.send_request(daemon.port, data, wait_s=4.0)
         except (OSError, TimeoutError):
             return serving_world.Response()
+
+
+def list_pieces(item_id: str) -> list[str]:
+    """Return the data of an item's events."""
+    return [f"{item_id} piece {number}" for number in range(1, environment.EVENTS + 1)]
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -7,6 +7,7 @@
 import random
 import tempfile
 import time
+from collections import abc
 
 from features.support import serving_processes, serving_world
 from soak import proxy
@@ -20,7 +21,11 @@
 
 
 class Environment:
-    """Starts and stops everything that the soak test runs."""
+    """Starts and stops everything that the soak test runs.
+
+    :ivar target_version: software version of the targets that are added
+    :ivar on_target_added: called with each target before it is registered
+    """
 
     def __init__(self) -> None:
         self.store = row_store.RowStore()
@@ -37,6 +42,8 @@
                 "resumable": False,
             }
         )
+        self.target_version = "v1"
+        self.on_target_added: abc.Callable[[replica.Replica], None] | None = None
         self._folder = tempfile.TemporaryDirectory()
         self._started = 0
 
@@ -108,8 +115,10 @@
     async def add_target(self, service: str = SERVICE) -> None:
         """Start a target behind a proxy and register it."""
         self._started += 1
-        item = replica.Replica(f"i-{self._started}")
+        item = replica.Replica(f"i-{self._started}", self.target_version)
         item.manner.events, item.manner.gap_s = EVENTS, 0.02
+        if self.on_target_added is not None:
+            self.on_target_added(item)
         await item.start()
         before = proxy.FaultyProxy(item.port)
         await before.start()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -55,7 +55,7 @@
     env.store.faults.stale_by = 0
 
 
-def _start_again(daemon: serving_processes.Daemon) -> None:
+def start_again(daemon: serving_processes.Daemon) -> None:
     """Start a daemon that has ended, unless an overlapping fault has done so."""
     if daemon.process.poll() is not None:
         daemon.start()
@@ -68,7 +68,7 @@
     daemon.process.kill()
     await asyncio.to_thread(daemon.process.wait)
     await asyncio.sleep(duration_s / 3)
-    _start_again(daemon)
+    start_again(daemon)
 
 
 async def _stop_daemon(
@@ -77,7 +77,7 @@
     daemon = generator.choice(env.daemons)
     daemon.process.send_signal(signal.SIGTERM)
     await asyncio.to_thread(daemon.process.wait)
-    _start_again(daemon)
+    start_again(daemon)
 
 
 async def _pause_daemon(
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,7 +15,14 @@
 import sys
 import time
 
-from soak import callers, environment, faults, sound_silences, troubled_targets
+from soak import (
+    callers,
+    environment,
+    faults,
+    sound_silences,
+    troubled_targets,
+    version_releases,
+)
 
 _FAULT_S = 10.0
 # Time limit for all jobs to complete after the last fault.
@@ -30,6 +37,7 @@
     FAULTS = "faults"
     TROUBLED_TARGETS = "troubled targets"
     SOUND_SILENCES = "sound silences"
+    RELEASES = "releases"
 
 
 async def run_seed(
@@ -46,6 +54,10 @@
             silences = sound_silences.SoundSilences(env)
             await silences.prepare()
             kinds = silences.kinds
+        if trouble is Trouble.RELEASES:
+            releases = version_releases.Releases(env)
+            await releases.prepare()
+            kinds = releases.kinds
         now_s = asyncio.get_running_loop().time()
         end_s = now_s + fault_s
         tasks = []
@@ -54,12 +66,15 @@
                 env, report, silences.silences, now_s
             )
             tasks.append(asyncio.ensure_future(silence_callers.run(seed, end_s)))
+        elif trouble is Trouble.RELEASES:
+            tasks += version_releases.start_clients(env, report, seed, end_s)
         else:
             tasks += _start_stream_callers(env, report, seed, end_s)
+        job_client = callers.JobClient
+        if trouble is Trouble.RELEASES:
+            job_client = version_releases.JobClient
         for number in range(_JOB_CALLERS):
-            caller = callers.JobClient(
-                env, report, random.Random(f"{seed} job {number}")
-            )
+            caller = job_client(env, report, random.Random(f"{seed} job {number}"))
             tasks.append(asyncio.ensure_future(caller.run(end_s + _FINISH_S)))
         if trouble is Trouble.TROUBLED_TARGETS:
             targets = random.Random(f"{seed} targets")
@@ -114,6 +129,13 @@
         const=Trouble.SOUND_SILENCES,
         help="targets are only silent for a while, beside changes, reloads and stops",
     )
+    kinds.add_argument(
+        "--releases",
+        dest="trouble",
+        action="store_const",
+        const=Trouble.RELEASES,
+        help="targets are also replaced by other versions, and clients resume streams",
+    )
     parser.add_argument("--logs", type=pathlib.Path, default=pathlib.Path("build/soak"))
     arguments = parser.parse_args()
     first, _, last = arguments.seeds.partition("-")
@@ -129,8 +151,9 @@
         elapsed_s = time.monotonic() - started_s
         print(
             f"seed {seed}: served {report.served} refused {report.refused} failed "
-            f"{report.failed} jobs {report.jobs} items {report.items} faults "
-            f"{len(names)} broken {len(report.violations)} in {elapsed_s:.1f} s",
+            f"{report.failed} resumed {report.resumed} jobs {report.jobs} items "
+            f"{report.items} faults {len(names)} broken {len(report.violations)} "
+            f"in {elapsed_s:.1f} s",
             flush=True,
         )
         if not report.violations:
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -378,7 +378,8 @@
 
     def _make_event(self, run: Run, number: int) -> bytes:
         if self.manner.shows_version:
-            return f"id: {number}\ndata: {self.version}\n\n".encode()
+            text = f"{run.attempt} piece {number} at {self.version}"
+            return f"id: {number}\ndata: {text}\n\n".encode()
         return make_event(run.attempt, number)
 
     def _make_stream_head(self, run: Run) -> bytes:
