Refuse the rest of a stream whose route may have moved to another service

Cause: a stream that a client resumes goes to the service of its route as it is now. If the route has moved since the stream began, or splits its requests otherwise, that is another service, whose versions say nothing of the stream.

Change: a routing table keeps the former services of its routes for two timeouts and two seconds; a stream that they may have begun elsewhere is refused with 503 at once, as is one that this daemon itself began at another service. `endivevanectl fleet targets` shows versions.

New, and passing without a change of logic: a target that comes back under its id at another version, and an entry that changes its version. Open: after all daemons were killed within seconds of a move nobody knows the former service.

--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -146,15 +146,67 @@
         await version_world.request_all(
             daemon, context.streams, leave_after=8, interval_s=_INTERVAL_S
         )
+        first = fleet.replicas["a"]
         if state == "is draining":
-            daemon.register(fleet.replicas["a"], 5000, state="draining")
-        else:
+            daemon.register(first, 5000, state="draining")
+        elif state == "is served no more":
             fleet.remove_target("a")
+        else:
+            first.version = "v2"
+            born = {"born": 1800000000000} if "comes back" in state else {}
+            daemon.register(first, 5000, **born)
+        await version_world.request_all(daemon, context.streams, "-again")
+
+    _play(context, act)
+
+
+@given("targets a v1, b v2 of two services")
+def step_two_services(context):
+    context.fleet = version_world.Fleet({"a": "v1", "b": "v2"}, maxAttempts=3)
+
+
+def _route_to(first):
+    if first == "the one":
+        return {"service": "lm"}
+    split = [{"service": "lm", "weight": 1}, {"service": "lm2", "weight": 1}]
+    return {"service": None, "trafficSplit": split}
+
+
+@given("a route to {first} of them")
+def step_route(context, first):
+    routes = context.fleet.configuration["routes"]
+    other = {"name": "other", "prefix": "/other/", "service": "lm2"}
+    routes.append({**routes[0], **other})
+    routes[0].update(_route_to(first))
+
+
+@when("{count:d} clients leave their streams after 8 events and the route {changes}")
+def step_route_changes(context, count, changes):
+    async def act(fleet, daemon):
+        daemon.register(fleet.replicas["b"], 500, service="lm2")
+        # Both services have had targets for a while.
+        await asyncio.sleep(_PLAN_S)
+        fleet.age_plan(_SERVED_S, "lm")
+        fleet.age_plan(_SERVED_S, "lm2")
+        await asyncio.sleep(0.1)
+        context.streams = _make_streams(count)
+        await version_world.request_all(
+            daemon, context.streams, leave_after=8, interval_s=_INTERVAL_S
+        )
+        if changes != "stays":
+            fleet.configuration["routes"][0]["service"] = "lm2"
+            daemon.configure(fleet.configuration)
         await version_world.request_all(daemon, context.streams, "-again")
 
     _play(context, act)
 
 
+@then("no stream has gone on")
+def step_none_gone_on(context):
+    statuses = {tuple(stream.statuses) for stream in context.streams}
+    assert statuses == {(200, 503)}, statuses
+
+
 @when("an item is run at a, which breaks it off after 8 events, and then at b")
 def step_item(context):
     async def act(fleet, daemon):
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -60,9 +60,25 @@
     And the streams of v1 were refused within 0.5 s, and the others are whole
 
     Examples:
-      | state                   |
-      | is served no more       |
-      | is draining             |
+      | state                             |
+      | is served no more                 |
+      | is draining                       |
+      | comes back as v2 under its id     |
+      | becomes v2 in its entry           |
+
+  # Guards against a stream that goes on at another service than the one that began it,
+  # since its route splits its requests or has moved.
+  Scenario Outline: A stream goes on at the service that began it though its route <changes>
+    Given targets a v1, b v2 of two services
+    And a route to <first> of them
+    When 10 clients leave their streams after 8 events and the route <changes>
+    Then no stream holds events of two versions
+    And <rest>
+
+    Examples:
+      | first    | changes                  | rest                     |
+      | both     | stays                    | all streams are whole    |
+      | the one  | moves to the other       | no stream has gone on    |
 
   # Guards against an item whose text is joined from two versions.
   Scenario: An item that breaks off starts again at another version
--- a/features/support/serving_world.py
+++ b/features/support/serving_world.py
@@ -137,8 +137,7 @@
         )
         self.router = request_router.RequestRouter(online, None, job_codec.JobCodec())
         if configuration is not None:
-            decoded = records.decode_configuration(dump(configuration))
-            self.router.table = routing_table.RoutingTable(decoded)
+            self.configure(configuration)
             self.router.is_ready.set()
         self.server = http_server.Server(codec, self.router.handle, self._limits)
         self.port = 0
@@ -147,6 +146,15 @@
         table = self.router.table
         return model.ClientLimits() if table is None else table.configuration.limits
 
+    def configure(self, configuration):
+        """Put a configuration into force, as the daemon's feed does."""
+        table = routing_table.RoutingTable(
+            records.decode_configuration(dump(configuration))
+        )
+        if self.router.table is not None:
+            table.keep_former(self.router.table, time.monotonic())
+        self.router.table = table
+
     async def start(self):
         await self.server.listen("127.0.0.1", 0)
         self.port = self.server.port
--- a/features/support/version_world.py
+++ b/features/support/version_world.py
@@ -64,9 +64,9 @@
         self.daemons.append(daemon)
         return daemon
 
-    def age_plan(self, age_s):
+    def age_plan(self, age_s, service="lm"):
         """Let the plan have been in force for longer than any stream goes on."""
-        key = rows.make_plan_key("lm")
+        key = rows.make_plan_key(service)
         value, _ = self.row_store.rows[key]
         decoded = rows.decode_plan(key.key, value)
         epochs = [
--- a/src/endivevane/entry/inspection.py
+++ b/src/endivevane/entry/inspection.py
@@ -32,6 +32,7 @@
 class TargetView:
     """A registered target.
 
+    :param version: version of its software, empty if it names none
     :param problem: why the registration is invalid, empty if it is valid
     """
 
@@ -41,6 +42,7 @@
     address: str = ""
     slots: int = 0
     state: str = ""
+    version: str = ""
     problem: str = ""
 
 
@@ -220,6 +222,7 @@
         address=f"{target.host}:{target.port}",
         slots=target.slots,
         state="leaving" if target.is_draining else "ready",
+        version=target.version,
     )
 
 
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -364,6 +364,8 @@
             return
         table = configuration_rows.decode_routes(row.value, row.version)
         if table is not None:
+            if self._router.table is not None:
+                table.keep_former(self._router.table, time.monotonic())
             self._router.table = table
             self._open_when_loaded()
 
--- a/src/endivevane/serving/online_service.py
+++ b/src/endivevane/serving/online_service.py
@@ -62,20 +62,23 @@
         route: model.Route,
         version: int,
         response: responder.Responder,
+        may_have_moved: bool = False,
     ) -> attempts.Outcome:
         """Serve a request; every path sends one response or closes the connection.
 
         :param version: version of the configuration that defines the route
+        :param may_have_moved: whether the stream that the client resumes may have begun
+            at another service
         """
-        stream = attempts.get_stream(request, route)
-        service = routing_table.choose_service(
-            route, self._generator, stream if route.has_resumable_streams else ""
-        )
+        service = self._choose_service(request, route)
         progress = attempts.begin(request, route, service, version)
         item = exchange.Exchange(request, progress, response)
         try:
             async with asyncio.timeout_at(_loop_time(progress.deadline_s)):
-                outcome = await self._run_to_end(item)
+                if may_have_moved:
+                    outcome = self._end_unknown(progress, response)
+                else:
+                    outcome = await self._run_to_end(item)
         except TimeoutError:
             outcome = self._end_timed_out(response)
         except asyncio.CancelledError:
@@ -86,6 +89,12 @@
         request_log.record_end(request, progress, outcome)
         return outcome
 
+    def _choose_service(self, request: model.ClientRequest, route: model.Route) -> str:
+        stream = attempts.get_stream(request, route)
+        if stream and route.has_resumable_streams:
+            return routing_table.choose_stream_service(route, stream)
+        return routing_table.choose_service(route, self._generator)
+
     async def _run_to_end(self, item: exchange.Exchange) -> attempts.Outcome:
         """Run attempts; none is left when this returns or is cancelled."""
         try:
--- a/src/endivevane/serving/request_router.py
+++ b/src/endivevane/serving/request_router.py
@@ -9,6 +9,7 @@
 
 from endivevane import logs
 from endivevane.serving import (
+    attempts,
     job_api,
     jobs,
     model,
@@ -90,7 +91,13 @@
         if route.kind is model.RouteKind.BATCH:
             response.send(await self._job_api.submit(request, route))
             return
-        await self._online.serve(request, route, table.configuration.version, response)
+        await self._online.serve(
+            request,
+            route,
+            table.configuration.version,
+            response,
+            _may_have_moved(table, request, route),
+        )
 
     async def _wait_ready(self, request: model.ClientRequest) -> None:
         """Wait a limited time for configuration and targets to be loaded."""
@@ -107,3 +114,13 @@
                 request=request.attempt_id.decode("latin-1"),
                 waited_ms=int(wait_s * 1000),
             )
+
+
+def _may_have_moved(
+    table: routing_table.RoutingTable, request: model.ClientRequest, route: model.Route
+) -> bool:
+    """Return whether a resumed stream may have begun at another service."""
+    if not route.has_resumable_streams or not attempts.has_events(request):
+        return False
+    stream = attempts.get_stream(request, route)
+    return table.may_have_moved(route, stream, time.monotonic())
--- a/src/endivevane/serving/routing_table.py
+++ b/src/endivevane/serving/routing_table.py
@@ -3,11 +3,28 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 import random
 
 from endivevane.coordination import rendezvous
 from endivevane.serving import model
 
+# A stream that began before its route changed has ended within so many timeouts of the
+# route, and some time for its client's tries.
+_STREAM_TIMEOUTS = 2.0
+_RESUME_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _FormerRoute:
+    """A route before its services changed.
+
+    :param until_s: monotonic time until which streams that it began may go on
+    """
+
+    route: model.Route
+    until_s: float
+
 
 class RoutingTable:
     """The routes of one configuration, by host and longest prefix.
@@ -23,6 +40,8 @@
             if route.has_resumable_streams
             for service in route.services
         )
+        # Host and prefix -> the routes that were in force there.
+        self._former: dict[tuple[str, str], tuple[_FormerRoute, ...]] = {}
         self._by_host: dict[str, list[model.Route]] = collections.defaultdict(list)
         for route in configuration.routes:
             self._by_host[route.host.lower()].append(route)
@@ -42,6 +61,34 @@
                     return route
         return None
 
+    def keep_former(self, previous: RoutingTable, now_s: float) -> None:
+        """Keep what the streams need that began by the previous table."""
+        routes = {
+            (route.host, route.prefix): route
+            for route in previous.configuration.routes
+            if route.has_resumable_streams
+        }
+        for route in self.configuration.routes:
+            key = (route.host, route.prefix)
+            kept = [
+                item for item in previous._former.get(key, ()) if item.until_s > now_s
+            ]
+            former = routes.get(key)
+            if former is not None and former.services != route.services:
+                lasting_s = _STREAM_TIMEOUTS * former.timeout_s + _RESUME_S
+                kept.append(_FormerRoute(former, now_s + lasting_s))
+            if kept:
+                self._former[key] = tuple(kept)
+
+    def may_have_moved(self, route: model.Route, stream: str, now_s: float) -> bool:
+        """Return whether a stream may have begun at another service of its route."""
+        service = choose_stream_service(route, stream)
+        return any(
+            choose_stream_service(item.route, stream) != service
+            for item in self._former.get((route.host, route.prefix), ())
+            if item.until_s > now_s
+        )
+
     def find_batch_routes(self, host: str) -> list[model.Route]:
         """Return the batch routes of a host."""
         routes = self._by_host.get(host.lower())
@@ -50,18 +97,17 @@
         return [route for route in routes if route.kind is model.RouteKind.BATCH]
 
 
-def choose_service(
-    route: model.Route, generator: random.Random, stream: str = ""
-) -> str:
-    """Return a service of a route, chosen at random by weight.
+def choose_stream_service(route: model.Route, stream: str) -> str:
+    """Return the service of a route that begins a stream, and goes on with it."""
+    if len(route.services) == 1:
+        return route.services[0].name
+    services = {service.name: service.weight for service in route.services}
+    return rendezvous.choose_member(stream, services) or route.services[0].name
 
-    :param stream: id of a stream that may be resumed, which goes on at the service that
-        began it; empty for other requests
-    """
+
+def choose_service(route: model.Route, generator: random.Random) -> str:
+    """Return a service of a route, chosen at random by weight."""
     if len(route.services) == 1:
         return route.services[0].name
-    if stream:
-        services = {service.name: service.weight for service in route.services}
-        return rendezvous.choose_member(stream, services) or route.services[0].name
     weights = [service.weight for service in route.services]
     return generator.choices(route.services, weights)[0].name
--- a/src/endivevane/stream_versions/service.py
+++ b/src/endivevane/stream_versions/service.py
@@ -149,8 +149,10 @@
 
     async def _find(self, route: model.Route, service: str, attempt: str) -> Finding:
         begun = self._records.find(attempt)
-        if begun is not None and begun.service == service:
-            return Finding(begun.version, Source.MEMORY)
+        if begun is not None:
+            # At another service, nothing goes on with it.
+            is_here = begun.service == service
+            return Finding(begun.version if is_here else None, Source.MEMORY)
         candidates = self._list_candidates(service, attempt, route)
         if len(candidates) == 1 and None not in candidates:
             return Finding(next(iter(candidates)), Source.PLAN)
