Show that slots of a coordinator and odd rows of plans join no streams

A coordinator of 24 daemons before two versions: 18 slots of each, the rest waits, a third version is refused at once.

--- a/features/coordinated_places.feature
+++ b/features/coordinated_places.feature
@@ -113,3 +113,12 @@
     When it stops while 3 of its online requests wait for a coordinator's answer
     Then the 3 requests are refused at once
     And it holds no slot and has released all 3
+
+  # Guards against a slot at another software version than the one that a stream began at,
+  # against requests of one version that wait behind those of another one, and against
+  # waiting for a version that no target serves.
+  Scenario: Slots are granted at the version that a stream needs
+    Given a coordinator of 24 daemons before 4 targets of 8 slots, of v1 and v2 by turns
+    When each daemon requests a slot at v2, and then one at v1
+    Then 18 slots are granted at each version, and the other requests wait
+    And a request for a slot at v3 is refused at once
--- a/features/steps/coordinated_places_steps.py
+++ b/features/steps/coordinated_places_steps.py
@@ -369,3 +369,45 @@
 @then("the {count:d} requests are refused at once")
 def step_refused_at_once(context, count):
     assert context.answers == [slot_queue.Refused(0.05)] * count, context.answers
+
+
+@given(
+    "a coordinator of {daemons:d} daemons before {targets:d} targets of 8 slots, of v1 "
+    "and v2 by turns"
+)
+def step_versions(context, daemons, targets):
+    context.region = Region(daemons, targets)
+    fleet = context.region.fleet
+    for number, name in enumerate(context.region.names):
+        fleet.add(name, version=100 + number, software=f"v{number % 2 + 1}")
+
+
+@when("each daemon requests a slot at v2, and then one at v1")
+def step_request_versions(context):
+    region = context.region
+    region.wanted = {}
+    for version in ("v2", "v1"):
+        for name in region.daemons:
+            message = region.ask(name, 1.5, version=version)
+            region.wanted[(name, message.number)] = version
+
+
+@then("{count:d} slots are granted at each version, and the other requests wait")
+def step_granted_versions(context, count):
+    region = context.region
+    granted = collections.Counter()
+    for slot, target_id in region.list_granted().items():
+        version = region.fleet.find(target_id).target.version
+        assert version == region.wanted[slot], (slot, target_id)
+        granted[version] += 1
+    assert granted == {"v1": count, "v2": count}, granted
+    assert region.count(slot_messages.Refused) == 0
+    assert region.count(slot_messages.Queued) == len(region.wanted) - 2 * count
+
+
+@then("a request for a slot at v3 is refused at once")
+def step_refused_version(context):
+    region = context.region
+    before = region.count(slot_messages.Refused)
+    region.ask(region.daemons[0], 1.5, version="v3")
+    assert region.count(slot_messages.Refused) == before + 1
--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -4,6 +4,7 @@
 from behave import given, then, when
 
 from endivevane.serving import failures, item_sender, jobs, owned_jobs
+from endivevane.stream_versions import rows
 from features.support import scripted_items, version_world
 
 _BREAK_AFTER = 8
@@ -275,3 +276,39 @@
     assert len(context.run.pieces) == version_world.EVENTS, context.run.pieces
     versions = {piece.rpartition(b" ")[2] for piece in context.run.pieces}
     assert len(versions) == 1, context.run.pieces
+
+
+@when(
+    "{count:d} clients leave their streams after 8 events and the plan's row becomes "
+    "{row}"
+)
+def step_odd_row(context, count, row):
+    content = {"nothing": b"", "no JSON": b"\xff{"}.get(row, row.encode())
+
+    async def act(fleet, daemon):
+        await _age_plan(fleet)
+        context.streams = _make_streams(count)
+        await version_world.request_all(
+            daemon, context.streams, leave_after=8, interval_s=_INTERVAL_S
+        )
+        fleet.write_plan(content)
+        await asyncio.sleep(0.1)
+        here, elsewhere = context.streams[: count // 2], context.streams[count // 2 :]
+        await version_world.request_all(daemon, here, "-again")
+        # This one has no plan until it has written one itself.
+        other = await fleet.start_daemon()
+        await version_world.request_all(other, elsewhere, "-again")
+        await asyncio.sleep(_PLAN_S)
+        context.here = here
+        context.plan_value = fleet.read_plan()
+
+    _play(context, act)
+
+
+@then(
+    "streams that are resumed at the same daemon are whole, and the row is a plan again"
+)
+def step_healed(context):
+    assert all(stream.is_whole for stream in context.here), context.here
+    decoded = rows.decode_plan("plan", context.plan_value)
+    assert decoded.newest.shares == {"v1": 16, "v2": 16}, decoded
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -85,3 +85,24 @@
     Given targets a v1, b v2 of one service
     When an item is run at a, which breaks it off after 8 events, and then at b
     Then its text is of one version and whole
+
+  # Guards against a row that another release or another program has written, which a
+  # daemon takes for a plan, or at which it fails.
+  Scenario Outline: A row that is no plan joins no streams
+    Given targets a v1, b v2, c v1, d v2 of one service
+    When 10 clients leave their streams after 8 events and the plan's row becomes <row>
+    Then no stream holds events of two versions
+    And streams that are resumed at the same daemon are whole, and the row is a plan again
+
+    Examples:
+      | row                            |
+      | nothing                        |
+      | no JSON                        |
+      | null                           |
+      | []                             |
+      | {}                             |
+      | [[null, {}]]                   |
+      | [[null, {"v1": 0}]]            |
+      | [[5, {"v1": 8}]]               |
+      | [[null, {"v1": 8}], [null, 3]] |
+      | [[null, {"v1": "8"}]]          |
--- a/features/support/serving_fakes.py
+++ b/features/support/serving_fakes.py
@@ -21,7 +21,9 @@
 )
 
 
-def make_target(name, service="lm", zone="z1", slots=8, leaving=False, born=1):
+def make_target(
+    name, service="lm", zone="z1", slots=8, leaving=False, born=1, software=""
+):
     return model.Target(
         target_id=name,
         service=service,
@@ -31,6 +33,7 @@
         slots=slots,
         is_draining=leaving,
         started_ms=born,
+        version=software,
     )
 
 
--- a/features/support/version_world.py
+++ b/features/support/version_world.py
@@ -76,6 +76,14 @@
         aged = plan.Plan((*epochs, decoded.newest))
         self.row_store.put(key, rows.encode_plan(aged))
 
+    def write_plan(self, content):
+        """Write a row in place of the plan, as another program may."""
+        self.row_store.put(rows.make_plan_key("lm"), content)
+
+    def read_plan(self):
+        value, _ = self.row_store.rows[rows.make_plan_key("lm")]
+        return value
+
     async def add_target(self, name, version):
         target = replica.Replica(name, version)
         self.prepare(target)
