--- a/soak/version_releases.py
+++ b/soak/version_releases.py
@@ -70,10 +70,12 @@
 async def _kill_all(
     env: environment.Environment, generator: random.Random, duration_s: float
 ) -> None:
-    for daemon in env.daemons:
-        daemon.process.kill()
-    for daemon in env.daemons:
-        await asyncio.to_thread(daemon.process.wait)
+    # An overlapping fault may start a daemon again meanwhile.
+    processes = [daemon.process for daemon in env.daemons]
+    for process in processes:
+        process.kill()
+    for process in processes:
+        await asyncio.to_thread(process.wait)
     await asyncio.sleep(generator.uniform(*_DOWN_S))
     for daemon in env.daemons:
         faults.start_again(daemon)
