--- a/src/endivevane/entry/membership.py
+++ b/src/endivevane/entry/membership.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import secrets
 
 import orjson
 
 from endivevane import exceptions, json_fields, logs
+from endivevane.entry import settings
 from endivevane.serving import jobs, peer_registry, store
 
 _RETRY_S = 0.5
@@ -58,6 +60,18 @@
         self._peer_registry.add(peer)
 
 
+def make_identity(loaded: settings.Settings) -> peer_registry.Identity:
+    """Return the identity of a run of the daemon that begins now."""
+    return peer_registry.Identity(
+        name=loaded.vm.name,
+        region=loaded.vm.region,
+        incarnation=secrets.token_hex(4),
+        host=loaded.vm.ip,
+        port=loaded.listen.internal_port,
+        weight=loaded.vm.processor_share,
+    )
+
+
 def encode_member(identity: peer_registry.Identity) -> bytes:
     """Return the value of a daemon's row."""
     return orjson.dumps(
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -18,6 +18,7 @@
     process_pause,
     settings,
     settings_reload,
+    state_rows,
     store_endpoints,
 )
 from endivevane.platform import (
@@ -83,14 +84,7 @@
         self._settings = loaded
         self._path = path
         self._generator = random.Random(secrets.randbits(64))
-        self._identity = peer_registry.Identity(
-            name=loaded.vm.name,
-            region=loaded.vm.region,
-            incarnation=secrets.token_hex(4),
-            host=loaded.vm.ip,
-            port=loaded.listen.internal_port,
-            weight=loaded.vm.processor_share,
-        )
+        self._identity = membership.make_identity(loaded)
         self._tasks: list[asyncio.Task[None]] = []
         self._stop_requested = asyncio.Event()
         self._is_stopping = False
@@ -168,7 +162,7 @@
             self._store,
             jobs.STATE_TABLE,
             jobs.PARTITION,
-            self._on_state_row,
+            lambda row: self._state_rows.apply(row),
             coalesce_s=_STATE_COALESCE_S,
             on_loaded=self._start_warm_up_when_loaded,
             newest=self._newest,
@@ -233,6 +227,9 @@
             self._generator,
             self._target_registry.record_ended,
         )
+        self._state_rows = state_rows.StateRows(
+            self._job_registry, self._membership, self._quarantine, self._versions
+        )
         self._coordinator = coordinator.Coordinator(
             self._target_registry,
             self._load_table,
@@ -320,18 +317,7 @@
         relay = store_relay.StoreRelay(
             self._store_pool,
             lambda: self._endpoints.store,
-            (
-                store_relay.FollowedRows(
-                    records.CONFIGURATION_TABLE, self._configuration_feed
-                ),
-                store_relay.FollowedRows(records.TARGETS_TABLE, self._targets_feed),
-                store_relay.FollowedRows(
-                    jobs.STATE_TABLE,
-                    self._state_feed,
-                    version_rows.PLAN_PREFIX,
-                    version_rows.PLAN_END,
-                ),
-            ),
+            self._list_followed(),
         )
         self._client_server = http_server.Server(
             self._codec, self._router.handle, self._get_limits
@@ -340,6 +326,16 @@
             self._codec, relay.handle, lambda: self._is_ready
         )
 
+    def _list_followed(self) -> tuple[store_relay.FollowedRows, ...]:
+        """Return the rows that other daemons may read here without the store."""
+        start, end = version_rows.PLAN_PREFIX, version_rows.PLAN_END
+        followed = store_relay.FollowedRows
+        return (
+            followed(records.CONFIGURATION_TABLE, self._configuration_feed),
+            followed(records.TARGETS_TABLE, self._targets_feed),
+            followed(jobs.STATE_TABLE, self._state_feed, start, end),
+        )
+
     async def _listen(self) -> None:
         listen = self._settings.listen
         clients = types.parse_address(listen.clients)
@@ -388,17 +384,6 @@
         self._limits.record_process_pause()
         self._peer_registry.warmed_up_s = time.monotonic() + _WARM_UP_S
 
-    def _on_state_row(self, row: store.Row) -> None:
-        key = row.row_key.key
-        if key.startswith(jobs.JOB_PREFIX):
-            self._job_registry.apply(row)
-        elif key.startswith(jobs.MEMBER_PREFIX):
-            self._membership.apply(row)
-        elif key.startswith(quarantine_rows.ROW_PREFIX):
-            self._quarantine.apply_row(row)
-        elif key.startswith(version_rows.PLAN_PREFIX):
-            self._versions.apply_row(row)
-
     def _on_report(self) -> None:
         self._admission.dispatch()
         self._runner.wake()
--- a/src/endivevane/serving/job_runner.py
+++ b/src/endivevane/serving/job_runner.py
@@ -34,8 +34,6 @@
 # An item without a route in the newest configuration fails after this time. While the
 # store is degraded, a daemon's configuration may be out of date for nearly as long.
 _ROUTE_MISSING_LIMIT_S = 12.5
-# How long an item waits for room at the version of its events before it starts again.
-_MAX_VERSION_WAIT_S = 3.0
 # Time limit for committing results and releasing jobs when the daemon stops.
 _RELEASE_TIMEOUT_S = 4.0
 
@@ -190,7 +188,9 @@
         while requests:
             first = requests[0]
             left_s = _get_time_left_s(first.owned)
-            version = self._find_version(first, now_s)
+            version = item_requests.find_version(
+                first, self._dependencies.choices, now_s
+            )
             slot = slot_round.find(first.service, first.urgency, left_s, version)
             if slot is None:
                 del requests[0]
@@ -199,23 +199,6 @@
             chosen = requests.pop(fitting)
             self._start(chosen.owned, chosen.run, chosen.route, slot)
 
-    def _find_version(
-        self, request: item_requests.ItemRequest, now_s: float
-    ) -> str | None:
-        """Return the version that an item should go on at, ``None`` for any.
-
-        It starts again elsewhere if none serves that version, or has had no room.
-        """
-        run = request.run
-        if not run.last_event or now_s - run.ended_s > _MAX_VERSION_WAIT_S:
-            return None
-        if run.version is None:
-            return None
-        is_served = self._dependencies.choices.serves_version(
-            request.service, run.version
-        )
-        return run.version if is_served else None
-
     def _handle_missing_route(
         self, owned: owned_jobs.OwnedJob, run: owned_jobs.ItemRun, now_s: float
     ) -> None:
--- a/src/endivevane/serving/target_health.py
+++ b/src/endivevane/serving/target_health.py
@@ -106,6 +106,12 @@
         """Record that the target refused a request for lack of a slot."""
         self._full_until_s = now_s + _FULL_TTL_S
 
+    def is_available(self, now_s: float) -> bool:
+        """Return whether this daemon knows of no recent problem of the target."""
+        return not (
+            self.is_paused(now_s) or self.is_full(now_s) or self.is_unresponsive(now_s)
+        )
+
     def is_paused(self, now_s: float) -> bool:
         """Return whether the target is in back-off after a failure."""
         return now_s < self._backoff_until_s
--- a/src/endivevane/serving/target_selection.py
+++ b/src/endivevane/serving/target_selection.py
@@ -12,7 +12,6 @@
     batch_room,
     load_table,
     model,
-    target_health,
     target_registry,
     token_use,
     water_filling,
@@ -186,7 +185,7 @@
                 continue
             if version not in (None, target.version):
                 continue
-            if not _is_available(known.health, now_s):
+            if not known.health.is_available(now_s):
                 continue
             load = self._loads.total(target.target_id)
             room = self._batch_room.count(target, load, peak_room)
@@ -308,7 +307,7 @@
         ejected = self._find_ejected(usable, now_s)
         has_local = any(
             not self._is_cross_region(known.target)
-            and _is_available(known.health, now_s)
+            and known.health.is_available(now_s)
             and self._limits.is_open(known.target.target_id, now_s)
             for known in usable
         )
@@ -323,7 +322,7 @@
                 continue
             if version is not None and target.version != version:
                 continue
-            if not _is_available(known.health, now_s):
+            if not known.health.is_available(now_s):
                 continue
             total = self._loads.total(target.target_id).total
             if total >= self._find_limit(target, has_local):
@@ -394,15 +393,6 @@
         return cost
 
 
-def _is_available(health: target_health.TargetHealth, now_s: float) -> bool:
-    """Whether this daemon knows of no recent problem of a target."""
-    return not (
-        health.is_paused(now_s)
-        or health.is_full(now_s)
-        or health.is_unresponsive(now_s)
-    )
-
-
 def _has_urgent_room(target: model.Target, load: load_table.Load) -> bool:
     """Whether a target has one of its slots for urgent items free."""
     return load.batch < URGENT_SLOTS and load.total < target.slots + _QUEUE_AHEAD
