Begin no stream at another version than the assigned one

What callers saw: streams joined from two versions, when the targets of a stream's version could not be reached as it began, and all daemons were killed before its client went on.

Cause: such a stream began at another version, with a record; a new daemon that finds all plans agreed on a stream does not look for its record, and went on at the assigned version.

Change: a stream begins at its assigned version or is refused with 503 at once, with a Retry-After of 0.05 s; a first event of a version that the plans contradict is not let out. Records are for streams on which plans differ, only.

--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -208,6 +208,39 @@
     assert statuses == {(200, 503)}, statuses
 
 
+@when(
+    "{count:d} clients request streams while b can't be reached, and resume them after "
+    "its return"
+)
+def step_unreachable(context, count):
+    async def act(fleet, daemon):
+        await _age_plan(fleet)
+        second = fleet.replicas["b"]
+        second.close_listener()
+        second.break_connections()
+        context.streams = _make_streams(count)
+        await version_world.request_all(
+            daemon, context.streams, leave_after=8, interval_s=_INTERVAL_S
+        )
+        await second.start(second.port)
+        other = await fleet.start_daemon()
+        await version_world.wait_until_loaded(other)
+        begun = [stream for stream in context.streams if stream.versions]
+        await version_world.request_all(other, begun, "-again")
+
+    _play(context, act)
+
+
+@then("each stream is whole, or was refused within {limit_s:g} s before it began")
+def step_whole_or_refused(context, limit_s):
+    whole = [stream for stream in context.streams if stream.is_whole]
+    assert whole
+    refused = [stream for stream in context.streams if not stream.versions]
+    assert refused and len(whole) + len(refused) == len(context.streams)
+    for stream in refused:
+        assert stream.statuses == [503] and stream.end_s < limit_s, stream
+
+
 @when("an item is run at a, which breaks it off after 8 events, and then at b")
 def step_item(context):
     async def act(fleet, daemon):
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -80,6 +80,15 @@
       | both     | stays                    | all streams are whole    |
       | the one  | moves to the other       | no stream has gone on    |
 
+  # Guards against a stream that began at another version than the plan assigns to it, since
+  # the targets of that one could not be reached for a moment, and that is resumed at the
+  # assigned one after all daemons were killed; and against clients that wait for it.
+  Scenario: A stream begins at its assigned version or is refused at once
+    Given targets a v1, b v2 of one service
+    When 20 clients request streams while b can't be reached, and resume them after its return
+    Then no stream holds events of two versions
+    And each stream is whole, or was refused within 0.6 s before it began
+
   # Guards against an item whose text is joined from two versions.
   Scenario: An item that breaks off starts again at another version
     Given targets a v1, b v2 of one service
--- a/src/endivevane/serving/answer_relay.py
+++ b/src/endivevane/serving/answer_relay.py
@@ -146,7 +146,7 @@
     async def _begin_stream(self, relaying: _Relaying) -> None:
         """Tie a stream to the version of its target, with its first event.
 
-        :raises failures.TargetCallError: when it could not be found later, after the
+        :raises failures.TargetCallError: when nobody could find it later, after the
             loss of this process
         """
         progress = relaying.item.progress
@@ -158,7 +158,7 @@
         progress.stream_version = stream.version
         if not await self._versions.begin(progress.route, stream):
             progress.stream_version = None
-            raise target_responses.make_unrecorded(relaying.known)
+            raise target_responses.make_unplanned(relaying.known)
 
     async def _relay_buffered(self, relaying: _Relaying) -> attempts.Outcome | None:
         """Relay a response: small ones once complete, large ones as they arrive."""
--- a/src/endivevane/serving/attempt_runner.py
+++ b/src/endivevane/serving/attempt_runner.py
@@ -34,6 +34,9 @@
 _STALL_TIMEOUT_SHARE = 0.7
 
 
+# A client whose stream can't begin at its version is best served at once: its next try
+# is assigned a version anew.
+_OTHER_VERSION_RETRY_S = 0.05
 # A target that works on requests and has sent nothing for this long may be silent too.
 _QUIET_S = 0.2
 
@@ -65,6 +68,13 @@
         self, item: exchange.Exchange
     ) -> slot_registry.Slot | slot_queue.Refused:
         """Return a slot for the next attempt, or a refusal."""
+        version = self._find_version(item)
+        has_begun = item.progress.stream_version is not None
+        if not (version is None or has_begun) and not self._versions.can_begin(
+            item.progress.service, version
+        ):
+            # The client's next try may begin at another version.
+            return slot_queue.Refused(_OTHER_VERSION_RETRY_S)
         return await self._admission.acquire(self._make_slot_request(item))
 
     async def run(
--- a/src/endivevane/serving/target_responses.py
+++ b/src/endivevane/serving/target_responses.py
@@ -53,10 +53,10 @@
     )
 
 
-def make_unrecorded(known: target_registry.KnownTarget) -> failures.TargetCallError:
-    """Return the error of a stream whose version could not be recorded."""
+def make_unplanned(known: target_registry.KnownTarget) -> failures.TargetCallError:
+    """Return the error of a stream at a version that no plan assigns to it."""
     return failures.TargetCallError(
-        known.target.target_id, "version not recorded", may_have_run=True
+        known.target.target_id, "version not planned", may_have_run=True
     )
 
 
--- a/src/endivevane/stream_versions/service.py
+++ b/src/endivevane/stream_versions/service.py
@@ -1,9 +1,7 @@
 """The version of each resumable stream, from its first event on.
 
-A stream's version is the one that its record names; without a record it is the one that
-all plans that may have been in force at its begin assign to it. So a stream needs a
-record only where those plans differ, or where it had to begin at another version than
-the assigned one.
+A stream's version is the one that all plans assign to it which may have been in force
+at its begin. Where they differ, it is the one that its record names.
 """
 
 from __future__ import annotations
@@ -17,10 +15,8 @@
 from endivevane.serving import failures, model, store_clock, target_registry
 from endivevane.stream_versions import plan_table, records
 
-# A first event waits this long for a record that its stream may do without, and for one
-# without which it must not go on.
-_OPTIONAL_RECORD_S = 0.1
-_REQUIRED_RECORD_S = 0.4
+# A first event waits this long for the record of its stream.
+_RECORD_WAIT_S = 0.1
 # Added to the time for which a stream can have gone on: plans may have arrived late at
 # the daemon that began it.
 _LATE_PLAN_S = 2.0
@@ -69,28 +65,23 @@
         table.call_when_changed(self._record_moved)
 
     def choose(self, service: str, attempt: str) -> str | None:
-        """Return the version that a stream must begin at, ``None`` for any.
-
-        While no target of its assigned version can take work, it may begin at another
-        one if that can be recorded.
-        """
-        if len(self._list_served(service)) <= 1:
-            return None
+        """Return the version that a stream must begin at, ``None`` for any."""
         plan = self._table.find(service)
         if plan is None:
             # Without a plan the stream gets a record, wherever it begins.
             return None
         assigned = plan.newest.assign(attempt)
+        return None if self._list_served(service) == {assigned} else assigned
+
+    def can_begin(self, service: str, version: str) -> bool:
+        """Return whether a target of a version may take work now."""
         now_s = time.monotonic()
-        is_running = any(
-            known.target.version == assigned
+        return any(
+            known.target.version == version
             and not known.health.is_paused(now_s)
             and not known.health.is_unresponsive(now_s)
             for known in self._targets.list_usable(service)
         )
-        if is_running or self._records.is_failing(now_s):
-            return assigned
-        return None
 
     def prepare(self, route: model.Route, stream: records.BegunStream) -> None:
         """Start to write the record of a stream, if it is going to need one.
@@ -106,8 +97,8 @@
     async def begin(self, route: model.Route, stream: records.BegunStream) -> bool:
         """Take note of the first event of a stream; return whether it may go on.
 
-        It waits for a record where one is needed, and may not go on without a record
-        that the plans would contradict.
+        It may not at a version that the plans contradict. Where they leave several
+        open, it waits a moment for its record.
         """
         if not stream.attempt:
             # No client can name it.
@@ -116,17 +107,12 @@
         candidates = self._list_candidates(stream.service, stream.attempt, route)
         if candidates == {stream.version}:
             return True
-        is_covered = stream.version in candidates or None in candidates
-        wait_s = _OPTIONAL_RECORD_S if is_covered else _REQUIRED_RECORD_S
+        if stream.version not in candidates and None not in candidates:
+            return False
         written = self._records.write(stream)
-        if is_covered and self._records.is_failing(time.monotonic()):
-            return True
-        try:
-            async with asyncio.timeout(wait_s):
-                is_written = await asyncio.shield(written)
-        except TimeoutError:
-            is_written = False
-        return is_written or is_covered
+        if not self._records.is_failing(time.monotonic()):
+            await asyncio.wait((written,), timeout=_RECORD_WAIT_S)
+        return True
 
     def end(self, attempt: str) -> None:
         """Forget a stream that its client has whole."""
