--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -259,6 +259,42 @@
     _play(context, act)
 
 
+@when("an item with 8 events, stored {stored}, is run by its next owner at {name}")
+def step_stored_item(context, stored, name):
+    version = None if stored == "without a version" else "v1"
+    pieces = [f"abc piece {n} at v1".encode() for n in range(1, _BREAK_AFTER + 1)]
+    value = jobs.encode_progress(jobs.Progress(_BREAK_AFTER, pieces, version))
+
+    async def act(fleet, daemon):
+        sender = scripted_items.make_sender(daemon)
+        context.run = owned_jobs.ItemRun(jobs.Item("abc", "/quote/1", {}, b"hello", 1))
+        context.run.restore(jobs.decode_progress(value))
+        target = daemon.registry.find(name).target
+        end, _ = await sender.send(scripted_items.JOB, context.run, target)
+        assert end is item_sender.RunEnd.COMPLETED
+
+    _play(context, act)
+
+
+@then("its run begins behind event {event:d}")
+def step_run_begins(context, event):
+    (run,) = [run for item in context.fleet.replicas.values() for run in item.runs]
+    assert run.last_event == event, run
+
+
+@when("{count:d} clients request streams while a and b are silent for {silence_s:g} s")
+def step_silent(context, count, silence_s):
+    async def act(fleet, daemon):
+        await _age_plan(fleet)
+        loop = asyncio.get_running_loop()
+        for name in ("a", "b"):
+            loop.call_later(_CRASH_S, fleet.replicas[name].fall_silent, silence_s)
+        context.streams = _make_streams(count)
+        await version_world.request_all(daemon, context.streams, interval_s=_INTERVAL_S)
+
+    _play(context, act)
+
+
 @then("no stream holds events of two versions")
 def step_not_joined(context):
     joined = [stream for stream in context.streams if stream.is_joined]
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -95,6 +95,27 @@
     When an item is run at a, which breaks it off after 8 events, and then at b
     Then its text is of one version and whole
 
+  # Guards against progress that another daemon has stored and that is gone on with at
+  # another version, or that an earlier release has stored without a version.
+  Scenario Outline: An item whose owner has changed goes on <where> with progress <stored>
+    Given targets a v1, b v2 of one service
+    When an item with 8 events, stored <stored>, is run by its next owner <where>
+    Then its text is of one version and whole
+    And its run begins behind event <event>
+
+    Examples:
+      | stored            | where | event |
+      | of v1             | at a  | 8     |
+      | of v1             | at b  | 0     |
+      | without a version | at a  | 0     |
+
+  # Guards against a stream that is given from a silent target to one of another version.
+  Scenario: A stream whose target is silent goes on at its version
+    Given targets a v1, b v2, c v1, d v2 of one service
+    When 20 clients request streams while a and b are silent for 1.6 s
+    Then no stream holds events of two versions
+    And all streams are whole
+
   # Guards against a row that another release or another program has written, which a
   # daemon takes for a plan, or at which it fails.
   Scenario Outline: A row that is no plan joins no streams
