Let no record of a failed attempt, and no plan of a daemon that was cut off, join streams

Cause, both by reading: (1) the record of a stream is written ahead of its first event; if that attempt fails and the next one runs at another version, while the store takes no more records, the first record stood for the stream. (2) A daemon that is cut off from the store goes on with an earlier plan; the others took plans for over two timeouts and 2 s after their end, so that its streams could be resumed at the version of a newer plan.

Change: a stream does not begin while the store may hold a record of it with another version. Plans count for 20 s more after their end than a stream can go on. A daemon that is cut off for longer is still open.

--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -1,10 +1,11 @@
 import asyncio
 import contextlib
+import time
 
 from behave import given, then, when
 
 from endivevane.serving import failures, item_sender, jobs, owned_jobs
-from endivevane.stream_versions import rows
+from endivevane.stream_versions import records, rows
 from features.support import scripted_items, version_world
 
 _BREAK_AFTER = 8
@@ -241,6 +242,56 @@
         assert stream.statuses == [503] and stream.end_s < limit_s, stream
 
 
+@when("the record of a stream names v1, {written}, and it begins at v2")
+def step_other_record(context, written):
+    async def act(fleet, daemon):
+        # The plan is new, so that it leaves every version open.
+        await asyncio.sleep(_PLAN_S)
+        (route,) = daemon.router.table.configuration.routes
+        versions = daemon.versions.service
+        versions.prepare(route, _make_begun("v1"))
+        await asyncio.sleep(0.1)
+        fleet.row_store.is_down = "no more" in written
+        context.has_begun = await versions.begin(route, _make_begun("v2"))
+
+    _play(context, act)
+
+
+def _make_begun(version):
+    return records.BegunStream("stream0", "lm", version, time.monotonic())
+
+
+@then("it begins")
+def step_begins(context):
+    assert context.has_begun
+
+
+@then("it does not begin")
+def step_does_not_begin(context):
+    assert not context.has_begun
+
+
+@when("a plan that gave all streams to v1 ended 15 s ago")
+def step_ended_plan(context):
+    async def act(fleet, daemon):
+        await asyncio.sleep(_PLAN_S)
+        fleet.add_epoch({"v1": 16}, 15.0)
+        await asyncio.sleep(0.1)
+        (route,) = daemon.router.table.configuration.routes
+        context.found = [
+            await daemon.versions.service.find(route, "lm", f"stream{number}")
+            for number in range(40)
+        ]
+
+    _play(context, act)
+
+
+@then("no stream is found to be of v2 by the plan, and of v1 some are")
+def step_found(context):
+    versions = {finding.version for finding in context.found}
+    assert versions == {"v1", None}, versions
+
+
 @when("an item is run at a, which breaks it off after 8 events, and then at b")
 def step_item(context):
     async def act(fleet, daemon):
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -89,6 +89,25 @@
     Then no stream holds events of two versions
     And each stream is whole, or was refused within 0.6 s before it began
 
+  # Guards against the record of an attempt that has failed, which is taken for the version
+  # at which the next attempt of its request began.
+  Scenario Outline: A stream does not begin beside a record of another version
+    Given targets a v1, b v2 of one service
+    When the record of a stream names v1, <written>, and it begins at v2
+    Then it <begins>
+
+    Examples:
+      | written                              | begins         |
+      | and the store takes another          | begins         |
+      | and the store takes no more records  | does not begin |
+
+  # Guards against a daemon that was cut off and followed an earlier plan: its streams are
+  # not all of the versions of the plan in force.
+  Scenario: A plan that ended 15 s ago may have been followed by a daemon that was cut off
+    Given targets a v1, b v2 of one service
+    When a plan that gave all streams to v1 ended 15 s ago
+    Then no stream is found to be of v2 by the plan, and of v1 some are
+
   # Guards against an item whose text is joined from two versions.
   Scenario: An item that breaks off starts again at another version
     Given targets a v1, b v2 of one service
--- a/features/support/version_world.py
+++ b/features/support/version_world.py
@@ -76,6 +76,14 @@
         aged = plan.Plan((*epochs, decoded.newest))
         self.row_store.put(key, rows.encode_plan(aged))
 
+    def add_epoch(self, shares, ended_s):
+        """Let other shares have been in force until some seconds ago, and before."""
+        key = rows.make_plan_key("lm")
+        decoded = rows.decode_plan(key.key, self.read_plan())
+        ended_ms = decoded.epochs[-2].ended_ms - int(ended_s * 1000)
+        changed = plan.Plan((plan.Epoch(shares, ended_ms), decoded.newest))
+        self.row_store.put(key, rows.encode_plan(changed))
+
     def write_plan(self, content):
         """Write a row in place of the plan, as another program may."""
         self.row_store.put(rows.make_plan_key("lm"), content)
--- a/src/endivevane/stream_versions/records.py
+++ b/src/endivevane/stream_versions/records.py
@@ -38,10 +38,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Write:
-    """A record that waits to be written."""
+    """A record that waits to be written, or is.
+
+    :param is_replacing: whether the store may hold one of another version
+    """
 
     stream: BegunStream
     written: asyncio.Future[bool]
+    is_replacing: bool = False
 
 
 class StreamRecords:
@@ -109,13 +113,21 @@
         known = self._writes.get(stream.attempt)
         if known is not None and known.stream.version == stream.version:
             return known.written
-        write = _Write(stream, asyncio.get_running_loop().create_future())
+        written: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        write = _Write(stream, written, known is not None)
         self._keep(write)
         self._waiting.append(write)
         if self._task is None:
             self._task = asyncio.ensure_future(self._write_all())
         return write.written
 
+    def may_contradict(self, stream: BegunStream) -> bool:
+        """Return whether the store may hold a record of another version."""
+        write = self._writes.get(stream.attempt)
+        if write is None or not write.is_replacing:
+            return False
+        return not (write.written.done() and write.written.result())
+
     async def read(self, service: str, attempt: str) -> str | None:
         """Return the version of a stream by its record, ``None`` if there is none.
 
@@ -167,14 +179,20 @@
         except failures.StoreFailure as error:
             logs.limited_info("stream_records_not_written", cause=error)
             self._failed_s = time.monotonic()
-            for item in batch:
-                if self._writes.get(item.stream.attempt) is item:
-                    del self._writes[item.stream.attempt]
+            if isinstance(error, failures.StoreRefused):
+                self._drop_unwritten(batch)
             metrics.STREAM_RECORDS.labels("failed").inc(len(batch))
             return False
         metrics.STREAM_RECORDS.labels("written").inc(len(batch))
         return True
 
+    def _drop_unwritten(self, batch: list[_Write]) -> None:
+        """Forget writes that the store has not done, unless they hide others."""
+        for item in batch:
+            is_latest = self._writes.get(item.stream.attempt) is item
+            if is_latest and not item.is_replacing:
+                del self._writes[item.stream.attempt]
+
 
 def _make_done() -> asyncio.Future[bool]:
     """Return the result of a record that is written."""
--- a/src/endivevane/stream_versions/service.py
+++ b/src/endivevane/stream_versions/service.py
@@ -17,9 +17,9 @@
 
 # A first event waits this long for the record of its stream.
 _RECORD_WAIT_S = 0.1
-# Added to the time for which a stream can have gone on: plans may have arrived late at
-# the daemon that began it.
-_LATE_PLAN_S = 2.0
+# Added to the time for which a stream can have gone on: a daemon that was cut off from
+# the store may have followed an earlier plan for so long.
+_LATE_PLAN_S = 20.0
 # Route timeouts within which a stream begins, breaks off and is resumed by its client.
 _STREAM_TIMEOUTS = 2.0
 _DEFAULT_TIMEOUT_S = 30.0
@@ -97,21 +97,22 @@
     async def begin(self, route: model.Route, stream: records.BegunStream) -> bool:
         """Take note of the first event of a stream; return whether it may go on.
 
-        It may not at a version that the plans contradict. Where they leave several
-        open, it waits a moment for its record.
+        It may not at a version that the plans contradict, or a record of an attempt
+        that failed. Where the plans leave several open, it waits a moment for its own.
         """
         if not stream.attempt:
             # No client can name it.
             return True
-        self._records.remember(stream)
         candidates = self._list_candidates(stream.service, stream.attempt, route)
-        if candidates == {stream.version}:
-            return True
         if stream.version not in candidates and None not in candidates:
             return False
-        written = self._records.write(stream)
-        if not self._records.is_failing(time.monotonic()):
-            await asyncio.wait((written,), timeout=_RECORD_WAIT_S)
+        if candidates != {stream.version}:
+            written = self._records.write(stream)
+            if not self._records.is_failing(time.monotonic()):
+                await asyncio.wait((written,), timeout=_RECORD_WAIT_S)
+            if self._records.may_contradict(stream):
+                return False
+        self._records.remember(stream)
         return True
 
     def end(self, attempt: str) -> None:
