--- a/bench/stream_versions.py
+++ b/bench/stream_versions.py
@@ -102,6 +102,17 @@
         self.counts["records"] += 0 if change.conditions else len(change.puts)
         return await super().apply(change)
 
+    async def read_rows(
+        self, table: str, partition: str, start: str = "", end: str = ""
+    ) -> store.RowPage:
+        """Return rows; a single one without going over all that there are."""
+        if end != start + "\0":
+            return await super().read_rows(table, partition, start, end)
+        key = store.RowKey(table, partition, start)
+        value, version = self.rows.get(key, (None, 0))
+        rows_found = () if value is None else (store.Row(key, value, version),)
+        return store.RowPage(rows_found, self.version)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Begun:
