--- a/review/fleet.py
+++ b/review/fleet.py
@@ -347,6 +347,10 @@
             except (asyncio.CancelledError, OSError):
                 pass
 
+    def describe_run(self, attempt):
+        """Return the number of events of a request and the time between them."""
+        return self.events, self.gap_s
+
     async def stream(self, request, writer):
         attempt = request.headers.get("attempt-id", "")
         writer.write(
@@ -357,8 +361,9 @@
                 "Transfer-Encoding: chunked\r\n\r\n"
             ).encode()
         )
-        for number in range(int(request.headers.get("last-event-id") or 0), self.events):
-            await asyncio.sleep(self.gap_s)
+        events, gap_s = self.describe_run(attempt)
+        for number in range(int(request.headers.get("last-event-id") or 0), events):
+            await asyncio.sleep(gap_s)
             data = f"id: {number + 1}\ndata: {attempt}.{number + 1}\n\n".encode()
             writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
             await writer.drain()
