--- a/review/fleet.py
+++ b/review/fleet.py
@@ -427,6 +427,10 @@
             )
         self.fleet.record.add("start", daemon=self.name, pid=self.process.pid)
 
+    @property
+    def is_running(self):
+        return self.process is not None and self.process.poll() is None
+
     def send(self, number):
         self.fleet.record.add("signal", daemon=self.name, signal=number.name)
         self.process.send_signal(number)
