Show how old the copies of the store's tables are

Nothing told a daemon that is out of step: the feeds knew when the store had answered last, and the answers that relays give from their memory counted as the store's. An answer from a relay's memory loads a copy and confirms nothing, so that the store no longer counts as regained by it. Decisions are as before but for that.

--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -9,7 +9,7 @@
 import signal
 import time
 
-from endivevane import logs, types
+from endivevane import logs, metrics, types
 from endivevane.entry import (
     configuration_rows,
     graceful_stop,
@@ -108,6 +108,16 @@
         self._make_targets()
         self._make_jobs()
         self._make_servers()
+        self._export_ages()
+
+    def _export_ages(self) -> None:
+        """Let the metrics show how old the copies of the store's tables are."""
+        for table, feed in (
+            ("configuration", self._configuration_feed),
+            ("targets", self._targets_feed),
+            ("state", self._state_feed),
+        ):
+            metrics.COPY_AGE_SECONDS.labels(table).set_function(feed.age.measure_s)
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down gracefully."""
--- a/src/endivevane/metrics.py
+++ b/src/endivevane/metrics.py
@@ -38,6 +38,11 @@
     "Records of the software versions of streams, by outcome.",
     ["outcome"],
 )
+COPY_AGE_SECONDS = prometheus_client.Gauge(
+    "endivevane_copy_age_seconds",
+    "Time since a copy of a table was known to be the store's, by table.",
+    ["table"],
+)
 VERSION_PLANS = prometheus_client.Counter(
     "endivevane_version_plans",
     "Plans of software versions that this daemon wrote, by outcome.",
--- a/src/endivevane/platform/store_relay.py
+++ b/src/endivevane/platform/store_relay.py
@@ -21,6 +21,10 @@
 
 _CALL_PREFIXES = ("/api/rows-", "/api/blob-")
 _READ_PATH = "/api/rows-get"
+# Time since rows that a relay answers from its memory were the store's, in seconds.
+AGE_FIELD = "relayAgeS"
+# A copy that has never been confirmed is older than any that counts.
+_MAX_AGE_S = 1e6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -119,7 +123,7 @@
             for row in followed.rows.values()
             if start <= row.row_key.key and (not end or row.row_key.key < end)
         ]
-        body = orjson.dumps(
-            {"rows": rows, "hasMore": False, "ver": followed.version, "nowMs": 0}
-        )
+        content = {"rows": rows, "hasMore": False, "ver": followed.version, "nowMs": 0}
+        content[AGE_FIELD] = min(_MAX_AGE_S, followed.age.measure_s())
+        body = orjson.dumps(content)
         return responder.Response(http.HTTPStatus.OK, body)
--- a/src/endivevane/platform/table_store.py
+++ b/src/endivevane/platform/table_store.py
@@ -11,7 +11,8 @@
 
 import orjson
 
-from endivevane import exceptions, logs, metrics
+from endivevane import exceptions, json_fields, logs, metrics
+from endivevane.platform import store_relay
 from endivevane.serving import failures, http_client, store, store_clock
 
 _PAGE_ROWS = 500
@@ -46,6 +47,7 @@
     ) -> store.RowPage:
         """Return the rows of a partition in ``[start, end)``, from all pages."""
         rows: list[store.Row] = []
+        age_s = 0.0
         while True:
             query = {"table": table, "part": partition, "limit": str(_PAGE_ROWS)}
             if start:
@@ -56,8 +58,10 @@
             content = await self._call("rows-get", b"GET", path, b"")
             page = _decode_rows(content)
             rows.extend(page)
+            age_s = max(age_s, _decode_age_s("rows-get", content))
             if not content.get("hasMore"):
-                return store.RowPage(tuple(rows), _decode_version("rows-get", content))
+                version = _decode_version("rows-get", content)
+                return store.RowPage(tuple(rows), version, age_s=age_s)
             if not page:
                 raise failures.StoreUncertain("rows-get", "a page without rows")
             # The next page starts directly after the last key.
@@ -233,6 +237,17 @@
     return version
 
 
+def _decode_age_s(name: str, content: dict[str, typing.Any]) -> float:
+    """Return the age of rows that a relay answers from its memory, else 0.
+
+    :raises failures.StoreUncertain: when it is malformed
+    """
+    try:
+        return json_fields.read_age_s(content.get(store_relay.AGE_FIELD, 0.0))
+    except ValueError as error:
+        raise failures.StoreUncertain(name, f"age of the rows: {error}") from error
+
+
 def _decode_rows(content: dict[str, typing.Any]) -> list[store.Row]:
     """Decode the rows of a response; those without a key or a version are left out."""
     entries = content.get("rows")
--- a/src/endivevane/serving/follower.py
+++ b/src/endivevane/serving/follower.py
@@ -8,8 +8,10 @@
 from collections import abc
 
 from endivevane import logs
-from endivevane.serving import failures, newest_version, store
+from endivevane.serving import copy_age, failures, newest_version, store
 
+# A poll with this many rows may have left out later changes.
+_MAX_POLLED_ROWS = 500
 # Duration of one long poll; an unresponsive connection is detected at its end.
 _POLL_WAIT_S = 2.0
 _INITIAL_BACKOFF_S = 0.1
@@ -33,6 +35,7 @@
     :ivar rows: current rows by key
     :ivar version: version of the store up to which the copy is complete
     :ivar confirmed_s: monotonic time of the last successful response
+    :ivar age: how old the copy is
     """
 
     def __init__(
@@ -49,6 +52,7 @@
         self.rows: dict[str, store.Row] = {}
         self.version = -1
         self.confirmed_s = 0.0
+        self.age = copy_age.CopyAge()
         self._store = rows
         self._table = table
         self._partition = partition
@@ -60,6 +64,7 @@
         self._deleted: dict[str, int] = {}
         self._advanced = asyncio.Event()
         self._is_unavailable = False
+        self._is_from_memory = False
 
     @property
     def is_loaded(self) -> bool:
@@ -92,6 +97,11 @@
                 await asyncio.sleep(backoff_s * random.uniform(0.5, 1.0))
                 backoff_s = min(_MAX_BACKOFF_S, backoff_s * 2)
                 continue
+            if self._is_from_memory:
+                # A relay without the store has answered: the copy is only loaded.
+                await asyncio.sleep(backoff_s * random.uniform(0.5, 1.0))
+                backoff_s = min(_MAX_BACKOFF_S, backoff_s * 2)
+                continue
             self._record_success()
             backoff_s = _INITIAL_BACKOFF_S
             if must_read:
@@ -141,7 +151,9 @@
 
     async def _read_all(self) -> bool:
         """Read all rows; return ``False`` if the read is older than the copy."""
+        sent_s = copy_age.read_clock_s()
         page = await self._store.read_rows(self._table, self._partition)
+        self._is_from_memory = page.age_s > 0
         if page.version < self.version:
             return False
         seen = set()
@@ -154,14 +166,19 @@
                 self.apply_row(store.Row(row_key, None, page.version + 1))
                 self._deleted[key] = page.version
         self._advance(page.version)
+        self.age.confirm(sent_s - page.age_s)
         if self._on_loaded is not None:
             self._on_loaded()
         return True
 
     async def _read_changes(self) -> None:
+        sent_s = copy_age.read_clock_s()
         page = await self._store.wait_for_changes(
             self._table, self.version, _POLL_WAIT_S
         )
+        self._is_from_memory = False
+        if len(page.rows) < _MAX_POLLED_ROWS:
+            self.age.confirm(sent_s)
         for row in page.rows:
             if row.row_key.partition == self._partition:
                 self.apply_row(row)
--- a/src/endivevane/serving/store.py
+++ b/src/endivevane/serving/store.py
@@ -33,11 +33,14 @@
     """A consistent read of rows.
 
     :param version: version of the store that was read
+    :param age_s: how long before the call the read was complete; above 0 if a relay
+        answered from its memory
     """
 
     rows: tuple[Row, ...]
     version: int
     has_more: bool = False
+    age_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
