--- a/features/support/serving_world.py
+++ b/features/support/serving_world.py
@@ -33,6 +33,8 @@
 from standins import replica
 
 HOST = "shop.example"
+# Time of the store's clock when the machine started, above all ages in scenarios.
+_STORE_CLOCK_MS = 3_600_000
 
 
 def make_configuration(**changes):
@@ -192,7 +194,7 @@
 def _make_clock():
     """Return a clock of the store that all worlds of the process read the same."""
     clock = store_clock.StoreClock()
-    clock.record(int(time.monotonic() * 1000) + 1)
+    clock.record(int(time.monotonic() * 1000) + _STORE_CLOCK_MS)
     return clock
 
 
--- a/features/support/version_world.py
+++ b/features/support/version_world.py
@@ -53,11 +53,11 @@
         target.manner.gap_s = _GAP_S
         target.manner.shows_version = True
 
-    async def start_daemon(self):
+    async def start_daemon(self, row_store=None):
         daemon = serving_world.World(
             self.configuration,
             replicas=dict(self.replicas),
-            row_store=self.row_store,
+            row_store=row_store or self.row_store,
             name=f"front-{len(self.daemons) + 1}",
         )
         await daemon.start()
@@ -92,17 +92,17 @@
         value, _ = self.row_store.rows[rows.make_plan_key("lm")]
         return value
 
-    async def add_target(self, name, version):
+    async def add_target(self, name, version, daemons=None):
         target = replica.Replica(name, version)
         self.prepare(target)
         await target.start()
         self.replicas[name] = target
-        for daemon in self.daemons:
+        for daemon in self.daemons if daemons is None else daemons:
             daemon.register(target, 1000 + len(self.replicas))
 
-    def remove_target(self, name):
+    def remove_target(self, name, daemons=None):
         target = self.replicas.pop(name)
-        for daemon in self.daemons:
+        for daemon in self.daemons if daemons is None else daemons:
             daemon.unregister(target, 2000 + len(self.replicas))
 
     async def stop(self):
