Tell the version of a stream only from plans that are as of the question

A daemon that hears neither the store nor another daemon begins no streams by plans of more than 12 s.

--- a/features/support/serving_world.py
+++ b/features/support/serving_world.py
@@ -167,6 +167,7 @@
         feed = follower.TableFollower(
             self.row_store, jobs.STATE_TABLE, jobs.PARTITION, self.versions.apply_row
         )
+        self.versions.follow(feed.age)
         for work in (self.versions.run(), feed.run()):
             self._tasks.append(asyncio.ensure_future(work))
 
--- a/src/endivevane/metrics.py
+++ b/src/endivevane/metrics.py
@@ -38,6 +38,12 @@
     "Records of the software versions of streams, by outcome.",
     ["outcome"],
 )
+PLAN_CONFIRMATIONS = prometheus_client.Counter(
+    "endivevane_plan_confirmations",
+    "Decisions that needed the plans of versions as of now, by whether the store, or a"
+    " relay with the store, confirmed them.",
+    ["outcome"],
+)
 COPY_AGE_SECONDS = prometheus_client.Gauge(
     "endivevane_copy_age_seconds",
     "Time since a copy of a table was known to be the store's, by table.",
--- a/src/endivevane/serving/attempt_runner.py
+++ b/src/endivevane/serving/attempt_runner.py
@@ -75,6 +75,10 @@
         ):
             # The client's next try may begin at another version.
             return slot_queue.Refused(_OTHER_VERSION_RETRY_S)
+        is_new = item.progress.route.has_resumable_streams and not has_begun
+        if is_new and not await self._versions.may_begin():
+            metrics.REFUSALS.labels("plans_out_of_date", "not-run").inc()
+            return slot_queue.Refused(_OTHER_VERSION_RETRY_S)
         return await self._admission.acquire(self._make_slot_request(item))
 
     async def run(
--- a/src/endivevane/stream_versions/assembly.py
+++ b/src/endivevane/stream_versions/assembly.py
@@ -7,18 +7,18 @@
 
 from endivevane import logs
 from endivevane.serving import (
+    copy_age,
     failures,
-    jobs,
     peer_registry,
     store,
     store_clock,
     target_registry,
 )
 from endivevane.stream_versions import (
+    plan_reader,
     plan_table,
     plan_writer,
     records,
-    rows,
     service,
 )
 
@@ -43,9 +43,11 @@
         list_services: abc.Callable[[], abc.Set[str]],
         on_loaded: abc.Callable[[], None],
     ) -> None:
-        self._store = row_store
         self._on_loaded = on_loaded
         self._table = plan_table.PlanTable()
+        self._reader = plan_reader.PlanReader(
+            row_store, self._table, lambda: len(peers.peers) + 1
+        )
         stream_records = records.StreamRecords(
             row_store, clock, lambda: len(peers.peers) + 1
         )
@@ -53,7 +55,7 @@
             identity, peers, targets, row_store, self._table, clock, list_services
         )
         self.service = service.StreamVersions(
-            targets, self._table, stream_records, clock
+            targets, peers, self._table, self._reader, stream_records, clock
         )
 
     @property
@@ -61,6 +63,10 @@
         """Whether the plans have been read since the start."""
         return self._table.is_loaded
 
+    def follow(self, feed_age: copy_age.CopyAge) -> None:
+        """Take the plans for as old as the feed that hands over their rows."""
+        self._table.follow(feed_age)
+
     def apply_row(self, row: store.Row) -> None:
         """Apply the row of a plan."""
         self._table.apply_row(row)
@@ -75,13 +81,8 @@
     async def _load(self) -> bool:
         """Read all plans; return whether the store, or a relay, has answered."""
         try:
-            page = await self._store.read_rows(
-                jobs.STATE_TABLE, jobs.PARTITION, rows.PLAN_PREFIX, rows.PLAN_END
-            )
+            await self._reader.read()
         except failures.StoreFailure as error:
             logs.limited_info("version_plans_not_read", cause=error)
             return False
-        for row in page.rows:
-            self._table.apply_row(row)
-        self._table.is_loaded = True
         return True
--- a/src/endivevane/stream_versions/service.py
+++ b/src/endivevane/stream_versions/service.py
@@ -1,7 +1,8 @@
 """The version of each resumable stream, from its first event on.
 
 A stream's version is the one that all plans assign to it which may have been in force
-at its begin. Where they differ, it is the one that its record names.
+at its begin. Where they differ, it is the one that its record names. A daemon tells it
+only from plans that are as of the moment at which it is asked.
 """
 
 from __future__ import annotations
@@ -12,14 +13,29 @@
 import time
 
 from endivevane import logs, metrics
-from endivevane.serving import failures, model, store_clock, target_registry
-from endivevane.stream_versions import plan_table, records
+from endivevane.serving import (
+    copy_age,
+    failures,
+    model,
+    peer_registry,
+    store_clock,
+    target_registry,
+)
+from endivevane.stream_versions import plan_reader, plan_table, records
 
 # A first event waits this long for the record of its stream.
 _RECORD_WAIT_S = 0.1
 # Added to the time for which a stream can have gone on: a daemon that was cut off from
 # the store may have followed an earlier plan for so long.
 _LATE_PLAN_S = 20.0
+# A daemon that is alone begins no streams by plans that are older than this.
+_MAX_LONE_AGE_S = 12.0
+# Plans of this age count if they can't be read. An epoch takes effect later than this.
+_TRUSTED_AGE_S = 0.5
+# A client that resumes a stream waits this long for the plans.
+_CONFIRM_WAIT_S = 0.8
+# A new stream waits this long for the plans where they have become old.
+_BEGIN_WAIT_S = 0.1
 # Route timeouts within which a stream begins, breaks off and is resumed by its client.
 _STREAM_TIMEOUTS = 2.0
 _DEFAULT_TIMEOUT_S = 30.0
@@ -32,6 +48,7 @@
     PLAN = "plan"
     RECORD = "record"
     UNKNOWN = "unknown"
+    UNCONFIRMED = "unconfirmed"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,12 +68,16 @@
     def __init__(
         self,
         targets: target_registry.TargetRegistry,
+        peers: peer_registry.PeerRegistry,
         table: plan_table.PlanTable,
+        reader: plan_reader.PlanReader,
         stream_records: records.StreamRecords,
         clock: store_clock.StoreClock,
     ) -> None:
         self._targets = targets
+        self._peers = peers
         self._table = table
+        self._reader = reader
         self._records = stream_records
         self._clock = clock
         # Versions by service, at one revision of the targets.
@@ -66,11 +87,11 @@
 
     def choose(self, service: str, attempt: str) -> str | None:
         """Return the version that a stream must begin at, ``None`` for any."""
-        plan = self._table.find(service)
-        if plan is None:
+        epoch = self._table.find_in_force(service, self._clock.read_ms())
+        if epoch is None:
             # Without a plan the stream gets a record, wherever it begins.
             return None
-        assigned = plan.newest.assign(attempt)
+        assigned = epoch.assign(attempt)
         return None if self._list_served(service) == {assigned} else assigned
 
     def can_begin(self, service: str, version: str) -> bool:
@@ -83,6 +104,19 @@
             for known in self._targets.list_usable(service)
         )
 
+    async def may_begin(self) -> bool:
+        """Return whether the plans are good enough for a stream to begin by them.
+
+        The other daemons allow for streams that began by an earlier plan, for a time.
+        One that is cut off from the store and from all others may be the only one that
+        follows it; where all are, none has read a later one.
+        """
+        if self._table.measure_age_s() <= _MAX_LONE_AGE_S:
+            return True
+        if await self._reader.confirm(copy_age.read_clock_s(), _BEGIN_WAIT_S):
+            return True
+        return not self._peers.peers or bool(self._peers.list_alive())
+
     def prepare(self, route: model.Route, stream: records.BegunStream) -> None:
         """Start to write the record of a stream, if it is going to need one.
 
@@ -140,6 +174,8 @@
             # At another service, nothing goes on with it.
             is_here = begun.service == service
             return Finding(begun.version if is_here else None, Source.MEMORY)
+        if not await self._confirm_plans():
+            return Finding(None, Source.UNCONFIRMED)
         candidates = self._list_candidates(service, attempt, route)
         if len(candidates) == 1 and None not in candidates:
             return Finding(next(iter(candidates)), Source.PLAN)
@@ -154,6 +190,17 @@
             return Finding(None, Source.UNKNOWN)
         return Finding(version, Source.RECORD)
 
+    async def _confirm_plans(self) -> bool:
+        """Return whether the plans tell the versions of streams that have begun."""
+        asked_s = copy_age.read_clock_s()
+        if await self._reader.confirm(asked_s, _CONFIRM_WAIT_S):
+            return True
+        age_s = self._table.measure_age_s()
+        if age_s <= _TRUSTED_AGE_S:
+            return True
+        logs.limited_info("version_plans_out_of_date", age_s=age_s)
+        return False
+
     def _list_served(self, service: str) -> frozenset[str]:
         """Return the versions that the usable targets of a service have."""
         if self._served_revision != self._targets.revision:
