Play daemons without the store, and alone, in the soak of releases

The soak's daemons all lost the store together, so that none was out of step while others read new plans. Each now reaches the store by a way of its own, which can be cut, also while the other daemons stand still.

--- a/bench/stream_versions.py
+++ b/bench/stream_versions.py
@@ -41,6 +41,8 @@
 # Streams that began in this time before the loss are looked for.
 _LOOK_BACK_S = 3.0
 _LATENCY_S = 0.004
+# Clients come back within this time after the loss of all daemons.
+_RESUME_S = 2.0
 # Above the streams that a daemon remembers.
 _MANY_STREAMS = 10_000
 _ROUTE = model.Route(
@@ -102,13 +104,16 @@
         self.counts["records"] += 0 if change.conditions else len(change.puts)
         return await super().apply(change)
 
-    async def read_rows(
-        self, table: str, partition: str, start: str = "", end: str = ""
+    async def read_newest(
+        self, table: str, partition: str, start: str, end: str
     ) -> store.RowPage:
-        """Return rows; a single one without going over all that there are."""
-        if end != start + "\0":
-            return await super().read_rows(table, partition, start, end)
+        """Return the only plan, or a record, without going over all rows."""
+        await asyncio.sleep(_LATENCY_S)
+        is_record = end == start + "\0"
+        self.counts["record_reads" if is_record else "plan_reads"] += 1
         key = store.RowKey(table, partition, start)
+        if not is_record:
+            key = rows.make_plan_key(_SERVICE)
         value, version = self.rows.get(key, (None, 0))
         rows_found = () if value is None else (store.Row(key, value, version),)
         return store.RowPage(rows_found, self.version)
@@ -191,7 +196,10 @@
         for task in tasks:
             task.cancel()
         # A daemon asks the plan first, which this way does not follow.
-        found = {} if self._is_always else await self._look_up(lost_s)
+        found: dict[str, object] = {}
+        if not self._is_always:
+            found = await self._look_up(lost_s)
+            found |= await self._resume_all(lost_s)
         waits_s = sorted(self._waits_s)
         return {
             "way": "a record of each" if self._is_always else "plan and records",
@@ -305,6 +313,43 @@
         running.cancel()
         return {"looked_for": min(400, len(last)), "found": dict(found)}
 
+    async def _resume_all(self, lost_s: float) -> dict[str, object]:
+        """Resume the last streams at random daemons, as after the loss of all."""
+        last = [item for item in self._begun if item.begun_s >= lost_s - _LOOK_BACK_S]
+        daemons = [self._make_daemon(name) for name in self._peers]
+        running = [asyncio.ensure_future(daemon.run()) for daemon in daemons]
+        while not all(daemon.is_loaded for daemon in daemons):
+            await asyncio.sleep(0.01)
+        before = collections.Counter(self._store.counts)
+        started_s = time.monotonic()
+        waits_s: list[float] = []
+        sources: collections.Counter[str] = collections.Counter()
+
+        async def resume(item: _Begun) -> None:
+            await asyncio.sleep(self._generator.uniform(0.0, _RESUME_S))
+            asked_s = time.monotonic()
+            versions = self._generator.choice(daemons).service
+            finding = await versions.find(_ROUTE, _SERVICE, item.attempt)
+            waits_s.append(time.monotonic() - asked_s)
+            sources[finding.source.value] += 1
+            if finding.version not in (None, item.version):
+                sources["wrong"] += 1
+
+        await asyncio.gather(*(resume(item) for item in last))
+        for task in running:
+            task.cancel()
+        waits_s.sort()
+        counts = self._store.counts
+        return {
+            "resumed": len(last),
+            "resumed_in_s": round(time.monotonic() - started_s, 2),
+            "resumed_by": dict(sources),
+            "plan_reads": counts["plan_reads"] - before["plan_reads"],
+            "record_reads": counts["record_reads"] - before["record_reads"],
+            "find_wait_ms_p50": round(1e3 * waits_s[len(waits_s) // 2], 1),
+            "find_wait_ms_p99": round(1e3 * waits_s[len(waits_s) * 99 // 100], 1),
+        }
+
 
 if __name__ == "__main__":
     main()
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -23,6 +23,7 @@
 class Environment:
     """Starts and stops everything that the soak test runs.
 
+    :ivar store_links: the way of each daemon to the store
     :ivar target_version: software version of the targets that are added
     :ivar on_target_added: called with each target before it is registered
     """
@@ -33,6 +34,7 @@
         self.stopped_replicas: list[replica.Replica] = []
         self.proxies: list[proxy.FaultyProxy] = []
         self.daemons: list[serving_processes.Daemon] = []
+        self.store_links: list[proxy.FaultyProxy] = []
         self.configuration = serving_processes.make_fleet_configuration()
         self.configuration["routes"].append(
             {
@@ -54,12 +56,14 @@
         for _ in range(_TARGET_COUNT):
             await self.add_target()
         (internal_port,) = serving_processes.find_free_ports(1)
-        self.daemons = [
-            serving_processes.Daemon(
-                number + 1, store_port, internal_port, self._folder.name
+        for number in range(_DAEMON_COUNT):
+            link = proxy.FaultyProxy(store_port)
+            await link.start()
+            self.store_links.append(link)
+            daemon = serving_processes.Daemon(
+                number + 1, link.port, internal_port, self._folder.name
             )
-            for number in range(_DAEMON_COUNT)
-        ]
+            self.daemons.append(daemon)
         for daemon in self.daemons:
             daemon.start()
         deadline_s = time.monotonic() + _START_TIMEOUT_S
@@ -72,7 +76,7 @@
         """Stop the daemons, by their own handles, and the stand-ins."""
         for daemon in self.daemons:
             daemon.stop()
-        for item in (*self.replicas, *self.proxies):
+        for item in (*self.replicas, *self.proxies, *self.store_links):
             await item.stop()
         await self.store.stop()
         self._folder.cleanup()
--- a/soak/version_releases.py
+++ b/soak/version_releases.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import signal
 
 from features.support import version_world
 from soak import callers, environment, faults
@@ -28,6 +29,8 @@
             "release": self._release,
             "one target released": self._release_one,
             "all daemons killed": _kill_all,
+            "daemon without the store": _cut_store,
+            "daemon alone": _leave_alone,
         }
 
     async def prepare(self) -> None:
@@ -81,6 +84,35 @@
         faults.start_again(daemon)
 
 
+async def _cut_store(
+    env: environment.Environment, generator: random.Random, duration_s: float
+) -> None:
+    """Let the store be silent for one daemon."""
+    link = generator.choice(env.store_links)
+    link.blocks_all = True
+    await asyncio.sleep(duration_s)
+    link.blocks_all = False
+    link.reset()
+
+
+async def _leave_alone(
+    env: environment.Environment, generator: random.Random, duration_s: float
+) -> None:
+    """Cut one daemon off from the store, while the others stand still for a part."""
+    number = generator.randrange(len(env.daemons))
+    link = env.store_links[number]
+    others = [item for item in env.daemons if item is not env.daemons[number]]
+    link.blocks_all = True
+    await asyncio.sleep(duration_s * generator.random())
+    for daemon in others:
+        daemon.process.send_signal(signal.SIGSTOP)
+    await asyncio.sleep(duration_s * generator.random())
+    for daemon in others:
+        daemon.process.send_signal(signal.SIGCONT)
+    link.blocks_all = False
+    link.reset()
+
+
 def start_clients(
     env: environment.Environment, report: callers.Report, seed: int, end_s: float
 ) -> list[asyncio.Future[None]]:
