Let a daemon read the plans a few times without waiting for its turn

At 340 daemons the share of 500 reads a second made each further question of a daemon wait for 0.68 s. The bench asks for the last 400 streams at once, as their clients do.

--- a/bench/stream_versions.py
+++ b/bench/stream_versions.py
@@ -305,8 +305,14 @@
             await asyncio.sleep(0.01)
         last = [item for item in self._begun if item.begun_s >= lost_s - _LOOK_BACK_S]
         found: collections.Counter[str] = collections.Counter()
-        for item in self._generator.sample(last, min(400, len(last))):
-            finding = await daemon.service.find(_ROUTE, _SERVICE, item.attempt)
+        looked_for = self._generator.sample(last, min(400, len(last)))
+        findings = await asyncio.gather(
+            *(
+                daemon.service.find(_ROUTE, _SERVICE, item.attempt)
+                for item in looked_for
+            )
+        )
+        for item, finding in zip(looked_for, findings, strict=True):
             found[finding.source.value] += 1
             if finding.version not in (None, item.version):
                 found["wrong"] += 1
--- a/src/endivevane/stream_versions/plan_reader.py
+++ b/src/endivevane/stream_versions/plan_reader.py
@@ -10,8 +10,10 @@
 from endivevane.serving import copy_age, failures, jobs, store
 from endivevane.stream_versions import plan_table, rows
 
-# Reads a second that all daemons together use at most.
+# Reads a second that all daemons together use at most, but for the first ones.
 _MAX_READS_PER_S = 500.0
+# Reads that a daemon which has read nothing for a while makes without waiting.
+_FREE_READS = 8
 # Nothing waits for the plans for this long after they could not be read.
 _FAILING_S = 0.3
 
@@ -32,7 +34,8 @@
         self._table = table
         self._count_daemons = count_daemons
         self._reading: asyncio.Task[None] | None = None
-        self._read_s = float("-inf")
+        # Monotonic time until which the reads so far have used up this daemon's share.
+        self._used_until_s = float("-inf")
         self._failed_s = float("-inf")
 
     async def confirm(self, moment_s: float, wait_s: float) -> bool:
@@ -73,9 +76,7 @@
     async def _read_once(self) -> None:
         """Read the plans, at the interval that the number of daemons allows."""
         try:
-            interval_s = self._count_daemons() / _MAX_READS_PER_S
-            await asyncio.sleep(self._read_s + interval_s - time.monotonic())
-            self._read_s = time.monotonic()
+            await self._wait_for_turn()
             sent_s = copy_age.read_clock_s()
             page = await self._store.read_newest(
                 jobs.STATE_TABLE, jobs.PARTITION, rows.PLAN_PREFIX, rows.PLAN_END
@@ -90,6 +91,12 @@
         finally:
             self._reading = None
 
+    async def _wait_for_turn(self) -> None:
+        interval_s = self._count_daemons() / _MAX_READS_PER_S
+        now_s = time.monotonic()
+        self._used_until_s = max(now_s, self._used_until_s) + interval_s
+        await asyncio.sleep(self._used_until_s - _FREE_READS * interval_s - now_s)
+
     def _apply(self, page: store.RowPage, sent_s: float) -> None:
         for row in page.rows:
             self._table.apply_row(row)
