Let a plan say that it has dropped epochs, and keep them in order

A plan dropped epochs beyond 64, or 120 s after their end, without a trace. Streams of that time that still go on (64 changes take 13 s where two daemons' views of the targets differ; routes with a timeout above 50 s last longer than 120 s) were then taken for streams of the version on which the remaining epochs agree. One epoch of any version now stands for those dropped, so that a record is asked instead.

--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -155,3 +155,20 @@
       | [[5, {"v1": 8}]]               |
       | [[null, {"v1": 8}], [null, 3]] |
       | [[null, {"v1": "8"}]]          |
+
+  # Guards against epochs that a plan no longer holds, and that streams which still go on
+  # began in: those that are left may all agree on another version.
+  Scenario Outline: A plan tells no version of a stream that began before <dropped>
+    Given a plan that gave all streams to v2, and then to v1 <dropped>
+    Then it leaves the version of each stream open that began <ago> s ago
+
+    Examples:
+      | dropped                                | ago |
+      | 70 changes within 14 s                 | 20  |
+      | one change 125 s ago and one just now  | 130 |
+
+  # Guards against an epoch that seems to end before it began, since daemons' clocks differ.
+  Scenario: The epochs of a plan end in the order in which they began
+    Given a plan with an epoch that began at 5000 ms by the clock of its writer
+    When a daemon whose clock tells 4000 ms writes the next epoch
+    Then the ends of its epochs rise
--- a/src/endivevane/stream_versions/plan.py
+++ b/src/endivevane/stream_versions/plan.py
@@ -14,7 +14,7 @@
 
 from endivevane.coordination import rendezvous
 
-# Changes of the shares that a plan remembers; the oldest are dropped beyond.
+# Epochs of a plan; the oldest are dropped beyond.
 _MAX_EPOCHS = 64
 # Shares that differ by less than this part of all slots are left as they are, so that a
 # release in a large service takes few changes.
@@ -96,14 +96,23 @@
 ) -> Plan:
     """Return the plan with a new epoch in force.
 
+    Where epochs are dropped, one of any version stands for them: who asks for a time
+    before the last of them has ended gets no version from the others.
+
     :param now_ms: time of the store's clock
     :param keep_ms: how long an epoch is kept after its end
     """
     earlier = (Epoch({}),) if plan is None else plan.epochs
-    kept = [
-        epoch
-        for epoch in earlier[:-1]
-        if epoch.ended_ms is not None and epoch.ended_ms >= now_ms - keep_ms
-    ]
-    ended = dataclasses.replace(earlier[-1], ended_ms=now_ms)
-    return Plan((*kept, ended, Epoch(dict(shares)))[-_MAX_EPOCHS:])
+    if len(earlier) > 1:
+        # Epochs end in the order in which they began, by whoever's clock.
+        now_ms = max(now_ms, (earlier[-2].ended_ms or 0) + 1)
+    ended = (*earlier[:-1], dataclasses.replace(earlier[-1], ended_ms=now_ms))
+    first = next(
+        number
+        for number, epoch in enumerate(ended)
+        if (epoch.ended_ms or 0) >= now_ms - keep_ms
+    )
+    # One more stands for those that are dropped, and one is in force.
+    first = max(first, len(ended) - (_MAX_EPOCHS - 2))
+    dropped = (Epoch({}, ended[first - 1].ended_ms),) if first else ()
+    return Plan((*dropped, *ended[first:], Epoch(dict(shares))))
