Begin no stream at a version whose epoch takes effect later

An epoch takes effect 0.6 s after it was read, so that copies of 0.5 s may count without the store. A stream that was bound to no version (its daemon knew one version only when it asked for a slot) could reach a new target and begin there at once; a daemon with a copy of 0.4 s would then go on with it at the old version.

--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -172,3 +172,10 @@
     Given a plan with an epoch that began at 5000 ms by the clock of its writer
     When a daemon whose clock tells 4000 ms writes the next epoch
     Then the ends of its epochs rise
+
+  # Guards against a stream that begins by an epoch of which copies that still count do not
+  # know, at a daemon that had no reason to ask for a version.
+  Scenario: No stream begins at a version before its epoch takes effect
+    Given targets a v1, b v1 of one service
+    When v2 is added to the plan, and a stream of v2 has its first event at once and 1 s later
+    Then it does not begin at once, and begins later
--- a/src/endivevane/stream_versions/plan_table.py
+++ b/src/endivevane/stream_versions/plan_table.py
@@ -77,6 +77,16 @@
     def find_in_force(self, service: str, now_ms: int | None) -> plans.Epoch | None:
         """Return the epoch that new streams of a service begin by.
 
+        :param now_ms: time of the store's clock, ``None`` if it is not known
+        """
+        effective = self.find_effective(service, now_ms)
+        if effective is None or not effective.newest.shares:
+            return None
+        return effective.newest
+
+    def find_effective(self, service: str, now_ms: int | None) -> plans.Plan | None:
+        """Return the plan of a service without the epochs that take effect later.
+
         :param now_ms: time of the store's clock, ``None`` if it is not known
         """
         known = self._find(service)
@@ -87,9 +97,8 @@
             begin_ms = known.plan.epochs[position - 1].ended_ms or 0
             is_settled = now_ms is not None and begin_ms <= now_ms - _SETTLED_MS
             if is_settled or known.read_s[begin_ms] <= latest_s:
-                return known.plan.epochs[position]
-        oldest = known.plan.epochs[0]
-        return oldest if oldest.shares else None
+                return plans.Plan(known.plan.epochs[: position + 1])
+        return plans.Plan(known.plan.epochs[:1])
 
     def apply_row(self, row: store.Row) -> None:
         """Apply a row unless a newer version of it is known.
--- a/src/endivevane/stream_versions/service.py
+++ b/src/endivevane/stream_versions/service.py
@@ -21,6 +21,7 @@
     store_clock,
     target_registry,
 )
+from endivevane.stream_versions import plan as plans
 from endivevane.stream_versions import plan_reader, plan_table, records
 
 # A first event waits this long for the record of its stream.
@@ -132,13 +133,15 @@
         """Take note of the first event of a stream; return whether it may go on.
 
         It may not at a version that the plans contradict, or a record of an attempt
-        that failed. Where the plans leave several open, it waits a moment for its own.
+        that failed, nor by an epoch that takes effect later. Where the plans leave
+        several open, it waits a moment for its own record.
         """
         if not stream.attempt:
             # No client can name it.
             return True
-        candidates = self._list_candidates(stream.service, stream.attempt, route)
-        if stream.version not in candidates and None not in candidates:
+        effective = self._table.find_effective(stream.service, self._clock.read_ms())
+        beginnable = self._list_of(effective, stream.attempt, route)
+        if stream.version not in beginnable and None not in beginnable:
             return False
         if candidates != {stream.version}:
             written = self._records.write(stream)
@@ -216,7 +219,12 @@
         self, service: str, attempt: str, route: model.Route
     ) -> frozenset[str | None]:
         """Return the versions that the plans leave open, ``None`` for any."""
-        plan = self._table.find(service)
+        return self._list_of(self._table.find(service), attempt, route)
+
+    def _list_of(
+        self, plan: plans.Plan | None, attempt: str, route: model.Route
+    ) -> frozenset[str | None]:
+        """Return the versions that a plan leaves open, ``None`` for any."""
         if plan is None or not self._table.is_loaded:
             return frozenset((None,))
         timeout_s = route.timeout_s or _DEFAULT_TIMEOUT_S
