Take a plan that can't be read for no plan

A daemon that could not decode a plan's row kept the plan before it and counted it as current, so that streams were joined with the store in reach: a plan of a later release, of which this one knows nothing but that there is one. Without a plan a stream's record is asked, and the row is replaced.

--- a/features/steps/out_of_step_steps.py
+++ b/features/steps/out_of_step_steps.py
@@ -2,6 +2,7 @@
 
 from behave import given, then, when
 
+from endivevane.serving import store_clock
 from features.support import out_of_step_world, version_world
 
 _SERVED_S = 60.0
@@ -10,11 +11,17 @@
 # The second daemon is out of step for this long before the streams begin.
 _OUT_S = 3.0
 _INTERVAL_S = 0.01
+_STOOD_STILL_S = 60.0
+_OTHERS = 4
+# Streams are asked for at this interval while a daemon is cut off.
+_ASK_S = 0.3
+_ASKS = 10
 _MANNERS = {
     "is refused by the store": "refuses",
     "gets no answer from the store": "silent",
     "stands still before unread answers": "held",
     "reads a relay that has lost the store": "relay",
+    "can't read the new plan": "garbled",
 }
 
 
@@ -80,3 +87,64 @@
 def step_all_refused(context):
     statuses = {tuple(stream.statuses) for stream in context.streams}
     assert statuses == {(200, 503)}, statuses
+
+
+@then("each stream is whole or refused")
+def step_whole_or_refused(context):
+    for stream in context.streams:
+        assert stream.is_whole or stream.statuses == [200, 503], stream
+
+
+@when(
+    "the second daemon stood still for 60 s, has lost the store and hears {heard:d} of "
+    "4 others"
+)
+def step_stood_still(context, heard):
+    async def act(_fleet, trial):
+        trial.view.lose("refuses")
+        others = out_of_step_world.let_others_be_heard(trial.second, _OTHERS, heard)
+        hearing = asyncio.ensure_future(others)
+        await asyncio.sleep(0)
+        with out_of_step_world.shift_boot_clock(_STOOD_STILL_S):
+            context.statuses = {}
+            context.statuses["in the moment"] = await _ask(trial.second, "first")
+            for number in range(_ASKS):
+                await asyncio.sleep(_ASK_S)
+                await _ask(trial.second, f"between{number}-")
+            context.statuses["3 s later"] = await _ask(trial.second, "last")
+        hearing.cancel()
+
+    context.acts.append(act)
+    asyncio.run(_play(context))
+
+
+async def _ask(daemon, name):
+    """Ask for new streams; return the status of each."""
+    streams = [version_world.Stream(f"{name}{number}") for number in range(10)]
+    await version_world.request_all(daemon, streams, leave_after=1)
+    return [status for stream in streams for status in stream.statuses]
+
+
+@then("of 10 new streams {when} it begins {begun}")
+def step_begun(context, when, begun):
+    statuses = context.statuses[when]
+    assert statuses == [200 if begun == "all" else 503] * 10, context.statuses
+
+
+@given("a daemon that has the time of the store")
+def step_store_clock(context):
+    context.clock = store_clock.StoreClock()
+    context.clock.record(5_000_000)
+
+
+@when("its VM is suspended for 60 s")
+def step_suspended(context):
+    before_ms = context.clock.read_ms()
+    with out_of_step_world.shift_boot_clock(_STOOD_STILL_S):
+        context.passed_ms = context.clock.read_ms() - before_ms
+
+
+@then("it tells a time of the store 60 s later")
+def step_store_time(context):
+    # The two readings are less than a second apart.
+    assert 0 <= context.passed_ms - _STOOD_STILL_S * 1000 < 1000, context.passed_ms
--- a/features/support/out_of_step_world.py
+++ b/features/support/out_of_step_world.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import dataclasses
+import time
+from unittest import mock
 
-from endivevane.serving import failures, jobs, store
+from endivevane.serving import copy_age, failures, jobs, peer_registry, store
 from endivevane.stream_versions import rows
 
 # A call to a store that is silent is given up after this time.
 _CALL_TIMEOUT_S = 0.5
+_HEARTBEAT_S = 0.2
 
 
 class StoreView:
@@ -15,7 +18,7 @@
 
     :ivar manner: ``"sound"``; ``"refuses"``; ``"silent"``: calls time out; ``"held"``:
         answers wait unread until the daemon goes on; ``"relay"``: only a relay that has
-        lost the store answers, from its memory
+        lost the store answers, from its memory; ``"garbled"``: plans can't be read
     """
 
     def __init__(self, row_store):
@@ -46,12 +49,12 @@
             return self._read_memory(table, partition, start, end)
         page = await self._store.read_rows(table, partition, start, end)
         await self._answer("read_rows")
-        return page
+        return self._garble(page)
 
     async def wait_for_changes(self, table, after_version, wait_s):
         page = await self._store.wait_for_changes(table, after_version, wait_s)
         await self._answer("wait_for_changes")
-        return page
+        return self._garble(page)
 
     async def apply(self, change):
         await self._answer("apply")
@@ -59,7 +62,7 @@
 
     async def _answer(self, call):
         """Let an answer reach the daemon, or not, as the manner is."""
-        if self.manner == "sound":
+        if self.manner in ("sound", "garbled"):
             return
         if self.manner == "held":
             await self._is_back.wait()
@@ -69,6 +72,12 @@
             raise failures.StoreUncertain(call, "TimeoutError")
         raise failures.StoreRefused(call, "status 503")
 
+    def _garble(self, page):
+        if self.manner != "garbled":
+            return page
+        found = tuple(dataclasses.replace(row, value=b"{}") for row in page.rows)
+        return dataclasses.replace(page, rows=found)
+
     def _read_memory(self, table, partition, start, end):
         found = tuple(
             row
@@ -107,3 +116,24 @@
     key = rows.make_plan_key("lm")
     assert key.table == jobs.STATE_TABLE
     return sum(1 for written, _ in row_store.writes if written == key)
+
+
+def shift_boot_clock(by_s):
+    """Return a patch with which the boot clock is some seconds later."""
+    real = copy_age.read_clock_s
+    return mock.patch.object(copy_age, "read_clock_s", lambda: real() + by_s)
+
+
+async def let_others_be_heard(daemon, total, heard):
+    """Let a daemon know others, and hear some of them until cancelled."""
+    others = [
+        peer_registry.Peer(f"other-{number}", "near", "127.0.0.1", 1, "run1")
+        for number in range(total)
+    ]
+    for other in others:
+        daemon.peers.add(other)
+    while True:
+        for other in others[:heard]:
+            seen = dataclasses.replace(other, last_seen_s=time.monotonic())
+            daemon.peers.record_heartbeat(seen)
+        await asyncio.sleep(_HEARTBEAT_S)
--- a/src/endivevane/stream_versions/plan_table.py
+++ b/src/endivevane/stream_versions/plan_table.py
@@ -103,8 +103,7 @@
     def apply_row(self, row: store.Row) -> None:
         """Apply a row unless a newer version of it is known.
 
-        One that can't be read keeps the plan that was known, and is replaced when the
-        shares change.
+        One that can't be read is no plan, and is replaced by one.
         """
         key = row.row_key.key
         known = self._rows.get(key, _UNKNOWN)
@@ -114,7 +113,7 @@
             decoded = None if row.value is None else rows.decode_plan(key, row.value)
         except exceptions.ProtocolError as error:
             logs.error("version_plan_unreadable", key=key, cause=error)
-            decoded = known.plan
+            decoded = None
         version = 0 if row.value is None else row.version
         self._rows[key] = _KnownPlan(version, decoded, _find_read_s(decoded, known))
         self.revision += 1
