Let the store's clock go on while the VM is suspended

The monotonic clock stops with a VM that is suspended; until the next answer of the store the daemon took the time of the store for earlier by the whole suspension. A plan written in that moment ended an epoch so much too early, others no longer counted it, and streams that had just begun in it could be joined.

--- a/features/out_of_step.feature
+++ b/features/out_of_step.feature
@@ -29,3 +29,10 @@
     And 20 clients leave streams of the first daemon, and resume them at the second while it is out
     Then no stream holds events of two versions
     And all resumed streams were refused
+
+  # Guards against a clock that stops with the VM: the writer of a plan then takes epochs for
+  # over that were in force until now.
+  Scenario: The store's clock goes on while the VM is suspended
+    Given a daemon that has the time of the store
+    When its VM is suspended for 60 s
+    Then it tells a time of the store 60 s later
--- a/src/endivevane/serving/store_clock.py
+++ b/src/endivevane/serving/store_clock.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
-import time
+from endivevane.serving import copy_age
 
 
 class StoreClock:
-    """Tells the time of the store's clock between its responses."""
+    """Tells the time of the store's clock between its responses.
+
+    It goes on while the VM is suspended.
+    """
 
     def __init__(self) -> None:
         self._offset_ms: float | None = None
@@ -18,7 +21,7 @@
         """
         if not now_ms:
             return
-        offset_ms = now_ms - time.monotonic() * 1000
+        offset_ms = now_ms - copy_age.read_clock_s() * 1000
         if self._offset_ms is None or offset_ms > self._offset_ms:
             self._offset_ms = offset_ms
 
@@ -26,4 +29,4 @@
         """Return the time, ``None`` before the first response that names it."""
         if self._offset_ms is None:
             return None
-        return int(time.monotonic() * 1000 + self._offset_ms)
+        return int(copy_age.read_clock_s() * 1000 + self._offset_ms)
