Begin streams by old plans only while all daemons are cut off

The others allow 20 s for streams that began by an earlier plan. A daemon with older plans began streams by them as soon as it heard one other daemon: on the smaller side of a cut between zones for as long as the cut lasted, and right after it stood still, when heartbeats that had waited in its sockets looked like news and the store had 0.1 s to answer. Others then found all plans of the last timeouts agreed on another version. Plans of more than 12 s now need, without the store, half of the other daemons in hearing and failed reads over 2 s, by the store and several relays; these reads begin at 3 s of age, so that an outage of the store alone refuses nothing. failed before: A daemon with plans of a minute ago that hears 1 of 4 others 3 s later begins none; the same with 3 of 4 in the moment (10 of 10 begun each).

--- a/features/out_of_step.feature
+++ b/features/out_of_step.feature
@@ -30,6 +30,20 @@
     Then no stream holds events of two versions
     And all resumed streams were refused
 
+  # Guards against streams that begin by a plan that the others hold to be long over: at a
+  # daemon whose side of a cut has no store, or that goes on after it stood still and takes
+  # heartbeats that have waited for news.
+  Scenario Outline: A daemon with plans of a minute ago that hears <heard> of 4 others <when> begins <begun>
+    Given two daemons before targets a v1, b v1 that have served for long
+    When the second daemon stood still for 60 s, has lost the store and hears <heard> of 4 others
+    Then of 10 new streams <when> it begins <begun>
+
+    Examples:
+      | heard | when             | begun |
+      | 1     | 3 s later        | none  |
+      | 3     | 3 s later        | all   |
+      | 3     | in the moment    | none  |
+
   # Guards against a clock that stops with the VM: the writer of a plan then takes epochs for
   # over that were in force until now.
   Scenario: The store's clock goes on while the VM is suspended
--- a/src/endivevane/stream_versions/plan_reader.py
+++ b/src/endivevane/stream_versions/plan_reader.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections import abc
 
 from endivevane import logs, metrics
@@ -14,6 +13,11 @@
 _MAX_READS_PER_S = 500.0
 # Nothing waits for the plans for this long after they could not be read.
 _FAILING_S = 0.3
+# After failures for this long, the store and several relays have been asked.
+_CUT_OFF_S = 2.0
+# Failures that are further apart than this are not of one outage: the process may have
+# stood still between them. A read that no one answers takes less.
+_MAX_FAILURE_GAP_S = 6.0
 
 
 class PlanReader:
@@ -33,8 +37,20 @@
         self._count_daemons = count_daemons
         self._reading: asyncio.Task[None] | None = None
         self._read_s = float("-inf")
+        # First and last failure of those without a success between them.
+        self._failing_since_s = float("-inf")
         self._failed_s = float("-inf")
 
+    def is_cut_off(self) -> bool:
+        """Return whether neither the store nor a relay with it answers for long."""
+        is_recent = copy_age.read_clock_s() - self._failed_s <= _MAX_FAILURE_GAP_S
+        return is_recent and self._failed_s - self._failing_since_s >= _CUT_OFF_S
+
+    def start(self) -> None:
+        """Begin to read the plans, unless that has just failed."""
+        if self._reading is None and not self._is_failing():
+            self._reading = asyncio.ensure_future(self._read_once())
+
     async def confirm(self, moment_s: float, wait_s: float) -> bool:
         """Bring the plans up to a moment; return whether they are as of it.
 
@@ -44,10 +60,9 @@
         try:
             async with asyncio.timeout(wait_s):
                 while not self._table.is_as_of(moment_s):
-                    if time.monotonic() - self._failed_s < _FAILING_S:
-                        break
+                    self.start()
                     if self._reading is None:
-                        self._reading = asyncio.ensure_future(self._read_once())
+                        break
                     # Whoever waits may leave; the read goes on for the others.
                     await asyncio.shield(self._reading)
         except TimeoutError:
@@ -77,12 +92,23 @@
         """Read the plans, at the interval that the number of daemons allows."""
         try:
             interval_s = self._count_daemons() / _MAX_READS_PER_S
-            await asyncio.sleep(self._read_s + interval_s - time.monotonic())
-            self._read_s = time.monotonic()
-            if not await self.read():
-                self._failed_s = time.monotonic()
+            await asyncio.sleep(self._read_s + interval_s - copy_age.read_clock_s())
+            self._read_s = copy_age.read_clock_s()
+            if await self.read():
+                self._failed_s = float("-inf")
+            else:
+                self._record_failure()
         except failures.StoreFailure as error:
             logs.limited_info("version_plans_not_read", cause=error)
-            self._failed_s = time.monotonic()
+            self._record_failure()
         finally:
             self._reading = None
+
+    def _record_failure(self) -> None:
+        now_s = copy_age.read_clock_s()
+        if now_s - self._failed_s > _MAX_FAILURE_GAP_S:
+            self._failing_since_s = now_s
+        self._failed_s = now_s
+
+    def _is_failing(self) -> bool:
+        return copy_age.read_clock_s() - self._failed_s < _FAILING_S
--- a/src/endivevane/stream_versions/service.py
+++ b/src/endivevane/stream_versions/service.py
@@ -29,8 +29,10 @@
 # Added to the time for which a stream can have gone on: a daemon that was cut off from
 # the store may have followed an earlier plan for so long.
 _LATE_PLAN_S = 20.0
-# A daemon that is alone begins no streams by plans that are older than this.
+# Streams begin by plans that are older than this only while all daemons are cut off.
 _MAX_LONE_AGE_S = 12.0
+# Plans are older than this where the store does not answer.
+_MAX_SOUND_AGE_S = 3.0
 # Plans of this age count if they can't be read. An epoch takes effect later than this.
 _TRUSTED_AGE_S = 0.5
 # A client that resumes a stream waits this long for the plans.
@@ -109,14 +111,22 @@
         """Return whether the plans are good enough for a stream to begin by them.
 
         The other daemons allow for streams that began by an earlier plan, for a time.
-        One that is cut off from the store and from all others may be the only one that
-        follows it; where all are, none has read a later one.
+        Where all are cut off from the store, none has read a later one; a daemon that
+        hears less than half of them can't tell. Nor can one that has just gone on after
+        it stood still: what it hears may have waited.
         """
-        if self._table.measure_age_s() <= _MAX_LONE_AGE_S:
+        age_s = self._table.measure_age_s()
+        if age_s > _MAX_SOUND_AGE_S:
+            self._reader.start()
+        if age_s <= _MAX_LONE_AGE_S:
             return True
         if await self._reader.confirm(copy_age.read_clock_s(), _BEGIN_WAIT_S):
             return True
-        return not self._peers.peers or bool(self._peers.list_alive())
+        others = len(self._peers.peers)
+        if not others:
+            return True
+        hears_most = 2 * len(self._peers.list_alive()) >= others
+        return hears_most and self._reader.is_cut_off()
 
     def prepare(self, route: model.Route, stream: records.BegunStream) -> None:
         """Start to write the record of a stream, if it is going to need one.
@@ -143,6 +153,7 @@
         beginnable = self._list_of(effective, stream.attempt, route)
         if stream.version not in beginnable and None not in beginnable:
             return False
+        candidates = self._list_candidates(stream.service, stream.attempt, route)
         if candidates != {stream.version}:
             written = self._records.write(stream)
             if not self._records.is_failing(time.monotonic()):
