Begin no stream while an earlier record of it may still be written

The record of a failed attempt at v1 could be on its way (its answer lost, for instance at a relay that stood still) while the stream began at v2 with a record that replaced it. The late write then came last, and a client that came back was sent to v1. A stream whose earlier record has an uncertain end is now not begun at another version. failed before: A stream does not begin beside a record of another version, its write still on its way.

--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -249,14 +249,28 @@
         await asyncio.sleep(_PLAN_S)
         (route,) = daemon.router.table.configuration.routes
         versions = daemon.versions.service
+        if "on its way" in written:
+            fleet.row_store.apply = _delay_apply(fleet.row_store)
         versions.prepare(route, _make_begun("v1"))
-        await asyncio.sleep(0.1)
+        # Records are waited for again some time after one has failed.
+        await asyncio.sleep(1.2 if "on its way" in written else 0.1)
         fleet.row_store.is_down = "no more" in written
         context.has_begun = await versions.begin(route, _make_begun("v2"))
 
     _play(context, act)
 
 
+def _delay_apply(row_store):
+    """Return a function that loses the answer of one transaction, done later."""
+    apply = row_store.apply
+
+    async def delay(_change):
+        row_store.apply = apply
+        raise failures.StoreUncertain("apply", "no answer")
+
+    return delay
+
+
 def _make_begun(version):
     return records.BegunStream("stream0", "lm", version, time.monotonic())
 
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -100,6 +100,7 @@
       | written                              | begins         |
       | and the store takes another          | begins         |
       | and the store takes no more records  | does not begin |
+      | and its write is still on its way    | does not begin |
 
   # Guards against a daemon that was cut off and followed an earlier plan: its streams are
   # not all of the versions of the plan in force.
--- a/src/endivevane/stream_versions/records.py
+++ b/src/endivevane/stream_versions/records.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import dataclasses
+import enum
 import time
 from collections import abc
 
@@ -36,16 +37,42 @@
     begun_s: float
 
 
+class WriteOutcome(enum.Enum):
+    """What has become of the write of a record."""
+
+    WRITTEN = enum.auto()
+    REFUSED = enum.auto()
+    # It may be done, or be done later.
+    UNCERTAIN = enum.auto()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Write:
     """A record that waits to be written, or is.
 
-    :param is_replacing: whether the store may hold one of another version
+    :param replaced: the write of a record of another version
     """
 
     stream: BegunStream
-    written: asyncio.Future[bool]
-    is_replacing: bool = False
+    written: asyncio.Future[WriteOutcome]
+    replaced: _Write | None = None
+
+    def has_outcome(self, *outcomes: WriteOutcome) -> bool:
+        """Return whether the write has ended with one of some outcomes."""
+        return self.written.done() and self.written.result() in outcomes
+
+    def may_be_contradicted(self) -> bool:
+        """Return whether the store may hold, or get, a record of another version."""
+        if self.replaced is None:
+            return False
+        is_settled = self.replaced.has_outcome(
+            WriteOutcome.WRITTEN, WriteOutcome.REFUSED
+        )
+        return not (
+            is_settled
+            and self.has_outcome(WriteOutcome.WRITTEN)
+            and not self.replaced.may_be_contradicted()
+        )
 
 
 class StreamRecords:
@@ -108,13 +135,14 @@
         """Return whether the store has just failed to take records."""
         return now_s - self._failed_s < _FAILING_S
 
-    def write(self, stream: BegunStream) -> asyncio.Future[bool]:
-        """Write the record of a stream, once; the result says whether it is written."""
+    def write(self, stream: BegunStream) -> asyncio.Future[WriteOutcome]:
+        """Write the record of a stream, once."""
         known = self._writes.get(stream.attempt)
         if known is not None and known.stream.version == stream.version:
             return known.written
-        written: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
-        write = _Write(stream, written, known is not None)
+        written: asyncio.Future[WriteOutcome]
+        written = asyncio.get_running_loop().create_future()
+        write = _Write(stream, written, known)
         self._keep(write)
         self._waiting.append(write)
         if self._task is None:
@@ -124,9 +152,7 @@
     def may_contradict(self, stream: BegunStream) -> bool:
         """Return whether the store may hold a record of another version."""
         write = self._writes.get(stream.attempt)
-        if write is None or not write.is_replacing:
-            return False
-        return not (write.written.done() and write.written.result())
+        return write is not None and write.may_be_contradicted()
 
     async def read(self, service: str, attempt: str) -> str | None:
         """Return the version of a stream by its record, ``None`` if there is none.
@@ -158,16 +184,16 @@
                 started_s = time.monotonic()
                 batch = self._waiting[:_MAX_BATCH]
                 del self._waiting[:_MAX_BATCH]
-                is_written = await self._write_batch(batch)
+                outcome = await self._write_batch(batch)
                 for item in batch:
                     if not item.written.done():
-                        item.written.set_result(is_written)
+                        item.written.set_result(outcome)
                 interval_s = self._count_daemons() / _MAX_WRITES_PER_S
                 await asyncio.sleep(started_s + interval_s - time.monotonic())
         finally:
             self._task = None
 
-    async def _write_batch(self, batch: list[_Write]) -> bool:
+    async def _write_batch(self, batch: list[_Write]) -> WriteOutcome:
         now_ms = self._clock.read_ms() or 0
         values: dict[store.RowKey, bytes] = {}
         for item in batch:
@@ -179,23 +205,25 @@
         except failures.StoreFailure as error:
             logs.limited_info("stream_records_not_written", cause=error)
             self._failed_s = time.monotonic()
-            if isinstance(error, failures.StoreRefused):
-                self._drop_unwritten(batch)
             metrics.STREAM_RECORDS.labels("failed").inc(len(batch))
-            return False
+            if not isinstance(error, failures.StoreRefused):
+                return WriteOutcome.UNCERTAIN
+            self._drop_unwritten(batch)
+            return WriteOutcome.REFUSED
         metrics.STREAM_RECORDS.labels("written").inc(len(batch))
-        return True
+        return WriteOutcome.WRITTEN
 
     def _drop_unwritten(self, batch: list[_Write]) -> None:
         """Forget writes that the store has not done, unless they hide others."""
         for item in batch:
             is_latest = self._writes.get(item.stream.attempt) is item
-            if is_latest and not item.is_replacing:
+            if is_latest and item.replaced is None:
                 del self._writes[item.stream.attempt]
 
 
-def _make_done() -> asyncio.Future[bool]:
+def _make_done() -> asyncio.Future[WriteOutcome]:
     """Return the result of a record that is written."""
-    written: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
-    written.set_result(True)
+    written: asyncio.Future[WriteOutcome]
+    written = asyncio.get_running_loop().create_future()
+    written.set_result(WriteOutcome.WRITTEN)
     return written
