--- a/features/out_of_step.feature
+++ b/features/out_of_step.feature
@@ -19,6 +19,7 @@
       | gets no answer from the store          | knowing     | once it is back       | all streams are whole             |
       | stands still before unread answers     | knowing     | in the moment it goes on | all streams are whole          |
       | reads a relay that has lost the store  | knowing     | while it is out       | all resumed streams were refused  |
+      | can't read the new plan                | not knowing | while it is out       | each stream is whole or refused   |
 
   # Guards against the same where a version leaves: streams that began at the one that is
   # left, and that the daemon takes for streams of the other.
@@ -28,3 +29,24 @@
     And 20 clients leave streams of the first daemon, and resume them at the second while it is out
     Then no stream holds events of two versions
     And all resumed streams were refused
+
+  # Guards against streams that begin by a plan that the others hold to be long over: at a
+  # daemon whose side of a cut has no store, or that goes on after it stood still and takes
+  # heartbeats that have waited for news.
+  Scenario Outline: A daemon with plans of a minute ago that hears <heard> of 4 others <when> begins <begun>
+    Given two daemons before targets a v1, b v1 that have served for long
+    When the second daemon stood still for 60 s, has lost the store and hears <heard> of 4 others
+    Then of 10 new streams <when> it begins <begun>
+
+    Examples:
+      | heard | when             | begun |
+      | 1     | 3 s later        | none  |
+      | 3     | 3 s later        | all   |
+      | 3     | in the moment    | none  |
+
+  # Guards against a clock that stops with the VM: the writer of a plan then takes epochs for
+  # over that were in force until now.
+  Scenario: The store's clock goes on while the VM is suspended
+    Given a daemon that has the time of the store
+    When its VM is suspended for 60 s
+    Then it tells a time of the store 60 s later
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -100,6 +100,7 @@
       | written                              | begins         |
       | and the store takes another          | begins         |
       | and the store takes no more records  | does not begin |
+      | and its write is still on its way    | does not begin |
 
   # Guards against a daemon that was cut off and followed an earlier plan: its streams are
   # not all of the versions of the plan in force.
@@ -155,3 +156,27 @@
       | [[5, {"v1": 8}]]               |
       | [[null, {"v1": 8}], [null, 3]] |
       | [[null, {"v1": "8"}]]          |
+
+  # Guards against epochs that a plan no longer holds, and that streams which still go on
+  # began in: those that are left may all agree on another version.
+  Scenario Outline: A plan tells no version of a stream that began before <dropped>
+    Given a plan that gave all streams to v2, and then to v1 <dropped>
+    Then it leaves the version of each stream open that began <ago> s ago
+
+    Examples:
+      | dropped                                | ago |
+      | 70 changes within 14 s                 | 20  |
+      | one change 125 s ago and one just now  | 130 |
+
+  # Guards against an epoch that seems to end before it began, since daemons' clocks differ.
+  Scenario: The epochs of a plan end in the order in which they began
+    Given a plan with an epoch that began at 5000 ms by the clock of its writer
+    When a daemon whose clock tells 4000 ms writes the next epoch
+    Then the ends of its epochs rise
+
+  # Guards against a stream that begins by an epoch of which copies that still count do not
+  # know, at a daemon that had no reason to ask for a version.
+  Scenario: No stream begins at a version before its epoch takes effect
+    Given targets a v1, b v1 of one service
+    When v2 is added to the plan, and a stream of v2 has its first event at once and 1 s later
+    Then it does not begin at once, and begins later
