--- a/features/steps/serving_state_steps.py
+++ b/features/steps/serving_state_steps.py
@@ -9,9 +9,8 @@
 from behave import given, then, when
 
 from endivevane import exceptions
-from endivevane.platform import headers, records
+from endivevane.platform import records
 from endivevane.serving import (
-    batch_slots,
     failures,
     follower,
     job_changes,
@@ -22,12 +21,9 @@
     jobs,
     model,
     peer_registry,
-    routing_table,
-    runner_dependencies,
-    slot_registry,
     store,
 )
-from features.support import serving_fakes
+from features.support import job_world, serving_fakes
 
 
 @when("the entry of a target is {entry}")
@@ -187,24 +183,6 @@
     assert context.seen[-1][1] is None
 
 
-class _Daemon:
-    """The parts of a daemon that change jobs."""
-
-    def __init__(self, rows, name):
-        self.owner = f"{name}/1"
-        self.rows = rows
-        self.registry = job_registry.JobRegistry()
-        self.state = follower.TableFollower(rows, "state", "", self._on_row)
-        self.changes = job_changes.JobChanges(
-            rows, self.state, self.registry, self.owner
-        )
-        self.feed = asyncio.ensure_future(self.state.run())
-
-    def _on_row(self, row):
-        if row.row_key.key.startswith(jobs.JOB_PREFIX):
-            self.registry.apply(row)
-
-
 def _route(quota=0):
     service = model.WeightedService("lm", 1.0)
     return model.Route(
@@ -255,7 +233,7 @@
 async def _simulate(seed, faults, counts):
     rows = serving_fakes.FakeStore(seed, faults)
     generator = random.Random(seed)
-    daemons = [_Daemon(rows, "a"), _Daemon(rows, "b")]
+    daemons = [job_world.Daemon(rows, "a"), job_world.Daemon(rows, "b")]
     job_id = f"job{seed}"
     try:
         try:
@@ -378,7 +356,7 @@
 def step_accept_many(context, daemons):
     async def run():
         rows = serving_fakes.FakeStore()
-        fleet = [_Daemon(rows, f"d{number}") for number in range(daemons)]
+        fleet = [job_world.Daemon(rows, f"d{number}") for number in range(daemons)]
         await asyncio.sleep(0.05)
         outcomes = await asyncio.gather(
             *(
@@ -419,7 +397,7 @@
 @when("the store loses every response while a job is accepted")
 def step_lose_all(context):
     async def run():
-        daemon = _Daemon(_LosingStore(), "a")
+        daemon = job_world.Daemon(_LosingStore(), "a")
         try:
             await daemon.changes.accept(_submission("job", left_s=0.6))
         except failures.ServingError as error:
@@ -450,7 +428,7 @@
 @when("a daemon starts a job of {count:d} items, and again after 100 ms")
 def step_start_twice(context, count):
     async def run():
-        daemon = _Daemon(serving_fakes.FakeStore(), "a")
+        daemon = job_world.Daemon(serving_fakes.FakeStore(), "a")
         fleet = serving_fakes.Fleet(["t0", "t1"])
         context.caller = _HangingClient()
         runner = _make_runner(daemon, fleet, context.caller)
@@ -477,7 +455,7 @@
 @when("a daemon runs a job of {count:d} items whose route is removed")
 def step_route_removed(context, count):
     async def run():
-        daemon = _Daemon(serving_fakes.FakeStore(), "a")
+        daemon = job_world.Daemon(serving_fakes.FakeStore(), "a")
         fleet = serving_fakes.Fleet(["t0"])
         runner = _make_runner(daemon, fleet, _HangingClient(), routes=())
         task = asyncio.ensure_future(runner.run())
@@ -513,29 +491,8 @@
 
 
 def _make_runner(daemon, fleet, caller, routes=None):
-    given = (_route(),) if routes is None else routes
-    configuration = model.Configuration(1, given, {}, model.ClientLimits())
-    table = routing_table.RoutingTable(configuration)
-    return job_runner.JobRunner(
-        runner_dependencies.RunnerDependencies(
-            targets=fleet.directory,
-            load_table=fleet.board,
-            choices=fleet.choices,
-            slots=batch_slots.BatchSlots(
-                fleet.choices, fleet.board, slot_registry.SlotRegistry(fleet.board)
-            ),
-            caller=caller,
-            row_store=daemon.rows,
-            changes=daemon.changes,
-            reader=job_reader.JobReader(daemon.registry, daemon.changes),
-            routes=lambda: table,
-            encode_headers=headers.HeaderCodec().encode_item_headers,
-            decode_segments=headers.HeaderCodec().decode_item_segments,
-            quarantine=serving_fakes.make_quarantine(),
-            generator=random.Random(1),
-            owner=daemon.owner,
-        )
-    )
+    table = job_world.make_table((_route(),) if routes is None else routes)
+    return job_world.make_runner(daemon, fleet, caller, lambda: table)
 
 
 class _StaleReadStore(serving_fakes.FakeStore):
@@ -574,7 +531,7 @@
 def step_ask_other(context, which):
     async def run():
         rows = _StaleReadStore()
-        first, second = _Daemon(rows, "a"), _Daemon(rows, "b")
+        first, second = job_world.Daemon(rows, "a"), job_world.Daemon(rows, "b")
         for daemon in (first, second):
             # Only the reads under test update the daemons.
             daemon.feed.cancel()
@@ -615,7 +572,7 @@
 def step_release(context, count):
     async def run():
         rows = serving_fakes.FakeStore()
-        first, second = _Daemon(rows, "a"), _Daemon(rows, "b")
+        first, second = job_world.Daemon(rows, "a"), job_world.Daemon(rows, "b")
         fleet = serving_fakes.Fleet([])
         submission = _submission("job")
         runner = _make_runner(first, fleet, None)
@@ -677,7 +634,7 @@
 def step_claim(context):
     async def run():
         rows = serving_fakes.FakeStore()
-        daemons = {name: _Daemon(rows, name) for name in ("a", "b")}
+        daemons = {name: job_world.Daemon(rows, name) for name in ("a", "b")}
         daemons["a"].changes.stop_owning()
         await daemons["a"].changes.accept(_submission("job"))
         tasks = []
