Let an item go on only at the service that wrote its events

Events now name their service too. A target of another service or version begins the item anew, and drops its events only when it begins to answer. An item asks for its service for 3 s after its last run with an event, or after a takeover, while its route allows that service. Progress that an earlier release has stored names no service and is begun anew. A scenario of stream_versions.feature stored progress as the release before does, without a service, and expected it to be gone on with. Such rows may be of another service, so the scenario stores the service, and a further case without one expects a new beginning.

--- a/features/steps/odd_requests_steps.py
+++ b/features/steps/odd_requests_steps.py
@@ -269,7 +269,7 @@
     odd_rows = itertools.zip_longest(
         _list_odd_contents(["i0", True, "text"]),
         (*_list_odd_contents([]), *_list_odd_payloads()),
-        _list_odd_contents([1, ["piece"]]),
+        _list_odd_contents([1, ["piece"], "v1", "lm"]),
         fillvalue=b"",
     )
     for result, payload, progress in odd_rows:
--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -313,8 +313,9 @@
 @when("an item with 8 events, stored {stored}, is run by its next owner at {name}")
 def step_stored_item(context, stored, name):
     version = None if stored == "without a version" else "v1"
+    service = None if stored == "without a service" else "lm"
     pieces = [f"abc piece {n} at v1".encode() for n in range(1, _BREAK_AFTER + 1)]
-    value = jobs.encode_progress(jobs.Progress(_BREAK_AFTER, pieces, version))
+    value = jobs.encode_progress(jobs.Progress(_BREAK_AFTER, pieces, version, service))
 
     async def act(fleet, daemon):
         sender = scripted_items.make_sender(daemon)
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -127,6 +127,7 @@
       | of v1             | at a  | 8     |
       | of v1             | at b  | 0     |
       | without a version | at a  | 0     |
+      | without a service | at a  | 0     |
 
   # Guards against a stream that is given from a silent target to one of another version.
   Scenario: A stream whose target is silent goes on at its version
--- a/src/endivevane/metrics.py
+++ b/src/endivevane/metrics.py
@@ -74,6 +74,11 @@
 BATCH_ITEMS = prometheus_client.Counter(
     "endivevane_batch_items", "Batch items ended, by outcome.", ["outcome"]
 )
+BATCH_RESTARTS = prometheus_client.Counter(
+    "endivevane_batch_restarts",
+    "Batch items that lost their events, since they went on at another service or "
+    "version.",
+)
 BATCH_COMMITS = prometheus_client.Counter(
     "endivevane_batch_commits", "Chunk commits, by outcome.", ["outcome"]
 )
--- a/src/endivevane/serving/item_requests.py
+++ b/src/endivevane/serving/item_requests.py
@@ -3,12 +3,20 @@
 from __future__ import annotations
 
 import dataclasses
+import random
 from collections import abc
 
-from endivevane.serving import item_estimates, model, owned_jobs, target_selection
+from endivevane.serving import (
+    item_estimates,
+    model,
+    owned_jobs,
+    routing_table,
+    target_selection,
+)
 
-# How long an item waits for room at the version of its events before it starts again.
-_MAX_VERSION_WAIT_S = 3.0
+# How long an item waits for room at the service and version of its events before it
+# starts again elsewhere.
+_MAX_WAIT_S = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -22,17 +30,33 @@
     service: str
 
 
+def choose_service(
+    run: owned_jobs.ItemRun,
+    route: model.Route,
+    generator: random.Random,
+    now_s: float,
+) -> str:
+    """Return the service of its route that an item should run at.
+
+    That is the service of its events, unless the route no longer allows it or the item
+    has waited for it too long; at another one the item starts again.
+    """
+    if run.service and _may_wait(run, now_s) and route.allows(run.service):
+        return run.service
+    return routing_table.choose_service(route, generator)
+
+
 def find_fitting(requests: abc.Sequence[ItemRequest], target: model.Target) -> int:
     """Return the position of the item that gets the slot of the first one.
 
     That is the first item as urgent as that one which need not start again at the
-    target's version, or else the first one itself.
+    target, or else the first one itself.
     """
     first = requests[0]
     for position, request in enumerate(requests):
         if (request.service, request.urgency) != (first.service, first.urgency):
             continue
-        if request.run.can_go_on_at(target.version):
+        if request.run.can_go_on_at(target):
             return position
     return 0
 
@@ -45,9 +69,14 @@
     It starts again elsewhere if no target serves that version, or none has had room.
     """
     run = request.run
-    if not run.last_event or run.version is None:
+    if run.version is None or run.service != request.service:
         return None
-    if now_s - run.ended_s > _MAX_VERSION_WAIT_S:
+    if not _may_wait(run, now_s):
         return None
     is_served = selector.serves_version(request.service, run.version)
     return run.version if is_served else None
+
+
+def _may_wait(run: owned_jobs.ItemRun, now_s: float) -> bool:
+    """Return whether an item has events that are worth a wait for room."""
+    return bool(run.last_event) and now_s - run.advanced_s <= _MAX_WAIT_S
--- a/src/endivevane/serving/item_sender.py
+++ b/src/endivevane/serving/item_sender.py
@@ -6,7 +6,7 @@
 import time
 from collections import abc
 
-from endivevane import logs
+from endivevane import logs, metrics
 from endivevane.quarantine import service as quarantine_service
 from endivevane.serving import (
     event_reader,
@@ -71,24 +71,18 @@
         known = self._targets.find(target.target_id)
         if known is None or known.is_draining:
             return RunEnd.NOT_RUN, 0
-        if not run.can_go_on_at(known.target.version):
-            logs.limited_info(
-                "item_restarted",
-                job=job.job_id,
-                item=run.item.item_id,
-                target=target.target_id,
-                software=known.target.version,
-                former=run.version,
-                events=run.last_event,
-            )
-            run.restart()
+        if known.target.service != target.service:
+            # The item's route may not allow the service that it has now.
+            return RunEnd.NOT_RUN, 0
+        target = known.target
+        last_event = run.last_event if run.can_go_on_at(target) else 0
         call = model.TargetCall(
             method=b"POST",
             path=run.item.path.encode("latin-1"),
             headers=self._encode_headers(job.host, run.item.headers),
             body=run.item.body,
             attempt_id=run.item.item_id.encode("latin-1"),
-            last_event_id=_get_last_event_id(run),
+            last_event_id=_encode_event_id(last_event),
             stall_timeout_s=_STALL_TIMEOUT_S,
             was_refused=target.target_id in run.refused_by,
         )
@@ -106,7 +100,9 @@
                 return RunEnd.BROKEN, status
             target_responses.check_signature(known, response.head)
             event_reader.check_content_type(known, response.head)
-            end = await self._read_events(known, run, response)
+            if last_event != run.last_event:
+                _restart(job, run, target)
+            end = await self._read_events(known, target, run, response)
             if end is RunEnd.COMPLETED:
                 known.health.record_success()
             return end, status
@@ -114,11 +110,15 @@
     async def _read_events(
         self,
         known: target_registry.KnownTarget,
+        target: model.Target,
         run: owned_jobs.ItemRun,
         response: target_client.TargetResponse,
     ) -> RunEnd:
-        version = known.target.version
-        sequence = event_sequence.EventSequence(_get_last_event_id(run))
+        """Add the events of a response to an item.
+
+        :param target: the target as it was when it got the item
+        """
+        sequence = event_sequence.EventSequence(_encode_event_id(run.last_event))
         reader = event_reader.EventReader(known, sequence)
         has_event = False
         size = sum(len(piece) for piece in run.pieces)
@@ -130,7 +130,7 @@
                     has_event = True
                     segments = self._decode_segments(run.item.headers)
                     self._quarantine.record_answer_on(segments)
-                run.add_event(event, version)
+                run.add_event(event, target)
             reader.check()
             if size > _MAX_OUTPUT_BYTES:
                 return RunEnd.BROKEN
@@ -145,6 +145,23 @@
             self._targets.record_replaced(known.target)
 
 
-def _get_last_event_id(run: owned_jobs.ItemRun) -> bytes:
-    """Return the id of the last event of an item, empty before the first one."""
-    return str(run.last_event).encode() if run.last_event else b""
+def _restart(job: jobs.Job, run: owned_jobs.ItemRun, target: model.Target) -> None:
+    """Drop the events of an item that starts again at a target."""
+    metrics.BATCH_RESTARTS.inc()
+    logs.limited_info(
+        "item_restarted",
+        job=job.job_id,
+        item=run.item.item_id,
+        target=target.target_id,
+        service=target.service,
+        software=target.version,
+        former_service=run.service,
+        former=run.version,
+        events=run.last_event,
+    )
+    run.restart()
+
+
+def _encode_event_id(number: int) -> bytes:
+    """Return the id of an event, empty for none."""
+    return str(number).encode() if number else b""
--- a/src/endivevane/serving/job_runner.py
+++ b/src/endivevane/serving/job_runner.py
@@ -21,7 +21,6 @@
     owned_jobs,
     preemption,
     result_commits,
-    routing_table,
     runner_dependencies,
     slot_registry,
 )
@@ -178,7 +177,9 @@
                 self._handle_missing_route(owned, run, now_s)
                 continue
             run.routeless_since_s = 0.0
-            service = routing_table.choose_service(route, self._dependencies.generator)
+            service = item_requests.choose_service(
+                run, route, self._dependencies.generator, now_s
+            )
             waiting[service] += 1
             requests.append(
                 item_requests.ItemRequest(urgency, owned, run, route, service)
@@ -293,7 +294,8 @@
             self._estimates.record_run(received, run_s)
             run.task = None
             run.slot = None
-            run.ended_s = time.monotonic()
+            if received:
+                run.advanced_s = time.monotonic()
             self._dependencies.slots.release(slot, run_s)
             self._finish_run(owned, run, route, end, received > 0)
             metrics.BATCH_ITEMS.labels(end.value).inc()
@@ -302,6 +304,7 @@
                 job=owned.job_id,
                 item=run.item.item_id,
                 target=target.target_id,
+                service=run.service,
                 software=run.version,
                 end=end.value,
                 run_ms=int(run_s * 1000),
--- a/src/endivevane/serving/jobs.py
+++ b/src/endivevane/serving/jobs.py
@@ -41,11 +41,13 @@
     :param pieces: data of the events up to the last one
     :param version: software version of the targets that sent them, ``None`` if an
         earlier release has stored them without it
+    :param service: service of these targets, ``None`` likewise
     """
 
     last_event: int
     pieces: abc.Sequence[bytes]
     version: str | None = None
+    service: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -289,7 +291,8 @@
 def encode_progress(progress: Progress) -> bytes:
     """Return the value of a progress row, compressed."""
     text = [piece.decode("latin-1") for piece in progress.pieces]
-    fields = (progress.last_event, text, progress.version)
+    # Earlier releases read the first two or three fields and leave out the others.
+    fields = (progress.last_event, text, progress.version, progress.service)
     return zlib.compress(orjson.dumps(fields), _COMPRESSION_LEVEL)
 
 
@@ -299,7 +302,7 @@
     :raises ValueError: when the value is not one of a progress row
     """
     last_event, text, *rest = json_fields.read_list(orjson.loads(_decompress(value)))
-    version = rest[0] if rest else None
+    version, service, *_ = (*rest, None, None)
     pieces = [
         json_fields.read_text(piece, _MAX_CONTENT_BYTES).encode("latin-1")
         for piece in json_fields.read_list(text)
@@ -308,6 +311,7 @@
         json_fields.read_count(last_event),
         pieces,
         None if version is None else json_fields.read_text(version),
+        None if service is None else json_fields.read_text(service),
     )
 
 
--- a/src/endivevane/serving/model.py
+++ b/src/endivevane/serving/model.py
@@ -67,6 +67,10 @@
         """Whether its responses are streams that may go on at another target."""
         return self.kind is RouteKind.STREAMING and self.is_resumable
 
+    def allows(self, service: str) -> bool:
+        """Whether a service gets a share of the requests."""
+        return any(item.name == service and item.weight > 0 for item in self.services)
+
     @property
     def is_idempotent(self) -> bool:
         """Whether a request may run more than once."""
--- a/src/endivevane/serving/owned_jobs.py
+++ b/src/endivevane/serving/owned_jobs.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import dataclasses
+import time
 
-from endivevane.serving import job_registry, jobs, slot_registry, sse
+from endivevane.serving import job_registry, jobs, model, slot_registry, sse
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -14,7 +15,9 @@
 
     :ivar pieces: data of the events received so far
     :ivar last_event: number of the last event, 0 for none
-    :ivar version: software version of the events, ``None`` before the first one
+    :ivar service: service of the targets that sent the events, ``None`` before the
+        first one
+    :ivar version: software version of these targets, ``None`` likewise
     :ivar received_events: number of events of all runs
     :ivar stored_event: number of the last event whose data the store holds
     :ivar refused_by: targets that have refused it
@@ -25,12 +28,14 @@
         it has one
     :ivar slot: slot that it occupies, ``None`` while it does not run
     :ivar started_s: monotonic time at which the current run started
-    :ivar ended_s: monotonic time at which the last run ended
+    :ivar advanced_s: monotonic time at which the last run with a new event ended, or
+        at which stored events were restored
     """
 
     item: jobs.Item
     pieces: list[bytes] = dataclasses.field(default_factory=list)
     last_event: int = 0
+    service: str | None = None
     version: str | None = None
     received_events: int = 0
     stored_event: int = 0
@@ -41,35 +46,41 @@
     routeless_since_s: float = 0.0
     slot: slot_registry.Slot | None = None
     started_s: float = 0.0
-    ended_s: float = 0.0
+    advanced_s: float = 0.0
     task: asyncio.Task[None] | None = None
 
-    def add_event(self, event: sse.Event, version: str) -> None:
-        """Add the next event.
-
-        :param version: software version of the target that sent it
-        """
-        self.version = version
+    def add_event(self, event: sse.Event, target: model.Target) -> None:
+        """Add the next event, which a target sent."""
+        self.service = target.service
+        self.version = target.version
         self.received_events += 1
         if event.event_id:
             self.last_event = int(event.event_id)
         if event.data is not None:
             self.pieces.append(event.data)
 
-    def can_go_on_at(self, version: str) -> bool:
-        """Return whether a target of a version may go on behind the last event."""
-        return not self.last_event or self.version == version
+    def can_go_on_at(self, target: model.Target) -> bool:
+        """Return whether a target may go on behind the last event.
+
+        Texts of other services, and of other versions of one service, don't fit to it.
+        """
+        if not self.last_event:
+            return True
+        return (self.service, self.version) == (target.service, target.version)
 
     def restart(self) -> None:
         """Drop the events received so far."""
         self.pieces.clear()
         self.last_event = 0
         self.stored_event = 0
+        self.service = None
         self.version = None
 
     def restore(self, progress: jobs.Progress) -> None:
         """Resume from the progress that an earlier owner has stored."""
+        self.service = progress.service
         self.version = progress.version
+        self.advanced_s = time.monotonic()
         self.pieces = list(progress.pieces)
         self.last_event = progress.last_event
         self.stored_event = progress.last_event
--- a/src/endivevane/serving/result_commits.py
+++ b/src/endivevane/serving/result_commits.py
@@ -190,7 +190,9 @@
         for run in owned.runs.values():
             if run.last_event - run.stored_event < min_new_events:
                 continue
-            progress = jobs.Progress(run.last_event, run.pieces, run.version)
+            progress = jobs.Progress(
+                run.last_event, run.pieces, run.version, run.service
+            )
             value = jobs.encode_progress(progress)
             is_full = size + len(value) > _MAX_BYTES or len(puts) >= _MAX_PROGRESS_ROWS
             if is_full or len(value) > jobs.ROW_BYTES:
