Free the slot of an item whose run is cancelled before its first step

An item whose slot was taken back, or whose job ended, in the moment between the grant and the first step of its task never ran again and held its slot for good, at the owner and in what it reports to the others: only the task's own code freed the slot, and a task that is cancelled before its first step runs none of it. It needs a message that the event loop has read in the same turn. The end of the task frees the slot now. By reading, no other task of serving/ that holds a slot can end so: an attempt of an online request is cancelled by its request only, which waits for it first.

--- a/features/support/item_world.py
+++ b/features/support/item_world.py
@@ -12,6 +12,7 @@
     job_changes,
     jobs,
     model,
+    slot_registry,
 )
 from features.support import job_world, serving_fakes
 
@@ -104,6 +105,22 @@
         return make_event(self._run.service, self._run.item_id, self._number)
 
 
+class ObservedSlots(slot_registry.SlotRegistry):
+    """Slots whose first grant is told.
+
+    :ivar on_first: called with the first slot, before its item runs
+    """
+
+    on_first = None
+
+    def hold(self, *arguments, **named):
+        slot = super().hold(*arguments, **named)
+        if self.on_first is not None:
+            self.on_first(slot)
+            self.on_first = None
+        return slot
+
+
 def make_piece(service, item_id, number):
     return f"{service} {item_id} {number}".encode()
 
@@ -144,6 +161,7 @@
         self.rows = serving_fakes.FakeStore()
         self.targets = ScriptedTargets()
         self.fleet = serving_fakes.Fleet([])
+        self.slots = ObservedSlots(self.fleet.board)
         self.set_route(weights)
         self.items = tuple(
             jobs.Item(f"item{number}", _PATH, {"Model": "m"}, b"body", 10)
@@ -192,7 +210,7 @@
 
     def _run(self, daemon, entry, stored):
         runner = job_world.make_runner(
-            daemon, self.fleet, self.targets, lambda: self.table
+            daemon, self.fleet, self.targets, lambda: self.table, self.slots
         )
         self.tasks.append(asyncio.ensure_future(runner.run()))
         runner.start_job(entry, self.items, stored)
--- a/features/support/job_world.py
+++ b/features/support/job_world.py
@@ -45,10 +45,11 @@
     )
 
 
-def make_runner(daemon, fleet, caller, get_table):
+def make_runner(daemon, fleet, caller, get_table, slots=None):
     """Return the job runner of a daemon.
 
     :param get_table: returns the routing table in force
+    :param slots: registry of its slots, ``None`` for a new one
     """
     return job_runner.JobRunner(
         runner_dependencies.RunnerDependencies(
@@ -56,7 +57,9 @@
             load_table=fleet.board,
             choices=fleet.choices,
             slots=batch_slots.BatchSlots(
-                fleet.choices, fleet.board, slot_registry.SlotRegistry(fleet.board)
+                fleet.choices,
+                fleet.board,
+                slots or slot_registry.SlotRegistry(fleet.board),
             ),
             caller=caller,
             row_store=daemon.rows,
--- a/src/endivevane/serving/job_runner.py
+++ b/src/endivevane/serving/job_runner.py
@@ -251,6 +251,17 @@
         run.slot = slot
         run.started_s = time.monotonic()
         run.task = asyncio.ensure_future(self._run_item(owned, run, route, slot))
+        # A task that is cancelled before its first step runs no line of its own.
+        run.task.add_done_callback(lambda _: self._free_slot(run, slot))
+
+    def _free_slot(self, run: owned_jobs.ItemRun, slot: slot_registry.Slot) -> None:
+        """Free the slot of an item whose run has ended, unless it is free."""
+        if run.slot is not slot:
+            return
+        run.task = None
+        run.slot = None
+        held_s = time.monotonic() - run.started_s
+        self._dependencies.slots.release(slot, held_s)
 
     def _preempt(self) -> None:
         """Cancel items on targets that online requests need, without a coordinator."""
@@ -292,11 +303,9 @@
             run_s = time.monotonic() - run.started_s
             received = run.received_events - received_before
             self._estimates.record_run(received, run_s)
-            run.task = None
-            run.slot = None
             if received:
                 run.advanced_s = time.monotonic()
-            self._dependencies.slots.release(slot, run_s)
+            self._free_slot(run, slot)
             self._finish_run(owned, run, route, end, received > 0)
             metrics.BATCH_ITEMS.labels(end.value).inc()
             logs.limited_info(
