Send no request to a target that has changed its service

The entry of a target may name another service between the grant of a slot and the call, under the same id and run. The request then reached a service that its route does not allow; only the version was compared.

--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -167,6 +167,35 @@
     context.fleet = version_world.Fleet({"a": "v1", "b": "v2"}, maxAttempts=3)
 
 
+@when(
+    "a client requests a stream, and the entry of its first target names another "
+    "service"
+)
+def step_entry_service(context):
+    async def act(fleet, daemon):
+        await _age_plan(fleet)
+        begin = daemon.loads.begin
+        context.changed = []
+
+        def change_entry(target_id, is_batch):
+            begin(target_id, is_batch)
+            if not context.changed:
+                context.changed.append(fleet.replicas[target_id])
+                daemon.register(context.changed[0], 500, service="lm2")
+
+        daemon.loads.begin = change_entry
+        context.streams = _make_streams(1)
+        await version_world.request_all(daemon, context.streams)
+
+    _play(context, act)
+
+
+@then("that target has run nothing")
+def step_changed_runs_nothing(context):
+    (target,) = context.changed
+    assert not target.runs, target.runs
+
+
 def _route_to(first):
     if first == "the one":
         return {"service": "lm"}
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -80,6 +80,14 @@
       | both     | stays                    | all streams are whole    |
       | the one  | moves to the other       | no stream has gone on    |
 
+  # Guards against a stream at a service that its route does not allow, since the entry of
+  # its target has changed while the slot was on its way.
+  Scenario: A stream whose target has just changed its service goes to another one
+    Given targets a v1, b v1 of one service
+    When a client requests a stream, and the entry of its first target names another service
+    Then all streams are whole
+    And that target has run nothing
+
   # Guards against a stream that began at another version than the plan assigns to it, since
   # the targets of that one could not be reached for a moment, and that is resumed at the
   # assigned one after all daemons were killed; and against clients that wait for it.
--- a/src/endivevane/serving/attempt_runner.py
+++ b/src/endivevane/serving/attempt_runner.py
@@ -96,6 +96,11 @@
                 progress.causes.append("target left")
                 progress.refused_by.add(target.target_id)
                 return None
+            if known.target.service != target.service:
+                # The route may not allow the service that it has now.
+                progress.causes.append("another service")
+                progress.refused_by.add(target.target_id)
+                return None
             if progress.stream_version not in (None, known.target.version):
                 progress.causes.append("another version")
                 progress.refused_by.add(target.target_id)
