--- a/features/steps/fuzzing_steps.py
+++ b/features/steps/fuzzing_steps.py
@@ -4,6 +4,7 @@
     fuzz_feed,
     fuzz_lease,
     fuzz_membership,
+    fuzz_pages,
     fuzz_shares,
     fuzzing,
 )
@@ -20,6 +21,9 @@
     "forgetful membership": fuzz_membership.ForgetfulMachine,
     "shares": fuzz_shares.SharesMachine,
     "late shares": fuzz_shares.LateSharesMachine,
+    "pages": fuzz_pages.PagesMachine,
+    "last version": fuzz_pages.LastVersionMachine,
+    "hasty deletion": fuzz_pages.HastyDeletionMachine,
     "hasty shares": fuzz_shares.HastySharesMachine,
 }
 
--- a/src/endivevane/entry/inspection.py
+++ b/src/endivevane/entry/inspection.py
@@ -9,7 +9,7 @@
 from endivevane.entry import membership
 from endivevane.platform import records, table_store
 from endivevane.quarantine import rows as quarantine_rows
-from endivevane.serving import http_client, jobs, model, store
+from endivevane.serving import full_read, http_client, jobs, model, store
 
 _CONNECT_TIMEOUT_S = 2.0
 
@@ -131,7 +131,7 @@
 
         :raises failures.StoreFailure: when the store does not answer
         """
-        page = await self._store.read_rows(records.TARGETS_TABLE, "")
+        page = await full_read.read_all(self._store, records.TARGETS_TABLE, "")
         return [_view_target(row) for row in page.rows]
 
     async def read_configuration(self) -> model.Configuration | None:
@@ -140,7 +140,7 @@
         :raises failures.StoreFailure: when the store does not answer
         :raises exceptions.ProtocolError: when it is invalid
         """
-        page = await self._store.read_rows(records.CONFIGURATION_TABLE, "")
+        page = await full_read.read_all(self._store, records.CONFIGURATION_TABLE, "")
         for row in page.rows:
             if row.row_key.key == records.CONFIGURATION_KEY and row.value is not None:
                 return records.decode_configuration(row.value)
@@ -186,8 +186,8 @@
 
     async def _read_state(self, prefix: str) -> tuple[store.Row, ...]:
         end = prefix[:-1] + chr(ord(prefix[-1]) + 1)
-        page = await self._store.read_rows(
-            jobs.STATE_TABLE, jobs.PARTITION, prefix, end
+        page = await full_read.read_all(
+            self._store, jobs.STATE_TABLE, jobs.PARTITION, prefix, end
         )
         return page.rows
 
--- a/src/endivevane/metrics.py
+++ b/src/endivevane/metrics.py
@@ -49,6 +49,16 @@
     "Time since a copy of a table was known to be the store's, by table.",
     ["table"],
 )
+FULL_READS = prometheus_client.Counter(
+    "endivevane_full_reads",
+    "Reads of all rows of a range, by table and outcome.",
+    ["table", "outcome"],
+)
+READ_PAGES = prometheus_client.Counter(
+    "endivevane_read_pages",
+    "Pages that reads of the store have had, by table.",
+    ["table"],
+)
 VERSION_PLANS = prometheus_client.Counter(
     "endivevane_version_plans",
     "Plans of software versions that this daemon wrote, by outcome.",
--- a/src/endivevane/platform/store_relay.py
+++ b/src/endivevane/platform/store_relay.py
@@ -120,7 +120,7 @@
                 "value": base64.b64encode(row.value or b"").decode(),
                 "ver": row.version,
             }
-            for row in followed.rows.values()
+            for _, row in sorted(followed.rows.items())
             if start <= row.row_key.key and (not end or row.row_key.key < end)
         ]
         content = {"rows": rows, "hasMore": False, "ver": followed.version, "nowMs": 0}
--- a/src/endivevane/platform/table_store.py
+++ b/src/endivevane/platform/table_store.py
@@ -45,27 +45,20 @@
     async def read_rows(
         self, table: str, partition: str, start: str = "", end: str = ""
     ) -> store.RowPage:
-        """Return the rows of a partition in ``[start, end)``, from all pages."""
-        rows: list[store.Row] = []
-        age_s = 0.0
-        while True:
-            query = {"table": table, "part": partition, "limit": str(_PAGE_ROWS)}
-            if start:
-                query["from"] = start
-            if end:
-                query["to"] = end
-            path = "/api/rows-get?" + urllib.parse.urlencode(query)
-            content = await self._call("rows-get", b"GET", path, b"")
-            page = _decode_rows(content)
-            rows.extend(page)
-            age_s = max(age_s, _decode_age_s("rows-get", content))
-            if not content.get("hasMore"):
-                version = _decode_version("rows-get", content)
-                return store.RowPage(tuple(rows), version, age_s=age_s)
-            if not page:
-                raise failures.StoreUncertain("rows-get", "a page without rows")
-            # The next page starts directly after the last key.
-            start = rows[-1].row_key.key + "\0"
+        """Return the first rows of a partition in ``[start, end)``, one page."""
+        query = {"table": table, "part": partition, "limit": str(_PAGE_ROWS)}
+        if start:
+            query["from"] = start
+        if end:
+            query["to"] = end
+        path = "/api/rows-get?" + urllib.parse.urlencode(query)
+        content = await self._call("rows-get", b"GET", path, b"")
+        return store.RowPage(
+            tuple(_decode_rows(content)),
+            _decode_version("rows-get", content),
+            bool(content.get("hasMore")),
+            _decode_age_s("rows-get", content),
+        )
 
     async def apply(self, change: store.Transaction) -> store.Applied | store.Conflict:
         """Apply a transaction."""
--- a/src/endivevane/serving/failures.py
+++ b/src/endivevane/serving/failures.py
@@ -72,6 +72,10 @@
     """The store no longer has the changes after the requested version."""
 
 
+class StoreInconsistent(StoreFailure):
+    """Pages of one read contradict one another, or have no end."""
+
+
 class StoreBadRequest(StoreFailure):
     """The store rejected a call as invalid."""
 
--- a/src/endivevane/serving/follower.py
+++ b/src/endivevane/serving/follower.py
@@ -7,8 +7,8 @@
 import time
 from collections import abc
 
-from endivevane import logs
-from endivevane.serving import copy_age, failures, newest_version, store
+from endivevane import logs, metrics
+from endivevane.serving import copy_age, failures, full_read, newest_version, store
 
 # A poll with this many rows may have left out later changes.
 _MAX_POLLED_ROWS = 500
@@ -18,6 +18,12 @@
 _MAX_BACKOFF_S = 0.5
 # The store counts as unavailable after this time without a response.
 _UNAVAILABLE_AFTER_S = 1.0
+# A daemon without a copy that has failed so many times to read a further page asks for
+# all rows again.
+_FAILED_UNTIL_WHOLE = 3
+# After this many failures in a row a table of many pages is read in full: the store
+# may serve rows and no changes.
+_MAX_FAILED_POLLS = 3
 # Pause after an empty response, to limit the rate of polls.
 _EMPTY_POLL_PAUSE_S = 0.02
 
@@ -25,7 +31,10 @@
 class TableFollower:
     """Keeps a copy of one partition of a table and reports each change.
 
-    Versions never go back: a read that is older than the copy is ignored.
+    Versions never go back: a read that is older than the copy is ignored. A full read
+    is applied as a whole once its last page is there. It is complete up to the version
+    of its first page; what has changed since is read from the history, or by another
+    full read if the history is gone.
 
     :param on_row: called for each new version of a row, deletions included
     :param on_recovery: called when the store is available again
@@ -65,6 +74,10 @@
         self._advanced = asyncio.Event()
         self._is_unavailable = False
         self._is_from_memory = False
+        # Pages of a full read, kept while the next one can't be read.
+        self._reading: full_read.FullRead | None = None
+        # Pages of the last full read.
+        self._pages = 0
 
     @property
     def is_loaded(self) -> bool:
@@ -77,33 +90,42 @@
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
-        backoff_s = _INITIAL_BACKOFF_S
-        must_read = True
+        failing, rereading = _Backoff(), _Backoff()
+        # Whether the next call is a full read, and whether the last one was.
+        must_read, is_reread = True, False
         while True:
             try:
                 if must_read:
                     must_read = not await self._read_all()
+                    is_reread = True
                 else:
-                    await self._read_changes()
+                    # After a failure, an answer soon shows that the store is back.
+                    wait_s = 0.0 if failing.pauses else _POLL_WAIT_S
+                    await self._read_changes(wait_s)
+                    is_reread = False
+                    rereading.reset()
             except failures.StoreHistoryGone:
                 logs.limited_info(
                     "store_history_gone", table=self._table, version=self.version
                 )
                 must_read = True
+                if is_reread:
+                    # The history was gone again before it could be read.
+                    await rereading.pause()
                 continue
             except failures.StoreFailure as error:
                 self._record_failure(error)
-                must_read = True
-                await asyncio.sleep(backoff_s * random.uniform(0.5, 1.0))
-                backoff_s = min(_MAX_BACKOFF_S, backoff_s * 2)
+                is_short = self._pages <= 1
+                if is_short or failing.pauses >= _MAX_FAILED_POLLS:
+                    must_read = True
+                await failing.pause()
                 continue
             if self._is_from_memory:
                 # A relay without the store has answered: the copy is only loaded.
-                await asyncio.sleep(backoff_s * random.uniform(0.5, 1.0))
-                backoff_s = min(_MAX_BACKOFF_S, backoff_s * 2)
+                await failing.pause()
                 continue
             self._record_success()
-            backoff_s = _INITIAL_BACKOFF_S
+            failing.reset()
             if must_read:
                 await asyncio.sleep(_INITIAL_BACKOFF_S)
 
@@ -151,31 +173,59 @@
 
     async def _read_all(self) -> bool:
         """Read all rows; return ``False`` if the read is older than the copy."""
-        sent_s = copy_age.read_clock_s()
-        page = await self._store.read_rows(self._table, self._partition)
-        self._is_from_memory = page.age_s > 0
-        if page.version < self.version:
+        found = await self._finish_read()
+        self._is_from_memory = found.age_s > 0
+        if found.version < self.version:
+            metrics.FULL_READS.labels(self._table, "outdated").inc()
             return False
         seen = set()
-        for row in page.rows:
+        for row in found.rows:
             seen.add(row.row_key.key)
             self.apply_row(row)
         for key in [key for key in self.rows if key not in seen]:
-            if self.rows[key].version <= page.version:
+            version = found.find_version(key)
+            # A row that was written after its page was read may still exist.
+            if self.rows[key].version <= version:
                 row_key = self.rows[key].row_key
-                self.apply_row(store.Row(row_key, None, page.version + 1))
-                self._deleted[key] = page.version
-        self._advance(page.version)
-        self.age.confirm(sent_s - page.age_s)
+                self.apply_row(store.Row(row_key, None, version + 1))
+                self._deleted[key] = version
+        self._pages = len(found.versions)
+        self._advance(found.version)
+        self.age.confirm(found.as_of_s)
         if self._on_loaded is not None:
             self._on_loaded()
         return True
 
-    async def _read_changes(self) -> None:
+    async def _finish_read(self) -> full_read.JoinedRows:
+        """Read all pages, or those that are left if an earlier call has failed."""
+        reading = self._reading
+        if reading is None:
+            reading = full_read.FullRead(self._store, self._table, self._partition)
+            self._reading = reading
+        try:
+            found = await reading.finish()
+        except failures.StoreInconsistent:
+            self._reading = None
+            raise
+        except failures.StoreFailure:
+            metrics.FULL_READS.labels(self._table, "delayed").inc()
+            if not reading.has_begun:
+                self._reading = None
+                raise
+            logs.limited_info(
+                "store_read_delayed", table=self._table, pages=reading.pages
+            )
+            if self.is_loaded or reading.failed % _FAILED_UNTIL_WHOLE:
+                raise
+            # A relay that has lost the store gives all rows from its memory at once,
+            # and no further pages.
+            found = await self._read_at_once()
+        self._reading = None
+        return found
+
+    async def _read_changes(self, wait_s: float) -> None:
         sent_s = copy_age.read_clock_s()
-        page = await self._store.wait_for_changes(
-            self._table, self.version, _POLL_WAIT_S
-        )
+        page = await self._store.wait_for_changes(self._table, self.version, wait_s)
         self._is_from_memory = False
         if len(page.rows) < _MAX_POLLED_ROWS:
             self.age.confirm(sent_s)
@@ -187,6 +237,17 @@
         if is_empty or self._coalesce_s:
             await asyncio.sleep(max(_EMPTY_POLL_PAUSE_S, self._coalesce_s))
 
+    async def _read_at_once(self) -> full_read.JoinedRows:
+        """Read all rows as one page.
+
+        :raises failures.StoreFailure: when there are more pages
+        """
+        reading = full_read.FullRead(self._store, self._table, self._partition)
+        await reading.read_page()
+        if not reading.is_complete:
+            raise failures.StoreRefused("rows-get", "more pages")
+        return await reading.finish()
+
     def _advance(self, version: int) -> None:
         self.version = version
         self.newest.record(version)
@@ -207,3 +268,25 @@
             return
         self._is_unavailable = True
         logs.info("store_lost", table=self._table, cause=error.cause)
+
+
+class _Backoff:
+    """Pauses that grow until they are reset.
+
+    :ivar pauses: number of pauses since then
+    """
+
+    def __init__(self) -> None:
+        self.pauses = 0
+        self._pause_s = _INITIAL_BACKOFF_S
+
+    async def pause(self) -> None:
+        """Wait, longer at each call."""
+        await asyncio.sleep(self._pause_s * random.uniform(0.5, 1.0))
+        self._pause_s = min(_MAX_BACKOFF_S, self._pause_s * 2)
+        self.pauses += 1
+
+    def reset(self) -> None:
+        """Start again with the shortest pause."""
+        self.pauses = 0
+        self._pause_s = _INITIAL_BACKOFF_S
--- a/src/endivevane/serving/job_changes.py
+++ b/src/endivevane/serving/job_changes.py
@@ -9,7 +9,15 @@
 from collections import abc
 
 from endivevane import logs
-from endivevane.serving import failures, follower, job_registry, jobs, model, store
+from endivevane.serving import (
+    failures,
+    follower,
+    full_read,
+    job_registry,
+    jobs,
+    model,
+    store,
+)
 
 _RETRY_INTERVAL_S = 0.08
 # Attempts to accept a job stop this long before the client's deadline, so that the
@@ -75,6 +83,9 @@
         is_payload_stored = bool(job.chunks)
         cause = "no time left"
         while time.monotonic() < submission.until_s - _RESPONSE_MARGIN_S:
+            if not await self._complete_count(submission):
+                cause = "jobs not known"
+                continue
             self._check_quota(submission, job, is_uncertain)
             try:
                 if not is_payload_stored:
@@ -158,8 +169,12 @@
         :raises failures.StoreFailure: when they can't be read
         """
         if job.chunks:
-            page = await self._store.read_rows(
-                jobs.PAYLOAD_TABLE, jobs.PARTITION, job.job_id + "/", job.job_id + "0"
+            page = await full_read.read_all(
+                self._store,
+                jobs.PAYLOAD_TABLE,
+                jobs.PARTITION,
+                job.job_id + "/",
+                job.job_id + "0",
             )
             payload = b"".join(row.value or b"" for row in page.rows)
         else:
@@ -177,7 +192,8 @@
 
         :raises failures.StoreFailure: when they can't be read
         """
-        page = await self._store.read_rows(
+        page = await full_read.read_all(
+            self._store,
             jobs.RESULT_TABLE,
             jobs.PARTITION,
             jobs.make_result_prefix(job_id, start),
@@ -190,8 +206,8 @@
 
         :raises failures.StoreFailure: when it can't be read
         """
-        page = await self._store.read_rows(
-            jobs.PROGRESS_TABLE, jobs.PARTITION, job_id + "/", job_id + "0"
+        page = await full_read.read_all(
+            self._store, jobs.PROGRESS_TABLE, jobs.PARTITION, job_id + "/", job_id + "0"
         )
         progress = {}
         for row in page.rows:
@@ -260,17 +276,28 @@
         conditions = [store.Condition(row_key, 0)]
         puts = [(row_key, jobs.encode_job(job)), *rows]
         if submission.route.token_quota:
-            quota_key = store.RowKey(
-                jobs.STATE_TABLE,
-                jobs.PARTITION,
-                jobs.QUOTA_PREFIX + submission.route.name,
-            )
-            known = self._state.rows.get(quota_key.key)
-            version = 0 if known is None else known.version
+            quota_key = _make_quota_key(submission.route)
+            version = self._find_quota_version(submission.route)
             conditions.append(store.Condition(quota_key, version))
             puts.append((quota_key, job.job_id.encode()))
         return store.Transaction(tuple(conditions), tuple(puts))
 
+    def _find_quota_version(self, route: model.Route) -> int:
+        known = self._state.rows.get(_make_quota_key(route).key)
+        return 0 if known is None else known.version
+
+    async def _complete_count(self, submission: Submission) -> bool:
+        """Wait until the copy has all jobs that the quota row stands for.
+
+        A full read may have brought the quota row by a later page than the jobs that
+        were accepted before it was written.
+        """
+        if not submission.route.token_quota:
+            return True
+        version = self._find_quota_version(submission.route)
+        left_s = submission.until_s - _RESPONSE_MARGIN_S - time.monotonic()
+        return await self._state.wait_until(version, left_s)
+
     def _check_quota(
         self, submission: Submission, job: jobs.Job, is_uncertain: bool
     ) -> None:
@@ -313,6 +340,12 @@
         await self._state.wait_until(newest, _CATCH_UP_TIMEOUT_S)
 
 
+def _make_quota_key(route: model.Route) -> store.RowKey:
+    return store.RowKey(
+        jobs.STATE_TABLE, jobs.PARTITION, jobs.QUOTA_PREFIX + route.name
+    )
+
+
 def _split_payload(job: jobs.Job, payload: bytes) -> list[tuple[store.RowKey, bytes]]:
     """Return the rows of a payload, none if it is stored as an object."""
     if not job.chunks:
--- a/src/endivevane/serving/job_sweeper.py
+++ b/src/endivevane/serving/job_sweeper.py
@@ -7,7 +7,14 @@
 
 from endivevane import logs
 from endivevane.coordination import rendezvous
-from endivevane.serving import failures, job_registry, jobs, peer_registry, store
+from endivevane.serving import (
+    failures,
+    full_read,
+    job_registry,
+    jobs,
+    peer_registry,
+    store,
+)
 
 _SWEEP_INTERVAL_S = 5.0
 # Margin for clock skew between VMs and for clients that read late.
@@ -62,8 +69,8 @@
             jobs.RESULT_TABLE,
             jobs.PROGRESS_TABLE,
         ):
-            page = await self._store.read_rows(
-                table, jobs.PARTITION, job_id + "/", job_id + "0"
+            page = await full_read.read_all(
+                self._store, table, jobs.PARTITION, job_id + "/", job_id + "0"
             )
             keys.extend(row.row_key for row in page.rows)
         for start in range(0, len(keys), _MAX_DELETES):
--- a/src/endivevane/serving/store.py
+++ b/src/endivevane/serving/store.py
@@ -30,9 +30,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RowPage:
-    """A consistent read of rows.
+    """Rows as of one moment.
 
     :param version: version of the store that was read
+    :param has_more: whether rows after the last one are left out
     :param age_s: how long before the call the read was complete; above 0 if a relay
         answered from its memory
     """
@@ -87,7 +88,10 @@
     async def read_rows(
         self, table: str, partition: str, start: str = "", end: str = ""
     ) -> RowPage:
-        """Return the rows of a partition in ``[start, end)``, all pages joined."""
+        """Return the first rows of a partition in ``[start, end)``, one page.
+
+        Pages of one range are of different moments; :mod:`full_read` joins them.
+        """
 
     async def apply(self, transaction: Transaction) -> Applied | Conflict:
         """Apply a transaction."""
--- a/src/endivevane/stream_versions/plan_reader.py
+++ b/src/endivevane/stream_versions/plan_reader.py
@@ -7,7 +7,7 @@
 from collections import abc
 
 from endivevane import logs, metrics
-from endivevane.serving import copy_age, failures, jobs, store
+from endivevane.serving import failures, full_read, jobs, store
 from endivevane.stream_versions import plan_table, rows
 
 # Reads a second that all daemons together use at most.
@@ -63,14 +63,17 @@
 
         :raises failures.StoreFailure: when neither the store nor a relay answers
         """
-        sent_s = copy_age.read_clock_s()
-        page = await self._store.read_rows(
-            jobs.STATE_TABLE, jobs.PARTITION, rows.PLAN_PREFIX, rows.PLAN_END
+        page = await full_read.read_all(
+            self._store,
+            jobs.STATE_TABLE,
+            jobs.PARTITION,
+            rows.PLAN_PREFIX,
+            rows.PLAN_END,
         )
         for row in page.rows:
             self._table.apply_row(row)
         self._table.is_loaded = True
-        self._table.age.confirm(sent_s - page.age_s)
+        self._table.age.confirm(page.as_of_s)
         return not page.age_s
 
     async def _read_once(self) -> None:
--- a/src/endivevane/stream_versions/plan_writer.py
+++ b/src/endivevane/stream_versions/plan_writer.py
@@ -11,6 +11,7 @@
 from endivevane.coordination import rendezvous
 from endivevane.serving import (
     failures,
+    page_reader,
     peer_registry,
     store,
     store_clock,
@@ -156,18 +157,29 @@
         self._sweep_due_s = float("inf")
         now_ms = self._clock.read_ms()
         try:
-            page = await self._store.read_rows(rows.RECORD_TABLE, rows.RECORD_TABLE)
+            has_kept = await self._delete_expired(now_ms)
+        except failures.StoreFailure as error:
+            logs.limited_info("stream_records_kept", cause=error)
+            self._sweep_due_s = time.monotonic() + _SWEEP_INTERVAL_S
+            return
+        if has_kept:
+            self._sweep_due_s = time.monotonic() + _SWEEP_INTERVAL_S
+
+    async def _delete_expired(self, now_ms: int | None) -> bool:
+        """Delete the expired records, page by page; return whether others are kept."""
+        has_kept = False
+        reader = page_reader.PageReader(
+            self._store, rows.RECORD_TABLE, rows.RECORD_TABLE
+        )
+        while not reader.is_complete:
+            page = await reader.read_next()
             expired = [
                 row.row_key
                 for row in page.rows
                 if now_ms is not None and rows.is_expired(row, now_ms - KEEP_MS)
             ]
+            has_kept = has_kept or len(expired) < len(page.rows)
             for start in range(0, len(expired), _MAX_DELETES):
                 deletes = tuple(expired[start : start + _MAX_DELETES])
                 await self._store.apply(store.Transaction(deletes=deletes))
-        except failures.StoreFailure as error:
-            logs.limited_info("stream_records_kept", cause=error)
-            self._sweep_due_s = time.monotonic() + _SWEEP_INTERVAL_S
-            return
-        if len(expired) < len(page.rows):
-            self._sweep_due_s = time.monotonic() + _SWEEP_INTERVAL_S
+        return has_kept
