--- a/src/endivevane/stream_versions/plan_reader.py
+++ b/src/endivevane/stream_versions/plan_reader.py
@@ -6,7 +6,7 @@
 from collections import abc
 
 from endivevane import logs, metrics
-from endivevane.serving import copy_age, failures, jobs, store
+from endivevane.serving import copy_age, failures, full_read, jobs, store
 from endivevane.stream_versions import plan_table, rows
 
 # Reads a second that all daemons together use at most, but for the first ones.
@@ -76,17 +76,21 @@
         metrics.PLAN_CONFIRMATIONS.labels(outcome).inc()
         return is_confirmed
 
-    async def load(self) -> None:
-        """Read all plans, also from the memory of a relay that has lost the store.
+    async def load(self) -> bool:
+        """Read all plans; return whether the store, and no relay's memory, answered.
 
         :raises failures.StoreFailure: when neither the store nor a relay answers
         """
-        sent_s = copy_age.read_clock_s()
-        page = await self._store.read_rows(
-            jobs.STATE_TABLE, jobs.PARTITION, rows.PLAN_PREFIX, rows.PLAN_END
+        page = await full_read.read_all(
+            self._store,
+            jobs.STATE_TABLE,
+            jobs.PARTITION,
+            rows.PLAN_PREFIX,
+            rows.PLAN_END,
         )
-        self._apply(page, sent_s)
+        self._apply(page.rows, page.as_of_s)
         self._table.is_loaded = True
+        return not page.age_s
 
     async def _read_once(self) -> None:
         """Read the plans, at the interval that the number of daemons allows."""
@@ -96,15 +100,12 @@
             page = await self._store.read_newest(
                 jobs.STATE_TABLE, jobs.PARTITION, rows.PLAN_PREFIX, rows.PLAN_END
             )
-            if page.has_more:
-                page = await self._store.read_rows(
-                    jobs.STATE_TABLE, jobs.PARTITION, rows.PLAN_PREFIX, rows.PLAN_END
-                )
-            self._apply(page, sent_s)
-            if page.age_s:
+            if not page.has_more:
+                self._apply(page.rows, sent_s)
+            elif not await self.load():
                 self._record_failure()
-            else:
-                self._failed_s = float("-inf")
+                return
+            self._failed_s = float("-inf")
         except failures.StoreFailure as error:
             logs.limited_info("version_plans_not_read", cause=error)
             self._record_failure()
@@ -117,10 +118,10 @@
         self._used_until_s = max(now_s, self._used_until_s) + interval_s
         await asyncio.sleep(self._used_until_s - _FREE_READS * interval_s - now_s)
 
-    def _apply(self, page: store.RowPage, sent_s: float) -> None:
-        for row in page.rows:
+    def _apply(self, found: abc.Iterable[store.Row], as_of_s: float) -> None:
+        for row in found:
             self._table.apply_row(row)
-        self._table.age.confirm(sent_s - page.age_s)
+        self._table.age.confirm(as_of_s)
 
     def _record_failure(self) -> None:
         now_s = copy_age.read_clock_s()
