Keep ended jobs for their retention by the steady clock too

A job's results were deleted once the time of day said so, of one machine for the time when the job was due and of another one for now. A sweeper now also waits until it has seen the job's row unchanged for the retention by its own steady clock. failed before: both examples of A job that has just ended is kept.

--- a/features/serving_state.feature
+++ b/features/serving_state.feature
@@ -131,3 +131,15 @@
     When a daemon releases a job whose first item has failed 2 times
     Then the daemon that takes the job over continues from 2 failed runs
     And it resumes the item after the 2 events received so far
+
+  # Guards against results that are deleted while clients may still read them, by a machine
+  # whose time of day is wrong, or since it was where the job was accepted.
+  Scenario Outline: A job that has just ended is kept though the time of day <steps>
+    Given a job that has ended, accepted <accepted>
+    When a daemon sweeps, <swept>
+    Then the job is still stored
+
+    Examples:
+      | steps                        | accepted              | swept                  |
+      | is stepped at the sweeper    | just now              | with a clock 1 h ahead |
+      | was wrong at the acceptor    | with a clock 1 h late | just now               |
--- a/src/endivevane/serving/job_sweeper.py
+++ b/src/endivevane/serving/job_sweeper.py
@@ -36,18 +36,30 @@
         """Delete expired jobs until cancelled."""
         while True:
             await asyncio.sleep(_SWEEP_INTERVAL_S)
-            expired_before_ms = (
-                time.time() - _RETENTION_FACTOR * self._retention_s
-            ) * 1000
-            for entry in list(self._registry.entries.values()):
-                job = entry.job
-                is_expired = not job.is_open and job.due_ms < expired_before_ms
-                if not is_expired or not self._is_assigned(job.job_id):
-                    continue
-                try:
-                    await self._delete(entry)
-                except failures.StoreFailure as error:
-                    logs.limited_info("job_not_deleted", job=job.job_id, cause=error)
+            await self.sweep()
+
+    async def sweep(self) -> None:
+        """Delete the expired jobs that are assigned to this daemon."""
+        for entry in list(self._registry.entries.values()):
+            job = entry.job
+            if not self._is_expired(entry) or not self._is_assigned(job.job_id):
+                continue
+            try:
+                await self._delete(entry)
+            except failures.StoreFailure as error:
+                logs.limited_info("job_not_deleted", job=job.job_id, cause=error)
+
+    def _is_expired(self, entry: job_registry.JobEntry) -> bool:
+        """Return whether the retention period of a job is over, by both clocks.
+
+        The time of day, by which jobs are due, may be stepped here or where the job
+        was accepted.
+        """
+        job = entry.job
+        if job.is_open or time.monotonic() - entry.changed_s < self._retention_s:
+            return False
+        expired_before_s = time.time() - _RETENTION_FACTOR * self._retention_s
+        return job.due_ms < expired_before_s * 1000
 
     def _is_assigned(self, job_id: str) -> bool:
         peers = dict.fromkeys(self._peers.list_active(), 1.0)
