Report a pause of the process before a daemon judges others by it

After a process stood still, its overdue tasks run in any order and before the heartbeats that waited are read. The takeover of jobs ran before the pause was noticed, took alive owners for dead and claimed their jobs, whose items then ran twice. Whoever decides from what it heard now asks ProcessPauses.check first; the takeover also asks how old its copy of the jobs is by the clock that runs while the VM is suspended, as of the call and not of the reading. failed before: A daemon that stood still takes no job from an owner that is alive (owner b/1).

--- a/features/serving_state.feature
+++ b/features/serving_state.feature
@@ -132,6 +132,13 @@
     Then the daemon that takes the job over continues from 2 failed runs
     And it resumes the item after the 2 events received so far
 
+  # Guards against a daemon that takes jobs from others since it has not heard them while it
+  # stood still itself: its overdue tasks run before their heartbeats are read.
+  Scenario: A daemon that stood still takes no job from an owner that is alive
+    Given a job whose owner sends heartbeats
+    When another daemon stands still for 3 s and goes on for 2 s
+    Then its owner still has the job
+
   # Guards against results that are deleted while clients may still read them, by a machine
   # whose time of day is wrong, or since it was where the job was accepted.
   Scenario Outline: A job that has just ended is kept though the time of day <steps>
--- a/features/steps/serving_state_steps.py
+++ b/features/steps/serving_state_steps.py
@@ -22,6 +22,7 @@
     jobs,
     model,
     peer_registry,
+    process_pauses,
     routing_table,
     runner_dependencies,
     slot_registry,
@@ -689,6 +690,7 @@
                 daemon.registry,
                 daemon.changes,
                 _make_runner(daemon, serving_fakes.Fleet([]), None),
+                process_pauses.ProcessPauses(),
             )
             # As if the daemons had been running for long.
             claims._warmed_up_s = 0.0
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -15,7 +15,6 @@
     graceful_stop,
     internal_servers,
     membership,
-    process_pause,
     settings,
     settings_reload,
     state_rows,
@@ -53,6 +52,7 @@
     online_service,
     peer_registry,
     peers,
+    process_pauses,
     request_router,
     runner_dependencies,
     slot_client,
@@ -88,6 +88,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._stop_requested = asyncio.Event()
         self._is_stopping = False
+        self._pauses = process_pauses.ProcessPauses()
         self._load_table = load_table.LoadTable()
         self._newest = newest_version.NewestVersion()
         self._peer_registry = peer_registry.PeerRegistry(self._identity)
@@ -149,7 +150,7 @@
             self._membership.join(),
             self._target_registry.run_expiry(),
             watch.run(),
-            process_pause.watch_process_pauses(self._on_process_pause),
+            self._pauses.watch(),
         ):
             self._tasks.append(asyncio.ensure_future(job))
         await self._stop_requested.wait()
@@ -302,7 +303,9 @@
             self._job_registry,
             self._changes,
             self._runner,
+            self._pauses,
         )
+        self._pauses.call_after(self._on_process_pause)
         self._sweeper = job_sweeper.JobSweeper(
             self._store,
             self._job_registry,
@@ -391,7 +394,6 @@
 
     def _on_process_pause(self) -> None:
         """Warm up again before any decision about others, whose state may be stale."""
-        self._takeover.record_process_pause()
         self._limits.record_process_pause()
         self._peer_registry.warmed_up_s = time.monotonic() + _WARM_UP_S
 
--- a/src/endivevane/serving/follower.py
+++ b/src/endivevane/serving/follower.py
@@ -34,7 +34,6 @@
     :param newest: records each version that is read
     :ivar rows: current rows by key
     :ivar version: version of the store up to which the copy is complete
-    :ivar confirmed_s: monotonic time of the last successful response
     :ivar age: how old the copy is
     """
 
@@ -51,7 +50,6 @@
     ) -> None:
         self.rows: dict[str, store.Row] = {}
         self.version = -1
-        self.confirmed_s = 0.0
         self.age = copy_age.CopyAge()
         self._store = rows
         self._table = table
@@ -63,6 +61,8 @@
         self.newest = newest or newest_version.NewestVersion()
         self._deleted: dict[str, int] = {}
         self._advanced = asyncio.Event()
+        # Monotonic time of the last answer of the store.
+        self._confirmed_s = 0.0
         self._is_unavailable = False
         self._is_from_memory = False
 
@@ -71,10 +71,6 @@
         """Whether all rows have been read at least once."""
         return self.version >= 0
 
-    def is_confirmed(self, now_s: float, within_s: float) -> bool:
-        """Return whether the store has confirmed the copy within a time."""
-        return self.is_loaded and now_s - self.confirmed_s <= within_s
-
     async def run(self) -> None:
         """Follow the table until cancelled."""
         backoff_s = _INITIAL_BACKOFF_S
@@ -199,11 +195,11 @@
             logs.info("store_regained", table=self._table, version=self.version)
             if self._on_recovery is not None:
                 self._on_recovery()
-        self.confirmed_s = now_s
+        self._confirmed_s = now_s
 
     def _record_failure(self, error: failures.StoreFailure) -> None:
         now_s = time.monotonic()
-        if self._is_unavailable or now_s - self.confirmed_s < _UNAVAILABLE_AFTER_S:
+        if self._is_unavailable or now_s - self._confirmed_s < _UNAVAILABLE_AFTER_S:
             return
         self._is_unavailable = True
         logs.info("store_lost", table=self._table, cause=error.cause)
--- a/src/endivevane/serving/job_takeover.py
+++ b/src/endivevane/serving/job_takeover.py
@@ -17,6 +17,7 @@
     job_runner,
     jobs,
     peer_registry,
+    process_pauses,
 )
 
 _TICK_S = 0.25
@@ -28,7 +29,7 @@
 # A job is claimed from a dead owner only after its row was unchanged for this long.
 _CLAIM_GRACE_S = 2.5
 _CLAIM_TIMEOUT_S = 2.0
-# No claims while the store's last response is older than this.
+# No claims while the copy of the jobs is older than this; a long poll takes 2 s.
 _MAX_STALENESS_S = 4.0
 
 
@@ -47,6 +48,7 @@
         registry: job_registry.JobRegistry,
         changes: job_changes.JobChanges,
         runner: job_runner.JobRunner,
+        pauses: process_pauses.ProcessPauses,
     ) -> None:
         self._identity = identity
         self._peers = peers
@@ -54,6 +56,8 @@
         self._registry = registry
         self._changes = changes
         self._runner = runner
+        self._pauses = pauses
+        pauses.call_after(self.record_process_pause)
         self._warmed_up_s = time.monotonic() + _WARM_UP_S
         self._loading: dict[str, asyncio.Task[None]] = {}
 
@@ -65,10 +69,12 @@
         """Take over jobs until cancelled."""
         while True:
             await asyncio.sleep(_TICK_S if self._has_open() else _IDLE_TICK_S)
+            # The peers were not heard while this process stood still.
+            self._pauses.check()
             now_s = time.monotonic()
             if now_s < self._warmed_up_s or self._peers.is_stopping:
                 continue
-            if not self._state.is_confirmed(now_s, _MAX_STALENESS_S):
+            if self._state.age.measure_s() > _MAX_STALENESS_S:
                 continue
             if not self._peers.is_membership_current(now_s):
                 continue
