--- a/features/steps/serving_state_steps.py
+++ b/features/steps/serving_state_steps.py
@@ -21,6 +21,7 @@
     jobs,
     model,
     peer_registry,
+    process_pauses,
     store,
 )
 from features.support import job_world, serving_fakes
@@ -646,6 +647,7 @@
                 daemon.registry,
                 daemon.changes,
                 _make_runner(daemon, serving_fakes.Fleet([]), None),
+                process_pauses.ProcessPauses(),
             )
             # As if the daemons had been running for long.
             claims._warmed_up_s = 0.0
