--- a/features/steps/serving_state_steps.py
+++ b/features/steps/serving_state_steps.py
@@ -9,9 +9,8 @@
 from behave import given, then, when
 
 from endivevane import exceptions
-from endivevane.platform import headers, records
+from endivevane.platform import records
 from endivevane.serving import (
-    batch_slots,
     failures,
     follower,
     job_changes,
@@ -20,14 +19,10 @@
     job_runner,
     job_takeover,
     jobs,
-    model,
     peer_registry,
-    routing_table,
-    runner_dependencies,
-    slot_registry,
     store,
 )
-from features.support import serving_fakes
+from features.support import job_world, serving_fakes
 
 
 @when("the entry of a target is {entry}")
@@ -187,51 +182,6 @@
     assert context.seen[-1][1] is None
 
 
-class _Daemon:
-    """The parts of a daemon that change jobs."""
-
-    def __init__(self, rows, name):
-        self.owner = f"{name}/1"
-        self.rows = rows
-        self.registry = job_registry.JobRegistry()
-        self.state = follower.TableFollower(rows, "state", "", self._on_row)
-        self.changes = job_changes.JobChanges(
-            rows, self.state, self.registry, self.owner
-        )
-        self.feed = asyncio.ensure_future(self.state.run())
-
-    def _on_row(self, row):
-        if row.row_key.key.startswith(jobs.JOB_PREFIX):
-            self.registry.apply(row)
-
-
-def _route(quota=0):
-    service = model.WeightedService("lm", 1.0)
-    return model.Route(
-        name="digest",
-        host="h",
-        prefix="/p/",
-        kind=model.RouteKind.BATCH,
-        services=(service,),
-        timeout_s=15,
-        objective_s=0.4,
-        priority=2,
-        max_attempts=3,
-        completion_s=18,
-        retention_s=60,
-        token_quota=quota,
-    )
-
-
-def _submission(job_id, items=3, tokens=10, left_s=2.0, quota=0):
-    listed = tuple(
-        jobs.Item(f"{job_id}-{number}", "/p/x", {"Model": "m"}, b"body", tokens)
-        for number in range(items)
-    )
-    until_s = time.monotonic() + left_s
-    return job_changes.Submission(job_id, "h", "/p/x", _route(quota), listed, until_s)
-
-
 async def _commit(daemon, entry, results):
     """Commit results as the runner does; return the current entry and if applied."""
     job = entry.job
@@ -255,11 +205,11 @@
 async def _simulate(seed, faults, counts):
     rows = serving_fakes.FakeStore(seed, faults)
     generator = random.Random(seed)
-    daemons = [_Daemon(rows, "a"), _Daemon(rows, "b")]
+    daemons = [job_world.JobDaemon(rows, "a"), job_world.JobDaemon(rows, "b")]
     job_id = f"job{seed}"
     try:
         try:
-            await daemons[0].changes.accept(_submission(job_id))
+            await daemons[0].changes.accept(job_world.make_submission(job_id))
         except failures.JobRefused:
             rows._late.clear()
             counts["refused with a row"] += bool(rows.list_jobs(job_id))
@@ -378,11 +328,13 @@
 def step_accept_many(context, daemons):
     async def run():
         rows = serving_fakes.FakeStore()
-        fleet = [_Daemon(rows, f"d{number}") for number in range(daemons)]
+        fleet = [job_world.JobDaemon(rows, f"d{number}") for number in range(daemons)]
         await asyncio.sleep(0.05)
         outcomes = await asyncio.gather(
             *(
-                daemon.changes.accept(_submission(f"job{number}", quota=context.quota))
+                daemon.changes.accept(
+                    job_world.make_submission(f"job{number}", quota=context.quota)
+                )
                 for number, daemon in enumerate(fleet)
             ),
             return_exceptions=True,
@@ -419,9 +371,9 @@
 @when("the store loses every response while a job is accepted")
 def step_lose_all(context):
     async def run():
-        daemon = _Daemon(_LosingStore(), "a")
+        daemon = job_world.JobDaemon(_LosingStore(), "a")
         try:
-            await daemon.changes.accept(_submission("job", left_s=0.6))
+            await daemon.changes.accept(job_world.make_submission("job", left_s=0.6))
         except failures.ServingError as error:
             context.error = error
         daemon.feed.cancel()
@@ -450,12 +402,12 @@
 @when("a daemon starts a job of {count:d} items, and again after 100 ms")
 def step_start_twice(context, count):
     async def run():
-        daemon = _Daemon(serving_fakes.FakeStore(), "a")
+        daemon = job_world.JobDaemon(serving_fakes.FakeStore(), "a")
         fleet = serving_fakes.Fleet(["t0", "t1"])
         context.caller = _HangingClient()
-        runner = _make_runner(daemon, fleet, context.caller)
+        runner = job_world.make_runner(daemon, fleet, context.caller)
         task = asyncio.ensure_future(runner.run())
-        submission = _submission("job", items=count)
+        submission = job_world.make_submission("job", items=count)
         entry = await daemon.changes.accept(submission)
         runner.start_job(entry, submission.items)
         await asyncio.sleep(0.1)
@@ -477,11 +429,11 @@
 @when("a daemon runs a job of {count:d} items whose route is removed")
 def step_route_removed(context, count):
     async def run():
-        daemon = _Daemon(serving_fakes.FakeStore(), "a")
+        daemon = job_world.JobDaemon(serving_fakes.FakeStore(), "a")
         fleet = serving_fakes.Fleet(["t0"])
-        runner = _make_runner(daemon, fleet, _HangingClient(), routes=())
+        runner = job_world.make_runner(daemon, fleet, _HangingClient(), routes=())
         task = asyncio.ensure_future(runner.run())
-        submission = _submission("job", items=count)
+        submission = job_world.make_submission("job", items=count)
         entry = await daemon.changes.accept(submission)
         runner.start_job(entry, submission.items)
         await asyncio.sleep(0.5)
@@ -512,32 +464,6 @@
     assert context.states == [False] * context.late.total, context.states
 
 
-def _make_runner(daemon, fleet, caller, routes=None):
-    given = (_route(),) if routes is None else routes
-    configuration = model.Configuration(1, given, {}, model.ClientLimits())
-    table = routing_table.RoutingTable(configuration)
-    return job_runner.JobRunner(
-        runner_dependencies.RunnerDependencies(
-            targets=fleet.directory,
-            load_table=fleet.board,
-            choices=fleet.choices,
-            slots=batch_slots.BatchSlots(
-                fleet.choices, fleet.board, slot_registry.SlotRegistry(fleet.board)
-            ),
-            caller=caller,
-            row_store=daemon.rows,
-            changes=daemon.changes,
-            reader=job_reader.JobReader(daemon.registry, daemon.changes),
-            routes=lambda: table,
-            encode_headers=headers.HeaderCodec().encode_item_headers,
-            decode_segments=headers.HeaderCodec().decode_item_segments,
-            quarantine=serving_fakes.make_quarantine(),
-            generator=random.Random(1),
-            owner=daemon.owner,
-        )
-    )
-
-
 class _StaleReadStore(serving_fakes.FakeStore):
     """A store whose reads are out of date while ``is_stale`` is set."""
 
@@ -574,11 +500,11 @@
 def step_ask_other(context, which):
     async def run():
         rows = _StaleReadStore()
-        first, second = _Daemon(rows, "a"), _Daemon(rows, "b")
+        first, second = job_world.JobDaemon(rows, "a"), job_world.JobDaemon(rows, "b")
         for daemon in (first, second):
             # Only the reads under test update the daemons.
             daemon.feed.cancel()
-        await first.changes.accept(_submission("job"))
+        await first.changes.accept(job_world.make_submission("job"))
         rows.is_stale = True
         rows.takes_changes = context.takes_changes
         reader = job_reader.JobReader(second.registry, second.changes)
@@ -615,10 +541,10 @@
 def step_release(context, count):
     async def run():
         rows = serving_fakes.FakeStore()
-        first, second = _Daemon(rows, "a"), _Daemon(rows, "b")
+        first, second = job_world.JobDaemon(rows, "a"), job_world.JobDaemon(rows, "b")
         fleet = serving_fakes.Fleet([])
-        submission = _submission("job")
-        runner = _make_runner(first, fleet, None)
+        submission = job_world.make_submission("job")
+        runner = job_world.make_runner(first, fleet, None)
         runner.start_job(await first.changes.accept(submission), submission.items)
         run = runner._owned["job"].runs["job-0"]
         run.failed = count
@@ -626,7 +552,7 @@
         await runner.release_jobs()
         entry = await second.changes.find_stored("job")
         context.owner = entry.job.owner
-        successor = _make_runner(second, fleet, None)
+        successor = job_world.make_runner(second, fleet, None)
         progress = await second.changes.load_progress("job")
         taken = jobs.JobProgress(progress=progress)
         successor.start_job(entry, submission.items, taken)
@@ -677,9 +603,9 @@
 def step_claim(context):
     async def run():
         rows = serving_fakes.FakeStore()
-        daemons = {name: _Daemon(rows, name) for name in ("a", "b")}
+        daemons = {name: job_world.JobDaemon(rows, name) for name in ("a", "b")}
         daemons["a"].changes.stop_owning()
-        await daemons["a"].changes.accept(_submission("job"))
+        await daemons["a"].changes.accept(job_world.make_submission("job"))
         tasks = []
         for name, daemon in daemons.items():
             claims = job_takeover.JobTakeover(
@@ -688,7 +614,7 @@
                 daemon.state,
                 daemon.registry,
                 daemon.changes,
-                _make_runner(daemon, serving_fakes.Fleet([]), None),
+                job_world.make_runner(daemon, serving_fakes.Fleet([]), None),
             )
             # As if the daemons had been running for long.
             claims._warmed_up_s = 0.0
