Store the failed runs of an item before it runs again

Cause: failed runs were kept in memory and reached the job's row only beside results of other items or when a daemon stopped. The row also lost the count of an item whose result waited for a later transaction. Change: an item with a failed run that the store does not hold does not run. Results of its job take the count along; otherwise one transaction for the job, one at a time for each daemon, stores it: at once after a pause, and at most 60 a second over all daemons. Counts stay in the row until the item's result is stored. A change of the owner loses at most one answer of 500 of an item, so that it has at most maxAttempts answers and one for each lost owner. Counts are absolute and written under the row's version: a repeated write counts nothing twice, and a late one of a former owner changes nothing.

Tests: failed_runs.feature, 15 scenarios, no network.

--- /dev/null
+++ b/features/failed_runs.feature
@@ -0,0 +1,88 @@
+Feature: The failed runs of an item are bounded over all owners of its job
+
+  # Guards against an item that fails at each run and is sent without end, since each
+  # owner that is lost before anything of the job is committed takes its count with it.
+  Scenario Outline: Owners are lost one after the other, each right after an answer of 500
+    Given a route with <attempts> attempts and an item that is answered 500 at each run
+    When <losses> owners are lost one after the other, each with its <answer>. answer of 500
+    Then the item is listed as failed after <attempts> to <most> answers of 500
+
+    Examples:
+      | attempts | losses | answer | most |
+      | 3        | 4      | 2      | 7    |
+      | 3        | 6      | 1      | 9    |
+      | 1        | 2      | 1      | 3    |
+      | 5        | 4      | 4      | 9    |
+
+  # Guards against a run that is sent while the failed one before it may be lost, and
+  # against a failed run that is counted twice because its write was repeated.
+  Scenario: The answer to the write of a count is lost
+    Given a route with 3 attempts and an item that is answered 500 at each run
+    When the answers to the first 2 writes of its count are lost
+    Then no run begins before the store holds the count of the runs before it
+    And the item is listed as failed after 3 to 3 answers of 500
+
+  # Guards against a job that opens again, or an item that runs, because its owner writes
+  # a count while a client ends the job.
+  Scenario: A job is ended while the write of a count is under way
+    Given a route with 3 attempts and an item that is answered 500 at each run
+    When the job is ended while the write of its count is under way
+    Then the job stays ended and the item has run once
+
+  # Guards against a late write of a former owner that replaces what the next one wrote.
+  Scenario: A job is taken over while the write of a count is under way
+    Given a route with 3 attempts and an item that is answered 500 at each run
+    When another owner takes the job over while the write of its count is under way
+    Then the former owner sends the item no more
+    And the item is listed as failed after 3 to 4 answers of 500
+
+  # Guards against counts of an earlier release that are dropped or misread, and against
+  # its rows without any.
+  Scenario Outline: A job of an earlier release is taken over
+    Given a route with 3 attempts and an item that is answered 500 at each run
+    When a daemon takes over a job whose row has <counts>
+    Then the item is listed as failed after <left> to <left> answers of 500
+
+    Examples:
+      | counts                                | left |
+      | no field of failed runs               | 3    |
+      | 2 failed runs of the item             | 1    |
+      | 2 failed runs of an item of no result | 3    |
+
+  # Guards against counts that leave the job's row while the results of their items wait
+  # for the next transaction.
+  Scenario: An owner is lost with results that no transaction holds yet
+    Given a route with 3 attempts and 30 items that are answered 500 at each run
+    When all have failed for the last time and the owner is lost once some are listed
+    Then each item that was not listed is sent once more and all are listed as failed
+
+  # Guards against failures that the item is not to blame for ending it, or being written.
+  Scenario: Broken connections, refusals and preemptions are not counted
+    Given a route with 3 attempts and an item that meets 2 of each of them, two answers of 500 and then completes
+    When a daemon runs it
+    Then it is listed as completed
+    And the store took 2 writes of counts
+
+  # Guards against an item that the store's outage ends for good, and against runs
+  # without a bound meanwhile.
+  Scenario: The store is down when an item fails
+    Given a route with 3 attempts and an item that is answered 500 at each run
+    When the store is down for 1 s from the first answer on
+    Then the item has run once by then
+    And the item is listed as failed after 3 to 3 answers of 500
+
+  # Guards against a target that answers 500 to everything and makes all daemons spend
+  # the store's writes on counts.
+  Scenario: A storm of failures writes its counts at a bounded rate
+    Given 20 daemons, one of which runs 3 jobs of 40 items that are answered 500 at each run
+    When all of them are listed as failed within 30 s
+    Then its counts alone took at most 3 writes a second
+    And no run begins before the store holds the count of the runs before it
+    And each item had 3 answers of 500
+
+  # Guards against writes for counts that the results of the same job could take along.
+  Scenario: Counts are stored with the results of a busy job
+    Given 20 daemons, one of which runs a job of 200 items, each 10th of which is answered 500 once
+    When all of them are listed as completed within 30 s
+    Then its counts alone took at most 3 writes a second
+    And they took fewer writes than there were failed runs
--- /dev/null
+++ b/features/steps/failed_runs_steps.py
@@ -0,0 +1,327 @@
+import asyncio
+import time
+
+import orjson
+from behave import given, then, when
+
+from endivevane.serving import item_sender, jobs
+from features.support import failed_run_world, job_world
+
+# Above the time of any of these scenarios by far: an item has at most nine runs, and
+# waits for at most 0.4 s, 1 s of an outage and 0.2 s for the others' shares of writes.
+_LIMIT_S = 20.0
+_BAD_JOBS = 3
+_ITEMS_PER_BAD_JOB = 40
+_BUSY_ITEMS = 200
+
+
+def _play(context, play, script=lambda _item_id, _number: 500, **settings):
+    """Run a play in a world of its own."""
+
+    async def run():
+        world = failed_run_world.World(
+            script, attempts=getattr(context, "attempts", 3), **settings
+        )
+        context.world = world
+        try:
+            await play(world)
+        finally:
+            world.stop()
+
+    asyncio.run(run())
+
+
+@given(
+    "a route with {attempts:d} attempts and an item that is answered 500 at each run"
+)
+def step_failing_item(context, attempts):
+    context.attempts = attempts
+
+
+@given(
+    "a route with {attempts:d} attempts and {count:d} items that are answered 500 at "
+    "each run"
+)
+def step_failing_items(context, attempts, count):
+    context.attempts = attempts
+    context.count = count
+
+
+@when(
+    "{losses:d} owners are lost one after the other, each with its {answer:d}. answer "
+    "of 500"
+)
+def step_owners_lost(context, losses, answer):
+    lost = asyncio.Queue()
+
+    def lose(owner, item_id):
+        if len(context.world.owners) <= losses and owner.answers[item_id] == answer:
+            owner.lose()
+            lost.put_nowait(owner)
+
+    async def play(world):
+        await world.submit(world.add_owner())
+        while world.losses < losses:
+            waiting = asyncio.ensure_future(lost.get())
+            done, _ = await asyncio.wait((waiting,), timeout=_LIMIT_S / losses)
+            if not done or world.list_results():
+                waiting.cancel()
+                break
+            await world.add_owner().take_over("job")
+        await world.wait_for_results(1, _LIMIT_S)
+
+    _play(context, play, on_answer=lose)
+
+
+@then("the item is listed as failed after {least:d} to {most:d} answers of 500")
+def step_failed_after(context, least, most):
+    (result,) = context.world.list_results().values()
+    assert not result.is_completed and result.item_id == "job-0", result
+    answers = context.world.answers_500["job-0"]
+    assert least <= answers <= most, answers
+
+
+@when("the answers to the first {count:d} writes of its count are lost")
+def step_count_answer_lost(context, count):
+    async def play(world):
+        world.rows.faults.extend(["lost"] * count)
+        await world.submit(world.add_owner())
+        await world.wait_for_results(1, _LIMIT_S)
+        assert not world.rows.faults
+
+    _play(context, play)
+
+
+@then("no run begins before the store holds the count of the runs before it")
+def step_counts_first(context):
+    assert not context.world.unstored_runs, context.world.unstored_runs[:5]
+
+
+@when("the job is ended while the write of its count is under way")
+def step_ended_meanwhile(context):
+    async def play(world):
+        world.rows.faults.append("held")
+        await world.submit(world.add_owner())
+        await world.wait_until(lambda: world.rows.held, _LIMIT_S)
+        other = world.add_owner()
+        await other.daemon.changes.find_stored("job")
+        assert await other.daemon.changes.end("job", time.monotonic() + 2.0)
+        world.rows.let_go.set()
+        # The next run would begin within the back-off of 0.1 s and a round of 0.04 s.
+        await asyncio.sleep(0.5)
+
+    _play(context, play)
+
+
+@then("the job stays ended and the item has run once")
+def step_stays_ended(context):
+    assert context.world.rows.read_job("job").state is jobs.JobState.ENDED
+    assert context.world.runs["job-0"] == 1, context.world.runs
+
+
+@when("another owner takes the job over while the write of its count is under way")
+def step_taken_over_meanwhile(context):
+    async def play(world):
+        world.rows.faults.append("held")
+        await world.submit(world.add_owner())
+        await world.wait_until(lambda: world.rows.held, _LIMIT_S)
+        await world.add_owner().take_over("job")
+        world.rows.let_go.set()
+        await world.wait_for_results(1, _LIMIT_S)
+        await asyncio.sleep(0.5)
+
+    _play(context, play)
+
+
+@then("the former owner sends the item no more")
+def step_former_silent(context):
+    former = context.world.owners[0]
+    assert former.answers["job-0"] == 1, former.answers
+    assert not former.runner.owned
+
+
+@when("a daemon takes over a job whose row has {counts}")
+def step_earlier_release(context, counts):
+    async def play(world):
+        first = world.add_owner()
+        await first.daemon.changes.accept(job_world.make_submission("job", 1))
+        key = jobs.make_job_key("job")
+        fields = orjson.loads(world.rows.rows[key][0])
+        if counts == "no field of failed runs":
+            del fields["failed_runs"]
+        elif counts == "2 failed runs of the item":
+            fields["failed_runs"] = {"job-0": 2}
+        else:
+            fields["failed_runs"] = {"job-9": 2}
+        world.rows.put(key, orjson.dumps(fields))
+        first.lose()
+        await world.add_owner().take_over("job")
+        await world.wait_for_results(1, _LIMIT_S)
+
+    _play(context, play)
+
+
+@when("all have failed for the last time and the owner is lost once some are listed")
+def step_lost_with_results(context):
+    async def play(world):
+        first = world.add_owner()
+        # The runs end by the step alone, so that the results come at the same moment.
+        first.task.cancel()
+        await world.submit(first, items=context.count)
+        owned = first.runner._owned["job"]
+        world.rows.on_results = first.lose
+        route = job_world.make_route(attempts=context.attempts)
+        for run in list(owned.runs.values()):
+            for _ in range(context.attempts):
+                end = item_sender.RunEnd.FAILED
+                first.runner._finish_run(owned, run, route, end, has_advanced=False)
+        await world.wait_until(lambda: first.is_lost, _LIMIT_S)
+        context.listed_by_first = len(world.list_results())
+        await world.add_owner().take_over("job")
+        await world.wait_for_results(context.count, _LIMIT_S)
+
+    _play(context, play)
+
+
+@then("each item that was not listed is sent once more and all are listed as failed")
+def step_each_once_more(context):
+    results = context.world.list_results().values()
+    assert len(results) == len({result.item_id for result in results}) == context.count
+    assert not any(result.is_completed for result in results)
+    answers = context.world.answers_500
+    assert 0 < context.listed_by_first < context.count
+    assert len(answers) == context.count - context.listed_by_first, answers
+    assert set(answers.values()) == {1}, answers
+
+
+@given(
+    "a route with {attempts:d} attempts and an item that meets 2 of each of them, two "
+    "answers of 500 and then completes"
+)
+def step_unlucky_item(context, attempts):
+    context.attempts = attempts
+    context.ends = [
+        *("broken", 500, "refused", 503, "silent", "broken", 500, "refused", 503),
+        *("silent", 200),
+    ]
+
+
+@when("a daemon runs it")
+def step_run_unlucky(context):
+    def script(item_id, number):
+        if context.ends[number - 1] == "silent":
+            owner = context.world.owners[0]
+            for run in owner.runner._owned["job"].list_running():
+                asyncio.get_running_loop().call_later(0.05, run.task.cancel)
+        return context.ends[number - 1]
+
+    async def play(world):
+        await world.submit(world.add_owner())
+        await world.wait_for_results(1, _LIMIT_S)
+
+    _play(context, play, script)
+
+
+@then("it is listed as completed")
+def step_listed_completed(context):
+    (result,) = context.world.list_results().values()
+    assert result.is_completed, result
+    assert context.world.runs["job-0"] == len(context.ends), context.world.runs
+
+
+@then("the store took {count:d} writes of counts")
+def step_count_writes(context, count):
+    assert context.world.rows.failed_runs_writes == count
+
+
+@when("the store is down for {down_s:g} s from the first answer on")
+def step_down_meanwhile(context, down_s):
+    def cut(_owner, _item_id):
+        if context.runs_by_return is None:
+            context.world.rows.is_down = True
+
+    async def play(world):
+        await world.submit(world.add_owner())
+        await world.wait_until(lambda: world.rows.is_down, _LIMIT_S)
+        await asyncio.sleep(down_s)
+        context.runs_by_return = world.runs["job-0"]
+        world.rows.is_down = False
+        await world.wait_for_results(1, _LIMIT_S)
+
+    context.runs_by_return = None
+    _play(context, play, on_answer=cut)
+
+
+@then("the item has run once by then")
+def step_one_run(context):
+    assert context.runs_by_return == 1, context.runs_by_return
+
+
+@given(
+    "{daemons:d} daemons, one of which runs 3 jobs of 40 items that are answered 500 "
+    "at each run"
+)
+def step_storm(context, daemons):
+    context.daemons = daemons
+
+
+@when("all of them are listed as failed within {limit_s:g} s")
+def step_storm_played(context, limit_s):
+    names = [f"job{number}" for number in range(_BAD_JOBS)]
+
+    async def play(world):
+        owner = world.add_owner()
+        started_s = time.monotonic()
+        for name in names:
+            await world.submit(owner, name, _ITEMS_PER_BAD_JOB)
+        for name in names:
+            await world.wait_for_results(_ITEMS_PER_BAD_JOB, limit_s, name)
+        context.took_s = time.monotonic() - started_s
+
+    _play(context, play, daemons=context.daemons)
+
+
+@then("its counts alone took at most {rate:g} writes a second")
+def step_rate(context, rate):
+    writes = context.world.rows.failed_runs_writes
+    assert writes <= 1 + rate * context.took_s, (writes, context.took_s)
+
+
+@then("each item had {count:d} answers of 500")
+def step_answers_each(context, count):
+    answers = context.world.answers_500
+    assert len(answers) == _BAD_JOBS * _ITEMS_PER_BAD_JOB
+    assert set(answers.values()) == {count}, answers
+
+
+@given(
+    "{daemons:d} daemons, one of which runs a job of 200 items, each 10th of which is "
+    "answered 500 once"
+)
+def step_busy(context, daemons):
+    context.daemons = daemons
+
+
+@when("all of them are listed as completed within {limit_s:g} s")
+def step_busy_played(context, limit_s):
+    def script(item_id, number):
+        is_unlucky = int(item_id.partition("-")[2]) % 10 == 0
+        return 500 if is_unlucky and number == 1 else 200
+
+    async def play(world):
+        started_s = time.monotonic()
+        owner = world.add_owner()
+        await world.submit(owner, items=_BUSY_ITEMS)
+        await world.wait_for_results(_BUSY_ITEMS, limit_s)
+        context.took_s = time.monotonic() - started_s
+
+    _play(context, play, script, daemons=context.daemons)
+    results = context.world.list_results().values()
+    assert all(result.is_completed for result in results)
+
+
+@then("they took fewer writes than there were failed runs")
+def step_fewer_writes(context):
+    failed = sum(context.world.answers_500.values())
+    assert failed == _BUSY_ITEMS // 10, failed
+    assert context.world.rows.failed_runs_writes < failed
--- a/features/steps/serving_state_steps.py
+++ b/features/steps/serving_state_steps.py
@@ -547,7 +547,8 @@
         runner = job_world.make_runner(first, fleet, None)
         runner.start_job(await first.changes.accept(submission), submission.items)
         run = runner._owned["job"].runs["job-0"]
-        run.failed = count
+        for _ in range(count):
+            runner._owned["job"].failed_runs.record("job-0", 0.0)
         run.pieces, run.last_event = [b"one", b"two"], 2
         await runner.release_jobs()
         entry = await second.changes.find_stored("job")
@@ -557,6 +558,7 @@
         taken = jobs.JobProgress(progress=progress)
         successor.start_job(entry, submission.items, taken)
         context.runs = successor._owned["job"].runs
+        context.failed_counts = successor._owned["job"].failed_runs.get_counts()
         for daemon in (first, second):
             daemon.feed.cancel()
 
@@ -566,8 +568,7 @@
 @then("the daemon that takes the job over continues from {count:d} failed runs")
 def step_continues(context, count):
     assert context.owner == ""
-    failed = {item_id: run.failed for item_id, run in context.runs.items()}
-    assert failed == {"job-0": count, "job-1": 0, "job-2": 0}, failed
+    assert context.failed_counts == {"job-0": count}, context.failed
 
 
 @then("it resumes the item after the 2 events received so far")
--- a/features/support/job_world.py
+++ b/features/support/job_world.py
@@ -39,7 +39,7 @@
             self.registry.apply(row)
 
 
-def make_route(quota=0):
+def make_route(quota=0, attempts=3):
     service = model.WeightedService("lm", 1.0)
     return model.Route(
         name="digest",
@@ -50,7 +50,7 @@
         timeout_s=15,
         objective_s=0.4,
         priority=2,
-        max_attempts=3,
+        max_attempts=attempts,
         completion_s=18,
         retention_s=60,
         token_quota=quota,
@@ -68,7 +68,7 @@
     )
 
 
-def make_runner(daemon, fleet, caller, routes=None):
+def make_runner(daemon, fleet, caller, routes=None, daemons=1):
     given = (make_route(),) if routes is None else routes
     configuration = model.Configuration(1, given, {}, model.ClientLimits())
     table = routing_table.RoutingTable(configuration)
@@ -90,5 +90,6 @@
             quarantine=serving_fakes.make_quarantine(),
             generator=random.Random(1),
             owner=daemon.owner,
+            count_daemons=lambda: daemons,
         )
     )
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -289,6 +289,7 @@
                 quarantine=self._quarantine,
                 generator=self._generator,
                 owner=self._identity.owner,
+                count_daemons=lambda: len(self._peer_registry.list_active()),
             )
         )
         self._job_registry.call_when_changed(self._runner.apply_change)
--- /dev/null
+++ b/src/endivevane/serving/failed_runs.py
@@ -0,0 +1,62 @@
+"""Counts of the failed runs of a job's items, and what the store holds of them."""
+
+from __future__ import annotations
+
+from collections import abc
+
+
+class FailedRuns:
+    """Failed runs of the items of an owned job that have no stored result.
+
+    A run has failed if the target answered it with an error status. No item with a
+    count that is not stored may run, so that each loss of an owner loses at most one
+    failed run of an item.
+
+    :param stored: counts by item id, as the store holds them
+    """
+
+    def __init__(self, stored: abc.Mapping[str, int]) -> None:
+        self._counts = dict(stored)
+        # Item id -> monotonic time since which its count is not stored, oldest first.
+        self._unstored_s: dict[str, float] = {}
+
+    @property
+    def unstored_since_s(self) -> float | None:
+        """Monotonic time since which a count is not stored, ``None`` if all are."""
+        return next(iter(self._unstored_s.values()), None)
+
+    def record(self, item_id: str, now_s: float) -> int:
+        """Record a failed run of an item; return how many it has."""
+        count = self._counts.get(item_id, 0) + 1
+        self._counts[item_id] = count
+        self._unstored_s[item_id] = now_s
+        return count
+
+    def is_stored(self, item_id: str) -> bool:
+        """Return whether the store holds all failed runs of an item."""
+        return item_id not in self._unstored_s
+
+    def get_counts(self, without: abc.Collection[str] = ()) -> dict[str, int]:
+        """Return the counts to store, by item id.
+
+        :param without: items whose results are stored in the same transaction
+        """
+        return {
+            item_id: count
+            for item_id, count in self._counts.items()
+            if item_id not in without
+        }
+
+    def record_stored(
+        self, counts: abc.Mapping[str, int], done: abc.Collection[str] = ()
+    ) -> None:
+        """Record that the store holds these counts.
+
+        :param done: items whose results it holds, which need no count any more
+        """
+        for item_id, count in counts.items():
+            if self._counts.get(item_id) == count:
+                self._unstored_s.pop(item_id, None)
+        for item_id in done:
+            self._counts.pop(item_id, None)
+            self._unstored_s.pop(item_id, None)
--- a/src/endivevane/serving/job_runner.py
+++ b/src/endivevane/serving/job_runner.py
@@ -59,6 +59,7 @@
             dependencies.changes,
             dependencies.reader,
             dependencies.owner,
+            dependencies.count_daemons,
             self._release,
         )
 
@@ -123,6 +124,7 @@
             else:
                 self._start_items()
                 self._commits.store_progress_if_due(self._owned.values(), now_s)
+                self._commits.store_failed_runs_if_due(self._owned.values(), now_s)
             self._publish_waiting_count()
             await self._wait_for_round()
 
@@ -161,7 +163,7 @@
                 owner="",
                 epoch=job.epoch + 1,
                 operation=secrets.token_hex(8),
-                failed_runs=owned.count_failed_runs(),
+                failed_runs=owned.failed_runs.get_counts(),
             )
             await self._dependencies.changes.replace(owned.entry, released, until_s)
 
@@ -349,10 +351,11 @@
             text = b"\n".join(run.pieces).decode("utf-8", errors="replace")
             self._complete(owned, run, is_completed=True, text=text)
             return
+        failed = 0
         if end is item_sender.RunEnd.FAILED:
-            run.failed += 1
+            failed = owned.failed_runs.record(run.item.item_id, time.monotonic())
         is_unprocessable = end is item_sender.RunEnd.UNPROCESSABLE
-        if is_unprocessable or run.failed >= max(1, route.max_attempts):
+        if is_unprocessable or failed >= max(1, route.max_attempts):
             self._complete(owned, run, is_completed=False, text="")
             return
         if end is item_sender.RunEnd.PREEMPTED:
--- a/src/endivevane/serving/owned_jobs.py
+++ b/src/endivevane/serving/owned_jobs.py
@@ -5,7 +5,7 @@
 import asyncio
 import dataclasses
 
-from endivevane.serving import job_registry, jobs, slot_registry, sse
+from endivevane.serving import failed_runs, job_registry, jobs, slot_registry, sse
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -18,7 +18,6 @@
     :ivar received_events: number of events of all runs
     :ivar stored_event: number of the last event whose data the store holds
     :ivar refused_by: targets that have refused it
-    :ivar failed: number of runs that the target answered with an error status
     :ivar stalled_runs: consecutive runs without a new event
     :ivar not_before_s: earliest monotonic time of the next run
     :ivar routeless_since_s: monotonic time since which the item has no route, 0 while
@@ -35,7 +34,6 @@
     received_events: int = 0
     stored_event: int = 0
     refused_by: set[str] = dataclasses.field(default_factory=set)
-    failed: int = 0
     stalled_runs: int = 0
     not_before_s: float = 0.0
     routeless_since_s: float = 0.0
@@ -80,12 +78,14 @@
     """A job that this daemon runs.
 
     :ivar runs: items without a result, by id
+    :ivar failed_runs: failed runs of the items without a stored result
     :ivar results: results not yet committed to the store
     :ivar committing: task that commits results, ``None`` while there are none
     """
 
     entry: job_registry.JobEntry
     runs: dict[str, ItemRun]
+    failed_runs: failed_runs.FailedRuns
     results: list[jobs.ItemResult] = dataclasses.field(default_factory=list)
     committing: asyncio.Task[None] | None = None
 
@@ -94,16 +94,14 @@
         """Id of the job."""
         return self.entry.job.job_id
 
-    def count_failed_runs(self) -> dict[str, int]:
-        """Return the failed runs by item id, which are stored for the next owner."""
-        return {item_id: run.failed for item_id, run in self.runs.items() if run.failed}
-
     def list_ready(self, now_s: float) -> list[ItemRun]:
         """Return the items that may start now."""
         return [
             run
             for run in self.runs.values()
-            if run.task is None and run.not_before_s <= now_s
+            if run.task is None
+            and run.not_before_s <= now_s
+            and self.failed_runs.is_stored(run.item.item_id)
         ]
 
     def list_running(self) -> list[ItemRun]:
@@ -126,14 +124,18 @@
 
     :param stored: work that earlier owners have stored
     """
-    failed = entry.job.failed_runs
     runs = {}
     for item in items:
         if item.item_id in stored.done:
             continue
-        run = ItemRun(item, failed=failed.get(item.item_id, 0))
+        run = ItemRun(item)
         progress = stored.progress.get(item.item_id)
         if progress is not None:
             run.restore(progress)
         runs[item.item_id] = run
-    return OwnedJob(entry, runs)
+    failed = {
+        item_id: count
+        for item_id, count in entry.job.failed_runs.items()
+        if item_id in runs
+    }
+    return OwnedJob(entry, runs, failed_runs.FailedRuns(failed))
--- a/src/endivevane/serving/result_commits.py
+++ b/src/endivevane/serving/result_commits.py
@@ -1,4 +1,4 @@
-"""Storing of item results and of the progress of unfinished items."""
+"""Storing of item results, failed runs and the progress of unfinished items."""
 
 from __future__ import annotations
 
@@ -27,6 +27,9 @@
 _PROGRESS_INTERVAL_S = 2.0
 _MIN_NEW_EVENTS = 16
 _MAX_PROGRESS_ROWS = 40
+# Transactions that store failed runs and no results, of all daemons together. The
+# store applies 300 transactions a second on the jobs' rows.
+_FAILED_RUNS_WRITES_PER_S = 60.0
 
 Release = abc.Callable[[owned_jobs.OwnedJob, str], None]
 
@@ -34,6 +37,10 @@
 class ResultCommitter:
     """Commits results together with the job's row, and item progress separately.
 
+    The job's row holds the failed runs of items, which are stored with results, or
+    alone while nothing of the job is committed.
+
+    :param count_daemons: returns the number of daemons that share the store
     :param release: called with a job that this daemon must stop running, and the cause
     """
 
@@ -43,15 +50,19 @@
         changes: job_changes.JobChanges,
         reader: job_reader.JobReader,
         owner: str,
+        count_daemons: abc.Callable[[], int],
         release: Release,
     ) -> None:
         self._store = rows
         self._changes = changes
         self._reader = reader
         self._owner = owner
+        self._count_daemons = count_daemons
         self._release = release
         self._progress_started_s = 0.0
         self._progress_task: asyncio.Task[None] | None = None
+        self._failed_runs_due_s = 0.0
+        self._is_storing_failed_runs = False
 
     def add(self, owned: owned_jobs.OwnedJob, result: jobs.ItemResult) -> None:
         """Queue a result to be committed, batched with later ones."""
@@ -94,6 +105,40 @@
         for put in puts:
             put.run.stored_event = put.last_event
 
+    def store_failed_runs_if_due(
+        self, owned_all: abc.Iterable[owned_jobs.OwnedJob], now_s: float
+    ) -> None:
+        """Start to store the failed runs of the job that waits for it longest.
+
+        The next result of a job stores them too. Transactions for failed runs alone
+        are limited, and one at a time waits for the store.
+        """
+        if now_s < self._failed_runs_due_s or self._is_storing_failed_runs:
+            return
+        waiting = [
+            (since_s, owned)
+            for owned in owned_all
+            if owned.committing is None
+            and (since_s := owned.failed_runs.unstored_since_s) is not None
+        ]
+        if not waiting:
+            return
+        _, longest = min(waiting, key=lambda entry: entry[0])
+        interval_s = max(1, self._count_daemons()) / _FAILED_RUNS_WRITES_PER_S
+        self._failed_runs_due_s = now_s + interval_s
+        longest.committing = asyncio.ensure_future(self._store_failed_runs(longest))
+
+    async def _store_failed_runs(self, owned: owned_jobs.OwnedJob) -> None:
+        """Store the failed runs of a job, then the results that it has got since."""
+        self._is_storing_failed_runs = True
+        try:
+            is_running_here = await self._commit_batch(owned)
+        finally:
+            self._is_storing_failed_runs = False
+            owned.committing = None
+        if is_running_here and owned.results:
+            owned.committing = asyncio.ensure_future(self._commit(owned))
+
     async def _commit(self, owned: owned_jobs.OwnedJob) -> None:
         """Commit results until none are left or this daemon no longer owns the job."""
         try:
@@ -118,6 +163,7 @@
             prefix = jobs.make_result_prefix(job.job_id, job.listed + len(batch))
             puts.extend(jobs.split_rows(jobs.RESULT_TABLE, prefix, content))
             batch.append(result)
+        done = frozenset(result.item_id for result in batch)
         unfinished = len(owned.runs) + len(owned.results) - len(batch)
         advanced = dataclasses.replace(
             job,
@@ -125,7 +171,7 @@
             tokens_left=sum(run.item.tokens for run in owned.runs.values()),
             state=jobs.JobState.OPEN if unfinished else jobs.JobState.DONE,
             operation=secrets.token_hex(8),
-            failed_runs=owned.count_failed_runs(),
+            failed_runs=owned.failed_runs.get_counts(without=done),
         )
         # Retried until the outcome is known: another change with the same results
         # could list them at two positions.
@@ -153,12 +199,14 @@
         job = current.job
         owned.entry = current
         del owned.results[: len(batch)]
+        done = frozenset(result.item_id for result in batch)
+        owned.failed_runs.record_stored(job.failed_runs, done)
         start = job.listed - len(batch)
         cached = {start + number: result for number, result in enumerate(batch)}
         self._reader.cache_results(job.job_id, cached)
-        metrics.BATCH_COMMITS.labels("applied").inc()
+        metrics.BATCH_COMMITS.labels("applied" if batch else "failed_runs").inc()
         logs.limited_info(
-            "results_stored",
+            "results_stored" if batch else "failed_runs_stored",
             job=job.job_id,
             listed=job.listed,
             total=job.total,
--- a/src/endivevane/serving/runner_dependencies.py
+++ b/src/endivevane/serving/runner_dependencies.py
@@ -25,7 +25,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunnerDependencies:
-    """Collaborators of the job runner."""
+    """Collaborators of the job runner.
+
+    :param count_daemons: returns the number of daemons that share the store
+    """
 
     targets: target_registry.TargetRegistry
     load_table: load_table.LoadTable
@@ -41,3 +44,4 @@
     quarantine: quarantine_service.QuarantineService
     generator: random.Random
     owner: str
+    count_daemons: abc.Callable[[], int]
