--- a/features/steps/stale_jobs_steps.py
+++ b/features/steps/stale_jobs_steps.py
@@ -13,8 +13,7 @@
     peer_registry,
     process_pauses,
 )
-from features.steps import serving_state_steps
-from features.support import serving_fakes
+from features.support import job_world, serving_fakes
 
 _HOUR_S = 3600.0
 _RETENTION_S = 60.0
@@ -42,9 +41,9 @@
 @when("another daemon stands still for 3 s and goes on for 2 s")
 def step_stand_still(context):
     async def run():
-        owner = serving_state_steps._Daemon(context.rows, "a")
-        other = serving_state_steps._Daemon(context.rows, "b")
-        await owner.changes.accept(serving_state_steps._submission("job"))
+        owner = job_world.JobDaemon(context.rows, "a")
+        other = job_world.JobDaemon(context.rows, "b")
+        await owner.changes.accept(job_world.make_submission("job"))
         peers, pauses = _make_peers(), process_pauses.ProcessPauses()
         claims = job_takeover.JobTakeover(
             peer_registry.Identity("b", "r", "1", "10.0.0.2", 1),
@@ -52,7 +51,7 @@
             other.state,
             other.registry,
             other.changes,
-            serving_state_steps._make_runner(other, serving_fakes.Fleet([]), None),
+            job_world.make_runner(other, serving_fakes.Fleet([]), None),
             pauses,
         )
         # As if the daemon had been running for long.
@@ -98,9 +97,9 @@
 def step_sweep(context, swept):
     async def run():
         rows = serving_fakes.FakeStore()
-        daemon = serving_state_steps._Daemon(rows, "a")
+        daemon = job_world.JobDaemon(rows, "a")
         with _shift_time(context.accepted):
-            await daemon.changes.accept(serving_state_steps._submission("job"))
+            await daemon.changes.accept(job_world.make_submission("job"))
         assert await daemon.changes.end("job", time.monotonic() + _GOES_ON_S)
         sweeper = job_sweeper.JobSweeper(
             rows,
--- a/features/support/item_world.py
+++ b/features/support/item_world.py
@@ -167,7 +167,7 @@
             jobs.Item(f"item{number}", _PATH, {"Model": "m"}, b"body", 10)
             for number in range(count)
         )
-        self.daemons = [job_world.Daemon(self.rows, name) for name in ("a", "b")]
+        self.daemons = [job_world.JobDaemon(self.rows, name) for name in ("a", "b")]
         self.tasks = []
         for service in SERVICES:
             self.add_targets(service)
@@ -210,7 +210,11 @@
 
     def _run(self, daemon, entry, stored):
         runner = job_world.make_runner(
-            daemon, self.fleet, self.targets, lambda: self.table, self.slots
+            daemon,
+            self.fleet,
+            self.targets,
+            get_table=lambda: self.table,
+            slots=self.slots,
         )
         self.tasks.append(asyncio.ensure_future(runner.run()))
         runner.start_job(entry, self.items, stored)
