Write no plan of versions from old targets

A daemon whose copy of the targets was out of date, with the plans in reach, took the plan for wrong and wrote its own; the others wrote theirs back, some 9 times a second between two daemons. Streams were then assigned to versions that nobody serves, and the plan's history ran over within 10 s.

--- a/features/out_of_step.feature
+++ b/features/out_of_step.feature
@@ -50,3 +50,10 @@
     Given a daemon that has the time of the store
     When its VM is suspended for 60 s
     Then it tells a time of the store 60 s later
+
+  # Guards against a daemon that writes plans from old targets, which the others write back:
+  # versions change hands several times a second, and the history of the plan runs over.
+  Scenario: A daemon with old targets leaves the plan to the others
+    Given two daemons before targets a v1, b v1 that have served for long
+    When targets of v2 join, and the second daemon has not read its targets for 5 s
+    Then the plan was written at most once a target in the 3 s after, and has v2
--- a/features/steps/out_of_step_steps.py
+++ b/features/steps/out_of_step_steps.py
@@ -12,6 +12,7 @@
 _OUT_S = 3.0
 _INTERVAL_S = 0.01
 _STOOD_STILL_S = 60.0
+_OLD_TARGETS_S = 5.0
 _OTHERS = 4
 # Streams are asked for at this interval while a daemon is cut off.
 _ASK_S = 0.3
@@ -131,6 +132,26 @@
     assert statuses == [200 if begun == "all" else 503] * 10, context.statuses
 
 
+@when("targets of v2 join, and the second daemon has not read its targets for 5 s")
+def step_old_targets(context):
+    async def act(fleet, trial):
+        trial.second.targets_age.age_s = _OLD_TARGETS_S
+        before = out_of_step_world.count_plan_writes(fleet.row_store)
+        for name in ("d", "e"):
+            await fleet.add_target(name, "v2", [trial.first])
+        await asyncio.sleep(_OUT_S)
+        context.writes = out_of_step_world.count_plan_writes(fleet.row_store) - before
+
+    context.acts.append(act)
+    asyncio.run(_play(context))
+
+
+@then("the plan was written at most once a target in the 3 s after, and has v2")
+def step_written_seldom(context):
+    assert b"v2" in context.fleet.read_plan(), context.fleet.read_plan()
+    assert 1 <= context.writes <= 2, context.writes
+
+
 @given("a daemon that has the time of the store")
 def step_store_clock(context):
     context.clock = store_clock.StoreClock()
--- a/features/support/serving_world.py
+++ b/features/support/serving_world.py
@@ -74,6 +74,16 @@
     elapsed_s: float = 0.0
 
 
+@dataclasses.dataclass
+class TargetsAge:
+    """The age of a world's targets, which no feed hands over."""
+
+    age_s: float = 0.0
+
+    def measure_s(self):
+        return self.age_s
+
+
 class World:
     """Targets and the online serving of a daemon.
 
@@ -126,6 +136,7 @@
             lambda: self.router.list_stream_services(),
             lambda: None,
         )
+        self.targets_age = TargetsAge()
         self._tasks = []
         online = online_service.OnlineService(
             self.registry,
@@ -167,7 +178,7 @@
         feed = follower.TableFollower(
             self.row_store, jobs.STATE_TABLE, jobs.PARTITION, self.versions.apply_row
         )
-        self.versions.follow(feed.age)
+        self.versions.follow(feed.age, self.targets_age)
         for work in (self.versions.run(), feed.run()):
             self._tasks.append(asyncio.ensure_future(work))
 
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -211,7 +211,7 @@
             lambda: self._router.list_stream_services(),
             self._open_when_loaded,
         )
-        self._versions.follow(self._state_feed.age)
+        self._versions.follow(self._state_feed.age, self._targets_feed.age)
         self._target_selector = target_selection.TargetSelector(
             location,
             self._target_registry,
--- a/src/endivevane/stream_versions/assembly.py
+++ b/src/endivevane/stream_versions/assembly.py
@@ -63,9 +63,10 @@
         """Whether the plans have been read since the start."""
         return self._table.is_loaded
 
-    def follow(self, feed_age: copy_age.CopyAge) -> None:
-        """Take the plans for as old as the feed that hands over their rows."""
+    def follow(self, feed_age: copy_age.CopyAge, targets_age: copy_age.CopyAge) -> None:
+        """Take plans and targets for as old as the feeds that hand over their rows."""
         self._table.follow(feed_age)
+        self._writer.follow(targets_age)
 
     def apply_row(self, row: store.Row) -> None:
         """Apply the row of a plan."""
--- a/src/endivevane/stream_versions/plan_writer.py
+++ b/src/endivevane/stream_versions/plan_writer.py
@@ -10,6 +10,7 @@
 from endivevane import logs, metrics
 from endivevane.coordination import rendezvous
 from endivevane.serving import (
+    copy_age,
     failures,
     peer_registry,
     store,
@@ -27,6 +28,8 @@
 _MAX_DELAY_S = 4.0
 _MIN_WRITE_INTERVAL_S = 0.2
 _RETRY_S = 0.5
+# No plan is written from a copy of the targets that is older; a long poll takes 2 s.
+_MAX_TARGETS_AGE_S = 4.0
 # Epochs matter while a stream that began in them may go on.
 KEEP_MS = 120_000
 # Records are deleted once they are this old, by who wrote the last plan.
@@ -62,6 +65,11 @@
         self._not_before_s = 0.0
         self._sweep_due_s = float("inf")
         self._seen: object = None
+        self._targets_age = copy_age.CopyAge()
+
+    def follow(self, targets_age: copy_age.CopyAge) -> None:
+        """Take the targets for as old as the feed that hands over their rows."""
+        self._targets_age = targets_age
 
     async def run(self) -> None:
         """Write plans until cancelled."""
@@ -76,6 +84,9 @@
         self._find_outdated(now_s)
         if now_s < self._not_before_s or not self._table.is_loaded:
             return
+        if self._due_s and self._targets_age.measure_s() > _MAX_TARGETS_AGE_S:
+            # Another daemon would write the change back.
+            return
         for service, due_s in list(self._due_s.items()):
             if now_s >= due_s:
                 await self._write(service)
