Refuse rather than deny a request without a route while out of step

A daemon whose configuration had missed a new route answered its requests 404, for good, though it had not heard from the store for as long as it was out of step; clients don't repeat a 404. It now asks how old its configuration is: above 4 s the answer is 503 with Retry-After, which is true (not run), and the client comes back or goes elsewhere.

--- a/features/out_of_step.feature
+++ b/features/out_of_step.feature
@@ -57,3 +57,15 @@
     Given two daemons before targets a v1, b v1 that have served for long
     When targets of v2 join, and the second daemon has not read its targets for 5 s
     Then the plan was written at most once a target in the 3 s after, and has v2
+
+  # Guards against a 404, which clients don't repeat, for a route that was added while the
+  # daemon was out of step: another daemon has it.
+  Scenario Outline: A request without a route is answered <status> by a configuration of <age> s ago
+    Given a daemon whose configuration is known to be current as of <age> s ago
+    When a client asks for a path without a route
+    Then the client is told <status>, <when>
+
+    Examples:
+      | age | status | when                |
+      | 3   | 404    | for good            |
+      | 5   | 503    | to come back soon   |
--- a/features/steps/out_of_step_steps.py
+++ b/features/steps/out_of_step_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 
 from endivevane.serving import store_clock
-from features.support import out_of_step_world, version_world
+from features.support import out_of_step_world, serving_world, version_world
 
 _SERVED_S = 60.0
 # Plans are written and take effect within this time.
@@ -169,3 +169,30 @@
 def step_store_time(context):
     # The two readings are less than a second apart.
     assert 0 <= context.passed_ms - _STOOD_STILL_S * 1000 < 1000, context.passed_ms
+
+
+@given("a daemon whose configuration is known to be current as of {age:d} s ago")
+def step_configuration_age(context, age):
+    context.age_s = age
+
+
+@when("a client asks for a path without a route")
+def step_no_route(context):
+    async def run():
+        daemon = serving_world.World(serving_world.make_configuration())
+        await daemon.start()
+        daemon.configuration_age.age_s = context.age_s
+        try:
+            request = serving_world.make_request(path="/added/1")
+            context.response = await serving_world.send_request(daemon.port, request)
+        finally:
+            await daemon.stop()
+
+    asyncio.run(run())
+
+
+@then("the client is told {status:d}, {when}")
+def step_told(context, status, when):
+    assert context.response.status == status, context.response
+    has_retry = "retry-after" in context.response.headers
+    assert has_retry == (when == "to come back soon"), context.response.headers
--- a/features/support/serving_world.py
+++ b/features/support/serving_world.py
@@ -75,8 +75,8 @@
 
 
 @dataclasses.dataclass
-class TargetsAge:
-    """The age of a world's targets, which no feed hands over."""
+class FeedAge:
+    """The age of a copy that no feed hands over."""
 
     age_s: float = 0.0
 
@@ -136,7 +136,7 @@
             lambda: self.router.list_stream_services(),
             lambda: None,
         )
-        self.targets_age = TargetsAge()
+        self.targets_age = FeedAge()
         self._tasks = []
         online = online_service.OnlineService(
             self.registry,
@@ -149,6 +149,8 @@
             generator,
         )
         self.router = request_router.RequestRouter(online, None, job_codec.JobCodec())
+        self.configuration_age = FeedAge()
+        self.router.follow(self.configuration_age)
         if configuration is not None:
             self.configure(configuration)
             self.router.is_ready.set()
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -328,6 +328,7 @@
         codec = job_codec.JobCodec()
         batch = job_api.JobApi(codec, self._changes, self._reader, self._runner)
         self._router = request_router.RequestRouter(online, batch, codec)
+        self._router.follow(self._configuration_feed.age)
         relay = store_relay.StoreRelay(
             self._store_pool,
             lambda: self._endpoints.store,
--- a/src/endivevane/serving/request_router.py
+++ b/src/endivevane/serving/request_router.py
@@ -7,9 +7,10 @@
 import time
 import typing
 
-from endivevane import logs
+from endivevane import logs, metrics
 from endivevane.serving import (
     attempts,
+    copy_age,
     job_api,
     jobs,
     model,
@@ -25,6 +26,9 @@
 # of the time until its deadline.
 _MAX_START_WAIT_S = 0.8
 _START_WAIT_SHARE = 0.4
+# A daemon whose configuration is older than this may have missed a route; a long poll
+# takes 2 s.
+_MAX_CONFIGURATION_AGE_S = 4.0
 
 
 class CallDecoder(typing.Protocol):
@@ -52,6 +56,11 @@
         self._online = online
         self._job_api = batch
         self._decoder = decoder
+        self._configuration_age = copy_age.CopyAge()
+
+    def follow(self, configuration_age: copy_age.CopyAge) -> None:
+        """Take the configuration for as old as the feed that hands it over."""
+        self._configuration_age = configuration_age
 
     def list_stream_services(self) -> frozenset[str]:
         """Return the services whose streams may be resumed."""
@@ -79,14 +88,7 @@
             if job_call is not None:
                 response.send(await self._job_api.call(request, job_call))
                 return
-            logs.limited_info(
-                "request_without_route",
-                request=request.attempt_id.decode("latin-1"),
-                host=request.host,
-                path=request.path,
-                version=table.configuration.version,
-            )
-            response.send(responder.Response(http.HTTPStatus.NOT_FOUND))
+            response.send(self._refuse_without_route(request, table))
             return
         if route.kind is model.RouteKind.BATCH:
             response.send(await self._job_api.submit(request, route))
@@ -99,6 +101,27 @@
             _may_have_moved(table, request, route),
         )
 
+    def _refuse_without_route(
+        self, request: model.ClientRequest, table: routing_table.RoutingTable
+    ) -> responder.Response:
+        """Return the response to a request for which no route is known."""
+        age_s = self._configuration_age.measure_s()
+        logs.limited_info(
+            "request_without_route",
+            request=request.attempt_id.decode("latin-1"),
+            host=request.host,
+            path=request.path,
+            version=table.configuration.version,
+            configuration_age_s=round(age_s, 1),
+        )
+        if age_s <= _MAX_CONFIGURATION_AGE_S:
+            return responder.Response(http.HTTPStatus.NOT_FOUND)
+        metrics.REFUSALS.labels("configuration_out_of_date", "not-run").inc()
+        return responder.Response(
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
+            retry_after_s=_NO_CONFIGURATION_RETRY_S,
+        )
+
     async def _wait_ready(self, request: model.ClientRequest) -> None:
         """Wait a limited time for configuration and targets to be loaded."""
         wait_s = _MAX_START_WAIT_S
