--- a/features/serving_state.feature
+++ b/features/serving_state.feature
@@ -131,3 +131,8 @@
     When a daemon releases a job whose first item has failed 2 times
     Then the daemon that takes the job over continues from 2 failed runs
     And it resumes the item after the 2 events received so far
+
+  # Guards against objects of refused jobs that stay for good and fill the store.
+  Scenario: The payload of a refused job does not stay in the store
+    When the store refuses all transactions while a job with a payload of over 600 kB is accepted
+    Then the job is refused and the store holds no object
--- a/features/steps/serving_state_steps.py
+++ b/features/steps/serving_state_steps.py
@@ -399,6 +399,50 @@
         yield None
 
 
+class _FullStore(serving_fakes.FakeStore):
+    """A store that keeps objects and refuses all transactions."""
+
+    def __init__(self):
+        super().__init__()
+        self.objects = {}
+
+    async def apply(self, change):
+        await asyncio.sleep(0)
+        raise failures.StoreRefused("apply", "status 429")
+
+    async def put_object(self, name, content):
+        self.objects.setdefault(name, content)
+
+    async def delete_object(self, name):
+        self.objects.pop(name, None)
+
+
+@when(
+    "the store refuses all transactions while a job with a payload of over 600 kB is "
+    "accepted"
+)
+def step_refuse_large(context):
+    async def run():
+        daemon = job_world.JobDaemon(_FullStore(), "a")
+        submission = job_world.make_submission("job", items=1, left_s=0.6)
+        body = random.Random(1).randbytes(jobs.INLINE_BYTES + 1)
+        item = dataclasses.replace(submission.items[0], body=body)
+        try:
+            await daemon.changes.accept(dataclasses.replace(submission, items=(item,)))
+        except failures.ServingError as error:
+            context.error = error
+        daemon.feed.cancel()
+        context.objects = list(daemon.rows.objects)
+
+    asyncio.run(run())
+
+
+@then("the job is refused and the store holds no object")
+def step_refused_without_object(context):
+    assert isinstance(context.error, failures.JobRefused), context.error
+    assert not context.objects, context.objects
+
+
 @when("a daemon starts a job of {count:d} items, and again after 100 ms")
 def step_start_twice(context, count):
     async def run():
