--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -9,9 +9,10 @@
 import signal
 import time
 
-from endivevane import logs, metrics, types
+from endivevane import logs, types
 from endivevane.entry import (
     configuration_rows,
+    feeds,
     graceful_stop,
     internal_servers,
     membership,
@@ -65,7 +66,6 @@
     target_selection,
 )
 from endivevane.stream_versions import assembly as stream_versions_assembly
-from endivevane.stream_versions import rows as version_rows
 
 # A connection between regions takes two round trips of 40 ms.
 _CONNECT_TIMEOUT_S = 0.35
@@ -109,16 +109,7 @@
         self._make_targets()
         self._make_jobs()
         self._make_servers()
-        self._export_ages()
-
-    def _export_ages(self) -> None:
-        """Let the metrics show how old the copies of the store's tables are."""
-        for table, feed in (
-            ("configuration", self._configuration_feed),
-            ("targets", self._targets_feed),
-            ("state", self._state_feed),
-        ):
-            metrics.COPY_AGE_SECONDS.labels(table).set_function(feed.age.measure_s)
+        self._feeds.export_ages()
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down gracefully."""
@@ -137,9 +128,9 @@
             zone=self._settings.vm.availability_zone,
         )
         for job in (
-            self._targets_feed.run(),
-            self._configuration_feed.run(),
-            self._state_feed.run(),
+            self._feeds.targets.run(),
+            self._feeds.configuration.run(),
+            self._feeds.state.run(),
             self._network.run(),
             self._runner.run(),
             self._takeover.run(),
@@ -169,7 +160,7 @@
             self._identity, self._peer_registry, self._store
         )
         self._job_registry = job_registry.JobRegistry()
-        self._state_feed = follower.TableFollower(
+        state = follower.TableFollower(
             self._store,
             jobs.STATE_TABLE,
             jobs.PARTITION,
@@ -178,7 +169,7 @@
             on_loaded=self._start_warm_up_when_loaded,
             newest=self._newest,
         )
-        self._targets_feed = follower.TableFollower(
+        targets = follower.TableFollower(
             self._store,
             records.TARGETS_TABLE,
             "",
@@ -186,9 +177,10 @@
             lambda: self._target_registry.record_store_recovery(time.monotonic()),
             on_loaded=self._open_when_loaded,
         )
-        self._configuration_feed = follower.TableFollower(
+        configuration = follower.TableFollower(
             self._store, records.CONFIGURATION_TABLE, "", self._on_configuration_row
         )
+        self._feeds = feeds.Feeds(configuration, targets, state)
 
     def _make_targets(self) -> None:
         vm, regions = self._settings.vm, dict(self._settings.regions)
@@ -211,7 +203,7 @@
             lambda: self._router.list_stream_services(),
             self._open_when_loaded,
         )
-        self._versions.follow(self._state_feed.age, self._targets_feed.age)
+        self._versions.follow(self._feeds.state.age, self._feeds.targets.age)
         self._target_selector = target_selection.TargetSelector(
             location,
             self._target_registry,
@@ -266,7 +258,7 @@
 
     def _make_jobs(self) -> None:
         self._changes = job_changes.JobChanges(
-            self._store, self._state_feed, self._job_registry, self._identity.owner
+            self._store, self._feeds.state, self._job_registry, self._identity.owner
         )
         self._reader = job_reader.JobReader(self._job_registry, self._changes)
         self._runner = job_runner.JobRunner(
@@ -300,7 +292,7 @@
         self._takeover = job_takeover.JobTakeover(
             self._identity,
             self._peer_registry,
-            self._state_feed,
+            self._feeds.state,
             self._job_registry,
             self._changes,
             self._runner,
@@ -329,11 +321,11 @@
         codec = job_codec.JobCodec()
         batch = job_api.JobApi(codec, self._changes, self._reader, self._runner)
         self._router = request_router.RequestRouter(online, batch, codec)
-        self._router.follow(self._configuration_feed.age)
+        self._router.follow(self._feeds.configuration.age)
         relay = store_relay.StoreRelay(
             self._store_pool,
             lambda: self._endpoints.store,
-            self._list_followed(),
+            self._feeds.list_relayed(),
         )
         self._client_server = http_server.Server(
             self._codec, self._router.handle, self._get_limits
@@ -342,16 +334,6 @@
             self._codec, relay.handle, lambda: self._is_ready
         )
 
-    def _list_followed(self) -> tuple[store_relay.FollowedRows, ...]:
-        """Return the rows that other daemons may read here without the store."""
-        start, end = version_rows.PLAN_PREFIX, version_rows.PLAN_END
-        followed = store_relay.FollowedRows
-        return (
-            followed(records.CONFIGURATION_TABLE, self._configuration_feed),
-            followed(records.TARGETS_TABLE, self._targets_feed),
-            followed(jobs.STATE_TABLE, self._state_feed, start, end),
-        )
-
     async def _listen(self) -> None:
         listen = self._settings.listen
         clients = types.parse_address(listen.clients)
@@ -383,14 +365,14 @@
 
     def _open_when_loaded(self) -> None:
         """Accept requests once configuration, targets and version plans are loaded."""
-        is_loaded = self._targets_feed.is_loaded and self._versions.is_loaded
+        is_loaded = self._feeds.targets.is_loaded and self._versions.is_loaded
         if self._router.table is not None and is_loaded:
             self._router.is_ready.set()
         self._start_warm_up_when_loaded()
 
     def _start_warm_up_when_loaded(self) -> None:
         """Schedule the end of the warm-up once all tables are loaded."""
-        is_known = self._router.is_ready.is_set() and self._state_feed.is_loaded
+        is_known = self._router.is_ready.is_set() and self._feeds.state.is_loaded
         if is_known and self._peer_registry.warmed_up_s == float("inf"):
             self._peer_registry.warmed_up_s = time.monotonic() + _WARM_UP_S
 
