Keep the failed runs of a job within its row

What callers would see: a job with 200 items whose ids have 90 quotes, on a path of 16 kB, never ends once all have failed: its row outgrows what the store takes, each write is refused, and the counts of the daemon's other jobs wait behind it. Seen in the scenario only. Change: at most 24,000 bytes of counts, those that failed first; items whose counts do not fit wait until others have results.

--- a/features/failed_runs.feature
+++ b/features/failed_runs.feature
@@ -80,6 +80,13 @@
     And no run begins before the store holds the count of the runs before it
     And each item had 3 answers of 500
 
+  # Guards against a row of a job that the store refuses for its size at each try, which
+  # would hold the counts of all jobs of its daemon up.
+  Scenario: The counts of long ids do not fit into the row of their job
+    Given a route with 3 attempts and 200 items with ids of 90 quotes and numbers
+    When all items of a job with a path of 16 kB fail at the same moment
+    Then all are listed as failed after 2 further answers of 500 each
+
   # Guards against writes for counts that the results of the same job could take along.
   Scenario: Counts are stored with the results of a busy job
     Given 20 daemons, one of which runs a job of 200 items, each 10th of which is answered 500 once
--- a/features/steps/failed_runs_steps.py
+++ b/features/steps/failed_runs_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 import time
 
 import orjson
@@ -33,6 +34,16 @@
     asyncio.run(run())
 
 
+def _fail_all(owner, attempts, times):
+    """Let all items of a job fail at the same moment, some times."""
+    owned = owner.runner._owned["job"]
+    route = job_world.make_route(attempts=attempts)
+    end = item_sender.RunEnd.FAILED
+    for run in list(owned.runs.values()):
+        for _ in range(times):
+            owner.runner._finish_run(owned, run, route, end, has_advanced=False)
+
+
 @given(
     "a route with {attempts:d} attempts and an item that is answered 500 at each run"
 )
@@ -173,13 +184,8 @@
         # The runs end by the step alone, so that the results come at the same moment.
         first.task.cancel()
         await world.submit(first, items=context.count)
-        owned = first.runner._owned["job"]
         world.rows.on_results = first.lose
-        route = job_world.make_route(attempts=context.attempts)
-        for run in list(owned.runs.values()):
-            for _ in range(context.attempts):
-                end = item_sender.RunEnd.FAILED
-                first.runner._finish_run(owned, run, route, end, has_advanced=False)
+        _fail_all(first, context.attempts, context.attempts)
         await world.wait_until(lambda: first.is_lost, _LIMIT_S)
         context.listed_by_first = len(world.list_results())
         await world.add_owner().take_over("job")
@@ -299,6 +305,44 @@
     assert set(answers.values()) == {count}, answers
 
 
+@given(
+    "a route with {attempts:d} attempts and {count:d} items with ids of {size:d} "
+    "quotes and numbers"
+)
+def step_long_ids(context, attempts, count, size):
+    context.attempts = attempts
+    context.ids = [f"job-{number}-".ljust(size, '"') for number in range(count)]
+
+
+@when("all items of a job with a path of 16 kB fail at the same moment")
+def step_run_long_ids(context):
+    ids = context.ids
+    submission = job_world.make_submission("job", len(ids))
+    items = tuple(
+        dataclasses.replace(item, item_id=item_id)
+        for item, item_id in zip(submission.items, ids, strict=True)
+    )
+    path = "/p/".ljust(16_000, "x")
+
+    async def play(world):
+        given = dataclasses.replace(submission, items=items, path=path)
+        owner = world.add_owner()
+        await world.submit(owner, submission=given)
+        _fail_all(owner, context.attempts, 1)
+        await world.wait_for_results(len(ids), _LIMIT_S)
+
+    _play(context, play)
+
+
+@then("all are listed as failed after {count:d} further answers of 500 each")
+def step_all_failed_after(context, count):
+    results = context.world.list_results().values()
+    assert {result.item_id for result in results} == set(context.ids)
+    assert not any(result.is_completed for result in results)
+    answers = context.world.answers_500
+    assert set(answers.values()) == {count}, answers
+
+
 @given(
     "{daemons:d} daemons, one of which runs a job of 200 items, each 10th of which is "
     "answered 500 once"
--- a/features/support/failed_run_world.py
+++ b/features/support/failed_run_world.py
@@ -17,7 +17,7 @@
 
 
 class JobStore(serving_fakes.FakeStore):
-    """A store that all owners share.
+    """A store that all owners share, with the platform's limit of a row.
 
     :ivar faults: what happens to the next writes of a job's row that store no result:
         ``dropped`` never arrives, ``lost`` is applied without an answer, ``held`` is
@@ -35,6 +35,8 @@
         self.results_writes = 0
 
     async def apply(self, change):
+        if any(len(value) > jobs.ROW_BYTES for _, value in change.puts):
+            raise failures.StoreBadRequest("apply", "a row is too large")
         stored = self._find_stored(change)
         if stored is None or self.is_down or not self.faults:
             return await super().apply(change)
@@ -188,8 +190,8 @@
     def losses(self):
         return sum(owner.is_lost for owner in self.owners)
 
-    async def submit(self, owner, job_id="job", items=1):
-        submission = job_world.make_submission(job_id, items)
+    async def submit(self, owner, job_id="job", items=1, submission=None):
+        submission = submission or job_world.make_submission(job_id, items)
         entry = await owner.daemon.changes.accept(submission)
         owner.runner.start_job(entry, submission.items)
 
--- a/src/endivevane/serving/failed_runs.py
+++ b/src/endivevane/serving/failed_runs.py
@@ -4,6 +4,13 @@
 
 from collections import abc
 
+# Limit of the counts in a job's row, whose other fields take less than half of it.
+_MAX_BYTES = 24_000
+# A quote of an id takes two bytes in JSON; its count and the marks around it take the
+# rest.
+_BYTES_PER_CHARACTER = 2
+_BYTES_PER_COUNT = 8
+
 
 class FailedRuns:
     """Failed runs of the items of an owned job that have no stored result.
@@ -37,15 +44,22 @@
         return item_id not in self._unstored_s
 
     def get_counts(self, without: abc.Collection[str] = ()) -> dict[str, int]:
-        """Return the counts to store, by item id.
+        """Return the counts to store, by item id, as many as fit into a job's row.
+
+        Those that failed first go first; the others wait until these have results.
 
         :param without: items whose results are stored in the same transaction
         """
-        return {
-            item_id: count
-            for item_id, count in self._counts.items()
-            if item_id not in without
-        }
+        counts = {}
+        size = 0
+        for item_id, count in self._counts.items():
+            if item_id in without:
+                continue
+            size += len(item_id) * _BYTES_PER_CHARACTER + _BYTES_PER_COUNT
+            if size > _MAX_BYTES:
+                break
+            counts[item_id] = count
+        return counts
 
     def record_stored(
         self, counts: abc.Mapping[str, int], done: abc.Collection[str] = ()
