--- a/bench/stream_versions.py
+++ b/bench/stream_versions.py
@@ -20,6 +20,7 @@
 from absl import logging
 
 from endivevane.serving import (
+    copy_age,
     model,
     peer_registry,
     store,
@@ -142,6 +143,8 @@
         self._clock.record(int(time.monotonic() * 1000) + 10 * _PLAN_AGE_MS)
         self._generator = random.Random(7)
         self._targets: dict[str, model.Target] = {}
+        # All daemons get changes of the targets and of the plan at the same time.
+        self._age = copy_age.CopyAge()
         self._registry = target_registry.TargetRegistry(
             lambda key, _value: self._targets[key]
         )
@@ -165,7 +168,7 @@
         peers = peer_registry.PeerRegistry(identity)
         # One dictionary for all daemons; each ranks itself like the others do.
         peers.peers = self._peers
-        return assembly.StreamVersionParts(
+        parts = assembly.StreamVersionParts(
             identity,
             peers,
             self._registry,
@@ -174,6 +177,8 @@
             lambda: frozenset((_SERVICE,)),
             lambda: None,
         )
+        parts.follow(self._age, self._age)
+        return parts
 
     async def run(self) -> dict[str, object]:
         """Play the release; return the figures."""
@@ -245,6 +250,7 @@
         seen = 0
         key = rows.make_plan_key(_SERVICE)
         while True:
+            self._age.confirm(copy_age.read_clock_s())
             await asyncio.sleep(0.1)
             value, version = self._store.rows.get(key, (None, 0))
             if version == seen:
