Know an outage of the store also where few streams begin

Failed reads of the plans tell a daemon that all are cut off, but they were made only when a stream was asked for: with one in 7 s each counted as the first failure, and all new streams were refused for as long as the store was away. Failed reads are now repeated after 1 s for 30 s after the last question. failed before: A daemon with plans of a minute ago that hears 3 of 4 others 7 quiet s later begins all (503 each).

--- a/features/out_of_step.feature
+++ b/features/out_of_step.feature
@@ -42,6 +42,7 @@
       | heard | when             | begun |
       | 1     | 3 s later        | none  |
       | 3     | 3 s later        | all   |
+      | 3     | 7 quiet s later  | all   |
       | 3     | in the moment    | none  |
 
   # Guards against a clock that stops with the VM: the writer of a plan then takes epochs for
--- a/features/steps/out_of_step_steps.py
+++ b/features/steps/out_of_step_steps.py
@@ -17,6 +17,7 @@
 # Streams are asked for at this interval while a daemon is cut off.
 _ASK_S = 0.3
 _ASKS = 10
+_QUIET_S = 7.0
 _MANNERS = {
     "is refused by the store": "refuses",
     "gets no answer from the store": "silent",
@@ -113,6 +114,8 @@
                 await asyncio.sleep(_ASK_S)
                 await _ask(trial.second, f"between{number}-")
             context.statuses["3 s later"] = await _ask(trial.second, "last")
+            await asyncio.sleep(_QUIET_S)
+            context.statuses["7 quiet s later"] = await _ask(trial.second, "quiet")
         hearing.cancel()
 
     context.acts.append(act)
--- a/src/endivevane/stream_versions/plan_reader.py
+++ b/src/endivevane/stream_versions/plan_reader.py
@@ -16,8 +16,11 @@
 # After failures for this long, the store and several relays have been asked.
 _CUT_OFF_S = 2.0
 # Failures that are further apart than this are not of one outage: the process may have
-# stood still between them. A read that no one answers takes less.
-_MAX_FAILURE_GAP_S = 6.0
+# stood still between them. A read that no one answers takes 4.5 s.
+_MAX_FAILURE_GAP_S = 8.0
+# Failed reads are repeated after this time while the plans were asked for recently.
+_REPEAT_S = 1.0
+_ASKED_TTL_S = 30.0
 
 
 class PlanReader:
@@ -40,6 +43,8 @@
         # First and last failure of those without a success between them.
         self._failing_since_s = float("-inf")
         self._failed_s = float("-inf")
+        self._asked_s = float("-inf")
+        self._repeat: asyncio.TimerHandle | None = None
 
     def is_cut_off(self) -> bool:
         """Return whether neither the store nor a relay with it answers for long."""
@@ -48,8 +53,8 @@
 
     def start(self) -> None:
         """Begin to read the plans, unless that has just failed."""
-        if self._reading is None and not self._is_failing():
-            self._reading = asyncio.ensure_future(self._read_once())
+        self._asked_s = copy_age.read_clock_s()
+        self._start_unless_failing()
 
     async def confirm(self, moment_s: float, wait_s: float) -> bool:
         """Bring the plans up to a moment; return whether they are as of it.
@@ -109,6 +114,16 @@
         if now_s - self._failed_s > _MAX_FAILURE_GAP_S:
             self._failing_since_s = now_s
         self._failed_s = now_s
+        if now_s - self._asked_s <= _ASKED_TTL_S:
+            # So that an outage is known when a stream is asked for next.
+            if self._repeat is not None:
+                self._repeat.cancel()
+            loop = asyncio.get_running_loop()
+            self._repeat = loop.call_later(_REPEAT_S, self._start_unless_failing)
+
+    def _start_unless_failing(self) -> None:
+        if self._reading is None and not self._is_failing():
+            self._reading = asyncio.ensure_future(self._read_once())
 
     def _is_failing(self) -> bool:
         return copy_age.read_clock_s() - self._failed_s < _FAILING_S
