--- a/bench/stream_versions.py
+++ b/bench/stream_versions.py
@@ -20,6 +20,7 @@
 from absl import logging
 
 from endivevane.serving import (
+    copy_age,
     model,
     peer_registry,
     store,
@@ -160,7 +161,7 @@
         peers = peer_registry.PeerRegistry(identity)
         # One dictionary for all daemons; each ranks itself like the others do.
         peers.peers = self._peers
-        return assembly.StreamVersionParts(
+        parts = assembly.StreamVersionParts(
             identity,
             peers,
             self._registry,
@@ -169,6 +170,11 @@
             lambda: frozenset((_SERVICE,)),
             lambda: None,
         )
+        # The targets are set at all daemons at once.
+        targets_age = copy_age.CopyAge()
+        targets_age.confirm(float("inf"))
+        parts.follow(copy_age.CopyAge(), targets_age)
+        return parts
 
     async def run(self) -> dict[str, object]:
         """Play the release; return the figures."""
