Bound what is kept of all connections, and give each its turn

Callers saw: with a job at targets whose events do not end, or with a store that answers without end, a daemon used more memory than a VM has; with bodies in chunks of two bytes, requests of others got no answer within 6 s.

Cause: 64 MB of an answer of the store, 4 MB of an item's text and 4 MB of a client's body were bounds of one call, and several are under way. What had arrived, up to 512 kB, was decoded without giving other connections a turn.

Change: what is received and kept counts against a budget for each of targets, the store and callers, an eighth of the process's memory (vm.memory_mb, 200 MB if not given). Above it the connection that keeps most is given up with a typed error. Whole answers are passed on earlier while memory is scarce. Answers of the store are bounded at 16 MB, texts of items at 1 MB, which is the most that can be listed. Bytes are decoded in turns; tiny chunks and comments without end are faults of their target.

--- a/features/support/serving_processes.py
+++ b/features/support/serving_processes.py
@@ -60,9 +60,12 @@
         self._thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         self._thread.start()
 
+    def begin(self, coroutine):
+        """Run a coroutine; return its future."""
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop)
+
     def run(self, coroutine, timeout_s=30):
-        future = asyncio.run_coroutine_threadsafe(coroutine, self.loop)
-        return future.result(timeout_s)
+        return self.begin(coroutine).result(timeout_s)
 
     def stop(self):
         self.loop.call_soon_threadsafe(self.loop.stop)
--- a/src/endivevane/entry/settings.py
+++ b/src/endivevane/entry/settings.py
@@ -9,6 +9,7 @@
 import pydantic
 
 from endivevane import exceptions, types
+from endivevane.serving import memory_budget
 
 Port = typing.Annotated[int, pydantic.Field(gt=0, lt=65536)]
 Seconds = typing.Annotated[float, pydantic.Field(gt=0, le=86_400)]
@@ -33,6 +34,7 @@
 
     :param core_share: share of a core that the daemon has
     :param core_speed: speed of that core relative to the standard one
+    :param memory_mb: memory that the daemon may use
     """
 
     name: typing.Annotated[str, pydantic.Field(min_length=1)]
@@ -41,6 +43,14 @@
     region: str
     core_share: typing.Annotated[float, pydantic.Field(gt=0)] = 1.0
     core_speed: typing.Annotated[float, pydantic.Field(gt=0)] = 1.0
+    memory_mb: typing.Annotated[int, pydantic.Field(gt=0)] = (
+        memory_budget.DEFAULT_MEMORY_BYTES >> 20
+    )
+
+    @property
+    def memory_bytes(self) -> int:
+        """Memory that the daemon may use."""
+        return self.memory_mb << 20
 
     @property
     def processor_share(self) -> float:
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -48,6 +48,7 @@
     job_takeover,
     jobs,
     load_table,
+    memory_budget,
     model,
     newest_version,
     online_service,
@@ -159,7 +160,9 @@
         self._endpoints = store_endpoints.StoreEndpoints(
             self._settings, self._peer_registry, self._generator
         )
-        self._store_pool = http_client.ConnectionPool(_CONNECT_TIMEOUT_S)
+        self._store_pool = http_client.ConnectionPool(
+            _CONNECT_TIMEOUT_S, self._make_budget("store")
+        )
         self._store_clock = store_clock.StoreClock()
         self._store = table_store.TableStore(
             self._store_pool, self._endpoints.list_all, self._store_clock
@@ -256,7 +259,9 @@
         )
         self._codec = headers.HeaderCodec()
         self._target_client = target_client.TargetClient(
-            http_client.ConnectionPool(_CONNECT_TIMEOUT_S),
+            http_client.ConnectionPool(
+                _CONNECT_TIMEOUT_S, self._make_budget("targets")
+            ),
             self._codec,
             self._target_registry.record_draining,
             self._limits,
@@ -330,13 +335,17 @@
             lambda: self._endpoints.store,
             self._list_followed(),
         )
+        budget = self._make_budget("callers")
         self._client_server = http_server.Server(
-            self._codec, self._router.handle, self._get_limits
+            self._codec, self._router.handle, self._get_limits, budget
         )
         self._internal_servers = internal_servers.InternalServers(
-            self._codec, relay.handle, lambda: self._is_ready
+            self._codec, relay.handle, lambda: self._is_ready, budget
         )
 
+    def _make_budget(self, purpose: str) -> memory_budget.MemoryBudget:
+        return memory_budget.MemoryBudget(purpose, self._settings.vm.memory_bytes)
+
     def _list_followed(self) -> tuple[store_relay.FollowedRows, ...]:
         """Return the rows that other daemons may read here without the store."""
         start, end = version_rows.PLAN_PREFIX, version_rows.PLAN_END
--- a/src/endivevane/metrics.py
+++ b/src/endivevane/metrics.py
@@ -107,6 +107,11 @@
     "Answers of targets that break HTTP, by cause.",
     ["cause"],
 )
+REVOKED_BUFFERS = prometheus_client.Counter(
+    "endivevane_revoked_buffers",
+    "Connections given up because they kept most of an exceeded memory budget.",
+    ["purpose"],
+)
 TARGET_ENDS = prometheus_client.Counter(
     "endivevane_target_ends",
     "Targets that ended while a request of this daemon waited for its first event.",
--- a/src/endivevane/serving/answer_relay.py
+++ b/src/endivevane/serving/answer_relay.py
@@ -26,6 +26,8 @@
 
 # Responses of routes that do not stream are buffered completely up to this size.
 _MAX_BUFFERED_BYTES = 1 << 20
+# The same while much of the memory for responses is used.
+_MAX_SCARCE_BYTES = 32 * 1024
 # Statuses that tell the client that its request has not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _FIRST_FAILED_STATUS = 500
@@ -111,6 +113,7 @@
                 target_response.record_event()
                 await self._deliver(relaying, events)
             reader.check()
+            target_response.record_kept(reader.unread_bytes)
         reader.finish(target_response.is_framed)
         await self._claim(relaying)
         if not response.is_started:
@@ -165,7 +168,7 @@
         known, head = relaying.known, relaying.target_response.head
         item = relaying.item
         response = item.response
-        chunks: list[bytes] = []
+        kept = bytearray()
         size = 0
         is_failure = (
             head.status >= _FIRST_FAILED_STATUS or head.status in _NOT_RUN_STATUSES
@@ -173,17 +176,19 @@
         while (data := await relaying.target_response.read()) is not None:
             if not is_failure:
                 self._record_answer(relaying)
-            chunks.append(data)
+            kept += data
             size += len(data)
-            if size <= _MAX_BUFFERED_BYTES:
+            relaying.target_response.record_kept(len(kept))
+            if not _must_pass_on(relaying, size, is_failure):
                 continue
             await self._claim(relaying)
             if not response.is_started:
                 response.begin(head)
-            await response.write(b"".join(chunks))
-            chunks.clear()
+            await response.write(bytes(kept))
+            kept.clear()
+            relaying.target_response.record_kept(0)
         if response.is_started:
-            await response.write(b"".join(chunks))
+            await response.write(bytes(kept))
             response.finish()
             return attempts.Outcome.SERVED
         self._outcomes.record_status(known.target, head.status, is_failure)
@@ -199,7 +204,7 @@
             response.send(responder.Response(502))
             return attempts.Outcome.FAILED
         full_response = responder.Response(
-            head.status, b"".join(chunks), head.headers, head.reason
+            head.status, bytes(kept), head.headers, head.reason
         )
         response.send(full_response)
         return attempts.Outcome.FAILED if is_failure else attempts.Outcome.SERVED
@@ -257,6 +262,18 @@
     return event_sequence.EventSequence(progress.last_event_id)
 
 
+def _must_pass_on(relaying: _Relaying, size: int, is_failure: bool) -> bool:
+    """Whether a response must be passed on before it is complete.
+
+    :param size: number of bytes received of its body
+    :param is_failure: whether another attempt may answer instead
+    """
+    if size > _MAX_BUFFERED_BYTES or relaying.item.response.is_started:
+        return True
+    is_large = size > _MAX_SCARCE_BYTES
+    return is_large and relaying.target_response.is_memory_scarce and not is_failure
+
+
 def _may_be_answered_otherwise(item: exchange.Exchange) -> bool:
     """Whether another attempt may answer instead of one that brought a failure."""
     if not item.progress.route.is_idempotent:
--- a/src/endivevane/serving/byte_stream.py
+++ b/src/endivevane/serving/byte_stream.py
@@ -9,8 +9,12 @@
 import typing
 from collections import abc
 
+from endivevane.serving import memory_budget
+
 # Unread bytes above which reading from the socket is paused.
-_HIGH_WATERMARK_BYTES = 256 * 1024
+_HIGH_WATERMARK_BYTES = 64 * 1024
+# Memory that a received piece takes beside its bytes.
+_PIECE_OVERHEAD_BYTES = 64
 # The kernel drops a connection whose data, or keep-alive probes, go unacknowledged this
 # long.
 _USER_TIMEOUT_MS = 4000
@@ -21,20 +25,31 @@
 _LINGER_RESET = struct.pack("ii", 1, 0)
 
 
+class MemoryRevoked(OSError):
+    """The connection kept most of the bytes of an exceeded memory budget."""
+
+
 class ByteStream(asyncio.Protocol):
     """Reads and writes one connection for a single task.
 
     :param on_connected: called once with the connected stream
+    :param budget: bounds what is kept of all connections of a kind
+    :ivar holding: what is kept of this one
     :ivar is_ended: whether the peer has closed its side or the connection is closed
     """
 
     def __init__(
-        self, on_connected: abc.Callable[[ByteStream], None] | None = None
+        self,
+        on_connected: abc.Callable[[ByteStream], None] | None,
+        budget: memory_budget.MemoryBudget,
     ) -> None:
         self.is_ended = False
+        self.holding = budget.open(lambda: self.fail(MemoryRevoked()))
         self._on_connected = on_connected
         self._transport: asyncio.Transport | None = None
         self._chunks: collections.deque[bytes] = collections.deque()
+        # Bytes of the first piece that have been read.
+        self._offset = 0
         self._unread_bytes = 0
         self._is_closed = False
         self._error: OSError | None = None
@@ -58,11 +73,14 @@
             self.abort()
             self._record_end()
             return
+        if self._error is not None:
+            return
         self._chunks.append(data)
-        self._unread_bytes += len(data)
+        self._unread_bytes += len(data) + _PIECE_OVERHEAD_BYTES
         if self._unread_bytes > _HIGH_WATERMARK_BYTES and self._transport is not None:
             self._transport.pause_reading()
         self._readable.set()
+        self.holding.set_received(self._unread_bytes)
 
     def eof_received(self) -> bool:
         """Record that the peer has closed its side; writing stays possible."""
@@ -76,6 +94,7 @@
         if isinstance(exc, OSError):
             self._error = exc
         self._writable.set()
+        self.holding.close()
         self._record_end()
 
     def pause_writing(self) -> None:
@@ -129,9 +148,10 @@
             return self._is_readable
         return True
 
-    async def read(self) -> bytes:
+    async def read(self, most: int) -> bytes:
         """Return the next bytes, empty once the peer has closed its side.
 
+        :param most: largest number of bytes to return
         :raises OSError: when the connection failed
         """
         while not self._chunks:
@@ -141,8 +161,15 @@
                 return b""
             self._readable.clear()
             await self._readable.wait()
-        data = self._chunks.popleft()
+        piece = self._chunks[0]
+        data = piece[self._offset : self._offset + most]
+        self._offset += len(data)
         self._unread_bytes -= len(data)
+        if self._offset == len(piece):
+            self._chunks.popleft()
+            self._offset = 0
+            self._unread_bytes -= _PIECE_OVERHEAD_BYTES
+        self.holding.set_received(self._unread_bytes)
         is_below_watermark = self._unread_bytes <= _HIGH_WATERMARK_BYTES
         if is_below_watermark and self._transport is not None and not self._is_closed:
             self._transport.resume_reading()
@@ -152,7 +179,9 @@
         """Make the current and later reads and drains fail with an error."""
         self._error = self._error or error
         self._chunks.clear()
+        self._offset = 0
         self._unread_bytes = 0
+        self.holding.set_received(0)
         self._readable.set()
         self._writable.set()
 
--- a/src/endivevane/serving/client_connection.py
+++ b/src/endivevane/serving/client_connection.py
@@ -25,6 +25,12 @@
 _IDLE_SLACK_S = 3.0
 # How long a client may take no byte of a response that has been written.
 _FLUSH_TIMEOUT_S = 2.0
+# Bytes that are decoded before other connections have their turn.
+_MAX_READ_BYTES = 64 * 1024
+_MAX_CHUNKS_PER_TURN = 64
+# Each chunk takes time to decode, so that these are no sound body.
+_MAX_SMALL_CHUNKS = 4096
+_SMALL_CHUNK_BYTES = 8
 
 
 class RequestCodec(typing.Protocol):
@@ -193,7 +199,7 @@
         if not await self._wait_within_idle_timeout():
             return False
         try:
-            data = await self._stream.read()
+            data = await self._stream.read(_MAX_READ_BYTES)
         except OSError:
             # The client disconnected between requests, so no request is lost.
             return False
@@ -315,18 +321,34 @@
                 self._h11.send(h11.InformationalResponse(status_code=100, headers=[]))
                 or b""
             )
-        chunks: list[bytes] = []
-        size = 0
+        body = bytearray()
+        try:
+            await self._collect_body(body)
+            return bytes(body)
+        finally:
+            # The traceback of an error refers to it.
+            body.clear()
+            self._stream.holding.set_collected(0)
+
+    async def _collect_body(self, body: bytearray) -> None:
+        """Add the parts of a body as they arrive, up to its end."""
+        chunk_count = 0
         while True:
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
-                return b"".join(chunks)
+                return
             if not isinstance(event, h11.Data):
                 raise ConnectionResetError
-            chunks.append(bytes(event.data))
-            size += len(event.data)
-            if size > self._limits.max_body_bytes:
+            body += event.data
+            self._stream.holding.set_collected(len(body))
+            if len(body) > self._limits.max_body_bytes:
                 raise _BodyTooLarge
+            chunk_count += event.chunk_start
+            if chunk_count % _MAX_CHUNKS_PER_TURN == 0:
+                await asyncio.sleep(0)
+            is_long = chunk_count > _MAX_SMALL_CHUNKS
+            if is_long and len(body) < chunk_count * _SMALL_CHUNK_BYTES:
+                raise h11.RemoteProtocolError("chunks too small")
 
     async def _next_event(self, until_s: float = math.inf) -> typing.Any:
         """Return the next part of a request.
@@ -340,7 +362,10 @@
                 return event
             if not await self._wait_within_idle_timeout(until_s):
                 raise TimeoutError
-            self._h11.receive_data(await self._stream.read())
+            if self._stream.has_unread:
+                # Reading what has arrived gives nothing else a turn.
+                await asyncio.sleep(0)
+            self._h11.receive_data(await self._stream.read(_MAX_READ_BYTES))
 
     def _send_error(self, status: int) -> None:
         """Send an error for an unreadable request; the connection then closes."""
--- a/src/endivevane/serving/event_reader.py
+++ b/src/endivevane/serving/event_reader.py
@@ -12,6 +12,8 @@
 
 _CONTENT_TYPE = b"content-type"
 _EVENT_STREAM = b"text/event-stream"
+# Comments in a row; a target that waits sends one a second or so, to keep a connection.
+_MAX_COMMENTS = 1000
 
 
 class EventReader:
@@ -29,8 +31,14 @@
         self._sequence = sequence
         self._parser = sse.EventParser()
         self._has_event = False
+        self._comment_count = 0
         self._fault = ""
 
+    @property
+    def unread_bytes(self) -> int:
+        """Number of bytes of an event that is not complete yet."""
+        return len(self._parser.remainder)
+
     def feed(self, data: bytes) -> list[sse.Event]:
         """Return the events that received bytes complete, up to an invalid one.
 
@@ -78,6 +86,10 @@
         """Return why an event is no part of the stream, empty if it is."""
         if not event.is_valid:
             return "stream has bytes that are no event"
+        is_comment = event.data is None and not event.event_id
+        self._comment_count = self._comment_count + 1 if is_comment else 0
+        if self._comment_count > _MAX_COMMENTS:
+            return "stream has comments without end"
         if self._sequence is not None and not self._sequence.accept(event):
             return "stream has an event out of order"
         return ""
--- a/src/endivevane/serving/failures.py
+++ b/src/endivevane/serving/failures.py
@@ -43,6 +43,10 @@
         return f"call to {self.target_id} failed: {self.cause}"
 
 
+class TargetAnswerTooLarge(TargetCallError):
+    """A target sent more than is kept of its response."""
+
+
 class StoreFailure(ServingError):
     """A call to the store failed.
 
--- a/src/endivevane/serving/http_client.py
+++ b/src/endivevane/serving/http_client.py
@@ -10,7 +10,7 @@
 
 import h11
 
-from endivevane.serving import byte_stream, failures
+from endivevane.serving import byte_stream, failures, memory_budget
 
 # Idle timeout of a connection when the peer sends no Keep-Alive header.
 _DEFAULT_IDLE_TIMEOUT_S = 4.0
@@ -19,8 +19,14 @@
 _MAX_IDLE_PER_ENDPOINT = 16
 # Interim (1xx) responses before the final one; a peer that sends more is broken.
 _MAX_INTERIM_RESPONSES = 8
-# Largest body that is read into memory.
-_MAX_BODY_BYTES = 64 << 20
+# Largest body that is read into memory; an object has 8 MB, rows 1 MB.
+_MAX_BODY_BYTES = 16 << 20
+# Bytes that are decoded before other connections have their turn.
+_MAX_READ_BYTES = 64 * 1024
+_MAX_JOINED_CHUNKS = 64
+# Each chunk takes time to decode, so that these are no sound body.
+_MAX_SMALL_CHUNKS = 4096
+_SMALL_CHUNK_BYTES = 8
 _MIN_BACKOFF_S = 0.25
 _MAX_BACKOFF_S = 2.0
 
@@ -40,6 +46,10 @@
         return f"broken answer: {self.cause}"
 
 
+class AnswerTooLarge(BrokenAnswer):
+    """A peer sent more than is kept of its response."""
+
+
 @dataclasses.dataclass(slots=True)
 class SentFlag:
     """Whether any byte of a request may have been sent."""
@@ -99,6 +109,9 @@
         self.idle_since_s = 0.0
         self.idle_timeout_s = _DEFAULT_IDLE_TIMEOUT_S
         self._h11 = h11.Connection(h11.CLIENT)
+        self._pending_event: typing.Any = None
+        self._chunk_count = 0
+        self._body_bytes = 0
 
     async def send(
         self,
@@ -134,11 +147,23 @@
     async def read_data(self) -> bytes | None:
         """Return the next bytes of the body, ``None`` at its end.
 
+        Chunks that have arrived are joined, so that small ones take little memory.
+
         :raises BrokenAnswer: when the body ends early
         """
-        event = await self._next_event()
-        if isinstance(event, h11.Data):
-            return bytes(event.data)
+        data = bytearray()
+        for _ in range(_MAX_JOINED_CHUNKS):
+            event = self._find_event() if data else await self._next_event()
+            if not isinstance(event, h11.Data):
+                break
+            data += event.data
+            self._record_data(event)
+        else:
+            await asyncio.sleep(0)
+            return bytes(data)
+        if data:
+            self._pending_event = None if event is h11.NEED_DATA else event
+            return bytes(data)
         if isinstance(event, h11.EndOfMessage):
             return None
         raise BrokenAnswer(f"{type(event).__name__} instead of body data")
@@ -155,6 +180,8 @@
             return False
         self.is_reused = True
         self.may_have_sent = False
+        self._chunk_count = self._body_bytes = 0
+        self.stream.holding.set_collected(0)
         self.idle_since_s = time.monotonic()
         if idle_timeout_s is not None:
             self.idle_timeout_s = max(0.0, idle_timeout_s - _IDLE_MARGIN_S)
@@ -170,23 +197,58 @@
             and not self.stream.has_unread
         )
 
+    def _record_data(self, event: h11.Data) -> None:
+        """Count a part of the body.
+
+        :raises BrokenAnswer: when its chunks are too small
+        """
+        self._chunk_count += event.chunk_start
+        self._body_bytes += len(event.data)
+        if self._chunk_count <= _MAX_SMALL_CHUNKS:
+            return
+        if self._body_bytes < self._chunk_count * _SMALL_CHUNK_BYTES:
+            raise BrokenAnswer("chunks too small")
+
+    def _find_event(self) -> typing.Any:
+        """Return the next event of what has arrived; errors show at the next one."""
+        try:
+            return self._h11.next_event()
+        except h11.RemoteProtocolError:
+            return h11.NEED_DATA
+
     async def _next_event(self) -> typing.Any:
+        if self._pending_event is not None:
+            event, self._pending_event = self._pending_event, None
+            return event
         while True:
             try:
                 event = self._h11.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                self._h11.receive_data(await self.stream.read())
+                if self.stream.has_unread:
+                    # Reading what has arrived gives nothing else a turn.
+                    await asyncio.sleep(0)
+                self._h11.receive_data(await self.stream.read(_MAX_READ_BYTES))
             except h11.RemoteProtocolError as error:
                 raise BrokenAnswer(str(error)[:80]) from error
+            except byte_stream.MemoryRevoked as error:
+                raise AnswerTooLarge("too much of it is unread") from error
             except OSError as error:
                 raise BrokenAnswer(type(error).__name__) from error
 
 
 class ConnectionPool:
-    """Keeps idle connections for later requests to the same address."""
+    """Keeps idle connections for later requests to the same address.
+
+    :param budget: bounds what is kept of responses; one of its own if ``None``
+    """
 
-    def __init__(self, connect_timeout_s: float) -> None:
+    def __init__(
+        self,
+        connect_timeout_s: float,
+        budget: memory_budget.MemoryBudget | None = None,
+    ) -> None:
+        self._budget = budget or memory_budget.MemoryBudget("pool")
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[tuple[str, int], collections.deque[Connection]] = {}
         self.opened_count = 0
@@ -222,7 +284,9 @@
         self.opened_count += 1
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(self._connect_timeout_s):
-            _, stream = await loop.create_connection(byte_stream.ByteStream, host, port)
+            _, stream = await loop.create_connection(
+                lambda: byte_stream.ByteStream(None, self._budget), host, port
+            )
         connection = Connection(stream)
         connection.last_attempt_id = attempt_id
         return connection
@@ -264,6 +328,7 @@
         :raises OSError: when no connection can be opened
         """
         connection = await self.open(endpoint.host, endpoint.port)
+        response_body = bytearray()
         is_complete = False
         try:
             host = f"{endpoint.host}:{endpoint.port}".encode()
@@ -274,17 +339,17 @@
             sent.is_set = True
             await connection.send(method, path, all_headers, body)
             head = await connection.read_head()
-            chunks = []
-            size = 0
             while (data := await connection.read_data()) is not None:
-                chunks.append(data)
-                size += len(data)
-                if size > _MAX_BODY_BYTES:
-                    raise BrokenAnswer("body too large")
+                response_body += data
+                connection.stream.holding.set_collected(len(response_body))
+                if len(response_body) > _MAX_BODY_BYTES:
+                    raise AnswerTooLarge("body too large")
             is_complete = True
         finally:
             if is_complete:
                 self.release(endpoint.host, endpoint.port, connection)
             else:
+                # The error's traceback refers to it.
+                response_body.clear()
                 connection.stream.abort()
-        return HttpResponse(head.status_code, tuple(head.headers), b"".join(chunks))
+        return HttpResponse(head.status_code, tuple(head.headers), bytes(response_body))
--- a/src/endivevane/serving/http_server.py
+++ b/src/endivevane/serving/http_server.py
@@ -6,7 +6,7 @@
 import socket
 
 from endivevane import logs
-from endivevane.serving import byte_stream, client_connection
+from endivevane.serving import byte_stream, client_connection, memory_budget
 
 Handler = client_connection.Handler
 
@@ -14,14 +14,20 @@
 
 
 class Server:
-    """Listens on one address and passes requests to a handler."""
+    """Listens on one address and passes requests to a handler.
+
+    :param budget: bounds what is kept of requests that are not whole; one of its own if
+        ``None``
+    """
 
     def __init__(
         self,
         codec: client_connection.RequestCodec,
         handler: Handler,
         limits: client_connection.LimitsSource,
+        budget: memory_budget.MemoryBudget | None = None,
     ) -> None:
+        self._budget = budget or memory_budget.MemoryBudget("server")
         self._served = client_connection.Served(codec, handler, limits)
         self._server: asyncio.Server | None = None
         self._socket: socket.socket | None = None
@@ -83,7 +89,7 @@
             logs.limited_info("client_connection_ended", cause=repr(error))
 
     def _make_stream(self) -> byte_stream.ByteStream:
-        return byte_stream.ByteStream(self._start_connection)
+        return byte_stream.ByteStream(self._start_connection, self._budget)
 
     def announce_stop(self) -> None:
         """Tell clients with each response that their connection will be closed."""
--- a/src/endivevane/serving/item_sender.py
+++ b/src/endivevane/serving/item_sender.py
@@ -11,6 +11,7 @@
 from endivevane.serving import (
     event_reader,
     event_sequence,
+    failures,
     jobs,
     model,
     owned_jobs,
@@ -26,8 +27,10 @@
 # Time without a complete event after which an item is retried elsewhere; a healthy
 # target may delay an event by some seconds.
 _STALL_TIMEOUT_S = 5.0
-# A longer output is treated as a broken response.
-_MAX_OUTPUT_BYTES = 4 << 20
+# A longer output can't be listed, so that it is no output of the item.
+_MAX_OUTPUT_BYTES = 1 << 20
+# Memory that the data of an event takes beside its bytes.
+_EVENT_OVERHEAD_BYTES = 64
 
 HeaderEncoder = abc.Callable[[str, abc.Mapping[str, str]], model.Headers]
 SegmentDecoder = abc.Callable[[abc.Mapping[str, str]], tuple[str, ...]]
@@ -106,7 +109,11 @@
                 return RunEnd.BROKEN, status
             target_responses.check_signature(known, response.head)
             event_reader.check_content_type(known, response.head)
-            end = await self._read_events(known, run, response)
+            try:
+                end = await self._read_events(known, run, response)
+            except failures.TargetAnswerTooLarge:
+                run.restart()
+                raise
             if end is RunEnd.COMPLETED:
                 known.health.record_success()
             return end, status
@@ -124,6 +131,9 @@
         size = sum(len(piece) for piece in run.pieces)
         while (data := await response.read()) is not None:
             size += len(data)
+            response.record_kept(
+                size + len(run.pieces) * _EVENT_OVERHEAD_BYTES + reader.unread_bytes
+            )
             for event in reader.feed(data):
                 response.record_event()
                 if not has_event:
@@ -133,7 +143,7 @@
                 run.add_event(event, version)
             reader.check()
             if size > _MAX_OUTPUT_BYTES:
-                return RunEnd.BROKEN
+                raise target_responses.make_too_large(known, "output too large")
         reader.finish(response.is_framed)
         return RunEnd.COMPLETED
 
--- a/src/endivevane/serving/target_client.py
+++ b/src/endivevane/serving/target_client.py
@@ -83,6 +83,15 @@
         """Whether any byte of the body has arrived."""
         return self._has_body_data
 
+    @property
+    def is_memory_scarce(self) -> bool:
+        """Whether little may be kept of responses at present."""
+        return self._connection.stream.holding.is_scarce
+
+    def record_kept(self, count: int) -> None:
+        """Record how many bytes are kept of the body."""
+        self._connection.stream.holding.set_collected(count)
+
     def record_event(self) -> None:
         """Record that an event is complete."""
         self._watchdog.record_progress()
@@ -97,7 +106,7 @@
             data = await self._connection.read_data()
         except (http_client.BrokenAnswer, OSError) as error:
             raise _make_call_error(
-                self._known, self._watchdog, str(error), had_head=True
+                self._known, self._watchdog, error, had_head=True
             ) from error
         self._known.health.record_data(time.monotonic())
         if data is None:
@@ -235,9 +244,7 @@
                     target_id, cause, may_have_run=True, is_disconnect=True
                 ) from error
             known.health.record_failure(time.monotonic())
-            raise _make_call_error(
-                known, watchdog, str(error), had_head=False
-            ) from error
+            raise _make_call_error(known, watchdog, error, had_head=False) from error
 
     def _make_response(
         self,
@@ -289,20 +296,24 @@
 def _make_call_error(
     known: target_registry.KnownTarget,
     watchdog: call_watchdog.Watchdog,
-    cause: str,
+    error: Exception,
     had_head: bool,
 ) -> failures.TargetCallError:
     """Return the error of a failed call, and count faults of the target."""
     # An unresponsive target may be due to the network path, invalid bytes are not.
+    cause = str(error)
+    is_too_large = isinstance(error, http_client.AnswerTooLarge)
     is_stalled = watchdog.cause == call_watchdog.STALLED
     is_faulty = is_stalled or not watchdog.cause
     if is_faulty:
         label = "stalled" if is_stalled else "broken_answer"
+        label = "too_large" if is_too_large else label
         metrics.TARGET_FAULTS.labels(label).inc()
         logs.limited_info(
             "target_fault", target=known.target.target_id, cause=watchdog.cause or cause
         )
-    return failures.TargetCallError(
+    kind = failures.TargetAnswerTooLarge if is_too_large else failures.TargetCallError
+    return kind(
         known.target.target_id,
         watchdog.cause or cause,
         may_have_run=True,
--- a/src/endivevane/serving/target_responses.py
+++ b/src/endivevane/serving/target_responses.py
@@ -38,6 +38,16 @@
     )
 
 
+def make_too_large(
+    known: target_registry.KnownTarget, cause: str
+) -> failures.TargetAnswerTooLarge:
+    """Return the error of a response that is larger than any valid one."""
+    metrics.TARGET_FAULTS.labels("too_large").inc()
+    return failures.TargetAnswerTooLarge(
+        known.target.target_id, cause, may_have_run=True, is_target_fault=True
+    )
+
+
 def make_broken_stream(
     known: target_registry.KnownTarget, cause: str
 ) -> failures.TargetCallError:
