--- a/bench/stream_versions.py
+++ b/bench/stream_versions.py
@@ -177,14 +177,7 @@
             lambda: frozenset((_SERVICE,)),
             lambda: None,
         )
-<<<<<<< HEAD
         parts.follow(self._age, self._age)
-=======
-        # The targets are set at all daemons at once.
-        targets_age = copy_age.CopyAge()
-        targets_age.confirm(float("inf"))
-        parts.follow(copy_age.CopyAge(), targets_age)
->>>>>>> 89909761cd9fc961031f11a26e449efd5f892e3e
         return parts
 
     async def run(self) -> dict[str, object]:
