--- a/features/out_of_step.feature
+++ b/features/out_of_step.feature
@@ -19,6 +19,7 @@
       | gets no answer from the store          | knowing     | once it is back       | all streams are whole             |
       | stands still before unread answers     | knowing     | in the moment it goes on | all streams are whole          |
       | reads a relay that has lost the store  | knowing     | while it is out       | all resumed streams were refused  |
+      | starts by a relay without the store    | knowing     | while it is out       | all resumed streams were refused  |
       | can't read the new plan                | not knowing | while it is out       | each stream is whole or refused   |
 
   # Guards against the same where a version leaves: streams that began at the one that is
--- a/features/steps/out_of_step_steps.py
+++ b/features/steps/out_of_step_steps.py
@@ -23,6 +23,7 @@
     "gets no answer from the store": "silent",
     "stands still before unread answers": "held",
     "reads a relay that has lost the store": "relay",
+    "starts by a relay without the store": "relay",
     "can't read the new plan": "garbled",
 }
 
@@ -45,6 +46,9 @@
             else:
                 fleet.remove_target(name, daemons)
         await asyncio.sleep(_OUT_S)
+        if loses.startswith("starts"):
+            trial.second = await fleet.start_daemon(trial.view)
+            await version_world.wait_until_loaded(trial.second)
 
     context.acts.append(act)
 
--- a/features/support/out_of_step_world.py
+++ b/features/support/out_of_step_world.py
@@ -103,10 +103,6 @@
     second: object
     view: StoreView
 
-    def register_at_second(self, target, version):
-        """Let the second daemon know a target, as its targets' feed would."""
-        self.second.register(target, version)
-
 
 async def start(fleet):
     """Start two daemons, the second one with a view of the store of its own."""
--- a/src/endivevane/serving/follower.py
+++ b/src/endivevane/serving/follower.py
@@ -241,7 +241,7 @@
         reading = full_read.FullRead(self._store, self._table, self._partition)
         await reading.read_page()
         if not reading.is_complete:
-            raise failures.StoreRefused("rows-get", "more pages")
+            raise failures.StoreRefused("read_rows", "more pages")
         return await reading.finish()
 
     def _advance(self, version: int) -> None:
--- a/src/endivevane/serving/full_read.py
+++ b/src/endivevane/serving/full_read.py
@@ -113,7 +113,7 @@
                 page=self._pages.pages,
                 cause=cause,
             )
-            raise failures.StoreInconsistent("rows-get", cause)
+            raise failures.StoreInconsistent("read_rows", cause)
 
     async def finish(self) -> JoinedRows:
         """Read the pages that are left and return the rows of all.
--- a/src/endivevane/serving/page_reader.py
+++ b/src/endivevane/serving/page_reader.py
@@ -7,7 +7,7 @@
 from endivevane import logs, metrics
 from endivevane.serving import copy_age, failures, store
 
-_CALL = "rows-get"
+_CALL = "read_rows"
 # A read with more pages than this has no end: two million rows of one partition.
 _MAX_PAGES = 4_000
 
