--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -167,6 +167,35 @@
     context.fleet = version_world.Fleet({"a": "v1", "b": "v2"}, maxAttempts=3)
 
 
+@when(
+    "a client requests a stream, and the entry of its first target names another "
+    "service"
+)
+def step_entry_service(context):
+    async def act(fleet, daemon):
+        await _age_plan(fleet)
+        begin = daemon.loads.begin
+        context.changed = []
+
+        def change_entry(target_id, is_batch):
+            begin(target_id, is_batch)
+            if not context.changed:
+                context.changed.append(fleet.replicas[target_id])
+                daemon.register(context.changed[0], 500, service="lm2")
+
+        daemon.loads.begin = change_entry
+        context.streams = _make_streams(1)
+        await version_world.request_all(daemon, context.streams)
+
+    _play(context, act)
+
+
+@then("that target has run nothing")
+def step_changed_runs_nothing(context):
+    (target,) = context.changed
+    assert not target.runs, target.runs
+
+
 def _route_to(first):
     if first == "the one":
         return {"service": "lm"}
@@ -249,14 +278,28 @@
         await asyncio.sleep(_PLAN_S)
         (route,) = daemon.router.table.configuration.routes
         versions = daemon.versions.service
+        if "on its way" in written:
+            fleet.row_store.apply = _delay_apply(fleet.row_store)
         versions.prepare(route, _make_begun("v1"))
-        await asyncio.sleep(0.1)
+        # Records are waited for again some time after one has failed.
+        await asyncio.sleep(1.2 if "on its way" in written else 0.1)
         fleet.row_store.is_down = "no more" in written
         context.has_begun = await versions.begin(route, _make_begun("v2"))
 
     _play(context, act)
 
 
+def _delay_apply(row_store):
+    """Return a function that loses the answer of one transaction, done later."""
+    apply = row_store.apply
+
+    async def delay(_change):
+        row_store.apply = apply
+        raise failures.StoreUncertain("apply", "no answer")
+
+    return delay
+
+
 def _make_begun(version):
     return records.BegunStream("stream0", "lm", version, time.monotonic())
 
@@ -313,8 +356,9 @@
 @when("an item with 8 events, stored {stored}, is run by its next owner at {name}")
 def step_stored_item(context, stored, name):
     version = None if stored == "without a version" else "v1"
+    service = None if stored == "without a service" else "lm"
     pieces = [f"abc piece {n} at v1".encode() for n in range(1, _BREAK_AFTER + 1)]
-    value = jobs.encode_progress(jobs.Progress(_BREAK_AFTER, pieces, version))
+    value = jobs.encode_progress(jobs.Progress(_BREAK_AFTER, pieces, version, service))
 
     async def act(fleet, daemon):
         sender = scripted_items.make_sender(daemon)
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -80,6 +80,14 @@
       | both     | stays                    | all streams are whole    |
       | the one  | moves to the other       | no stream has gone on    |
 
+  # Guards against a stream at a service that its route does not allow, since the entry of
+  # its target has changed while the slot was on its way.
+  Scenario: A stream whose target has just changed its service goes to another one
+    Given targets a v1, b v1 of one service
+    When a client requests a stream, and the entry of its first target names another service
+    Then all streams are whole
+    And that target has run nothing
+
   # Guards against a stream that began at another version than the plan assigns to it, since
   # the targets of that one could not be reached for a moment, and that is resumed at the
   # assigned one after all daemons were killed; and against clients that wait for it.
@@ -100,6 +108,7 @@
       | written                              | begins         |
       | and the store takes another          | begins         |
       | and the store takes no more records  | does not begin |
+      | and its write is still on its way    | does not begin |
 
   # Guards against a daemon that was cut off and followed an earlier plan: its streams are
   # not all of the versions of the plan in force.
@@ -127,6 +136,7 @@
       | of v1             | at a  | 8     |
       | of v1             | at b  | 0     |
       | without a version | at a  | 0     |
+      | without a service | at a  | 0     |
 
   # Guards against a stream that is given from a silent target to one of another version.
   Scenario: A stream whose target is silent goes on at its version
@@ -155,3 +165,27 @@
       | [[5, {"v1": 8}]]               |
       | [[null, {"v1": 8}], [null, 3]] |
       | [[null, {"v1": "8"}]]          |
+
+  # Guards against epochs that a plan no longer holds, and that streams which still go on
+  # began in: those that are left may all agree on another version.
+  Scenario Outline: A plan tells no version of a stream that began before <dropped>
+    Given a plan that gave all streams to v2, and then to v1 <dropped>
+    Then it leaves the version of each stream open that began <ago> s ago
+
+    Examples:
+      | dropped                                | ago |
+      | 70 changes within 14 s                 | 20  |
+      | one change 125 s ago and one just now  | 130 |
+
+  # Guards against an epoch that seems to end before it began, since daemons' clocks differ.
+  Scenario: The epochs of a plan end in the order in which they began
+    Given a plan with an epoch that began at 5000 ms by the clock of its writer
+    When a daemon whose clock tells 4000 ms writes the next epoch
+    Then the ends of its epochs rise
+
+  # Guards against a stream that begins by an epoch of which copies that still count do not
+  # know, at a daemon that had no reason to ask for a version.
+  Scenario: No stream begins at a version before its epoch takes effect
+    Given targets a v1, b v1 of one service
+    When v2 is added to the plan, and a stream of v2 has its first event at once and 1 s later
+    Then it does not begin at once, and begins later
--- a/src/endivevane/serving/job_runner.py
+++ b/src/endivevane/serving/job_runner.py
@@ -21,7 +21,6 @@
     owned_jobs,
     preemption,
     result_commits,
-    routing_table,
     runner_dependencies,
     slot_registry,
 )
@@ -178,7 +177,9 @@
                 self._handle_missing_route(owned, run, now_s)
                 continue
             run.routeless_since_s = 0.0
-            service = routing_table.choose_service(route, self._dependencies.generator)
+            service = item_requests.choose_service(
+                run, route, self._dependencies.generator, now_s
+            )
             waiting[service] += 1
             requests.append(
                 item_requests.ItemRequest(urgency, owned, run, route, service)
@@ -250,6 +251,17 @@
         run.slot = slot
         run.started_s = time.monotonic()
         run.task = asyncio.ensure_future(self._run_item(owned, run, route, slot))
+        # A task that is cancelled before its first step runs no line of its own.
+        run.task.add_done_callback(lambda _: self._free_slot(run, slot))
+
+    def _free_slot(self, run: owned_jobs.ItemRun, slot: slot_registry.Slot) -> None:
+        """Free the slot of an item whose run has ended, unless it is free."""
+        if run.slot is not slot:
+            return
+        run.task = None
+        run.slot = None
+        held_s = time.monotonic() - run.started_s
+        self._dependencies.slots.release(slot, held_s)
 
     def _preempt(self) -> None:
         """Cancel items on targets that online requests need, without a coordinator."""
@@ -291,10 +303,9 @@
             run_s = time.monotonic() - run.started_s
             received = run.received_events - received_before
             self._estimates.record_run(received, run_s)
-            run.task = None
-            run.slot = None
-            run.ended_s = time.monotonic()
-            self._dependencies.slots.release(slot, run_s)
+            if received:
+                run.advanced_s = time.monotonic()
+            self._free_slot(run, slot)
             self._finish_run(owned, run, route, end, received > 0)
             metrics.BATCH_ITEMS.labels(end.value).inc()
             logs.limited_info(
@@ -302,6 +313,7 @@
                 job=owned.job_id,
                 item=run.item.item_id,
                 target=target.target_id,
+                service=run.service,
                 software=run.version,
                 end=end.value,
                 run_ms=int(run_s * 1000),
