--- a/features/support/serving_world.py
+++ b/features/support/serving_world.py
@@ -8,6 +8,8 @@
 import socket
 import time
 
+from endivevane.organisations import identification
+from endivevane.organisations import settings as organisation_settings
 from endivevane.platform import headers, job_codec, records
 from endivevane.serving import (
     admission,
@@ -97,6 +99,7 @@
         replicas=None,
         row_store=None,
         name="front-1",
+        keys=None,
     ):
         self.row_store = row_store or serving_fakes.FakeStore()
         self.replicas = replicas
@@ -148,7 +151,12 @@
             self.versions.service,
             generator,
         )
-        self.router = request_router.RequestRouter(online, None, job_codec.JobCodec())
+        self.router = request_router.RequestRouter(
+            online,
+            None,
+            job_codec.JobCodec(),
+            identification.Identification(keys or organisation_settings.KeysSection()),
+        )
         self.configuration_age = FeedAge()
         self.router.follow(self.configuration_age)
         if configuration is not None:
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -21,6 +21,7 @@
     state_rows,
     store_endpoints,
 )
+from endivevane.organisations import identification
 from endivevane.platform import (
     headers,
     job_codec,
@@ -325,7 +326,8 @@
         )
         codec = job_codec.JobCodec()
         batch = job_api.JobApi(codec, self._changes, self._reader, self._runner)
-        self._router = request_router.RequestRouter(online, batch, codec)
+        identifier = identification.Identification(self._settings.keys)
+        self._router = request_router.RequestRouter(online, batch, codec, identifier)
         self._router.follow(self._feeds.configuration.age)
         relay = store_relay.StoreRelay(
             self._store_pool,
--- a/src/endivevane/platform/field_types.py
+++ b/src/endivevane/platform/field_types.py
@@ -42,6 +42,7 @@
 Weight = typing.Annotated[
     float, pydantic.Field(ge=0, le=_MAX_COUNT, allow_inf_nan=False)
 ]
+Rate = typing.Annotated[float, pydantic.Field(ge=0, le=_MAX_COUNT, allow_inf_nan=False)]
 Count = typing.Annotated[int, pydantic.Field(ge=0, le=_MAX_COUNT)]
 UnixMilliseconds = typing.Annotated[int, pydantic.Field(ge=0, le=_MAX_UNIX_MS)]
 Seconds = typing.Annotated[
--- a/src/endivevane/platform/headers.py
+++ b/src/endivevane/platform/headers.py
@@ -7,6 +7,7 @@
 from collections import abc
 
 from endivevane import logs
+from endivevane.organisations import keys
 from endivevane.serving import model
 
 # Id that the client gives to an attempt; targets echo it.
@@ -28,6 +29,11 @@
 _RATE_LIMIT = b"server-limit"
 # Milliseconds for which a read may wait for news (long poll).
 _WAIT = b"wait-ms"
+# "Token KEY"; targets never get it.
+_AUTHORIZATION = b"authorization"
+_KEY_SCHEME = b"token"
+# Name of the organisation, which targets trust.
+_ORGANISATION = b"tenant"
 # Parts of a prompt in order, as comma-separated ID:TOKENS; the last one belongs to the
 # request or its session.
 _PROMPT_PREFIX = b"prompt-prefix"
@@ -54,6 +60,8 @@
 )
 # Headers that the daemon sets itself on each call.
 _REPLACED_HEADERS = frozenset((_DEADLINE, _EXPECTED_INSTANCE, _LAST_EVENT_ID))
+# Where there are organisations, clients say nothing of these to targets.
+_IDENTITY_HEADERS = frozenset((_AUTHORIZATION, _ORGANISATION))
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
 
 RawHeaders = abc.Iterable[tuple[bytes, bytes]]
@@ -110,6 +118,20 @@
     return tuple(segment.decode("latin-1") for segment in ids[:-1] if segment)
 
 
+def _find_key_digest(raw: RawHeaders) -> bytes:
+    """Return the digest of a client's key, empty if it sent none.
+
+    Several such headers make one that no key matches.
+    """
+    credentials = _join_values(raw, _AUTHORIZATION).strip()
+    if not credentials:
+        return b""
+    scheme, _, key = credentials.partition(b" ")
+    # What another scheme carries is no key, but is unknown rather than missing.
+    is_key = scheme.lower() == _KEY_SCHEME
+    return keys.hash_key(key.strip() if is_key else b"")
+
+
 class HeaderCodec:
     """Translates between headers on the wire and types of the serving package."""
 
@@ -137,16 +159,18 @@
             wait_s=_parse_milliseconds(values.get(_WAIT)) or 0.0,
             prompt_segments=_parse_prompt_segments(values.get(_PROMPT_PREFIX, b"")),
             resumed_attempt=values.get(_RESUMED_ATTEMPT, b"").strip(),
+            key_digest=_find_key_digest(raw),
         )
 
     def encode_call(
         self, call: model.TargetCall, target: model.Target
     ) -> list[tuple[bytes, bytes]]:
         """Return the headers of a call to a target."""
+        dropped = _REPLACED_HEADERS
+        if call.organisation is not None:
+            dropped = dropped | _IDENTITY_HEADERS
         headers = [
-            (name, value)
-            for name, value in call.headers
-            if name.lower() not in _REPLACED_HEADERS
+            (name, value) for name, value in call.headers if name.lower() not in dropped
         ]
         present = {name.lower() for name, _ in headers}
         if _ATTEMPT_ID not in present and call.attempt_id:
@@ -155,6 +179,8 @@
             milliseconds = max(1, int(call.time_left_s * 1000))
             headers.append((b"Deadline-Ms", str(milliseconds).encode()))
         headers.append((b"Expect-Instance", target.target_id.encode()))
+        if call.organisation:
+            headers.append((b"Tenant", call.organisation.encode("latin-1")))
         if call.last_event_id:
             headers.append((b"Last-Event-Id", call.last_event_id))
         headers.append((b"Content-Length", str(len(call.body)).encode()))
--- a/src/endivevane/platform/records.py
+++ b/src/endivevane/platform/records.py
@@ -7,7 +7,8 @@
 
 import pydantic
 
-from endivevane import exceptions, types
+from endivevane import exceptions, logs, types
+from endivevane.organisations import keys
 from endivevane.platform import field_types
 from endivevane.serving import model
 
@@ -55,6 +56,7 @@
     retentionS: field_types.Seconds = 0.0  # noqa: N815
     # Quota of a batch route: tokens of accepted items that may be waiting.
     cap: field_types.Count = 0
+    public: bool = False
 
 
 class _ServiceRecord(_Record):
@@ -70,11 +72,20 @@
     idleTimeoutMs: field_types.Milliseconds = 15000.0  # noqa: N815
 
 
+class _OrganisationRecord(_Record):
+    name: field_types.HeaderId
+    apiKeys: list[field_types.HeaderValue] = []  # noqa: N815
+    priority: field_types.Count | None = None
+    ratePerS: field_types.Rate = 0.0  # noqa: N815
+    burst: field_types.Rate = 0.0
+
+
 class _ConfigurationRecord(_Record):
     version: field_types.Count
     routes: list[_RouteRecord]
     services: list[_ServiceRecord]
     limits: _LimitsRecord = _LimitsRecord()
+    tenants: list[_OrganisationRecord] = []
 
 
 class _TargetRecord(_Record):
@@ -118,9 +129,35 @@
             header_timeout_s=record.limits.headerTimeoutMs / 1000.0,
             idle_timeout_s=record.limits.idleTimeoutMs / 1000.0,
         ),
+        organisations={
+            organisation.name: model.Organisation(
+                organisation.name,
+                organisation.priority,
+                organisation.ratePerS,
+                organisation.burst,
+            )
+            for organisation in record.tenants
+        },
+        key_holders=_find_key_holders(record.tenants),
     )
 
 
+def _find_key_holders(records: list[_OrganisationRecord]) -> dict[bytes, str]:
+    """Return the names of organisations by the digests of their keys.
+
+    A key of two organisations belongs to the first one, at all daemons.
+    """
+    holders: dict[bytes, str] = {}
+    for record in records:
+        for key in record.apiKeys:
+            holder = holders.setdefault(
+                keys.hash_key(key.encode("latin-1")), record.name
+            )
+            if holder != record.name:
+                logs.error("api_key_shared", holder=holder, other=record.name)
+    return holders
+
+
 def _make_route(record: _RouteRecord) -> model.Route:
     services = tuple(
         model.WeightedService(split.service, split.weight)
@@ -152,6 +189,7 @@
         retention_s=record.retentionS,
         stream_idle_timeout_s=_find_stream_idle_timeout_s(record, kind),
         token_quota=record.cap,
+        is_public=record.public,
     )
 
 
--- a/src/endivevane/serving/attempt_runner.py
+++ b/src/endivevane/serving/attempt_runner.py
@@ -176,7 +176,7 @@
             allowed_targets = self._isolate(request, usable - excluded)
         return slot_queue.SlotRequest(
             service=progress.service,
-            priority=progress.route.priority,
+            priority=progress.priority,
             objective_s=progress.objective_s,
             deadline_s=min(progress.deadline_s, progress.idle_deadline_s),
             may_retry=progress.client_may_retry and not progress.sends,
@@ -184,6 +184,7 @@
             allowed=allowed_targets,
             version=version,
             request=progress.request_id,
+            organisation=request.organisation_name,
         )
 
     def _find_version(self, item: exchange.Exchange) -> str | None:
@@ -256,6 +257,7 @@
             last_event_id=progress.last_event_id,
             stall_timeout_s=_STALL_TIMEOUT_SHARE * route.stream_idle_timeout_s,
             was_refused=known.target.target_id in progress.answered_refusals,
+            organisation=request.told_organisation,
         )
         if progress.stream_version is None and route.has_resumable_streams:
             self._versions.prepare(route, answer_relay.make_stream(attempt))
--- a/src/endivevane/serving/attempts.py
+++ b/src/endivevane/serving/attempts.py
@@ -48,6 +48,7 @@
         its first event
     :ivar runs_without_event: consecutive runs that returned no event
     :ivar causes: why attempts failed
+    :ivar priority: 0 is the most urgent
     """
 
     request_id: str
@@ -72,6 +73,7 @@
     delivered_events: int = 0
     stream: str = ""
     stream_version: str | None = None
+    priority: int = 0
 
     @property
     def may_have_run(self) -> bool:
@@ -156,9 +158,18 @@
         idle_deadline_s=request.received_s + route.stream_idle_timeout_s,
         client_may_retry=_is_first_request(request, route),
         stream=get_stream(request, route),
+        priority=_find_priority(request, route),
     )
 
 
+def _find_priority(request: model.ClientRequest, route: model.Route) -> int:
+    """Return the priority of a request; its organisation's goes before the route's."""
+    organisation = request.organisation
+    if organisation is None or organisation.priority is None:
+        return route.priority
+    return organisation.priority
+
+
 def _is_first_request(request: model.ClientRequest, route: model.Route) -> bool:
     """Return whether the client has time to retry after a refusal.
 
--- a/src/endivevane/serving/item_sender.py
+++ b/src/endivevane/serving/item_sender.py
@@ -88,6 +88,7 @@
             last_event_id=_encode_event_id(last_event),
             stall_timeout_s=_STALL_TIMEOUT_S,
             was_refused=target.target_id in run.refused_by,
+            organisation=job.organisation,
         )
         async with self._caller.call(known, call, True) as response:
             status = response.head.status
--- a/src/endivevane/serving/job_api.py
+++ b/src/endivevane/serving/job_api.py
@@ -70,7 +70,13 @@
             )
             return responder.Response(http.HTTPStatus.BAD_REQUEST)
         submission = job_changes.Submission(
-            job_id, request.host, request.path, route, items, _get_deadline_s(request)
+            job_id,
+            request.host,
+            request.path,
+            route,
+            items,
+            _get_deadline_s(request),
+            request.told_organisation,
         )
         try:
             entry = await self._changes.accept(submission)
@@ -95,6 +101,9 @@
     ) -> responder.Response:
         """Handle a call that reads or ends a job."""
         try:
+            if not await self._is_allowed(request, job_call.job_id):
+                logs.limited_info("job_of_another", job=job_call.job_id)
+                return responder.Response(http.HTTPStatus.NOT_FOUND)
             match job_call:
                 case jobs.ReadResults():
                     return await self._read(job_call, request.wait_s)
@@ -110,6 +119,17 @@
                 http.HTTPStatus.SERVICE_UNAVAILABLE, retry_after_s=_RETRY_AFTER_S
             )
 
+    async def _is_allowed(self, request: model.ClientRequest, job_id: str) -> bool:
+        """Return whether a client may call on a job, as far as its row is known.
+
+        :raises failures.StoreFailure: when that can't be decided
+        """
+        caller = request.told_organisation
+        if caller is None:
+            return True
+        entry = await self._reader.find(job_id)
+        return entry is None or entry.job.organisation in (None, caller)
+
     async def _read(
         self, job_call: jobs.ReadResults, wait_s: float
     ) -> responder.Response:
--- a/src/endivevane/serving/job_changes.py
+++ b/src/endivevane/serving/job_changes.py
@@ -32,6 +32,7 @@
     """A job as submitted by a client.
 
     :param until_s: monotonic time until which the store may be called
+    :param organisation: whose job it is, ``None`` where there are no organisations
     """
 
     job_id: str
@@ -40,6 +41,7 @@
     route: model.Route
     items: tuple[jobs.Item, ...]
     until_s: float
+    organisation: str | None = None
 
 
 class JobChanges:
@@ -259,6 +261,7 @@
             listed=0,
             tokens_left=sum(item.tokens for item in submission.items),
             operation=secrets.token_hex(8),
+            organisation=submission.organisation,
         )
 
     def _make_acceptance(
@@ -269,21 +272,22 @@
     ) -> store.Transaction:
         """Return the transaction that accepts a job.
 
-        The condition on the quota row serialises acceptance on a route, so that each
-        daemon has counted the jobs that the others accepted.
+        The condition on the quota row serialises acceptance on a route, or of an
+        organisation there, so that each daemon has counted the jobs that the others
+        accepted.
         """
         row_key = jobs.make_job_key(job.job_id)
         conditions = [store.Condition(row_key, 0)]
         puts = [(row_key, jobs.encode_job(job)), *rows]
         if submission.route.token_quota:
-            quota_key = _make_quota_key(submission.route)
-            version = self._find_quota_version(submission.route)
+            quota_key = _make_quota_key(submission)
+            version = self._find_quota_version(submission)
             conditions.append(store.Condition(quota_key, version))
             puts.append((quota_key, job.job_id.encode()))
         return store.Transaction(tuple(conditions), tuple(puts))
 
-    def _find_quota_version(self, route: model.Route) -> int:
-        known = self._state.rows.get(_make_quota_key(route).key)
+    def _find_quota_version(self, submission: Submission) -> int:
+        known = self._state.rows.get(_make_quota_key(submission).key)
         return 0 if known is None else known.version
 
     async def _complete_count(self, submission: Submission) -> bool:
@@ -294,7 +298,7 @@
         """
         if not submission.route.token_quota:
             return True
-        version = self._find_quota_version(submission.route)
+        version = self._find_quota_version(submission)
         left_s = submission.until_s - _RESPONSE_MARGIN_S - time.monotonic()
         return await self._state.wait_until(version, left_s)
 
@@ -304,7 +308,9 @@
         quota = submission.route.token_quota
         if not quota:
             return
-        waiting = self._registry.count_waiting_tokens(submission.route.name)
+        waiting = self._registry.count_waiting_tokens(
+            submission.route.name, submission.organisation
+        )
         if waiting + job.tokens_left <= quota:
             return
         logs.limited_info(
@@ -313,6 +319,7 @@
             tokens=job.tokens_left,
             waiting=waiting,
             quota=quota,
+            organisation=submission.organisation,
         )
         if is_uncertain:
             raise failures.JobUncertain(job.job_id)
@@ -340,10 +347,12 @@
         await self._state.wait_until(newest, _CATCH_UP_TIMEOUT_S)
 
 
-def _make_quota_key(route: model.Route) -> store.RowKey:
-    return store.RowKey(
-        jobs.STATE_TABLE, jobs.PARTITION, jobs.QUOTA_PREFIX + route.name
-    )
+def _make_quota_key(submission: Submission) -> store.RowKey:
+    """Return the key of the row that orders the acceptance of jobs."""
+    key = jobs.QUOTA_PREFIX + submission.route.name
+    if submission.organisation is not None:
+        key += "/" + submission.organisation
+    return store.RowKey(jobs.STATE_TABLE, jobs.PARTITION, key)
 
 
 def _split_payload(job: jobs.Job, payload: bytes) -> list[tuple[store.RowKey, bytes]]:
--- a/src/endivevane/serving/job_registry.py
+++ b/src/endivevane/serving/job_registry.py
@@ -56,12 +56,17 @@
         for function in self._observers:
             function(entry)
 
-    def count_waiting_tokens(self, route: str) -> int:
-        """Return the number of tokens of a route's items without a result."""
+    def count_waiting_tokens(self, route: str, organisation: str | None) -> int:
+        """Return the number of tokens of items without a result.
+
+        :param organisation: whose items count on the route, ``None`` for all
+        """
         return sum(
             entry.job.tokens_left
             for entry in self.entries.values()
-            if entry.job.is_open and entry.job.route == route
+            if entry.job.is_open
+            and entry.job.route == route
+            and organisation in (None, entry.job.organisation)
         )
 
     async def wait_for_change(self, job_id: str, timeout_s: float) -> None:
--- a/src/endivevane/serving/jobs.py
+++ b/src/endivevane/serving/jobs.py
@@ -110,6 +110,8 @@
     :param tokens_left: tokens of the items without a result
     :param operation: unique id of the change that wrote the row
     :param failed_runs: failed runs by item id, for items without a result
+    :param organisation: whose job it is, empty for clients without a key, ``None`` if
+        there were no organisations at its submission
     """
 
     job_id: str
@@ -127,6 +129,7 @@
     tokens_left: int
     operation: str
     failed_runs: dict[str, int] = dataclasses.field(default_factory=dict)
+    organisation: str | None = None
 
     @property
     def is_open(self) -> bool:
@@ -184,6 +187,8 @@
 
 def _read_job(fields: dict[str, typing.Any]) -> Job:
     total = json_fields.read_count(fields["total"], _MAX_ITEMS)
+    # Rows of an earlier release lack it.
+    organisation = fields.get("organisation")
     return Job(
         job_id=json_fields.read_text(fields["job_id"]),
         host=json_fields.read_text(fields["host"]),
@@ -205,6 +210,9 @@
                 fields.get("failed_runs", {})
             ).items()
         },
+        organisation=None
+        if organisation is None
+        else json_fields.read_text(organisation),
     )
 
 
--- a/src/endivevane/serving/model.py
+++ b/src/endivevane/serving/model.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+from collections import abc
 
 
 class RouteKind(enum.StrEnum):
@@ -15,6 +16,32 @@
     BATCH = "batch"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Organisation:
+    """A customer of the operator, on whose behalf clients send requests.
+
+    :param name: empty for clients without a key
+    :param priority: goes before the route's, 0 is the most urgent; ``None`` for the
+        route's
+    :param rate_per_s: requests a second over all daemons, 0 for no limit
+    :param burst: requests that may come at once beyond the rate
+    """
+
+    name: str
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+    @property
+    def has_quota(self) -> bool:
+        """Whether its requests are limited."""
+        return bool(self.rate_per_s or self.burst)
+
+
+# The client of a public route, which needs no key.
+ANONYMOUS = Organisation("")
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WeightedService:
     """A service that gets a share of a route's requests.
@@ -43,7 +70,9 @@
     :param retention_s: time after submission at which an item may be abandoned
     :param stream_idle_timeout_s: time without an event after which clients abandon
         a stream
-    :param token_quota: maximum tokens of a batch route that may wait, 0 for no limit
+    :param token_quota: maximum tokens of a batch route that may wait, 0 for no limit;
+        each organisation has a quota of its own
+    :param is_public: whether clients need no key
     """
 
     name: str
@@ -61,6 +90,7 @@
     retention_s: float = 0.0
     stream_idle_timeout_s: float = float("inf")
     token_quota: int = 0
+    is_public: bool = False
 
     @property
     def has_resumable_streams(self) -> bool:
@@ -104,12 +134,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Configuration:
-    """A version of the operator's configuration."""
+    """A version of the operator's configuration.
+
+    :param organisations: by name; empty where clients need no keys
+    :param key_holders: names of organisations by the digests of their keys
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: ClientLimits
+    organisations: abc.Mapping[str, Organisation] = dataclasses.field(
+        default_factory=dict
+    )
+    key_holders: abc.Mapping[bytes, str] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -155,6 +193,8 @@
     :param was_refused: whether the target has refused the same attempt before; the call
         then needs a new connection, since a copy of that refusal on one of the kept
         connections could not be told from a new refusal
+    :param organisation: name of the organisation that the target is told, empty for
+        none; ``None`` where there are no organisations and headers pass as they came
     """
 
     method: bytes
@@ -166,6 +206,7 @@
     last_event_id: bytes = b""
     stall_timeout_s: float = float("inf")
     was_refused: bool = False
+    organisation: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -221,6 +262,9 @@
         one, which no other request shares
     :param resumed_attempt: the attempt that brought the first event of the stream that
         the client resumes, empty if not given
+    :param key_digest: digest of the client's key, empty if it sent none
+    :param organisation: whose request it is, ``None`` until it is identified and where
+        there are no organisations
     """
 
     method: bytes
@@ -235,3 +279,15 @@
     wait_s: float = 0.0
     prompt_segments: tuple[str, ...] = ()
     resumed_attempt: bytes = b""
+    key_digest: bytes = b""
+    organisation: Organisation | None = None
+
+    @property
+    def organisation_name(self) -> str:
+        """Name of its organisation, empty for none."""
+        return "" if self.organisation is None else self.organisation.name
+
+    @property
+    def told_organisation(self) -> str | None:
+        """The organisation that targets are told, ``None`` for unchanged headers."""
+        return None if self.organisation is None else self.organisation.name
--- a/src/endivevane/serving/request_router.py
+++ b/src/endivevane/serving/request_router.py
@@ -8,6 +8,7 @@
 import typing
 
 from endivevane import logs, metrics
+from endivevane.organisations import identification
 from endivevane.serving import (
     attempts,
     copy_age,
@@ -50,17 +51,20 @@
         online: online_service.OnlineService,
         batch: job_api.JobApi,
         decoder: CallDecoder,
+        identifier: identification.Identification,
     ) -> None:
         self.table: routing_table.RoutingTable | None = None
         self.is_ready = asyncio.Event()
         self._online = online
         self._job_api = batch
         self._decoder = decoder
+        self._identification = identifier
         self._configuration_age = copy_age.CopyAge()
 
     def follow(self, configuration_age: copy_age.CopyAge) -> None:
         """Take the configuration for as old as the feed that hands it over."""
         self._configuration_age = configuration_age
+        self._identification.follow(configuration_age)
 
     def list_stream_services(self) -> frozenset[str]:
         """Return the services whose streams may be resumed."""
@@ -84,22 +88,39 @@
             return
         route = table.find(request.host, request.path)
         if route is None:
-            job_call = self._decoder.decode_call(request.method, request.path)
-            if job_call is not None:
-                response.send(await self._job_api.call(request, job_call))
-                return
-            response.send(self._refuse_without_route(request, table))
+            response.send(await self._handle_without_route(request, table))
+            return
+        identified = self._identification.identify(
+            request, table.configuration, route.is_public
+        )
+        if isinstance(identified, identification.Rejected):
+            response.send(_make_rejection(identified))
             return
         if route.kind is model.RouteKind.BATCH:
-            response.send(await self._job_api.submit(request, route))
+            response.send(await self._job_api.submit(identified, route))
             return
         await self._online.serve(
-            request,
+            identified,
             route,
             table.configuration.version,
             response,
-            _may_have_moved(table, request, route),
+            _may_have_moved(table, identified, route),
+        )
+
+    async def _handle_without_route(
+        self, request: model.ClientRequest, table: routing_table.RoutingTable
+    ) -> responder.Response:
+        """Return the response to a call on a job, or to a request without a route."""
+        job_call = self._decoder.decode_call(request.method, request.path)
+        if job_call is None:
+            return self._refuse_without_route(request, table)
+        is_public = identification.is_public_host(table, request.host)
+        identified = self._identification.identify(
+            request, table.configuration, is_public
         )
+        if isinstance(identified, identification.Rejected):
+            return _make_rejection(identified)
+        return await self._job_api.call(identified, job_call)
 
     def _refuse_without_route(
         self, request: model.ClientRequest, table: routing_table.RoutingTable
@@ -139,6 +160,10 @@
             )
 
 
+def _make_rejection(rejected: identification.Rejected) -> responder.Response:
+    return responder.Response(rejected.status, retry_after_s=rejected.retry_after_s)
+
+
 def _may_have_moved(
     table: routing_table.RoutingTable, request: model.ClientRequest, route: model.Route
 ) -> bool:
--- a/src/endivevane/serving/slot_queue.py
+++ b/src/endivevane/serving/slot_queue.py
@@ -50,6 +50,7 @@
     :param avoided: targets that its daemon has recently seen fail
     :param availability_zone: zone of its daemon, empty for this daemon's
     :param request: the request's id, for the log
+    :param organisation: whose request it is, empty for none
     """
 
     service: str
@@ -63,6 +64,7 @@
     avoided: frozenset[str] = frozenset()
     availability_zone: str = ""
     request: str = ""
+    organisation: str = ""
 
     @property
     def is_restricted(self) -> bool:
