Listen for clients before the daemon's modules are imported

Cause: after the loss of all daemons each VM resets connections until its process has imported its modules (0.3 to 1.3 s on small VMs); a client with one retry loses its request then.

--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -7,11 +7,13 @@
 import random
 import secrets
 import signal
+import socket
 import time
 
 from endivevane import logs, types
 from endivevane.entry import (
     configuration_rows,
+    early_listener,
     feeds,
     graceful_stop,
     internal_servers,
@@ -113,8 +115,11 @@
         self._make_servers()
         self._feeds.export_ages()
 
-    async def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, then shut down gracefully."""
+    async def run(self, listener: socket.socket | None = None) -> None:
+        """Serve until SIGTERM or SIGINT, then shut down gracefully.
+
+        :param listener: listener for clients, ``None`` to open one
+        """
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop_requested.set)
@@ -122,7 +127,7 @@
             self._path, self._settings, self._apply_settings
         )
         loop.add_signal_handler(signal.SIGHUP, watch.request)
-        await self._listen()
+        await self._listen(listener)
         logs.info(
             "daemon_started",
             name=self._identity.name,
@@ -345,11 +350,17 @@
     def _make_budget(self, purpose: str) -> memory_budget.MemoryBudget:
         return memory_budget.MemoryBudget(purpose, self._settings.vm.memory_bytes)
 
-    async def _listen(self) -> None:
+    async def _listen(self, listener: socket.socket | None) -> None:
         listen = self._settings.listen
         clients = types.parse_address(listen.clients)
         ip = self._settings.vm.ip
-        await self._client_server.listen(clients.host, clients.port)
+        if listener is not None and not early_listener.is_bound_to(
+            listener, clients.host, clients.port
+        ):
+            # The settings have changed since it was opened.
+            listener.close()
+            listener = None
+        await self._client_server.listen(clients.host, clients.port, listener)
         await self._internal_servers.listen(listen, ip)
         await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: self._network, local_addr=(ip, listen.internal_port)
--- a/src/endivevane/serving/http_server.py
+++ b/src/endivevane/serving/http_server.py
@@ -36,10 +36,15 @@
         ] = {}
         self._accepting: set[asyncio.Task[None]] = set()
 
-    async def listen(self, host: str, port: int) -> None:
-        """Start to accept connections."""
+    async def listen(
+        self, host: str, port: int, listener: socket.socket | None = None
+    ) -> None:
+        """Start to accept connections.
+
+        :param listener: a socket that listens there already, ``None`` to open one
+        """
         loop = asyncio.get_running_loop()
-        self._socket = socket.create_server((host, port), backlog=_BACKLOG)
+        self._socket = listener or socket.create_server((host, port), backlog=_BACKLOG)
         self._socket.setblocking(False)
         self._server = await loop.create_server(
             self._make_stream, sock=self._socket, backlog=_BACKLOG
