Pass on no answer of a target that is none

A body without a length or chunks counted as whole when its target ended during an upload, the statuses 600 to 999 reached clients, and answers or refusals to an upload that the target stopped reading were lost or waited for until the deadline, since no byte was read before nearly all of the request was sent.

Statuses above 599 are broken answers and faults of their target, also on kept connections. A body that ends with its connection is whole only if the target has received the whole request. Answers are read while the request is sent. A store's success before it has the whole request is none. Connection.send no longer waits, so that the step of the idle connection that used it doesn't either.

--- a/features/steps/misbehaving_targets_steps.py
+++ b/features/steps/misbehaving_targets_steps.py
@@ -195,7 +195,7 @@
         pool = http_client.ConnectionPool(1.0)
         connection = await pool.open("127.0.0.1", port)
         host = [(b"Host", b"t")]
-        await connection.send(b"GET", b"/", host, b"")
+        connection.send(b"GET", b"/", host, b"")
         await connection.read_head()
         assert await connection.read_data() is None
         pool.release("127.0.0.1", port, connection)
--- a/features/support/scripted_items.py
+++ b/features/support/scripted_items.py
@@ -34,10 +34,10 @@
     )
 
 
-async def run_item(world):
+async def run_item(world, body=b"hello"):
     """Run an item until it is completed, at one target after the other."""
     sender = make_sender(world)
-    item = jobs.Item("abc", "/quote/1", {}, b"hello", 1)
+    item = jobs.Item("abc", "/quote/1", {}, body, 1)
     run = owned_jobs.ItemRun(item)
     names = itertools.islice(itertools.cycle(world.replicas), _MAX_RUNS)
     for name in names:
--- a/features/support/scripted_world.py
+++ b/features/support/scripted_world.py
@@ -66,12 +66,12 @@
     return scripted_replica.Act(head + b"".join(pieces), end=end)
 
 
-async def serve(configuration, names, acts, act_as_clients):
-    """Run a daemon and scripted targets during an action of clients."""
+async def serve(
+    configuration, names, acts, act_as_clients, kind=scripted_replica.ScriptedReplica
+):
+    """Run a daemon and scripted targets of a kind during an action of clients."""
     world = serving_world.World(configuration, names)
-    world.replicas = {
-        name: scripted_replica.ScriptedReplica(name, acts) for name in names
-    }
+    world.replicas = {name: kind(name, acts) for name in names}
     await world.start()
     try:
         return await act_as_clients(world)
--- a/src/endivevane/serving/byte_stream.py
+++ b/src/endivevane/serving/byte_stream.py
@@ -4,8 +4,11 @@
 
 import asyncio
 import collections
+import fcntl
 import socket
 import struct
+import sys
+import termios
 import typing
 from collections import abc
 
@@ -23,6 +26,8 @@
 _KEEPALIVE_PROBES = 2
 # SO_LINGER with a timeout of 0 s: closing the socket sends a reset.
 _LINGER_RESET = struct.pack("ii", 1, 0)
+# Size of the number that the ioctl for unacknowledged bytes returns.
+_COUNT_BYTES = 4
 
 
 class MemoryRevoked(OSError):
@@ -124,6 +129,14 @@
         """Whether written bytes have not been passed to the kernel yet."""
         return self._unsent_bytes > 0
 
+    @property
+    def has_unacknowledged(self) -> bool:
+        """Whether the peer may lack bytes that were written."""
+        if self.has_unsent or self._is_closed or self._transport is None:
+            return True
+        sock = self._transport.get_extra_info("socket")
+        return sock is None or _count_unacknowledged_bytes(sock) > 0
+
     @property
     def _unsent_bytes(self) -> int:
         return 0 if self._transport is None else self._transport.get_write_buffer_size()
@@ -270,6 +283,18 @@
             self._end_callback()
 
 
+def _count_unacknowledged_bytes(sock: socket.socket) -> int:
+    """Return how many bytes the peer's kernel has not acknowledged.
+
+    It is 0 where the system does not tell.
+    """
+    try:
+        answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_COUNT_BYTES))
+    except (OSError, ValueError):
+        return 0
+    return int.from_bytes(answer, sys.byteorder)
+
+
 def _set_socket_timeouts(sock: socket.socket | None) -> None:
     """Make the kernel close the connection when its peer is unresponsive."""
     if sock is None:
--- a/src/endivevane/serving/http_client.py
+++ b/src/endivevane/serving/http_client.py
@@ -29,6 +29,9 @@
 _SMALL_CHUNK_BYTES = 8
 _MIN_BACKOFF_S = 0.25
 _MAX_BACKOFF_S = 2.0
+_LAST_STATUS = 599
+# Their heads are their ends.
+_BODILESS_STATUSES = frozenset((204, 304))
 
 
 class BrokenAnswer(failures.ServingError):
@@ -50,6 +53,10 @@
     """A peer sent more than is kept of its response."""
 
 
+class InvalidAnswer(BrokenAnswer):
+    """A peer sent bytes that are no valid HTTP, and did not end the connection."""
+
+
 @dataclasses.dataclass(slots=True)
 class SentFlag:
     """Whether any byte of a request may have been sent."""
@@ -92,6 +99,13 @@
     body: bytes
 
 
+def is_framed(head: h11.Response) -> bool:
+    """Return whether a response gives its length or comes in chunks."""
+    return any(
+        name in (b"content-length", b"transfer-encoding") for name, _ in head.headers
+    )
+
+
 class Connection:
     """One connection to a peer, used for one request at a time.
 
@@ -112,15 +126,24 @@
         self._pending_event: typing.Any = None
         self._chunk_count = 0
         self._body_bytes = 0
+        self._is_at_end = False
+        self._has_bodiless_method = False
+        self._ends_with_connection = False
 
-    async def send(
+    def send(
         self,
         method: bytes,
         path: bytes,
         headers: list[tuple[bytes, bytes]],
         body: bytes,
     ) -> None:
-        """Send a request."""
+        """Send a request without waiting until the peer takes it.
+
+        The peer may answer before, and read no more of it.
+
+        :raises OSError: when the connection is closed
+        """
+        self._has_bodiless_method = method == b"HEAD"
         request = h11.Request(method=method, target=path, headers=headers)
         data = self._h11.send(request) or b""
         if body:
@@ -128,7 +151,6 @@
         data += self._h11.send(h11.EndOfMessage()) or b""
         self.may_have_sent = True
         self.stream.write(data)
-        await self.stream.drain()
 
     async def read_head(self) -> h11.Response:
         """Return the head of the response.
@@ -139,9 +161,15 @@
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
                 continue
-            if isinstance(event, h11.Response):
-                return event
-            raise BrokenAnswer(f"{type(event).__name__} instead of a response head")
+            if not isinstance(event, h11.Response):
+                raise BrokenAnswer(f"{type(event).__name__} instead of a response head")
+            if event.status_code > _LAST_STATUS:
+                raise InvalidAnswer(f"status {event.status_code}")
+            is_bodiless = event.status_code in _BODILESS_STATUSES
+            self._ends_with_connection = not (
+                is_framed(event) or is_bodiless or self._has_bodiless_method
+            )
+            return event
         raise BrokenAnswer("no final answer")
 
     async def read_data(self) -> bytes | None:
@@ -164,13 +192,16 @@
         if data:
             self._pending_event = None if event is h11.NEED_DATA else event
             return bytes(data)
-        if isinstance(event, h11.EndOfMessage):
-            return None
-        raise BrokenAnswer(f"{type(event).__name__} instead of body data")
+        if not isinstance(event, h11.EndOfMessage):
+            raise BrokenAnswer(f"{type(event).__name__} instead of body data")
+        if self._ends_with_connection and self.stream.has_unacknowledged:
+            # The peer has closed without having read the request, as in a crash.
+            raise BrokenAnswer("connection ended before the request was received")
+        return None
 
     def prepare_reuse(self, idle_timeout_s: float | None) -> bool:
         """Prepare the connection for another request; return whether it can be used."""
-        if self.stream.has_unsent or self.stream.has_unread:
+        if self.stream.has_unacknowledged or self.stream.has_unread:
             return False
         if not self.stream.is_usable or self._h11.trailing_data[0]:
             return False
@@ -228,9 +259,12 @@
                 if self.stream.has_unread:
                     # Reading what has arrived gives nothing else a turn.
                     await asyncio.sleep(0)
-                self._h11.receive_data(await self.stream.read(_MAX_READ_BYTES))
+                data = await self.stream.read(_MAX_READ_BYTES)
+                self._is_at_end = not data
+                self._h11.receive_data(data)
             except h11.RemoteProtocolError as error:
-                raise BrokenAnswer(str(error)[:80]) from error
+                kind = BrokenAnswer if self._is_at_end else InvalidAnswer
+                raise kind(str(error)[:80]) from error
             except byte_stream.MemoryRevoked as error:
                 raise AnswerTooLarge("too much of it is unread") from error
             except OSError as error:
@@ -300,6 +334,10 @@
     ) -> None:
         """Return a connection to the pool after a complete response."""
         idle = self._idle.setdefault((host, port), collections.deque())
+        if connection.stream.has_unsent:
+            # A peer that has answered may never read the rest of the request.
+            connection.stream.abort()
+            return
         if len(idle) >= _MAX_IDLE_PER_ENDPOINT or not connection.prepare_reuse(
             idle_timeout_s
         ):
@@ -337,8 +375,11 @@
             if body:
                 all_headers.append((b"Content-Type", b"application/json"))
             sent.is_set = True
-            await connection.send(method, path, all_headers, body)
+            connection.send(method, path, all_headers, body)
             head = await connection.read_head()
+            is_success = 200 <= head.status_code < 300
+            if is_success and connection.stream.has_unacknowledged:
+                raise BrokenAnswer("success before the request was received")
             while (data := await connection.read_data()) is not None:
                 response_body += data
                 connection.stream.holding.set_collected(len(response_body))
--- a/src/endivevane/serving/target_client.py
+++ b/src/endivevane/serving/target_client.py
@@ -229,14 +229,15 @@
         """Send the call and return the head of the response."""
         target_id = known.target.target_id
         try:
-            await connection.send(call.method, call.path, headers, call.body)
+            connection.send(call.method, call.path, headers, call.body)
             return await connection.read_head()
         except h11.LocalProtocolError as error:
             raise failures.TargetCallError(
                 target_id, str(error), may_have_run=connection.may_have_sent
             ) from error
         except (http_client.BrokenAnswer, OSError) as error:
-            if connection.is_reused and not watchdog.cause:
+            is_invalid = isinstance(error, http_client.InvalidAnswer)
+            if connection.is_reused and not (watchdog.cause or is_invalid):
                 # The target may have closed the idle connection, which does not count
                 # as a failure of the target.
                 cause = f"kept connection: {error}"
@@ -261,7 +262,8 @@
             self._on_draining(known)
         if _belongs_to_call(call, reply, connection):
             known.health.record_data(time.monotonic())
-            return TargetResponse(known, connection, reply, watchdog, _is_framed(head))
+            is_framed = http_client.is_framed(head)
+            return TargetResponse(known, connection, reply, watchdog, is_framed)
         metrics.TARGET_FAULTS.labels("foreign_answer").inc()
         raise failures.TargetCallError(
             known.target.target_id,
@@ -271,13 +273,6 @@
         )
 
 
-def _is_framed(head: h11.Response) -> bool:
-    """Return whether a response gives its length or comes in chunks."""
-    return any(
-        name in (b"content-length", b"transfer-encoding") for name, _ in head.headers
-    )
-
-
 def _belongs_to_call(
     call: model.TargetCall,
     reply: model.TargetReply,
@@ -303,6 +298,7 @@
     # An unresponsive target may be due to the network path, invalid bytes are not.
     cause = str(error)
     is_too_large = isinstance(error, http_client.AnswerTooLarge)
+    is_invalid = isinstance(error, http_client.InvalidAnswer)
     is_stalled = watchdog.cause == call_watchdog.STALLED
     is_faulty = is_stalled or not watchdog.cause
     if is_faulty:
@@ -318,6 +314,6 @@
         watchdog.cause or cause,
         may_have_run=True,
         is_target_fault=is_faulty,
-        is_disconnect=not watchdog.cause,
+        is_disconnect=not (watchdog.cause or is_invalid),
         had_head=had_head,
     )
