Keep the quotas of organisations over all daemons

Until now no decision took the rate and the burst of an organisation into account. The first live daemon by rendezvous hash issues an organisation's tokens from a bucket that starts empty; the first one of each other region holds tokens ahead for its region.

--- a/features/support/serving_fakes.py
+++ b/features/support/serving_fakes.py
@@ -6,6 +6,8 @@
 import time
 
 from endivevane.quarantine import exchange, rows, service
+from endivevane.quotas import service as quota_service
+from endivevane.quotas import settings as quota_settings
 from endivevane.rate_limits import service as rate_limits
 from endivevane.serving import (
     admission,
@@ -13,6 +15,7 @@
     load_table,
     model,
     peer_registry,
+    process_pauses,
     slot_queue,
     slot_registry,
     store,
@@ -80,6 +83,18 @@
     )
 
 
+def make_quotas(identity, registry, find_organisation, limits=None, send=None):
+    """Return the quotas of a daemon."""
+    return quota_service.Quotas(
+        identity,
+        registry,
+        limits or quota_settings.QuotasSection(),
+        process_pauses.ProcessPauses(),
+        find_organisation,
+        send or (lambda _name, _message: None),
+    )
+
+
 def load(data):
     """Return the fields of a datagram."""
     return json.loads(data)
--- a/features/support/serving_world.py
+++ b/features/support/serving_world.py
@@ -139,6 +139,9 @@
             lambda: self.router.list_stream_services(),
             lambda: None,
         )
+        self.quotas = serving_fakes.make_quotas(
+            identity, self.peers, lambda name: self.router.find_organisation(name)
+        )
         self.targets_age = FeedAge()
         self._tasks = []
         online = online_service.OnlineService(
@@ -156,6 +159,7 @@
             None,
             job_codec.JobCodec(),
             identification.Identification(keys or organisation_settings.KeysSection()),
+            self.quotas,
         )
         self.configuration_age = FeedAge()
         self.router.follow(self.configuration_age)
--- a/src/endivevane/entry/settings.py
+++ b/src/endivevane/entry/settings.py
@@ -10,6 +10,7 @@
 
 from endivevane import exceptions, types
 from endivevane.organisations import settings as organisation_settings
+from endivevane.quotas import settings as quota_settings
 from endivevane.serving import memory_budget
 
 Port = typing.Annotated[int, pydantic.Field(gt=0, lt=65536)]
@@ -107,19 +108,6 @@
     job_s: Seconds = 120.0
 
 
-class QuotasSection(_Section):
-    """How exactly the quotas of organisations are kept over all daemons.
-
-    :param window_s: length of the sliding window in which requests are counted
-    :param overage: share of what a quota allows in a window that may come beyond it
-    :param slack: requests in a window that may come beyond that
-    """
-
-    window_s: Seconds = 5.0
-    overage: typing.Annotated[float, pydantic.Field(ge=0, le=1)] = 0.1
-    slack: typing.Annotated[int, pydantic.Field(ge=0)] = 20
-
-
 class LogSection(_Section):
     """Logging."""
 
@@ -141,7 +129,7 @@
     retention: RetentionSection = RetentionSection()
     log: LogSection = LogSection()
     keys: organisation_settings.KeysSection = organisation_settings.KeysSection()
-    quotas: QuotasSection = QuotasSection()
+    quotas: quota_settings.QuotasSection = quota_settings.QuotasSection()
 
 
 def load_settings(path: pathlib.Path) -> Settings:
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -34,6 +34,7 @@
 from endivevane.quarantine import exchange as quarantine_exchange
 from endivevane.quarantine import rows as quarantine_rows
 from endivevane.quarantine import service as quarantine_service
+from endivevane.quotas import service as quota_service
 from endivevane.rate_limits import service as rate_limits
 from endivevane.serving import (
     admission,
@@ -145,6 +146,7 @@
             self._versions.run(),
             self._quarantine.run(),
             self._limits.run(),
+            self._quotas.run(),
             self._membership.join(),
             self._target_registry.run_expiry(),
             watch.run(),
@@ -250,8 +252,20 @@
             self._target_selector,
             self._network.send_message,
         )
+        self._quotas = quota_service.Quotas(
+            self._identity,
+            self._peer_registry,
+            self._settings.quotas,
+            self._pauses,
+            lambda name: self._router.find_organisation(name),
+            self._network.send_message,
+        )
         self._network.connect(
-            self._slot_client, self._coordinator, self._quarantine, self._limits
+            self._slot_client,
+            self._coordinator,
+            self._quarantine,
+            self._limits,
+            self._quotas,
         )
         self._admission = admission.Admission(
             queue, self._slot_registry, self._slot_client
@@ -332,7 +346,9 @@
         codec = job_codec.JobCodec()
         batch = job_api.JobApi(codec, self._changes, self._reader, self._runner)
         identifier = identification.Identification(self._settings.keys)
-        self._router = request_router.RequestRouter(online, batch, codec, identifier)
+        self._router = request_router.RequestRouter(
+            online, batch, codec, identifier, self._quotas
+        )
         self._router.follow(self._feeds.configuration.age)
         relay = store_relay.StoreRelay(
             self._store_pool,
@@ -401,6 +417,7 @@
     def _on_process_pause(self) -> None:
         """Warm up again before any decision about others, whose state may be stale."""
         self._limits.record_process_pause()
+        self._quotas.record_process_pause()
         self._peer_registry.warmed_up_s = time.monotonic() + _WARM_UP_S
 
     def _on_report(self) -> None:
--- a/src/endivevane/metrics.py
+++ b/src/endivevane/metrics.py
@@ -149,3 +149,14 @@
     " other daemons or this one, used, or void as unused.",
     ["outcome"],
 )
+QUOTA_DECISIONS = prometheus_client.Counter(
+    "endivevane_quota_decisions",
+    "Requests of organisations with a quota, by decision: admitted, over the quota, or"
+    " without a daemon that may decide.",
+    ["decision"],
+)
+QUOTA_TOKENS = prometheus_client.Counter(
+    "endivevane_quota_tokens",
+    "Tokens of organisations, by outcome: issued by this daemon, or void here.",
+    ["outcome"],
+)
--- /dev/null
+++ b/src/endivevane/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of organisations, kept by all daemons together."""
--- /dev/null
+++ b/src/endivevane/quotas/issuer.py
@@ -0,0 +1,225 @@
+"""Issue of tokens, each the right to send one request of an organisation to a target.
+
+It does no I/O, and the time is passed in. See docs/design/quotas.md for the sum of what
+all issuers and holders together let pass.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+import typing
+
+from endivevane.quotas import messages, settings
+from endivevane.serving import model
+
+# Life of a token that is lent to a daemon that holds tokens for requests to come.
+LENT_TTL_S = 2.5
+# What a daemon asks for ahead is issued from the upper part of a bucket only.
+_AHEAD_SHARE = 0.5
+# Requests that were refused come again after about this time.
+_REFUSED_MEMORY_S = 1.0
+_MAX_RETRY_S = 2.0
+
+
+class View(typing.Protocol):
+    """What an issuer has to know of the other daemons."""
+
+    share: float
+    share_before: float
+    risen_s: float
+
+    def find_since_s(self, organisation: str) -> float:
+        """Return the time since which no other daemon issues in place of this one."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Issued:
+    """Tokens for a daemon.
+
+    :param retry_after_s: time until another one is likely due
+    """
+
+    count: int
+    life_s: float
+    retry_after_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Loan:
+    """Tokens with a long life that are outstanding."""
+
+    asker: str
+    number: int
+    count: int
+    until_s: float
+
+
+class _Bucket:
+    """Tokens of an organisation, which start empty."""
+
+    def __init__(self, since_s: float) -> None:
+        self.since_s = since_s
+        self.level = 0.0
+        self.filled_s = since_s
+        self.loans: collections.deque[_Loan] = collections.deque()
+        self._rate_per_s = 0.0
+        self._depth = 0.0
+        self._share = 0.0
+        self._refused = 0.0
+        self._refused_s = since_s
+
+    @property
+    def is_full(self) -> bool:
+        """Whether it holds all that it can."""
+        return self.level >= self.depth
+
+    def begin(self, rate_per_s: float, depth: float, view: View) -> None:
+        """Fill it as if it had been there since this daemon ranked first."""
+        self._rate_per_s, self._depth = rate_per_s, depth
+        self._share = view.share
+        if view.risen_s <= self.since_s:
+            return
+        full = min(depth, rate_per_s * (view.risen_s - self.since_s))
+        self.level = view.share_before * full
+        self.filled_s = view.risen_s
+
+    def fill(self, share: float, now_s: float) -> None:
+        """Add what has become available, and apply a share from now on.
+
+        :param share: share of the quota that this daemon may issue
+        """
+        passed_s = max(0.0, now_s - self.filled_s)
+        self.level = min(self.depth, self.level + self.rate_per_s * passed_s)
+        self.filled_s = max(self.filled_s, now_s)
+        self._share = share
+        self.level = min(self.depth, self.level)
+        while self.loans and self.loans[0].until_s <= now_s:
+            self.loans.popleft()
+
+    def set_limits(self, rate_per_s: float, depth: float) -> None:
+        """Apply the limits of a configuration."""
+        self._rate_per_s, self._depth = rate_per_s, depth
+        self.level = min(self.depth, self.level)
+
+    @property
+    def rate_per_s(self) -> float:
+        """Tokens a second."""
+        return self._share * self._rate_per_s
+
+    @property
+    def depth(self) -> float:
+        """Most tokens that it holds, at least one."""
+        return max(1.0, self._share * self._depth)
+
+    def count_lent(self) -> int:
+        """Return the number of lent tokens that may still be used."""
+        return sum(loan.count for loan in self.loans)
+
+    def take_back(self, asker: str, returned: messages.Return) -> None:
+        """Add tokens that were lent and not used, once."""
+        for loan in self.loans:
+            if loan.asker == asker and loan.number == returned.number:
+                self.level = min(
+                    self.depth, self.level + min(loan.count, returned.count)
+                )
+                loan.count = 0
+
+    def find_retry_s(self, refused: int, now_s: float) -> float:
+        """Return the time until a token is likely due, after some were refused."""
+        passed_s = now_s - self._refused_s
+        self._refused *= math.exp(-passed_s / _REFUSED_MEMORY_S)
+        self._refused_s = now_s
+        missing = max(0.0, 1.0 - self.level)
+        if not self.rate_per_s:
+            return _MAX_RETRY_S
+        wait_s = (missing + self._refused) / self.rate_per_s
+        self._refused += refused
+        return min(_MAX_RETRY_S, wait_s)
+
+
+class TokenIssuer:
+    """Issues the tokens of the organisations for which this daemon ranks first."""
+
+    def __init__(self, limits: settings.QuotasSection, view: View) -> None:
+        self._limits = limits
+        self._view = view
+        self._buckets: dict[str, _Bucket] = {}
+
+    def issue(
+        self,
+        organisation: model.Organisation,
+        asker: str,
+        number: int,
+        need: messages.Need,
+        now_s: float,
+    ) -> Issued | None:
+        """Return tokens, ``None`` if this daemon must not issue any now."""
+        bucket = self._find_bucket(organisation, now_s)
+        if bucket is None:
+            return None
+        for item in need.returned:
+            bucket.take_back(asker, item)
+        count = min(need.waiting, int(bucket.level))
+        ahead = 0
+        if count == need.waiting:
+            spare = bucket.level - count - _AHEAD_SHARE * bucket.depth
+            ahead = min(need.ahead, max(0, int(spare)))
+        life_s = self._limits.find_token_ttl_s(organisation)
+        total = count + ahead
+        if ahead and self._may_lend(organisation, bucket, total, now_s):
+            life_s = LENT_TTL_S
+            bucket.loans.append(_Loan(asker, number, total, now_s + life_s))
+        bucket.level -= total
+        refused = need.waiting - count
+        retry_after_s = bucket.find_retry_s(refused, now_s) if refused else 0.0
+        return Issued(total, life_s, retry_after_s)
+
+    def restart(self) -> None:
+        """Begin anew, as after a time in which others may have issued tokens."""
+        self._buckets.clear()
+
+    def refresh(self, now_s: float) -> None:
+        """Apply the present share, and drop the buckets that need no memory."""
+        for name, bucket in list(self._buckets.items()):
+            if self._view.find_since_s(name) > bucket.since_s:
+                del self._buckets[name]
+                continue
+            bucket.fill(self._view.share, now_s)
+            if bucket.is_full and not bucket.loans:
+                del self._buckets[name]
+
+    def _find_bucket(
+        self, organisation: model.Organisation, now_s: float
+    ) -> _Bucket | None:
+        """Return the up-to-date bucket of an organisation."""
+        since_s = self._view.find_since_s(organisation.name)
+        if now_s < since_s or not self._view.share:
+            return None
+        bucket = self._buckets.get(organisation.name)
+        rate_per_s = self._limits.find_rate_per_s(organisation)
+        depth = self._limits.find_depth(organisation)
+        if bucket is None or since_s > bucket.since_s:
+            bucket = _Bucket(since_s)
+            self._buckets[organisation.name] = bucket
+            bucket.begin(rate_per_s, depth, self._view)
+        bucket.fill(self._view.share, now_s)
+        bucket.set_limits(rate_per_s, depth)
+        return bucket
+
+    def _may_lend(
+        self,
+        organisation: model.Organisation,
+        bucket: _Bucket,
+        count: int,
+        now_s: float,
+    ) -> bool:
+        """Whether tokens may have a long life.
+
+        Those that the issuer before has lent must be void.
+        """
+        if now_s - bucket.since_s < LENT_TTL_S:
+            return False
+        limit = self._limits.find_max_lent(organisation) * self._view.share
+        return bucket.count_lent() + count <= limit
--- /dev/null
+++ b/src/endivevane/quotas/messages.py
@@ -0,0 +1,169 @@
+"""Messages by which daemons share the tokens of organisations with quotas.
+
+Times are sent as time left, since daemons share no clock.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import math
+import typing
+from collections import abc
+
+from endivevane import json_fields
+
+_ASK_KIND = "quota_ask"
+_GRANTS_KIND = "quota_grants"
+KINDS = frozenset((_ASK_KIND, _GRANTS_KIND))
+# Above the requests of an organisation that a daemon can hold.
+MAX_TOKENS = 100_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Return:
+    """Tokens of a grant that the sender gives up unused.
+
+    :param number: the request that they were granted for
+    """
+
+    number: int
+    count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Need:
+    """The tokens of one organisation that a daemon asks for.
+
+    :param waiting: tokens for requests that wait
+    :param ahead: tokens for requests that are expected
+    :param returned: what the sender gives up of the recipient's earlier grants
+    """
+
+    organisation: str
+    waiting: int
+    ahead: int = 0
+    returned: tuple[Return, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaAsk:
+    """Request for tokens of some organisations.
+
+    :param number: identifies the request among those of its sender; a repetition has
+        the same number
+    """
+
+    number: int
+    needs: tuple[Need, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """Tokens of one organisation, each the right to send one request to a target.
+
+    :param life_s: time after the request for them was first sent at which they are void
+    :param retry_after_s: time until another token is likely due
+    """
+
+    organisation: str
+    count: int
+    life_s: float
+    retry_after_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaGrants:
+    """Answer to some of the needs of a request."""
+
+    number: int
+    grants: tuple[Grant, ...]
+
+
+Message = QuotaAsk | QuotaGrants
+
+
+@functools.singledispatch
+def encode_fields(message: typing.Any) -> tuple[typing.Any, ...]:
+    """Return the fields of a datagram."""
+    raise TypeError(f"not a message about quotas: {type(message).__name__}")
+
+
+@encode_fields.register
+def _(message: QuotaAsk) -> tuple[typing.Any, ...]:
+    needs = [
+        (
+            need.organisation,
+            need.waiting,
+            need.ahead,
+            [(item.number, item.count) for item in need.returned],
+        )
+        for need in message.needs
+    ]
+    return (_ASK_KIND, message.number, needs)
+
+
+@encode_fields.register
+def _(message: QuotaGrants) -> tuple[typing.Any, ...]:
+    grants = [
+        (
+            grant.organisation,
+            grant.count,
+            # Rounded down, so that no token outlives its grant.
+            math.floor(grant.life_s * 1000) / 1000,
+            round(grant.retry_after_s, 3),
+        )
+        for grant in message.grants
+    ]
+    return (_GRANTS_KIND, message.number, grants)
+
+
+def decode_fields(kind: str, fields: abc.Sequence[typing.Any]) -> Message:
+    """Return the message in the fields of a datagram.
+
+    :raises ValueError: when they are malformed; ``TypeError`` may be raised too
+    """
+    number, entries = fields
+    if kind == _ASK_KIND:
+        return QuotaAsk(
+            json_fields.read_count(number),
+            tuple(_decode_need(*entry) for entry in json_fields.read_list(entries)),
+        )
+    return QuotaGrants(
+        json_fields.read_count(number),
+        tuple(_decode_grant(*entry) for entry in json_fields.read_list(entries)),
+    )
+
+
+def _decode_need(
+    organisation: typing.Any,
+    waiting: typing.Any,
+    ahead: typing.Any,
+    returned: typing.Any,
+) -> Need:
+    return Need(
+        json_fields.read_text(organisation),
+        json_fields.read_count(waiting, MAX_TOKENS),
+        json_fields.read_count(ahead, MAX_TOKENS),
+        tuple(
+            Return(
+                json_fields.read_count(number),
+                json_fields.read_count(count, MAX_TOKENS),
+            )
+            for number, count in json_fields.read_list(returned)
+        ),
+    )
+
+
+def _decode_grant(
+    organisation: typing.Any,
+    count: typing.Any,
+    life_s: typing.Any,
+    retry_after_s: typing.Any,
+) -> Grant:
+    return Grant(
+        json_fields.read_text(organisation),
+        json_fields.read_count(count, MAX_TOKENS),
+        json_fields.read_age_s(life_s),
+        json_fields.read_age_s(retry_after_s),
+    )
--- a/src/endivevane/serving/coordinated_reports.py
+++ b/src/endivevane/serving/coordinated_reports.py
@@ -19,10 +19,6 @@
     region_reports,
 )
 
-# Least time between two reports of a daemon, in total and per peer in the region; the
-# latter bounds the rate of datagrams to the coordinator.
-_INTERVAL_S = 0.4
-_INTERVAL_PER_PEER_S = 0.004
 # A coordinator examines waiting requests at this interval, besides after each change.
 _COORDINATOR_TICK_S = 0.05
 # The other daemons of the region check at this interval who coordinates.
@@ -87,9 +83,7 @@
     @property
     def interval_s(self) -> float:
         """Time between two reports of a daemon, or two notices of the coordinator."""
-        return max(
-            _INTERVAL_S, self._registry.count_region_peers() * _INTERVAL_PER_PEER_S
-        )
+        return self._registry.notice_interval_s
 
     def run_once(self, now_s: float) -> None:
         """Report, and coordinate or monitor the coordinator, as due."""
--- a/src/endivevane/serving/peer_messages.py
+++ b/src/endivevane/serving/peer_messages.py
@@ -11,6 +11,7 @@
 
 from endivevane import json_fields
 from endivevane.quarantine import messages as quarantine_messages
+from endivevane.quotas import messages as quota_messages
 from endivevane.rate_limits import messages as rate_messages
 from endivevane.serving import load_table, outcome_table, slot_messages, slot_registry
 
@@ -109,6 +110,7 @@
     Report
     | MembershipNotice
     | quarantine_messages.QuarantineNews
+    | quota_messages.Message
     | rate_messages.Message
     | slot_messages.Message
 )
@@ -181,6 +183,12 @@
     return orjson.dumps(quarantine_messages.encode_fields(message))
 
 
+@encode.register(quota_messages.QuotaAsk)
+@encode.register(quota_messages.QuotaGrants)
+def _(message: quota_messages.Message) -> bytes:
+    return orjson.dumps(quota_messages.encode_fields(message))
+
+
 @encode.register(rate_messages.LimitNews)
 @encode.register(rate_messages.TokenRequest)
 @encode.register(rate_messages.TokenQueued)
@@ -202,6 +210,8 @@
             return _decode_notice(fields)
         if kind == quarantine_messages.KIND:
             return quarantine_messages.decode_fields(fields)
+        if kind in quota_messages.KINDS:
+            return quota_messages.decode_fields(kind, fields)
         if kind in rate_messages.KINDS:
             return rate_messages.decode_fields(kind, fields)
         return slot_messages.decode(kind, fields)
--- a/src/endivevane/serving/peer_registry.py
+++ b/src/endivevane/serving/peer_registry.py
@@ -34,6 +34,10 @@
 _SUSPECT_S = 3.0
 # How long a computed ranking is cached.
 _RANK_TTL_S = 0.05
+# Least time between two notices of a coordinator, in total and per peer in the region;
+# the latter bounds the rate of datagrams to the coordinator.
+_NOTICE_INTERVAL_S = 0.4
+_NOTICE_INTERVAL_PER_PEER_S = 0.004
 # The highest-ranked daemon coordinates; the second one is ready to replace it.
 CANDIDATE_COUNT = 2
 # Processor shares differ by small factors; this power favours the largest daemons.
@@ -118,6 +122,13 @@
         """Whether this daemon's region has a coordinator."""
         return self._region_peer_count > _MAX_MESH_PEERS
 
+    @property
+    def notice_interval_s(self) -> float:
+        """Time between two reports to the coordinator, or two notices from it."""
+        return max(
+            _NOTICE_INTERVAL_S, self._region_peer_count * _NOTICE_INTERVAL_PER_PEER_S
+        )
+
     def has_coordinator(self, region: str) -> bool:
         """Return whether a region has a coordinator."""
         if region == self._identity.region:
--- a/src/endivevane/serving/peers.py
+++ b/src/endivevane/serving/peers.py
@@ -17,6 +17,8 @@
 from endivevane import logs
 from endivevane.quarantine import messages as quarantine_messages
 from endivevane.quarantine import service as quarantine_service
+from endivevane.quotas import messages as quota_messages
+from endivevane.quotas import service as quota_service
 from endivevane.rate_limits import messages as rate_messages
 from endivevane.rate_limits import service as rate_limits
 from endivevane.serving import (
@@ -83,6 +85,7 @@
         self._coordinator: coordinator.Coordinator | None = None
         self._quarantine: quarantine_service.QuarantineService | None = None
         self._limits: rate_limits.RateLimits | None = None
+        self._quotas: quota_service.Quotas | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._sequence = 0
         self._order = message_order.MessageOrder()
@@ -97,8 +100,10 @@
         granter: coordinator.Coordinator,
         quarantine: quarantine_service.QuarantineService | None = None,
         limits: rate_limits.RateLimits | None = None,
+        quotas: quota_service.Quotas | None = None,
     ) -> None:
-        """Set the handlers of slots, quarantine news and rate limits."""
+        """Set the handlers of slots, quarantine news, rate limits and quotas."""
+        self._quotas = quotas
         self._quarantine = quarantine
         self._limits = limits
         self._client = client
@@ -140,6 +145,7 @@
         name: str,
         message: slot_messages.Message
         | quarantine_messages.QuarantineNews
+        | quota_messages.Message
         | rate_messages.Message,
     ) -> None:
         """Send a message to a daemon by its name."""
@@ -194,6 +200,13 @@
         if sender is not None and self._quarantine is not None:
             self._quarantine.handle(message, sender)
 
+    @_handle.register(quota_messages.QuotaAsk)
+    @_handle.register(quota_messages.QuotaGrants)
+    def _(self, message: quota_messages.Message, host: str) -> None:
+        sender = self._names.find(host)
+        if sender is not None and self._quotas is not None:
+            self._quotas.handle(message, sender)
+
     @_handle.register(rate_messages.LimitNews)
     @_handle.register(rate_messages.TokenRequest)
     @_handle.register(rate_messages.TokenQueued)
--- a/src/endivevane/serving/request_router.py
+++ b/src/endivevane/serving/request_router.py
@@ -9,6 +9,8 @@
 
 from endivevane import logs, metrics
 from endivevane.organisations import identification
+from endivevane.quotas import outcomes
+from endivevane.quotas import service as quota_service
 from endivevane.serving import (
     attempts,
     copy_age,
@@ -52,6 +54,7 @@
         batch: job_api.JobApi,
         decoder: CallDecoder,
         identifier: identification.Identification,
+        quotas: quota_service.Quotas,
     ) -> None:
         self.table: routing_table.RoutingTable | None = None
         self.is_ready = asyncio.Event()
@@ -59,6 +62,7 @@
         self._job_api = batch
         self._decoder = decoder
         self._identification = identifier
+        self._quotas = quotas
         self._configuration_age = copy_age.CopyAge()
 
     def follow(self, configuration_age: copy_age.CopyAge) -> None:
@@ -66,6 +70,11 @@
         self._configuration_age = configuration_age
         self._identification.follow(configuration_age)
 
+    def find_organisation(self, name: str) -> model.Organisation | None:
+        """Return an organisation of the configuration in force."""
+        table = self.table
+        return None if table is None else table.configuration.organisations.get(name)
+
     def list_stream_services(self) -> frozenset[str]:
         """Return the services whose streams may be resumed."""
         table = self.table
@@ -99,6 +108,10 @@
         if route.kind is model.RouteKind.BATCH:
             response.send(await self._job_api.submit(identified, route))
             return
+        refusal = await self._check_quota(identified, route)
+        if refusal is not None:
+            response.send(refusal)
+            return
         await self._online.serve(
             identified,
             route,
@@ -107,6 +120,27 @@
             _may_have_moved(table, identified, route),
         )
 
+    async def _check_quota(
+        self, request: model.ClientRequest, route: model.Route
+    ) -> responder.Response | None:
+        """Return the refusal of a request beyond its organisation's quota."""
+        organisation = request.organisation
+        if organisation is None or not organisation.has_quota:
+            return None
+        until_s = request.received_s + route.timeout_s
+        if request.deadline_s is not None:
+            until_s = min(until_s, request.deadline_s)
+        outcome = await self._quotas.admit(organisation, until_s)
+        if isinstance(outcome, outcomes.OverQuota):
+            metrics.REFUSALS.labels("over_quota", "not-run").inc()
+            status = http.HTTPStatus.TOO_MANY_REQUESTS
+        elif isinstance(outcome, outcomes.NoIssuer):
+            metrics.REFUSALS.labels("quota_undecided", "not-run").inc()
+            status = http.HTTPStatus.SERVICE_UNAVAILABLE
+        else:
+            return None
+        return responder.Response(status, retry_after_s=outcome.retry_after_s)
+
     async def _handle_without_route(
         self, request: model.ClientRequest, table: routing_table.RoutingTable
     ) -> responder.Response:
