Lend tokens to the daemons that hold them for a region

The daemon that is asked in place of a dead issuer holds lent tokens of what overage and slack allow, so that requests go on until the next issuer begins.

--- a/features/support/quota_net.py
+++ b/features/support/quota_net.py
@@ -16,7 +16,8 @@
 _HEARTBEAT_S = 0.4
 _DEAD_AFTER_S = 1.6
 _HEARD_WITHIN_S = 1.0
-_HOLD_OFF_S = 0.3
+_HOLD_OFF_S = 0.1
+_SETTLE_S = 0.5
 _WARM_UP_S = 0.5
 _TICK_S = 0.02
 _REFRESH_S = 0.1
@@ -61,6 +62,7 @@
         self.view = membership.MemberView(self.name, self.region)
         self.issuer = issuer.TokenIssuer(net.limits, self.view)
         self.holder = holder.TokenHolder(
+            net.limits,
             self.view,
             self.issuer,
             lambda name: self.organisations.get(name),
@@ -270,6 +272,7 @@
             live,
             heard + self.has_heartbeats,
             _HOLD_OFF_S,
+            _SETTLE_S,
             now_s >= daemon.started_s + _WARM_UP_S,
         )
 
--- a/src/endivevane/quotas/holder.py
+++ b/src/endivevane/quotas/holder.py
@@ -1,75 +1,44 @@
-"""Tokens at one daemon: using them, asking for more, and giving them to others.
+"""Tokens at one daemon: using them for requests, and giving them to other daemons.
 
-The first daemon of each region asks the issuer ahead of the requests of its region, so
-that these hardly ever wait for the other region. It does no I/O, and the time is passed
-in: of a clock that also runs while the VM is suspended.
+It does no I/O, and the time is passed in: of a clock that also runs while the VM is
+suspended.
 """
 
 from __future__ import annotations
 
 import dataclasses
-import itertools
-import math
-import typing
 from collections import abc
 
 from endivevane import metrics
-from endivevane.quotas import issuer, messages, outcomes, pool
+from endivevane.quotas import (
+    answers,
+    asking,
+    issuer,
+    messages,
+    outcomes,
+    pool,
+    settings,
+)
 from endivevane.serving import model
 
 # A request waits this long for an answer of any issuer.
 _MAX_WAIT_S = 0.3
 # When to come back without an issuer.
 _NO_ISSUER_RETRY_S = 0.1
-# An unanswered question is repeated after this time, longer than a round trip.
-_REPEAT_INTERVAL_S = 0.04
-_REMOTE_REPEAT_INTERVAL_S = 0.06
-# A daemon that has not answered this many times is passed over for a while, in which
-# only one question in some time goes to it.
-_MAX_UNANSWERED = 2
-_PASSED_OVER_S = 0.5
-# Tokens for another region's requests last this long at the demand of the moment.
-_REMOTE_AHEAD_S = 1.0
-# Within a region a daemon asks ahead only for so many requests that questions for each
-# would be too many.
-_NEAR_AHEAD_S = 0.1
-# One question in so many goes to the second daemon in rank, which holds tokens for this
-# time of the demand of all: until it is known that the first one is dead.
-_DEPUTY_PERIOD = 8
-_DEPUTY_AHEAD_S = 1.5
-# What is held ahead is for so much of the life of tokens, and is exchanged for new ones
-# in so much of it.
-_AHEAD_LIFE_SHARE = 0.6
-_EXCHANGE_LIFE_SHARE = 0.25
+# A request waits here for a token that is due within this time.
+_MAX_QUEUED_S = 0.1
+# While no token is due, others are asked again after this time.
+_MAX_REFUSE_S = 0.1
+# Least time after which a client or another daemon comes back.
+_MIN_RETRY_S = 0.01
 # An issuer that has nothing to spare is asked ahead again after this time.
 _AHEAD_RETRY_S = 0.25
-# While no token is due, others are asked again after this time.
-_MAX_REFUSE_S = 0.05
-# An answer is repeated to a daemon that repeats its question.
-_ANSWER_TTL_S = 0.5
-# Other daemons' requests of an organisation that may wait here.
+# A request that waits in vain this soon after others were refused is refused too.
+_REFUSED_MEMORY_S = 1.0
+# Requests of an organisation, of this daemon and others, that may wait here.
 _MAX_WAITERS = 1024
 
 
-class View(issuer.View, typing.Protocol):
-    """What a holder has to know of the other daemons."""
-
-    def list_sources(self, organisation: str) -> abc.Sequence[str]:
-        """Return the daemons to ask for tokens, in order; empty for the issuer."""
-
-    def list_first(self, organisation: str) -> abc.Sequence[str]:
-        """Return the first daemons of all regions, without this one."""
-
-    def is_issuer(self, organisation: str) -> bool:
-        """Whether this daemon ranks first."""
-
-    def is_region_first(self, organisation: str) -> bool:
-        """Whether this daemon ranks first in its region."""
-
-    def is_remote(self, name: str) -> bool:
-        """Whether a daemon is in another region."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Decision:
     """The outcome of a request of this daemon that has waited.
@@ -82,14 +51,12 @@
     until_s: float = 0.0
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class Effects:
-    """What has to be done after a step."""
+    """What has to be sent and told after a step."""
 
-    messages: list[tuple[str, messages.Message]] = dataclasses.field(
-        default_factory=list
-    )
-    decisions: list[Decision] = dataclasses.field(default_factory=list)
+    messages: abc.Sequence[tuple[str, messages.Message]]
+    decisions: abc.Sequence[Decision]
 
 
 class TokenHolder:
@@ -101,28 +68,26 @@
 
     def __init__(
         self,
-        view: View,
+        limits: settings.QuotasSection,
+        view: asking.View,
         token_issuer: issuer.TokenIssuer,
         find_organisation: abc.Callable[[str], model.Organisation | None],
         first_number: int,
     ) -> None:
+        self._limits = limits
         self._view = view
         self._issuer = token_issuer
         self._find_organisation = find_organisation
-        self._numbers = itertools.count(first_number)
-        self._asks = itertools.count(1)
+        self._asking = asking.Asking(view, first_number)
+        self._answers = answers.Answers()
         self._pools: dict[str, pool.Pool] = {}
-        # Organisations whose requests may need a question to another daemon.
-        self._due: dict[str, None] = {}
+        # Organisations with requests that wait or questions that are open.
         self._waiting: set[str] = set()
-        self._replies: dict[tuple[str, int], list[messages.Grant]] = {}
-        self._answers: dict[tuple[str, int, str], tuple[float, messages.Grant]] = {}
         self._decisions: list[Decision] = []
-        self._passed_over_s: dict[str, float] = {}
 
     @property
     def is_waiting(self) -> bool:
-        """Whether any request waits, here or for an answer."""
+        """Whether any request waits, or any question is open."""
         return bool(self._waiting)
 
     def admit(
@@ -136,10 +101,10 @@
         found = self._find_pool(organisation)
         found.add_demand(1, now_s)
         if not found.waiters and found.take(1, now_s)[0]:
-            self._ask_ahead(organisation, found, now_s)
+            self._asking.request_ahead(organisation, found, now_s)
             return outcomes.ADMITTED
-        if now_s < found.refuse_until_s:
-            return outcomes.OverQuota(max(0.01, found.retry_s - now_s))
+        if now_s < found.refuse_until_s or len(found.waiters) >= _MAX_WAITERS:
+            return outcomes.OverQuota(max(_MIN_RETRY_S, found.retry_s - now_s))
         until_s = now_s + min(wait_s, _MAX_WAIT_S)
         found.waiters.append(pool.Waiter("", ticket, 1, 0, until_s))
         self._serve(organisation, found, now_s)
@@ -162,26 +127,28 @@
 
         :param until_s: time at which it becomes void
         """
-        batch = pool.Batch("", 0, 1, until_s)
         found = self._find_pool(organisation)
-        found.add(batch)
+        found.add(pool.Batch("", 0, 1, until_s))
         self._serve(organisation, found, now_s)
 
     def handle_ask(self, sender: str, ask: messages.QuotaAsk, now_s: float) -> None:
         """Answer another daemon's question, or let it wait."""
         for need in ask.needs:
-            key = (sender, ask.number, need.organisation)
-            answered = self._answers.get(key)
-            if answered is not None:
-                self._reply(sender, ask.number, answered[1])
+            organisation = self._find_organisation(need.organisation)
+            if organisation is None or not organisation.has_quota:
+                continue
+            if self._answers.repeat(sender, ask.number, organisation.name):
                 continue
-            self._handle_need(sender, ask.number, need, now_s)
+            if self._view.is_issuer(organisation.name):
+                self._issue(sender, ask.number, organisation, need, now_s)
+            elif need.waiting:
+                self._add_other(sender, ask.number, need, now_s)
 
     def handle_grants(
         self, sender: str, message: messages.QuotaGrants, now_s: float
     ) -> None:
         """Take the tokens that another daemon has granted."""
-        self._passed_over_s.pop(sender, None)
+        self._asking.record_answer(sender)
         for grant in message.grants:
             found = self._pools.get(grant.organisation)
             if found is None or found.open is None:
@@ -190,18 +157,20 @@
             if asked.number != message.number or asked.source != sender:
                 continue
             found.open = None
-            until_s = asked.first_sent_s + grant.life_s
-            found.add(pool.Batch(sender, asked.number, grant.count, until_s))
             if grant.count:
                 found.life_s = grant.life_s
             if grant.count < asked.need.waiting + asked.need.ahead:
                 found.ahead_after_s = now_s + _AHEAD_RETRY_S
-            missing = asked.need.waiting - grant.count
-            if missing > 0:
-                self._set_refused(found, grant.retry_after_s, now_s)
-            self._give(grant.organisation, found, now_s, is_partial=missing > 0)
-            if missing > 0:
-                self._refuse(grant.organisation, found, missing, now_s)
+            until_s = asked.first_sent_s + grant.life_s
+            batch = pool.Batch(sender, asked.number, grant.count, until_s)
+            self._add_tokens(
+                grant.organisation,
+                found,
+                batch,
+                asked.need.waiting - grant.count,
+                grant.retry_after_s,
+                now_s,
+            )
             self._serve(grant.organisation, found, now_s)
 
     def tick(self, now_s: float) -> None:
@@ -209,9 +178,8 @@
         for name in list(self._waiting):
             found = self._pools[name]
             self._drop_late(found, now_s)
+            self._asking.give_up(found, now_s)
             self._serve(name, found, now_s)
-            if found.open is not None and not found.waiters:
-                self._expire_open(name, found, now_s)
 
     def refresh(self, now_s: float) -> None:
         """Exchange tokens that become void soon, and forget what is idle."""
@@ -221,32 +189,18 @@
                 metrics.QUOTA_TOKENS.labels("void").inc(void)
             if found.is_idle(now_s):
                 del self._pools[name]
+                self._waiting.discard(name)
                 continue
-            self._ask_ahead(name, found, now_s)
-        for key, (until_s, _) in list(self._answers.items()):
-            if until_s <= now_s:
-                del self._answers[key]
+            self._asking.request_ahead(name, found, now_s)
+        self._answers.drop_old(now_s)
         self._issuer.refresh(now_s)
 
     def collect(self, now_s: float) -> Effects:
         """Return what has to be sent and told since the last call."""
-        effects = Effects(decisions=self._decisions)
-        self._decisions = []
-        for (asker, number), grants in self._replies.items():
-            reply = messages.QuotaGrants(number, tuple(grants))
-            effects.messages.append((asker, reply))
-        self._replies = {}
-        needs: dict[tuple[str, int], list[messages.Need]] = {}
-        numbers: dict[str, int] = {}
-        for name in self._due:
-            need = self._make_need(name, numbers, now_s)
-            if need is not None:
-                needs.setdefault(need[0], []).append(need[1])
-        self._due = {}
-        for (source, number), parts in needs.items():
-            ask = messages.QuotaAsk(number, tuple(parts))
-            effects.messages.append((source, ask))
-        return effects
+        decisions, self._decisions = self._decisions, []
+        asks = self._asking.collect(now_s)
+        self._waiting.update(need.organisation for _, ask in asks for need in ask.needs)
+        return Effects([*self._answers.collect(), *asks], decisions)
 
     def restart(self) -> None:
         """Give up all tokens, as after a pause of the process."""
@@ -262,50 +216,49 @@
             self._pools[organisation] = found
         return found
 
-    def _handle_need(
+    def _issue(
+        self,
+        sender: str,
+        number: int,
+        organisation: model.Organisation,
+        need: messages.Need,
+        now_s: float,
+    ) -> None:
+        """Answer a need from the bucket, unless this daemon must not issue now."""
+        issued = self._issuer.issue(organisation, sender, number, need, now_s)
+        if issued is None:
+            return
+        grant = messages.Grant(
+            organisation.name, issued.count, issued.life_s, issued.retry_after_s
+        )
+        self._answers.add(sender, number, grant, now_s)
+
+    def _add_other(
         self, sender: str, number: int, need: messages.Need, now_s: float
     ) -> None:
-        """Answer one need from the bucket, from the tokens here, or later."""
+        """Answer a need from the tokens here, or later."""
         name = need.organisation
-        organisation = self._find_organisation(name)
-        if organisation is None or not organisation.has_quota:
-            return
-        if self._view.is_issuer(name):
-            issued = self._issuer.issue(organisation, sender, number, need, now_s)
-            if issued is not None:
-                metrics.QUOTA_TOKENS.labels("issued").inc(issued.count)
-                grant = messages.Grant(
-                    name, issued.count, issued.life_s, issued.retry_after_s
-                )
-                self._answer(sender, number, grant, now_s)
-            return
-        if not need.waiting:
-            return
         found = self._find_pool(name)
-        found.add_demand(need.waiting, now_s, is_other=True)
-        if now_s < found.refuse_until_s and not found.count(now_s):
-            retry_after_s = max(0.01, found.retry_s - now_s)
-            self._answer(
-                sender, number, messages.Grant(name, 0, 0, retry_after_s), now_s
-            )
+        if any(
+            item.asker == sender and item.number == number for item in found.waiters
+        ):
             return
-        for waiter in found.waiters:
-            if waiter.asker == sender and waiter.number == number:
-                return
-        if len(found.waiters) >= _MAX_WAITERS:
+        found.add_demand(need.waiting, now_s, is_other=True)
+        is_full = len(found.waiters) >= _MAX_WAITERS
+        if is_full or (now_s < found.refuse_until_s and not found.count(now_s)):
+            self._refuse_other(name, found, sender, number, now_s)
             return
         until_s = now_s + _MAX_WAIT_S
-        found.waiters.append(
-            pool.Waiter(sender, number, need.waiting, need.ahead, until_s)
-        )
+        waiter = pool.Waiter(sender, number, need.waiting, need.ahead, until_s)
+        found.waiters.append(waiter)
         self._serve(name, found, now_s)
 
     def _serve(self, name: str, found: pool.Pool, now_s: float) -> None:
         """Give tokens to the requests that wait, and get more for the rest."""
         self._give(name, found, now_s)
-        if found.waiters:
+        if found.waiters and now_s >= found.refuse_until_s:
             self._obtain(name, found, now_s)
-        self._ask_ahead(name, found, now_s)
+        self._asking.request_ahead(name, found, now_s)
         if found.waiters or found.open is not None:
             self._waiting.add(name)
         else:
@@ -326,188 +279,98 @@
             if not waiter.asker:
                 _, until_s = found.take(1, now_s)
                 found.waiters.popleft()
+                until_s = min(until_s, now_s + self._find_ttl_s(name))
                 self._decide(waiter.number, outcomes.ADMITTED, until_s)
                 continue
             if held < waiter.count and not is_partial:
                 return
             spare = max(0, held - waiter.count) // 2
-            most = waiter.count + min(waiter.ahead, spare)
-            count, until_s = found.take(most, now_s)
+            count, until_s = found.take(waiter.count + min(waiter.ahead, spare), now_s)
             found.waiters.popleft()
-            retry_after_s = max(0.01, found.retry_s - now_s)
-            grant = messages.Grant(name, count, until_s - now_s, retry_after_s)
-            self._answer(waiter.asker, waiter.number, grant, now_s)
+            retry_after_s = max(_MIN_RETRY_S, found.retry_s - now_s)
+            life_s = min(until_s - now_s, self._find_ttl_s(name))
+            grant = messages.Grant(name, count, life_s, retry_after_s)
+            self._answers.add(waiter.asker, waiter.number, grant, now_s)
+
+    def _find_ttl_s(self, name: str) -> float:
+        """Return the life of a token that counts as used once it is passed on."""
+        organisation = self._find_organisation(name)
+        if organisation is None:
+            return 0.0
+        return self._limits.find_token_ttl_s(organisation)
 
     def _obtain(self, name: str, found: pool.Pool, now_s: float) -> None:
         """Get tokens for the requests that wait, from here or from another daemon."""
-        if self._list_sources(name, found, now_s):
-            self._due[name] = None
+        if self._asking.list_sources(name, found, now_s):
+            self._asking.request(name, found)
             return
         organisation = self._find_organisation(name)
         if organisation is None:
             return
-        waiting = found.count_missing(now_s)
-        need = messages.Need(name, waiting)
-        number = next(self._numbers)
+        need = messages.Need(name, found.count_missing(now_s))
+        number = self._asking.next_number()
         issued = self._issuer.issue(organisation, "", number, need, now_s)
         if issued is None:
             return
-        metrics.QUOTA_TOKENS.labels("issued").inc(issued.count)
-        until_s = now_s + issued.life_s
-        found.add(pool.Batch("", number, issued.count, until_s))
-        missing = waiting - issued.count
-        if missing > 0:
-            self._set_refused(found, issued.retry_after_s, now_s)
-        self._give(name, found, now_s, is_partial=missing > 0)
-        if missing > 0:
-            self._refuse(name, found, missing, now_s)
-
-    def _ask_ahead(self, name: str, found: pool.Pool, now_s: float) -> None:
-        """Ask for tokens for the requests to come, if so many are expected."""
-        if found.open is not None or now_s < found.ahead_after_s:
-            return
-        if self._count_ahead(name, found, now_s):
-            self._due[name] = None
-
-    def _count_ahead(self, name: str, found: pool.Pool, now_s: float) -> int:
-        """Return how many more tokens to hold for the requests to come."""
-        if found.is_quiet(now_s):
-            return 0
-        sources = self._list_sources(name, found, now_s)
-        if not sources:
-            return 0
-        demand_per_s = found.find_demand_per_s(now_s)
-        is_deputy = found.serves_others(now_s) and not self._view.is_region_first(name)
-        if not is_deputy and not self._view.is_remote(sources[0]):
-            wanted = int(demand_per_s * _NEAR_AHEAD_S)
-            held = found.count(now_s)
-        else:
-            ahead_s = _REMOTE_AHEAD_S
-            if is_deputy:
-                ahead_s = _DEPUTY_AHEAD_S
-                demand_per_s *= _DEPUTY_PERIOD
-            ahead_s = min(ahead_s, _AHEAD_LIFE_SHARE * found.life_s)
-            wanted = math.ceil(demand_per_s * ahead_s) + 1
-            held = found.count(now_s, _EXCHANGE_LIFE_SHARE * found.life_s)
-        return wanted - held if held <= wanted // 2 else 0
-
-    def _make_need(
-        self, name: str, numbers: dict[str, int], now_s: float
-    ) -> tuple[tuple[str, int], messages.Need] | None:
-        """Return whom to ask for an organisation's tokens now, and for what.
-
-        :param numbers: numbers of the questions of this step by daemon
-        """
-        found = self._pools.get(name)
-        if found is None:
-            return None
-        source = self._choose_source(name, found, now_s)
-        if source is None:
-            found.open = None
-            return None
-        waiting = found.count_missing(now_s)
-        asked = found.open
-        if asked is not None and asked.source == source:
-            interval_s = self._find_repeat_interval_s(source)
-            if now_s - asked.sent_s < interval_s:
-                return None
-            if asked.sent_count >= _MAX_UNANSWERED:
-                self._passed_over_s[source] = now_s + _PASSED_OVER_S
-            asked.sent_s = now_s
-            asked.sent_count += 1
-            return (source, asked.number), asked.need
-        ahead = self._count_ahead(name, found, now_s)
-        if not waiting and not ahead:
-            return None
-        number = numbers.get(source)
-        if number is None:
-            number = numbers[source] = next(self._numbers)
-        within_s = _EXCHANGE_LIFE_SHARE * found.life_s
-        ending = found.remove_ending(source, now_s, within_s)
-        returned = tuple(messages.Return(item.number, item.count) for item in ending)
-        need = messages.Need(name, waiting, ahead, returned)
-        found.open = pool.OpenAsk(source, number, need, now_s, now_s)
-        self._waiting.add(name)
-        return (source, number), need
-
-    def _list_sources(
-        self, name: str, found: pool.Pool, now_s: float
-    ) -> abc.Sequence[str]:
-        """Return the daemons to ask, those of all regions on behalf of others."""
-        if found.serves_others(now_s):
-            return self._view.list_first(name)
-        return self._view.list_sources(name)
-
-    def _choose_source(self, name: str, found: pool.Pool, now_s: float) -> str | None:
-        """Return the daemon to ask, one that has answered lately if there is any.
-
-        Now and then it is the second one, which then holds tokens when the first dies.
-        """
-        sources = self._list_sources(name, found, now_s)
-        if found.open is not None:
-            if now_s >= self._passed_over_s.get(found.open.source, 0.0):
-                return found.open.source
-        elif self._has_deputy(name, sources) and not next(self._asks) % _DEPUTY_PERIOD:
-            sources = sources[::-1]
-        for source in sources:
-            if now_s >= self._passed_over_s.get(source, 0.0):
-                return source
-        return sources[0] if sources else None
-
-    def _has_deputy(self, name: str, sources: abc.Sequence[str]) -> bool:
-        """Whether the daemons to ask are the issuer and its region's second one."""
-        first = self._view.list_first(name)[:1]
-        return len(sources) > 1 and tuple(sources[:1]) == tuple(first)
-
-    def _find_repeat_interval_s(self, source: str) -> float:
-        if self._view.is_remote(source):
-            return _REMOTE_REPEAT_INTERVAL_S
-        return _REPEAT_INTERVAL_S
-
-    def _set_refused(
-        self, found: pool.Pool, retry_after_s: float, now_s: float
+        batch = pool.Batch("", number, issued.count, now_s + issued.life_s)
+        missing = need.waiting - issued.count
+        self._add_tokens(name, found, batch, missing, issued.retry_after_s, now_s)
+
+    def _add_tokens(
+        self,
+        name: str,
+        found: pool.Pool,
+        batch: pool.Batch,
+        missing: int,
+        retry_after_s: float,
+        now_s: float,
     ) -> None:
-        """Remember for a moment that no token is to be had."""
+        """Give new tokens to the requests that wait, and refuse those without one.
+
+        :param missing: requests for which there is no token
+        :param retry_after_s: time until one is likely due
+        """
+        found.add(batch)
+        if missing <= 0:
+            self._give(name, found, now_s)
+            return
         found.retry_s = now_s + retry_after_s
         found.refuse_until_s = now_s + min(retry_after_s, _MAX_REFUSE_S)
-
-    def _refuse(self, name: str, found: pool.Pool, missing: int, now_s: float) -> None:
-        """Refuse requests that wait, of this daemon or others."""
-        retry_after_s = max(0.01, found.retry_s - now_s)
+        self._give(name, found, now_s, is_partial=True)
+        is_due = retry_after_s <= _MAX_QUEUED_S
+        kept = [waiter for waiter in found.waiters if is_due and not waiter.asker]
         while found.waiters and missing > 0:
             waiter = found.waiters.popleft()
             missing -= waiter.count
-            if not waiter.asker:
-                self._decide(waiter.number, outcomes.OverQuota(retry_after_s))
-                continue
-            grant = messages.Grant(name, 0, 0.0, retry_after_s)
-            self._answer(waiter.asker, waiter.number, grant, now_s)
+            if waiter.asker:
+                self._refuse_other(name, found, waiter.asker, waiter.number, now_s)
+            elif not is_due:
+                self._decide(waiter.number, self._make_refusal(found, now_s))
+        if kept:
+            others = [waiter for waiter in found.waiters if waiter not in kept]
+            found.waiters.clear()
+            found.waiters.extend([*kept, *others])
+
+    def _refuse_other(
+        self, name: str, found: pool.Pool, asker: str, number: int, now_s: float
+    ) -> None:
+        retry_after_s = max(_MIN_RETRY_S, found.retry_s - now_s)
+        grant = messages.Grant(name, 0, 0.0, retry_after_s)
+        self._answers.add(asker, number, grant, now_s)
 
     def _drop_late(self, found: pool.Pool, now_s: float) -> None:
         """Give up requests that have waited too long."""
         while found.waiters and found.waiters[0].until_s <= now_s:
             waiter = found.waiters.popleft()
-            if not waiter.asker:
-                outcome = outcomes.NoIssuer(_NO_ISSUER_RETRY_S)
-                self._decide(waiter.number, outcome)
-
-    def _expire_open(self, name: str, found: pool.Pool, now_s: float) -> None:
-        """Give up a question that nobody waits for any longer."""
-        asked = found.open
-        if asked is not None and now_s - asked.first_sent_s >= _MAX_WAIT_S:
-            found.open = None
-            self._waiting.discard(name)
-
-    def _answer(
-        self, asker: str, number: int, grant: messages.Grant, now_s: float
-    ) -> None:
-        """Answer another daemon, and remember the answer for its repetitions."""
-        key = (asker, number, grant.organisation)
-        self._answers[key] = (now_s + _ANSWER_TTL_S, grant)
-        self._reply(asker, number, grant)
+            if waiter.asker:
+                continue
+            outcome: outcomes.Outcome = outcomes.NoIssuer(_NO_ISSUER_RETRY_S)
+            if now_s - found.retry_s < _REFUSED_MEMORY_S:
+                outcome = self._make_refusal(found, now_s)
+            self._decide(waiter.number, outcome)
 
-    def _reply(self, asker: str, number: int, grant: messages.Grant) -> None:
-        self._replies.setdefault((asker, number), []).append(grant)
+    def _make_refusal(self, found: pool.Pool, now_s: float) -> outcomes.OverQuota:
+        return outcomes.OverQuota(max(_MIN_RETRY_S, found.retry_s - now_s))
 
     def _decide(
         self, ticket: int, outcome: outcomes.Outcome, until_s: float = 0.0
--- a/src/endivevane/quotas/issuer.py
+++ b/src/endivevane/quotas/issuer.py
@@ -11,11 +11,12 @@
 import math
 import typing
 
+from endivevane import metrics
 from endivevane.quotas import messages, settings
 from endivevane.serving import model
 
 # Life of a token that is lent to a daemon that holds tokens for requests to come.
-LENT_TTL_S = 2.5
+LENT_TTL_S = 4.0
 # What a daemon asks for ahead is issued from the upper part of a bucket only.
 _AHEAD_SHARE = 0.5
 # Requests that were refused come again after about this time.
@@ -117,14 +118,19 @@
         """Return the number of lent tokens that may still be used."""
         return sum(loan.count for loan in self.loans)
 
-    def take_back(self, asker: str, returned: messages.Return) -> None:
-        """Add tokens that were lent and not used, once."""
+    def settle(self, asker: str, number: int, need: messages.Need) -> None:
+        """Apply what a daemon says of the tokens that were lent to it.
+
+        What it returns is added to the bucket, once.
+        """
+        held = {item.number: item.count for item in need.held}
+        returned = {item.number: item.count for item in need.returned}
         for loan in self.loans:
-            if loan.asker == asker and loan.number == returned.number:
-                self.level = min(
-                    self.depth, self.level + min(loan.count, returned.count)
-                )
-                loan.count = 0
+            if loan.asker != asker or loan.number >= number:
+                continue
+            back = min(loan.count, returned.get(loan.number, 0))
+            self.level = min(self.depth, self.level + back)
+            loan.count = min(loan.count - back, held.get(loan.number, 0))
 
     def find_retry_s(self, refused: int, now_s: float) -> float:
         """Return the time until a token is likely due, after some were refused."""
@@ -159,19 +165,25 @@
         bucket = self._find_bucket(organisation, now_s)
         if bucket is None:
             return None
-        for item in need.returned:
-            bucket.take_back(asker, item)
+        bucket.settle(asker, number, need)
         count = min(need.waiting, int(bucket.level))
-        ahead = 0
-        if count == need.waiting:
-            spare = bucket.level - count - _AHEAD_SHARE * bucket.depth
-            ahead = min(need.ahead, max(0, int(spare)))
         life_s = self._limits.find_token_ttl_s(organisation)
+        ahead = 0
+        if count == need.waiting and need.ahead:
+            spare = int(bucket.level - count - _AHEAD_SHARE * bucket.depth)
+            room = self._find_room(organisation, bucket, now_s) - count
+            if room > 0:
+                ahead = max(0, min(need.ahead, spare, room))
+            else:
+                needed = math.ceil(need.ahead * life_s / LENT_TTL_S)
+                ahead = max(0, min(needed, spare))
+            if room > 0 and ahead:
+                life_s = LENT_TTL_S
+                loan = _Loan(asker, number, count + ahead, now_s + life_s)
+                bucket.loans.append(loan)
         total = count + ahead
-        if ahead and self._may_lend(organisation, bucket, total, now_s):
-            life_s = LENT_TTL_S
-            bucket.loans.append(_Loan(asker, number, total, now_s + life_s))
         bucket.level -= total
+        metrics.QUOTA_TOKENS.labels("issued").inc(total)
         refused = need.waiting - count
         retry_after_s = bucket.find_retry_s(refused, now_s) if refused else 0.0
         return Issued(total, life_s, retry_after_s)
@@ -208,18 +220,14 @@
         bucket.set_limits(rate_per_s, depth)
         return bucket
 
-    def _may_lend(
-        self,
-        organisation: model.Organisation,
-        bucket: _Bucket,
-        count: int,
-        now_s: float,
-    ) -> bool:
-        """Whether tokens may have a long life.
+    def _find_room(
+        self, organisation: model.Organisation, bucket: _Bucket, now_s: float
+    ) -> int:
+        """Return how many tokens may be lent now.
 
         Those that the issuer before has lent must be void.
         """
         if now_s - bucket.since_s < LENT_TTL_S:
-            return False
+            return 0
         limit = self._limits.find_max_lent(organisation) * self._view.share
-        return bucket.count_lent() + count <= limit
+        return int(limit) - bucket.count_lent()
--- a/src/endivevane/quotas/membership.py
+++ b/src/endivevane/quotas/membership.py
@@ -30,7 +30,8 @@
     :param registered: regions of all registered daemons by name
     :param live: those that are alive and not stopping
     :param heard: number of those that were heard in the last moments
-    :param hold_off_s: time for which other daemons may have another view
+    :param hold_off_s: time after which a daemon that is found dead has stopped issuing
+    :param settle_s: time after which others have heard of a daemon that is back
     :param is_ready: whether this daemon knows the others
     """
 
@@ -38,6 +39,7 @@
     live: frozenset[str]
     heard: int
     hold_off_s: float
+    settle_s: float
     is_ready: bool
 
 
@@ -57,7 +59,9 @@
         self.opened_s = float("inf")
         self._own_name = own_name
         self._own_region = own_region
-        self._snapshot = Snapshot({own_name: own_region}, frozenset(), 0, 0.0, False)
+        self._snapshot = Snapshot(
+            {own_name: own_region}, frozenset(), 0, 0.0, 0.0, False
+        )
         self._gone_s: dict[str, float] = {}
         self._higher_since_s: float | None = None
         self._orders: dict[str, tuple[str, ...]] = {}
@@ -79,7 +83,7 @@
         if not snapshot.is_ready:
             self.opened_s = float("inf")
         elif not known.is_ready:
-            self.opened_s = now_s + snapshot.hold_off_s
+            self.opened_s = now_s + snapshot.settle_s
         self._update_share(now_s)
 
     def restart(self) -> None:
@@ -146,7 +150,7 @@
         if self._higher_since_s is None:
             self._higher_since_s = now_s
         # The other side of a separation must have learned of its end.
-        if now_s - self._higher_since_s < snapshot.hold_off_s:
+        if now_s - self._higher_since_s < snapshot.settle_s:
             return
         if now_s - self.risen_s < _RISE_MEMORY_S:
             self.share_before = min(self.share_before, self.share)
--- a/src/endivevane/quotas/messages.py
+++ b/src/endivevane/quotas/messages.py
@@ -21,8 +21,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Return:
-    """Tokens of a grant that the sender gives up unused.
+class Remainder:
+    """Tokens of a grant that have not been used.
 
     :param number: the request that they were granted for
     """
@@ -37,20 +37,23 @@
 
     :param waiting: tokens for requests that wait
     :param ahead: tokens for requests that are expected
-    :param returned: what the sender gives up of the recipient's earlier grants
+    :param held: what the sender holds of the recipient's earlier grants; of all others
+        before this request it holds nothing
+    :param returned: what it gives up of them
     """
 
     organisation: str
     waiting: int
     ahead: int = 0
-    returned: tuple[Return, ...] = ()
+    held: tuple[Remainder, ...] = ()
+    returned: tuple[Remainder, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class QuotaAsk:
     """Request for tokens of some organisations.
 
-    :param number: identifies the request among those of its sender; a repetition has
+    :param number: higher than those of the sender's earlier requests; a repetition has
         the same number
     """
 
@@ -96,7 +99,8 @@
             need.organisation,
             need.waiting,
             need.ahead,
-            [(item.number, item.count) for item in need.returned],
+            _encode_remainders(message.number, need.held),
+            _encode_remainders(message.number, need.returned),
         )
         for need in message.needs
     ]
@@ -124,34 +128,45 @@
     :raises ValueError: when they are malformed; ``TypeError`` may be raised too
     """
     number, entries = fields
+    number = json_fields.read_count(number)
     if kind == _ASK_KIND:
-        return QuotaAsk(
-            json_fields.read_count(number),
-            tuple(_decode_need(*entry) for entry in json_fields.read_list(entries)),
+        needs = json_fields.read_list(entries)
+        return QuotaAsk(number, tuple(_decode_need(number, *item) for item in needs))
+    grants = json_fields.read_list(entries)
+    return QuotaGrants(number, tuple(_decode_grant(*item) for item in grants))
+
+
+def _encode_remainders(
+    number: int, remainders: abc.Iterable[Remainder]
+) -> list[tuple[int, int]]:
+    """Return the fields of remainders, with the distance to the present number."""
+    return [(number - item.number, item.count) for item in remainders]
+
+
+def _decode_remainders(number: int, raw: typing.Any) -> tuple[Remainder, ...]:
+    return tuple(
+        Remainder(
+            number - json_fields.read_count(distance),
+            json_fields.read_count(count, MAX_TOKENS),
         )
-    return QuotaGrants(
-        json_fields.read_count(number),
-        tuple(_decode_grant(*entry) for entry in json_fields.read_list(entries)),
+        for distance, count in json_fields.read_list(raw)
     )
 
 
 def _decode_need(
+    number: int,
     organisation: typing.Any,
     waiting: typing.Any,
     ahead: typing.Any,
+    held: typing.Any,
     returned: typing.Any,
 ) -> Need:
     return Need(
         json_fields.read_text(organisation),
         json_fields.read_count(waiting, MAX_TOKENS),
         json_fields.read_count(ahead, MAX_TOKENS),
-        tuple(
-            Return(
-                json_fields.read_count(number),
-                json_fields.read_count(count, MAX_TOKENS),
-            )
-            for number, count in json_fields.read_list(returned)
-        ),
+        _decode_remainders(number, held),
+        _decode_remainders(number, returned),
     )
 
 
--- a/src/endivevane/quotas/pool.py
+++ b/src/endivevane/quotas/pool.py
@@ -167,6 +167,14 @@
             )
         return ending
 
+    def list_held(self, source: str, now_s: float) -> tuple[messages.Remainder, ...]:
+        """Return what is held of a daemon's grants."""
+        return tuple(
+            messages.Remainder(item.number, item.count)
+            for item in self.batches
+            if item.source == source and item.until_s > now_s
+        )
+
     def _decay(self, now_s: float) -> float:
         passed_s = max(0.0, now_s - self._demand_s)
         return self._demand * math.exp(-passed_s / _DEMAND_MEMORY_S)
--- a/src/endivevane/quotas/service.py
+++ b/src/endivevane/quotas/service.py
@@ -25,11 +25,13 @@
 _HEARD_NOTICES = 1.5
 # A daemon that is cut off stops issuing this much later at most than another one, which
 # finds it dead, would begin.
-_MIN_HOLD_OFF_S = 0.3
+_HOLD_OFF_S = 0.1
 _HOLD_OFF_NOTICES = 2.5
-_HOLD_OFF_LESS_S = 0.5
+_HOLD_OFF_LESS_S = 0.4
+# All others have heard of a daemon that has started, or is back, after this time.
+_SETTLE_S = 0.5
 # Numbers of a run begin at its start time, so that they differ from the last run's.
-_NUMBERS_PER_S = 1000
+_NUMBERS_PER_S = 1_000_000
 
 Send = abc.Callable[[str, messages.Message], None]
 FindOrganisation = abc.Callable[[str], model.Organisation | None]
@@ -58,6 +60,7 @@
         self._view = membership.MemberView(identity.name, identity.region)
         self._viewed_s = float("-inf")
         self._holder = holder.TokenHolder(
+            limits,
             self._view,
             issuer.TokenIssuer(limits, self._view),
             find_organisation,
@@ -164,7 +167,8 @@
             registered,
             frozenset(peers.list_active()),
             heard + 1,
-            max(_MIN_HOLD_OFF_S, _HOLD_OFF_NOTICES * interval_s - _HOLD_OFF_LESS_S),
+            max(_HOLD_OFF_S, _HOLD_OFF_NOTICES * interval_s - _HOLD_OFF_LESS_S),
+            _SETTLE_S + interval_s,
             peers.is_warmed_up(now_s),
         )
 
