--- a/features/support/quota_net.py
+++ b/features/support/quota_net.py
@@ -6,7 +6,7 @@
 import itertools
 import random
 
-from endivevane.quotas import holder, issuer, membership, outcomes, settings
+from endivevane.quotas import holder, issuer, membership, messages, outcomes, settings
 from endivevane.serving import model, peer_messages
 
 # One-way delays of a datagram.
@@ -95,10 +95,16 @@
             return
         self._see()
         now_s = self.net.now_s
-        if hasattr(message, "needs"):
+        if isinstance(message, messages.QuotaAsk):
             self.holder.handle_ask(sender, message, now_s)
-        else:
+        elif isinstance(message, messages.QuotaGrants):
             self.holder.handle_grants(sender, message, now_s)
+        elif isinstance(message, messages.QuotaWitness):
+            self.view.record_witness(message, now_s)
+        else:
+            answer = self.view.testify(message, now_s)
+            if answer is not None:
+                self.net.send(self.name, sender, answer)
         self._flush()
 
     def resume(self):
@@ -125,6 +131,8 @@
 
     def _refresh(self):
         self._see()
+        for name, probe in self.view.ask_others(self.net.now_s):
+            self.net.send(self.name, name, probe)
         self.holder.refresh(self.net.now_s)
         self._flush()
 
--- a/features/support/serving_fakes.py
+++ b/features/support/serving_fakes.py
@@ -91,6 +91,7 @@
         limits or quota_settings.QuotasSection(),
         process_pauses.ProcessPauses(),
         find_organisation,
+        lambda: True,
         send or (lambda _name, _message: None),
     )
 
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -258,6 +258,7 @@
             self._settings.quotas,
             self._pauses,
             lambda name: self._router.find_organisation(name),
+            lambda: self._router.has_quotas(),
             self._network.send_message,
         )
         self._network.connect(
--- a/src/endivevane/quotas/issuer.py
+++ b/src/endivevane/quotas/issuer.py
@@ -34,6 +34,9 @@
     def find_since_s(self, organisation: str) -> float:
         """Return the time since which no other daemon issues in place of this one."""
 
+    def may_issue(self, organisation: str, now_s: float) -> bool:
+        """Whether others confirm that no other daemon issues."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Issued:
@@ -206,8 +209,10 @@
         self, organisation: model.Organisation, now_s: float
     ) -> _Bucket | None:
         """Return the up-to-date bucket of an organisation."""
+        if not self._view.may_issue(organisation.name, now_s):
+            return None
         since_s = self._view.find_since_s(organisation.name)
-        if now_s < since_s or not self._view.share:
+        if now_s < since_s:
             return None
         bucket = self._buckets.get(organisation.name)
         rate_per_s = self._limits.find_rate_per_s(organisation)
--- a/src/endivevane/quotas/membership.py
+++ b/src/endivevane/quotas/membership.py
@@ -11,6 +11,7 @@
 from collections import abc
 
 from endivevane.coordination import rendezvous
+from endivevane.quotas import messages, witnesses
 
 # With this share of the registered daemons and more, everything is issued; with the
 # rest of them nothing is. In between the shares of any separated groups of daemons add
@@ -19,8 +20,10 @@
 _NO_SHARE = 1.0 - _FULL_SHARE
 # A share that has risen counts as the lower one for this long where nothing was issued.
 _RISE_MEMORY_S = 10.0
-# The daemon that is asked, and the one that is asked where the first does not answer.
-_RANKED = 2
+# The daemon that is asked, and those that are asked where the first does not answer.
+_RANKED = 3
+# Age of a daemon that has never been heard.
+_NEVER_HEARD_S = 3600.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,7 +65,12 @@
         self._snapshot = Snapshot(
             {own_name: own_region}, frozenset(), 0, 0.0, 0.0, False
         )
+        self._witnesses = witnesses.Witnesses()
+        # The daemons that are alive, as this one or others hear.
+        self._live: frozenset[str] = frozenset()
         self._gone_s: dict[str, float] = {}
+        # When others have heard daemons last that this one stands in for.
+        self._absent_s: dict[str, float] = {}
         self._higher_since_s: float | None = None
         self._orders: dict[str, tuple[str, ...]] = {}
         self._leaders: dict[str, tuple[tuple[str, ...], tuple[str, ...]]] = {}
@@ -76,10 +84,14 @@
             self._leaders.clear()
             for name in known.registered.keys() - snapshot.registered.keys():
                 self._gone_s.pop(name, None)
-        if snapshot.live != known.live:
+                self._absent_s.pop(name, None)
+        for name in known.live - snapshot.live:
+            self._gone_s[name] = now_s
+        heard = self._witnesses.list_heard(now_s)
+        live = snapshot.live.union(heard) if heard else snapshot.live
+        if live != self._live:
+            self._live = live
             self._leaders.clear()
-            for name in known.live - snapshot.live:
-                self._gone_s[name] = now_s
         if not snapshot.is_ready:
             self.opened_s = float("inf")
         elif not known.is_ready:
@@ -91,6 +103,7 @@
         self.share = 0.0
         self.opened_s = float("inf")
         self._higher_since_s = None
+        self._witnesses.restart()
         self._snapshot = dataclasses.replace(self._snapshot, is_ready=False)
 
     def list_sources(self, organisation: str) -> tuple[str, ...]:
@@ -129,14 +142,57 @@
         """
         if not self.is_issuer(organisation):
             return float("inf")
-        since_s = self.opened_s
+        since_s = max(self.opened_s, self._witnesses.since_s)
+        for name in self._list_before(organisation):
+            gone_s = self._gone_s.get(name, float("-inf"))
+            others_s = self._absent_s.get(name, float("-inf"))
+            since_s = max(since_s, max(gone_s, others_s) + self._snapshot.hold_off_s)
+        return since_s
+
+    def may_issue(self, organisation: str, now_s: float) -> bool:
+        """Whether others confirm that no other daemon issues."""
+        if not self.share or not self._witnesses.is_confirmed(now_s):
+            return False
+        is_confirmed = True
+        for name in self._list_before(organisation):
+            gone_s = self._witnesses.find_gone_s(name, now_s)
+            if gone_s is None:
+                is_confirmed = False
+                continue
+            self._absent_s[name] = gone_s
+        return is_confirmed
+
+    def ask_others(self, now_s: float) -> list[tuple[str, messages.QuotaProbe]]:
+        """Return the questions to others that are due, with their recipients."""
+        if not self._snapshot.is_ready:
+            return []
+        others = sorted(self._snapshot.live - {self._own_name})
+        return self._witnesses.ask(others, now_s)
+
+    def testify(
+        self, probe: messages.QuotaProbe, now_s: float
+    ) -> messages.QuotaWitness | None:
+        """Return the answer to another daemon, ``None`` while too little is known."""
+        if now_s < self.opened_s:
+            return None
+        ages_s = tuple(self._find_gone_age_s(name, now_s) for name in probe.missing)
+        return messages.QuotaWitness(probe.number, ages_s)
+
+    def record_witness(self, answer: messages.QuotaWitness, now_s: float) -> None:
+        """Take another daemon's answer."""
+        self._witnesses.record(answer, self._snapshot.settle_s, now_s)
+
+    def _find_gone_age_s(self, name: str, now_s: float) -> float | None:
+        if name in self._snapshot.live:
+            return None
+        return now_s - self._gone_s.get(name, now_s - _NEVER_HEARD_S)
+
+    def _list_before(self, organisation: str) -> abc.Iterator[str]:
+        """Return the daemons that would rank before this one if they were alive."""
         for name in self._order(organisation):
             if name == self._own_name:
-                break
-            gone_s = self._gone_s.get(name)
-            if gone_s is not None:
-                since_s = max(since_s, gone_s + self._snapshot.hold_off_s)
-        return since_s
+                return
+            yield name
 
     def _update_share(self, now_s: float) -> None:
         snapshot = self._snapshot
@@ -171,7 +227,7 @@
         first_ones: list[str] = []
         region_ones: list[str] = []
         for name in self._order(organisation):
-            if name not in snapshot.live:
+            if name not in self._live:
                 continue
             if len(first_ones) < _RANKED:
                 first_ones.append(name)
--- a/src/endivevane/quotas/messages.py
+++ b/src/endivevane/quotas/messages.py
@@ -15,7 +15,9 @@
 
 _ASK_KIND = "quota_ask"
 _GRANTS_KIND = "quota_grants"
-KINDS = frozenset((_ASK_KIND, _GRANTS_KIND))
+_PROBE_KIND = "quota_probe"
+_WITNESS_KIND = "quota_witness"
+KINDS = frozenset((_ASK_KIND, _GRANTS_KIND, _PROBE_KIND, _WITNESS_KIND))
 # Above the requests of an organisation that a daemon can hold.
 MAX_TOKENS = 100_000
 
@@ -83,7 +85,30 @@
     grants: tuple[Grant, ...]
 
 
-Message = QuotaAsk | QuotaGrants
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaProbe:
+    """Question whether the recipient hears daemons that the sender does not.
+
+    :param missing: these daemons
+    """
+
+    number: int
+    missing: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaWitness:
+    """Answer to a probe.
+
+    :param gone_ages_s: for each daemon, the time since which the sender has not heard
+        it, ``None`` for one that it hears
+    """
+
+    number: int
+    gone_ages_s: tuple[float | None, ...]
+
+
+Message = QuotaAsk | QuotaGrants | QuotaProbe | QuotaWitness
 
 
 @functools.singledispatch
@@ -122,6 +147,17 @@
     return (_GRANTS_KIND, message.number, grants)
 
 
+@encode_fields.register
+def _(message: QuotaProbe) -> tuple[typing.Any, ...]:
+    return (_PROBE_KIND, message.number, message.missing)
+
+
+@encode_fields.register
+def _(message: QuotaWitness) -> tuple[typing.Any, ...]:
+    ages_s = [None if age is None else round(age, 2) for age in message.gone_ages_s]
+    return (_WITNESS_KIND, message.number, ages_s)
+
+
 def decode_fields(kind: str, fields: abc.Sequence[typing.Any]) -> Message:
     """Return the message in the fields of a datagram.
 
@@ -132,6 +168,11 @@
     if kind == _ASK_KIND:
         needs = json_fields.read_list(entries)
         return QuotaAsk(number, tuple(_decode_need(number, *item) for item in needs))
+    if kind == _PROBE_KIND:
+        return QuotaProbe(number, json_fields.read_texts(entries))
+    if kind == _WITNESS_KIND:
+        ages_s = json_fields.read_list(entries)
+        return QuotaWitness(number, tuple(_decode_gone_age_s(age) for age in ages_s))
     grants = json_fields.read_list(entries)
     return QuotaGrants(number, tuple(_decode_grant(*item) for item in grants))
 
@@ -170,6 +211,10 @@
     )
 
 
+def _decode_gone_age_s(value: typing.Any) -> float | None:
+    return None if value is None else json_fields.read_age_s(value)
+
+
 def _decode_grant(
     organisation: typing.Any,
     count: typing.Any,
--- a/src/endivevane/quotas/service.py
+++ b/src/endivevane/quotas/service.py
@@ -41,6 +41,7 @@
     """Decides whether requests of organisations are within their quotas.
 
     :param find_organisation: returns an organisation of the configuration in force
+    :param has_quotas: returns whether any organisation has a quota
     :param send: sends a message to the daemon with a name
     """
 
@@ -51,11 +52,13 @@
         limits: settings.QuotasSection,
         pauses: process_pauses.ProcessPauses,
         find_organisation: FindOrganisation,
+        has_quotas: abc.Callable[[], bool],
         send: Send,
     ) -> None:
         self._identity = identity
         self._peers = peers
         self._pauses = pauses
+        self._has_quotas = has_quotas
         self._send = send
         self._view = membership.MemberView(identity.name, identity.region)
         self._viewed_s = float("-inf")
@@ -76,6 +79,10 @@
         while True:
             await asyncio.sleep(_REFRESH_INTERVAL_S)
             now_s = self._begin_step()
+            if not self._has_quotas():
+                continue
+            for name, probe in self._view.ask_others(now_s):
+                self._send(name, probe)
             self._holder.refresh(now_s)
             self._flush()
 
@@ -144,6 +151,16 @@
     def _(self, message: messages.QuotaGrants, sender: str, now_s: float) -> None:
         self._holder.handle_grants(sender, message, now_s)
 
+    @_handle.register
+    def _(self, message: messages.QuotaProbe, sender: str, now_s: float) -> None:
+        answer = self._view.testify(message, now_s)
+        if answer is not None:
+            self._send(sender, answer)
+
+    @_handle.register
+    def _(self, message: messages.QuotaWitness, sender: str, now_s: float) -> None:
+        self._view.record_witness(message, now_s)
+
     def _begin_step(self) -> float:
         """Return the time, with the view of the daemons as of this time."""
         self._pauses.check()
--- a/src/endivevane/serving/peer_messages.py
+++ b/src/endivevane/serving/peer_messages.py
@@ -185,6 +185,8 @@
 
 @encode.register(quota_messages.QuotaAsk)
 @encode.register(quota_messages.QuotaGrants)
+@encode.register(quota_messages.QuotaProbe)
+@encode.register(quota_messages.QuotaWitness)
 def _(message: quota_messages.Message) -> bytes:
     return orjson.dumps(quota_messages.encode_fields(message))
 
--- a/src/endivevane/serving/peers.py
+++ b/src/endivevane/serving/peers.py
@@ -202,6 +202,8 @@
 
     @_handle.register(quota_messages.QuotaAsk)
     @_handle.register(quota_messages.QuotaGrants)
+    @_handle.register(quota_messages.QuotaProbe)
+    @_handle.register(quota_messages.QuotaWitness)
     def _(self, message: quota_messages.Message, host: str) -> None:
         sender = self._names.find(host)
         if sender is not None and self._quotas is not None:
--- a/src/endivevane/serving/request_router.py
+++ b/src/endivevane/serving/request_router.py
@@ -75,6 +75,14 @@
         table = self.table
         return None if table is None else table.configuration.organisations.get(name)
 
+    def has_quotas(self) -> bool:
+        """Whether any organisation of the configuration in force has a quota."""
+        table = self.table
+        if table is None:
+            return False
+        organisations = table.configuration.organisations.values()
+        return any(organisation.has_quota for organisation in organisations)
+
     def list_stream_services(self) -> frozenset[str]:
         """Return the services whose streams may be resumed."""
         table = self.table
