Bridge the start of the next issuer with tokens of the one before

A daemon that hears one of higher rank stopped at once, and the other begins up to 1 s later. It now keeps lent tokens for this time.

--- a/src/endivevane/quotas/holder.py
+++ b/src/endivevane/quotas/holder.py
@@ -193,7 +193,9 @@
                 continue
             self._asking.request_ahead(name, found, now_s)
         self._answers.drop_old(now_s)
-        self._issuer.refresh(now_s)
+        for kept in self._issuer.refresh(now_s):
+            batch = pool.Batch("", 0, kept.count, kept.until_s)
+            self._find_pool(kept.organisation).add(batch)
 
     def collect(self, now_s: float) -> Effects:
         """Return what has to be sent and told since the last call."""
--- a/src/endivevane/quotas/issuer.py
+++ b/src/endivevane/quotas/issuer.py
@@ -17,6 +17,9 @@
 
 # Life of a token that is lent to a daemon that holds tokens for requests to come.
 LENT_TTL_S = 4.0
+# While tokens of the issuer before may be outstanding, only so much of what may be lent
+# is lent, and it takes the place of tokens in the bucket.
+_EARLY_LENT_SHARE = 1 / 3
 # What a daemon asks for ahead is issued from the upper part of a bucket only.
 _AHEAD_SHARE = 0.5
 # Requests that were refused come again after about this time.
@@ -37,6 +40,9 @@
     def may_issue(self, organisation: str, now_s: float) -> bool:
         """Whether others confirm that no other daemon issues."""
 
+    def is_confirmed(self, now_s: float) -> bool:
+        """Whether others have answered this daemon lately."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Issued:
@@ -50,6 +56,15 @@
     retry_after_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kept:
+    """Lent tokens with which this daemon bridges the start of the next issuer."""
+
+    organisation: str
+    count: int
+    until_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class _Loan:
     """Tokens with a long life that are outstanding."""
@@ -68,6 +83,7 @@
         self.level = 0.0
         self.filled_s = since_s
         self.loans: collections.deque[_Loan] = collections.deque()
+        self.max_lent = 0.0
         self._rate_per_s = 0.0
         self._depth = 0.0
         self._share = 0.0
@@ -79,6 +95,10 @@
         """Whether it holds all that it can."""
         return self.level >= self.depth
 
+    def is_early(self, now_s: float) -> bool:
+        """Whether tokens that the issuer before has lent may be outstanding."""
+        return now_s - self.since_s < LENT_TTL_S
+
     def begin(self, rate_per_s: float, depth: float, view: View) -> None:
         """Fill it as if it had been there since this daemon ranked first."""
         self._rate_per_s, self._depth = rate_per_s, depth
@@ -95,12 +115,15 @@
         :param share: share of the quota that this daemon may issue
         """
         passed_s = max(0.0, now_s - self.filled_s)
-        self.level = min(self.depth, self.level + self.rate_per_s * passed_s)
+        while self.loans and self.loans[0].until_s <= now_s:
+            self.loans.popleft()
+        depth = self.depth
+        if self.is_early(now_s):
+            depth = max(0.0, depth - self.count_lent())
+        self.level = min(depth, self.level + self.rate_per_s * passed_s)
         self.filled_s = max(self.filled_s, now_s)
         self._share = share
         self.level = min(self.depth, self.level)
-        while self.loans and self.loans[0].until_s <= now_s:
-            self.loans.popleft()
 
     def set_limits(self, rate_per_s: float, depth: float) -> None:
         """Apply the limits of a configuration."""
@@ -174,7 +197,7 @@
         ahead = 0
         if count == need.waiting and need.ahead:
             spare = int(bucket.level - count - _AHEAD_SHARE * bucket.depth)
-            room = self._find_room(organisation, bucket, now_s) - count
+            room = self._find_room(bucket, now_s) - count
             if room > 0:
                 ahead = max(0, min(need.ahead, spare, room))
             else:
@@ -195,15 +218,24 @@
         """Begin anew, as after a time in which others may have issued tokens."""
         self._buckets.clear()
 
-    def refresh(self, now_s: float) -> None:
-        """Apply the present share, and drop the buckets that need no memory."""
+    def refresh(self, now_s: float) -> list[Kept]:
+        """Apply the present share, and drop the buckets that need no memory.
+
+        :return: tokens of organisations that another daemon issues from now on
+        """
+        kept: list[Kept] = []
         for name, bucket in list(self._buckets.items()):
-            if self._view.find_since_s(name) > bucket.since_s:
+            since_s = self._view.find_since_s(name)
+            if since_s > bucket.since_s:
                 del self._buckets[name]
+                if math.isinf(since_s) and self._view.is_confirmed(now_s):
+                    count = min(int(bucket.level), self._find_room(bucket, now_s))
+                    kept.append(Kept(name, max(0, count), now_s + LENT_TTL_S))
                 continue
             bucket.fill(self._view.share, now_s)
             if bucket.is_full and not bucket.loans:
                 del self._buckets[name]
+        return kept
 
     def _find_bucket(
         self, organisation: model.Organisation, now_s: float
@@ -223,16 +255,12 @@
             bucket.begin(rate_per_s, depth, self._view)
         bucket.fill(self._view.share, now_s)
         bucket.set_limits(rate_per_s, depth)
+        bucket.max_lent = self._limits.find_max_lent(organisation)
         return bucket
 
-    def _find_room(
-        self, organisation: model.Organisation, bucket: _Bucket, now_s: float
-    ) -> int:
-        """Return how many tokens may be lent now.
-
-        Those that the issuer before has lent must be void.
-        """
-        if now_s - bucket.since_s < LENT_TTL_S:
-            return 0
-        limit = self._limits.find_max_lent(organisation) * self._view.share
+    def _find_room(self, bucket: _Bucket, now_s: float) -> int:
+        """Return how many tokens may be lent now."""
+        limit = bucket.max_lent * self._view.share
+        if bucket.is_early(now_s):
+            limit *= _EARLY_LENT_SHARE
         return int(limit) - bucket.count_lent()
--- a/src/endivevane/quotas/membership.py
+++ b/src/endivevane/quotas/membership.py
@@ -162,6 +162,10 @@
             self._absent_s[name] = gone_s
         return is_confirmed
 
+    def is_confirmed(self, now_s: float) -> bool:
+        """Whether others have answered this daemon lately."""
+        return self._witnesses.is_confirmed(now_s)
+
     def ask_others(self, now_s: float) -> list[tuple[str, messages.QuotaProbe]]:
         """Return the questions to others that are due, with their recipients."""
         if not self._snapshot.is_ready:
--- a/src/endivevane/quotas/service.py
+++ b/src/endivevane/quotas/service.py
@@ -18,7 +18,7 @@
 # Tokens are exchanged and the view of the live daemons is renewed at this interval.
 _REFRESH_INTERVAL_S = 0.1
 # A view is this old at most when something is decided.
-_VIEW_TTL_S = 0.05
+_VIEW_TTL_S = 0.09
 # A daemon that was not heard within this time may not hear this one either. With a
 # coordinator its notices tell who is alive; some of them may be lost.
 _HEARD_WITHIN_S = 1.0
--- a/src/endivevane/quotas/settings.py
+++ b/src/endivevane/quotas/settings.py
@@ -15,7 +15,7 @@
 _TOKEN_TTL_SHARE = 0.5
 # Shares of the rest that may be lent, and that the burst is larger by. What remains is
 # for daemons whose views of the live daemons differ for a moment.
-_LENT_SHARE = 0.6
+_LENT_SHARE = 0.5
 _DEPTH_SHARE = 0.2
 
 
