Grant the slots of a service by max-min shares of organisations

An organisation with a surge of requests took the slots and filled the queue for all others, since the order and the refusals knew only priorities and objectives. The queue of a daemon and of a coordinator now divides the slots of a service by weighted max-min: requests within their organisation's share go as before, those beyond it follow by what their organisation uses. Waits are estimated, and requests refused, by what is ahead in that order. Without organisations nothing changes; a slot request carries the organisation after its id, so that the release before decodes it.

--- /dev/null
+++ b/src/endivevane/fairness/__init__.py
@@ -0,0 +1,1 @@
+"""Fair shares: how scarce slots are divided among organisations."""
--- a/src/endivevane/serving/admission.py
+++ b/src/endivevane/serving/admission.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 
-from endivevane.serving import model, slot_client, slot_queue, slot_registry
+from endivevane.serving import slot_client, slot_queue, slot_registry
 
 # A client of a daemon that stops is best served by another one, at once.
 _STOPPED_RETRY_S = 0.05
@@ -57,7 +57,7 @@
         :param first_event_s: time from the grant to the first event, ``None`` if there
             was no event
         """
-        self._registry.free(slot)
+        self._free(slot)
         self.queue.record_hold(slot.target.service, hold_s)
         if self._client is not None and slot.coordinator:
             self._client.send_release(slot, hold_s, first_event_s)
@@ -89,13 +89,20 @@
         future = asyncio.get_running_loop().create_future()
 
         def resolve(decision: slot_queue.Decision) -> None:
+            if isinstance(decision, slot_queue.Refused):
+                if not future.done():
+                    future.set_result(decision)
+                return
             if future.done():
                 # The client has disconnected; its slot has not been counted.
+                self.queue.record_end(
+                    slot_request.service, slot_request.organisation, time.monotonic()
+                )
                 return
-            if isinstance(decision, slot_queue.Refused):
-                future.set_result(decision)
-                return
-            future.set_result(self._hold_slot(decision.target))
+            slot = self._registry.hold(
+                decision.target, is_batch=False, organisation=slot_request.organisation
+            )
+            future.set_result(slot)
 
         waiter = self.queue.ask(slot_request, resolve, time.monotonic())
         if waiter is None:
@@ -112,13 +119,18 @@
             self._waiting.discard(future)
             self.queue.cancel(waiter, time.monotonic())
 
-    def _hold_slot(self, target: model.Target) -> slot_registry.Slot:
-        return self._registry.hold(target, is_batch=False)
+    def _free(self, slot: slot_registry.Slot) -> None:
+        """Free a slot, and no longer count it for its organisation."""
+        self._registry.free(slot)
+        if not slot.coordinator:
+            self.queue.record_end(
+                slot.target.service, slot.organisation, time.monotonic()
+            )
 
     def _release_answer(self, answer: slot_registry.Slot | slot_queue.Refused) -> None:
         """Free a slot that was granted as its request was cancelled."""
         if isinstance(answer, slot_registry.Slot):
-            self._registry.free(answer)
+            self._free(answer)
 
     def _arm(self) -> None:
         if self._timer is not None:
--- a/src/endivevane/serving/coordinator.py
+++ b/src/endivevane/serving/coordinator.py
@@ -49,6 +49,7 @@
     :ivar waiter: the online request that waits for it
     :ivar updated_s: monotonic time at which it was granted, or last requested
     :ivar preempted_s: monotonic time at which its item was last preempted
+    :ivar organisation: whose it is, ``None`` if it is only known from a report
     """
 
     number: int
@@ -63,6 +64,7 @@
     target_id: str = ""
     waiter: slot_queue.Waiter | None = None
     preempted_s: float = 0.0
+    organisation: str | None = None
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -221,6 +223,7 @@
             availability_zone=ask.availability_zone,
             avoided=frozenset(ask.avoided),
             request=ask.request,
+            organisation=ask.organisation,
         )
         member.entries[ask.number] = entry
         if ask.is_batch:
@@ -253,6 +256,8 @@
             version=ask.version,
             avoided=frozenset(ask.avoided) | self._list_failing(now_s),
             availability_zone=ask.availability_zone,
+            request=ask.request,
+            organisation=ask.organisation,
         )
 
     def _resolve(
@@ -268,7 +273,7 @@
                 daemon=member.name,
                 retry_after_ms=int(decision.retry_after_s * 1000),
                 avoided=",".join(sorted(entry.avoided)) or None,
-                **self._queue.describe_load(entry.service),
+                **self._queue.describe_load(entry.service, entry.organisation or ""),
             )
             answer = slot_messages.Refused(entry.number, decision.retry_after_s)
             self._send(member.name, answer)
@@ -288,6 +293,8 @@
             self._queue.cancel(entry.waiter, now_s)
         if entry.target_id:
             self._loads.remove_granted(entry.target_id, entry.is_batch)
+            if not entry.is_batch and entry.organisation is not None:
+                self._queue.record_end(entry.service, entry.organisation, now_s)
 
     def _grant_batch_slots(self, now_s: float) -> None:
         """Grant slots that online requests leave free to batch items, by urgency."""
--- a/src/endivevane/serving/load_table.py
+++ b/src/endivevane/serving/load_table.py
@@ -10,6 +10,8 @@
 
 # Reports older than this are left out of the totals.
 _REPORT_TTL_S = 1.5
+# A character that the name of no service contains.
+_SURPLUS_SUFFIX = "\n+"
 
 
 @dataclasses.dataclass(slots=True)
@@ -126,8 +128,16 @@
 
     def count_waiting_requests(self, service: str) -> int:
         """Return the online requests of all daemons that wait for a service."""
-        own = self.own_waiting_requests[service]
-        return own + max(0, self._peers_waiting_requests[service])
+        return self.own_waiting_requests[service] + self.count_peers_waiting(service)
+
+    def count_peers_waiting(self, service: str) -> int:
+        """Return the online requests of other daemons that wait for a service."""
+        return max(0, self._peers_waiting_requests[service])
+
+    def has_own_waiting(self, service: str) -> bool:
+        """Whether any online request that can be on time waits here."""
+        own = self.own_waiting_requests
+        return own[service] + own[name_surplus(service)] > 0
 
     def sum_waiting_requests(self, peers: abc.Iterable[str]) -> dict[str, int]:
         """Return the waiting requests of this daemon and of some peers."""
@@ -194,6 +204,15 @@
                 del self._peers[target_id]
 
 
+def name_surplus(service: str) -> str:
+    """Return under which name a service's requests beyond their shares are counted.
+
+    Daemons of earlier releases take it for another service, and leave it out of what
+    waits for this one.
+    """
+    return f"{service}{_SURPLUS_SUFFIX}"
+
+
 def _add_one(loads: dict[str, Load], target_id: str, is_batch: bool) -> None:
     load = loads[target_id]
     if is_batch:
--- a/src/endivevane/serving/slot_client.py
+++ b/src/endivevane/serving/slot_client.py
@@ -257,6 +257,7 @@
             avoided=self._list_avoided(slot_request.service, now_s),
             allowed_targets=allowed_targets,
             request=slot_request.request,
+            organisation=slot_request.organisation,
             version=slot_request.version,
         )
 
--- a/src/endivevane/serving/slot_messages.py
+++ b/src/endivevane/serving/slot_messages.py
@@ -26,6 +26,7 @@
     :param client_may_retry: whether the client retries after a refusal
     :param allowed_targets: targets that the request may go to, ``None`` for any
     :param version: software version that it must run at, ``None`` for any
+    :param organisation: whose request or item it is, empty for none
     """
 
     incarnation: str
@@ -43,6 +44,7 @@
     allowed_targets: tuple[str, ...] | None = None
     request: str = ""
     version: str | None = None
+    organisation: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,6 +110,9 @@
 _NOT_COORDINATING = "not-coordinating"
 _RELEASE = "ended"
 _PREEMPT = "give-way"
+# Between a request's id, which is the value of a header, and its organisation. Earlier
+# releases reject a message with one more field, and use the id for their log only.
+_SEPARATOR = "\n"
 
 
 @functools.singledispatch
@@ -133,7 +138,7 @@
             message.excluded,
             message.avoided,
             message.allowed_targets,
-            message.request,
+            _join_request(message),
             # Left out where it says nothing, for coordinators of an earlier release.
             *(() if message.version is None else (message.version,)),
         )
@@ -207,6 +212,7 @@
     version: typing.Any = None,
 ) -> Acquire:
     is_batch, client_may_retry = flags
+    request, _, organisation = json_fields.read_text(request).partition(_SEPARATOR)
     return Acquire(
         incarnation=json_fields.read_text(incarnation),
         number=json_fields.read_count(number),
@@ -223,8 +229,9 @@
         allowed_targets=None
         if allowed_targets is None
         else json_fields.read_texts(allowed_targets),
-        request=json_fields.read_text(request),
+        request=request,
         version=None if version is None else json_fields.read_text(version),
+        organisation=organisation,
     )
 
 
@@ -263,5 +270,12 @@
 }
 
 
+def _join_request(message: Acquire) -> str:
+    """Return the request's id, with its organisation if it has one."""
+    if not message.organisation:
+        return message.request
+    return f"{message.request}{_SEPARATOR}{message.organisation}"
+
+
 def _round(duration_s: float | None) -> float | None:
     return None if duration_s is None else round(duration_s, 4)
--- a/src/endivevane/serving/slot_queue.py
+++ b/src/endivevane/serving/slot_queue.py
@@ -12,9 +12,10 @@
 import random
 from collections import abc
 
+from endivevane.fairness import order
 from endivevane.rate_limits import holder as token_holder
 from endivevane.rate_limits import messages as rate_messages
-from endivevane.serving import load_table, model, target_selection
+from endivevane.serving import load_table, model, queue_shares, target_selection
 
 # Least time that a request needs at a target; one with less left is refused.
 _MIN_RUN_S = 0.1
@@ -26,6 +27,9 @@
 _FIRST_EVENT_MARGIN = 1.3
 _MIN_RETRY_S = 0.1
 _MAX_RETRY_S = 1.5
+# The same for a client of an organisation that uses all of its share: it lasts until
+# the organisation's surplus is served or has ceased.
+_MAX_SURPLUS_RETRY_S = 4.0
 # Refused clients return after this time where targets have rate limits: their tokens
 # come back as a window of seconds moves on, and clients may return once only.
 _RATE_LIMITED_RETRY_S = 1.3
@@ -138,6 +142,8 @@
         self._waiters: list[Waiter] = []
         self._mean_first_event_s: dict[str, float] = {}
         self._sequence = itertools.count()
+        self._shares = queue_shares.QueueShares(loads)
+        self._updated_s = 0.0
 
     @property
     def waiting(self) -> int:
@@ -151,8 +157,11 @@
 
         :returns: ``None`` when it was resolved
         """
+        self._updated_s = now_s
+        self._shares.add(slot_request.service, slot_request.organisation)
         decision = self._decide(slot_request, now_s)
         if decision is not None:
+            self._record_grant(slot_request, decision)
             resolve(decision)
             return None
         waiter = Waiter(slot_request, next(self._sequence), resolve)
@@ -162,6 +171,7 @@
 
     def cancel(self, waiter: Waiter, now_s: float) -> None:
         """Remove a request that no longer waits."""
+        self._updated_s = now_s
         waiter.is_resolved = True
         if waiter in self._waiters:
             self._waiters.remove(waiter)
@@ -171,33 +181,28 @@
         """Grant free slots to waiting requests, and refuse those out of time."""
         if not self._waiters:
             return
+        self._updated_s = now_s
         # Passes over the targets of one version say nothing of another one's.
         misses: collections.Counter[tuple[str, str | None]] = collections.Counter()
-        for waiter in self._list_ordered(now_s):
-            if waiter.is_resolved:
-                continue
-            slot_request = waiter.slot_request
-            if slot_request.deadline_s - now_s < _MIN_RUN_S:
-                self._resolve(waiter, self._refuse(slot_request.service))
-                continue
-            if self._is_unservable(slot_request):
-                self._resolve(waiter, self._refuse(slot_request.service))
-                continue
-            group = (slot_request.service, slot_request.version)
-            if misses[group] >= _MAX_MISSES:
-                continue
-            if self._should_yield(slot_request, now_s):
-                if now_s > slot_request.objective_s + _MAX_YIELD_S:
-                    self._resolve(waiter, self._refuse(slot_request.service))
-                continue
-            target = self._choose(slot_request, now_s)
-            if target is None:
-                misses[group] += 1 if slot_request.is_restricted else _MAX_MISSES
-                continue
-            self._resolve(waiter, Granted(target))
+        shared: dict[str, list[Waiter]] = {}
+        plain: list[Waiter] = []
+        for waiter in self._waiters:
+            service = waiter.slot_request.service
+            if self._shares.find(service) is None:
+                plain.append(waiter)
+            else:
+                shared.setdefault(service, []).append(waiter)
+        for waiter in self._list_ordered(plain, now_s):
+            self._handle(waiter, misses, now_s)
+        for service, waiters in shared.items():
+            self._grant_fairly(service, waiters, misses, now_s)
         self._waiters = [item for item in self._waiters if not item.is_resolved]
         self._publish_waiting(now_s)
 
+    def record_end(self, service: str, organisation: str, now_s: float) -> None:
+        """Record that a slot granted by this queue is free again."""
+        self._shares.record_end(service, organisation, now_s)
+
     def record_hold(self, service: str, hold_s: float) -> None:
         """Record how long a request held its slot."""
         self._selector.record_hold(service, hold_s)
@@ -213,48 +218,112 @@
         """Return the mean time from the grant to the first event."""
         return self._mean_first_event_s.get(service, _INITIAL_FIRST_EVENT_S)
 
-    def estimate_wait_s(self, service: str) -> float:
+    def estimate_wait_s(self, service: str, organisation: str = "") -> float:
         """Estimate how long one more request that can be on time waits for a slot."""
         rate_per_s = self._selector.estimate_rate_per_s(service)
         if not rate_per_s:
             return _MAX_RETRY_S
-        ahead = self._loads.count_waiting_requests(service)
-        return (ahead + 1) / rate_per_s
+        turns = self._shares.estimate_turns(service, organisation, self._updated_s)
+        return turns / rate_per_s
 
-    def retry_after_s(self, service: str) -> float:
+    def retry_after_s(self, service: str, organisation: str = "") -> float:
         """Return when a refused client should retry, with jitter."""
-        wait_s = self.estimate_wait_s(service)
-        wait_s = min(_MAX_RETRY_S, max(_MIN_RETRY_S, wait_s))
+        wait_s = self.estimate_wait_s(service, organisation)
+        is_over = self._shares.is_over(service, organisation, self._updated_s)
+        max_s = _MAX_SURPLUS_RETRY_S if is_over else _MAX_RETRY_S
+        wait_s = min(max_s, max(_MIN_RETRY_S, wait_s))
         if self._selector.has_rate_limits(service):
             wait_s = _RATE_LIMITED_RETRY_S
         return wait_s * (0.75 + 0.5 * self._generator.random())
 
-    def describe_load(self, service: str) -> dict[str, object]:
+    def describe_load(self, service: str, organisation: str = "") -> dict[str, object]:
         """Return the load figures behind a refusal, for the log."""
         return {
             "slots": self._selector.count_slots(service),
             "running": self._selector.count_running(service),
             "waiting": self._loads.count_waiting_requests(service),
-            "wait_ms": int(self.estimate_wait_s(service) * 1000),
+            "wait_ms": int(self.estimate_wait_s(service, organisation) * 1000),
             "load_age_ms": int(self._loads.same_region_age_s * 1000),
         }
 
     def _decide(self, slot_request: SlotRequest, now_s: float) -> Decision | None:
         """Decide on a new request; ``None`` if it has to wait."""
         if slot_request.deadline_s - now_s < _MIN_RUN_S:
-            return self._refuse(slot_request.service)
+            return self._refuse(slot_request)
         if not self._has_waiters_ahead(slot_request, now_s):
             target = self._choose(slot_request, now_s)
             if target is not None:
                 return Granted(target)
         if not self._selector.has_targets(slot_request.service, now_s):
-            return self._refuse(slot_request.service)
+            return self._refuse(slot_request)
         if self._is_unservable(slot_request):
-            return self._refuse(slot_request.service)
+            return self._refuse(slot_request)
         if self._should_refuse(slot_request, now_s):
-            return self._refuse(slot_request.service)
+            return self._refuse(slot_request)
         return None
 
+    def _handle(
+        self,
+        waiter: Waiter,
+        misses: collections.Counter[tuple[str, str | None]],
+        now_s: float,
+    ) -> None:
+        """Grant a waiting request a slot, refuse it or leave it waiting.
+
+        :param misses: requests that have found no slot in this pass, by service and
+            version
+        """
+        if waiter.is_resolved:
+            return
+        slot_request = waiter.slot_request
+        if slot_request.deadline_s - now_s < _MIN_RUN_S:
+            self._resolve(waiter, self._refuse(slot_request))
+            return
+        if self._is_unservable(slot_request):
+            self._resolve(waiter, self._refuse(slot_request))
+            return
+        group = (slot_request.service, slot_request.version)
+        if misses[group] >= _MAX_MISSES:
+            return
+        if self._should_yield(slot_request, now_s):
+            if now_s > slot_request.objective_s + _MAX_YIELD_S:
+                self._resolve(waiter, self._refuse(slot_request))
+            return
+        target = self._choose(slot_request, now_s)
+        if target is None:
+            misses[group] += 1 if slot_request.is_restricted else _MAX_MISSES
+            return
+        self._resolve(waiter, Granted(target))
+
+    def _grant_fairly(
+        self,
+        service: str,
+        waiters: abc.Sequence[Waiter],
+        misses: collections.Counter[tuple[str, str | None]],
+        now_s: float,
+    ) -> None:
+        """Grant free slots of a service to its waiting requests by their shares."""
+        service_shares = self._shares.find(service)
+        if service_shares is None:
+            return
+        first_event_s = self._estimate_first_event_s(service)
+        requests: dict[str, list[tuple[order.Key, Waiter]]] = {}
+        for waiter in waiters:
+            key = waiter.sort_key(now_s, first_event_s)
+            own = requests.setdefault(waiter.slot_request.organisation, [])
+            own.append((key, waiter))
+        share = service_shares.find_share(now_s)
+        fair_order = order.FairOrder(
+            requests,
+            lambda organisation, passed_over: service_shares.rank(
+                organisation, passed_over, share, now_s
+            ),
+        )
+        while (first := fair_order.pop()) is not None:
+            organisation, waiter = first
+            self._handle(waiter, misses, now_s)
+            fair_order.put_back(organisation, not waiter.is_resolved)
+
     def _is_unservable(self, slot_request: SlotRequest) -> bool:
         """Whether no target serves the version that a request must run at."""
         return slot_request.version is not None and not self._selector.serves_version(
@@ -263,15 +332,26 @@
 
     def _resolve(self, waiter: Waiter, decision: Decision) -> None:
         waiter.is_resolved = True
+        self._record_grant(waiter.slot_request, decision)
         waiter.resolve(decision)
 
-    def _refuse(self, service: str) -> Refused:
-        return Refused(self.retry_after_s(service))
+    def _record_grant(self, slot_request: SlotRequest, decision: Decision) -> None:
+        if isinstance(decision, Granted):
+            self._shares.record_grant(
+                slot_request.service, slot_request.organisation, self._updated_s
+            )
+
+    def _refuse(self, slot_request: SlotRequest) -> Refused:
+        return Refused(
+            self.retry_after_s(slot_request.service, slot_request.organisation)
+        )
 
-    def _list_ordered(self, now_s: float) -> list[Waiter]:
-        """Return the waiting requests in the order in which they are granted slots."""
+    def _list_ordered(
+        self, waiters: abc.Iterable[Waiter], now_s: float
+    ) -> list[Waiter]:
+        """Return waiting requests without shares in the order of their grants."""
         return sorted(
-            self._waiters,
+            waiters,
             key=lambda item: item.sort_key(
                 now_s, self._estimate_first_event_s(item.slot_request.service)
             ),
@@ -279,20 +359,30 @@
 
     def _publish_waiting(self, now_s: float) -> None:
         """Publish the number of waiting requests that can still be on time."""
-        self._loads.set_waiting_requests(
-            collections.Counter(
-                item.slot_request.service
-                for item in self._waiters
-                if not item.sort_key(
-                    now_s, self._estimate_first_event_s(item.slot_request.service)
-                )[0]
-            )
-        )
+        counts: collections.Counter[str] = collections.Counter()
+        waiting: dict[str, collections.Counter[str]] = {}
+        timely: dict[str, collections.Counter[str]] = {}
+        for waiter in self._waiters:
+            slot_request = waiter.slot_request
+            service = slot_request.service
+            is_late = self._is_late(slot_request, now_s)
+            if self._shares.find(service) is not None:
+                own = waiting.setdefault(service, collections.Counter())
+                own[slot_request.organisation] += 1
+                if not is_late:
+                    own = timely.setdefault(service, collections.Counter())
+                    own[slot_request.organisation] += 1
+            elif not is_late:
+                counts[service] += 1
+        counts.update(self._shares.count_waiting(waiting, timely, now_s))
+        self._loads.set_waiting_requests(counts)
 
     def _has_waiters_ahead(self, slot_request: SlotRequest, now_s: float) -> bool:
         """Whether unrestricted requests of the service wait ahead of this one."""
         first_event_s = self._estimate_first_event_s(slot_request.service)
+        find_rank = self._shares.make_rank_finder(slot_request.service, now_s)
         own_key = (
+            find_rank(slot_request.organisation),
             now_s + first_event_s > slot_request.objective_s,
             slot_request.priority,
         )
@@ -303,7 +393,8 @@
                 or waiter.slot_request.version not in (None, slot_request.version)
             ):
                 continue
-            if waiter.sort_key(now_s, first_event_s)[:2] <= own_key:
+            rank = find_rank(waiter.slot_request.organisation)
+            if (rank, *waiter.sort_key(now_s, first_event_s)[:2]) <= own_key:
                 return True
         return False
 
@@ -313,7 +404,8 @@
         A request that would be late but whose client retries is refused, to return when
         there is room; one that can't be served at all is refused at once.
         """
-        served_s = now_s + self.estimate_wait_s(slot_request.service)
+        wait_s = self.estimate_wait_s(slot_request.service, slot_request.organisation)
+        served_s = now_s + wait_s
         if served_s + _MIN_RUN_S > slot_request.deadline_s:
             return True
         first_event_s = self._estimate_first_event_s(slot_request.service)
--- a/src/endivevane/serving/slot_registry.py
+++ b/src/endivevane/serving/slot_registry.py
@@ -14,12 +14,14 @@
 
     :param number: identifies the slot among all slots of this daemon
     :param coordinator: daemon that granted it, empty if this one did
+    :param organisation: whose request holds it, where this daemon granted it
     """
 
     target: model.Target
     number: int
     is_batch: bool
     coordinator: str = ""
+    organisation: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,15 +51,17 @@
         is_batch: bool,
         number: int | None = None,
         coordinator: str = "",
+        organisation: str = "",
     ) -> Slot:
         """Record a slot as held and return it.
 
         :param number: the number under which it was requested, ``None`` for a new one
         :param coordinator: daemon that granted it, empty if this one did
+        :param organisation: whose request holds it, where this daemon granted it
         """
         if number is None:
             number = self.allocate_number()
-        slot = Slot(target, number, is_batch, coordinator)
+        slot = Slot(target, number, is_batch, coordinator, organisation)
         self._held[number] = slot
         self._loads.begin(target.target_id, is_batch)
         return slot
--- a/src/endivevane/serving/token_use.py
+++ b/src/endivevane/serving/token_use.py
@@ -56,7 +56,7 @@
         if not self._limits.has_limits:
             return list(targets)
         limited = self.list_limited(targets)
-        may_use_tokens = is_urgent or not self._loads.own_waiting_requests[service]
+        may_use_tokens = is_urgent or not self._loads.has_own_waiting(service)
         need = token_holder.TokenNeed(
             rate_messages.Need.URGENT_ITEM if is_urgent else rate_messages.Need.ITEM,
             0,
