Weigh organisations by what they usually send, and refuse a surplus early

With equal weights, a large organisation that sent no more than usual lost slots to a smaller one at 7 times its usual. Weights grow with the square root of the usual rate; they are equal until some seconds are known. Requests of services with shares wait in a structure by organisation, and their estimates moved to a module of their own.

--- a/src/endivevane/fairness/shares.py
+++ b/src/endivevane/fairness/shares.py
@@ -11,7 +11,7 @@
 import math
 from collections import abc
 
-from endivevane.fairness import usage
+from endivevane.fairness import usage, usual
 
 # Rank of a request within its organisation's share.
 WITHIN_SHARE = 0
@@ -21,8 +21,6 @@
 # An organisation that uses less than this counts as one that uses nothing.
 _LEAST_USE = 0.01
 
-Weigh = abc.Callable[[str], float]
-
 
 def fill(demands: abc.Iterable[tuple[float, float]], capacity: float) -> float:
     """Return the share per unit of weight, infinite if there is enough for all.
@@ -40,31 +38,33 @@
     return math.inf
 
 
-def weigh_equally(organisation: str) -> float:
-    """Return the same weight for each organisation."""
-    return 1.0
-
-
 class ServiceShares:
     """What each organisation uses and waits for at one service.
 
-    :param weigh: returns the weight of an organisation
+    :param waiting: number of waiting requests of each organisation, which the caller
+        changes
+    :param timely: the same for those that can still meet their objective
     """
 
-    def __init__(self, weigh: Weigh = weigh_equally) -> None:
-        self._weigh = weigh
+    def __init__(
+        self, waiting: abc.Mapping[str, int], timely: abc.Mapping[str, int]
+    ) -> None:
+        self._waiting = waiting
+        self._timely = timely
+        self._usual = usual.UsualRates()
         self._usages: dict[str, usage.Usage] = {}
-        self._held = 0
-        self._waiting: abc.Mapping[str, int] = {}
-        self._timely: abc.Mapping[str, int] = {}
+        self._capacity = 1.0
         self._share = math.inf
         self._share_s = -math.inf
         self._changes = 0
 
+    def record_arrival(self, organisation: str, now_s: float) -> None:
+        """Record that a request has arrived, for the weight of its organisation."""
+        self._usual.record(organisation, now_s)
+
     def record_grant(self, organisation: str, now_s: float) -> None:
         """Record that an organisation holds one more slot."""
         self._usages.setdefault(organisation, usage.Usage()).change(1, now_s)
-        self._held += 1
         self._changes += 1
 
     def record_end(self, organisation: str, now_s: float) -> None:
@@ -73,18 +73,10 @@
         if used is None or not used.held:
             return
         used.change(-1, now_s)
-        self._held -= 1
         self._changes += 1
 
-    def set_waiting(
-        self, waiting: abc.Mapping[str, int], timely: abc.Mapping[str, int]
-    ) -> None:
-        """Replace the numbers of waiting requests, of each organisation.
-
-        :param timely: those that can still meet their objective
-        """
-        self._waiting = waiting
-        self._timely = timely
+    def record_change(self) -> None:
+        """Record that the numbers of waiting requests have changed."""
         self._changes += 1
 
     def find_share(self, now_s: float) -> float:
@@ -96,6 +88,10 @@
             self._changes = 0
         return self._share
 
+    def find_own_share(self, organisation: str, now_s: float) -> float:
+        """Return the slots that an organisation may use."""
+        return self.find_share(now_s) * self._weigh(organisation)
+
     def rank(self, organisation: str, ahead: int, share: float, now_s: float) -> int:
         """Return the rank of a request, the lowest first.
 
@@ -111,71 +107,59 @@
     def count_within(self, now_s: float) -> int:
         """Return the timely requests that wait within their organisations' shares."""
         share = self.find_share(now_s)
-        return sum(
-            self._count_before(organisation, share, now_s)
-            for organisation in self._timely
-        )
+        within = 0
+        for organisation, timely in self._timely.items():
+            weight = self._weigh(organisation)
+            room = share * weight - self._measure(organisation, now_s)
+            within += timely if room >= timely else max(0, math.ceil(room))
+        return within
 
-    def count_timely(self) -> int:
-        """Return the timely requests that wait."""
-        return sum(self._timely.values())
+    def is_over(self, organisation: str, now_s: float) -> bool:
+        """Whether an organisation uses its share, and others use the service too."""
+        if len(self._usages) < 2:
+            return False
+        share = self.find_share(now_s)
+        return self.rank(organisation, 0, share, now_s) > WITHIN_SHARE
 
-    def count_ahead(self, organisation: str, rank: int, now_s: float) -> int:
-        """Return the timely requests that go before one more of an organisation.
+    def count_surplus(self, organisation: str, count: int, now_s: float) -> float:
+        """Return how many of some more slots would be beyond an organisation's share.
 
-        :param rank: rank of that one
+        :param count: number of these slots
         """
-        share = max(self.find_share(now_s), float(rank))
-        return self._timely.get(organisation, 0) + sum(
-            self._count_before(other, share, now_s)
-            for other in self._timely
-            if other != organisation
-        )
-
-    def rank_next(self, organisation: str, now_s: float) -> int:
-        """Return the rank of one more request of an organisation."""
-        ahead = self._timely.get(organisation, 0)
-        return self.rank(organisation, ahead, self.find_share(now_s), now_s)
+        own_share = self.find_own_share(organisation, now_s)
+        position = self._measure(organisation, now_s) + count
+        return max(0.0, min(count, position - own_share))
 
-    def is_over(self, organisation: str, now_s: float) -> bool:
-        """Whether an organisation uses all of its share or more."""
-        return self.rank(organisation, 0, self.find_share(now_s), now_s) > WITHIN_SHARE
-
-    def estimate_turns(self, organisation: str, now_s: float) -> float:
-        """Return how many slots have to be freed until one more request gets its turn.
+    def count_turns(self, organisation: str, now_s: float) -> float:
+        """Return how many slots are freed for one that an organisation gets.
 
-        An organisation beyond its share gets only its share of those that are freed.
+        It gets its share of them, or what the others have lately left to it.
         """
-        used = self._usages.get(organisation)
-        held = used.held if used is not None else 0
-        own_share = self.find_share(now_s) * self._weigh(organisation)
-        position = held + self._timely.get(organisation, 0) + 1
-        if position <= own_share:
-            return 0.0
-        return (position - own_share) * (self._held + 1) / own_share
+        own_share = self.find_own_share(organisation, now_s)
+        used = self._measure(organisation, now_s)
+        return max(1.0, self._capacity / max(own_share, used))
+
+    def _weigh(self, organisation: str) -> float:
+        return self._usual.weigh(organisation)
 
     def _measure(self, organisation: str, now_s: float) -> float:
         used = self._usages.get(organisation)
         return used.measure(now_s) if used is not None else 0.0
 
-    def _count_before(self, organisation: str, share: float, now_s: float) -> int:
-        """Return the timely requests of an organisation within a share."""
-        timely = self._timely[organisation]
-        room = share * self._weigh(organisation) - self._measure(organisation, now_s)
-        if room >= timely:
-            return timely
-        return max(0, math.ceil(room))
-
     def _compute_share(self, now_s: float) -> float:
-        """Compute the max-min share of the slots held, and one that is free."""
+        """Compute the max-min share of the slots in use, and one that is free."""
+        self._usual.update(now_s)
         demands = []
+        self._capacity = 1.0
         for organisation, used in list(self._usages.items()):
-            needed = used.measure(now_s) + self._waiting.get(organisation, 0)
+            slots = used.measure(now_s)
+            needed = slots + self._waiting.get(organisation, 0)
             if needed < _LEAST_USE:
                 del self._usages[organisation]
                 continue
+            self._capacity += slots
             demands.append((needed, self._weigh(organisation)))
         for organisation, count in self._waiting.items():
             if organisation not in self._usages:
                 demands.append((float(count), self._weigh(organisation)))
-        return fill(demands, self._held + 1.0)
+        return fill(demands, self._capacity)
--- a/src/endivevane/fairness/usage.py
+++ b/src/endivevane/fairness/usage.py
@@ -29,6 +29,8 @@
 
     def measure(self, now_s: float) -> float:
         """Return the slots in use: those held now, or the mean if that is more."""
+        if self._mean <= self.held:
+            return self.held
         return max(self.held, self._measure_mean(now_s))
 
     def _measure_mean(self, now_s: float) -> float:
--- a/src/endivevane/serving/queue_shares.py
+++ b/src/endivevane/serving/queue_shares.py
@@ -3,65 +3,182 @@
 from __future__ import annotations
 
 import collections
+import typing
 from collections import abc
 
-from endivevane.fairness import shares
+from endivevane.fairness import waiters as fair_waiters
 from endivevane.serving import load_table
 
 
-class QueueShares:
-    """Keeps the shares of the services whose requests belong to organisations.
+class Request(fair_waiters.Request, typing.Protocol):
+    """A request of a service that waits for a slot."""
+
+    @property
+    def service(self) -> str:
+        """The service."""
+
+    @property
+    def version(self) -> str | None:
+        """Software version that it must run at, ``None`` for any."""
+
+
+class Waiter(typing.Protocol):
+    """A request that waits, with its number and whether it still waits."""
+
+    @property
+    def slot_request(self) -> Request:
+        """The request."""
+
+    @property
+    def number(self) -> int:
+        """The lowest came first."""
+
+    @property
+    def is_resolved(self) -> bool:
+        """Whether it has been granted a slot or refused."""
+
+
+W = typing.TypeVar("W", bound=Waiter)
+
+
+class QueueShares(typing.Generic[W]):
+    """Keeps the waiting requests of services whose requests belong to organisations.
 
     A service has shares from the first request of an organisation on.
+
+    :param find_late_before_s: returns the objective before which a request of a service
+        is late if it is granted a slot at a time
     """
 
-    def __init__(self, loads: load_table.LoadTable) -> None:
+    def __init__(
+        self,
+        loads: load_table.LoadTable,
+        find_late_before_s: abc.Callable[[str, float], float],
+    ) -> None:
         self._loads = loads
-        self._by_service: dict[str, shares.ServiceShares] = {}
+        self._find_late_before_s = find_late_before_s
+        self._by_service: dict[str, fair_waiters.WaitingRequests[W]] = {}
 
-    def find(self, service: str) -> shares.ServiceShares | None:
-        """Return the shares of a service, ``None`` if it has none."""
+    @property
+    def services(self) -> abc.Collection[str]:
+        """The services that have shares."""
+        return self._by_service.keys()
+
+    @property
+    def waiting(self) -> int:
+        """Number of waiting requests."""
+        return sum(len(found) for found in self._by_service.values())
+
+    def find(self, service: str) -> fair_waiters.WaitingRequests[W] | None:
+        """Return the waiting requests of a service, ``None`` if it has no shares."""
         return self._by_service.get(service)
 
-    def add(self, service: str, organisation: str) -> None:
-        """Let a service have shares if a request of it belongs to an organisation."""
+    def add(self, waiter: W, now_s: float) -> bool:
+        """Add a waiting request; return whether its service has shares."""
+        service = waiter.slot_request.service
+        found = self._by_service.get(service)
+        if found is None:
+            return False
+        found.add(waiter, self._find_late_before_s(service, now_s))
+        return True
+
+    def remove(self, waiter: W, now_s: float) -> bool:
+        """Remove a request; return whether it was waiting here."""
+        service = waiter.slot_request.service
+        found = self._by_service.get(service)
+        if found is None:
+            return False
+        return found.remove(waiter, self._find_late_before_s(service, now_s))
+
+    def grant(
+        self,
+        service: str,
+        now_s: float,
+        refuse_hopeless: abc.Callable[[W], bool],
+        handle: abc.Callable[[W], bool],
+    ) -> None:
+        """Handle the waiting requests of a service in the order of their shares.
+
+        :param refuse_hopeless: refuses a request if it need not wait any longer, and
+            returns whether it did
+        :param handle: grants a request a slot, refuses it or leaves it waiting, and
+            returns whether there may be slots for more requests of its version
+        """
+        found = self._by_service[service]
+        if not len(found):
+            return
+        late_before_s = self._find_late_before_s(service, now_s)
+        versions: set[str | None] = set()
+        for waiter in found.list_all():
+            if refuse_hopeless(waiter):
+                found.remove(waiter, late_before_s)
+            else:
+                versions.add(waiter.slot_request.version)
+        fair_order = found.begin_pass(late_before_s, now_s)
+        while versions and (first := fair_order.pop()) is not None:
+            organisation, waiter = first
+            if not handle(waiter):
+                versions.discard(waiter.slot_request.version)
+            if waiter.is_resolved:
+                found.remove(waiter, late_before_s)
+            fair_order.put_back(organisation, not waiter.is_resolved)
+        found.recount(now_s)
+
+    def has_ahead(
+        self,
+        slot_request: Request,
+        now_s: float,
+        may_block: abc.Callable[[W], bool],
+    ) -> bool:
+        """Whether any request goes before a new one of a service with shares.
+
+        :param may_block: whether the new one could use the slot that a request gets
+        """
+        service = slot_request.service
+        late_before_s = self._find_late_before_s(service, now_s)
+        found = self._by_service[service]
+        return found.has_ahead(slot_request, late_before_s, now_s, may_block)
+
+    def record_arrival(
+        self, slot_request: Request, waiters: list[W], now_s: float
+    ) -> None:
+        """Record that a request has arrived, which may let its service have shares.
+
+        :param waiters: requests of services without shares; those of a service that has
+            them now are removed
+        """
+        service, organisation = slot_request.service, slot_request.organisation
         if organisation and service not in self._by_service:
-            self._by_service[service] = shares.ServiceShares()
+            self._by_service[service] = fair_waiters.WaitingRequests()
+            waiters[:] = [waiter for waiter in waiters if not self.add(waiter, now_s)]
+        found = self._by_service.get(service)
+        if found is not None:
+            found.shares.record_arrival(organisation, now_s)
 
-    def record_grant(self, service: str, organisation: str, now_s: float) -> None:
+    def record_grant(self, slot_request: Request, now_s: float) -> None:
         """Record that a slot has been granted."""
-        service_shares = self._by_service.get(service)
-        if service_shares is not None:
-            service_shares.record_grant(organisation, now_s)
+        found = self._by_service.get(slot_request.service)
+        if found is not None:
+            found.shares.record_grant(slot_request.organisation, now_s)
 
     def record_end(self, service: str, organisation: str, now_s: float) -> None:
         """Record that a granted slot is free again."""
-        service_shares = self._by_service.get(service)
-        if service_shares is not None:
-            service_shares.record_end(organisation, now_s)
-
-    def count_waiting(
-        self,
-        waiting: abc.Mapping[str, abc.Mapping[str, int]],
-        timely: abc.Mapping[str, abc.Mapping[str, int]],
-        now_s: float,
-    ) -> collections.Counter[str]:
-        """Record the waiting requests and return what other daemons are told of them.
+        found = self._by_service.get(service)
+        if found is not None:
+            found.shares.record_end(organisation, now_s)
 
-        :param waiting: numbers of requests by service and organisation
-        :param timely: those of them that can still meet their objective
-        """
+    def count_waiting(self, now_s: float) -> collections.Counter[str]:
+        """Return the timely waiting requests, within the shares and beyond."""
         counts: collections.Counter[str] = collections.Counter()
-        for service, service_shares in self._by_service.items():
-            service_shares.set_waiting(
-                waiting.get(service, {}), timely.get(service, {})
-            )
-            if service not in timely:
+        for service, found in self._by_service.items():
+            timely = found.count_timely()
+            if not timely:
                 continue
-            within = service_shares.count_within(now_s)
-            counts[service] = within
-            surplus = service_shares.count_timely() - within
-            counts[load_table.name_surplus(service)] = surplus
+            within = min(timely, found.count_within(now_s))
+            if within:
+                counts[service] = within
+            if timely > within:
+                counts[load_table.name_surplus(service)] = timely - within
         return counts
 
     def estimate_turns(self, service: str, organisation: str, now_s: float) -> float:
@@ -69,41 +186,25 @@
 
         That request can be on time.
         """
-        service_shares = self._by_service.get(service)
-        if service_shares is None:
+        found = self._by_service.get(service)
+        if found is None:
             return self._loads.count_waiting_requests(service) + 1
-        rank = service_shares.rank_next(organisation, now_s)
-        ahead = service_shares.count_ahead(organisation, rank, now_s)
-        ahead += self._loads.count_peers_waiting(service)
-        if rank > shares.WITHIN_SHARE:
-            surplus = load_table.name_surplus(service)
-            ahead += self._loads.count_peers_waiting(surplus)
-        return max(ahead + 1, service_shares.estimate_turns(organisation, now_s))
-
-    def make_rank_finder(self, service: str, now_s: float) -> abc.Callable[[str], int]:
-        """Return a function that ranks the first request of an organisation."""
-        service_shares = self._by_service.get(service)
-        if service_shares is None:
-            return _rank_all_equal
-        share = service_shares.find_share(now_s)
-        ranks: dict[str, int] = {}
-
-        def find_rank(organisation: str) -> int:
-            rank = ranks.get(organisation)
-            if rank is None:
-                rank = service_shares.rank(organisation, 0, share, now_s)
-                ranks[organisation] = rank
-            return rank
-
-        return find_rank
-
-    def is_over(self, service: str, organisation: str, now_s: float) -> bool:
-        """Whether an organisation uses all of its share of a service or more."""
-        service_shares = self._by_service.get(service)
-        return service_shares is not None and service_shares.is_over(
-            organisation, now_s
+        return found.estimate_turns(
+            organisation,
+            self._loads.count_peers_waiting(service),
+            self._loads.count_peers_waiting(load_table.name_surplus(service)),
+            now_s,
         )
 
+    def has_long_queue(self, service: str, organisation: str, now_s: float) -> bool:
+        """Whether an organisation has as many requests waiting as its share of slots.
 
-def _rank_all_equal(organisation: str) -> int:
-    return shares.WITHIN_SHARE
+        It waits then for as long as a request holds a slot, or longer.
+        """
+        found = self._by_service.get(service)
+        return found is not None and found.has_long_queue(organisation, now_s)
+
+    def is_over(self, service: str, organisation: str, now_s: float) -> bool:
+        """Whether an organisation uses all of its share of a service or more."""
+        found = self._by_service.get(service)
+        return found is not None and found.shares.is_over(organisation, now_s)
--- a/src/endivevane/serving/slot_queue.py
+++ b/src/endivevane/serving/slot_queue.py
@@ -12,27 +12,18 @@
 import random
 from collections import abc
 
-from endivevane.fairness import order
 from endivevane.rate_limits import holder as token_holder
 from endivevane.rate_limits import messages as rate_messages
-from endivevane.serving import load_table, model, queue_shares, target_selection
+from endivevane.serving import (
+    load_table,
+    model,
+    queue_shares,
+    target_selection,
+    wait_estimates,
+)
 
 # Least time that a request needs at a target; one with less left is refused.
 _MIN_RUN_S = 0.1
-# Mean time from the grant to the first event, until some have been observed.
-_INITIAL_FIRST_EVENT_S = 0.1
-_FIRST_EVENT_WEIGHT = 0.1
-# A request counts as late if it misses its objective when its first event takes this
-# many times the mean time.
-_FIRST_EVENT_MARGIN = 1.3
-_MIN_RETRY_S = 0.1
-_MAX_RETRY_S = 1.5
-# The same for a client of an organisation that uses all of its share: it lasts until
-# the organisation's surplus is served or has ceased.
-_MAX_SURPLUS_RETRY_S = 4.0
-# Refused clients return after this time where targets have rate limits: their tokens
-# come back as a window of seconds moves on, and clients may return once only.
-_RATE_LIMITED_RETRY_S = 1.3
 # A request that has left its place to timely ones until this long after its objective
 # is refused.
 _MAX_YIELD_S = 0.6
@@ -96,6 +87,8 @@
 
 
 Decision = Granted | Refused
+# Requests that have found no slot in one pass, by service and version.
+Misses = collections.Counter[tuple[str, str | None]]
 ResolveCallback = abc.Callable[[Decision], None]
 
 
@@ -138,17 +131,21 @@
     ) -> None:
         self._selector = selector
         self._loads = loads
-        self._generator = generator
         self._waiters: list[Waiter] = []
-        self._mean_first_event_s: dict[str, float] = {}
         self._sequence = itertools.count()
-        self._shares = queue_shares.QueueShares(loads)
+        # Requests of services with shares wait there, the others in the list.
+        self._shares: queue_shares.QueueShares[Waiter] = queue_shares.QueueShares(
+            loads, self._find_late_before_s
+        )
+        self._estimates = wait_estimates.WaitEstimator(
+            selector, loads, self._shares, generator
+        )
         self._updated_s = 0.0
 
     @property
     def waiting(self) -> int:
         """Number of waiting requests."""
-        return len(self._waiters)
+        return len(self._waiters) + self._shares.waiting
 
     def ask(
         self, slot_request: SlotRequest, resolve: ResolveCallback, now_s: float
@@ -158,14 +155,14 @@
         :returns: ``None`` when it was resolved
         """
         self._updated_s = now_s
-        self._shares.add(slot_request.service, slot_request.organisation)
+        self._shares.record_arrival(slot_request, self._waiters, now_s)
         decision = self._decide(slot_request, now_s)
         if decision is not None:
-            self._record_grant(slot_request, decision)
             resolve(decision)
             return None
         waiter = Waiter(slot_request, next(self._sequence), resolve)
-        self._waiters.append(waiter)
+        if not self._shares.add(waiter, now_s):
+            self._waiters.append(waiter)
         self._publish_waiting(now_s)
         return waiter
 
@@ -173,30 +170,35 @@
         """Remove a request that no longer waits."""
         self._updated_s = now_s
         waiter.is_resolved = True
-        if waiter in self._waiters:
+        if self._shares.remove(waiter, now_s):
+            self._publish_waiting(now_s)
+        elif waiter in self._waiters:
             self._waiters.remove(waiter)
             self._publish_waiting(now_s)
 
     def grant_free_slots(self, now_s: float) -> None:
         """Grant free slots to waiting requests, and refuse those out of time."""
-        if not self._waiters:
+        if not self.waiting:
             return
         self._updated_s = now_s
         # Passes over the targets of one version say nothing of another one's.
-        misses: collections.Counter[tuple[str, str | None]] = collections.Counter()
-        shared: dict[str, list[Waiter]] = {}
-        plain: list[Waiter] = []
-        for waiter in self._waiters:
-            service = waiter.slot_request.service
-            if self._shares.find(service) is None:
-                plain.append(waiter)
-            else:
-                shared.setdefault(service, []).append(waiter)
-        for waiter in self._list_ordered(plain, now_s):
+        misses: Misses = collections.Counter()
+        find_first_event_s = self._estimates.estimate_first_event_s
+        for waiter in sorted(
+            self._waiters,
+            key=lambda item: item.sort_key(
+                now_s, find_first_event_s(item.slot_request.service)
+            ),
+        ):
             self._handle(waiter, misses, now_s)
-        for service, waiters in shared.items():
-            self._grant_fairly(service, waiters, misses, now_s)
         self._waiters = [item for item in self._waiters if not item.is_resolved]
+        for service in self._shares.services:
+            self._shares.grant(
+                service,
+                now_s,
+                lambda waiter: self._refuse_hopeless(waiter, now_s),
+                lambda waiter: self._handle(waiter, misses, now_s),
+            )
         self._publish_waiting(now_s)
 
     def record_end(self, service: str, organisation: str, now_s: float) -> None:
@@ -209,42 +211,19 @@
 
     def record_first_event(self, service: str, first_event_s: float) -> None:
         """Record the time from the grant to the first event."""
-        mean_s = self._mean_first_event_s.get(service, _INITIAL_FIRST_EVENT_S)
-        self._mean_first_event_s[service] = mean_s + _FIRST_EVENT_WEIGHT * (
-            first_event_s - mean_s
-        )
+        self._estimates.record_first_event(service, first_event_s)
 
     def get_mean_first_event_s(self, service: str) -> float:
         """Return the mean time from the grant to the first event."""
-        return self._mean_first_event_s.get(service, _INITIAL_FIRST_EVENT_S)
-
-    def estimate_wait_s(self, service: str, organisation: str = "") -> float:
-        """Estimate how long one more request that can be on time waits for a slot."""
-        rate_per_s = self._selector.estimate_rate_per_s(service)
-        if not rate_per_s:
-            return _MAX_RETRY_S
-        turns = self._shares.estimate_turns(service, organisation, self._updated_s)
-        return turns / rate_per_s
+        return self._estimates.get_mean_first_event_s(service)
 
     def retry_after_s(self, service: str, organisation: str = "") -> float:
         """Return when a refused client should retry, with jitter."""
-        wait_s = self.estimate_wait_s(service, organisation)
-        is_over = self._shares.is_over(service, organisation, self._updated_s)
-        max_s = _MAX_SURPLUS_RETRY_S if is_over else _MAX_RETRY_S
-        wait_s = min(max_s, max(_MIN_RETRY_S, wait_s))
-        if self._selector.has_rate_limits(service):
-            wait_s = _RATE_LIMITED_RETRY_S
-        return wait_s * (0.75 + 0.5 * self._generator.random())
+        return self._estimates.retry_after_s(service, organisation, self._updated_s)
 
     def describe_load(self, service: str, organisation: str = "") -> dict[str, object]:
         """Return the load figures behind a refusal, for the log."""
-        return {
-            "slots": self._selector.count_slots(service),
-            "running": self._selector.count_running(service),
-            "waiting": self._loads.count_waiting_requests(service),
-            "wait_ms": int(self.estimate_wait_s(service, organisation) * 1000),
-            "load_age_ms": int(self._loads.same_region_age_s * 1000),
-        }
+        return self._estimates.describe_load(service, organisation, self._updated_s)
 
     def _decide(self, slot_request: SlotRequest, now_s: float) -> Decision | None:
         """Decide on a new request; ``None`` if it has to wait."""
@@ -254,164 +233,126 @@
             target = self._choose(slot_request, now_s)
             if target is not None:
                 return Granted(target)
-        if not self._selector.has_targets(slot_request.service, now_s):
-            return self._refuse(slot_request)
-        if self._is_unservable(slot_request):
-            return self._refuse(slot_request)
-        if self._should_refuse(slot_request, now_s):
+        if (
+            not self._selector.has_targets(slot_request.service, now_s)
+            or self._cannot_run(slot_request, now_s)
+            or self._should_refuse(slot_request, now_s)
+        ):
             return self._refuse(slot_request)
         return None
 
-    def _handle(
-        self,
-        waiter: Waiter,
-        misses: collections.Counter[tuple[str, str | None]],
-        now_s: float,
-    ) -> None:
+    def _handle(self, waiter: Waiter, misses: Misses, now_s: float) -> bool:
         """Grant a waiting request a slot, refuse it or leave it waiting.
 
-        :param misses: requests that have found no slot in this pass, by service and
-            version
+        :returns: whether there may be slots for more requests of its version
         """
         if waiter.is_resolved:
-            return
+            return True
         slot_request = waiter.slot_request
-        if slot_request.deadline_s - now_s < _MIN_RUN_S:
-            self._resolve(waiter, self._refuse(slot_request))
-            return
-        if self._is_unservable(slot_request):
-            self._resolve(waiter, self._refuse(slot_request))
-            return
+        if self._cannot_run(slot_request, now_s):
+            self._refuse_waiter(waiter)
+            return True
         group = (slot_request.service, slot_request.version)
         if misses[group] >= _MAX_MISSES:
-            return
+            return False
         if self._should_yield(slot_request, now_s):
             if now_s > slot_request.objective_s + _MAX_YIELD_S:
-                self._resolve(waiter, self._refuse(slot_request))
-            return
+                self._refuse_waiter(waiter)
+            return True
         target = self._choose(slot_request, now_s)
-        if target is None:
-            misses[group] += 1 if slot_request.is_restricted else _MAX_MISSES
-            return
-        self._resolve(waiter, Granted(target))
+        if target is not None:
+            waiter.is_resolved = True
+            waiter.resolve(Granted(target))
+            return True
+        misses[group] += 1 if slot_request.is_restricted else _MAX_MISSES
+        return misses[group] < _MAX_MISSES
 
-    def _grant_fairly(
-        self,
-        service: str,
-        waiters: abc.Sequence[Waiter],
-        misses: collections.Counter[tuple[str, str | None]],
-        now_s: float,
-    ) -> None:
-        """Grant free slots of a service to its waiting requests by their shares."""
-        service_shares = self._shares.find(service)
-        if service_shares is None:
-            return
-        first_event_s = self._estimate_first_event_s(service)
-        requests: dict[str, list[tuple[order.Key, Waiter]]] = {}
-        for waiter in waiters:
-            key = waiter.sort_key(now_s, first_event_s)
-            own = requests.setdefault(waiter.slot_request.organisation, [])
-            own.append((key, waiter))
-        share = service_shares.find_share(now_s)
-        fair_order = order.FairOrder(
-            requests,
-            lambda organisation, passed_over: service_shares.rank(
-                organisation, passed_over, share, now_s
-            ),
+    def _refuse_hopeless(self, waiter: Waiter, now_s: float) -> bool:
+        """Refuse a request of a service with shares that need not wait any longer.
+
+        A late request of an organisation that uses all of its share would be passed by
+        the timely ones until it is out of time.
+        """
+        slot_request = waiter.slot_request
+        is_hopeless = self._cannot_run(slot_request, now_s) or (
+            now_s > slot_request.objective_s + _MAX_YIELD_S
+            and self._shares.is_over(
+                slot_request.service, slot_request.organisation, now_s
+            )
         )
-        while (first := fair_order.pop()) is not None:
-            organisation, waiter = first
-            self._handle(waiter, misses, now_s)
-            fair_order.put_back(organisation, not waiter.is_resolved)
+        if is_hopeless:
+            self._refuse_waiter(waiter)
+        return is_hopeless
 
-    def _is_unservable(self, slot_request: SlotRequest) -> bool:
-        """Whether no target serves the version that a request must run at."""
-        return slot_request.version is not None and not self._selector.serves_version(
-            slot_request.service, slot_request.version
+    def _find_late_before_s(self, service: str, now_s: float) -> float:
+        """Return the objective before which a request is late if granted now."""
+        return now_s + self._estimates.estimate_first_event_s(service)
+
+    def _cannot_run(self, slot_request: SlotRequest, now_s: float) -> bool:
+        """Whether a request is out of time, or no target serves its version."""
+        if slot_request.deadline_s - now_s < _MIN_RUN_S:
+            return True
+        service, version = slot_request.service, slot_request.version
+        return version is not None and not self._selector.serves_version(
+            service, version
         )
 
-    def _resolve(self, waiter: Waiter, decision: Decision) -> None:
+    def _refuse_waiter(self, waiter: Waiter) -> None:
         waiter.is_resolved = True
-        self._record_grant(waiter.slot_request, decision)
-        waiter.resolve(decision)
-
-    def _record_grant(self, slot_request: SlotRequest, decision: Decision) -> None:
-        if isinstance(decision, Granted):
-            self._shares.record_grant(
-                slot_request.service, slot_request.organisation, self._updated_s
-            )
+        waiter.resolve(self._refuse(waiter.slot_request))
 
     def _refuse(self, slot_request: SlotRequest) -> Refused:
-        return Refused(
-            self.retry_after_s(slot_request.service, slot_request.organisation)
-        )
-
-    def _list_ordered(
-        self, waiters: abc.Iterable[Waiter], now_s: float
-    ) -> list[Waiter]:
-        """Return waiting requests without shares in the order of their grants."""
-        return sorted(
-            waiters,
-            key=lambda item: item.sort_key(
-                now_s, self._estimate_first_event_s(item.slot_request.service)
-            ),
-        )
+        service, organisation = slot_request.service, slot_request.organisation
+        return Refused(self.retry_after_s(service, organisation))
 
     def _publish_waiting(self, now_s: float) -> None:
         """Publish the number of waiting requests that can still be on time."""
-        counts: collections.Counter[str] = collections.Counter()
-        waiting: dict[str, collections.Counter[str]] = {}
-        timely: dict[str, collections.Counter[str]] = {}
-        for waiter in self._waiters:
-            slot_request = waiter.slot_request
-            service = slot_request.service
-            is_late = self._is_late(slot_request, now_s)
-            if self._shares.find(service) is not None:
-                own = waiting.setdefault(service, collections.Counter())
-                own[slot_request.organisation] += 1
-                if not is_late:
-                    own = timely.setdefault(service, collections.Counter())
-                    own[slot_request.organisation] += 1
-            elif not is_late:
-                counts[service] += 1
-        counts.update(self._shares.count_waiting(waiting, timely, now_s))
+        counts = collections.Counter(
+            item.slot_request.service
+            for item in self._waiters
+            if not self._is_late(item.slot_request, now_s)
+        )
+        counts.update(self._shares.count_waiting(now_s))
         self._loads.set_waiting_requests(counts)
 
     def _has_waiters_ahead(self, slot_request: SlotRequest, now_s: float) -> bool:
         """Whether unrestricted requests of the service wait ahead of this one."""
-        first_event_s = self._estimate_first_event_s(slot_request.service)
-        find_rank = self._shares.make_rank_finder(slot_request.service, now_s)
-        own_key = (
-            find_rank(slot_request.organisation),
-            now_s + first_event_s > slot_request.objective_s,
-            slot_request.priority,
+        service = slot_request.service
+
+        def may_block(waiter: Waiter) -> bool:
+            version = waiter.slot_request.version
+            is_same = version in (None, slot_request.version)
+            return is_same and not waiter.slot_request.is_restricted
+
+        if self._shares.find(service) is not None:
+            return self._shares.has_ahead(slot_request, now_s, may_block)
+        first_event_s = self._estimates.estimate_first_event_s(service)
+        own_key = (self._is_late(slot_request, now_s), slot_request.priority)
+        return any(
+            waiter.sort_key(now_s, first_event_s)[:2] <= own_key
+            for waiter in self._waiters
+            if waiter.slot_request.service == service and may_block(waiter)
         )
-        for waiter in self._waiters:
-            if (
-                waiter.slot_request.service != slot_request.service
-                or waiter.slot_request.is_restricted
-                or waiter.slot_request.version not in (None, slot_request.version)
-            ):
-                continue
-            rank = find_rank(waiter.slot_request.organisation)
-            if (rank, *waiter.sort_key(now_s, first_event_s)[:2]) <= own_key:
-                return True
-        return False
 
     def _should_refuse(self, slot_request: SlotRequest, now_s: float) -> bool:
         """Whether to refuse a request rather than queue it.
 
         A request that would be late but whose client retries is refused, to return when
-        there is room; one that can't be served at all is refused at once.
+        there is room, and so is one whose organisation has more waiting than its share;
+        one that can't be served at all is refused at once.
         """
-        wait_s = self.estimate_wait_s(slot_request.service, slot_request.organisation)
+        wait_s = self._estimates.estimate_wait_s(
+            slot_request.service, slot_request.organisation, now_s
+        )
         served_s = now_s + wait_s
         if served_s + _MIN_RUN_S > slot_request.deadline_s:
             return True
-        first_event_s = self._estimate_first_event_s(slot_request.service)
-        return (
+        first_event_s = self._estimates.estimate_first_event_s(slot_request.service)
+        return served_s + first_event_s > slot_request.objective_s and (
             slot_request.may_retry
-            and served_s + first_event_s > slot_request.objective_s
+            or self._shares.has_long_queue(
+                slot_request.service, slot_request.organisation, now_s
+            )
         )
 
     def _should_yield(self, slot_request: SlotRequest, now_s: float) -> bool:
@@ -425,27 +366,30 @@
 
     def _is_late(self, slot_request: SlotRequest, now_s: float) -> bool:
         """Whether a request misses its objective even if it is granted a slot now."""
-        first_event_s = self._estimate_first_event_s(slot_request.service)
-        return now_s + first_event_s > slot_request.objective_s
-
-    def _estimate_first_event_s(self, service: str) -> float:
-        return _FIRST_EVENT_MARGIN * self.get_mean_first_event_s(service)
+        late_before_s = self._find_late_before_s(slot_request.service, now_s)
+        return slot_request.objective_s < late_before_s
 
     def _choose(self, slot_request: SlotRequest, now_s: float) -> model.Target | None:
-        """Return the target for a request, ``None`` if it has to wait.
+        """Return the target that a request is granted, ``None`` if it has to wait.
 
         One that has to wait requests a token of the targets that have a limit.
         """
         target = self._find_target(slot_request, now_s)
+        if target is None and self._request_token(slot_request, now_s):
+            target = self._find_target(slot_request, now_s)
         if target is not None:
-            return target
+            self._shares.record_grant(slot_request, now_s)
+        return target
+
+    def _request_token(self, slot_request: SlotRequest, now_s: float) -> bool:
+        """Request a token for a request; return whether one is there."""
         is_late = self._is_late(slot_request, now_s)
         need = token_holder.TokenNeed(
             rate_messages.Need.LATE if is_late else rate_messages.Need.WAITING,
             slot_request.priority,
             slot_request.objective_s,
         )
-        has_token = self._selector.request_online_token(
+        return self._selector.request_online_token(
             slot_request.service,
             need,
             now_s,
@@ -453,7 +397,6 @@
             slot_request.allowed,
             slot_request.version,
         )
-        return self._find_target(slot_request, now_s) if has_token else None
 
     def _find_target(
         self, slot_request: SlotRequest, now_s: float
