Decide by loads, delay and bytes whether leaving the zone pays

The cost of distance was a set of constants. endivevane.locality now holds them as one implementation of an interface, and a second one that prices the delay, the learned size of requests and responses, the use of the link between regions and the age of the other region's loads in shares of a target's slots.

--- a/bench/fleet/simulation.py
+++ b/bench/fleet/simulation.py
@@ -11,6 +11,7 @@
 from collections import abc
 
 from bench.fleet import batch, engines, pattern
+from endivevane.locality import location
 from endivevane.rate_limits import service as rate_limits
 from endivevane.serving import (
     load_table,
@@ -164,7 +165,7 @@
             for item in range(self.pattern.zones)
         }
         selector = target_selection.TargetSelector(
-            target_selection.Location(zone, f"r{region}", regions),
+            location.Location(zone, f"r{region}", regions),
             known,
             table,
             self._make_limits(known, region, number, regions),
@@ -323,7 +324,7 @@
     def _deliver_region(self, region: int, report: load_table.LoadReport) -> None:
         for daemon in self.daemons:
             if daemon.region != region:
-                daemon.table.set_report(f"region {region}", report)
+                daemon.table.set_report(region_reports.make_key(f"r{region}"), report)
 
 
 def _copy_loads(
--- a/features/support/serving_fakes.py
+++ b/features/support/serving_fakes.py
@@ -5,6 +5,7 @@
 import random
 import time
 
+from endivevane.locality import location
 from endivevane.quarantine import exchange, rows, service
 from endivevane.rate_limits import service as rate_limits
 from endivevane.serving import (
@@ -98,11 +99,11 @@
             lambda key, _value: self.targets[key]
         )
         self.board = load_table.LoadTable()
-        location = target_selection.Location(zone, "near", {"z1": "near", "z2": "far"})
+        place = location.Location(zone, "near", {"z1": "near", "z2": "far"})
         self.board.same_region_age_s = age_s
         self.limits = make_limits(self.directory)
         self.choices = target_selection.TargetSelector(
-            location, self.directory, self.board, self.limits, random.Random(seed)
+            place, self.directory, self.board, self.limits, random.Random(seed)
         )
         for number, name in enumerate(names):
             self.add(name, zone=(zones or {}).get(name, "z1"), version=number + 1)
--- a/features/support/serving_world.py
+++ b/features/support/serving_world.py
@@ -8,6 +8,7 @@
 import socket
 import time
 
+from endivevane.locality import location, sizes, traffic
 from endivevane.organisations import identification
 from endivevane.organisations import settings as organisation_settings
 from endivevane.platform import headers, job_codec, records
@@ -108,10 +109,10 @@
         self.registry = target_registry.TargetRegistry(records.decode_target)
         self.loads = load_table.LoadTable()
         generator = random.Random(5)
-        location = target_selection.Location("z1", "near", {"z1": "near"})
+        place = location.Location("z1", "near", {"z1": "near"})
         self.limits = serving_fakes.make_limits(self.registry)
         selector = target_selection.TargetSelector(
-            location, self.registry, self.loads, self.limits, generator
+            place, self.registry, self.loads, self.limits, generator
         )
         queue = slot_queue.SlotQueue(selector, self.loads, generator)
         slot_admission = admission.Admission(
@@ -123,6 +124,7 @@
             codec,
             self.registry.record_draining,
             self.limits,
+            traffic.Traffic(place, sizes.MeanSizes()),
         )
         self.registry.add_removal_callback(self.client.forget)
         self.quarantine = serving_fakes.make_quarantine(
--- a/src/endivevane/entry/settings.py
+++ b/src/endivevane/entry/settings.py
@@ -9,6 +9,7 @@
 import pydantic
 
 from endivevane import exceptions, types
+from endivevane.locality import settings as locality_settings
 from endivevane.organisations import settings as organisation_settings
 from endivevane.serving import memory_budget
 
@@ -142,6 +143,7 @@
     log: LogSection = LogSection()
     keys: organisation_settings.KeysSection = organisation_settings.KeysSection()
     quotas: QuotasSection = QuotasSection()
+    locality: locality_settings.LocalitySection = locality_settings.LocalitySection()
 
 
 def load_settings(path: pathlib.Path) -> Settings:
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -21,6 +21,8 @@
     state_rows,
     store_endpoints,
 )
+from endivevane.locality import assembly as locality_assembly
+from endivevane.locality import location
 from endivevane.organisations import identification
 from endivevane.platform import (
     headers,
@@ -189,12 +191,12 @@
     def _make_targets(self) -> None:
         vm, regions = self._settings.vm, dict(self._settings.regions)
         self._target_registry = target_registry.TargetRegistry(records.decode_target)
-        location = target_selection.Location(vm.availability_zone, vm.region, regions)
+        place = location.Location(vm.availability_zone, vm.region, regions)
         self._limits = rate_limits.RateLimits(
             self._identity,
             self._peer_registry,
             self._target_registry,
-            location.regions.get,
+            place.regions.get,
             self._network.send_message,
         )
         self._limits.call_when_changed(self._on_limits_changed)
@@ -208,12 +210,17 @@
             self._open_when_loaded,
         )
         self._versions.follow(self._feeds.state.age, self._feeds.targets.age)
+        locality = locality_assembly.LocalityParts(
+            self._settings.locality, place, self._target_registry, self._load_table
+        )
         self._target_selector = target_selection.TargetSelector(
-            location,
+            place,
             self._target_registry,
             self._load_table,
             self._limits,
             self._generator,
+            locality.holds,
+            locality.distances,
         )
         queue = slot_queue.SlotQueue(
             self._target_selector, self._load_table, self._generator
@@ -259,6 +266,7 @@
             self._codec,
             self._target_registry.record_draining,
             self._limits,
+            locality.traffic,
         )
         self._target_registry.add_removal_callback(self._target_client.forget)
 
--- /dev/null
+++ b/src/endivevane/locality/__init__.py
@@ -0,0 +1,1 @@
+"""When a request leaves the availability zone or the region of its daemon."""
--- a/src/endivevane/metrics.py
+++ b/src/endivevane/metrics.py
@@ -140,6 +140,18 @@
     "Bytes over the inter-region link, by purpose.",
     ["purpose"],
 )
+TARGET_REQUESTS = prometheus_client.Counter(
+    "endivevane_target_requests",
+    "Requests and batch items sent to targets, by how far the target is (zone,"
+    " other_zone, other_region).",
+    ["reach"],
+)
+TARGET_BYTES = prometheus_client.Counter(
+    "endivevane_target_bytes",
+    "Bytes of requests sent to targets and of responses received, by how far the target"
+    " is (zone, other_zone, other_region).",
+    ["reach", "direction"],
+)
 RATE_LIMITED_TARGETS = prometheus_client.Gauge(
     "endivevane_rate_limited_targets", "Targets that name a rate limit."
 )
--- a/src/endivevane/serving/attempt_runner.py
+++ b/src/endivevane/serving/attempt_runner.py
@@ -185,6 +185,7 @@
             version=version,
             request=progress.request_id,
             organisation=request.organisation_name,
+            request_bytes=len(request.body),
         )
 
     def _find_version(self, item: exchange.Exchange) -> str | None:
--- a/src/endivevane/serving/batch_slots.py
+++ b/src/endivevane/serving/batch_slots.py
@@ -99,6 +99,7 @@
         :param hold_s: how long the item held it
         """
         self._registry.free(slot)
+        self._selector.record_item_hold(slot.target.service, hold_s)
         if self._client is not None and slot.coordinator:
             self._client.send_release(slot, hold_s)
 
--- a/src/endivevane/serving/coordinator.py
+++ b/src/endivevane/serving/coordinator.py
@@ -190,8 +190,11 @@
         entry = member.entries.get(message.number)
         if entry is None:
             return
-        if message.hold_s is not None and entry.service and not entry.is_batch:
-            self._queue.record_hold(entry.service, message.hold_s)
+        if message.hold_s is not None and entry.service:
+            if entry.is_batch:
+                self._selector.record_item_hold(entry.service, message.hold_s)
+            else:
+                self._queue.record_hold(entry.service, message.hold_s)
         if message.first_event_s is not None and entry.service:
             self._queue.record_first_event(entry.service, message.first_event_s)
         self._remove_entry(member, entry, now_s)
@@ -253,6 +256,7 @@
             version=ask.version,
             avoided=frozenset(ask.avoided) | self._list_failing(now_s),
             availability_zone=ask.availability_zone,
+            request_bytes=ask.request_bytes,
         )
 
     def _resolve(
@@ -293,14 +297,15 @@
         """Grant slots that online requests leave free to batch items, by urgency."""
         if not self._batch:
             return
-        full: set[tuple[str, bool]] = set()
+        full: set[tuple[str, bool, str]] = set()
         cooling_down = self._list_cooling_down(now_s) | self._list_failing(now_s)
         ordered = sorted(
             self._batch.items(), key=lambda item: (item[1].urgency, item[1].due_s)
         )
         for (name, number), entry in ordered:
             is_urgent = entry.urgency is item_estimates.Urgency.URGENT
-            kind = (entry.service, is_urgent)
+            zone = entry.availability_zone if self._selector.depends_on_zone else ""
+            kind = (entry.service, is_urgent, zone)
             if kind in full:
                 continue
             target = self._selector.choose_batch(
--- a/src/endivevane/serving/load_table.py
+++ b/src/endivevane/serving/load_table.py
@@ -108,6 +108,10 @@
         self._add(report, 1)
         self.outcomes.set_report(peer, report.outcomes, report.covers_region)
 
+    def find_report(self, peer: str) -> LoadReport | None:
+        """Return the report of a peer, ``None`` if there is none or it has expired."""
+        return self._reports.get(peer)
+
     def drop_stale_reports(self, now_s: float) -> None:
         """Remove the reports that have expired."""
         stale_peers = [
--- a/src/endivevane/serving/slot_client.py
+++ b/src/endivevane/serving/slot_client.py
@@ -258,6 +258,7 @@
             allowed_targets=allowed_targets,
             request=slot_request.request,
             version=slot_request.version,
+            request_bytes=slot_request.request_bytes,
         )
 
     def _request_batch_slot(
--- a/src/endivevane/serving/slot_messages.py
+++ b/src/endivevane/serving/slot_messages.py
@@ -26,6 +26,7 @@
     :param client_may_retry: whether the client retries after a refusal
     :param allowed_targets: targets that the request may go to, ``None`` for any
     :param version: software version that it must run at, ``None`` for any
+    :param request_bytes: size of its body, ``None`` if unknown
     """
 
     incarnation: str
@@ -43,6 +44,7 @@
     allowed_targets: tuple[str, ...] | None = None
     request: str = ""
     version: str | None = None
+    request_bytes: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -134,8 +136,7 @@
             message.avoided,
             message.allowed_targets,
             message.request,
-            # Left out where it says nothing, for coordinators of an earlier release.
-            *(() if message.version is None else (message.version,)),
+            *_list_optional(message),
         )
     )
 
@@ -190,6 +191,16 @@
     return decoder(*fields)
 
 
+def _list_optional(message: Acquire) -> tuple[str | int | None, ...]:
+    """Return the last fields, without those at the end that say nothing.
+
+    Coordinators of an earlier release know fewer of them.
+    """
+    if message.request_bytes is not None:
+        return (message.version, message.request_bytes)
+    return () if message.version is None else (message.version,)
+
+
 def _decode_acquire(
     incarnation: typing.Any,
     number: typing.Any,
@@ -205,6 +216,7 @@
     allowed_targets: typing.Any,
     request: typing.Any,
     version: typing.Any = None,
+    request_bytes: typing.Any = None,
 ) -> Acquire:
     is_batch, client_may_retry = flags
     return Acquire(
@@ -225,6 +237,9 @@
         else json_fields.read_texts(allowed_targets),
         request=json_fields.read_text(request),
         version=None if version is None else json_fields.read_text(version),
+        request_bytes=None
+        if request_bytes is None
+        else json_fields.read_count(request_bytes),
     )
 
 
--- a/src/endivevane/serving/slot_queue.py
+++ b/src/endivevane/serving/slot_queue.py
@@ -51,6 +51,7 @@
     :param availability_zone: zone of its daemon, empty for this daemon's
     :param request: the request's id, for the log
     :param organisation: whose request it is, empty for none
+    :param request_bytes: size of its body, ``None`` if unknown
     """
 
     service: str
@@ -65,6 +66,7 @@
     availability_zone: str = ""
     request: str = ""
     organisation: str = ""
+    request_bytes: int | None = None
 
     @property
     def is_restricted(self) -> bool:
@@ -373,4 +375,7 @@
             slot_request.allowed,
             slot_request.version,
             slot_request.availability_zone,
+            slot_request.objective_s
+            - self._estimate_first_event_s(slot_request.service),
+            slot_request.request_bytes,
         )
--- a/src/endivevane/serving/target_client.py
+++ b/src/endivevane/serving/target_client.py
@@ -10,6 +10,7 @@
 import h11
 
 from endivevane import logs, metrics
+from endivevane.locality import traffic
 from endivevane.serving import (
     call_watchdog,
     failures,
@@ -63,6 +64,7 @@
         connection: http_client.Connection,
         reply: model.TargetReply,
         watchdog: call_watchdog.Watchdog,
+        transfer: traffic.Transfer,
         is_framed: bool = True,
     ) -> None:
         self.head = reply
@@ -71,6 +73,7 @@
         self._known = known
         self._connection = connection
         self._watchdog = watchdog
+        self._transfer = transfer
         self._has_body_data = False
 
     @property
@@ -111,7 +114,9 @@
         self._known.health.record_data(time.monotonic())
         if data is None:
             self.is_complete = True
+            self._transfer.record_complete()
             return None
+        self._transfer.add_received(len(data))
         if not self._has_body_data:
             self._has_body_data = True
             self._known.health.begin_events()
@@ -130,7 +135,9 @@
         codec: CallCodec,
         on_draining: abc.Callable[[target_registry.KnownTarget], None],
         limits: LimitObserver,
+        target_traffic: traffic.Traffic,
     ) -> None:
+        self._traffic = target_traffic
         self._limits = limits
         self._pool = pool
         self._codec = codec
@@ -170,8 +177,13 @@
         response: TargetResponse | None = None
         try:
             headers = self._codec.encode_call(call, target)
+            request_bytes = traffic.count_head_bytes(headers) + len(call.body)
+            transfer = self._traffic.begin(target, request_bytes)
             head = await self._send_request(known, connection, call, headers, watchdog)
-            response = self._make_response(known, connection, head, call, watchdog)
+            transfer.add_received(traffic.count_head_bytes(head.headers))
+            response = self._make_response(
+                known, connection, head, call, watchdog, transfer
+            )
             self._limits.record_answer(target, response.head.rate, sent_s)
             yield response
         finally:
@@ -253,6 +265,7 @@
         head: h11.Response,
         call: model.TargetCall,
         watchdog: call_watchdog.Watchdog,
+        transfer: traffic.Transfer,
     ) -> TargetResponse:
         reply = self._codec.decode_reply(
             head.status_code, bytes(head.reason), list(head.headers.raw_items())
@@ -261,7 +274,9 @@
             self._on_draining(known)
         if _belongs_to_call(call, reply, connection):
             known.health.record_data(time.monotonic())
-            return TargetResponse(known, connection, reply, watchdog, _is_framed(head))
+            return TargetResponse(
+                known, connection, reply, watchdog, transfer, _is_framed(head)
+            )
         metrics.TARGET_FAULTS.labels("foreign_answer").inc()
         raise failures.TargetCallError(
             known.target.target_id,
--- a/src/endivevane/serving/target_selection.py
+++ b/src/endivevane/serving/target_selection.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-import dataclasses
 import random
 from collections import abc
 
+from endivevane.locality import distances, location, needs
 from endivevane.rate_limits import holder as token_holder
 from endivevane.rate_limits import service as rate_limits
 from endivevane.serving import (
     batch_room,
+    hold_times,
     load_table,
     model,
     target_registry,
@@ -25,35 +26,11 @@
 URGENT_SLOTS = 2
 # Batch is preempted when a target has more requests than its slots less this.
 _PREEMPTION_RESERVE = 0
-# What distance adds to a target's cost, which is its share of slots in use.
-_OTHER_ZONE_COST = 0.06
-_CROSS_REGION_COST = 0.15
-# What each second of age of another region's loads adds: the older they are, the more
-# requests have been placed there meanwhile.
-_CROSS_REGION_COST_PER_S = 1.4
 # What failed responses add to the cost, per unit of the failure rate.
 _FAILURE_RATE_COST = 2.0
 # While more than this share of a service's targets fails, none is ejected: the cause
 # then lies elsewhere, or there is no better target.
 _MAX_EJECTED_SHARE = 0.5
-# Slots of a target in another region that are left to the daemons there, per second of
-# age of that region's loads.
-_CROSS_REGION_RESERVE_PER_S = 5.0
-# Mean time for which a request holds a slot, until this daemon has seen requests end.
-_INITIAL_HOLD_S = 0.8
-_HOLD_WEIGHT = 0.05
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Location:
-    """The location of a daemon.
-
-    :param regions: region of each availability zone
-    """
-
-    availability_zone: str
-    region: str
-    regions: abc.Mapping[str, str]
 
 
 class TargetSelector:
@@ -61,18 +38,23 @@
 
     def __init__(
         self,
-        location: Location,
+        daemon_location: location.Location,
         targets: target_registry.TargetRegistry,
         loads: load_table.LoadTable,
         limits: rate_limits.RateLimits,
         generator: random.Random,
+        holds: hold_times.HoldTimes | None = None,
+        distance_costs: distances.Distances | None = None,
     ) -> None:
         self._limits = limits
-        self._location = location
+        self._location = daemon_location
+        self._distances = distance_costs or distances.ConstantDistances(
+            daemon_location, loads
+        )
         self._targets = targets
         self._loads = loads
         self._generator = generator
-        self._hold_s: dict[str, float] = {}
+        self._holds = holds or hold_times.HoldTimes()
         self._batch_room = batch_room.BatchRoom(targets, loads, limits)
         self._tokens = token_use.TokenUse(loads, limits)
 
@@ -88,6 +70,8 @@
         allowed: abc.Set[str] | None = None,
         version: str | None = None,
         zone: str = "",
+        latest_start_s: float = float("inf"),
+        request_bytes: int | None = None,
     ) -> model.Target | None:
         """Return the target for an online request, ``None`` if none has room.
 
@@ -95,17 +79,25 @@
         :param allowed: the targets that the request may go to, ``None`` for any
         :param version: software version that it must run at, ``None`` for any
         :param zone: availability zone of the request's daemon, empty for this daemon's
+        :param latest_start_s: monotonic time at which it has to start at the target to
+            meet its objective
+        :param request_bytes: size of its body, ``None`` if unknown
         """
         candidates: list[water_filling.Candidate] = []
         for target in self._list_with_room(service, now_s, excluded, allowed, version):
             if not self._limits.is_open(target.target_id, now_s):
                 continue
-            total = self._loads.total(target.target_id).total
-            cost = self._cost(target, total, now_s, zone)
-            candidates.append(water_filling.Candidate(target, cost))
+            candidates.append(self._make_candidate(target, now_s))
+        need = needs.Need(
+            service,
+            zone,
+            self.get_mean_hold_s(service),
+            request_bytes=request_bytes,
+            latest_start_s=latest_start_s,
+        )
         usable = self._targets.list_usable(service)
         unreported = self._estimate_unreported(service, usable)
-        return self._draw(candidates, unreported, now_s)
+        return self._draw(candidates, need, unreported, now_s)
 
     def request_online_token(
         self,
@@ -128,6 +120,11 @@
         limited = self._tokens.list_limited(targets)
         return self._tokens.request(limited, need, now_s)
 
+    @property
+    def depends_on_zone(self) -> bool:
+        """Whether an item of one zone may find no target where another's finds one."""
+        return self._distances.depends_on_zone
+
     def has_rate_limits(self, service: str) -> bool:
         """Whether any target of a service has a rate limit."""
         if not self._limits.has_limits:
@@ -151,12 +148,15 @@
 
     def record_hold(self, service: str, hold_s: float) -> None:
         """Record how long a request held its slot."""
-        mean_s = self.get_mean_hold_s(service)
-        self._hold_s[service] = mean_s + _HOLD_WEIGHT * (hold_s - mean_s)
+        self._holds.record(service, hold_s)
+
+    def record_item_hold(self, service: str, hold_s: float) -> None:
+        """Record how long a batch item held its slot."""
+        self._holds.record_item(service, hold_s)
 
     def get_mean_hold_s(self, service: str) -> float:
         """Return the mean time for which a request holds its slot."""
-        return self._hold_s.get(service, _INITIAL_HOLD_S)
+        return self._holds.get(service)
 
     def choose_batch(
         self,
@@ -193,20 +193,23 @@
                 is_urgent and _has_urgent_room(target, load)
             ):
                 has_room.append(target)
-        candidates = [
-            water_filling.Candidate(
-                target,
-                self._cost(
-                    target, self._loads.total(target.target_id).total, now_s, zone
-                ),
-            )
-            for target in self._tokens.list_open_for_batch(
-                service, has_room, is_urgent, due_s, now_s
-            )
-        ]
+        open_targets = self._tokens.list_open_for_batch(
+            service, has_room, is_urgent, due_s, now_s
+        )
+        candidates = [self._make_candidate(target, now_s) for target in open_targets]
+        need = needs.Need(
+            service,
+            zone,
+            self._holds.get_item(service),
+            is_batch=True,
+            due_s=due_s,
+            may_wait=not is_urgent
+            and version is None
+            and not self.has_rate_limits(service),
+        )
         # Other daemons start items at the same time.
         unreported = self._loads.waiting_items - self._loads.own_waiting_items
-        return self._draw(candidates, unreported, now_s)
+        return self._draw(candidates, need, unreported, now_s)
 
     def draw_batch_share(self, service: str, now_s: float, is_urgent: bool) -> int:
         """Return how many items this daemon may start in the slots free for batch.
@@ -284,14 +287,17 @@
 
     def _draw(
         self,
-        candidates: abc.Iterable[water_filling.Candidate],
+        candidates: abc.Sequence[water_filling.Candidate],
+        need: needs.Need,
         unreported: float,
         now_s: float,
     ) -> model.Target | None:
         """Draw a target and use a token of it if it has a limit."""
-        target = water_filling.draw_target(candidates, unreported, self._generator)
+        weighed = self._distances.weigh(candidates, need, now_s)
+        target = water_filling.draw_target(weighed, unreported, self._generator)
         if target is not None:
             self._limits.take(target.target_id, now_s)
+            self._distances.record_choice(need, target, now_s)
         return target
 
     def _list_with_room(
@@ -306,7 +312,7 @@
         usable = self._targets.list_usable(service)
         ejected = self._find_ejected(usable, now_s)
         has_local = any(
-            not self._is_cross_region(known.target)
+            not self._location.is_cross_region(known.target.availability_zone)
             and known.health.is_available(now_s)
             and self._limits.is_open(known.target.target_id, now_s)
             for known in usable
@@ -325,7 +331,7 @@
             if not known.health.is_available(now_s):
                 continue
             total = self._loads.total(target.target_id).total
-            if total >= self._find_limit(target, has_local):
+            if total >= self._find_limit(target, has_local, now_s):
                 continue
             targets.append(target)
         return targets
@@ -351,22 +357,18 @@
             return frozenset()
         return ejected
 
-    def _find_limit(self, target: model.Target, has_local: bool) -> int:
+    def _find_limit(self, target: model.Target, has_local: bool, now_s: float) -> int:
         """Return the number of requests at which a target counts as full.
 
         :param has_local: whether any target of this region may get work
         """
         limit = target.slots + _QUEUE_AHEAD
-        if not has_local or not self._is_cross_region(target):
+        is_cross_region = self._location.is_cross_region(target.availability_zone)
+        if not has_local or not is_cross_region:
             return limit
-        reserve = int(_CROSS_REGION_RESERVE_PER_S * self._loads.cross_region_age_s)
+        reserve = self._distances.count_reserved(target, now_s)
         return limit - min(reserve, target.slots // 2)
 
-    def _is_cross_region(self, target: model.Target) -> bool:
-        """Whether a target is in another region."""
-        region = self._location.regions.get(target.availability_zone)
-        return region != self._location.region
-
     def _estimate_unreported(
         self, service: str, usable: abc.Sequence[target_registry.KnownTarget]
     ) -> float:
@@ -379,18 +381,15 @@
         )
         return online * self._loads.same_region_age_s / self.get_mean_hold_s(service)
 
-    def _cost(self, target: model.Target, total: int, now_s: float, zone: str) -> float:
+    def _make_candidate(
+        self, target: model.Target, now_s: float
+    ) -> water_filling.Candidate:
+        """Return a target with its cost, but for the distance."""
+        total = self._loads.total(target.target_id).total
         cost = (total + 1) / target.slots
         failure_rate = self._loads.outcomes.find_failure_rate(target.target_id, now_s)
         cost += _FAILURE_RATE_COST * failure_rate
-        if target.availability_zone != (zone or self._location.availability_zone):
-            cost += _OTHER_ZONE_COST
-            if self._is_cross_region(target):
-                cost += (
-                    _CROSS_REGION_COST
-                    + _CROSS_REGION_COST_PER_S * self._loads.cross_region_age_s
-                )
-        return cost
+        return water_filling.Candidate(target, cost)
 
 
 def _has_urgent_room(target: model.Target, load: load_table.Load) -> bool:
