Price distance by the chance that a request waits at home

Now a delay counts against load by the chance that a pool of the home's slots has none free, and a batch item counts half.

--- a/bench/fleet/batch.py
+++ b/bench/fleet/batch.py
@@ -112,7 +112,7 @@
             if budgets[is_urgent] <= 0:
                 continue
             target = daemon.selector.choose_batch(
-                _SERVICE, now_s, in_cooldown, is_urgent
+                _SERVICE, now_s, in_cooldown, is_urgent, due_s=item.due_s
             )
             if target is None:
                 continue
--- a/src/endivevane/locality/decision.py
+++ b/src/endivevane/locality/decision.py
@@ -26,6 +26,10 @@
 
 # Slots of a target in another region that are left to the daemons there at least.
 _MIN_RESERVE = 1
+# How long the load of a zone or a region is used for further decisions.
+_PLACE_TTL_S = 0.02
+# Load that a batch item is to online requests. It gives way to them, which takes time.
+_BATCH_WEIGHT = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,6 +87,13 @@
             mean_sizes,
         )
         self._log = decision_log.DecisionLog()
+        self._homes: dict[
+            tuple[str, str, location.Reach, bool], tuple[float, _Place]
+        ] = {}
+        self._report_keys = {
+            zone: region_reports.make_key(region)
+            for zone, region in daemon_location.regions.items()
+        }
 
     def count_reserved(self, target: model.Target, now_s: float) -> int:
         """Return the slots of a target in another region left to the daemons there."""
@@ -170,7 +181,7 @@
         others_s += leaving.estimate_price_s(way, size)
         leaving_s = delay_s + others_s / value
         home = self._measure_home(reach, need, now_s)
-        cost = leaving.convert_to_share(leaving_s, need.hold_s, home.load)
+        cost = leaving.convert_to_share(leaving_s, need.hold_s, home.load, home.slots)
         return _Offer(cost, delay_s, leaving_s)
 
     def _find_way(
@@ -193,7 +204,18 @@
         self, reach: location.Reach, need: needs.Need, now_s: float
     ) -> _Place:
         """Return the targets that a request leaves, of its zone or of its region."""
-        slots = running = 0
+        key = (need.service, need.zone, reach, need.is_batch)
+        measured_s, place = self._homes.get(key, (-math.inf, _Place(0, 1.0)))
+        if now_s - measured_s >= _PLACE_TTL_S:
+            place = self._sum_home(reach, need, now_s)
+            self._homes[key] = (now_s, place)
+        return place
+
+    def _sum_home(
+        self, reach: location.Reach, need: needs.Need, now_s: float
+    ) -> _Place:
+        slots = 0
+        running = 0.0
         for known in self._targets.list_usable(need.service):
             target = known.target
             held = self._location.find_reach(target.availability_zone, need.zone)
@@ -206,7 +228,9 @@
             if self._loads.outcomes.is_ejected(target.target_id, now_s):
                 continue
             slots += target.slots
-            running += self._loads.total(target.target_id).total
+            load = self._loads.total(target.target_id)
+            weight = 1.0 if need.is_batch else _BATCH_WEIGHT
+            running += load.online + weight * load.batch
         return _Place(slots, running / slots if slots else 1.0)
 
     def _find_latest_s(
@@ -255,8 +279,8 @@
 
     def _measure_age_s(self, target: model.Target, now_s: float) -> float:
         """Return the age of what is known of the load of a target elsewhere."""
-        region = self._location.regions.get(target.availability_zone, "")
-        report = self._loads.find_report(region_reports.make_key(region))
+        key = self._report_keys.get(target.availability_zone, "")
+        report = self._loads.find_report(key)
         if report is None:
             return math.inf
         return now_s - report.received_s + self._settings.region_delay_s
--- a/src/endivevane/locality/leaving.py
+++ b/src/endivevane/locality/leaving.py
@@ -18,10 +18,7 @@
 # Share of a link that counts as free even if it seems fully used, so that costs stay
 # finite.
 _MIN_FREE_SHARE = 0.05
-# Requests wait at a target with 8 slots with about this power of its load as the
-# probability.
-_WAIT_EXPONENT = 3
-_MIN_WAIT_SHARE = 0.05
+_MIN_WAIT_SHARE = 0.1
 # Demand may step from 0.38 to 1.85 of its mean within 2 s.
 _LOAD_STEP_PER_S = 0.75
 
@@ -74,15 +71,16 @@
     return way.gb_caller_s * size.total_bytes / _BYTES_PER_GB
 
 
-def convert_to_share(cost_s: float, hold_s: float, load: float) -> float:
+def convert_to_share(cost_s: float, hold_s: float, load: float, slots: int) -> float:
     """Return the share of load that costs a caller the same time.
 
     The fewer slots are in use, the less time a caller loses to one more request, so
     that load matters less against distance.
 
     :param load: share of slots in use where the caller is
+    :param slots: number of slots there
     """
-    return cost_s / (hold_s * _find_wait_share(load))
+    return cost_s / (hold_s * _estimate_wait_share(load, slots))
 
 
 def estimate_load_step(age_s: float) -> float:
@@ -114,6 +112,10 @@
     return max(_MIN_FREE_SHARE, 1.0 - way.used_share)
 
 
-def _find_wait_share(load: float) -> float:
-    """Return the probability that a request waits at a target with a load."""
-    return max(_MIN_WAIT_SHARE, min(1.0, load**_WAIT_EXPONENT))
+def _estimate_wait_share(load: float, slots: int) -> float:
+    """Return the probability that a request finds none of some slots free.
+
+    This is Sakasegawa's approximation for a queue with many servers.
+    """
+    exponent = math.sqrt(2 * (slots + 1)) - 1
+    return max(_MIN_WAIT_SHARE, min(1.0, math.pow(load, exponent)))
