--- a/src/endivevane/locality/leaving.py
+++ b/src/endivevane/locality/leaving.py
@@ -18,7 +18,8 @@
 # Share of a link that counts as free even if it seems fully used, so that costs stay
 # finite.
 _MIN_FREE_SHARE = 0.05
-_MIN_WAIT_SHARE = 0.1
+# Bounds what distance costs while hardly any request waits.
+_MIN_WAIT_SHARE = 0.05
 # Demand may step from 0.38 to 1.85 of its mean within 2 s.
 _LOAD_STEP_PER_S = 0.75
 
