--- a/src/endivevane/serving/slot_client.py
+++ b/src/endivevane/serving/slot_client.py
@@ -259,6 +259,7 @@
             request=slot_request.request,
             organisation=slot_request.organisation,
             version=slot_request.version,
+            request_bytes=slot_request.request_bytes,
         )
 
     def _request_batch_slot(
--- a/src/endivevane/serving/slot_messages.py
+++ b/src/endivevane/serving/slot_messages.py
@@ -27,6 +27,7 @@
     :param allowed_targets: targets that the request may go to, ``None`` for any
     :param version: software version that it must run at, ``None`` for any
     :param organisation: whose request or item it is, empty for none
+    :param request_bytes: size of its body, ``None`` if unknown
     """
 
     incarnation: str
@@ -45,6 +46,7 @@
     request: str = ""
     version: str | None = None
     organisation: str = ""
+    request_bytes: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -139,8 +141,7 @@
             message.avoided,
             message.allowed_targets,
             _join_request(message),
-            # Left out where it says nothing, for coordinators of an earlier release.
-            *(() if message.version is None else (message.version,)),
+            *_list_optional(message),
         )
     )
 
@@ -195,6 +196,16 @@
     return decoder(*fields)
 
 
+def _list_optional(message: Acquire) -> tuple[str | int | None, ...]:
+    """Return the last fields, without those at the end that say nothing.
+
+    Coordinators of an earlier release know fewer of them.
+    """
+    if message.request_bytes is not None:
+        return (message.version, message.request_bytes)
+    return () if message.version is None else (message.version,)
+
+
 def _decode_acquire(
     incarnation: typing.Any,
     number: typing.Any,
@@ -210,6 +221,7 @@
     allowed_targets: typing.Any,
     request: typing.Any,
     version: typing.Any = None,
+    request_bytes: typing.Any = None,
 ) -> Acquire:
     is_batch, client_may_retry = flags
     request, _, organisation = json_fields.read_text(request).partition(_SEPARATOR)
@@ -232,6 +244,9 @@
         request=request,
         version=None if version is None else json_fields.read_text(version),
         organisation=organisation,
+        request_bytes=None
+        if request_bytes is None
+        else json_fields.read_count(request_bytes),
     )
 
 
