Bound the responses of the other entry point

external/http_pool.py read bodies without a bound on their size and with a time limit for each wait only, so that a flood filled the memory and a byte a second held a thread for ever; a length or chunk size that a peer announced was allocated at once, and a status of 600 was passed on.

A response with its head is bounded in size and in the time from its first byte, by [platform] max_response_bytes and response_timeout_s.

--- a/src/endivevane/daemon/settings.py
+++ b/src/endivevane/daemon/settings.py
@@ -70,6 +70,9 @@
     """Addresses of the platform's services and limits for calls to them.
 
     :param region: region in which the services run; empty for the daemon's own
+    :param timeout_s: limit for each wait of a call
+    :param response_timeout_s: time from the first byte of a response to its last one
+    :param max_response_bytes: size of a response with its head
     """
 
     region: str = ""
@@ -77,6 +80,8 @@
     object_store: models.AddressText
     vm_list: models.AddressText
     timeout_s: Seconds = 5.0
+    response_timeout_s: Seconds = 30.0
+    max_response_bytes: int = pydantic.Field(default=32 << 20, gt=0)
 
 
 class SessionSection(_Section):
--- a/src/endivevane/daemon/wiring.py
+++ b/src/endivevane/daemon/wiring.py
@@ -143,7 +143,11 @@
 
     def _build_platform(self) -> None:
         platform = self._settings.platform
-        limits = http_pool.PoolSettings(read_timeout_s=platform.timeout_s)
+        limits = http_pool.PoolSettings(
+            read_timeout_s=platform.timeout_s,
+            response_timeout_s=platform.response_timeout_s,
+            max_response_bytes=platform.max_response_bytes,
+        )
         is_remote = platform.region not in ("", self._settings.daemon.region)
         self._shares = link_shares.LinkShares(
             self._settings.daemon.name, self._clock, lambda: self._link.measure_need()
--- a/src/endivevane/external/http_pool.py
+++ b/src/endivevane/external/http_pool.py
@@ -14,6 +14,10 @@
 
 from endivevane import exceptions, types
 from endivevane.coordination import clock
+from endivevane.external import bounded_response
+
+# Failures of a call below the HTTP level.
+_FAILURES = (OSError, http.client.HTTPException, bounded_response.ResponseTooLarge)
 
 
 class Stage(enum.StrEnum):
@@ -61,6 +65,8 @@
 
     :param connect_timeout_s: timeout of the TCP handshake
     :param read_timeout_s: timeout of each wait for bytes
+    :param response_timeout_s: time from the first byte of a response to its last one
+    :param max_response_bytes: size of a response with its head
     :param max_idle_s: connections idle for longer are closed; below the usual idle
         timeouts of load balancers and NAT tables
     :param max_age_s: older connections are not reused
@@ -69,10 +75,19 @@
 
     connect_timeout_s: float = 1.0
     read_timeout_s: float = 10.0
+    response_timeout_s: float = 30.0
+    max_response_bytes: int = 32 << 20
     max_idle_s: float = 15.0
     max_age_s: float = 300.0
     max_idle_connections: int = 8
 
+    @property
+    def response_limits(self) -> bounded_response.ResponseLimits:
+        """Limits of each response."""
+        return bounded_response.ResponseLimits(
+            self.response_timeout_s, self.max_response_bytes
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
@@ -137,8 +152,8 @@
         try:
             self.sock.settimeout(timeout_s)
             raw = self._connection.getresponse()
-            data = raw.read()
-        except (OSError, http.client.HTTPException) as error:
+            data = bounded_response.read_whole(raw)
+        except _FAILURES as error:
             return result.Err(_make_error(self._address, Stage.RESPONSE, error))
         finally:
             self.close()
@@ -258,6 +273,7 @@
                 self._settings.connect_timeout_s,
                 self._settings.read_timeout_s,
             )
+            bounded_response.apply(connection, self._settings.response_limits)
         except OSError as error:
             return result.Err(TransportError(self.address, Stage.CONNECT, str(error)))
         return result.Ok(_PooledConnection(connection, now_s, now_s))
@@ -287,8 +303,8 @@
             connection.request(method, path, paced, sent_headers)
             stage = Stage.RESPONSE
             raw = connection.getresponse()
-            data = raw.read()
-        except (OSError, http.client.HTTPException) as error:
+            data = bounded_response.read_whole(raw)
+        except _FAILURES as error:
             connection.close()
             return result.Err(_make_error(self.address, stage, error))
         if raw.will_close:
