Check a configuration of the daemons before it is submitted

endivevanectl could only tell whether the daemons decode a configuration. What has no effect in it, or can't be met, showed under load.

The records of a configuration are public in platform/records.py, so that the check decodes what the daemons decode.

--- a/features/steps/fleet_commands_steps.py
+++ b/features/steps/fleet_commands_steps.py
@@ -71,6 +71,7 @@
     port = loop.run(rows.start())
     context.add_cleanup(loop.stop)
     context.add_cleanup(lambda: loop.run(rows.stop()))
+    context.loop, context.rows = loop, rows
     context.address = f"127.0.0.1:{port}"
     context.folder = pathlib.Path(tempfile.mkdtemp())
     configuration = serving_processes.make_fleet_configuration()
--- a/src/endivevane/ctl/fleet_commands.py
+++ b/src/endivevane/ctl/fleet_commands.py
@@ -122,24 +122,24 @@
     arguments: argparse.Namespace, _settings: settings.CtlSettings
 ) -> exits.Exit:
     """Print the daemons that are registered in the store."""
-    coroutine = _open_reader(arguments.store).read_members()
-    return _print_views(arguments, _MEMBER_COLUMNS, _read(arguments.store, coroutine))
+    coroutine = open_reader(arguments.store).read_members()
+    return _print_views(arguments, _MEMBER_COLUMNS, read(arguments.store, coroutine))
 
 
 def run_targets(
     arguments: argparse.Namespace, _settings: settings.CtlSettings
 ) -> exits.Exit:
     """Print the registered targets."""
-    coroutine = _open_reader(arguments.store).read_targets()
-    return _print_views(arguments, _TARGET_COLUMNS, _read(arguments.store, coroutine))
+    coroutine = open_reader(arguments.store).read_targets()
+    return _print_views(arguments, _TARGET_COLUMNS, read(arguments.store, coroutine))
 
 
 def run_routes(
     arguments: argparse.Namespace, _settings: settings.CtlSettings
 ) -> exits.Exit:
     """Print the version and the routes of the configuration in force."""
-    coroutine = _open_reader(arguments.store).read_configuration()
-    configuration = _read(arguments.store, coroutine)
+    coroutine = open_reader(arguments.store).read_configuration()
+    configuration = read(arguments.store, coroutine)
     if configuration is None:
         output.print_note("the store has no configuration yet")
         return exits.Exit.FAILED
@@ -152,7 +152,7 @@
     arguments: argparse.Namespace, _settings: settings.CtlSettings
 ) -> exits.Exit:
     """Print the batch jobs in order of their due times."""
-    found = _read(arguments.store, _open_reader(arguments.store).read_jobs())
+    found = read(arguments.store, open_reader(arguments.store).read_jobs())
     if arguments.open:
         found = [view for view in found if view.state == "open"]
     return _print_views(arguments, _JOB_COLUMNS, found)
@@ -162,7 +162,7 @@
     arguments: argparse.Namespace, _settings: settings.CtlSettings
 ) -> exits.Exit:
     """Print the traits of requests that are refused since they crash targets."""
-    found = _read(arguments.store, _open_reader(arguments.store).read_quarantines())
+    found = read(arguments.store, open_reader(arguments.store).read_quarantines())
     return _print_views(arguments, _QUARANTINE_COLUMNS, found)
 
 
@@ -224,16 +224,21 @@
     )
 
 
-def _open_reader(address: types.Address) -> inspection.FleetReader:
+def open_reader(address: types.Address) -> inspection.FleetReader:
+    """Return a reader of the store at an address."""
     return inspection.FleetReader(address.host, address.port)
 
 
 _T = typing.TypeVar("_T")
 
 
-def _read(
+def read(
     address: types.Address, coroutine: abc.Coroutine[typing.Any, typing.Any, _T]
 ) -> _T:
+    """Run a read of the store.
+
+    :raises StoreUnreachable: when it does not answer
+    """
     try:
         return asyncio.run(coroutine)
     except failures.StoreFailure as error:
--- a/src/endivevane/ctl/main.py
+++ b/src/endivevane/ctl/main.py
@@ -11,6 +11,7 @@
 import endivevane
 from endivevane import exceptions
 from endivevane.ctl import (
+    check_commands,
     client,
     config_commands,
     daemon_commands,
@@ -23,7 +24,7 @@
 
 _EPILOG = """exit codes:
   0  done
-  1  the call failed
+  1  the call failed, or a strict check found warnings
   2  wrong usage
   3  a file or setting is invalid
   4  another publisher changed the same document
@@ -53,6 +54,7 @@
     daemon_commands.add_parsers(commands)
     job_commands.add_parsers(commands)
     fleet_commands.add_parsers(commands)
+    check_commands.add_parsers(commands)
     _add_output_option(commands)
     return parser
 
--- a/src/endivevane/entry/inspection.py
+++ b/src/endivevane/entry/inspection.py
@@ -140,10 +140,18 @@
         :raises failures.StoreFailure: when the store does not answer
         :raises exceptions.ProtocolError: when it is invalid
         """
+        content = await self.read_configuration_content()
+        return None if content is None else records.decode_configuration(content)
+
+    async def read_configuration_content(self) -> bytes | None:
+        """Return the configuration in force as it is stored, ``None`` for none.
+
+        :raises failures.StoreFailure: when the store does not answer
+        """
         page = await full_read.read_all(self._store, records.CONFIGURATION_TABLE, "")
         for row in page.rows:
             if row.row_key.key == records.CONFIGURATION_KEY and row.value is not None:
-                return records.decode_configuration(row.value)
+                return row.value
         return None
 
     async def read_jobs(self) -> list[JobView]:
--- a/src/endivevane/platform/records.py
+++ b/src/endivevane/platform/records.py
@@ -30,19 +30,23 @@
     model_config = pydantic.ConfigDict(extra="ignore")
 
 
-class _SplitRecord(_Record):
+class SplitRecord(_Record):
+    """A service with its share of a route."""
+
     service: field_types.Text
     weight: field_types.Weight = 1.0
 
 
-class _RouteRecord(_Record):
+class RouteRecord(_Record):
+    """A route."""
+
     name: field_types.Text
     host: field_types.Text
     prefix: field_types.PathText
     kind: field_types.Text
     service: field_types.Text | None = None
     # Services that share the route's requests by weight.
-    trafficSplit: list[_SplitRecord] = []  # noqa: N815
+    trafficSplit: list[SplitRecord] = []  # noqa: N815
     timeoutMs: field_types.Milliseconds = 0.0  # noqa: N815
     # Time within which a response is on time.
     goalMs: field_types.Milliseconds = 0.0  # noqa: N815
@@ -59,20 +63,26 @@
     public: bool = False
 
 
-class _ServiceRecord(_Record):
+class ServiceRecord(_Record):
+    """A service."""
+
     name: field_types.Text
     maxConns: field_types.Count = 0  # noqa: N815
     engine: dict[str, typing.Any] | None = None
 
 
-class _LimitsRecord(_Record):
+class LimitsRecord(_Record):
+    """Limits for clients."""
+
     maxHeaderBytes: field_types.Bytes = 16384  # noqa: N815
     maxBodyBytes: field_types.Bytes = 4194304  # noqa: N815
     headerTimeoutMs: field_types.Milliseconds = 3000.0  # noqa: N815
     idleTimeoutMs: field_types.Milliseconds = 15000.0  # noqa: N815
 
 
-class _OrganisationRecord(_Record):
+class OrganisationRecord(_Record):
+    """An organisation."""
+
     name: field_types.HeaderId
     apiKeys: list[field_types.HeaderValue] = []  # noqa: N815
     priority: field_types.Count | None = None
@@ -80,12 +90,14 @@
     burst: field_types.Rate = 0.0
 
 
-class _ConfigurationRecord(_Record):
+class ConfigurationRecord(_Record):
+    """A version of the configuration."""
+
     version: field_types.Count
-    routes: list[_RouteRecord]
-    services: list[_ServiceRecord]
-    limits: _LimitsRecord = _LimitsRecord()
-    tenants: list[_OrganisationRecord] = []
+    routes: list[RouteRecord]
+    services: list[ServiceRecord]
+    limits: LimitsRecord = LimitsRecord()
+    tenants: list[OrganisationRecord] = []
 
 
 class _TargetRecord(_Record):
@@ -110,7 +122,7 @@
     :raises exceptions.ProtocolError: when the content is invalid
     """
     try:
-        record = _ConfigurationRecord.model_validate_json(content)
+        record = ConfigurationRecord.model_validate_json(content)
     except pydantic.ValidationError as error:
         reason = field_types.describe_first_problem(error)
         raise exceptions.ProtocolError("configuration", reason) from error
@@ -142,7 +154,7 @@
     )
 
 
-def _find_key_holders(records: list[_OrganisationRecord]) -> dict[bytes, str]:
+def _find_key_holders(records: list[OrganisationRecord]) -> dict[bytes, str]:
     """Return the names of organisations by the digests of their keys.
 
     A key of two organisations belongs to the first one, at all daemons.
@@ -158,7 +170,7 @@
     return holders
 
 
-def _make_route(record: _RouteRecord) -> model.Route:
+def _make_route(record: RouteRecord) -> model.Route:
     services = tuple(
         model.WeightedService(split.service, split.weight)
         for split in record.trafficSplit
@@ -193,7 +205,7 @@
     )
 
 
-def _find_stream_idle_timeout_s(record: _RouteRecord, kind: model.RouteKind) -> float:
+def _find_stream_idle_timeout_s(record: RouteRecord, kind: model.RouteKind) -> float:
     """Return the time without events after which clients abandon a stream."""
     if kind is not model.RouteKind.STREAMING:
         return float("inf")
