Take no cut body for whole at the other entry point

external/http_pool.py took a body without a length or chunks for whole when the server ended its side without having received the request, as serving/ did until lately. Both now ask the system for unacknowledged bytes, through one function in sockets.py.

features/bounded_responses.feature: 16 of 16 pass; without the check the new scenario fails with half a body as a 200.

--- a/features/bounded_responses.feature
+++ b/features/bounded_responses.feature
@@ -42,6 +42,12 @@
       | a chunk that is cut       |
       | the status 600            |
 
+  # Guards against half a body that looks whole because its server ended during an upload.
+  Scenario: A body without a length is none if the server has not read the request
+    Given a server that ends its side without reading, with half a body
+    When an upload of 1 MB is sent to it
+    Then it fails as a broken response
+
   # Guards against bounds that sound responses reach.
   Scenario Outline: A sound response in <form> is read whole, and its connection kept
     Given a server that answers with <form>
--- a/features/steps/bounded_responses_steps.py
+++ b/features/steps/bounded_responses_steps.py
@@ -33,6 +33,8 @@
 _MAX_SENT_BYTES = 64 << 20
 _MAX_TAKEN_S = 2.0
 _DRIP_S = 0.05
+_END_S = 0.5
+_RECEIVE_BYTES = 16 * 1024
 
 
 class _Server:
@@ -42,10 +44,13 @@
         self.connections = 0
         self._form = form
         self._is_drip = is_drip
-        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._listener = self._open_listener()
         self.address = types.Address("127.0.0.1", self._listener.getsockname()[1])
         threading.Thread(target=self._accept, daemon=True).start()
 
+    def _open_listener(self):
+        return socket.create_server(("127.0.0.1", 0))
+
     def close(self):
         self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
@@ -80,6 +85,27 @@
         return len(data)
 
 
+class _EndingServer(_Server):
+    """Ends its side without having read the request."""
+
+    def __init__(self):
+        super().__init__("", is_drip=False)
+
+    def _open_listener(self):
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BYTES)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        return listener
+
+    def _serve(self, connection):
+        with connection, contextlib.suppress(OSError):
+            connection.recv(1000)
+            connection.sendall(_OK + b"\r\nhalf a body")
+            connection.shutdown(socket.SHUT_WR)
+            time.sleep(_END_S)
+
+
 @given("a server that answers with {form}")
 def step_server(context, form):
     context.server = _Server(form, is_drip=False)
@@ -92,6 +118,18 @@
     context.cleanups.append(context.server.close)
 
 
+@given("a server that ends its side without reading, with half a body")
+def step_unread(context):
+    context.server = _EndingServer()
+    context.cleanups.append(context.server.close)
+
+
+@when("an upload of {size:d} MB is sent to it")
+def step_upload(context, size):
+    pool = _make_pool(context)
+    context.outcome = pool.request("POST", "/", b"x" * (size << 20))
+
+
 def _make_pool(context, **limits):
     settings = http_pool.PoolSettings(read_timeout_s=5.0, **limits)
     return http_pool.HttpPool(context.server.address, settings)
--- a/src/endivevane/external/bounded_response.py
+++ b/src/endivevane/external/bounded_response.py
@@ -10,7 +10,7 @@
 import time
 import typing
 
-from endivevane import exceptions
+from endivevane import exceptions, sockets
 
 _PIECE_BYTES = 64 << 10
 _LAST_STATUS = 599
@@ -47,12 +47,15 @@
     """Reads from a socket within the limits of a response.
 
     :param raw: reads from the socket
+    :ivar has_unread_request: whether the peer ended the connection without having
+        received the whole request
     """
 
     def __init__(
         self, sock: socket.socket, raw: io.RawIOBase, limits: ResponseLimits
     ) -> None:
         super().__init__()
+        self.has_unread_request = False
         self._sock = sock
         self._raw = raw
         self._limits = limits
@@ -84,6 +87,9 @@
         if self._until_s is None:
             self._until_s = time.monotonic() + self._limits.timeout_s
         self._received_bytes += received or 0
+        if received == 0:
+            unread_bytes = sockets.count_unacknowledged_bytes(self._sock)
+            self.has_unread_request = unread_bytes > 0
         return received
 
     def close(self) -> None:
@@ -104,7 +110,25 @@
     ) -> None:
         super().__init__(sock, *arguments, **options)
         raw = self.fp.detach()
-        self.fp = io.BufferedReader(_BoundedReader(sock, raw, limits))
+        self._reader = _BoundedReader(sock, raw, limits)
+        self.fp = io.BufferedReader(self._reader)
+
+    def read_whole(self) -> bytes:
+        """Return the body, without allocating what the head announces.
+
+        :raises OSError: when the connection fails, or the response takes too long
+        :raises http.client.HTTPException: when it is cut or no valid response
+        :raises ResponseTooLarge: when it is too large
+        """
+        if self.status > _LAST_STATUS:
+            raise http.client.BadStatusLine(str(self.status))
+        pieces = []
+        while piece := self.read(_PIECE_BYTES):
+            pieces.append(piece)
+        ends_with_connection = self.length is None and not self.chunked
+        if self.length or (ends_with_connection and self._reader.has_unread_request):
+            raise http.client.IncompleteRead(b"", self.length)
+        return b"".join(pieces)
 
 
 def apply(connection: http.client.HTTPConnection, limits: ResponseLimits) -> None:
@@ -115,17 +139,10 @@
 
 
 def read_whole(response: http.client.HTTPResponse) -> bytes:
-    """Return the body of a response, without allocating what its head announces.
+    """Return the body of a response of a connection with limits.
 
     :raises OSError: when the connection fails, or the response takes too long
     :raises http.client.HTTPException: when it is cut or no valid response
     :raises ResponseTooLarge: when it is too large
     """
-    if response.status > _LAST_STATUS:
-        raise http.client.BadStatusLine(str(response.status))
-    pieces = []
-    while piece := response.read(_PIECE_BYTES):
-        pieces.append(piece)
-    if response.length:
-        raise http.client.IncompleteRead(b"", response.length)
-    return b"".join(pieces)
+    return typing.cast("_BoundedResponse", response).read_whole()
--- a/src/endivevane/serving/byte_stream.py
+++ b/src/endivevane/serving/byte_stream.py
@@ -4,14 +4,12 @@
 
 import asyncio
 import collections
-import fcntl
 import socket
 import struct
-import sys
-import termios
 import typing
 from collections import abc
 
+from endivevane import sockets
 from endivevane.serving import memory_budget
 
 # Unread bytes above which reading from the socket is paused.
@@ -26,8 +24,6 @@
 _KEEPALIVE_PROBES = 2
 # SO_LINGER with a timeout of 0 s: closing the socket sends a reset.
 _LINGER_RESET = struct.pack("ii", 1, 0)
-# Size of the number that the ioctl for unacknowledged bytes returns.
-_COUNT_BYTES = 4
 
 
 class MemoryRevoked(OSError):
@@ -135,7 +131,7 @@
         if self.has_unsent or self._is_closed or self._transport is None:
             return True
         sock = self._transport.get_extra_info("socket")
-        return sock is None or _count_unacknowledged_bytes(sock) > 0
+        return sock is None or sockets.count_unacknowledged_bytes(sock) > 0
 
     @property
     def _unsent_bytes(self) -> int:
@@ -283,18 +279,6 @@
             self._end_callback()
 
 
-def _count_unacknowledged_bytes(sock: socket.socket) -> int:
-    """Return how many bytes the peer's kernel has not acknowledged.
-
-    It is 0 where the system does not tell.
-    """
-    try:
-        answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_COUNT_BYTES))
-    except (OSError, ValueError):
-        return 0
-    return int.from_bytes(answer, sys.byteorder)
-
-
 def _set_socket_timeouts(sock: socket.socket | None) -> None:
     """Make the kernel close the connection when its peer is unresponsive."""
     if sock is None:
