Say what a burst without a rate does

The check said that nothing is allowed after it, but the quotas allow a small rate then. A version in force that can't be read is tested too.

--- a/features/config_check.feature
+++ b/features/config_check.feature
@@ -143,3 +143,11 @@
     And a configuration file like the store's with 7 connections
     When an operator checks it against the store, as text and as JSON
     Then it exits with 3 and prints "streams_above_connections"
+
+  # Guards against a check that fails, or says nothing, where the store's version is broken.
+  Scenario: A version in force that can't be read is a warning
+    Given a store with a configuration, targets, a daemon and two jobs
+    And the store's configuration is no valid one
+    And a configuration file like the store's with 50 connections
+    When an operator checks it against the store, as text and as JSON
+    Then it exits with 0 and prints "in_force_unreadable"
--- a/features/steps/config_check_steps.py
+++ b/features/steps/config_check_steps.py
@@ -197,8 +197,17 @@
         {"name": "gone", "apiKeys": ["k-3-secret"]},
     ]
 
+    _put(context, context.in_force)
+
+
+@given("the store's configuration is no valid one")
+def step_invalid_in_force(context):
+    _put(context, {"version": 1})
+
+
+def _put(context, configuration):
     async def put():
-        context.rows.write("op", "config", context.in_force)
+        context.rows.write("op", "config", configuration)
 
     context.loop.run(put())
 
--- a/src/endivevane/configuration_check/organisations.py
+++ b/src/endivevane/configuration_check/organisations.py
@@ -18,8 +18,9 @@
             yield findings.Finding(
                 findings.Rule.BURST_WITHOUT_RATE,
                 organisation.find("burst"),
-                f"organisation {organisation.name} may send {organisation.burst:g} "
-                "requests once and none after: it has no rate",
+                f"organisation {organisation.name} has a burst of "
+                f"{organisation.burst:g} requests and no rate, so that nearly all "
+                "others are refused",
             )
 
 
