--- a/features/support/quota_net.py
+++ b/features/support/quota_net.py
@@ -183,6 +183,7 @@
         self, regions, organisations, limits=None, seed=0, has_heartbeats=True
     ):
         self.limits = limits or settings.QuotasSection()
+        self.stopping = set()
         self.organisations = {item.name: item for item in organisations}
         self.generator = random.Random(seed)
         self.has_heartbeats = has_heartbeats
@@ -259,6 +260,13 @@
             for other in others:
                 self.cuts.update(((one, other), (other, one)))
 
+    def find_issuer(self, organisation):
+        """Return the name of the daemon that ranks first in its own view."""
+        for daemon in self.daemons.values():
+            if daemon.is_up and daemon.view.is_issuer(organisation):
+                return daemon.name
+        return None
+
     def take_snapshot(self, daemon):
         now_s = self.now_s
         if self.has_heartbeats:
@@ -277,7 +285,7 @@
             live, heard = self._find_alive(now_s)
         return membership.Snapshot(
             self.regions,
-            live,
+            live - self.stopping,
             heard + self.has_heartbeats,
             _HOLD_OFF_S,
             _SETTLE_S,
--- a/src/endivevane/quotas/answers.py
+++ b/src/endivevane/quotas/answers.py
@@ -21,6 +21,11 @@
         self._given[key] = (now_s + _TTL_S, grant)
         self._due.setdefault((asker, number), []).append(grant)
 
+    def add_queued(self, asker: str, number: int, organisation: str) -> None:
+        """Tell a daemon that one need of its question waits."""
+        grant = messages.Grant(organisation, 0, 0.0)
+        self._due.setdefault((asker, number), []).append(grant)
+
     def repeat(self, asker: str, number: int, organisation: str) -> bool:
         """Answer a need again in the same way; return whether it had been answered."""
         given = self._given.get((asker, number, organisation))
--- a/src/endivevane/quotas/asking.py
+++ b/src/endivevane/quotas/asking.py
@@ -22,7 +22,7 @@
 _REMOTE_AHEAD_S = 2.2
 # One question in so many goes to the second daemon of the issuer's region, which holds
 # tokens for as long at the demand of all.
-_DEPUTY_PERIOD = 8
+DEPUTY_PERIOD = 8
 # Within a region a daemon asks ahead only where questions for each request would be too
 # many.
 _NEAR_AHEAD_S = 0.1
@@ -129,20 +129,21 @@
 
         :param numbers: numbers of the questions of this step by recipient
         """
-        source = self._choose_source(organisation, found, now_s)
+        source, is_sample = self._choose_source(organisation, found, now_s)
         asked = found.open
         if source is None:
             found.open = None
             return None
+        waiting = found.count_missing(now_s)
         if asked is not None and asked.source == source:
             if now_s - asked.sent_s < self._find_repeat_interval_s(source):
                 return None
             if asked.sent_count >= _MAX_UNANSWERED:
                 self._passed_over_s[source] = now_s + _PASSED_OVER_S
-            asked.sent_s = now_s
-            asked.sent_count += 1
-            return asked
-        waiting = found.count_missing(now_s)
+            if asked.need.waiting or not waiting:
+                asked.sent_s = now_s
+                asked.sent_count += 1
+                return asked
         ahead = self._count_ahead(organisation, found, now_s)
         if not waiting and not ahead:
             return None
@@ -155,35 +156,41 @@
             for item in found.remove_ending(source, now_s, within_s)
         )
         held = found.list_held(source, now_s)
-        need = messages.Need(organisation, waiting, ahead, held, returned)
+        need = messages.Need(organisation, waiting, ahead, held, returned, is_sample)
         found.open = pool.OpenAsk(source, number, need, now_s, now_s)
         return found.open
 
     def _choose_source(
         self, organisation: str, found: pool.Pool, now_s: float
-    ) -> str | None:
-        """Return the daemon to ask, one that has answered lately if there is any."""
+    ) -> tuple[str | None, bool]:
+        """Return the daemon to ask, one that has answered lately if there is any.
+
+        The second value says whether it is asked only now and then.
+        """
         sources = self.list_sources(organisation, found, now_s)
         if found.open is not None:
             if not self._is_passed_over(found.open.source, now_s):
-                return found.open.source
-        elif self._has_deputy(organisation, sources) and self._is_deputy_turn():
-            sources = sources[::-1]
+                return found.open.source, found.open.need.is_sample
+        elif self._is_deputy_turn(organisation, sources, now_s):
+            return sources[1], True
         for source in sources:
             if not self._is_passed_over(source, now_s):
-                return source
-        return sources[0] if sources else None
+                return source, False
+        return (sources[0] if sources else None), False
 
     def _is_passed_over(self, source: str, now_s: float) -> bool:
         return now_s < self._passed_over_s.get(source, 0.0)
 
-    def _has_deputy(self, organisation: str, sources: abc.Sequence[str]) -> bool:
-        """Whether the first daemon to ask is the issuer, and not the only one."""
+    def _is_deputy_turn(
+        self, organisation: str, sources: abc.Sequence[str], now_s: float
+    ) -> bool:
+        """Whether to ask the second daemon of the issuer's region this time."""
         first = self._view.list_first(organisation)
-        return len(sources) > 1 and sources[0] == first[0]
-
-    def _is_deputy_turn(self) -> bool:
-        return not next(self._turns) % _DEPUTY_PERIOD
+        if len(sources) < 2 or sources[0] != first[0]:
+            return False
+        if any(self._is_passed_over(name, now_s) for name in sources[:2]):
+            return False
+        return not next(self._turns) % DEPUTY_PERIOD
 
     def _find_repeat_interval_s(self, source: str) -> float:
         if self._view.is_remote(source):
@@ -203,8 +210,6 @@
         if not is_deputy and not self._view.is_remote(sources[0]):
             wanted = int(demand_per_s * _NEAR_AHEAD_S)
             return wanted - found.count(now_s) if not found.count(now_s) else 0
-        if is_deputy:
-            demand_per_s *= _DEPUTY_PERIOD
         ahead_s = min(_REMOTE_AHEAD_S, _AHEAD_LIFE_SHARE * found.life_s)
         wanted = math.ceil(demand_per_s * ahead_s) + 1
         held = found.count(now_s, _EXCHANGE_LIFE_SHARE * found.life_s)
--- a/src/endivevane/quotas/holder.py
+++ b/src/endivevane/quotas/holder.py
@@ -141,7 +141,7 @@
                 continue
             if self._view.is_issuer(organisation.name):
                 self._issue(sender, ask.number, organisation, need, now_s)
-            elif need.waiting:
+            else:
                 self._add_other(sender, ask.number, need, now_s)
 
     def handle_grants(
@@ -156,6 +156,9 @@
             asked = found.open
             if asked.number != message.number or asked.source != sender:
                 continue
+            if grant.is_queued and asked.need.waiting:
+                asked.sent_s, asked.sent_count = now_s, 0
+                continue
             found.open = None
             if grant.count:
                 found.life_s = grant.life_s
@@ -241,19 +244,25 @@
         """Answer a need from the tokens here, or later."""
         name = need.organisation
         found = self._find_pool(name)
-        if any(
-            item.asker == sender and item.number == number for item in found.waiters
-        ):
+        if found.has_waiter(sender, number):
+            self._answers.add_queued(sender, number, name)
             return
-        found.add_demand(need.waiting, now_s, is_other=True)
+        weight = asking.DEPUTY_PERIOD if need.is_sample else 1
+        found.add_demand(weight * need.waiting, now_s, is_other=True)
         is_full = len(found.waiters) >= _MAX_WAITERS
         if is_full or (now_s < found.refuse_until_s and not found.count(now_s)):
             self._refuse_other(name, found, sender, number, now_s)
             return
         until_s = now_s + _MAX_WAIT_S
         waiter = pool.Waiter(sender, number, need.waiting, need.ahead, until_s)
+        if not need.waiting:
+            self._give_other(name, found, waiter, now_s)
+            self._asking.request_ahead(name, found, now_s)
+            return
         found.waiters.append(waiter)
         self._serve(name, found, now_s)
+        if found.has_waiter(sender, number):
+            self._answers.add_queued(sender, number, name)
 
     def _serve(self, name: str, found: pool.Pool, now_s: float) -> None:
         """Give tokens to the requests that wait, and get more for the rest."""
@@ -286,13 +295,19 @@
                 continue
             if held < waiter.count and not is_partial:
                 return
-            spare = max(0, held - waiter.count) // 2
-            count, until_s = found.take(waiter.count + min(waiter.ahead, spare), now_s)
             found.waiters.popleft()
-            retry_after_s = max(_MIN_RETRY_S, found.retry_s - now_s)
-            life_s = min(until_s - now_s, self._find_ttl_s(name))
-            grant = messages.Grant(name, count, life_s, retry_after_s)
-            self._answers.add(waiter.asker, waiter.number, grant, now_s)
+            self._give_other(name, found, waiter, now_s)
+
+    def _give_other(
+        self, name: str, found: pool.Pool, waiter: pool.Waiter, now_s: float
+    ) -> None:
+        """Give another daemon what it needs, and part of what is left ahead."""
+        spare = max(0, found.count(now_s) - waiter.count) // 2
+        count, until_s = found.take(waiter.count + min(waiter.ahead, spare), now_s)
+        retry_after_s = max(_MIN_RETRY_S, found.retry_s - now_s)
+        life_s = min(until_s - now_s, self._find_ttl_s(name))
+        grant = messages.Grant(name, count, life_s, retry_after_s)
+        self._answers.add(waiter.asker, waiter.number, grant, now_s)
 
     def _find_ttl_s(self, name: str) -> float:
         """Return the life of a token that counts as used once it is passed on."""
--- a/src/endivevane/quotas/issuer.py
+++ b/src/endivevane/quotas/issuer.py
@@ -18,8 +18,11 @@
 # Life of a token that is lent to a daemon that holds tokens for requests to come.
 LENT_TTL_S = 4.0
 # While tokens of the issuer before may be outstanding, only so much of what may be lent
-# is lent, and it takes the place of tokens in the bucket.
+# is lent.
 _EARLY_LENT_SHARE = 1 / 3
+# So much of a bucket may be lent beyond that; lent tokens then take the place of tokens
+# in the bucket.
+_LENT_DEPTH_SHARE = 0.25
 # What a daemon asks for ahead is issued from the upper part of a bucket only.
 _AHEAD_SHARE = 0.5
 # Requests that were refused come again after about this time.
@@ -117,13 +120,12 @@
         passed_s = max(0.0, now_s - self.filled_s)
         while self.loans and self.loans[0].until_s <= now_s:
             self.loans.popleft()
-        depth = self.depth
-        if self.is_early(now_s):
-            depth = max(0.0, depth - self.count_lent())
-        self.level = min(depth, self.level + self.rate_per_s * passed_s)
+        self.level = min(
+            self._find_free_depth(now_s), self.level + self.rate_per_s * passed_s
+        )
         self.filled_s = max(self.filled_s, now_s)
         self._share = share
-        self.level = min(self.depth, self.level)
+        self.level = min(self._find_free_depth(now_s), self.level)
 
     def set_limits(self, rate_per_s: float, depth: float) -> None:
         """Apply the limits of a configuration."""
@@ -140,6 +142,23 @@
         """Most tokens that it holds, at least one."""
         return max(1.0, self._share * self._depth)
 
+    def find_room(self, now_s: float) -> int:
+        """Return how many tokens may be lent now."""
+        most = self._find_covered(now_s)
+        if not self.is_early(now_s):
+            most += _LENT_DEPTH_SHARE * self.depth
+        return int(most) - self.count_lent()
+
+    def _find_covered(self, now_s: float) -> float:
+        """Return how many lent tokens overage and slack cover."""
+        covered = self.max_lent * self._share
+        return covered * _EARLY_LENT_SHARE if self.is_early(now_s) else covered
+
+    def _find_free_depth(self, now_s: float) -> float:
+        """Return the depth less the lent tokens that take the place of others."""
+        covered = 0.0 if self.is_early(now_s) else self._find_covered(now_s)
+        return max(0.0, self.depth - max(0.0, self.count_lent() - covered))
+
     def count_lent(self) -> int:
         """Return the number of lent tokens that may still be used."""
         return sum(loan.count for loan in self.loans)
@@ -197,7 +216,7 @@
         ahead = 0
         if count == need.waiting and need.ahead:
             spare = int(bucket.level - count - _AHEAD_SHARE * bucket.depth)
-            room = self._find_room(bucket, now_s) - count
+            room = bucket.find_room(now_s) - count
             if room > 0:
                 ahead = max(0, min(need.ahead, spare, room))
             else:
@@ -229,11 +248,11 @@
             if since_s > bucket.since_s:
                 del self._buckets[name]
                 if math.isinf(since_s) and self._view.is_confirmed(now_s):
-                    count = min(int(bucket.level), self._find_room(bucket, now_s))
+                    count = min(int(bucket.level), bucket.find_room(now_s))
                     kept.append(Kept(name, max(0, count), now_s + LENT_TTL_S))
                 continue
             bucket.fill(self._view.share, now_s)
-            if bucket.is_full and not bucket.loans:
+            if bucket.is_full and not bucket.count_lent():
                 del self._buckets[name]
         return kept
 
@@ -257,10 +276,3 @@
         bucket.set_limits(rate_per_s, depth)
         bucket.max_lent = self._limits.find_max_lent(organisation)
         return bucket
-
-    def _find_room(self, bucket: _Bucket, now_s: float) -> int:
-        """Return how many tokens may be lent now."""
-        limit = bucket.max_lent * self._view.share
-        if bucket.is_early(now_s):
-            limit *= _EARLY_LENT_SHARE
-        return int(limit) - bucket.count_lent()
--- a/src/endivevane/quotas/messages.py
+++ b/src/endivevane/quotas/messages.py
@@ -20,6 +20,8 @@
 KINDS = frozenset((_ASK_KIND, _GRANTS_KIND, _PROBE_KIND, _WITNESS_KIND))
 # Above the requests of an organisation that a daemon can hold.
 MAX_TOKENS = 100_000
+# Above the life of any token.
+_MAX_TIME_MS = 86_400_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,6 +44,7 @@
     :param held: what the sender holds of the recipient's earlier grants; of all others
         before this request it holds nothing
     :param returned: what it gives up of them
+    :param is_sample: whether the sender asks another daemon most of the time
     """
 
     organisation: str
@@ -49,6 +52,7 @@
     ahead: int = 0
     held: tuple[Remainder, ...] = ()
     returned: tuple[Remainder, ...] = ()
+    is_sample: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,6 +71,8 @@
 class Grant:
     """Tokens of one organisation, each the right to send one request to a target.
 
+    Without tokens and without a time to come back, the need waits for its answer.
+
     :param life_s: time after the request for them was first sent at which they are void
     :param retry_after_s: time until another token is likely due
     """
@@ -76,6 +82,11 @@
     life_s: float
     retry_after_s: float = 0.0
 
+    @property
+    def is_queued(self) -> bool:
+        """Whether the need waits for its answer."""
+        return not self.count and not self.retry_after_s
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class QuotaGrants:
@@ -119,28 +130,19 @@
 
 @encode_fields.register
 def _(message: QuotaAsk) -> tuple[typing.Any, ...]:
-    needs = [
-        (
-            need.organisation,
-            need.waiting,
-            need.ahead,
-            _encode_remainders(message.number, need.held),
-            _encode_remainders(message.number, need.returned),
-        )
-        for need in message.needs
-    ]
+    needs = [_encode_need(message.number, need) for need in message.needs]
     return (_ASK_KIND, message.number, needs)
 
 
 @encode_fields.register
 def _(message: QuotaGrants) -> tuple[typing.Any, ...]:
+    # Milliseconds are rounded down, so that no token outlives its grant.
     grants = [
         (
             grant.organisation,
             grant.count,
-            # Rounded down, so that no token outlives its grant.
-            math.floor(grant.life_s * 1000) / 1000,
-            round(grant.retry_after_s, 3),
+            int(grant.life_s * 1000),
+            math.ceil(grant.retry_after_s * 1000),
         )
         for grant in message.grants
     ]
@@ -177,6 +179,20 @@
     return QuotaGrants(number, tuple(_decode_grant(*item) for item in grants))
 
 
+def _encode_need(number: int, need: Need) -> tuple[typing.Any, ...]:
+    """Return the fields of a need, without those at the end that are usually zero."""
+    if not (need.ahead or need.held or need.returned or need.is_sample):
+        return (need.organisation, need.waiting)
+    return (
+        need.organisation,
+        need.waiting,
+        need.ahead,
+        int(need.is_sample),
+        _encode_remainders(number, need.held),
+        _encode_remainders(number, need.returned),
+    )
+
+
 def _encode_remainders(
     number: int, remainders: abc.Iterable[Remainder]
 ) -> list[tuple[int, int]]:
@@ -190,7 +206,7 @@
             number - json_fields.read_count(distance),
             json_fields.read_count(count, MAX_TOKENS),
         )
-        for distance, count in json_fields.read_list(raw)
+        for distance, count in raw
     )
 
 
@@ -198,9 +214,10 @@
     number: int,
     organisation: typing.Any,
     waiting: typing.Any,
-    ahead: typing.Any,
-    held: typing.Any,
-    returned: typing.Any,
+    ahead: typing.Any = 0,
+    is_sample: typing.Any = 0,
+    held: typing.Any = (),
+    returned: typing.Any = (),
 ) -> Need:
     return Need(
         json_fields.read_text(organisation),
@@ -208,6 +225,7 @@
         json_fields.read_count(ahead, MAX_TOKENS),
         _decode_remainders(number, held),
         _decode_remainders(number, returned),
+        bool(json_fields.read_count(is_sample, 1)),
     )
 
 
@@ -218,12 +236,12 @@
 def _decode_grant(
     organisation: typing.Any,
     count: typing.Any,
-    life_s: typing.Any,
-    retry_after_s: typing.Any,
+    life_ms: typing.Any,
+    retry_after_ms: typing.Any,
 ) -> Grant:
     return Grant(
         json_fields.read_text(organisation),
         json_fields.read_count(count, MAX_TOKENS),
-        json_fields.read_age_s(life_s),
-        json_fields.read_age_s(retry_after_s),
+        json_fields.read_count(life_ms, _MAX_TIME_MS) / 1000.0,
+        json_fields.read_count(retry_after_ms, _MAX_TIME_MS) / 1000.0,
     )
--- a/src/endivevane/quotas/pool.py
+++ b/src/endivevane/quotas/pool.py
@@ -111,6 +111,12 @@
         waiting = sum(waiter.count for waiter in self.waiters)
         return max(0, waiting - self.count(now_s))
 
+    def has_waiter(self, asker: str, number: int) -> bool:
+        """Whether a request of another daemon waits."""
+        return any(
+            waiter.asker == asker and waiter.number == number for waiter in self.waiters
+        )
+
     def is_idle(self, now_s: float) -> bool:
         """Whether nothing has to be remembered."""
         is_empty = not (self.batches or self.waiters or self.open)
