Pass questions for tokens on once only

Two daemons that took each other for the issuer's neighbour could wait for each other for ever: at 400 requests/s of an organisation with 101, 9 daemons served none after 8 s.

--- a/src/endivevane/quotas/asking.py
+++ b/src/endivevane/quotas/asking.py
@@ -129,7 +129,7 @@
 
         :param numbers: numbers of the questions of this step by recipient
         """
-        source, is_sample = self._choose_source(organisation, found, now_s)
+        source, purpose = self._choose_source(organisation, found, now_s)
         asked = found.open
         if source is None:
             found.open = None
@@ -138,9 +138,10 @@
         if asked is not None and asked.source == source:
             if now_s - asked.sent_s < self._find_repeat_interval_s(source):
                 return None
-            if asked.sent_count >= _MAX_UNANSWERED:
+            is_late = now_s - asked.first_sent_s >= _GIVE_UP_AFTER_S
+            if asked.sent_count >= _MAX_UNANSWERED or is_late:
                 self._passed_over_s[source] = now_s + _PASSED_OVER_S
-            if asked.need.waiting or not waiting:
+            if not is_late and (asked.need.waiting or not waiting):
                 asked.sent_s = now_s
                 asked.sent_count += 1
                 return asked
@@ -156,27 +157,29 @@
             for item in found.remove_ending(source, now_s, within_s)
         )
         held = found.list_held(source, now_s)
-        need = messages.Need(organisation, waiting, ahead, held, returned, is_sample)
+        need = messages.Need(organisation, waiting, ahead, held, returned, purpose)
+        found.refused = 0
         found.open = pool.OpenAsk(source, number, need, now_s, now_s)
         return found.open
 
     def _choose_source(
         self, organisation: str, found: pool.Pool, now_s: float
-    ) -> tuple[str | None, bool]:
-        """Return the daemon to ask, one that has answered lately if there is any.
-
-        The second value says whether it is asked only now and then.
-        """
+    ) -> tuple[str | None, messages.Purpose]:
+        """Return the daemon to ask, one that has answered lately if there is any."""
         sources = self.list_sources(organisation, found, now_s)
+        purpose = messages.Purpose.OWN
+        is_region_first = self._view.is_region_first(organisation)
+        if is_region_first or found.serves_others(now_s):
+            purpose = messages.Purpose.OTHERS
         if found.open is not None:
             if not self._is_passed_over(found.open.source, now_s):
-                return found.open.source, found.open.need.is_sample
+                return found.open.source, found.open.need.purpose
         elif self._is_deputy_turn(organisation, sources, now_s):
-            return sources[1], True
+            return sources[1], messages.Purpose.SAMPLE
         for source in sources:
             if not self._is_passed_over(source, now_s):
-                return source, False
-        return (sources[0] if sources else None), False
+                return source, purpose
+        return (sources[0] if sources else None), purpose
 
     def _is_passed_over(self, source: str, now_s: float) -> bool:
         return now_s < self._passed_over_s.get(source, 0.0)
--- a/src/endivevane/quotas/holder.py
+++ b/src/endivevane/quotas/holder.py
@@ -104,6 +104,7 @@
             self._asking.request_ahead(organisation, found, now_s)
             return outcomes.ADMITTED
         if now_s < found.refuse_until_s or len(found.waiters) >= _MAX_WAITERS:
+            found.refused += 1
             return outcomes.OverQuota(max(_MIN_RETRY_S, found.retry_s - now_s))
         until_s = now_s + min(wait_s, _MAX_WAIT_S)
         found.waiters.append(pool.Waiter("", ticket, 1, 0, until_s))
@@ -247,14 +248,19 @@
         if found.has_waiter(sender, number):
             self._answers.add_queued(sender, number, name)
             return
-        weight = asking.DEPUTY_PERIOD if need.is_sample else 1
+        is_sample = need.purpose is messages.Purpose.SAMPLE
+        weight = asking.DEPUTY_PERIOD if is_sample else 1
         found.add_demand(weight * need.waiting, now_s, is_other=True)
         is_full = len(found.waiters) >= _MAX_WAITERS
         if is_full or (now_s < found.refuse_until_s and not found.count(now_s)):
+            found.refused += need.waiting
             self._refuse_other(name, found, sender, number, now_s)
             return
         until_s = now_s + _MAX_WAIT_S
         waiter = pool.Waiter(sender, number, need.waiting, need.ahead, until_s)
+        is_passed_on = need.purpose is messages.Purpose.OTHERS
+        if is_passed_on and found.count(now_s) < need.waiting:
+            return
         if not need.waiting:
             self._give_other(name, found, waiter, now_s)
             self._asking.request_ahead(name, found, now_s)
@@ -304,6 +310,8 @@
         """Give another daemon what it needs, and part of what is left ahead."""
         spare = max(0, found.count(now_s) - waiter.count) // 2
         count, until_s = found.take(waiter.count + min(waiter.ahead, spare), now_s)
+        if count > waiter.count:
+            found.add_demand(count - waiter.count, now_s, is_other=True)
         retry_after_s = max(_MIN_RETRY_S, found.retry_s - now_s)
         life_s = min(until_s - now_s, self._find_ttl_s(name))
         grant = messages.Grant(name, count, life_s, retry_after_s)
@@ -325,6 +333,7 @@
         if organisation is None:
             return
         need = messages.Need(name, found.count_missing(now_s))
+        found.refused = 0
         number = self._asking.next_number()
         issued = self._issuer.issue(organisation, "", number, need, now_s)
         if issued is None:
--- a/src/endivevane/quotas/messages.py
+++ b/src/endivevane/quotas/messages.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 import functools
 import math
 import typing
@@ -24,6 +25,18 @@
 _MAX_TIME_MS = 86_400_000
 
 
+class Purpose(enum.IntEnum):
+    """Whose requests a daemon asks for: its own, or others' as well.
+
+    A sample is its own too, but it asks another daemon most of the time. What is asked
+    for others is not passed on again.
+    """
+
+    OWN = 0
+    SAMPLE = 1
+    OTHERS = 2
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Remainder:
     """Tokens of a grant that have not been used.
@@ -44,7 +57,6 @@
     :param held: what the sender holds of the recipient's earlier grants; of all others
         before this request it holds nothing
     :param returned: what it gives up of them
-    :param is_sample: whether the sender asks another daemon most of the time
     """
 
     organisation: str
@@ -52,7 +64,7 @@
     ahead: int = 0
     held: tuple[Remainder, ...] = ()
     returned: tuple[Remainder, ...] = ()
-    is_sample: bool = False
+    purpose: Purpose = Purpose.OWN
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -181,13 +193,13 @@
 
 def _encode_need(number: int, need: Need) -> tuple[typing.Any, ...]:
     """Return the fields of a need, without those at the end that are usually zero."""
-    if not (need.ahead or need.held or need.returned or need.is_sample):
+    if not (need.ahead or need.held or need.returned or need.purpose):
         return (need.organisation, need.waiting)
     return (
         need.organisation,
         need.waiting,
         need.ahead,
-        int(need.is_sample),
+        int(need.purpose),
         _encode_remainders(number, need.held),
         _encode_remainders(number, need.returned),
     )
@@ -215,7 +227,7 @@
     organisation: typing.Any,
     waiting: typing.Any,
     ahead: typing.Any = 0,
-    is_sample: typing.Any = 0,
+    purpose: typing.Any = Purpose.OWN,
     held: typing.Any = (),
     returned: typing.Any = (),
 ) -> Need:
@@ -225,7 +237,7 @@
         json_fields.read_count(ahead, MAX_TOKENS),
         _decode_remainders(number, held),
         _decode_remainders(number, returned),
-        bool(json_fields.read_count(is_sample, 1)),
+        Purpose(json_fields.read_count(purpose)),
     )
 
 
--- a/src/endivevane/quotas/pool.py
+++ b/src/endivevane/quotas/pool.py
@@ -66,6 +66,7 @@
     :ivar open: what has been asked of another daemon
     :ivar refuse_until_s: time until which no token is to be had
     :ivar retry_s: time at which one is likely due
+    :ivar refused: requests that were refused since the last question
     :ivar life_s: life of the tokens that were granted last
     :ivar ahead_after_s: time from which tokens may be asked for ahead
     """
@@ -76,6 +77,7 @@
         self.open: OpenAsk | None = None
         self.refuse_until_s = float("-inf")
         self.retry_s = float("-inf")
+        self.refused = 0
         self.life_s = issuer.LENT_TTL_S
         self.ahead_after_s = float("-inf")
         self._demand = 0.0
@@ -107,9 +109,13 @@
         return now_s - self._others_s < _QUIET_AFTER_S
 
     def count_missing(self, now_s: float) -> int:
-        """Return how many tokens the requests that wait need beyond those held."""
+        """Return how many tokens the requests that wait need beyond those held.
+
+        Where requests were refused since the last question, as many are likely to come.
+        """
         waiting = sum(waiter.count for waiter in self.waiters)
-        return max(0, waiting - self.count(now_s))
+        missing = max(0, waiting - self.count(now_s))
+        return missing + self.refused if missing else 0
 
     def has_waiter(self, asker: str, number: int) -> bool:
         """Whether a request of another daemon waits."""
