Let organisations take turns with batch items of the same urgency

One organisation's jobs filled the slots for items, so that others missed their due times. Among items of the same urgency, the coordinator and the owner of the jobs now prefer organisations that hold fewer slots. Slot requests of items carry the organisation, and their limit counts for each organisation.

--- a/src/endivevane/fairness/shares.py
+++ b/src/endivevane/fairness/shares.py
@@ -18,6 +18,9 @@
 # The share is computed again after this many changes per organisation, or this time.
 _CHANGES_PER_ORGANISATION = 0.05
 _MAX_AGE_S = 0.1
+# While fewer requests wait per slot in use, all go in the order of their objectives;
+# they wait for this share of the time for which a slot is held.
+_SHORT_QUEUE = 0.05
 # An organisation that uses less than this counts as one that uses nothing.
 _LEAST_USE = 0.01
 
@@ -162,4 +165,7 @@
         for organisation, count in self._waiting.items():
             if organisation not in self._usages:
                 demands.append((float(count), self._weigh(organisation)))
+        waiting = sum(self._waiting.values())
+        if waiting <= _SHORT_QUEUE * self._capacity:
+            return math.inf
         return fill(demands, self._capacity)
--- a/src/endivevane/serving/batch_slots.py
+++ b/src/endivevane/serving/batch_slots.py
@@ -120,12 +120,14 @@
         urgency: item_estimates.Urgency,
         due_left_s: float,
         version: str | None = None,
+        organisation: str = "",
     ) -> slot_registry.Slot | None:
         """Return a slot for an item, ``None`` if none is free now.
 
         :param due_left_s: time until the item is due
         :param version: software version at which the item goes on, ``None`` for any;
             slots that a coordinator has granted may be at another one
+        :param organisation: whose item it is, empty for none
         """
 
 
@@ -152,6 +154,7 @@
         urgency: item_estimates.Urgency,
         due_left_s: float,
         version: str | None = None,
+        organisation: str = "",
     ) -> slot_registry.Slot | None:
         """Return a slot for an item, ``None`` if none is free now."""
         now_s = time.monotonic()
@@ -196,6 +199,7 @@
         urgency: item_estimates.Urgency,
         due_left_s: float,
         version: str | None = None,
+        organisation: str = "",
     ) -> slot_registry.Slot | None:
         """Return a slot for an item, ``None`` if none is free now."""
-        return self._client.find_batch_slot(service, urgency, due_left_s)
+        return self._client.find_batch_slot(service, urgency, due_left_s, organisation)
--- a/src/endivevane/serving/coordinator.py
+++ b/src/endivevane/serving/coordinator.py
@@ -7,12 +7,14 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import functools
 import typing
 from collections import abc
 
 from endivevane import logs
+from endivevane.fairness import turns
 from endivevane.serving import (
     item_estimates,
     load_table,
@@ -97,6 +99,8 @@
         self._selector = selector
         self._send = send
         self._members: dict[str, _Member] = {}
+        # Slots of batch items, by organisation.
+        self._batch_held: collections.Counter[str] = collections.Counter()
         # Slot requests of batch items, by daemon and number.
         self._batch: dict[tuple[str, int], _Entry] = {}
         self._cooldown_started_s: dict[str, float] = {}
@@ -287,6 +291,8 @@
     def _grant(self, name: str, entry: _Entry, target: model.Target) -> None:
         entry.target_id = target.target_id
         self._loads.add_granted(entry.target_id, entry.is_batch)
+        if entry.is_batch and entry.organisation is not None:
+            self._batch_held[entry.organisation] += 1
         self._send(name, slot_messages.Granted(entry.number, entry.target_id))
 
     def _remove_entry(self, member: _Member, entry: _Entry, now_s: float) -> None:
@@ -297,11 +303,24 @@
             self._queue.cancel(entry.waiter, now_s)
         if entry.target_id:
             self._loads.remove_granted(entry.target_id, entry.is_batch)
-            if not entry.is_batch and entry.organisation is not None:
-                self._queue.record_end(entry.service, entry.organisation, now_s)
+            self._record_end(entry, now_s)
+
+    def _record_end(self, entry: _Entry, now_s: float) -> None:
+        """Record that an organisation no longer holds a slot."""
+        if entry.organisation is None:
+            return
+        if not entry.is_batch:
+            self._queue.record_end(entry.service, entry.organisation, now_s)
+            return
+        self._batch_held[entry.organisation] -= 1
+        if not self._batch_held[entry.organisation]:
+            del self._batch_held[entry.organisation]
 
     def _grant_batch_slots(self, now_s: float) -> None:
-        """Grant slots that online requests leave free to batch items, by urgency."""
+        """Grant slots that online requests leave free to batch items, by urgency.
+
+        Organisations take turns among items of the same urgency.
+        """
         if not self._batch:
             return
         full: set[tuple[str, bool, str]] = set()
@@ -309,6 +328,11 @@
         ordered = sorted(
             self._batch.items(), key=lambda item: (item[1].urgency, item[1].due_s)
         )
+        ordered = turns.order_by_turns(
+            ordered,
+            lambda item: (item[1].urgency, item[1].organisation or ""),
+            self._batch_held,
+        )
         for (name, number), entry in ordered:
             is_urgent = entry.urgency is item_estimates.Urgency.URGENT
             zone = entry.availability_zone if self._selector.depends_on_zone else ""
--- a/src/endivevane/serving/item_requests.py
+++ b/src/endivevane/serving/item_requests.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import random
 from collections import abc
 
+from endivevane.fairness import turns
 from endivevane.serving import (
     item_estimates,
     model,
@@ -29,6 +31,32 @@
     route: model.Route
     service: str
 
+    @property
+    def organisation(self) -> str:
+        """Whose item it is, empty for none."""
+        return self.owned.entry.job.organisation or ""
+
+
+Ready = tuple[item_estimates.Urgency, owned_jobs.OwnedJob, owned_jobs.ItemRun]
+
+
+def order_by_shares(
+    ready: abc.Sequence[Ready], owned_now: abc.Iterable[owned_jobs.OwnedJob]
+) -> list[Ready]:
+    """Return items such that organisations take turns among those as urgent.
+
+    :param ready: items by urgency and due time
+    :param owned_now: all jobs of this daemon, whose running items count
+    """
+    if len({owned.entry.job.organisation for _, owned, _ in ready}) < 2:
+        return list(ready)
+    held: collections.Counter[str] = collections.Counter()
+    for owned in owned_now:
+        held[owned.entry.job.organisation or ""] += len(owned.list_running())
+    return turns.order_by_turns(
+        ready, lambda entry: (entry[0], entry[1].entry.job.organisation or ""), held
+    )
+
 
 def choose_service(
     run: owned_jobs.ItemRun,
--- a/src/endivevane/serving/job_runner.py
+++ b/src/endivevane/serving/job_runner.py
@@ -194,7 +194,9 @@
             version = item_requests.find_version(
                 first, self._dependencies.choices, now_s
             )
-            slot = slot_round.find(first.service, first.urgency, left_s, version)
+            slot = slot_round.find(
+                first.service, first.urgency, left_s, version, first.organisation
+            )
             if slot is None:
                 del requests[0]
                 continue
@@ -229,7 +231,7 @@
                 -entry[2].last_event,
             )
         )
-        return ready
+        return item_requests.order_by_shares(ready, self._owned.values())
 
     def _classify_urgency(
         self, owned: owned_jobs.OwnedJob, run: owned_jobs.ItemRun
--- a/src/endivevane/serving/slot_client.py
+++ b/src/endivevane/serving/slot_client.py
@@ -29,7 +29,7 @@
 # A coordinator that does not answer a queued request for this long is suspected, and
 # the next one in rank is asked.
 _UNRESPONSIVE_AFTER_S = 0.5
-# Most pending slot requests for batch items of one service.
+# Most pending slot requests for batch items of one service and organisation.
 _MAX_BATCH_REQUESTS = 8
 # A slot granted for a batch item is released when it stays unused for this long.
 _UNUSED_TIMEOUT_S = 0.2
@@ -142,22 +142,32 @@
         self._handle(message, sender)
 
     def find_batch_slot(
-        self, service: str, urgency: item_estimates.Urgency, due_left_s: float
+        self,
+        service: str,
+        urgency: item_estimates.Urgency,
+        due_left_s: float,
+        organisation: str = "",
     ) -> slot_registry.Slot | None:
         """Return a slot granted for a batch item, or request one.
 
         :param due_left_s: time until the item is due
+        :param organisation: whose item it is, empty for none
         """
         now_s = time.monotonic()
-        for number, (slot, _) in self._granted.items():
-            if slot.target.service == service:
-                del self._granted[number]
-                return slot
+        found = [
+            slot for slot, _ in self._granted.values() if slot.target.service == service
+        ]
+        if found:
+            # The first of its organisation, or else the first one.
+            slot = min(found, key=lambda item: item.organisation != organisation)
+            del self._granted[slot.number]
+            return slot
         pending = sum(
-            1 for item in self._batch.values() if _is_for_service(item, service)
+            (item.message.service, item.message.organisation) == (service, organisation)
+            for item in self._batch.values()
         )
         if pending < _MAX_BATCH_REQUESTS:
-            self._request_batch_slot(service, urgency, due_left_s, now_s)
+            self._request_batch_slot(service, urgency, due_left_s, organisation, now_s)
         return None
 
     def refresh_batch_requests(self, waiting: abc.Mapping[str, int]) -> None:
@@ -267,6 +277,7 @@
         service: str,
         urgency: item_estimates.Urgency,
         due_left_s: float,
+        organisation: str,
         now_s: float,
     ) -> None:
         name = self._find_coordinator()
@@ -281,6 +292,7 @@
             urgency=int(urgency),
             objective_left_s=due_left_s,
             avoided=self._list_avoided(service, now_s),
+            organisation=organisation,
         )
         self._batch[message.number] = _PendingBatchRequest(message, name, now_s)
         self._send(name, message)
@@ -311,7 +323,8 @@
             # A duplicate of the answer.
             return
         pending = self._online.get(number)
-        is_batch = self._batch.pop(number, None) is not None
+        pending_batch = self._batch.pop(number, None)
+        is_batch = pending_batch is not None
         is_pending = pending is not None and not pending.answer.done()
         known = self._targets.find(message.target_id)
         if known is None or not (is_pending or is_batch):
@@ -319,7 +332,8 @@
             if pending is not None and is_pending:
                 pending.answer.set_result(None)
             return
-        slot = self._registry.hold(known.target, is_batch, number, sender)
+        organisation = pending_batch.message.organisation if pending_batch else ""
+        slot = self._registry.hold(known.target, is_batch, number, sender, organisation)
         if pending is not None:
             pending.answer.set_result(slot)
             return
@@ -365,10 +379,6 @@
         self._send(coordinator, message)
 
 
-def _is_for_service(pending: _PendingBatchRequest, service: str) -> bool:
-    return pending.message.service == service
-
-
 def _do_nothing() -> None:
     """Serve as the callback until batch work sets its own."""
 
--- a/src/endivevane/serving/slot_registry.py
+++ b/src/endivevane/serving/slot_registry.py
@@ -14,7 +14,8 @@
 
     :param number: identifies the slot among all slots of this daemon
     :param coordinator: daemon that granted it, empty if this one did
-    :param organisation: whose request holds it, where this daemon granted it
+    :param organisation: whose request it was granted to; empty for online requests
+        where another daemon granted it
     """
 
     target: model.Target
@@ -57,7 +58,7 @@
 
         :param number: the number under which it was requested, ``None`` for a new one
         :param coordinator: daemon that granted it, empty if this one did
-        :param organisation: whose request holds it, where this daemon granted it
+        :param organisation: whose request it was granted to, empty if not needed
         """
         if number is None:
             number = self.allocate_number()
