--- a/src/endivevane/fairness/shares.py
+++ b/src/endivevane/fairness/shares.py
@@ -102,7 +102,7 @@
         :param share: what :meth:`find_share` has returned
         """
         weight = self._weigh(organisation)
-        position = self._measure(organisation, now_s) + ahead
+        position = self.measure_use(organisation, now_s) + ahead
         if position < share * weight:
             return WITHIN_SHARE
         return 1 + int(position / weight)
@@ -113,7 +113,7 @@
         within = 0
         for organisation, timely in self._timely.items():
             weight = self._weigh(organisation)
-            room = share * weight - self._measure(organisation, now_s)
+            room = share * weight - self.measure_use(organisation, now_s)
             within += timely if room >= timely else max(0, math.ceil(room))
         return within
 
@@ -130,7 +130,7 @@
         :param count: number of these slots
         """
         own_share = self.find_own_share(organisation, now_s)
-        position = self._measure(organisation, now_s) + count
+        position = self.measure_use(organisation, now_s) + count
         return max(0.0, min(count, position - own_share))
 
     def count_turns(self, organisation: str, now_s: float) -> float:
@@ -139,13 +139,14 @@
         It gets its share of them, or what the others have lately left to it.
         """
         own_share = self.find_own_share(organisation, now_s)
-        used = self._measure(organisation, now_s)
+        used = self.measure_use(organisation, now_s)
         return max(1.0, self._capacity / max(own_share, used))
 
     def _weigh(self, organisation: str) -> float:
         return self._usual.weigh(organisation)
 
-    def _measure(self, organisation: str, now_s: float) -> float:
+    def measure_use(self, organisation: str, now_s: float) -> float:
+        """Return the slots that an organisation uses, or has lately used."""
         used = self._usages.get(organisation)
         return used.measure(now_s) if used is not None else 0.0
 
--- a/src/endivevane/fairness/turns.py
+++ b/src/endivevane/fairness/turns.py
@@ -31,3 +31,29 @@
         keys.append((urgency, before[organisation], position))
         before[organisation] += 1
     return [items[position] for *_, position in sorted(keys)]
+
+
+class Turns:
+    """Counts the slots for items that organisations hold, to order further ones."""
+
+    def __init__(self) -> None:
+        self._held: collections.Counter[str] = collections.Counter()
+
+    def record_grant(self, organisation: str | None) -> None:
+        """Record a slot, of ``None`` if it is not known whose it is."""
+        if organisation is not None:
+            self._held[organisation] += 1
+
+    def record_end(self, organisation: str | None) -> None:
+        """Record that such a slot is free again."""
+        if organisation is None:
+            return
+        self._held[organisation] -= 1
+        if not self._held[organisation]:
+            del self._held[organisation]
+
+    def order(
+        self, items: abc.Sequence[T], describe: abc.Callable[[T], tuple[int, str]]
+    ) -> list[T]:
+        """Return items in their order; see :func:`order_by_turns`."""
+        return order_by_turns(items, describe, self._held)
--- a/src/endivevane/fairness/waiters.py
+++ b/src/endivevane/fairness/waiters.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 import typing
 from collections import abc
 
@@ -58,6 +59,8 @@
         self._counted_s = -1.0
         # Organisation -> time at which the last of its refused clients may return.
         self._returns_s: dict[str, float] = {}
+        # Organisation -> time of its last report and the refusals since.
+        self._refusals: dict[str, tuple[float, int]] = {}
 
     def __len__(self) -> int:
         return self._waiting.total()
@@ -198,6 +201,22 @@
             organisation, now_s
         ) and waiting >= self.shares.find_own_share(organisation, now_s)
 
+    def count_refusal(self, organisation: str, interval_s: float, now_s: float) -> int:
+        """Count a refusal; return those since the last report, 0 if none is due.
+
+        :param interval_s: least time between two reports
+        """
+        reported_s, count = self._refusals.get(organisation, (-math.inf, 0))
+        if now_s - reported_s < interval_s:
+            self._refusals[organisation] = (reported_s, count + 1)
+            return 0
+        self._refusals[organisation] = (now_s, 0)
+        return count + 1
+
+    def count_waiting(self, organisation: str) -> int:
+        """Return the waiting requests of an organisation."""
+        return self._waiting[organisation]
+
     def plan_return(
         self,
         organisation: str,
--- a/src/endivevane/metrics.py
+++ b/src/endivevane/metrics.py
@@ -14,6 +14,10 @@
     "Requests refused, by reason and run state.",
     ["reason", "run_state"],
 )
+SHARE_REFUSALS = prometheus_client.Counter(
+    "endivevane_share_refusals",
+    "Requests refused slots as their organisation used its share of them.",
+)
 RETRIES = prometheus_client.Counter(
     "endivevane_retries", "Attempts after the first, by reason.", ["reason"]
 )
--- a/src/endivevane/serving/coordinator.py
+++ b/src/endivevane/serving/coordinator.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 import functools
 import typing
@@ -99,8 +98,7 @@
         self._selector = selector
         self._send = send
         self._members: dict[str, _Member] = {}
-        # Slots of batch items, by organisation.
-        self._batch_held: collections.Counter[str] = collections.Counter()
+        self._turns = turns.Turns()
         # Slot requests of batch items, by daemon and number.
         self._batch: dict[tuple[str, int], _Entry] = {}
         self._cooldown_started_s: dict[str, float] = {}
@@ -291,8 +289,8 @@
     def _grant(self, name: str, entry: _Entry, target: model.Target) -> None:
         entry.target_id = target.target_id
         self._loads.add_granted(entry.target_id, entry.is_batch)
-        if entry.is_batch and entry.organisation is not None:
-            self._batch_held[entry.organisation] += 1
+        if entry.is_batch:
+            self._turns.record_grant(entry.organisation)
         self._send(name, slot_messages.Granted(entry.number, entry.target_id))
 
     def _remove_entry(self, member: _Member, entry: _Entry, now_s: float) -> None:
@@ -303,24 +301,13 @@
             self._queue.cancel(entry.waiter, now_s)
         if entry.target_id:
             self._loads.remove_granted(entry.target_id, entry.is_batch)
-            self._record_end(entry, now_s)
-
-    def _record_end(self, entry: _Entry, now_s: float) -> None:
-        """Record that an organisation no longer holds a slot."""
-        if entry.organisation is None:
-            return
-        if not entry.is_batch:
-            self._queue.record_end(entry.service, entry.organisation, now_s)
-            return
-        self._batch_held[entry.organisation] -= 1
-        if not self._batch_held[entry.organisation]:
-            del self._batch_held[entry.organisation]
+            if entry.is_batch:
+                self._turns.record_end(entry.organisation)
+            elif entry.organisation is not None:
+                self._queue.record_end(entry.service, entry.organisation, now_s)
 
     def _grant_batch_slots(self, now_s: float) -> None:
-        """Grant slots that online requests leave free to batch items, by urgency.
-
-        Organisations take turns among items of the same urgency.
-        """
+        """Grant slots that online requests leave free to batch items, by urgency."""
         if not self._batch:
             return
         full: set[tuple[str, bool, str]] = set()
@@ -328,10 +315,8 @@
         ordered = sorted(
             self._batch.items(), key=lambda item: (item[1].urgency, item[1].due_s)
         )
-        ordered = turns.order_by_turns(
-            ordered,
-            lambda item: (item[1].urgency, item[1].organisation or ""),
-            self._batch_held,
+        ordered = self._turns.order(
+            ordered, lambda item: (item[1].urgency, item[1].organisation or "")
         )
         for (name, number), entry in ordered:
             is_urgent = entry.urgency is item_estimates.Urgency.URGENT
--- a/src/endivevane/serving/queue_shares.py
+++ b/src/endivevane/serving/queue_shares.py
@@ -6,6 +6,7 @@
 import typing
 from collections import abc
 
+from endivevane import logs, metrics
 from endivevane.fairness import waiters as fair_waiters
 from endivevane.serving import load_table
 
@@ -21,6 +22,14 @@
     def version(self) -> str | None:
         """Software version that it must run at, ``None`` for any."""
 
+    @property
+    def deadline_s(self) -> float:
+        """Time after which the response is of no use."""
+
+    @property
+    def may_retry(self) -> bool:
+        """Whether the client retries after a refusal."""
+
 
 class Waiter(typing.Protocol):
     """A request that waits, with its number and whether it still waits."""
@@ -39,6 +48,8 @@
 
 
 W = typing.TypeVar("W", bound=Waiter)
+# Least time between two log lines about an organisation at a service.
+_LOG_INTERVAL_S = 2.0
 
 
 class QueueShares(typing.Generic[W]):
@@ -167,6 +178,25 @@
         if found is not None:
             found.shares.record_end(organisation, now_s)
 
+    def record_refusal(self, service: str, organisation: str, now_s: float) -> None:
+        """Record a refusal, in the metrics and the log if it is because of a share."""
+        found = self._by_service.get(service)
+        if found is None or not found.shares.is_over(organisation, now_s):
+            return
+        metrics.SHARE_REFUSALS.inc()
+        refused = found.count_refusal(organisation, _LOG_INTERVAL_S, now_s)
+        if not refused:
+            return
+        logs.limited_info(
+            "organisation_held_to_share",
+            service=service,
+            tenant=organisation,
+            share=round(found.shares.find_own_share(organisation, now_s), 1),
+            used=round(found.shares.measure_use(organisation, now_s), 1),
+            waiting=found.count_waiting(organisation),
+            refusals=refused,
+        )
+
     def count_waiting(self, now_s: float) -> collections.Counter[str]:
         """Return the timely waiting requests, within the shares and beyond."""
         counts: collections.Counter[str] = collections.Counter()
--- a/src/endivevane/serving/slot_queue.py
+++ b/src/endivevane/serving/slot_queue.py
@@ -22,8 +22,6 @@
     wait_estimates,
 )
 
-# Least time that a request needs at a target; one with less left is refused.
-_MIN_RUN_S = 0.1
 # A request that has left its place to timely ones until this long after its objective
 # is refused.
 _MAX_YIELD_S = 0.6
@@ -229,7 +227,7 @@
 
     def _decide(self, slot_request: SlotRequest, now_s: float) -> Decision | None:
         """Decide on a new request; ``None`` if it has to wait."""
-        if slot_request.deadline_s - now_s < _MIN_RUN_S:
+        if slot_request.deadline_s - now_s < wait_estimates.MIN_RUN_S:
             return self._refuse(slot_request)
         if not self._has_waiters_ahead(slot_request, now_s):
             target = self._choose(slot_request, now_s)
@@ -238,7 +236,7 @@
         if (
             not self._selector.has_targets(slot_request.service, now_s)
             or self._cannot_run(slot_request, now_s)
-            or self._should_refuse(slot_request, now_s)
+            or self._estimates.should_refuse(slot_request, now_s)
         ):
             return self._refuse(slot_request)
         return None
@@ -292,7 +290,7 @@
 
     def _cannot_run(self, slot_request: SlotRequest, now_s: float) -> bool:
         """Whether a request is out of time, or no target serves its version."""
-        if slot_request.deadline_s - now_s < _MIN_RUN_S:
+        if slot_request.deadline_s - now_s < wait_estimates.MIN_RUN_S:
             return True
         service, version = slot_request.service, slot_request.version
         return version is not None and not self._selector.serves_version(
@@ -305,6 +303,7 @@
 
     def _refuse(self, slot_request: SlotRequest) -> Refused:
         service, organisation = slot_request.service, slot_request.organisation
+        self._shares.record_refusal(service, organisation, self._updated_s)
         return Refused(self.retry_after_s(service, organisation))
 
     def _publish_waiting(self, now_s: float) -> None:
@@ -336,27 +335,6 @@
             if waiter.slot_request.service == service and may_block(waiter)
         )
 
-    def _should_refuse(self, slot_request: SlotRequest, now_s: float) -> bool:
-        """Whether to refuse a request rather than queue it.
-
-        A request that would be late but whose client retries is refused, to return when
-        there is room, and so is one whose organisation has more waiting than its share;
-        one that can't be served at all is refused at once.
-        """
-        wait_s = self._estimates.estimate_wait_s(
-            slot_request.service, slot_request.organisation, now_s
-        )
-        served_s = now_s + wait_s
-        if served_s + _MIN_RUN_S > slot_request.deadline_s:
-            return True
-        first_event_s = self._estimates.estimate_first_event_s(slot_request.service)
-        return served_s + first_event_s > slot_request.objective_s and (
-            slot_request.may_retry
-            or self._shares.has_long_queue(
-                slot_request.service, slot_request.organisation, now_s
-            )
-        )
-
     def _should_yield(self, slot_request: SlotRequest, now_s: float) -> bool:
         """Whether a late request leaves its place to timely ones of any daemon."""
         service = slot_request.service
--- a/src/endivevane/serving/wait_estimates.py
+++ b/src/endivevane/serving/wait_estimates.py
@@ -7,6 +7,8 @@
 
 from endivevane.serving import load_table, queue_shares, target_selection
 
+# Least time that a request needs at a target; one with less left is refused.
+MIN_RUN_S = 0.1
 # Mean time from the grant to the first event, until some have been observed.
 _INITIAL_FIRST_EVENT_S = 0.1
 _FIRST_EVENT_WEIGHT = 0.1
@@ -74,6 +76,23 @@
             wait_s = _RATE_LIMITED_RETRY_S
         return wait_s * (0.75 + 0.5 * self._generator.random())
 
+    def should_refuse(self, slot_request: queue_shares.Request, now_s: float) -> bool:
+        """Whether to refuse a request rather than queue it.
+
+        A request that would be late but whose client retries is refused, to return when
+        there is room, and so is one whose organisation has as many waiting as its share
+        of slots; one that can't be served at all is refused at once.
+        """
+        service, organisation = slot_request.service, slot_request.organisation
+        served_s = now_s + self.estimate_wait_s(service, organisation, now_s)
+        if served_s + MIN_RUN_S > slot_request.deadline_s:
+            return True
+        first_event_s = self.estimate_first_event_s(service)
+        return served_s + first_event_s > slot_request.objective_s and (
+            slot_request.may_retry
+            or self._shares.has_long_queue(service, organisation, now_s)
+        )
+
     def describe_load(
         self, service: str, organisation: str, now_s: float
     ) -> dict[str, object]:
