--- a/features/fair_shares.feature
+++ b/features/fair_shares.feature
@@ -67,6 +67,18 @@
     Then the one without is as before, and the other has as many fields of the same types
     And each is decoded to what it was
 
+  # Guards against requests that are refused because of another organisation's surplus at
+  # other daemons, where each daemon decides on its own.
+  Scenario Outline: Daemons tell each other which requests are beyond their shares
+    Given a daemon whose 1 targets are full, with 2 requests of "hot" waiting
+    When another daemon reports <within> waiting requests within their shares and <beyond> beyond
+    Then a request of "calm" <calm> and one of "hot" <hot>
+
+    Examples:
+      | within | beyond | calm       | hot        |
+      | 0      | 60     | waits      | is refused |
+      | 60     | 0      | is refused | is refused |
+
   # Guards against a coordinator that takes the requests of all daemons for one
   # organisation's.
   Scenario: A coordinator divides slots among organisations at any daemon
--- a/features/steps/fair_shares_steps.py
+++ b/features/steps/fair_shares_steps.py
@@ -4,8 +4,8 @@
 
 from endivevane import logs
 from endivevane.fairness import turns
-from endivevane.serving import slot_messages
-from features.support import share_trial
+from endivevane.serving import load_table, slot_messages, slot_queue
+from features.support import serving_fakes, share_trial
 
 # Long enough for the usual rates to be known.
 _SURGE_BEGIN_S = 40.0
@@ -249,6 +249,57 @@
         assert slot_messages.decode(kind, fields) == message
 
 
+@given(
+    'a daemon whose {targets:d} targets are full, with {count:d} requests of "hot" '
+    "waiting"
+)
+def step_full_daemon(context, targets, count):
+    context.fleet = serving_fakes.Fleet([f"t{n}" for n in range(targets)], age_s=0.0)
+    context.queue = context.fleet.make_queue()
+    for _ in range(targets * share_trial.SLOTS_PER_TARGET + count):
+        _ask_queue(context, "hot")
+
+
+def _ask_queue(context, organisation):
+    """Return what becomes of a request, to a queue with a fake time."""
+    decisions = []
+
+    def resolve(decision):
+        decisions.append(decision)
+        if isinstance(decision, slot_queue.Granted):
+            context.fleet.board.begin(decision.target.target_id, False)
+
+    request = slot_queue.SlotRequest(
+        service="lm",
+        priority=0,
+        objective_s=101.0,
+        deadline_s=103.0,
+        may_retry=True,
+        organisation=organisation,
+    )
+    waiter = context.queue.ask(request, resolve, 100.0)
+    if waiter is not None:
+        return "waits"
+    is_refused = isinstance(decisions[0], slot_queue.Refused)
+    return "is refused" if is_refused else "is granted a slot"
+
+
+@when(
+    "another daemon reports {within:d} waiting requests within their shares and "
+    "{beyond:d} beyond"
+)
+def step_report(context, within, beyond):
+    waiting = {"lm": within, load_table.name_surplus("lm"): beyond}
+    report = load_table.LoadReport({}, 100.0, waiting_requests=waiting)
+    context.fleet.board.set_report("peer", report)
+
+
+@then('a request of "calm" {calm} and one of "hot" {hot}')
+def step_decided(context, calm, hot):
+    assert _ask_queue(context, "calm") == calm
+    assert _ask_queue(context, "hot") == hot
+
+
 def _ask(context, daemon, count, organisation, **fields):
     asked = [
         context.region.ask(daemon, organisation=organisation, **fields)
