--- a/src/endivevane/serving/coordinator.py
+++ b/src/endivevane/serving/coordinator.py
@@ -13,6 +13,7 @@
 from collections import abc
 
 from endivevane import logs
+from endivevane.fairness import turns
 from endivevane.serving import (
     item_estimates,
     load_table,
@@ -97,6 +98,7 @@
         self._selector = selector
         self._send = send
         self._members: dict[str, _Member] = {}
+        self._turns = turns.Turns()
         # Slot requests of batch items, by daemon and number.
         self._batch: dict[tuple[str, int], _Entry] = {}
         self._cooldown_started_s: dict[str, float] = {}
@@ -287,6 +289,8 @@
     def _grant(self, name: str, entry: _Entry, target: model.Target) -> None:
         entry.target_id = target.target_id
         self._loads.add_granted(entry.target_id, entry.is_batch)
+        if entry.is_batch:
+            self._turns.record_grant(entry.organisation)
         self._send(name, slot_messages.Granted(entry.number, entry.target_id))
 
     def _remove_entry(self, member: _Member, entry: _Entry, now_s: float) -> None:
@@ -297,7 +301,9 @@
             self._queue.cancel(entry.waiter, now_s)
         if entry.target_id:
             self._loads.remove_granted(entry.target_id, entry.is_batch)
-            if not entry.is_batch and entry.organisation is not None:
+            if entry.is_batch:
+                self._turns.record_end(entry.organisation)
+            elif entry.organisation is not None:
                 self._queue.record_end(entry.service, entry.organisation, now_s)
 
     def _grant_batch_slots(self, now_s: float) -> None:
@@ -309,6 +315,9 @@
         ordered = sorted(
             self._batch.items(), key=lambda item: (item[1].urgency, item[1].due_s)
         )
+        ordered = self._turns.order(
+            ordered, lambda item: (item[1].urgency, item[1].organisation or "")
+        )
         for (name, number), entry in ordered:
             is_urgent = entry.urgency is item_estimates.Urgency.URGENT
             zone = entry.availability_zone if self._selector.depends_on_zone else ""
--- a/src/endivevane/serving/queue_shares.py
+++ b/src/endivevane/serving/queue_shares.py
@@ -6,6 +6,7 @@
 import typing
 from collections import abc
 
+from endivevane import logs, metrics
 from endivevane.fairness import waiters as fair_waiters
 from endivevane.serving import load_table
 
@@ -21,6 +22,14 @@
     def version(self) -> str | None:
         """Software version that it must run at, ``None`` for any."""
 
+    @property
+    def deadline_s(self) -> float:
+        """Time after which the response is of no use."""
+
+    @property
+    def may_retry(self) -> bool:
+        """Whether the client retries after a refusal."""
+
 
 class Waiter(typing.Protocol):
     """A request that waits, with its number and whether it still waits."""
@@ -39,6 +48,10 @@
 
 
 W = typing.TypeVar("W", bound=Waiter)
+# Least time between two checks of all waiting requests of a service.
+_CHECK_INTERVAL_S = 0.01
+# Least time between two log lines about an organisation at a service.
+_LOG_INTERVAL_S = 2.0
 
 
 class QueueShares(typing.Generic[W]):
@@ -58,6 +71,9 @@
         self._loads = loads
         self._find_late_before_s = find_late_before_s
         self._by_service: dict[str, fair_waiters.WaitingRequests[W]] = {}
+        # Versions that waiting requests may need, and when all of them were checked.
+        self._versions: dict[str, set[str | None]] = collections.defaultdict(set)
+        self._checked_s: dict[str, float] = {}
 
     @property
     def services(self) -> abc.Collection[str]:
@@ -80,6 +96,7 @@
         if found is None:
             return False
         found.add(waiter, self._find_late_before_s(service, now_s))
+        self._versions[service].add(waiter.slot_request.version)
         return True
 
     def remove(self, waiter: W, now_s: float) -> bool:
@@ -108,12 +125,15 @@
         if not len(found):
             return
         late_before_s = self._find_late_before_s(service, now_s)
-        versions: set[str | None] = set()
-        for waiter in found.list_all():
-            if refuse_hopeless(waiter):
-                found.remove(waiter, late_before_s)
-            else:
-                versions.add(waiter.slot_request.version)
+        if now_s - self._checked_s.get(service, 0.0) >= _CHECK_INTERVAL_S:
+            self._checked_s[service] = now_s
+            self._versions[service] = set()
+            for waiter in found.list_all():
+                if refuse_hopeless(waiter):
+                    found.remove(waiter, late_before_s)
+                else:
+                    self._versions[service].add(waiter.slot_request.version)
+        versions = set(self._versions[service])
         fair_order = found.begin_pass(late_before_s, now_s)
         while versions and (first := fair_order.pop()) is not None:
             organisation, waiter = first
@@ -122,7 +142,6 @@
             if waiter.is_resolved:
                 found.remove(waiter, late_before_s)
             fair_order.put_back(organisation, not waiter.is_resolved)
-        found.recount(now_s)
 
     def has_ahead(
         self,
@@ -167,6 +186,25 @@
         if found is not None:
             found.shares.record_end(organisation, now_s)
 
+    def record_refusal(self, service: str, organisation: str, now_s: float) -> None:
+        """Record a refusal, in the metrics and the log if it is because of a share."""
+        found = self._by_service.get(service)
+        if found is None or not found.shares.is_over(organisation, now_s):
+            return
+        metrics.SHARE_REFUSALS.inc()
+        refused = found.count_refusal(organisation, _LOG_INTERVAL_S, now_s)
+        if not refused:
+            return
+        logs.limited_info(
+            "organisation_held_to_share",
+            service=service,
+            tenant=organisation,
+            share=round(found.shares.find_own_share(organisation, now_s), 1),
+            used=round(found.shares.measure_use(organisation, now_s), 1),
+            waiting=found.count_waiting(organisation),
+            refusals=refused,
+        )
+
     def count_waiting(self, now_s: float) -> collections.Counter[str]:
         """Return the timely waiting requests, within the shares and beyond."""
         counts: collections.Counter[str] = collections.Counter()
