--- a/features/organisations.feature
+++ b/features/organisations.feature
@@ -70,3 +70,16 @@
     When clients of "north" and "south" read and end it
     Then those of "north" get 404 and those of "south" 200
     And an item's request tells its target the organisation, whatever its headers say
+
+  Scenario Outline: A copy of the configuration stays young where keys must stop in time
+    Guards against requests that are rejected while the store is sound, because a
+    copy counts as old as the last poll that has ended.
+
+    Given keys must stop to work within <limit_s> s
+    Then a copy that is two polls old still serves keyed requests
+    And so it does after 0.6 of that time without the store
+
+    Examples:
+      | limit_s |
+      | 5       |
+      | 2       |
--- a/features/steps/organisations_steps.py
+++ b/features/steps/organisations_steps.py
@@ -9,7 +9,15 @@
 from endivevane.organisations import identification
 from endivevane.organisations import settings as organisation_settings
 from endivevane.platform import headers, job_codec, records
-from endivevane.serving import attempts, failures, job_api, job_reader, jobs, model
+from endivevane.serving import (
+    attempts,
+    failures,
+    follower,
+    job_api,
+    job_reader,
+    jobs,
+    model,
+)
 from features.support import job_world, serving_fakes, serving_world
 
 _HOST = serving_world.HOST
@@ -243,3 +251,28 @@
     told = dict(codec.encode_call(call, target))
     assert told[b"Tenant"] == b"north", told
     assert b"Authorization" not in told, told
+
+
+def _is_served_at(context, age_s):
+    content = serving_world.dump(context.configuration)
+    raw = [(b"Host", _HOST.encode()), (b"Authorization", b"Token key-n1")]
+    request = headers.HeaderCodec().decode_request(b"POST", b"/quote/1", raw, b"", 0.0)
+    identifier = identification.Identification(context.keys)
+    identifier.follow(serving_world.FeedAge(age_s))
+    configuration = records.decode_configuration(content)
+    found = identifier.identify(request, configuration, is_public=False)
+    return isinstance(found, model.ClientRequest)
+
+
+@then("a copy that is two polls old still serves keyed requests")
+def step_two_polls(context):
+    poll_s = context.keys.find_poll_wait_s(follower.POLL_WAIT_S)
+    assert _is_served_at(context, 2 * poll_s + 0.1), poll_s
+
+
+@then("so it does after {share:f} of that time without the store")
+def step_without_store(context, share):
+    poll_s = context.keys.find_poll_wait_s(follower.POLL_WAIT_S)
+    away_s = share * context.keys.revocation_s
+    assert _is_served_at(context, 2 * poll_s + away_s - 0.01), poll_s
+    assert not _is_served_at(context, context.keys.revocation_s)
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -191,7 +191,11 @@
             on_loaded=self._open_when_loaded,
         )
         configuration = follower.TableFollower(
-            self._store, records.CONFIGURATION_TABLE, "", self._on_configuration_row
+            self._store,
+            records.CONFIGURATION_TABLE,
+            "",
+            self._on_configuration_row,
+            poll_wait_s=self._settings.keys.find_poll_wait_s(follower.POLL_WAIT_S),
         )
         self._feeds = feeds.Feeds(configuration, targets, state)
 
--- a/src/endivevane/serving/follower.py
+++ b/src/endivevane/serving/follower.py
@@ -13,7 +13,7 @@
 # A poll with this many rows may have left out later changes.
 _MAX_POLLED_ROWS = 500
 # Duration of one long poll; an unresponsive connection is detected at its end.
-_POLL_WAIT_S = 2.0
+POLL_WAIT_S = 2.0
 _INITIAL_BACKOFF_S = 0.1
 _MAX_BACKOFF_S = 0.5
 # The store counts as unavailable after this time without a response.
@@ -41,6 +41,7 @@
     :param coalesce_s: wait after a change, so that further changes are read together
     :param on_loaded: called after each full read
     :param newest: records each version that is read
+    :param poll_wait_s: how long the store may hold a poll while nothing changes
     :ivar rows: current rows by key
     :ivar version: version of the store up to which the copy is complete
     :ivar age: how old the copy is
@@ -56,6 +57,7 @@
         coalesce_s: float = 0.0,
         on_loaded: abc.Callable[[], None] | None = None,
         newest: newest_version.NewestVersion | None = None,
+        poll_wait_s: float = POLL_WAIT_S,
     ) -> None:
         self.rows: dict[str, store.Row] = {}
         self.version = -1
@@ -67,6 +69,7 @@
         self._on_recovery = on_recovery
         self._coalesce_s = coalesce_s
         self._on_loaded = on_loaded
+        self._poll_wait_s = poll_wait_s
         self.newest = newest or newest_version.NewestVersion()
         self._deleted: dict[str, int] = {}
         self._advanced = asyncio.Event()
@@ -96,7 +99,7 @@
                     is_reread = True
                 else:
                     # After a failure, an answer soon shows that the store is back.
-                    wait_s = 0.0 if failing.pauses else _POLL_WAIT_S
+                    wait_s = 0.0 if failing.pauses else self._poll_wait_s
                     await self._read_changes(wait_s)
                     is_reread = False
                     rereading.reset()
