--- a/src/endivevane/quotas/asking.py
+++ b/src/endivevane/quotas/asking.py
@@ -174,7 +174,9 @@
         if found.open is not None:
             if not self._is_passed_over(found.open.source, now_s):
                 return found.open.source, found.open.need.purpose
-        elif self._is_deputy_turn(organisation, sources, now_s):
+        elif purpose is messages.Purpose.OWN and self._is_deputy_turn(
+            organisation, sources, now_s
+        ):
             return sources[1], messages.Purpose.SAMPLE
         for source in sources:
             if not self._is_passed_over(source, now_s):
--- a/src/endivevane/quotas/pool.py
+++ b/src/endivevane/quotas/pool.py
@@ -11,7 +11,9 @@
 # Requests of this time tell how many will come.
 _DEMAND_MEMORY_S = 2.0
 # Without a request for this long, none is expected.
-_QUIET_AFTER_S = 5.0
+_QUIET_AFTER_S = 30.0
+# Other daemons that have not asked for this long ask elsewhere.
+_SERVES_OTHERS_S = 5.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -106,7 +108,7 @@
 
     def serves_others(self, now_s: float) -> bool:
         """Whether other daemons have asked for tokens here lately."""
-        return now_s - self._others_s < _QUIET_AFTER_S
+        return now_s - self._others_s < _SERVES_OTHERS_S
 
     def count_missing(self, now_s: float) -> int:
         """Return how many tokens the requests that wait need beyond those held.
