Leave slots to requests of other daemons where none coordinates

Each daemon of a small region sees only its own waiting requests, so that slots freed at one went to a surplus there while requests within their shares waited at others. A daemon now leaves as many slots as wait at the others, divided among them, and grants none beyond the shares while any waits there. An estimate also took a request within its share for one partly beyond it.

--- a/features/fair_shares.feature
+++ b/features/fair_shares.feature
@@ -79,6 +79,17 @@
       | 0      | 60     | waits      | is refused |
       | 60     | 0      | is refused | is refused |
 
+  # Guards against slots that a surplus takes at one daemon while requests of others wait
+  # within their shares at another one.
+  Scenario: Where there is no coordinator, a surplus leaves slots to requests at others
+    Given a daemon whose 1 targets are full, with 2 requests of "hot" waiting
+    When another daemon reports 5 waiting requests within their shares and 0 beyond
+    And a slot of the daemon becomes free
+    Then 2 requests wait at the daemon
+    When another daemon reports 0 waiting requests within their shares and 0 beyond
+    And a slot of the daemon becomes free
+    Then 0 requests wait at the daemon
+
   # Guards against a coordinator that takes the requests of all daemons for one
   # organisation's.
   Scenario: A coordinator divides slots among organisations at any daemon
--- a/features/steps/fair_shares_steps.py
+++ b/features/steps/fair_shares_steps.py
@@ -254,7 +254,7 @@
     "waiting"
 )
 def step_full_daemon(context, targets, count):
-    context.fleet = serving_fakes.Fleet([f"t{n}" for n in range(targets)], age_s=0.0)
+    context.fleet = serving_fakes.Fleet([f"t{n}" for n in range(targets)])
     context.queue = context.fleet.make_queue()
     for _ in range(targets * share_trial.SLOTS_PER_TARGET + count):
         _ask_queue(context, "hot")
@@ -294,6 +294,18 @@
     context.fleet.board.set_report("peer", report)
 
 
+@when("a slot of the daemon becomes free")
+def step_free(context):
+    context.fleet.board.end("t0", False)
+    context.queue.record_end("lm", "hot", 100.0)
+    context.queue.grant_free_slots(100.0)
+
+
+@then("{count:d} requests wait at the daemon")
+def step_waiting(context, count):
+    assert context.queue.waiting == count, context.queue.waiting
+
+
 @then('a request of "calm" {calm} and one of "hot" {hot}')
 def step_decided(context, calm, hot):
     assert _ask_queue(context, "calm") == calm
--- a/src/endivevane/fairness/order.py
+++ b/src/endivevane/fairness/order.py
@@ -39,16 +39,16 @@
             self._heap.append((find_rank(organisation, 0), own[0][0], organisation))
         heapq.heapify(self._heap)
 
-    def pop(self) -> tuple[str, T] | None:
-        """Return the next request with its organisation, ``None`` if none is left.
+    def pop(self) -> tuple[int, str, T] | None:
+        """Return the next request with its rank and organisation, ``None`` at the end.
 
         :meth:`put_back` has to be called before the next one.
         """
         if not self._heap:
             return None
-        _, _, organisation = heapq.heappop(self._heap)
+        rank, _, organisation = heapq.heappop(self._heap)
         _, request = heapq.heappop(self._requests[organisation])
-        return organisation, request
+        return rank, organisation, request
 
     def put_back(self, organisation: str, is_passed_over: bool) -> None:
         """Rank the next request of an organisation after one has been handled.
--- a/src/endivevane/fairness/shares.py
+++ b/src/endivevane/fairness/shares.py
@@ -62,6 +62,11 @@
         self._share = math.inf
         self._share_s = -math.inf
         self._changes = 0
+        self._left_to_peers = 0.0
+
+    def leave_to_peers(self, slots: float) -> None:
+        """Leave some slots to requests that wait at other daemons."""
+        self._left_to_peers = slots
 
     def record_arrival(self, organisation: str, now_s: float) -> None:
         """Record that a request has arrived, for the weight of its organisation."""
@@ -137,14 +142,18 @@
         used = self.measure_use(organisation, now_s)
         return used >= self.find_own_share(organisation, now_s)
 
-    def count_surplus(self, organisation: str, count: int, now_s: float) -> float:
-        """Return how many of some more slots would be beyond an organisation's share.
+    def count_surplus(self, organisation: str, ahead: int, now_s: float) -> float:
+        """Return how many more slots than its share an organisation would use.
+
+        It is 0 for a request within the share, and counts no slots that it uses now.
 
-        :param count: number of these slots
+        :param ahead: requests that wait and go before the one in question
         """
         own_share = self.find_own_share(organisation, now_s)
-        position = self.measure_use(organisation, now_s) + count
-        return max(0.0, min(count, position - own_share))
+        position = self.measure_use(organisation, now_s) + ahead
+        if position < own_share:
+            return 0.0
+        return min(ahead, position - own_share) + 1.0
 
     def count_turns(self, organisation: str, now_s: float) -> float:
         """Return how many slots are freed for one that an organisation gets.
@@ -182,4 +191,4 @@
         waiting = sum(self._waiting.values())
         if waiting <= _SHORT_QUEUE * self._capacity:
             return math.inf
-        return fill(demands, self._capacity)
+        return fill(demands, max(1.0, self._capacity - self._left_to_peers))
--- a/src/endivevane/fairness/waiters.py
+++ b/src/endivevane/fairness/waiters.py
@@ -180,7 +180,7 @@
         """
         own = self._timely[organisation]
         within = self.count_within(now_s)
-        surplus = self.shares.count_surplus(organisation, own + 1, now_s)
+        surplus = self.shares.count_surplus(organisation, own, now_s)
         if not surplus:
             return max(own, within) + peers_within + 1
         turns = surplus * self.shares.count_turns(organisation, now_s)
--- a/src/endivevane/serving/load_table.py
+++ b/src/endivevane/serving/load_table.py
@@ -71,6 +71,7 @@
         self.own_waiting_requests: collections.Counter[str] = collections.Counter()
         self._peers_waiting_items = 0
         self._peers_waiting_requests: collections.Counter[str] = collections.Counter()
+        self._region_waiting: collections.Counter[str] = collections.Counter()
         self.same_region_age_s = 0.0
         self.cross_region_age_s = 0.0
         self.outcomes = outcome_table.OutcomeTable()
@@ -138,6 +139,14 @@
         """Return the online requests of other daemons that wait for a service."""
         return max(0, self._peers_waiting_requests[service])
 
+    def count_region_waiting(self, service: str) -> int:
+        """Return the requests that wait at other daemons which report by themselves."""
+        return max(0, self._region_waiting[service])
+
+    def count_region_reports(self) -> int:
+        """Return how many daemons report by themselves, as those of this region do."""
+        return sum(not report.covers_region for report in self._reports.values())
+
     def has_own_waiting(self, service: str) -> bool:
         """Whether any online request that can be on time waits here."""
         own = self.own_waiting_requests
@@ -200,6 +209,8 @@
         self._peers_waiting_items += sign * report.waiting_items
         for service, count in report.waiting_requests.items():
             self._peers_waiting_requests[service] += sign * count
+            if not report.covers_region:
+                self._region_waiting[service] += sign * count
         for target_id, load in report.loads.items():
             summed = self._peers.setdefault(target_id, Load())
             summed.online += sign * load.online
--- a/src/endivevane/serving/queue_shares.py
+++ b/src/endivevane/serving/queue_shares.py
@@ -7,6 +7,7 @@
 from collections import abc
 
 from endivevane import logs, metrics
+from endivevane.fairness import shares
 from endivevane.fairness import waiters as fair_waiters
 from endivevane.serving import load_table
 
@@ -134,15 +135,31 @@
                 else:
                     self._versions[service].add(waiter.slot_request.version)
         versions = set(self._versions[service])
+        peers_waiting = self._count_region_waiting(service)
+        found.shares.leave_to_peers(
+            peers_waiting / max(1, self._loads.count_region_reports())
+        )
         fair_order = found.begin_pass(late_before_s, now_s)
         while versions and (first := fair_order.pop()) is not None:
-            organisation, waiter = first
+            rank, organisation, waiter = first
+            if rank > shares.WITHIN_SHARE and peers_waiting:
+                # The others are beyond their shares too.
+                break
             if not handle(waiter):
                 versions.discard(waiter.slot_request.version)
             if waiter.is_resolved:
                 found.remove(waiter, late_before_s)
             fair_order.put_back(organisation, not waiter.is_resolved)
 
+    def _count_region_waiting(self, service: str) -> int:
+        """Return the requests that wait within their shares at daemons of this region.
+
+        There are none where this daemon grants the slots for all of them.
+        """
+        if not self._loads.same_region_age_s:
+            return 0
+        return self._loads.count_region_waiting(service)
+
     def has_ahead(
         self,
         slot_request: Request,
