--- a/bench/fleet/pattern.py
+++ b/bench/fleet/pattern.py
@@ -22,6 +22,14 @@
     PERFECT = "perfect"
 
 
+class Uneven(enum.StrEnum):
+    """Which parts of the fleet have their bursts at different times."""
+
+    NONE = "none"
+    ZONES = "zones"
+    REGIONS = "regions"
+
+
 class Pattern(pydantic.BaseModel):
     """A fleet and its load.
 
@@ -35,6 +43,7 @@
     :param high_s: length of a burst
     :param hold_s: mean time for which a request occupies a slot
     :param hold_spread: standard deviation of ``hold_s``, as a share of it
+    :param uneven: what has its bursts in turn
     :param start_s: time from start to first event at a target with a free slot
     :param objective_s: objective for the time to the first event
     :param region_delay_s: one-way delay between two regions
@@ -57,6 +66,7 @@
     high_s: float = pydantic.Field(gt=0)
     hold_s: float = pydantic.Field(gt=0)
     hold_spread: float = pydantic.Field(default=0.25, ge=0)
+    uneven: Uneven = Uneven.NONE
     start_s: float = pydantic.Field(gt=0)
     objective_s: float = pydantic.Field(gt=0)
     region_delay_s: float = pydantic.Field(ge=0)
@@ -65,11 +75,24 @@
     item_due_s: float = pydantic.Field(default=18.0, gt=0)
     duration_s: float = pydantic.Field(gt=0)
 
-    def find_rate(self, now_s: float) -> float:
-        """Return the request rate at a time."""
-        phase_s = now_s % (self.low_s + self.high_s)
+    def find_rate(self, now_s: float, offset: float = 0.0) -> float:
+        """Return the request rate at a time.
+
+        :param offset: by which share of their period bursts come earlier
+        """
+        period_s = self.low_s + self.high_s
+        phase_s = (now_s + offset * period_s) % period_s
         return self.rate_per_s * (self.low if phase_s < self.low_s else self.high)
 
+    def find_offset(self, region: int, zone: int) -> float:
+        """Return by which share of their period a zone's bursts come earlier."""
+        regions = len(self.daemons)
+        if self.uneven is Uneven.ZONES:
+            return (region * self.zones + zone) / (regions * self.zones)
+        if self.uneven is Uneven.REGIONS:
+            return region / regions
+        return 0.0
+
 
 def load_pattern(path: pathlib.Path) -> Pattern:
     """Read a pattern from a TOML file.
--- a/bench/fleet/run.py
+++ b/bench/fleet/run.py
@@ -15,16 +15,23 @@
 import statistics
 
 from bench.fleet import pattern, simulation
+from endivevane.locality import settings
 
 
-def simulate(path: pathlib.Path, seed: int, view: pattern.View) -> dict[str, float]:
+def simulate(
+    workload: pattern.Pattern, seed: int, view: pattern.View, has_locality: bool
+) -> dict[str, float]:
     """Simulate a pattern once and return its figures, as shares of the requests."""
-    workload = pattern.load_pattern(path)
-    tally = simulation.Simulation(workload, seed, view).run()
+    locality = settings.LocalitySection(enabled=True) if has_locality else None
+    tally = simulation.Simulation(workload, seed, view, locality).run()
     served = max(1, tally.served)
+    first_s = sorted(tally.first_s) or [0.0]
     return {
         "served": tally.served,
+        "first_ms": 1000 * statistics.fmean(first_s),
+        "first_p99_ms": 1000 * first_s[int(0.99 * len(first_s))],
         "late": tally.late / served,
+        "in_zone": tally.in_zone / served,
         "far": tally.far / served,
         "far_late": tally.far_late / served,
         "crowded": tally.crowded / served,
@@ -60,13 +67,35 @@
         default=pattern.View.REPORTS,
         help="source of the daemons' view of the load",
     )
+    parser.add_argument(
+        "--uneven",
+        type=pattern.Uneven,
+        choices=list(pattern.Uneven),
+        default=pattern.Uneven.NONE,
+        help="which parts of the fleet have their bursts in turn",
+    )
+    parser.add_argument(
+        "--rate", type=float, default=1.0, help="factor on the request rate"
+    )
+    parser.add_argument("--seconds", type=float, help="simulated time of each run")
+    parser.add_argument(
+        "--locality", action="store_true", help="loads and bytes decide on distance"
+    )
     parser.add_argument("--output", type=pathlib.Path, help="JSON file for the figures")
     parsed = parser.parse_args()
     results = {}
     with concurrent.futures.ProcessPoolExecutor(parsed.processes) as pool:
         for path in parsed.patterns:
+            workload = pattern.load_pattern(path)
+            workload = workload.model_copy(
+                update={
+                    "uneven": parsed.uneven,
+                    "rate_per_s": workload.rate_per_s * parsed.rate,
+                    "duration_s": parsed.seconds or workload.duration_s,
+                }
+            )
             pending = [
-                pool.submit(simulate, path, seed, parsed.view)
+                pool.submit(simulate, workload, seed, parsed.view, parsed.locality)
                 for seed in range(1, parsed.seeds + 1)
             ]
             summary = summarise([future.result() for future in pending])
--- a/bench/fleet/simulation.py
+++ b/bench/fleet/simulation.py
@@ -11,9 +11,10 @@
 from collections import abc
 
 from bench.fleet import batch, engines, pattern
-from endivevane.locality import location
+from endivevane.locality import decision, location, settings, sizes
 from endivevane.rate_limits import service as rate_limits
 from endivevane.serving import (
+    hold_times,
     load_table,
     model,
     peer_registry,
@@ -45,6 +46,7 @@
 
     name: str
     region: int
+    zone: int
     table: load_table.LoadTable
     selector: target_selection.TargetSelector
     waiting: collections.deque[Request] = dataclasses.field(
@@ -58,6 +60,8 @@
     """Counts of the outcomes of requests and items.
 
     :ivar late: requests whose first event missed the objective
+    :ivar in_zone: requests that ran in their availability zone
+    :ivar first_s: times to the first event
     :ivar far: requests that ran in another region
     :ivar crowded: requests that reached an engine with three or more above its slots
     :ivar yields: preempted runs of items
@@ -65,6 +69,8 @@
 
     served: int = 0
     late: int = 0
+    in_zone: int = 0
+    first_s: list[float] = dataclasses.field(default_factory=list)
     far: int = 0
     far_late: int = 0
     crowded: int = 0
@@ -77,6 +83,7 @@
     """One run of a pattern.
 
     :param view: source of the daemons' view of the load
+    :param locality: settings about leaving the zone, ``None`` for constant costs
     """
 
     def __init__(
@@ -84,7 +91,9 @@
         workload: pattern.Pattern,
         seed: int,
         view: pattern.View = pattern.View.REPORTS,
+        locality: settings.LocalitySection | None = None,
     ) -> None:
+        self._locality = locality
         self.pattern = workload
         self.generator = random.Random(seed)
         self.now_s = 0.0
@@ -164,14 +173,24 @@
             for each in range(len(self.pattern.daemons))
             for item in range(self.pattern.zones)
         }
+        place = location.Location(zone, f"r{region}", regions)
+        holds = hold_times.HoldTimes()
+        distance_costs = None
+        if self._locality is not None:
+            distance_costs = decision.MeasuredDistances(
+                self._locality, place, known, table, holds, sizes.MeanSizes()
+            )
         selector = target_selection.TargetSelector(
-            location.Location(zone, f"r{region}", regions),
+            place,
             known,
             table,
             self._make_limits(known, region, number, regions),
             random.Random(self.generator.random()),
+            holds,
+            distance_costs,
         )
-        daemon = Daemon(f"r{region}d{number}", region, table, selector)
+        zone_number = number % self.pattern.zones
+        daemon = Daemon(f"r{region}d{number}", region, zone_number, table, selector)
         if self._view is pattern.View.REPORTS:
             table.same_region_age_s = peers.find_interval_s(
                 self.pattern.daemons[region]
@@ -226,13 +245,21 @@
         )
 
     def _schedule_arrival(self) -> None:
-        gap_s = self.generator.expovariate(self.pattern.find_rate(self.now_s))
-        self.call_later(gap_s, self._arrive)
+        rate_per_s = self.pattern.find_rate(self.now_s)
+        if self.pattern.uneven is not pattern.Uneven.NONE:
+            rate_per_s = self.pattern.rate_per_s * self.pattern.high
+        self.call_later(self.generator.expovariate(rate_per_s), self._arrive)
 
     def _arrive(self) -> None:
         self._schedule_arrival()
         factor = max(0.2, self.generator.gauss(1.0, self.pattern.hold_spread))
         daemon = self.generator.choice(self.daemons)
+        if self.pattern.uneven is not pattern.Uneven.NONE:
+            offset = self.pattern.find_offset(daemon.region, daemon.zone)
+            rate_per_s = self.pattern.find_rate(self.now_s, offset)
+            highest_per_s = self.pattern.rate_per_s * self.pattern.high
+            if self.generator.random() * highest_per_s > rate_per_s:
+                return
         request = Request(self.now_s, self.pattern.hold_s * factor, daemon)
         if self._view is pattern.View.COORDINATED:
             # Round trip to the coordinator.
@@ -280,6 +307,9 @@
         first_s = self.now_s + self.pattern.start_s + back_s - request.arrived_s
         is_late = first_s > self.pattern.objective_s
         is_far = engine.region != request.daemon.region
+        zone = self.targets[engine.name].availability_zone
+        self.tally.in_zone += zone == f"r{request.daemon.region}z{request.daemon.zone}"
+        self.tally.first_s.append(first_s)
         self.tally.served += 1
         self.tally.late += is_late
         self.tally.far += is_far
