Bound what clients take of a daemon's connections, memory and time

Clients could open connections until no descriptor was left, the memory of requests counted only until their bodies were whole, and decoding a head of 1,600 fields or a body in chunks of one byte held the event loop while others waited.

Settings [clients] bound connections, requests sent ahead, fields and the time of a body.

--- a/src/endivevane/entry/main.py
+++ b/src/endivevane/entry/main.py
@@ -11,7 +11,7 @@
 
 import endivevane
 from endivevane import exceptions, logs
-from endivevane.entry import event_loop, settings, wiring
+from endivevane.entry import allocation, event_loop, settings, wiring
 
 _EXIT_INVALID = 3
 _SETTINGS_VARIABLE = "ENDIVEVANE_SETTINGS"
@@ -54,6 +54,7 @@
     if parsed.check:
         return 0
     logs.configure(loaded.log.level, logs.NonBlockingStream(_STDOUT))
+    allocation.return_large_blocks()
     with asyncio.Runner(loop_factory=event_loop.make_loop) as runner:
         runner.run(_serve(path, loaded))
     return 0
--- a/src/endivevane/entry/settings.py
+++ b/src/endivevane/entry/settings.py
@@ -10,7 +10,7 @@
 
 from endivevane import exceptions, types
 from endivevane.organisations import settings as organisation_settings
-from endivevane.serving import memory_budget
+from endivevane.serving import client_settings, memory_budget
 
 Port = typing.Annotated[int, pydantic.Field(gt=0, lt=65536)]
 Seconds = typing.Annotated[float, pydantic.Field(gt=0, le=86_400)]
@@ -142,6 +142,7 @@
     log: LogSection = LogSection()
     keys: organisation_settings.KeysSection = organisation_settings.KeysSection()
     quotas: QuotasSection = QuotasSection()
+    clients: client_settings.ClientsSection = client_settings.ClientsSection()
 
 
 def load_settings(path: pathlib.Path) -> Settings:
--- a/src/endivevane/serving/http_client.py
+++ b/src/endivevane/serving/http_client.py
@@ -23,6 +23,8 @@
 _MAX_BODY_BYTES = 16 << 20
 # Bytes that are decoded before other connections have their turn.
 _MAX_READ_BYTES = 64 * 1024
+# Larger bodies are written in parts of this size.
+_MAX_WRITTEN_BYTES = 64 * 1024
 _MAX_JOINED_CHUNKS = 64
 # Each chunk takes time to decode, so that these are no sound body.
 _MAX_SMALL_CHUNKS = 4096
@@ -123,13 +125,24 @@
         """Send a request."""
         request = h11.Request(method=method, target=path, headers=headers)
         data = self._h11.send(request) or b""
-        if body:
+        self.may_have_sent = True
+        if len(body) > _MAX_WRITTEN_BYTES:
+            self.stream.write(data)
+            await self._send_large(body)
+            data = b""
+        elif body:
             data += self._h11.send(h11.Data(data=body)) or b""
         data += self._h11.send(h11.EndOfMessage()) or b""
-        self.may_have_sent = True
         self.stream.write(data)
         await self.stream.drain()
 
+    async def _send_large(self, body: bytes) -> None:
+        """Send a body in parts, so that no second copy of it waits to be sent."""
+        for position in range(0, len(body), _MAX_WRITTEN_BYTES):
+            part = body[position : position + _MAX_WRITTEN_BYTES]
+            self.stream.write(self._h11.send(h11.Data(data=part)) or b"")
+            await self.stream.drain()
+
     async def read_head(self) -> h11.Response:
         """Return the head of the response.
 
