--- a/src/endivevane/quotas/service.py
+++ b/src/endivevane/quotas/service.py
@@ -101,6 +101,9 @@
             logs.limited_info(
                 "quota_" + _NAMES[type(outcome)],
                 organisation=organisation.name,
+                rate_per_s=organisation.rate_per_s,
+                burst=organisation.burst,
+                share=round(self._view.share, 2),
                 retry_ms=int(outcome.retry_after_s * 1000),
             )
         return outcome
