Resolve the merge of the limits for clients

The commit before holds conflict markers in entry/settings.py. A request's body is written in parts without waiting, since the answer is read meanwhile.

--- a/src/endivevane/entry/settings.py
+++ b/src/endivevane/entry/settings.py
@@ -11,12 +11,8 @@
 from endivevane import exceptions, types
 from endivevane.locality import settings as locality_settings
 from endivevane.organisations import settings as organisation_settings
-<<<<<<< HEAD
 from endivevane.quotas import settings as quota_settings
-from endivevane.serving import memory_budget
-=======
 from endivevane.serving import client_settings, memory_budget
->>>>>>> 304fc64c252dca5dc03a10c6c6c234d64399116d
 
 Port = typing.Annotated[int, pydantic.Field(gt=0, lt=65536)]
 Seconds = typing.Annotated[float, pydantic.Field(gt=0, le=86_400)]
@@ -134,13 +130,9 @@
     retention: RetentionSection = RetentionSection()
     log: LogSection = LogSection()
     keys: organisation_settings.KeysSection = organisation_settings.KeysSection()
-<<<<<<< HEAD
     quotas: quota_settings.QuotasSection = quota_settings.QuotasSection()
     locality: locality_settings.LocalitySection = locality_settings.LocalitySection()
-=======
-    quotas: QuotasSection = QuotasSection()
     clients: client_settings.ClientsSection = client_settings.ClientsSection()
->>>>>>> 304fc64c252dca5dc03a10c6c6c234d64399116d
 
 
 def load_settings(path: pathlib.Path) -> Settings:
--- a/src/endivevane/serving/http_client.py
+++ b/src/endivevane/serving/http_client.py
@@ -151,19 +151,18 @@
         self.may_have_sent = True
         if len(body) > _MAX_WRITTEN_BYTES:
             self.stream.write(data)
-            await self._send_large(body)
+            self._send_large(body)
             data = b""
         elif body:
             data += self._h11.send(h11.Data(data=body)) or b""
         data += self._h11.send(h11.EndOfMessage()) or b""
         self.stream.write(data)
 
-    async def _send_large(self, body: bytes) -> None:
-        """Send a body in parts, so that no second copy of it waits to be sent."""
+    def _send_large(self, body: bytes) -> None:
+        """Send a body in parts, which needs no copy of it as a whole."""
         for position in range(0, len(body), _MAX_WRITTEN_BYTES):
             part = body[position : position + _MAX_WRITTEN_BYTES]
             self.stream.write(self._h11.send(h11.Data(data=part)) or b"")
-            await self.stream.drain()
 
     async def read_head(self) -> h11.Response:
         """Return the head of the response.
