--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -4,7 +4,7 @@
   # against calls on jobs or organisations without a quota that count.
   Scenario: A daemon refuses what goes beyond a quota
     Given a daemon with an organisation of 2 requests a second and a burst of 5
-    When a client sends 40 requests at once
+    When a client of the organisation sends 40 requests at once
     Then between 5 and 12 of them reach a target
     And the others get status 429 with a Retry-After between 0.01 and 2 s
     And 10 requests of an organisation without a quota reach a target
@@ -13,7 +13,7 @@
   Scenario: Without an issuer a request is refused soon
     Given a daemon with an organisation of 2 requests a second and a burst of 5
     And the daemon hears no other one of 9
-    When a client sends 1 requests at once
+    When a client of the organisation sends 1 requests at once
     Then all of them get status 503 within 0.5 s, none has run
 
   # Guards against tokens that are lost with clients that leave while they wait.
--- a/features/steps/quotas_steps.py
+++ b/features/steps/quotas_steps.py
@@ -51,7 +51,7 @@
     return replies, time.monotonic() - started_s
 
 
-@when("a client sends {count:d} requests at once")
+@when("a client of the organisation sends {count:d} requests at once")
 def step_send(context, count):
     async def run():
         world = serving_world.World(context.configuration, ("a",))
