--- a/bench/quotas.py
+++ b/bench/quotas.py
@@ -203,7 +203,7 @@
 ) -> tuple[membership.MemberView, membership.Snapshot]:
     view = membership.MemberView(name, regions[name])
     snapshot = membership.Snapshot(
-        regions, frozenset(regions), len(regions), 0.1, 0.5, True
+        regions, frozenset(regions), frozenset(), len(regions), 0.1, 0.5, True
     )
     view.update(snapshot, 0.0)
     return view, snapshot
--- a/features/support/quota_net.py
+++ b/features/support/quota_net.py
@@ -102,7 +102,7 @@
         elif isinstance(message, messages.QuotaWitness):
             self.view.record_witness(message, now_s)
         else:
-            answer = self.view.testify(message, now_s)
+            answer = self.view.testify(sender, message, now_s)
             if answer is not None:
                 self.net.send(self.name, sender, answer)
         self._flush()
@@ -286,6 +286,7 @@
         return membership.Snapshot(
             self.regions,
             live - self.stopping,
+            frozenset(self.stopping),
             heard + self.has_heartbeats,
             _HOLD_OFF_S,
             _SETTLE_S,
--- a/src/endivevane/quotas/membership.py
+++ b/src/endivevane/quotas/membership.py
@@ -22,6 +22,8 @@
 _RISE_MEMORY_S = 10.0
 # The daemon that is asked, and those that are asked where the first does not answer.
 _RANKED = 3
+# A daemon that was answered may issue for less than this time.
+_ANSWERED_S = 1.6
 # Age of a daemon that has never been heard.
 _NEVER_HEARD_S = 3600.0
 
@@ -32,6 +34,7 @@
 
     :param registered: regions of all registered daemons by name
     :param live: those that are alive and not stopping
+    :param stopping: those that have announced their stop, and issue nothing any longer
     :param heard: number of those that were heard in the last moments
     :param hold_off_s: time after which a daemon that is found dead has stopped issuing
     :param settle_s: time after which others have heard of a daemon that is back
@@ -40,6 +43,7 @@
 
     registered: abc.Mapping[str, str]
     live: frozenset[str]
+    stopping: frozenset[str]
     heard: int
     hold_off_s: float
     settle_s: float
@@ -63,12 +67,14 @@
         self._own_name = own_name
         self._own_region = own_region
         self._snapshot = Snapshot(
-            {own_name: own_region}, frozenset(), 0, 0.0, 0.0, False
+            {own_name: own_region}, frozenset(), frozenset(), 0, 0.0, 0.0, False
         )
         self._witnesses = witnesses.Witnesses()
         # The daemons that are alive, as this one or others hear.
         self._live: frozenset[str] = frozenset()
         self._gone_s: dict[str, float] = {}
+        # When daemons were last told that this one hears them.
+        self._answered_s: dict[str, float] = {}
         # When others have heard daemons last that this one stands in for.
         self._absent_s: dict[str, float] = {}
         self._higher_since_s: float | None = None
@@ -84,6 +90,7 @@
             self._leaders.clear()
             for name in known.registered.keys() - snapshot.registered.keys():
                 self._gone_s.pop(name, None)
+                self._answered_s.pop(name, None)
                 self._absent_s.pop(name, None)
         for name in known.live - snapshot.live:
             self._gone_s[name] = now_s
@@ -155,6 +162,8 @@
             return False
         is_confirmed = True
         for name in self._list_before(organisation):
+            if self._is_answered(name, now_s):
+                return False
             gone_s = self._witnesses.find_gone_s(name, now_s)
             if gone_s is None:
                 is_confirmed = False
@@ -168,17 +177,22 @@
 
     def ask_others(self, now_s: float) -> list[tuple[str, messages.QuotaProbe]]:
         """Return the questions to others that are due, with their recipients."""
-        if not self._snapshot.is_ready:
+        is_stopping = self._own_name not in self._snapshot.live
+        if is_stopping or not self._snapshot.is_ready:
             return []
         others = sorted(self._snapshot.live - {self._own_name})
         return self._witnesses.ask(others, now_s)
 
     def testify(
-        self, probe: messages.QuotaProbe, now_s: float
+        self, sender: str, probe: messages.QuotaProbe, now_s: float
     ) -> messages.QuotaWitness | None:
-        """Return the answer to another daemon, ``None`` while too little is known."""
+        """Return the answer to another daemon, ``None`` while too little is known.
+
+        Whoever gets an answer is taken for alive, since it may issue tokens.
+        """
         if now_s < self.opened_s:
             return None
+        self._answered_s[sender] = now_s
         ages_s = tuple(self._find_gone_age_s(name, now_s) for name in probe.missing)
         return messages.QuotaWitness(probe.number, ages_s)
 
@@ -187,10 +201,15 @@
         self._witnesses.record(answer, self._snapshot.settle_s, now_s)
 
     def _find_gone_age_s(self, name: str, now_s: float) -> float | None:
-        if name in self._snapshot.live:
+        if name in self._snapshot.live or self._is_answered(name, now_s):
             return None
         return now_s - self._gone_s.get(name, now_s - _NEVER_HEARD_S)
 
+    def _is_answered(self, name: str, now_s: float) -> bool:
+        if name in self._snapshot.stopping:
+            return False
+        return now_s - self._answered_s.get(name, float("-inf")) < _ANSWERED_S
+
     def _list_before(self, organisation: str) -> abc.Iterator[str]:
         """Return the daemons that would rank before this one if they were alive."""
         for name in self._order(organisation):
--- a/src/endivevane/quotas/service.py
+++ b/src/endivevane/quotas/service.py
@@ -155,7 +155,7 @@
 
     @_handle.register
     def _(self, message: messages.QuotaProbe, sender: str, now_s: float) -> None:
-        answer = self._view.testify(message, now_s)
+        answer = self._view.testify(sender, message, now_s)
         if answer is not None:
             self._send(sender, answer)
 
@@ -185,6 +185,7 @@
         return membership.Snapshot(
             registered,
             frozenset(peers.list_active()),
+            frozenset(peer.name for peer in peers.peers.values() if peer.is_stopping),
             heard + 1,
             max(_HOLD_OFF_S, _HOLD_OFF_NOTICES * interval_s - _HOLD_OFF_LESS_S),
             _SETTLE_S + interval_s,
--- a/src/endivevane/quotas/witnesses.py
+++ b/src/endivevane/quotas/witnesses.py
@@ -56,6 +56,7 @@
     def __init__(self) -> None:
         self.since_s = float("inf")
         self._confirmed_s = float("-inf")
+        self._was_confirmed = False
         self._numbers = itertools.count(1)
         self._questions: collections.deque[_Question] = collections.deque(
             maxlen=_MAX_OPEN
@@ -154,5 +155,8 @@
 
     def _confirm(self, sent_s: float, now_s: float, settle_s: float = 0.0) -> None:
         if not self.is_confirmed(now_s):
+            # What others have answered about this daemon before counts for so long.
+            settle_s = max(settle_s, VALID_S) if self._was_confirmed else settle_s
             self.since_s = now_s + settle_s
+        self._was_confirmed = True
         self._confirmed_s = max(self._confirmed_s, sent_s)
