Send the size of a body where earlier releases accept it

A slot request with a known size had one field more than coordinators of an earlier release accept, so that they would have rejected each one while a region is updated. The size now stands behind the request's id and its organisation, which they use for their log only. The test compared the fields only of requests without a size.

--- a/features/locality.feature
+++ b/features/locality.feature
@@ -115,7 +115,7 @@
   # an earlier release that can't read the request.
   Scenario: A slot request carries the size of the body, where it is known
     Then a slot request of 5000 bytes arrives with them
-    And a slot request of no known size is that of the earlier release
+    And its datagram has the fields of the earlier release
 
   # Guards against sizes that are learned from broken responses, and counts of the wrong
   # distance.
--- a/features/steps/locality_steps.py
+++ b/features/steps/locality_steps.py
@@ -200,10 +200,14 @@
         assert (message.version, message.request_bytes) == (version, count)
 
 
-@then("a slot request of no known size is that of the earlier release")
+@then("its datagram has the fields of the earlier release")
 def step_old_message(context):
-    assert len(_pass_on()[1]) == 13
-    assert len(_pass_on(version="v1")[1]) == 14
+    for fields in ({}, {"request_bytes": 5}, {"organisation": "a", "request_bytes": 0}):
+        message, received = _pass_on(request="r-1", **fields)
+        assert len(received) == 13, received
+        assert message.request == "r-1"
+        assert message.organisation == fields.get("organisation", "")
+        assert message.request_bytes == fields.get("request_bytes")
 
 
 def _read_counts():
--- a/src/endivevane/serving/slot_messages.py
+++ b/src/endivevane/serving/slot_messages.py
@@ -112,8 +112,9 @@
 _NOT_COORDINATING = "not-coordinating"
 _RELEASE = "ended"
 _PREEMPT = "give-way"
-# Between a request's id, which is the value of a header, and its organisation. Earlier
-# releases reject a message with one more field, and use the id for their log only.
+# Between a request's id, which is the value of a header, the size of its body and its
+# organisation. Earlier releases reject a message with one more field, and use the id
+# for their log only.
 _SEPARATOR = "\n"
 
 
@@ -141,7 +142,8 @@
             message.avoided,
             message.allowed_targets,
             _join_request(message),
-            *_list_optional(message),
+            # Left out where it says nothing, for coordinators of an earlier release.
+            *(() if message.version is None else (message.version,)),
         )
     )
 
@@ -196,16 +198,6 @@
     return decoder(*fields)
 
 
-def _list_optional(message: Acquire) -> tuple[str | int | None, ...]:
-    """Return the last fields, without those at the end that say nothing.
-
-    Coordinators of an earlier release know fewer of them.
-    """
-    if message.request_bytes is not None:
-        return (message.version, message.request_bytes)
-    return () if message.version is None else (message.version,)
-
-
 def _decode_acquire(
     incarnation: typing.Any,
     number: typing.Any,
@@ -221,10 +213,9 @@
     allowed_targets: typing.Any,
     request: typing.Any,
     version: typing.Any = None,
-    request_bytes: typing.Any = None,
 ) -> Acquire:
     is_batch, client_may_retry = flags
-    request, _, organisation = json_fields.read_text(request).partition(_SEPARATOR)
+    request, request_bytes, organisation = _split_request(request)
     return Acquire(
         incarnation=json_fields.read_text(incarnation),
         number=json_fields.read_count(number),
@@ -244,9 +235,7 @@
         request=request,
         version=None if version is None else json_fields.read_text(version),
         organisation=organisation,
-        request_bytes=None
-        if request_bytes is None
-        else json_fields.read_count(request_bytes),
+        request_bytes=request_bytes,
     )
 
 
@@ -286,10 +275,24 @@
 
 
 def _join_request(message: Acquire) -> str:
-    """Return the request's id, with its organisation if it has one."""
-    if not message.organisation:
+    """Return the request's id, with its size and organisation as far as known."""
+    if message.request_bytes is None and not message.organisation:
         return message.request
-    return f"{message.request}{_SEPARATOR}{message.organisation}"
+    size = "" if message.request_bytes is None else str(message.request_bytes)
+    return _SEPARATOR.join((message.request, size, message.organisation))
+
+
+def _split_request(value: typing.Any) -> tuple[str, int | None, str]:
+    """Return the request's id, its size and its organisation.
+
+    :raises ValueError: when the size is malformed
+    """
+    request, *others = json_fields.read_text(value).split(_SEPARATOR, 2)
+    if not others:
+        return request, None, ""
+    size, organisation = others
+    request_bytes = json_fields.read_count(int(size)) if size else None
+    return request, request_bytes, organisation
 
 
 def _round(duration_s: float | None) -> float | None:
