Test that a coordinator decides by a request's size, zone and objective

Only the selection was tested with them, not their way through the slot request and the queue. features/locality.feature: 30 passed; without the size in the coordinator or in the queue at least one scenario fails.

--- a/features/locality.feature
+++ b/features/locality.feature
@@ -31,6 +31,21 @@
       | 2000    | z3   |
       | 1000000 | z1   |
 
+  # Guards against a coordinator that decides without the size, the zone or the objective
+  # of another daemon's request.
+  Scenario Outline: A coordinator decides by what a daemon tells of its request
+    Given 2 targets of 8 slots in each of the zones z1, z3 and, in another region, z2
+    And they run <own>, <other> and 8 online requests each
+    When a daemon of <from> asks the coordinator for <count> bytes with <left> s left
+    Then it is granted a slot in <zone>
+
+    Examples:
+      | own | other | from | count   | left | zone |
+      | 5   | 2     | z1   | 2000    | 5    | z3   |
+      | 5   | 2     | z1   | 1000000 | 5    | z1   |
+      | 2   | 5     | z3   | 1000000 | 5    | z3   |
+      | 8   | 2     | z1   | 1000000 | 0.18 | z3   |
+
   # Guards against an objective that is missed to save bytes.
   Scenario Outline: A request that would miss its objective in its zone leaves it
     Given 2 targets of 8 slots in each of the zones z1, z3 and, in another region, z2
--- a/features/steps/locality_steps.py
+++ b/features/steps/locality_steps.py
@@ -5,7 +5,13 @@
 
 from endivevane import metrics
 from endivevane.locality import location, sizes, traffic
-from endivevane.serving import load_table, slot_messages, water_filling
+from endivevane.serving import (
+    coordinator,
+    load_table,
+    slot_messages,
+    slot_queue,
+    water_filling,
+)
 from features.support import locality_world, serving_fakes
 
 NOW_S = locality_world.NOW_S
@@ -136,6 +142,35 @@
     _assert_goes(context, zone, request_bytes=count, latest_start_s=NOW_S + left_s)
 
 
+@when(
+    "a daemon of {zone} asks the coordinator for {count:d} bytes with {left_s:g} s left"
+)
+def step_ask_coordinator(context, zone, count, left_s):
+    world = context.world
+    queue = slot_queue.SlotQueue(world.selector, world.loads, random.Random(1))
+    context.sent = []
+    granter = coordinator.Coordinator(
+        world.directory,
+        world.loads,
+        queue,
+        world.selector,
+        lambda _name, message: context.sent.append(message),
+    )
+    message, _ = _pass_on(
+        availability_zone=zone,
+        request_bytes=count,
+        objective_left_s=left_s,
+        deadline_left_s=5.0,
+    )
+    granter.handle("d2", message, NOW_S)
+
+
+@then("it is granted a slot in {zone}")
+def step_coordinator_grants(context, zone):
+    (granted,) = context.sent
+    assert granted.target_id.startswith(zone), granted
+
+
 @then("a batch item from z1 that is due in {due_s:g} s goes to {zone}")
 def step_item_goes(context, due_s, zone):
     target = context.world.selector.choose_batch(
@@ -188,7 +223,8 @@
 
 
 def _pass_on(**fields):
-    message = slot_messages.Acquire("run", 1, "lm", "z1", **fields)
+    fields = {"availability_zone": "z1", **fields}
+    message = slot_messages.Acquire("run", 1, "lm", **fields)
     kind, *received = serving_fakes.load(slot_messages.encode(message))
     return slot_messages.decode(kind, received), received
 
