--- a/features/support/serving_processes.py
+++ b/features/support/serving_processes.py
@@ -73,7 +73,12 @@
 
 
 class Daemon:
-    """One daemon process."""
+    """One daemon process.
+
+    :ivar launcher: program and arguments that run the command of the process
+    """
+
+    launcher = ()
 
     def __init__(self, number, store_port, internal_port, folder):
         self.name = f"front-{number}"
@@ -105,6 +110,7 @@
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
                 [
+                    *self.launcher,
                     sys.executable,
                     "-m",
                     "endivevane.entry.start",
@@ -133,7 +139,7 @@
 class Fleet:
     """A store, targets and daemons."""
 
-    def __init__(self, targets, daemons):
+    def __init__(self, targets, daemons, make_daemon=Daemon):
         self.loop = Loop()
         self.folder = tempfile.TemporaryDirectory()
         self.store = self.loop.run(self._make_store())
@@ -143,7 +149,7 @@
         self.loop.run(self._prepare())
         (internal_port,) = find_free_ports(1)
         self.daemons = [
-            Daemon(n + 1, self.store_port, internal_port, self.folder.name)
+            make_daemon(n + 1, self.store_port, internal_port, self.folder.name)
             for n in range(daemons)
         ]
         for item in self.daemons:
