Bound what clients take of a daemon's connections, memory and time

Clients could open connections until no descriptor was left, the memory of requests counted only until their bodies were whole, and decoding a head of 1,600 fields or a body in chunks of one byte held the event loop while others waited.

Settings [clients] bound connections, requests sent ahead, fields and the time of a body. When connections are scarce, unused, slow and idle ones are closed first, never one whose request runs. Requests that are handled, fields and responses that are not read count in the memory budget of callers. Costly decoding goes in turns with pauses. Submissions of jobs are refused at the 201st item, and bodies leave no gaps in the heap.

--- a/src/endivevane/entry/internal_servers.py
+++ b/src/endivevane/entry/internal_servers.py
@@ -7,7 +7,14 @@
 from endivevane import types
 from endivevane.entry import health_endpoints, settings
 from endivevane.platform import headers
-from endivevane.serving import http_server, memory_budget, model
+from endivevane.serving import (
+    client_settings,
+    connection_limiter,
+    http_server,
+    memory_budget,
+    model,
+    request_reader,
+)
 
 _LIMITS = model.ClientLimits(
     max_body_bytes=16 << 20, header_timeout_s=3.0, idle_timeout_s=60.0
@@ -18,7 +25,8 @@
     """Serves readiness, metrics and the relay of store calls.
 
     :param relay: handles store calls of other daemons
-    :param budget: bounds what is kept of requests that are not whole
+    :param budget: bounds what is kept of requests and responses
+    :param bounds: limits for callers beside those of sizes and times
     """
 
     def __init__(
@@ -27,12 +35,21 @@
         relay: http_server.Handler,
         is_ready: abc.Callable[[], bool],
         budget: memory_budget.MemoryBudget,
+        bounds: request_reader.ClientBounds,
     ) -> None:
         readiness = health_endpoints.make_readiness(is_ready)
-        self._relay = http_server.Server(codec, relay, _get_limits, budget)
-        self._readiness = http_server.Server(codec, readiness, _get_limits, budget)
-        self._metrics = http_server.Server(
-            codec, health_endpoints.answer_metrics, _get_limits, budget
+
+        def make_server(handler: http_server.Handler, most: int) -> http_server.Server:
+            limiter = connection_limiter.ConnectionLimiter(most, None)
+            return http_server.Server(
+                codec, handler, _get_limits, budget, bounds, limiter
+            )
+
+        most_probes = client_settings.count_probe_connections()
+        self._relay = make_server(relay, client_settings.count_peer_connections())
+        self._readiness = make_server(readiness, most_probes)
+        self._metrics = make_server(
+            health_endpoints.make_metrics(bounds.turns), most_probes
         )
 
     async def listen(self, listen: settings.ListenSection, ip: str) -> None:
--- a/src/endivevane/entry/main.py
+++ b/src/endivevane/entry/main.py
@@ -8,7 +8,7 @@
 import sys
 
 from endivevane import exceptions, logs
-from endivevane.entry import event_loop, settings, wiring
+from endivevane.entry import allocation, event_loop, settings, wiring
 
 _EXIT_INVALID = 3
 _STDOUT = 1
@@ -31,6 +31,7 @@
     if is_check:
         return 0
     logs.configure(loaded.log.level, logs.NonBlockingStream(_STDOUT))
+    allocation.return_large_blocks()
     with asyncio.Runner(loop_factory=event_loop.make_loop) as runner:
         runner.run(wiring.EntryDaemon(path, loaded).run(listener))
     return 0
--- a/src/endivevane/entry/settings.py
+++ b/src/endivevane/entry/settings.py
@@ -12,7 +12,7 @@
 from endivevane.locality import settings as locality_settings
 from endivevane.organisations import settings as organisation_settings
 from endivevane.quotas import settings as quota_settings
-from endivevane.serving import memory_budget
+from endivevane.serving import client_settings, memory_budget
 
 Port = typing.Annotated[int, pydantic.Field(gt=0, lt=65536)]
 Seconds = typing.Annotated[float, pydantic.Field(gt=0, le=86_400)]
@@ -132,6 +132,7 @@
     keys: organisation_settings.KeysSection = organisation_settings.KeysSection()
     quotas: quota_settings.QuotasSection = quota_settings.QuotasSection()
     locality: locality_settings.LocalitySection = locality_settings.LocalitySection()
+    clients: client_settings.ClientsSection = client_settings.ClientsSection()
 
 
 def load_settings(path: pathlib.Path) -> Settings:
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -41,6 +41,7 @@
 from endivevane.serving import (
     admission,
     batch_slots,
+    connection_limiter,
     coordinator,
     follower,
     http_client,
@@ -61,6 +62,7 @@
     peer_registry,
     peers,
     process_pauses,
+    request_reader,
     request_router,
     runner_dependencies,
     slot_client,
@@ -352,8 +354,11 @@
             self._versions.service,
             self._generator,
         )
+        bounds = request_reader.ClientBounds(self._settings.clients)
         codec = job_codec.JobCodec()
-        batch = job_api.JobApi(codec, self._changes, self._reader, self._runner)
+        batch = job_api.JobApi(
+            codec, self._changes, self._reader, self._runner, bounds.turns
+        )
         identifier = identification.Identification(self._settings.keys)
         self._router = request_router.RequestRouter(
             online, batch, codec, identifier, self._quotas
@@ -364,12 +369,19 @@
             lambda: self._endpoints.store,
             self._feeds.list_relayed(),
         )
-        budget = self._make_budget("callers")
+        budget = memory_budget.MemoryBudget(
+            "callers", self._settings.vm.memory_bytes, weighs_stalls=True
+        )
         self._client_server = http_server.Server(
-            self._codec, self._router.handle, self._get_limits, budget
+            self._codec,
+            self._router.handle,
+            self._get_limits,
+            budget,
+            bounds,
+            connection_limiter.make_limiter(self._settings.clients),
         )
         self._internal_servers = internal_servers.InternalServers(
-            self._codec, relay.handle, lambda: self._is_ready, budget
+            self._codec, relay.handle, lambda: self._is_ready, budget, bounds
         )
 
     def _make_budget(self, purpose: str) -> memory_budget.MemoryBudget:
--- a/src/endivevane/metrics.py
+++ b/src/endivevane/metrics.py
@@ -131,6 +131,11 @@
     "Connections given up because they kept most of an exceeded memory budget.",
     ["purpose"],
 )
+CLIENT_LIMITS = prometheus_client.Counter(
+    "endivevane_client_limits",
+    "Requests refused and connections of clients closed, by the limit.",
+    ["limit"],
+)
 TARGET_ENDS = prometheus_client.Counter(
     "endivevane_target_ends",
     "Targets that ended while a request of this daemon waited for its first event.",
--- a/src/endivevane/platform/job_codec.py
+++ b/src/endivevane/platform/job_codec.py
@@ -4,6 +4,7 @@
 
 import base64
 import re
+import typing
 import urllib.parse
 from collections import abc
 
@@ -17,6 +18,8 @@
 _ITEMS_PATH = "/api/items/"
 # Limit of the platform on the items of a job.
 _MAX_ITEMS = 200
+# Values and containers of a job's JSON, each of which takes memory while it is decoded.
+_MAX_JSON_PARTS = 100_000
 # Behind the results of any job, and exact in JSON numbers.
 _MAX_POSITION_DIGITS = 15
 _MAX_POSITION = 10**15
@@ -33,7 +36,9 @@
 
 
 class _JobRecord(pydantic.BaseModel):
-    items: list[_ItemRecord]
+    items: typing.Annotated[
+        list[_ItemRecord], pydantic.Field(max_length=_MAX_ITEMS, fail_fast=True)
+    ]
 
 
 class JobCodec:
@@ -54,6 +59,8 @@
 
         :raises failures.InvalidJob: when the body is invalid
         """
+        if sum(body.count(mark) for mark in (b",", b"[", b"{")) > _MAX_JSON_PARTS:
+            raise failures.InvalidJob("its body has too many parts")
         try:
             record = _JobRecord.model_validate_json(body)
             items = tuple(_make_item(item) for item in record.items)
--- a/src/endivevane/serving/byte_stream.py
+++ b/src/endivevane/serving/byte_stream.py
@@ -4,8 +4,11 @@
 
 import asyncio
 import collections
+import fcntl
 import socket
 import struct
+import termios
+import time
 import typing
 from collections import abc
 
@@ -14,6 +17,10 @@
 
 # Unread bytes above which reading from the socket is paused.
 _HIGH_WATERMARK_BYTES = 64 * 1024
+# The most that one read of the socket returns.
+_MAX_RECEIVED_BYTES = 64 * 1024
+# Bytes of responses that wait in the process until writing is paused.
+_MAX_UNSENT_BYTES = 16 * 1024
 # Memory that a received piece takes beside its bytes.
 _PIECE_OVERHEAD_BYTES = 64
 # The kernel drops a connection whose data, or keep-alive probes, go unacknowledged this
@@ -26,10 +33,17 @@
 _LINGER_RESET = struct.pack("ii", 1, 0)
 
 
+_INT = struct.Struct("i")
+
+
 class MemoryRevoked(OSError):
     """The connection kept most of the bytes of an exceeded memory budget."""
 
 
+class Evicted(OSError):
+    """The connection was closed in favour of others."""
+
+
 class ByteStream(asyncio.Protocol):
     """Reads and writes one connection for a single task.
 
@@ -47,6 +61,7 @@
         self.is_ended = False
         self.holding = budget.open(lambda: self.fail(MemoryRevoked()))
         self._on_connected = on_connected
+        self._is_accepted = on_connected is not None
         self._transport: asyncio.Transport | None = None
         self._chunks: collections.deque[bytes] = collections.deque()
         # Bytes of the first piece that have been read.
@@ -59,11 +74,19 @@
         self._writable.set()
         self._closed = asyncio.Event()
         self._is_parked = False
+        self._is_given_up = False
+        self._failure_callback: abc.Callable[[OSError], None] | None = None
+        # Since when writing is paused, and what was unsent then.
+        self._blocked_since_s = 0.0
+        self._blocked_bytes = 0
         self._end_callback: abc.Callable[[], None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set the timeouts of its socket."""
         self._transport = typing.cast("asyncio.Transport", transport)
+        self._transport.max_size = _MAX_RECEIVED_BYTES  # type: ignore[attr-defined]
+        if self._is_accepted:
+            self._transport.set_write_buffer_limits(high=_MAX_UNSENT_BYTES)
         _set_socket_timeouts(transport.get_extra_info("socket"))
         if self._on_connected is not None:
             self._on_connected(self)
@@ -101,10 +124,14 @@
     def pause_writing(self) -> None:
         """Block :meth:`drain`."""
         self._writable.clear()
+        self._blocked_since_s = time.monotonic()
+        self._blocked_bytes = self._unsent_bytes
+        self._record_unsent()
 
     def resume_writing(self) -> None:
         """Unblock :meth:`drain`."""
         self._writable.set()
+        self.holding.set_unsent(0)
 
     @property
     def has_unread(self) -> bool:
@@ -137,12 +164,45 @@
     def _unsent_bytes(self) -> int:
         return 0 if self._transport is None else self._transport.get_write_buffer_size()
 
+    @property
+    def source(self) -> str:
+        """Address of the peer, empty if it is not known."""
+        if self._transport is None:
+            return ""
+        name = self._transport.get_extra_info("peername")
+        return str(name[0]) if name else ""
+
+    @property
+    def blocked_s(self) -> float:
+        """Time for which the peer has not taken all that was written."""
+        if self._writable.is_set():
+            return 0.0
+        return time.monotonic() - self._blocked_since_s
+
+    @property
+    def unsent_rate_bytes_per_s(self) -> float:
+        """Bytes a second that the peer has taken since writing was paused."""
+        taken = max(0, self._blocked_bytes - self._unsent_bytes)
+        return taken / max(1e-3, self.blocked_s)
+
     def set_end_callback(self, callback: abc.Callable[[], None] | None) -> None:
         """Set a callback for when the peer closes its side or the connection ends."""
         self._end_callback = callback
         if callback is not None and self.is_ended:
             callback()
 
+    def set_failure_callback(self, callback: abc.Callable[[OSError], None]) -> None:
+        """Set a callback for when the connection is given up by :meth:`fail`."""
+        self._failure_callback = callback
+
+    def check_given_up(self) -> None:
+        """Raise the error of :meth:`fail`, if it was called.
+
+        :raises OSError: when it was
+        """
+        if self._is_given_up and self._error is not None:
+            raise self._error
+
     async def wait_readable(self, timeout_s: float) -> bool:
         """Wait until :meth:`read` returns at once; return whether it does.
 
@@ -185,8 +245,16 @@
         return data
 
     def fail(self, error: OSError) -> None:
-        """Make the current and later reads and drains fail with an error."""
+        """Make the current and later reads and drains fail with an error.
+
+        The connection is closed at once if written bytes are left.
+        """
         self._error = self._error or error
+        self._is_given_up = True
+        if self._failure_callback is not None:
+            self._failure_callback(error)
+        if self._is_accepted and self.has_unsent:
+            self.abort()
         self._chunks.clear()
         self._offset = 0
         self._unread_bytes = 0
@@ -214,6 +282,8 @@
             raise ConnectionResetError
         if data:
             self._transport.write(data)
+            if not self._writable.is_set():
+                self._record_unsent()
 
     async def drain(self) -> None:
         """Wait until the write buffer has room.
@@ -254,6 +324,16 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
         self._transport.abort()
 
+    def release(self) -> None:
+        """Drop what refers to others, once nothing reads or writes any more.
+
+        Reference cycles would keep what was received until the garbage collector runs.
+        """
+        self._on_connected = self._end_callback = self._failure_callback = None
+        self._error = None
+        self._chunks.clear()
+        self.holding.release()
+
     def abort(self) -> None:
         """Close the connection at once and discard the write buffer."""
         if self._transport is not None:
@@ -262,15 +342,34 @@
     async def _wait_while_sending(self, event: asyncio.Event, timeout_s: float) -> bool:
         """Wait for an event as long as the peer goes on taking bytes."""
         while not event.is_set():
-            unsent_before = self._unsent_bytes
+            unsent_before = self._count_untaken()
             try:
                 async with asyncio.timeout(timeout_s):
                     await event.wait()
             except TimeoutError:
-                if self._unsent_bytes >= unsent_before:
+                if self._count_untaken() >= unsent_before:
                     return event.is_set()
+                self._record_unsent()
         return True
 
+    def _count_untaken(self) -> int:
+        """Return the bytes that the peer's system has not acknowledged.
+
+        The kernel takes more from the process only once much of its buffer is free.
+        """
+        if self._transport is None or self._is_closed:
+            return self._unsent_bytes
+        try:
+            descriptor = self._transport.get_extra_info("socket").fileno()
+            queued = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(_INT.size))
+        except OSError:
+            return self._unsent_bytes
+        return self._unsent_bytes + int(_INT.unpack(queued)[0])
+
+    def _record_unsent(self) -> None:
+        if self._is_accepted and not self._is_closed:
+            self.holding.set_unsent(self._unsent_bytes)
+
     def _record_end(self) -> None:
         is_first = not self.is_ended
         self.is_ended = True
--- a/src/endivevane/serving/client_connection.py
+++ b/src/endivevane/serving/client_connection.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import dataclasses
+import enum
 import http
-import math
 import time
 import typing
 from collections import abc
@@ -17,20 +17,19 @@
     byte_stream,
     client_responder,
     model,
+    request_reader,
     responder,
     unanswered,
+    work_turns,
 )
 
-# Clients may go by the idle timeout that was in force before until a change has spread.
-_IDLE_SLACK_S = 3.0
 # How long a client may take no byte of a response that has been written.
 _FLUSH_TIMEOUT_S = 2.0
-# Bytes that are decoded before other connections have their turn.
-_MAX_READ_BYTES = 64 * 1024
-_MAX_CHUNKS_PER_TURN = 64
-# Each chunk takes time to decode, so that these are no sound body.
-_MAX_SMALL_CHUNKS = 4096
-_SMALL_CHUNK_BYTES = 8
+# A connection that has been read or written for less time is not a slow one.
+_NEW_S = 0.05
+_SLOW_S = 1.0
+# Retry-After of requests that were refused since too much is in progress.
+_RETRY_AFTER_S = b"1.00"
 
 
 class RequestCodec(typing.Protocol):
@@ -50,13 +49,26 @@
 Handler = abc.Callable[
     [model.ClientRequest, responder.Responder], abc.Coroutine[object, object, None]
 ]
-LimitsSource = abc.Callable[[], model.ClientLimits]
+LimitsSource = request_reader.LimitsSource
+
+
+class Standing(enum.IntEnum):
+    """How little a connection is worth to keep; the lowest are closed first."""
+
+    UNUSED = 0
+    SLOW_SENDER = 1
+    IDLE = 2
+    COSTLY = 3
+    SLOW_READER = 4
+    SENDER = 5
+    BUSY = 6
 
 
 @dataclasses.dataclass(slots=True)
 class Served:
     """What the connections of one server have in common.
 
+    :ivar bounds: limits that apply beside the configuration's
     :ivar is_stopping: whether responses carry ``Connection: close``
     :ivar is_closing: whether connections are closed behind their current response
     """
@@ -64,6 +76,7 @@
     codec: RequestCodec
     handler: Handler
     limits: LimitsSource
+    bounds: request_reader.ClientBounds
     is_stopping: bool = False
     is_closing: bool = False
 
@@ -72,14 +85,29 @@
     task.cancel()
 
 
-def _estimate_head_bytes(head: h11.Request) -> int:
-    """Return the approximate size of a request line with its headers."""
-    headers = sum(len(name) + len(value) + 4 for name, value in head.headers)
-    return headers + len(head.method) + len(head.target)
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Refusal:
+    """How a request that has not run is refused.
+
+    :ivar limit: the limit to count, ``None`` if that has been done
+    """
+
+    status: http.HTTPStatus
+    limit: str | None = None
 
 
-class _BodyTooLarge(Exception):
-    """The body of a request exceeds the limit."""
+_UNAVAILABLE = http.HTTPStatus.SERVICE_UNAVAILABLE
+_REFUSED: dict[type[Exception], _Refusal] = {
+    request_reader.HeadTooLarge: _Refusal(
+        http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+    ),
+    request_reader.BodyTooLarge: _Refusal(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE),
+    request_reader.BodyTooSlow: _Refusal(http.HTTPStatus.REQUEST_TIMEOUT),
+    work_turns.NoTurn: _Refusal(_UNAVAILABLE, "turns"),
+    byte_stream.MemoryRevoked: _Refusal(_UNAVAILABLE, "bytes"),
+    byte_stream.Evicted: _Refusal(_UNAVAILABLE),
+}
+_REFUSALS = tuple(_REFUSED)
 
 
 @dataclasses.dataclass(slots=True)
@@ -101,20 +129,23 @@
     def __init__(self, served: Served, stream: byte_stream.ByteStream) -> None:
         self._served = served
         self._stream = stream
-        self._limits = served.limits()
-        self._h11 = self._make_h11()
+        self._reader = request_reader.RequestReader(
+            served.limits, stream, served.bounds
+        )
         self._exchange: _Exchange | None = None
         self.is_idle = True
+        self._is_reading = False
+        self._since_s = time.monotonic()
 
     async def run(self) -> None:
         """Serve until either side closes the connection."""
         try:
             while await self._serve_next():
-                self._h11.start_next_cycle()
+                self._reader.h11.start_next_cycle()
         except h11.RemoteProtocolError as error:
             self._send_error(error.error_status_hint)
-        except _BodyTooLarge:
-            self._send_error(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        except _REFUSALS as error:
+            self._refuse(error)
         except (OSError, TimeoutError, h11.LocalProtocolError) as error:
             logs.limited_info("client_connection_ended", cause=repr(error))
         except asyncio.CancelledError:
@@ -129,12 +160,56 @@
                 is_flushed = await self._stream.wait_closed(_FLUSH_TIMEOUT_S)
             finally:
                 self._record_end(is_flushed)
+                self._stream.release()
 
     @property
     def is_active(self) -> bool:
         """Whether a request is being read or served, or its response is not sent."""
         return not self.is_idle or self._stream.has_unsent
 
+    @property
+    def source(self) -> str:
+        """Address of the client."""
+        return self._stream.source
+
+    @property
+    def standing(self) -> tuple[Standing, float]:
+        """Whether it is worth to be kept, and since when or how fast it is used."""
+        now_s, section = time.monotonic(), self._served.bounds.section
+        age_s = now_s - self._since_s
+        if self.is_idle and not self._stream.has_unread:
+            if age_s < _NEW_S:
+                return Standing.BUSY, 0.0
+            standing = Standing.UNUSED if self._exchange is None else Standing.IDLE
+            return standing, self._since_s
+        if self._is_reading:
+            rate = self._reader.rate_bytes_per_s
+            is_slow = self._reader.reading_s >= _NEW_S
+            if is_slow and rate < section.min_send_bytes_per_s:
+                return Standing.SLOW_SENDER, rate
+            if self._reader.is_waiting_turn:
+                return Standing.COSTLY, 0.0
+            if self._reader.reading_s >= _SLOW_S:
+                return Standing.SENDER, rate
+            return Standing.BUSY, 0.0
+        rate = self._stream.unsent_rate_bytes_per_s
+        is_slow = self._stream.blocked_s >= _SLOW_S
+        if is_slow and rate < section.min_read_bytes_per_s:
+            return Standing.SLOW_READER, rate
+        return Standing.BUSY, 0.0
+
+    def refuse(self) -> None:
+        """Close a connection that has just been accepted, without reading from it."""
+        self._send_error(http.HTTPStatus.SERVICE_UNAVAILABLE)
+        self._stream.close()
+
+    def evict(self) -> None:
+        """Close the connection in favour of others."""
+        if self.is_idle:
+            self._stream.close()
+        else:
+            self._stream.fail(byte_stream.Evicted())
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or served."""
         if self.is_idle and not self._stream.has_unread:
@@ -143,88 +218,55 @@
     async def _serve_next(self) -> bool:
         """Read and serve a request; return whether the connection can be reused."""
         self.is_idle = True
-        self._limits = self._served.limits()
-        if not await self._wait_for_data():
+        self._since_s = time.monotonic()
+        if not await self._reader.wait_for_request():
             return False
         self.is_idle = False
-        self._apply_limits()
-        head = await self._next_event(time.monotonic() + self._limits.header_timeout_s)
-        if not isinstance(head, h11.Request):
+        self._is_reading = True
+        request = await self._read_request()
+        self._is_reading = False
+        if request is None:
             return False
-        if _estimate_head_bytes(head) > self._limits.max_header_bytes:
-            self._send_error(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-            return False
-        body = await self._read_body()
-        request = self._served.codec.decode_request(
-            bytes(head.method),
-            bytes(head.target),
-            list(head.headers.raw_items()),
-            body,
-            time.monotonic(),
-        )
+        served, h11_connection = self._served, self._reader.h11
         response = client_responder.ClientResponder(
-            self._h11, self._stream, lambda: self._served.is_stopping
+            h11_connection, self._stream, lambda: served.is_stopping
         )
         self._exchange = _Exchange(request, response)
-        await self._run_handler(request, response)
+        try:
+            await self._run_handler(request, response)
+        finally:
+            self._stream.holding.set_handled(0)
         if response.is_aborted or self._stream.is_ended:
             return False
         await self._flush()
-        has_next = bool(self._h11.trailing_data[0]) or self._stream.has_unread
-        if self._served.is_closing and not has_next:
+        if self._served.is_closing and not self._reader.has_next:
             # The response may have begun before clients were told of the stop.
             return False
-        is_done = self._h11.our_state is h11.DONE
-        return is_done and self._h11.their_state is h11.DONE
-
-    def _make_h11(self) -> h11.Connection:
-        return h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
-        )
-
-    def _apply_limits(self) -> None:
-        """Use the limits in force for the next request."""
-        former, self._limits = self._limits, self._served.limits()
-        if self._limits == former:
-            return
-        received = self._h11.trailing_data[0]
-        self._h11 = self._make_h11()
-        if received:
-            self._h11.receive_data(received)
-
-    async def _wait_for_data(self) -> bool:
-        """Wait for the start of a request; return whether there is one."""
-        if self._h11.trailing_data[0]:
-            return True
-        if not await self._wait_within_idle_timeout():
-            return False
-        try:
-            data = await self._stream.read(_MAX_READ_BYTES)
-        except OSError:
-            # The client disconnected between requests, so no request is lost.
+        if self._reader.ahead >= self._served.bounds.section.max_requests_ahead:
+            request_reader.record_limit("requests_ahead", self.source)
             return False
-        if not data:
-            return False
-        self._h11.receive_data(data)
-        return True
-
-    async def _wait_within_idle_timeout(self, until_s: float = math.inf) -> bool:
-        """Wait until the client sends something; return ``False`` if it does not.
-
-        The longest timeout applies that was in force since the wait began, so that a
-        change cuts no client that goes by the one before or by the new one.
-        """
-        began_s = time.monotonic()
-        while True:
-            timeout_s = max(
-                self._limits.idle_timeout_s, self._served.limits().idle_timeout_s
-            )
-            idle_until_s = began_s + timeout_s + _IDLE_SLACK_S
-            left_s = min(idle_until_s, until_s) - time.monotonic()
-            if await self._stream.wait_readable(max(0.0, left_s)):
-                return True
-            if left_s <= 0:
-                return False
+        is_done = h11_connection.our_state is h11.DONE
+        return is_done and h11_connection.their_state is h11.DONE
+
+    async def _read_request(self) -> model.ClientRequest | None:
+        """Return the next request, ``None`` if there is no further one."""
+        head = await self._reader.read_head()
+        if head is None:
+            return None
+        body = await self._reader.read_body()
+        request = await self._reader.run_costly(
+            len(head.headers),
+            lambda: self._served.codec.decode_request(
+                bytes(head.method),
+                bytes(head.target),
+                list(head.headers.raw_items()),
+                body,
+                time.monotonic(),
+            ),
+        )
+        # What was given up while it waited must not run.
+        self._stream.check_given_up()
+        return request
 
     async def _run_handler(
         self, request: model.ClientRequest, response: client_responder.ClientResponder
@@ -315,68 +357,24 @@
             raise TimeoutError
         await self._stream.drain()
 
-    async def _read_body(self) -> bytes:
-        if self._h11.they_are_waiting_for_100_continue:
-            self._stream.write(
-                self._h11.send(h11.InformationalResponse(status_code=100, headers=[]))
-                or b""
-            )
-        body = bytearray()
-        try:
-            await self._collect_body(body)
-            return bytes(body)
-        finally:
-            # The traceback of an error refers to it.
-            body.clear()
-            self._stream.holding.set_collected(0)
-
-    async def _collect_body(self, body: bytearray) -> None:
-        """Add the parts of a body as they arrive, up to its end."""
-        chunk_count = 0
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.EndOfMessage):
-                return
-            if not isinstance(event, h11.Data):
-                raise ConnectionResetError
-            body += event.data
-            self._stream.holding.set_collected(len(body))
-            if len(body) > self._limits.max_body_bytes:
-                raise _BodyTooLarge
-            chunk_count += event.chunk_start
-            if chunk_count % _MAX_CHUNKS_PER_TURN == 0:
-                await asyncio.sleep(0)
-            is_long = chunk_count > _MAX_SMALL_CHUNKS
-            if is_long and len(body) < chunk_count * _SMALL_CHUNK_BYTES:
-                raise h11.RemoteProtocolError("chunks too small")
-
-    async def _next_event(self, until_s: float = math.inf) -> typing.Any:
-        """Return the next part of a request.
-
-        :raises TimeoutError: when the client sent nothing in time; what it sent counts,
-            even if the daemon reads it late
-        """
-        while True:
-            event = self._h11.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            if not await self._wait_within_idle_timeout(until_s):
-                raise TimeoutError
-            if self._stream.has_unread:
-                # Reading what has arrived gives nothing else a turn.
-                await asyncio.sleep(0)
-            self._h11.receive_data(await self._stream.read(_MAX_READ_BYTES))
+    def _refuse(self, error: Exception) -> None:
+        """Refuse a request that has not run, or give up its response."""
+        refusal = _REFUSED[type(error)]
+        if refusal.limit is not None:
+            request_reader.record_limit(refusal.limit, self.source)
+        if self._is_reading or self.is_idle:
+            self._send_error(refusal.status)
 
     def _send_error(self, status: int) -> None:
         """Send an error for an unreadable request; the connection then closes."""
         logs.limited_info("request_rejected", status=status)
         try:
-            head = h11.Response(
-                status_code=status,
-                headers=[(b"Content-Length", b"0"), (b"Connection", b"close")],
-            )
-            data = self._h11.send(head) or b""
-            data += self._h11.send(h11.EndOfMessage()) or b""
+            headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+            if status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+                headers.append((b"Retry-After", _RETRY_AFTER_S))
+            head = h11.Response(status_code=status, headers=headers)
+            data = self._reader.h11.send(head) or b""
+            data += self._reader.h11.send(h11.EndOfMessage()) or b""
             self._stream.write(data)
         except (h11.LocalProtocolError, OSError) as error:
             logs.limited_info("rejection_not_sent", cause=repr(error))
--- a/src/endivevane/serving/http_client.py
+++ b/src/endivevane/serving/http_client.py
@@ -23,6 +23,8 @@
 _MAX_BODY_BYTES = 16 << 20
 # Bytes that are decoded before other connections have their turn.
 _MAX_READ_BYTES = 64 * 1024
+# Larger bodies are written apart from their heads, which saves a copy.
+_MAX_JOINED_BYTES = 64 * 1024
 _MAX_JOINED_CHUNKS = 64
 # Each chunk takes time to decode, so that these are no sound body.
 _MAX_SMALL_CHUNKS = 4096
@@ -146,10 +148,13 @@
         self._has_bodiless_method = method == b"HEAD"
         request = h11.Request(method=method, target=path, headers=headers)
         data = self._h11.send(request) or b""
+        self.may_have_sent = True
+        if len(body) > _MAX_JOINED_BYTES:
+            self.stream.write(data)
+            data = b""
         if body:
             data += self._h11.send(h11.Data(data=body)) or b""
         data += self._h11.send(h11.EndOfMessage()) or b""
-        self.may_have_sent = True
         self.stream.write(data)
 
     async def read_head(self) -> h11.Response:
--- a/src/endivevane/serving/http_server.py
+++ b/src/endivevane/serving/http_server.py
@@ -6,11 +6,19 @@
 import socket
 
 from endivevane import logs
-from endivevane.serving import byte_stream, client_connection, memory_budget
+from endivevane.serving import (
+    byte_stream,
+    client_connection,
+    connection_limiter,
+    memory_budget,
+    request_reader,
+)
 
 Handler = client_connection.Handler
 
 _BACKLOG = 1024
+# Connections that are accepted before others that wait are closed to make room.
+_MAX_ACCEPTED_AT_ONCE = 16
 
 
 class Server:
@@ -18,6 +26,9 @@
 
     :param budget: bounds what is kept of requests that are not whole; one of its own if
         ``None``
+    :param bounds: limits for clients beside the configuration's, the defaults if
+        ``None``
+    :param limiter: bounds the number of connections, ``None`` for no bound
     """
 
     def __init__(
@@ -26,9 +37,14 @@
         handler: Handler,
         limits: client_connection.LimitsSource,
         budget: memory_budget.MemoryBudget | None = None,
+        bounds: request_reader.ClientBounds | None = None,
+        limiter: connection_limiter.ConnectionLimiter | None = None,
     ) -> None:
         self._budget = budget or memory_budget.MemoryBudget("server")
-        self._served = client_connection.Served(codec, handler, limits)
+        self._limiter = limiter
+        self._served = client_connection.Served(
+            codec, handler, limits, bounds or request_reader.ClientBounds()
+        )
         self._server: asyncio.Server | None = None
         self._socket: socket.socket | None = None
         self._connections: dict[
@@ -47,8 +63,10 @@
         self._socket = listener or socket.create_server((host, port), backlog=_BACKLOG)
         self._socket.setblocking(False)
         self._server = await loop.create_server(
-            self._make_stream, sock=self._socket, backlog=_BACKLOG
+            self._make_stream, sock=self._socket, backlog=_MAX_ACCEPTED_AT_ONCE
         )
+        # The loop accepts as many at once as it lets wait.
+        self._socket.listen(_BACKLOG)
 
     @property
     def port(self) -> int:
@@ -115,6 +133,14 @@
 
     def _start_connection(self, stream: byte_stream.ByteStream) -> None:
         connection = client_connection.ClientConnection(self._served, stream)
+        if self._limiter is not None and not self._limiter.admit(connection):
+            connection.refuse()
+            return
         task = asyncio.ensure_future(connection.run())
         self._connections[connection] = task
-        task.add_done_callback(lambda _task: self._connections.pop(connection, None))
+        task.add_done_callback(lambda _task: self._forget(connection))
+
+    def _forget(self, connection: client_connection.ClientConnection) -> None:
+        self._connections.pop(connection, None)
+        if self._limiter is not None:
+            self._limiter.remove(connection)
--- a/src/endivevane/serving/job_api.py
+++ b/src/endivevane/serving/job_api.py
@@ -7,7 +7,7 @@
 import typing
 from collections import abc
 
-from endivevane import logs
+from endivevane import logs, metrics
 from endivevane.serving import (
     failures,
     job_changes,
@@ -16,6 +16,7 @@
     jobs,
     model,
     responder,
+    work_turns,
 )
 
 # Timeout of a call for which the client sets none.
@@ -23,6 +24,8 @@
 _MAX_WAIT_S = 1.0
 # Retry-After of calls that failed because the store was unavailable.
 _RETRY_AFTER_S = 0.4
+# Larger bodies are decoded in turns.
+_MAX_LIGHT_BYTES = 64 * 1024
 
 
 class JobCodec(typing.Protocol):
@@ -49,7 +52,9 @@
         changes: job_changes.JobChanges,
         reader: job_reader.JobReader,
         runner: job_runner.JobRunner,
+        turns: work_turns.WorkTurns | None = None,
     ) -> None:
+        self._turns = turns or work_turns.WorkTurns()
         self._codec = codec
         self._changes = changes
         self._reader = reader
@@ -61,7 +66,13 @@
         """Accept a job and respond once the store holds it."""
         try:
             job_id = self._codec.decode_job_id(request.attempt_id)
-            items = self._codec.decode_items(request.body)
+            items = await self._decode_items(request)
+        except work_turns.NoTurn:
+            logs.limited_info("job_not_decoded", job=job_id)
+            metrics.REFUSALS.labels("turns", "not-run").inc()
+            return responder.Response(
+                http.HTTPStatus.SERVICE_UNAVAILABLE, retry_after_s=_RETRY_AFTER_S
+            )
         except failures.InvalidJob as error:
             logs.limited_info(
                 "job_invalid",
@@ -96,6 +107,20 @@
         )
         return responder.Response(http.HTTPStatus.ACCEPTED)
 
+    async def _decode_items(
+        self, request: model.ClientRequest
+    ) -> tuple[jobs.Item, ...]:
+        """Return the items of a submission; large ones are decoded in turns.
+
+        :raises failures.InvalidJob: when the body is invalid
+        :raises work_turns.NoTurn: when there was no turn in time
+        """
+        if len(request.body) <= _MAX_LIGHT_BYTES:
+            return self._codec.decode_items(request.body)
+        return await self._turns.run(
+            request, lambda: self._codec.decode_items(request.body)
+        )
+
     async def call(
         self, request: model.ClientRequest, job_call: jobs.JobCall
     ) -> responder.Response:
--- a/src/endivevane/serving/job_reader.py
+++ b/src/endivevane/serving/job_reader.py
@@ -13,6 +13,8 @@
 # Limit of the cached result texts; jobs cached first are evicted first.
 _MAX_CACHED_BYTES = 24_000_000
 _MAX_CACHED_PAYLOADS = 32
+# Limit of the cached bodies of items.
+_MAX_CACHED_PAYLOAD_BYTES = 12_000_000
 
 
 class JobReader:
@@ -30,6 +32,7 @@
         self._result_bytes = 0
         self._payloads: collections.OrderedDict[str, dict[str, bytes]]
         self._payloads = collections.OrderedDict()
+        self._payload_bytes = 0
         self._locks: dict[str, asyncio.Lock] = {}
 
     async def find(self, job_id: str) -> job_registry.JobEntry | None:
@@ -84,11 +87,19 @@
     ) -> dict[str, bytes]:
         """Cache the item bodies of a job and return them by item id."""
         bodies = {item.item_id: item.body for item in items}
+        self._forget_payload(job_id)
         self._payloads[job_id] = bodies
-        if len(self._payloads) > _MAX_CACHED_PAYLOADS:
-            self._payloads.popitem(last=False)
+        self._payload_bytes += _count_bytes(bodies)
+        while len(self._payloads) > 1 and (
+            len(self._payloads) > _MAX_CACHED_PAYLOADS
+            or self._payload_bytes > _MAX_CACHED_PAYLOAD_BYTES
+        ):
+            self._forget_payload(next(iter(self._payloads)))
         return bodies
 
+    def _forget_payload(self, job_id: str) -> None:
+        self._payload_bytes -= _count_bytes(self._payloads.pop(job_id, {}))
+
     def cache_results(self, job_id: str, results: dict[int, jobs.ItemResult]) -> None:
         """Cache results that the store holds."""
         known = self._results.setdefault(job_id, {})
@@ -134,3 +145,7 @@
                 break
             results.append(result)
         return results
+
+
+def _count_bytes(bodies: dict[str, bytes]) -> int:
+    return sum(len(body) for body in bodies.values())
--- a/src/endivevane/serving/memory_budget.py
+++ b/src/endivevane/serving/memory_budget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections import abc
 
 from endivevane import logs, metrics
@@ -11,6 +12,18 @@
 # Share of each of the three budgets, of targets, the store and callers. The rest is for
 # the daemon itself and for copies of received bytes while they are decoded.
 _SHARE = 0.125
+# Share of a budget for requests that are being handled.
+_HANDLED_SHARE = 0.75
+# A smaller request is handled whatever others take.
+_SMALL_BYTES = 16 * 1024
+# Bytes that a client does not take for this long may be dropped.
+_UNSENT_GRACE_S = 1.0
+# Added to the time since a connection's last byte in the comparison of connections.
+_STALL_BASE_S = 0.1
+
+
+def _ignore() -> None:
+    """Do nothing for a connection that has ended."""
 
 
 class Holding:
@@ -29,6 +42,25 @@
         self._on_revoked = on_revoked
         self._received_bytes = 0
         self._collected_bytes = 0
+        self._handled_bytes = 0
+        self._unsent_bytes = 0
+        self._progress_s = time.monotonic()
+
+    @property
+    def is_revocable(self) -> bool:
+        """Whether no request runs that the end of the connection would cut.
+
+        A response that its client does not read is no reason to keep the connection.
+        """
+        if self._unsent_bytes:
+            return time.monotonic() - self._progress_s > _UNSENT_GRACE_S
+        return not self._handled_bytes
+
+    @property
+    def weight(self) -> float:
+        """Kept bytes times the time for which the peer has let them lie."""
+        stalled_s = time.monotonic() - self._progress_s
+        return self.held_bytes * (_STALL_BASE_S + stalled_s)
 
     @property
     def is_scarce(self) -> bool:
@@ -37,6 +69,8 @@
 
     def set_received(self, count: int) -> None:
         """Set the number of bytes that have arrived and are not decoded yet."""
+        if count > self._received_bytes:
+            self._progress_s = time.monotonic()
         self._received_bytes = count
         self._update()
 
@@ -45,10 +79,33 @@
         self._collected_bytes = count
         self._update()
 
+    def set_handled(self, count: int) -> bool:
+        """Set the number of bytes of the request that is being handled.
+
+        :returns: ``False`` if too much is being handled, so that this must not be
+        """
+        if not self._budget.record_handled(count - self._handled_bytes):
+            return False
+        self._handled_bytes = count
+        self._update()
+        return True
+
+    def set_unsent(self, count: int) -> None:
+        """Set the number of written bytes that the peer has not taken."""
+        if count < self._unsent_bytes or not self._unsent_bytes:
+            self._progress_s = time.monotonic()
+        self._unsent_bytes = count
+        self._update()
+
     def close(self) -> None:
         """Keep nothing any more."""
-        self._received_bytes = self._collected_bytes = 0
-        self._update()
+        self._received_bytes = self._collected_bytes = self._unsent_bytes = 0
+        self.set_handled(0)
+
+    def release(self) -> None:
+        """Keep nothing any more, and forget whom to tell."""
+        self.close()
+        self._on_revoked = _ignore
 
     def revoke(self) -> None:
         """Drop the bytes."""
@@ -57,7 +114,8 @@
 
     def _update(self) -> None:
         before = self.held_bytes
-        self.held_bytes = self._received_bytes + self._collected_bytes
+        received_bytes = self._received_bytes + self._collected_bytes
+        self.held_bytes = received_bytes + self._handled_bytes + self._unsent_bytes
         self._budget.record_change(self, self.held_bytes - before)
 
 
@@ -69,12 +127,21 @@
 
     :param purpose: kind of the connections, a metric label
     :param memory_bytes: memory of the process, of which the budget is a share
+    :param weighs_stalls: whether the connection is given up whose bytes have lain for
+        long, rather than one whose peer makes progress
     """
 
-    def __init__(self, purpose: str, memory_bytes: int = DEFAULT_MEMORY_BYTES) -> None:
+    def __init__(
+        self,
+        purpose: str,
+        memory_bytes: int = DEFAULT_MEMORY_BYTES,
+        weighs_stalls: bool = False,
+    ) -> None:
+        self._weighs_stalls = weighs_stalls
         self._purpose = purpose
         self._limit_bytes = int(memory_bytes * _SHARE)
         self._held_bytes = 0
+        self._handled_bytes = 0
         self._holdings: set[Holding] = set()
 
     @property
@@ -91,6 +158,18 @@
         """Return the holding of a new connection."""
         return Holding(self, on_revoked)
 
+    def record_handled(self, change: int) -> bool:
+        """Record a change of what is handled; return ``False`` if there is no room.
+
+        What is handled is not given up, so that a part is left for other connections.
+        """
+        after_bytes = self._handled_bytes + change
+        is_much = after_bytes > self._limit_bytes * _HANDLED_SHARE
+        if change > _SMALL_BYTES and self._handled_bytes and is_much:
+            return False
+        self._handled_bytes = after_bytes
+        return True
+
     def record_change(self, holding: Holding, change: int) -> None:
         """Record a change of a holding; above the limit, revoke the largest."""
         self._held_bytes += change
@@ -100,7 +179,10 @@
             self._holdings.discard(holding)
         if change <= 0 or self._held_bytes <= self._limit_bytes:
             return
-        largest = max(self._holdings, key=lambda item: item.held_bytes)
+        revocable = [item for item in self._holdings if item.is_revocable]
+        if not revocable:
+            return
+        largest = max(revocable, key=self._weigh)
         metrics.REVOKED_BUFFERS.labels(self._purpose).inc()
         logs.limited_info(
             "buffer_revoked",
@@ -109,3 +191,6 @@
             held=self._held_bytes,
         )
         largest.revoke()
+
+    def _weigh(self, holding: Holding) -> float:
+        return holding.weight if self._weighs_stalls else holding.held_bytes
