Keep quotas useful where nothing may come beyond them

With an overage and a slack of 0 tokens were void at once, so that all requests were refused. Daemons without any quota in their configuration no longer renew their view.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -46,6 +46,20 @@
       | others have not confirmed                  | 0     | 0    |
       | another one ranks first                    | 0     | 0    |
 
+  # Guards against settings under which no token can ever be used, or too many can.
+  Scenario Outline: A quota of <rate> with a burst of <burst> holds and is useful with <overage> and <slack>
+    Given the settings of an overage of <overage> and a slack of <slack>
+    Then for <rate> requests a second and a burst of <burst> issue and lending stay within the quota
+    And at least 0.9 of the quota is issued, in tokens that live for 0.05 s or more
+
+    Examples:
+      | rate | burst | overage | slack |
+      | 101  | 101   | 0.1     | 20    |
+      | 100  | 0     | 0.0     | 0     |
+      | 1    | 1     | 0.1     | 20    |
+      | 0    | 50    | 0.1     | 0     |
+      | 1000 | 10    | 0.05    | 5     |
+
   # Guards against tokens that count twice when datagrams are repeated or come late.
   Scenario Outline: A daemon that asked for 4 tokens can use <count> when the answer <case>
     Given a daemon whose issuer is another one
--- a/features/steps/quotas_steps.py
+++ b/features/steps/quotas_steps.py
@@ -262,6 +262,38 @@
     assert least <= context.issued <= most, context.issued
 
 
+@given("the settings of an overage of {overage:f} and a slack of {slack:d}")
+def step_settings(context, overage, slack):
+    context.limits = settings.QuotasSection(overage=overage, slack=slack)
+
+
+@then(
+    "for {rate:d} requests a second and a burst of {burst:d} issue and lending stay "
+    "within the quota"
+)
+def step_within(context, rate, burst):
+    limits = context.limits
+    quota = quota_net.make_organisation("o", rate, burst)
+    context.quota = quota
+    issued = limits.find_rate_per_s(quota) * (
+        limits.window_s + limits.find_token_ttl_s(quota)
+    )
+    total = issued + limits.find_depth(quota) + limits.find_max_lent(quota)
+    allowed = (rate * limits.window_s + burst) * (1 + limits.overage) + limits.slack
+    assert total <= allowed + 1e-9, (total, allowed)
+
+
+@then(
+    "at least {share:f} of the quota is issued, in tokens that live for {least_s:f} s "
+    "or more"
+)
+def step_useful(context, share, least_s):
+    limits, quota = context.limits, context.quota
+    assert limits.find_rate_per_s(quota) >= share * quota.rate_per_s
+    assert limits.find_depth(quota) >= quota.burst
+    assert limits.find_token_ttl_s(quota) >= least_s
+
+
 @given("a daemon whose issuer is another one")
 def step_holder(context):
     context.organisation = quota_net.make_organisation("o", 100, 100)
--- a/src/endivevane/quotas/holder.py
+++ b/src/endivevane/quotas/holder.py
@@ -115,9 +115,7 @@
 
     def withdraw(self, organisation: str, ticket: int) -> None:
         """Forget a request that waits no longer."""
-        found = self._pools.get(organisation)
-        if found is None:
-            return
+        found = self._find_pool(organisation)
         for waiter in found.waiters:
             if not waiter.asker and waiter.number == ticket:
                 found.waiters.remove(waiter)
@@ -318,9 +316,7 @@
     def _find_ttl_s(self, name: str) -> float:
         """Return the life of a token that counts as used once it is passed on."""
         organisation = self._find_organisation(name)
-        if organisation is None:
-            return 0.0
-        return self._limits.find_token_ttl_s(organisation)
+        return self._limits.find_token_ttl_s(organisation) if organisation else 0.0
 
     def _obtain(self, name: str, found: pool.Pool, now_s: float) -> None:
         """Get tokens for the requests that wait, from here or from another daemon."""
--- a/src/endivevane/quotas/service.py
+++ b/src/endivevane/quotas/service.py
@@ -80,9 +80,9 @@
         """Renew the view of the daemons and the tokens until cancelled."""
         while True:
             await asyncio.sleep(_REFRESH_INTERVAL_S)
-            now_s = self._begin_step()
             if not self._has_quotas():
                 continue
+            now_s = self._begin_step()
             for name, probe in self._view.ask_others(now_s):
                 self._send(name, probe)
             self._holder.refresh(now_s)
