Name when tokens are there to clients that are refused during a start

Cause: after the loss of all daemons no tokens are issued for about a second after loading; requests were refused with a Retry-After of 0.1 s, so that a client with one retry was refused twice.

Change: a daemon that has just started names the time until it may issue, plus 0.3 s for the first tokens, spread over half a second.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -16,6 +16,18 @@
     When a client of the organisation sends 1 requests at once
     Then all of them get status 503 within 0.5 s, none has run
 
+  # Guards against clients that return while all daemons are still starting, and so are
+  # refused for good.
+  Scenario Outline: A daemon <case> lets a refused client return <returns>
+    Given a view of the daemons <case>
+    Then the time until tokens are there is between <least> and <most> s
+
+    Examples:
+      | case                       | returns           | least | most |
+      | that knows no others yet   | after the start   | 1.0   | 1.0  |
+      | that has just warmed up    | when it may issue | 0.7   | 0.9  |
+      | that started 2 s ago       | at once           | 0.0   | 0.0  |
+
   # Guards against tokens that are lost with clients that leave while they wait.
   Scenario: A client that leaves gives its token back
     Given an organisation with 3 tokens, at a daemon without requests
--- a/features/steps/quotas_steps.py
+++ b/features/steps/quotas_steps.py
@@ -610,3 +610,21 @@
     excess = quota_fuzz.find_excess(faults, 40, prepare)
     print(f"excess={excess:.1f}")
     assert excess > 0, excess
+
+
+@given("a view of the daemons {case}")
+def step_view_of_start(context, case):
+    view = membership.MemberView("d0", "near")
+    began_s = {"that knows no others yet": None, "that started 2 s ago": 98.0}
+    warm_s = began_s.get(case, 100.0)
+    if warm_s is not None:
+        snapshot = membership.Snapshot(
+            {"d0": "near"}, frozenset({"d0"}), frozenset(), 1, 0.1, 0.5, True
+        )
+        view.update(snapshot, warm_s)
+    context.start_left_s = view.find_start_left_s(100.0)
+
+
+@then("the time until tokens are there is between {least:f} and {most:f} s")
+def step_start_left(context, least, most):
+    assert least <= context.start_left_s <= most, context.start_left_s
--- a/src/endivevane/quotas/membership.py
+++ b/src/endivevane/quotas/membership.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from collections import abc
 
 from endivevane.coordination import rendezvous
@@ -24,6 +25,10 @@
 _RANKED = 3
 # A daemon that was answered may issue for less than this time.
 _ANSWERED_S = 1.6
+# Time until a daemon that has just started may issue, before more is known.
+_START_S = 1.0
+# After a start, others have answered and the first tokens are there after this time.
+_FIRST_TOKENS_S = 0.3
 # Age of a daemon that has never been heard.
 _NEVER_HEARD_S = 3600.0
 
@@ -175,6 +180,12 @@
         """Whether others have answered this daemon lately."""
         return self._witnesses.is_confirmed(now_s)
 
+    def find_start_left_s(self, now_s: float) -> float:
+        """Return the time until tokens are likely there after a start, else 0."""
+        if math.isinf(self.opened_s):
+            return _START_S
+        return max(0.0, self.opened_s + _FIRST_TOKENS_S - now_s)
+
     def ask_others(self, now_s: float) -> list[tuple[str, messages.QuotaProbe]]:
         """Return the questions to others that are due, with their recipients."""
         is_stopping = self._own_name not in self._snapshot.live
--- a/src/endivevane/quotas/service.py
+++ b/src/endivevane/quotas/service.py
@@ -5,6 +5,7 @@
 import asyncio
 import functools
 import itertools
+import random
 import time
 import typing
 from collections import abc
@@ -30,6 +31,8 @@
 _HOLD_OFF_LESS_S = 0.4
 # All others have heard of a daemon that has started, or is back, after this time.
 _SETTLE_S = 0.5
+# Clients that are refused during a start return within this time of each other.
+_RETURN_SPREAD_S = 0.5
 # Numbers of a run begin at its start time, so that they differ from those of the run
 # before. They are kept short, since each message has one.
 _NUMBERS_PER_S = 1000
@@ -96,6 +99,8 @@
         :param until_s: monotonic time until which the request may wait
         """
         outcome = await self._decide(organisation.name, until_s)
+        if isinstance(outcome, outcomes.NoIssuer):
+            outcome = self._delay_return(outcome)
         metrics.QUOTA_DECISIONS.labels(_NAMES[type(outcome)]).inc()
         if not isinstance(outcome, outcomes.Admitted):
             logs.limited_info(
@@ -108,6 +113,18 @@
             )
         return outcome
 
+    def _delay_return(self, refused: outcomes.NoIssuer) -> outcomes.NoIssuer:
+        """Let a client come back when tokens are there, if this daemon has started.
+
+        Many daemons may have started at the same time, so that none issues tokens yet.
+        The returns are spread, since a client may return once only.
+        """
+        left_s = self._view.find_start_left_s(copy_age.read_clock_s())
+        if not left_s:
+            return refused
+        spread_s = random.uniform(0.0, _RETURN_SPREAD_S)
+        return outcomes.NoIssuer(left_s + spread_s)
+
     def handle(self, message: messages.Message, sender: str) -> None:
         """Handle a message of another daemon."""
         now_s = self._begin_step()
