--- a/src/endivevane/serving/queue_shares.py
+++ b/src/endivevane/serving/queue_shares.py
@@ -215,7 +215,7 @@
         logs.limited_info(
             "organisation_held_to_share",
             service=service,
-            tenant=organisation,
+            organisation=organisation,
             share=round(found.shares.find_own_share(organisation, now_s), 1),
             used=round(found.shares.measure_use(organisation, now_s), 1),
             waiting=found.count_waiting(organisation),
