--- a/features/steps/fair_shares_steps.py
+++ b/features/steps/fair_shares_steps.py
@@ -170,7 +170,7 @@
 
 @then("the log names it at most once in {interval_s:d} s")
 def step_log(context, interval_s):
-    named = [fields for fields in _held if fields["tenant"] == "hot"]
+    named = [fields for fields in _held if fields["organisation"] == "hot"]
     most = _DURATION_S / interval_s + 1
     assert 1 <= len(named) <= most, named
 
