Mend two faults that a reading of the diff found, and its wording

Cause: (1) a look at a full address that found no connection to close kept other addresses from making room for 20 ms; (2) a request that waits for a token was given up only after those before it, whatever time they had.

Change: the pause counts for one address; all waiting requests are looked at. Comments and docstrings say what a newcomer missed; one copy of reading the unacknowledged bytes is left.

--- a/features/client_limits.feature
+++ b/features/client_limits.feature
@@ -46,3 +46,12 @@
     Given costly work in turns
     When the second of 4 that wait is ended
     Then the others have their turns in order
+
+  Scenario: An address that is full does not keep others from making room
+    Guards against clients of one address that stop all others, since a look that
+    found nothing to close counted for every address.
+
+    Given room for 3 connections and 2 of each address
+    And 2 busy connections of one address and an idle one of another
+    When one more of the full address and one of a third address come
+    Then the first of them is rejected and the idle one makes room for the other
--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -72,6 +72,12 @@
       | 0    | 50    | 0.1     | 0     |
       | 1000 | 10    | 0.05    | 5     |
 
+  # Guards against a request that waits past its deadline behind one with more time.
+  Scenario: A request is given up in time although one before it may wait longer
+    Given a daemon whose issuer is another one
+    When a request that may wait 0.2 s and one that may wait 0.02 s come
+    Then after 0.05 s the second one is given up and the first one still waits
+
   # Guards against tokens that count twice when datagrams are repeated or come late.
   Scenario Outline: A daemon that asked for 4 tokens can use <count> when the answer <case>
     Given a daemon whose issuer is another one
--- a/features/steps/client_limits_steps.py
+++ b/features/steps/client_limits_steps.py
@@ -7,6 +7,7 @@
 from endivevane.platform import headers
 from endivevane.serving import (
     byte_stream,
+    client_connection,
     client_settings,
     connection_limiter,
     http_server,
@@ -246,3 +247,46 @@
 @then("the others have their turns in order")
 def step_order(context):
     assert context.done == [0, 2, 3], context.done
+
+
+class _Connection:
+    """What a limiter needs of a connection."""
+
+    def __init__(self, source, standing):
+        self.source = source
+        self.standing = (standing, 0.0)
+        self.is_evicted = False
+
+    def evict(self):
+        self.is_evicted = True
+
+
+@given("room for {most:d} connections and {most_of_each:d} of each address")
+def step_room(context, most, most_of_each):
+    context.limiter = connection_limiter.ConnectionLimiter(most, most_of_each)
+
+
+@given("2 busy connections of one address and an idle one of another")
+def step_connected(context):
+    standing = client_connection.Standing
+    context.idle = _Connection("b", standing.IDLE)
+    for item in (
+        _Connection("a", standing.BUSY),
+        _Connection("a", standing.BUSY),
+        context.idle,
+    ):
+        assert context.limiter.admit(item)
+
+
+@when("one more of the full address and one of a third address come")
+def step_two_more(context):
+    busy = client_connection.Standing.BUSY
+    context.admitted = [
+        context.limiter.admit(_Connection(source, busy)) for source in ("a", "c")
+    ]
+
+
+@then("the first of them is rejected and the idle one makes room for the other")
+def step_room_made(context):
+    assert context.admitted == [False, True], context.admitted
+    assert context.idle.is_evicted
--- a/features/steps/quotas_steps.py
+++ b/features/steps/quotas_steps.py
@@ -628,3 +628,16 @@
 @then("the time until tokens are there is between {least:f} and {most:f} s")
 def step_start_left(context, least, most):
     assert least <= context.start_left_s <= most, context.start_left_s
+
+
+@when("a request that may wait {long_s:f} s and one that may wait {short_s:f} s come")
+def step_two_waits(context, long_s, short_s):
+    assert context.holder.admit("o", 1, long_s, 100.0) is None
+    assert context.holder.admit("o", 2, short_s, 100.0) is None
+
+
+@then("after {left_s:f} s the second one is given up and the first one still waits")
+def step_given_up(context, left_s):
+    context.holder.tick(100.0 + left_s)
+    decided = [item.ticket for item in context.holder.collect(100.0).decisions]
+    assert decided == [2], decided
--- a/src/endivevane/configuration_check/findings.py
+++ b/src/endivevane/configuration_check/findings.py
@@ -46,7 +46,7 @@
     IN_FORCE_UNREADABLE = "in_force_unreadable"
 
 
-# The entry works, but does nothing, or not all that it says.
+# Daemons accept the configuration, but a part has no effect or can't be checked.
 _WARNINGS = frozenset(
     (
         Rule.UNKNOWN_FIELD,
--- a/src/endivevane/ctl/check_commands.py
+++ b/src/endivevane/ctl/check_commands.py
@@ -23,7 +23,7 @@
 def add_parsers(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
     """Add the parsers of these commands."""
     config = commands.add_parser("config", help="work on the daemons' configuration")
-    # The option --config has taken the name of this command.
+    # dest differs from "config", which the option --config uses.
     nested = config.add_subparsers(
         dest="config_command", required=True, metavar="COMMAND"
     )
--- a/src/endivevane/locality/leaving.py
+++ b/src/endivevane/locality/leaving.py
@@ -22,7 +22,7 @@
 _MIN_WAIT_SHARE = 0.05
 # Requests that hold a slot for less do not make distance more important.
 _MIN_HOLD_S = 0.01
-# Demand may step from 0.38 to 1.85 of its mean within 2 s.
+# Most by which a load is expected to grow in a second, as a share of the slots.
 _LOAD_STEP_PER_S = 0.75
 
 
@@ -89,8 +89,8 @@
 def estimate_load_step(age_s: float) -> float:
     """Return by which share of the slots a load may have grown since it was reported.
 
-    A difference between two regions below that may be none, so that both would send
-    requests to each other in turn.
+    A smaller difference between the loads of two regions is ignored; otherwise each
+    could send requests to the other.
     """
     return min(1.0, _LOAD_STEP_PER_S * age_s)
 
--- a/src/endivevane/organisations/identification.py
+++ b/src/endivevane/organisations/identification.py
@@ -11,7 +11,7 @@
 
 # An organisation's key may have been added in this time; a long poll takes 2 s.
 _MAX_CONFIGURATION_AGE_S = 4.0
-# Share of the time in which a key that is taken away must stop to work. The rest is for
+# Share of the time in which a key that is taken away must stop working. The rest is for
 # clocks that run at different speeds.
 _MAX_AGE_SHARE = 0.9
 # Another daemon usually has a newer configuration.
@@ -32,7 +32,7 @@
 class Identification:
     """Identifies the organisations of requests by the configuration in force.
 
-    :param keys: how soon keys that are taken away must stop to work
+    :param keys: how soon keys that are taken away must stop working
     """
 
     def __init__(self, keys: settings.KeysSection) -> None:
--- a/src/endivevane/quotas/asking.py
+++ b/src/endivevane/quotas/asking.py
@@ -41,7 +41,7 @@
         """Return the daemons to ask for tokens, in order; empty for the issuer."""
 
     def list_first(self, organisation: str) -> abc.Sequence[str]:
-        """Return the first daemons of all regions, without this one."""
+        """Return the daemons that rank first over all regions, without this one."""
 
     def is_issuer(self, organisation: str) -> bool:
         """Whether this daemon ranks first."""
--- a/src/endivevane/quotas/holder.py
+++ b/src/endivevane/quotas/holder.py
@@ -33,7 +33,8 @@
 _MIN_RETRY_S = 0.01
 # An issuer that has nothing to spare is asked ahead again after this time.
 _AHEAD_RETRY_S = 0.25
-# A request that waits in vain this soon after others were refused is refused too.
+# A request that waits in vain until this long after a token was due is over the quota;
+# later, it counts as one without an issuer.
 _REFUSED_MEMORY_S = 1.0
 # Requests of an organisation, of this daemon and others, that may wait here.
 _MAX_WAITERS = 1024
@@ -240,7 +241,11 @@
     def _add_other(
         self, sender: str, number: int, need: messages.Need, now_s: float
     ) -> None:
-        """Answer a need from the tokens here, or later."""
+        """Answer a need from the tokens here, now or once there are some.
+
+        What is asked on behalf of others is not passed on: without enough tokens here
+        it gets no answer, and its sender asks another daemon.
+        """
         name = need.organisation
         found = self._find_pool(name)
         if found.has_waiter(sender, number):
@@ -379,9 +384,10 @@
         self._answers.add(asker, number, grant, now_s)
 
     def _drop_late(self, found: pool.Pool, now_s: float) -> None:
-        """Give up requests that have waited too long."""
-        while found.waiters and found.waiters[0].until_s <= now_s:
-            waiter = found.waiters.popleft()
+        """Give up requests that have waited too long, wherever they are."""
+        late = [waiter for waiter in found.waiters if waiter.until_s <= now_s]
+        for waiter in late:
+            found.waiters.remove(waiter)
             if waiter.asker:
                 continue
             outcome: outcomes.Outcome = outcomes.NoIssuer(_NO_ISSUER_RETRY_S)
--- a/src/endivevane/quotas/issuer.py
+++ b/src/endivevane/quotas/issuer.py
@@ -17,11 +17,11 @@
 
 # Life of a token that is lent to a daemon that holds tokens for requests to come.
 LENT_TTL_S = 4.0
-# While tokens of the issuer before may be outstanding, only so much of what may be lent
-# is lent.
+# Share of max_lent that may be lent while tokens of the previous issuer may be
+# outstanding.
 _EARLY_LENT_SHARE = 1 / 3
-# So much of a bucket may be lent beyond that; lent tokens then take the place of tokens
-# in the bucket.
+# Share of a bucket that may be lent beyond max_lent; each such token lowers what the
+# bucket can hold by one.
 _LENT_DEPTH_SHARE = 0.25
 # What a daemon asks for ahead is issued from the upper part of a bucket only.
 _AHEAD_SHARE = 0.5
@@ -150,7 +150,7 @@
         return int(most) - self.count_lent()
 
     def _find_covered(self, now_s: float) -> float:
-        """Return how many lent tokens overage and slack cover."""
+        """Return how many lent tokens fit into what may come beyond a quota."""
         covered = self.max_lent * self._share
         return covered * _EARLY_LENT_SHARE if self.is_early(now_s) else covered
 
@@ -260,6 +260,7 @@
         self, organisation: model.Organisation, now_s: float
     ) -> _Bucket | None:
         """Return the up-to-date bucket of an organisation."""
+        # This comes first, since it updates what find_since_s returns.
         if not self._view.may_issue(organisation.name, now_s):
             return None
         since_s = self._view.find_since_s(organisation.name)
--- a/src/endivevane/quotas/membership.py
+++ b/src/endivevane/quotas/membership.py
@@ -19,9 +19,10 @@
 # up to one at most.
 _FULL_SHARE = 0.8
 _NO_SHARE = 1.0 - _FULL_SHARE
-# A share that has risen counts as the lower one for this long where nothing was issued.
+# A share that rises again within this time of its last rise counts as having risen
+# once, from the lowest value before.
 _RISE_MEMORY_S = 10.0
-# The daemon that is asked, and those that are asked where the first does not answer.
+# Daemons kept in their order: the first is asked, the others where it does not answer.
 _RANKED = 3
 # A daemon that was answered may issue for less than this time.
 _ANSWERED_S = 1.6
@@ -60,7 +61,8 @@
 
     :ivar share: share of each quota that this daemon's side of a separation may issue
     :ivar risen_s: time at which the share last rose
-    :ivar share_before: the share before that
+    :ivar share_before: the share before that; the lowest one where rises followed
+        closely
     :ivar opened_s: time from which this daemon may issue at all
     """
 
@@ -131,7 +133,7 @@
         return tuple(name for name in region_ones if name != self._own_name)
 
     def list_first(self, organisation: str) -> tuple[str, ...]:
-        """Return the first daemons of all regions, without this one."""
+        """Return the daemons that rank first over all regions, without this one."""
         first_ones, _ = self._find_leaders(organisation)
         return tuple(name for name in first_ones if name != self._own_name)
 
@@ -162,7 +164,11 @@
         return since_s
 
     def may_issue(self, organisation: str, now_s: float) -> bool:
-        """Whether others confirm that no other daemon issues."""
+        """Whether others confirm that no other daemon issues.
+
+        It records since when others do not hear the daemons that rank before this one,
+        which :meth:`find_since_s` uses, and has others asked about the rest.
+        """
         if not self.share or not self._witnesses.is_confirmed(now_s):
             return False
         is_confirmed = True
@@ -253,7 +259,7 @@
     def _find_leaders(
         self, organisation: str
     ) -> tuple[tuple[str, ...], tuple[str, ...]]:
-        """Return the first daemons of all regions, and those of this region."""
+        """Return those that rank first over all regions, and in this region."""
         known = self._leaders.get(organisation)
         if known is not None:
             return known
--- a/src/endivevane/quotas/service.py
+++ b/src/endivevane/quotas/service.py
@@ -114,10 +114,10 @@
         return outcome
 
     def _delay_return(self, refused: outcomes.NoIssuer) -> outcomes.NoIssuer:
-        """Let a client come back when tokens are there, if this daemon has started.
+        """Let a client come back when tokens are there, if this daemon just started.
 
         Many daemons may have started at the same time, so that none issues tokens yet.
-        The returns are spread, since a client may return once only.
+        The returns are spread, so that not all clients come back at the same moment.
         """
         left_s = self._view.find_start_left_s(copy_age.read_clock_s())
         if not left_s:
--- a/src/endivevane/quotas/witnesses.py
+++ b/src/endivevane/quotas/witnesses.py
@@ -1,5 +1,7 @@
 """Asking some of the others what this daemon cannot see by itself.
 
+A witness is a daemon that this one asks which daemons it hears.
+
 A link may fail between two daemons only, or in one direction. So a daemon issues tokens
 only while others answer it, and in place of another one only if they do not hear that
 one either. It does no I/O, and the time is passed in.
--- a/src/endivevane/serving/byte_stream.py
+++ b/src/endivevane/serving/byte_stream.py
@@ -4,10 +4,8 @@
 
 import asyncio
 import collections
-import fcntl
 import socket
 import struct
-import termios
 import time
 import typing
 from collections import abc
@@ -33,9 +31,6 @@
 _LINGER_RESET = struct.pack("ii", 1, 0)
 
 
-_INT = struct.Struct("i")
-
-
 class MemoryRevoked(OSError):
     """The connection kept most of the bytes of an exceeded memory budget."""
 
@@ -359,12 +354,9 @@
         """
         if self._transport is None or self._is_closed:
             return self._unsent_bytes
-        try:
-            descriptor = self._transport.get_extra_info("socket").fileno()
-            queued = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(_INT.size))
-        except OSError:
-            return self._unsent_bytes
-        return self._unsent_bytes + int(_INT.unpack(queued)[0])
+        sock = self._transport.get_extra_info("socket")
+        queued = 0 if sock is None else sockets.count_unacknowledged_bytes(sock)
+        return self._unsent_bytes + queued
 
     def _record_unsent(self) -> None:
         if self._is_accepted and not self._is_closed:
--- a/src/endivevane/serving/client_connection.py
+++ b/src/endivevane/serving/client_connection.py
@@ -25,8 +25,9 @@
 
 # How long a client may take no byte of a response that has been written.
 _FLUSH_TIMEOUT_S = 2.0
-# A connection that has been read or written for less time is not a slow one.
+# Idle connections, and senders, are not closed for others before this time.
 _NEW_S = 0.05
+# Time after which a sender or a reader may be closed for others.
 _SLOW_S = 1.0
 # Retry-After of requests that were refused since too much is in progress.
 _RETRY_AFTER_S = b"1.00"
@@ -53,7 +54,12 @@
 
 
 class Standing(enum.IntEnum):
-    """How little a connection is worth to keep; the lowest are closed first."""
+    """How much a connection is worth keeping; the lowest are closed first.
+
+    ``UNUSED`` has had no request, ``IDLE`` has none at present, ``SLOW_SENDER`` and
+    ``SLOW_READER`` are below the least rates, ``COSTLY`` waits for a turn to be
+    decoded, ``SENDER`` has sent for long, and ``BUSY`` is never closed for others.
+    """
 
     UNUSED = 0
     SLOW_SENDER = 1
--- a/src/endivevane/serving/connection_limiter.py
+++ b/src/endivevane/serving/connection_limiter.py
@@ -27,7 +27,8 @@
     def __init__(self, most: int, most_per_source: int | None) -> None:
         self._most = most
         self._most_per_source = most_per_source
-        self._full_until_s = 0.0
+        # Address, ``None`` for all -> time until which none can be closed.
+        self._full_until_s: dict[str | None, float] = {}
         self._connections: set[client_connection.ClientConnection] = set()
         self._sources: collections.Counter[str] = collections.Counter()
 
@@ -40,12 +41,12 @@
         ):
             limit = "connections_per_source"
             own = [item for item in self._connections if item.source == source]
-            if not self._make_room(limit, own, self._most_per_source):
+            if not self._make_room(limit, source, own, self._most_per_source):
                 request_reader.record_limit(limit, source)
                 return False
         if len(self._connections) >= self._most:
             limit = "connections"
-            if not self._make_room(limit, self._connections, self._most):
+            if not self._make_room(limit, None, self._connections, self._most):
                 request_reader.record_limit(limit, source)
                 return False
         self._connections.add(connection)
@@ -61,16 +62,18 @@
         self._sources[source] -= 1
         if not self._sources[source]:
             del self._sources[source]
+            self._full_until_s.pop(source, None)
 
     def _make_room(
         self,
         limit: str,
+        source: str | None,
         candidates: abc.Iterable[client_connection.ClientConnection],
         most: int,
     ) -> bool:
         """Close some connections of least worth; return whether there was one."""
         now_s = time.monotonic()
-        if now_s < self._full_until_s:
+        if now_s < self._full_until_s.get(source, 0.0):
             return False
         standings = [(item.standing, item) for item in candidates]
         idle = [
@@ -80,7 +83,7 @@
         ]
         idle.sort(key=lambda pair: pair[0])
         if not idle:
-            self._full_until_s = now_s + _FULL_S
+            self._full_until_s[source] = now_s + _FULL_S
         evicted = idle[: max(1, int(most * _EVICTED_SHARE))]
         for _, item in evicted:
             request_reader.record_limit(limit, item.source)
--- a/src/endivevane/serving/http_client.py
+++ b/src/endivevane/serving/http_client.py
@@ -32,7 +32,7 @@
 _MIN_BACKOFF_S = 0.25
 _MAX_BACKOFF_S = 2.0
 _LAST_STATUS = 599
-# Their heads are their ends.
+# Responses with these statuses have no body.
 _BODILESS_STATUSES = frozenset((204, 304))
 
 
--- a/src/endivevane/serving/work_turns.py
+++ b/src/endivevane/serving/work_turns.py
@@ -8,8 +8,8 @@
 import typing
 from collections import abc
 
-# Time that all other work has after a turn, in multiples of the turn. Routing and
-# sending a request costs about as much again as decoding it.
+# Pause after a turn, in multiples of the turn: costly work takes at most a quarter of
+# the time, and the rest is left for all other work.
 _PAUSE_FACTOR = 3.0
 _WAIT_TIMEOUT_S = 3.0
 
@@ -21,7 +21,7 @@
 
 
 def _ignore(_turn: object) -> None:
-    """Let nobody end the wait."""
+    """Do nothing with the future of a wait."""
 
 
 class WorkTurns:
