--- a/src/endivevane/quarantine/service.py
+++ b/src/endivevane/quarantine/service.py
@@ -275,7 +275,7 @@
             self._publish(messages.QuarantineNews(self._region, answers=(notice,)))
 
     def _reply_later(self, end: messages.EndReport, now_s: float) -> None:
-        """Tell of answers on accused traits that the reporter may not know."""
+        """Report answers on accused traits that the reporter may not know."""
         known = self._registry.evidence
         newer = []
         for trait in evidence.list_traits(end.suspects):
--- a/src/endivevane/sockets.py
+++ b/src/endivevane/sockets.py
@@ -1,4 +1,4 @@
-"""What the system tells of connections."""
+"""Queries about the state of connections."""
 
 from __future__ import annotations
 
