--- a/review/parts2/fleet.py
+++ b/review/fleet2.py
@@ -16,9 +16,11 @@
 import time
 import tomllib
 
-from parts2 import replica, store, wire
+import replica2 as replica
+import store2 as store
+import wire2 as wire
 
-REPOSITORY = pathlib.Path(__file__).resolve().parents[2]
+REPOSITORY = pathlib.Path(__file__).resolve().parents[1]
 HOST = "shop.example"
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 _START_S = 25.0
--- a/review/parts2/replica.py
+++ b/review/replica2.py
@@ -10,7 +10,7 @@
 import time
 import typing
 
-from parts2 import wire
+import wire2 as wire
 
 
 class Replica:
@@ -19,6 +19,7 @@
     :ivar work_s: time from the start of a run to its first event, or to its answer
     :ivar events: number of events of a stream
     :ivar gap_s: time between two events
+    :ivar texts: what events hold beside the attempt and their number, in turn
     :ivar weights: version of its weights, which ``Expect-Version`` names
     :ivar limit: value of ``Server-Limit`` in all answers, empty for none
     :ivar finished: ids of the requests that have run to their end
@@ -35,6 +36,7 @@
         self.gap_s = 0.01
         self.weights = 1
         self.limit = ""
+        self.texts: list[str] = [""]
         self.finished: set[str] = set()
         self.arrivals: list[tuple[float, str]] = []
         self.port = 0
@@ -71,6 +73,11 @@
             "born": self.born,
         }
 
+    def write(self, attempt: str, number: int) -> str:
+        """Return the data of an event, which is the same at all replicas."""
+        text = self.texts[(int(attempt, 16) + number) % len(self.texts)]
+        return f"{attempt} {number} {text}".rstrip()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -164,7 +171,7 @@
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         first = int(message.headers.get("last-event-id") or 0) + 1
         for number in range(first, self.events + 1):
-            event = f"id: {number}\ndata: {attempt} {number}\n\n".encode()
+            event = f"id: {number}\ndata: {self.write(attempt, number)}\n\n".encode()
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
             await asyncio.sleep(self.gap_s)
--- a/review/parts2/store.py
+++ b/review/store2.py
@@ -13,7 +13,7 @@
 import time
 import urllib.parse
 
-from parts2 import wire
+import wire2 as wire
 
 _ANSWER_S = 0.004
 _TX_S = 0.003
@@ -26,6 +26,51 @@
 _HISTORY_S = 20.0
 
 
+class Bandwidth:
+    """Bytes a second that all transfers under way share evenly."""
+
+    def __init__(self, bytes_per_s: float) -> None:
+        self._bytes_per_s = bytes_per_s
+        # What a transfer has got that has been under way all the time.
+        self._served = 0.0
+        self._updated_s = 0.0
+        self._transfers: dict[asyncio.Future[None], float] = {}
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def transfer(self, size: int) -> None:
+        """Wait until so many bytes are through."""
+        self._update()
+        done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._transfers[done] = self._served + size
+        self._update()
+        try:
+            await done
+        finally:
+            self._update()
+            self._transfers.pop(done, None)
+            self._update()
+
+    def _update(self) -> None:
+        now_s = time.monotonic()
+        if self._transfers:
+            passed_s = now_s - self._updated_s
+            self._served += passed_s * self._bytes_per_s / len(self._transfers)
+        self._updated_s = now_s
+        for done, end in list(self._transfers.items()):
+            if end <= self._served + 1:
+                del self._transfers[done]
+                if not done.done():
+                    done.set_result(None)
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._transfers:
+            left = min(self._transfers.values()) - self._served
+            wait_s = left * len(self._transfers) / self._bytes_per_s
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(max(0.0, wait_s), self._update)
+
+
 class Store:
     """In-memory rows with their history, and objects."""
 
@@ -39,7 +84,7 @@
         self.port = 0
         self._changed = asyncio.Event()
         self._parts: dict[str, asyncio.Lock] = {}
-        self._blobs = asyncio.Lock()
+        self._bandwidth = Bandwidth(_BLOB_BYTES_PER_S)
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -100,7 +145,7 @@
                 if self.is_down:
                     status, body = 503, b"{}"
                 else:
-                    status, body = await self._handle(message)
+                    status, body = await self._handle_unless_left(message, reader)
                 await asyncio.sleep(_ANSWER_S / 2)
                 kind = {"Content-Type": "application/json"}
                 writer.write(wire.write_response(status, kind, body))
@@ -111,6 +156,20 @@
             self._writers.discard(writer)
             writer.transport.abort()
 
+    async def _handle_unless_left(
+        self, message: wire.Message, reader: asyncio.StreamReader
+    ) -> tuple[int, bytes]:
+        """Handle a call; a read of an object ends with its caller's connection."""
+        if not message.target.startswith("/api/blob-get/"):
+            return await self._handle(message)
+        handling = asyncio.ensure_future(self._handle(message))
+        while not handling.done():
+            await asyncio.wait((handling,), timeout=0.02)
+            if reader.at_eof() or reader.exception() is not None:
+                handling.cancel()
+                raise ConnectionResetError
+        return handling.result()
+
     async def _handle(self, message: wire.Message) -> tuple[int, bytes]:
         parsed = urllib.parse.urlsplit(message.target)
         query = dict(urllib.parse.parse_qsl(parsed.query, keep_blank_values=True))
@@ -219,9 +278,8 @@
     ) -> tuple[int, bytes]:
         await asyncio.sleep(_BLOB_S)
         found = self.objects.get(name)
-        async with self._blobs:
-            size = len(message.body) or len(found or b"")
-            await asyncio.sleep(size / _BLOB_BYTES_PER_S)
+        size = len(message.body) or len(found or b"")
+        await self._bandwidth.transfer(size)
         if path.startswith("/api/blob-put/"):
             if message.headers.get("if-none-match") == "*" and name in self.objects:
                 return 412, b"{}"
