Tell calls on jobs from requests of routes by method and path

What callers saw: on a host whose batch route has the prefix "/" jobs were accepted and run, but every read of their results and of an item's body, and every end, got 400; items of jobs that were to end ran on.

Cause: the router looked for a route by the path first, and for a call on a job only where there was none. A prefix that covers the paths of calls, which "/", "/api/" and "/api/lots/" do, therefore took all calls away.

Change: serving/request_matching.py decides in one place what a request is. Method and path of a call go before the prefixes on each host that has a batch route, and on the host of a known job whose route is gone. Elsewhere such a path belongs to the route. The codec takes the method into account and a job's id of one segment, so that a POST to the path of a call is a request of its route, or a submission. Host names with a port are matched in one function.

--- a/features/support/serving_world.py
+++ b/features/support/serving_world.py
@@ -17,11 +17,15 @@
     follower,
     http_client,
     http_server,
+    job_api,
+    job_reader,
+    job_registry,
     jobs,
     load_table,
     model,
     online_service,
     peer_registry,
+    request_matching,
     request_router,
     routing_table,
     slot_queue,
@@ -91,6 +95,9 @@
     """Targets and the online serving of a daemon.
 
     Several share targets and a store if they are given the same ones.
+
+    :param job_daemon: changes jobs, ``None`` for a daemon without a batch API
+    :param job_runner: is told of accepted jobs
     """
 
     def __init__(
@@ -101,6 +108,8 @@
         row_store=None,
         name="front-1",
         keys=None,
+        job_daemon=None,
+        job_runner=None,
     ):
         self.row_store = row_store or serving_fakes.FakeStore()
         self.replicas = replicas
@@ -156,10 +165,13 @@
             self.versions.service,
             generator,
         )
+        codec_of_jobs = job_codec.JobCodec()
+        self.job_daemon = job_daemon
+        registry = job_daemon.registry if job_daemon else job_registry.JobRegistry()
         self.router = request_router.RequestRouter(
             online,
-            None,
-            job_codec.JobCodec(),
+            _make_job_api(codec_of_jobs, job_daemon, job_runner),
+            request_matching.RequestMatcher(codec_of_jobs, registry),
             identification.Identification(keys or organisation_settings.KeysSection()),
             self.quotas,
         )
@@ -219,6 +231,14 @@
         return [run for target in self.replicas.values() for run in target.runs]
 
 
+def _make_job_api(codec, daemon, runner):
+    """Return the batch API of a daemon, ``None`` without its part of jobs."""
+    if daemon is None:
+        return None
+    reader = job_reader.JobReader(daemon.registry, daemon.changes)
+    return job_api.JobApi(codec, daemon.changes, reader, runner)
+
+
 def _make_clock():
     """Return a clock of the store that all worlds of the process read the same."""
     clock = store_clock.StoreClock()
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -62,6 +62,7 @@
     peer_registry,
     peers,
     process_pauses,
+    request_matching,
     request_reader,
     request_router,
     runner_dependencies,
@@ -364,8 +365,9 @@
             codec, self._changes, self._reader, self._runner, bounds.turns
         )
         identifier = identification.Identification(self._settings.keys)
+        matcher = request_matching.RequestMatcher(codec, self._job_registry)
         self._router = request_router.RequestRouter(
-            online, batch, codec, identifier, self._quotas
+            online, batch, matcher, identifier, self._quotas
         )
         self._router.follow(self._feeds.configuration.age)
         relay = store_relay.StoreRelay(
--- a/src/endivevane/platform/job_codec.py
+++ b/src/endivevane/platform/job_codec.py
@@ -77,17 +77,16 @@
 
     def decode_call(self, method: bytes, path: str) -> jobs.JobCall | None:
         """Return the batch call of a method and path, ``None`` if there is none."""
-        parsed = urllib.parse.urlsplit(path)
-        query = urllib.parse.parse_qs(parsed.query)
-        if parsed.path.startswith(_JOBS_PATH):
-            job_id = urllib.parse.unquote(parsed.path[len(_JOBS_PATH) :])
-            if method == b"DELETE":
-                return jobs.EndJob(job_id)
-            after = (query.get("after") or ["0"])[0]
+        bare_path, _, query = path.partition("?")
+        job_id = _find_job_id(bare_path, _JOBS_PATH)
+        if job_id is not None and method == b"DELETE":
+            return jobs.EndJob(job_id)
+        if job_id is not None and method == b"GET":
+            after = _find_field(query, "after")
             return jobs.ReadResults(job_id, _parse_position(after))
-        if parsed.path.startswith(_ITEMS_PATH):
-            job_id = urllib.parse.unquote(parsed.path[len(_ITEMS_PATH) :])
-            return jobs.ReadItem(job_id, (query.get("id") or [""])[0])
+        job_id = _find_job_id(bare_path, _ITEMS_PATH)
+        if job_id is not None and method == b"GET":
+            return jobs.ReadItem(job_id, _find_field(query, "id"))
         return None
 
     def encode_results(
@@ -110,6 +109,19 @@
         )
 
 
+def _find_job_id(path: str, start: str) -> str | None:
+    """Return the job's id at the end of a path, ``None`` if there is none."""
+    if not path.startswith(start):
+        return None
+    job_id = urllib.parse.unquote(path[len(start) :])
+    return job_id if _JOB_ID.fullmatch(job_id) else None
+
+
+def _find_field(query: str, name: str) -> str:
+    """Return the first value of a field of a query, empty if there is none."""
+    return urllib.parse.parse_qs(query).get(name, [""])[0]
+
+
 def _parse_position(after: str) -> int:
     """Return a position, 0 if it is not a number."""
     if not after.isdecimal():
--- a/src/endivevane/serving/request_router.py
+++ b/src/endivevane/serving/request_router.py
@@ -5,7 +5,6 @@
 import asyncio
 import http
 import time
-import typing
 
 from endivevane import logs, metrics
 from endivevane.organisations import identification
@@ -15,9 +14,9 @@
     attempts,
     copy_age,
     job_api,
-    jobs,
     model,
     online_service,
+    request_matching,
     responder,
     routing_table,
 )
@@ -34,13 +33,6 @@
 _MAX_CONFIGURATION_AGE_S = 4.0
 
 
-class CallDecoder(typing.Protocol):
-    """Decodes calls on batch jobs."""
-
-    def decode_call(self, method: bytes, path: str) -> jobs.JobCall | None:
-        """Return the batch call of a method and path, ``None`` if there is none."""
-
-
 class RequestRouter:
     """Passes each request to online serving or to the batch API.
 
@@ -52,7 +44,7 @@
         self,
         online: online_service.OnlineService,
         batch: job_api.JobApi,
-        decoder: CallDecoder,
+        matcher: request_matching.RequestMatcher,
         identifier: identification.Identification,
         quotas: quota_service.Quotas,
     ) -> None:
@@ -60,7 +52,7 @@
         self.is_ready = asyncio.Event()
         self._online = online
         self._job_api = batch
-        self._decoder = decoder
+        self._matcher = matcher
         self._identification = identifier
         self._quotas = quotas
         self._configuration_age = copy_age.CopyAge()
@@ -103,29 +95,46 @@
                 )
             )
             return
-        route = table.find(request.host, request.path)
-        if route is None:
-            response.send(await self._handle_without_route(request, table))
+        matched = self._matcher.match(request, table)
+        if matched is None:
+            response.send(self._refuse_without_route(request, table))
             return
+        if isinstance(matched, model.Route):
+            is_public = matched.is_public
+        else:
+            is_public = identification.is_public_host(table, request.host)
         identified = self._identification.identify(
-            request, table.configuration, route.is_public
+            request, table.configuration, is_public
         )
         if isinstance(identified, identification.Rejected):
             response.send(_make_rejection(identified))
             return
-        if route.kind is model.RouteKind.BATCH:
-            response.send(await self._job_api.submit(identified, route))
+        if not isinstance(matched, model.Route):
+            response.send(await self._job_api.call(identified, matched))
+            return
+        if matched.kind is model.RouteKind.BATCH:
+            response.send(await self._job_api.submit(identified, matched))
             return
-        refusal = await self._check_quota(identified, route)
+        await self._serve(identified, matched, table, response)
+
+    async def _serve(
+        self,
+        request: model.ClientRequest,
+        route: model.Route,
+        table: routing_table.RoutingTable,
+        response: responder.Responder,
+    ) -> None:
+        """Serve a request of an online route."""
+        refusal = await self._check_quota(request, route)
         if refusal is not None:
             response.send(refusal)
             return
         await self._online.serve(
-            identified,
+            request,
             route,
             table.configuration.version,
             response,
-            _may_have_moved(table, identified, route),
+            _may_have_moved(table, request, route),
         )
 
     async def _check_quota(
@@ -149,21 +158,6 @@
             return None
         return responder.Response(status, retry_after_s=outcome.retry_after_s)
 
-    async def _handle_without_route(
-        self, request: model.ClientRequest, table: routing_table.RoutingTable
-    ) -> responder.Response:
-        """Return the response to a call on a job, or to a request without a route."""
-        job_call = self._decoder.decode_call(request.method, request.path)
-        if job_call is None:
-            return self._refuse_without_route(request, table)
-        is_public = identification.is_public_host(table, request.host)
-        identified = self._identification.identify(
-            request, table.configuration, is_public
-        )
-        if isinstance(identified, identification.Rejected):
-            return _make_rejection(identified)
-        return await self._job_api.call(identified, job_call)
-
     def _refuse_without_route(
         self, request: model.ClientRequest, table: routing_table.RoutingTable
     ) -> responder.Response:
--- a/src/endivevane/serving/routing_table.py
+++ b/src/endivevane/serving/routing_table.py
@@ -54,12 +54,7 @@
         :param host: value of the ``Host`` header, with or without a port
         :param path: path with or without a query
         """
-        bare_path = path.partition("?")[0]
-        for name in (host.lower(), host.lower().rpartition(":")[0]):
-            for route in self._by_host.get(name, ()):
-                if bare_path.startswith(route.prefix):
-                    return route
-        return None
+        return _find_longest(self._list_routes(host), path)
 
     def keep_former(self, previous: RoutingTable, now_s: float) -> None:
         """Keep what the streams need that began by the previous table."""
@@ -91,11 +86,33 @@
 
     def find_batch_routes(self, host: str) -> list[model.Route]:
         """Return the batch routes of a host."""
-        routes = self._by_host.get(host.lower())
-        if routes is None:
-            routes = self._by_host.get(host.lower().rpartition(":")[0], [])
+        routes = self._list_routes(host)
         return [route for route in routes if route.kind is model.RouteKind.BATCH]
 
+    def _list_routes(self, host: str) -> list[model.Route]:
+        """Return the routes of a host, those with the longest prefix first."""
+        name = host.lower()
+        return self._by_host.get(name) or self._by_host.get(_strip_port(name), [])
+
+
+def is_same_host(first: str, second: str) -> bool:
+    """Return whether two ``Host`` headers name one host, whatever their ports."""
+    return _strip_port(first.lower()) == _strip_port(second.lower())
+
+
+def _strip_port(host: str) -> str:
+    name, _, port = host.rpartition(":")
+    return name if port.isdecimal() else host
+
+
+def _find_longest(routes: list[model.Route], path: str) -> model.Route | None:
+    """Return the first route whose prefix begins a path, which may have a query."""
+    bare_path = path.partition("?")[0]
+    for route in routes:
+        if bare_path.startswith(route.prefix):
+            return route
+    return None
+
 
 def choose_stream_service(route: model.Route, stream: str) -> str:
     """Return the service of a route that begins a stream, and goes on with it."""
