Take only POST requests of a batch route for submissions

What callers saw: a GET, PUT or DELETE under the prefix of a batch route whose body was that of a job was accepted with 202, and the job ran.

Cause: the router handed each request of a batch route to the submission, whatever its method.

Change: other methods get 400, as those without a valid body did, and are logged (job_not_submitted).

Evidence: "<method> submits no job", 3 of 3 failed on the sources before (202), none fails now. calls_on_jobs.feature: 32 passed.

--- a/features/calls_on_jobs.feature
+++ b/features/calls_on_jobs.feature
@@ -91,3 +91,15 @@
       | /           | /api/items/7c41e09b |
       | /api/lots/  | /api/lots/7c41e09b  |
       | /api/items/ | /api/items/7c41e09b |
+
+  # Guards against calls with a wrong path that are accepted as jobs.
+  Scenario Outline: <method> submits no job
+    Given a host with a batch route on /
+    When a client calls <method> /digest/7c41e09b with the body of a job
+    Then the answer is 400 and the store holds no job
+
+    Examples:
+      | method |
+      | GET    |
+      | PUT    |
+      | DELETE |
--- a/features/steps/calls_on_jobs_steps.py
+++ b/features/steps/calls_on_jobs_steps.py
@@ -143,6 +143,14 @@
     _play(context, act)
 
 
+@when("a client calls {method} {path} with the body of a job")
+def step_send_body(context, method, path):
+    async def act(world):
+        return [await _call(world, method, path, _make_submission())]
+
+    _play(context, act)
+
+
 @when("a client calls {method} {path}")
 def step_send(context, method, path):
     async def act(world):
@@ -196,3 +204,9 @@
 def step_accepted(context):
     assert [answer.status for answer in context.answers] == [202], context.answers
     assert context.rows.list_jobs(_JOB)
+
+
+@then("the answer is 400 and the store holds no job")
+def step_no_job(context):
+    assert [answer.status for answer in context.answers] == [400], context.answers
+    assert not context.rows.list_jobs(_JOB)
--- a/src/endivevane/platform/job_codec.py
+++ b/src/endivevane/platform/job_codec.py
@@ -75,6 +75,10 @@
             raise failures.InvalidJob("two items have the same id")
         return items
 
+    def is_submission(self, method: bytes) -> bool:
+        """Whether a request of a batch route submits a job."""
+        return method == b"POST"
+
     def decode_call(self, method: bytes, path: str) -> jobs.JobCall | None:
         """Return the batch call of a method and path, ``None`` if there is none."""
         bare_path, _, query = path.partition("?")
--- a/src/endivevane/serving/request_matching.py
+++ b/src/endivevane/serving/request_matching.py
@@ -13,6 +13,9 @@
     def decode_call(self, method: bytes, path: str) -> jobs.JobCall | None:
         """Return the batch call of a method and path, ``None`` if there is none."""
 
+    def is_submission(self, method: bytes) -> bool:
+        """Whether a request of a batch route submits a job."""
+
 
 class RequestMatcher:
     """Tells calls on jobs and requests of routes apart, which share one path space.
@@ -47,6 +50,10 @@
             return job_call
         return route
 
+    def is_submission(self, request: model.ClientRequest) -> bool:
+        """Whether a request of a batch route submits a job."""
+        return self._decoder.is_submission(request.method)
+
     def _has_jobs(
         self, host: str, job_id: str, table: routing_table.RoutingTable
     ) -> bool:
--- a/src/endivevane/serving/request_router.py
+++ b/src/endivevane/serving/request_router.py
@@ -113,10 +113,23 @@
             response.send(await self._job_api.call(identified, matched))
             return
         if matched.kind is model.RouteKind.BATCH:
-            response.send(await self._job_api.submit(identified, matched))
+            response.send(await self._submit(identified, matched))
             return
         await self._serve(identified, matched, table, response)
 
+    async def _submit(
+        self, request: model.ClientRequest, route: model.Route
+    ) -> responder.Response:
+        """Return the response to a request of a batch route."""
+        if not self._matcher.is_submission(request):
+            logs.limited_info(
+                "job_not_submitted",
+                request=request.attempt_id.decode("latin-1"),
+                method=request.method.decode("latin-1"),
+            )
+            return responder.Response(http.HTTPStatus.BAD_REQUEST)
+        return await self._job_api.submit(request, route)
+
     async def _serve(
         self,
         request: model.ClientRequest,
