Run items of jobs at the services of batch routes only

What callers saw: once the batch route of an open job was taken away, its items went to the service of an online route whose prefix covers their paths, as "/" does; a plain service answers no item, and the items stay open. Where an online route lies below the prefix of the job's own route, its items went there too.

Cause: the job runner looked the path of an item up among all routes of the host, as the router does for requests.

Change: items are matched to the batch routes of their host. Without one they fail after the limit for a missing route, as before.

--- a/features/calls_on_jobs.feature
+++ b/features/calls_on_jobs.feature
@@ -103,3 +103,15 @@
       | GET    |
       | PUT    |
       | DELETE |
+
+  # Guards against items that go to a service of another kind, which can't serve them and
+  # leaves them open for ever, or that wait for it.
+  Scenario Outline: The items of a job keep to the batch routes of its host
+    Given a host with <routes>
+    When a daemon runs a job of 3 items under /digest/ there
+    Then all its items <end>
+
+    Examples:
+      | routes                                             | end                                             |
+      | a batch route on / and an online route on /digest/ | have run at the service of the batch route      |
+      | an online route on /                               | are listed as failed after the limit, none runs |
--- a/features/steps/calls_on_jobs_steps.py
+++ b/features/steps/calls_on_jobs_steps.py
@@ -1,16 +1,21 @@
 import asyncio
 import base64
+import contextlib
 import dataclasses
 import json
 import re
 
 from behave import given, then, when
 
+from endivevane.platform import records
+from endivevane.serving import failures, job_runner, routing_table
 from features.support import job_world, serving_fakes, serving_world
 
 _JOB = "7c41e09b52d6a3f8"
 _BODY = b"the log of a shift"
 _ROUTE = re.compile(r"an? (batch|online) route on (/\S*)")
+# Time for the first round of a runner, and for a transaction of the fake store.
+_ROUND_S = 0.5
 
 
 class _IdleRunner:
@@ -20,6 +25,22 @@
         pass
 
 
+class _Targets:
+    """A target client whose calls reach targets that fail them.
+
+    :ivar runs: item and service of each call
+    """
+
+    def __init__(self):
+        self.runs = set()
+
+    @contextlib.asynccontextmanager
+    async def call(self, known, call, is_idempotent):
+        self.runs.add((call.attempt_id, known.target.service))
+        raise failures.TargetCallError(known.target.target_id, "reset", True)
+        yield None
+
+
 def _make_configuration(text):
     """Return a configuration with the routes that a step names."""
     configuration = serving_world.make_configuration()
@@ -210,3 +231,63 @@
 def step_no_job(context):
     assert [answer.status for answer in context.answers] == [400], context.answers
     assert not context.rows.list_jobs(_JOB)
+
+
+@when("a daemon runs a job of {count:d} items under /digest/ there")
+def step_run_items(context, count):
+    configuration = _make_configuration_of_two_services(context.configuration)
+    table = routing_table.RoutingTable(records.decode_configuration(configuration))
+
+    async def run():
+        daemon = job_world.JobDaemon(serving_fakes.FakeStore(), "a")
+        fleet = serving_fakes.Fleet(["t0"])
+        fleet.add("w0", version=2, service="web")
+        context.targets = _Targets()
+        runner = job_world.make_runner(
+            daemon, fleet, context.targets, get_table=lambda: table
+        )
+        task = asyncio.ensure_future(runner.run())
+        submission = job_world.make_submission("job", items=count)
+        listed = tuple(
+            dataclasses.replace(item, path="/digest/1") for item in submission.items
+        )
+        submission = dataclasses.replace(
+            submission, host=serving_world.HOST, path="/digest/7c4", items=listed
+        )
+        context.items = {item.item_id.encode() for item in listed}
+        entry = await daemon.changes.accept(submission)
+        runner.start_job(entry, listed)
+        await asyncio.sleep(_ROUND_S)
+        owned = runner._owned["job"]
+        for item in owned.runs.values():
+            item.routeless_since_s -= job_runner._ROUTE_MISSING_LIMIT_S
+        await asyncio.sleep(_ROUND_S)
+        results = await daemon.changes.load_results("job", 0, count)
+        context.states = [result.is_completed for result in results.values()]
+        task.cancel()
+        daemon.feed.cancel()
+        owned.cancel_runs()
+
+    asyncio.run(run())
+
+
+def _make_configuration_of_two_services(configuration):
+    """Return a configuration whose online routes have a service of their own."""
+    for route in configuration["routes"]:
+        if route["kind"] != "batch":
+            route["service"] = "web"
+    configuration["services"].append({"name": "web", "maxConns": 50})
+    return serving_world.dump(configuration)
+
+
+@then("all its items have run at the service of the batch route")
+def step_have_run(context):
+    expected = {(item, "lm") for item in context.items}
+    assert context.targets.runs == expected, context.targets.runs
+    assert not context.states, context.states
+
+
+@then("all its items are listed as failed after the limit, none runs")
+def step_listed_failed(context):
+    assert not context.targets.runs, context.targets.runs
+    assert context.states == [False] * len(context.items), context.states
--- a/src/endivevane/serving/job_runner.py
+++ b/src/endivevane/serving/job_runner.py
@@ -174,7 +174,7 @@
         requests: list[item_requests.ItemRequest] = []
         waiting: collections.Counter[str] = collections.Counter()
         for urgency, owned, run in self._list_ready(now_s):
-            route = table.find(owned.entry.job.host, run.item.path)
+            route = table.find_batch(owned.entry.job.host, run.item.path)
             if route is None:
                 self._handle_missing_route(owned, run, now_s)
                 continue
--- a/src/endivevane/serving/routing_table.py
+++ b/src/endivevane/serving/routing_table.py
@@ -56,6 +56,13 @@
         """
         return _find_longest(self._list_routes(host), path)
 
+    def find_batch(self, host: str, path: str) -> model.Route | None:
+        """Return the batch route with the longest prefix of an item's path.
+
+        Other routes serve no items, even if their prefix is longer.
+        """
+        return _find_longest(self.find_batch_routes(host), path)
+
     def keep_former(self, previous: RoutingTable, now_s: float) -> None:
         """Keep what the streams need that began by the previous table."""
         routes = {
