Bound the runs of an item over any number of lost owners

What callers saw: an item that is answered 500 at each run reached targets once more for each owner that was lost between an answer and the end of its write. The rule allows three times maxAttempts answers; the bound was maxAttempts and one for each lost owner, and any number may be lost.

Cause: the store held the failed runs that owners had written, and nothing of those that may have ended in the moment of a loss.

Change: what may have failed is known before the next run begins. A claim of a job from an owner that is lost counts that owner in the job's row, in the transaction that it needs anyway; each such owner may have had one answer of each item. After two of them the next owners store a record of an item's run before it begins (run_records.py), so that only items that may have run count. An item begins a run only if its failed runs and those whose end is unknown are below three times maxAttempts (item_gate.py). It is listed as failed after maxAttempts answers that were had, as before. In between it is held, and listed as failed once its retention is over: to list it earlier would be a guess, and to run it could pass the limit. An item that has had an event does not fail at each run and is not limited. Jobs that lose no owner need no further call or byte.

Evidence: failed_runs.feature, 20 scenarios more.

--- a/features/failed_runs.feature
+++ b/features/failed_runs.feature
@@ -93,3 +93,76 @@
     When all of them are listed as completed within 30 s
     Then its counts alone took at most 3 writes a second
     And they took fewer writes than there were failed runs
+
+  # Guards against an item that is sent once more by each further owner, since the answer
+  # that the last one had is lost with it; and against one that is listed as failed by a
+  # guess.
+  Scenario Outline: More owners are lost than an item may fail, each with its first answer
+    Given a route with <attempts> attempts and an item that is answered 500 at each run
+    When any number of owners are lost, each with its 1. answer of 500
+    Then the item has had <most> answers of 500 and is sent no more
+    And no run begins before the store holds the runs of the owners before it
+    And nothing is listed
+
+    Examples:
+      | attempts | most |
+      | 3        | 9    |
+      | 1        | 3    |
+      | 2        | 6    |
+
+  # Guards against an item that is listed as failed although no answer to it was had.
+  Scenario Outline: More owners are lost than an item may fail, each before the answer
+    Given a route with <attempts> attempts and an item that is answered 500 at each run
+    When any number of owners are lost, each once its run has begun
+    Then the item has begun <most> runs and is sent no more
+    And nothing is listed
+
+    Examples:
+      | attempts | most |
+      | 3        | 9    |
+      | 1        | 3    |
+
+  # Guards against an item that stays open for ever, and keeps its job open.
+  Scenario: An item that is held is listed as failed once it may be abandoned
+    Given a route with 1 attempts and an item that is answered 500 at each run
+    When any number of owners are lost, and the retention of 3 s passes
+    Then the item is listed as failed after 3 to 3 answers of 500
+    And that is later than its retention
+
+  # Guards against items that are held since the owners of their job were lost, although
+  # few of them have run these items.
+  Scenario: The items of a job complete after more losses than an item may fail
+    Given a route with 3 attempts and a job of 60 items
+    When 12 owners are lost one after the other, each with its first runs
+    Then all items complete at the next owner
+    And no run begins before the store holds the runs of the owners before it
+
+  # Guards against an item that is held after a planned stop, which loses no answer, and
+  # against runs that a former owner has recorded and not begun.
+  Scenario: Planned stops count as no loss
+    Given a route with 1 attempts and an item that is silent at first
+    When 2 owners are lost once its run has begun
+    And 5 owners are stopped as planned, each once its run has begun
+    Then the item has begun 8 runs and completes at the next owner
+
+  # Guards against an item that is held although a target has answered it with events.
+  Scenario Outline: Whether an item may run
+    Given an item with <failed> failed runs on a route with <attempts> attempts
+    And a row with <lost> lost owners and <begun> recorded runs of it
+    When its job is <age_s> s old and it <events>
+    Then the decision is to <admission>
+
+    Examples:
+      | failed | attempts | lost | begun | age_s | events         | admission |
+      | 0      | 3        | 0    | 0     | 1     | has no event   | begin     |
+      | 2      | 3        | 1    | 0     | 1     | has no event   | begin     |
+      | 0      | 3        | 2    | 0     | 1     | has no event   | record    |
+      | 0      | 3        | 2    | 6     | 1     | has no event   | record    |
+      | 0      | 3        | 2    | 7     | 1     | has no event   | hold      |
+      | 2      | 3        | 2    | 5     | 1     | has no event   | hold      |
+      | 2      | 3        | 2    | 5     | 1     | has had events | begin     |
+      | 0      | 1        | 2    | 1     | 1     | has no event   | hold      |
+      | 0      | 0        | 2    | 1     | 1     | has no event   | hold      |
+      | 0      | 1        | 2    | 1     | 60.5  | has no event   | hold      |
+      | 0      | 1        | 2    | 1     | 61.5  | has no event   | give up   |
+      | 1      | 1        | 2    | 1     | 1     | has no event   | give up   |
--- a/features/steps/calls_on_jobs_steps.py
+++ b/features/steps/calls_on_jobs_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 
 from endivevane.platform import records
-from endivevane.serving import failures, job_runner, routing_table
+from endivevane.serving import failures, item_gate, routing_table
 from features.support import job_world, serving_fakes, serving_world
 
 _JOB = "7c41e09b52d6a3f8"
@@ -260,7 +260,7 @@
         await asyncio.sleep(_ROUND_S)
         owned = runner._owned["job"]
         for item in owned.runs.values():
-            item.routeless_since_s -= job_runner._ROUTE_MISSING_LIMIT_S
+            item.routeless_since_s -= item_gate._ROUTE_MISSING_LIMIT_S
         await asyncio.sleep(_ROUND_S)
         results = await daemon.changes.load_results("job", 0, count)
         context.states = [result.is_completed for result in results.values()]
--- a/features/steps/failed_runs_steps.py
+++ b/features/steps/failed_runs_steps.py
@@ -5,7 +5,7 @@
 import orjson
 from behave import given, then, when
 
-from endivevane.serving import item_sender, jobs
+from endivevane.serving import item_gate, item_sender, job_registry, jobs, owned_jobs
 from features.support import failed_run_world, job_world
 
 # Above the time of any of these scenarios by far: an item has at most nine runs, and
@@ -13,6 +13,11 @@
 _LIMIT_S = 20.0
 # A second run begins after a back-off of 0.2 s and a round of 0.04 s.
 _NEXT_RUN_S = 0.5
+# Above three times the attempts of any route of these scenarios.
+_ANY_LOSSES = 20
+# Time in which the next owner would have begun a run: a back-off, a transaction that
+# waits for its turn, and some rounds.
+_NEXT_OWNER_S = 1.0
 _BAD_JOBS = 3
 _ITEMS_PER_BAD_JOB = 40
 _BUSY_ITEMS = 200
@@ -374,3 +379,206 @@
     failed = sum(context.world.answers_500.values())
     assert failed == _BUSY_ITEMS // 10, failed
     assert context.world.rows.failed_runs_writes < failed
+
+
+async def _replace_owners(world, lost, count):
+    """Let another owner take the job over as soon as one is lost."""
+    for _ in range(count):
+        try:
+            await asyncio.wait_for(lost.get(), _NEXT_OWNER_S)
+        except TimeoutError:
+            return
+        await world.add_owner().take_over("job")
+
+
+def _play_losses(context, event):
+    """Lose owners at an event of each, then let the last one run for some time."""
+
+    async def play(world):
+        lost = asyncio.Queue()
+
+        def lose(owner, _item_id):
+            owner.lose()
+            lost.put_nowait(owner)
+
+        setattr(world, event, lose)
+        await world.submit(world.add_owner())
+        await _replace_owners(world, lost, _ANY_LOSSES)
+        await asyncio.sleep(_NEXT_OWNER_S)
+
+    _play(context, play)
+
+
+@when("any number of owners are lost, each with its 1. answer of 500")
+def step_any_lost_with_answer(context):
+    _play_losses(context, "on_answer")
+
+
+@when("any number of owners are lost, each once its run has begun")
+def step_any_lost_with_run(context):
+    _play_losses(context, "on_run")
+
+
+@when("any number of owners are lost, and the retention of {retention_s:d} s passes")
+def step_retention_passes(context, retention_s):
+    context.retention_s = retention_s
+
+    async def play(world):
+        lost = asyncio.Queue()
+
+        def lose(owner, _item_id):
+            owner.lose()
+            lost.put_nowait(owner)
+
+        world.on_answer = lose
+        context.submitted_s = time.time()
+        await world.submit(world.add_owner())
+        await _replace_owners(world, lost, _ANY_LOSSES)
+        await world.wait_for_results(1, _LIMIT_S)
+        context.listed_s = time.time()
+
+    _play(context, play, retention_s=retention_s)
+
+
+@then("that is later than its retention")
+def step_later(context):
+    assert context.listed_s - context.submitted_s > context.retention_s
+
+
+@then("the item has had {count:d} answers of 500 and is sent no more")
+def step_answers_of_all(context, count):
+    assert context.world.answers_500["job-0"] == count, context.world.answers_500
+    assert context.world.runs["job-0"] == count, context.world.runs
+
+
+@then("the item has begun {count:d} runs and is sent no more")
+def step_runs_of_all(context, count):
+    assert context.world.runs["job-0"] == count, context.world.runs
+
+
+@then("no run begins before the store holds the runs of the owners before it")
+def step_recorded_first(context):
+    assert not context.world.unrecorded_runs, context.world.unrecorded_runs[:5]
+
+
+@then("nothing is listed")
+def step_none_listed(context):
+    assert not context.world.list_results(), context.world.list_results()
+
+
+@given("a route with {attempts:d} attempts and a job of {count:d} items")
+def step_items(context, attempts, count):
+    context.attempts = attempts
+    context.count = count
+
+
+@when("{losses:d} owners are lost one after the other, each with its first runs")
+def step_lost_with_first_runs(context, losses):
+    def script(_item_id, _number):
+        return "silent" if context.world.losses < losses else 200
+
+    async def play(world):
+        await world.submit(world.add_owner(), items=context.count)
+        for _ in range(losses):
+            owner = world.owners[-1]
+            await world.wait_until(owner.begun.total, _LIMIT_S)
+            await asyncio.sleep(_NEXT_RUN_S / 5)
+            owner.lose()
+            await world.add_owner().take_over("job")
+        await world.wait_for_results(context.count, _LIMIT_S)
+
+    _play(context, play, script)
+
+
+@then("all items complete at the next owner")
+def step_all_complete(context):
+    results = context.world.list_results().values()
+    assert len(results) == context.count, len(results)
+    assert all(result.is_completed for result in results), results
+
+
+@given("a route with {attempts:d} attempts and an item that is silent at first")
+def step_silent_item(context, attempts):
+    context.attempts = attempts
+    context.stops = []
+
+
+@when("{losses:d} owners are lost once its run has begun")
+def step_note_losses(context, losses):
+    context.stops += ["lose"] * losses
+
+
+@when("{count:d} owners are stopped as planned, each once its run has begun")
+def step_stops(context, count):
+    context.stops += ["stop"] * count
+
+    def script(_item_id, number):
+        return "silent" if number <= len(context.stops) else 200
+
+    async def play(world):
+        await world.submit(world.add_owner())
+        for number, stop in enumerate(context.stops):
+            owner = world.owners[-1]
+            await world.wait_until(lambda n=number: world.runs["job-0"] > n, _LIMIT_S)
+            if stop == "stop":
+                await owner.runner.release_jobs()
+            owner.lose()
+            await world.add_owner().take_over("job")
+        await world.wait_for_results(1, _LIMIT_S)
+
+    _play(context, play, script)
+
+
+@then("the item has begun {count:d} runs and completes at the next owner")
+def step_completes(context, count):
+    (result,) = context.world.list_results().values()
+    assert result.is_completed, result
+    assert context.world.runs["job-0"] == count, context.world.runs
+
+
+@given("an item with {failed:d} failed runs on a route with {attempts:d} attempts")
+def step_failed_item(context, failed, attempts):
+    context.failed_runs = failed
+    context.route = job_world.make_route(attempts=attempts)
+
+
+@given("a row with {lost:d} lost owners and {begun:d} recorded runs of it")
+def step_row(context, lost, begun):
+    submission = job_world.make_submission("job", 2)
+    job = jobs.Job(
+        job_id="job",
+        host=submission.host,
+        path=submission.path,
+        route=submission.route.name,
+        total=2,
+        created_ms=0,
+        due_ms=0,
+        chunks=1,
+        state=jobs.JobState.OPEN,
+        owner="d0/1",
+        epoch=1,
+        listed=0,
+        tokens_left=20,
+        operation="claim",
+        failed_runs={"job-1": context.failed_runs},
+        lost_owners=lost,
+        begun_runs=(0, begun) if lost else (),
+    )
+    assert jobs.decode_job(jobs.encode_job(job)) == job
+    entry = job_registry.JobEntry(job, 1, 0.0)
+    context.owned = owned_jobs.make_owned_job(
+        entry, submission.items, jobs.JobProgress()
+    )
+
+
+@when("its job is {age_s:g} s old and it {events}")
+def step_decide(context, age_s, events):
+    run = context.owned.runs["job-1"]
+    if events == "has had events":
+        run.restore(jobs.Progress(1, [b"a"]))
+    context.admission = item_gate.decide(context.owned, run, context.route, age_s)
+
+
+@then("the decision is to {admission}")
+def step_admission(context, admission):
+    assert context.admission is item_gate.Admission(admission), context.admission
--- a/features/steps/odd_rows_steps.py
+++ b/features/steps/odd_rows_steps.py
@@ -31,6 +31,7 @@
     **dict.fromkeys(("host", "path", "route", "owner", "operation"), _HARMLESS_TEXTS),
     **dict.fromkeys(("member/0", "member/3"), _HARMLESS_TEXTS),
     "failed_runs": ("an empty object",),
+    "begun_runs": ("an empty list",),
     "organisation": ("null", *_HARMLESS_TEXTS),
     "quarantine/0": ("an empty list",),
 }
--- a/features/steps/serving_state_steps.py
+++ b/features/steps/serving_state_steps.py
@@ -13,10 +13,10 @@
 from endivevane.serving import (
     failures,
     follower,
+    item_gate,
     job_changes,
     job_reader,
     job_registry,
-    job_runner,
     job_takeover,
     jobs,
     peer_registry,
@@ -484,7 +484,7 @@
         await asyncio.sleep(0.5)
         context.early = daemon.registry.entries["job"].job
         for item in runner._owned["job"].runs.values():
-            item.routeless_since_s -= job_runner._ROUTE_MISSING_LIMIT_S
+            item.routeless_since_s -= item_gate._ROUTE_MISSING_LIMIT_S
         await asyncio.sleep(0.5)
         context.late = daemon.registry.entries["job"].job
         listed = await daemon.changes.load_results("job", 0, count)
--- a/features/support/failed_run_world.py
+++ b/features/support/failed_run_world.py
@@ -4,7 +4,6 @@
 import collections
 import contextlib
 import dataclasses
-import secrets
 import time
 
 from endivevane.serving import failures, jobs, model, store
@@ -12,6 +11,8 @@
 
 _RUN_S = 0.002
 _POLL_S = 0.005
+# The runs of so many owners are not recorded before they begin.
+_UNRECORDED_LOSSES = 2
 # A reply is signed and complete; only its status matters here.
 _REPLY = model.TargetReply(200, b"", (), False, False, b"", True, None)
 
@@ -99,11 +100,12 @@
     def __init__(self, world, name):
         self.name = name
         self.answers = collections.Counter()
+        self.begun = collections.Counter()
         self._world = world
         self._link = _Link(world.rows)
         self.daemon = job_world.JobDaemon(self._link, name)
         fleet = serving_fakes.Fleet(["t0", "t1", "t2"])
-        routes = (job_world.make_route(attempts=world.attempts),)
+        routes = (world.route,)
         self.runner = job_world.make_runner(
             self.daemon, fleet, self, routes, world.daemons
         )
@@ -118,14 +120,9 @@
 
     async def take_over(self, job_id):
         """Claim a job and run it, as a takeover does."""
+        until_s = time.monotonic() + 2.0
         entry = await self.daemon.changes.find_stored(job_id)
-        claim = dataclasses.replace(
-            entry.job,
-            owner=self.daemon.owner,
-            epoch=entry.job.epoch + 1,
-            operation=secrets.token_hex(8),
-        )
-        entry = await self.daemon.changes.replace(entry, claim, time.monotonic() + 2.0)
+        entry = await self.daemon.changes.claim(entry, self.daemon.owner, until_s)
         results = await self.daemon.changes.load_results(job_id, 0, entry.job.listed)
         done = frozenset(result.item_id for result in results.values())
         items = await self.daemon.changes.load_items(entry.job)
@@ -171,18 +168,30 @@
         with the item's id and the number of its run, from 1
     :param on_answer: called with the owner and the item's id once a target has answered
         500, before the owner receives it
+    :param on_run: called with them once a target has begun a run
     """
 
-    def __init__(self, script, attempts=3, daemons=1, on_answer=None, rows=None):
+    def __init__(
+        self,
+        script,
+        attempts=3,
+        daemons=1,
+        on_answer=None,
+        rows=None,
+        on_run=None,
+        retention_s=60,
+    ):
         self.rows = rows or JobStore()
-        self.attempts = attempts
+        self.route = job_world.make_route(attempts=attempts, retention_s=retention_s)
         self.daemons = daemons
         self.script = script
         self.on_answer = on_answer or (lambda _owner, _item_id: None)
+        self.on_run = on_run or (lambda _owner, _item_id: None)
         self.owners = []
         self.runs = collections.Counter()
         self.answers_500 = collections.Counter()
         self.unstored_runs = []
+        self.unrecorded_runs = []
 
     def add_owner(self):
         owner = Owner(self, f"d{len(self.owners)}")
@@ -200,11 +209,14 @@
 
     async def answer(self, owner, known, item_id):
         self.runs[item_id] += 1
+        owner.begun[item_id] += 1
         number = self.runs[item_id]
         job = self.rows.read_job(item_id.partition("-")[0])
         stored = job.failed_runs.get(item_id, 0)
         if stored < self.answers_500[item_id] - self.losses:
             self.unstored_runs.append((item_id, number, stored))
+        self._check_record(job, item_id, number)
+        self.on_run(owner, item_id)
         await asyncio.sleep(_RUN_S)
         end = self.script(item_id, number)
         target_id = known.target.target_id
@@ -221,6 +233,14 @@
             await asyncio.sleep(0)
         return _Response(end)
 
+    def _check_record(self, job, item_id, number):
+        """Keep a run that must be in the store before it begins, and is not."""
+        if self.losses < _UNRECORDED_LOSSES:
+            return
+        position = int(item_id.partition("-")[2])
+        if not any(job.begun_runs[position : position + 1]):
+            self.unrecorded_runs.append((item_id, number))
+
     def list_results(self, job_id="job"):
         prefix = f"{job_id}/"
         rows = [
--- a/features/support/job_world.py
+++ b/features/support/job_world.py
@@ -39,7 +39,7 @@
             self.registry.apply(row)
 
 
-def make_route(quota=0, attempts=3):
+def make_route(quota=0, attempts=3, retention_s=60):
     service = model.WeightedService("lm", 1.0)
     return model.Route(
         name="digest",
@@ -52,7 +52,7 @@
         priority=2,
         max_attempts=attempts,
         completion_s=18,
-        retention_s=60,
+        retention_s=retention_s,
         token_quota=quota,
     )
 
--- a/src/endivevane/metrics.py
+++ b/src/endivevane/metrics.py
@@ -93,6 +93,10 @@
     "Batch items that lost their events, since they went on at another service or "
     "version.",
 )
+BATCH_ITEMS_HELD = prometheus_client.Counter(
+    "endivevane_batch_items_held",
+    "Batch items that run no more, since too many of their runs may have failed.",
+)
 BATCH_COMMITS = prometheus_client.Counter(
     "endivevane_batch_commits", "Chunk commits, by outcome.", ["outcome"]
 )
--- a/src/endivevane/serving/failed_runs.py
+++ b/src/endivevane/serving/failed_runs.py
@@ -34,11 +34,15 @@
 
     def record(self, item_id: str, now_s: float) -> int:
         """Record a failed run of an item; return how many it has."""
-        count = self._counts.get(item_id, 0) + 1
+        count = self.count(item_id) + 1
         self._counts[item_id] = count
         self._unstored_s[item_id] = now_s
         return count
 
+    def count(self, item_id: str) -> int:
+        """Return the failed runs of an item."""
+        return self._counts.get(item_id, 0)
+
     def is_stored(self, item_id: str) -> bool:
         """Return whether the store holds all failed runs of an item."""
         return item_id not in self._unstored_s
--- a/src/endivevane/serving/job_changes.py
+++ b/src/endivevane/serving/job_changes.py
@@ -16,6 +16,7 @@
     job_registry,
     jobs,
     model,
+    run_records,
     store,
 )
 
@@ -126,6 +127,25 @@
                 return True
         return False
 
+    async def claim(
+        self, entry: job_registry.JobEntry, owner: str, until_s: float
+    ) -> job_registry.JobEntry | None:
+        """Make a daemon the owner of a job.
+
+        :returns: ``None`` when another daemon claimed it first, or in case of doubt
+        """
+        claim = dataclasses.replace(
+            entry.job,
+            owner=owner,
+            epoch=entry.job.epoch + 1,
+            operation=secrets.token_hex(8),
+            lost_owners=run_records.count_lost_owner(entry.job),
+        )
+        current = await self.replace(entry, claim, until_s)
+        if current is None or current.job.owner != owner:
+            return None
+        return current
+
     async def replace(
         self,
         entry: job_registry.JobEntry,
--- a/src/endivevane/serving/job_runner.py
+++ b/src/endivevane/serving/job_runner.py
@@ -13,6 +13,7 @@
 from endivevane.serving import (
     failures,
     item_estimates,
+    item_gate,
     item_requests,
     item_sender,
     job_registry,
@@ -30,9 +31,6 @@
 # Back-off of an item after a broken run, doubled with each run without progress.
 _INITIAL_BACKOFF_S = 0.1
 _MAX_BACKOFF_S = 4.0
-# An item without a route in the newest configuration fails after this time. While the
-# store is degraded, a daemon's configuration may be out of date for nearly as long.
-_ROUTE_MISSING_LIMIT_S = 12.5
 # Time limit for committing results and releasing jobs when the daemon stops.
 _RELEASE_TIMEOUT_S = 4.0
 
@@ -46,6 +44,7 @@
         self._wake = asyncio.Event()
         self._is_stopping = False
         self._estimates = item_estimates.ItemEstimator()
+        self._gate = item_gate.ItemGate(self._give_up)
         self._sender = item_sender.ItemSender(
             dependencies.targets,
             dependencies.caller,
@@ -163,6 +162,7 @@
                 epoch=job.epoch + 1,
                 operation=secrets.token_hex(8),
                 failed_runs=owned.failed_runs.get_counts(),
+                begun_runs=owned.records.get_counts_of_others(),
             )
             await self._dependencies.changes.replace(owned.entry, released, until_s)
 
@@ -174,11 +174,9 @@
         requests: list[item_requests.ItemRequest] = []
         waiting: collections.Counter[str] = collections.Counter()
         for urgency, owned, run in self._list_ready(now_s):
-            route = table.find_batch(owned.entry.job.host, run.item.path)
+            route = self._gate.find_route(table, owned, run, now_s)
             if route is None:
-                self._handle_missing_route(owned, run, now_s)
                 continue
-            run.routeless_since_s = 0.0
             service = item_requests.choose_service(
                 run, route, self._dependencies.generator, now_s
             )
@@ -204,17 +202,6 @@
             chosen = requests.pop(fitting)
             self._start(chosen.owned, chosen.run, chosen.route, slot)
 
-    def _handle_missing_route(
-        self, owned: owned_jobs.OwnedJob, run: owned_jobs.ItemRun, now_s: float
-    ) -> None:
-        """Fail an item whose route has been missing for too long."""
-        if not run.routeless_since_s:
-            run.routeless_since_s = now_s
-        if now_s - run.routeless_since_s < _ROUTE_MISSING_LIMIT_S:
-            return
-        logs.limited_info("item_without_route", job=owned.job_id, item=run.item.item_id)
-        self._complete(owned, run, is_completed=False, text="")
-
     def _list_ready(
         self, now_s: float
     ) -> list[tuple[item_estimates.Urgency, owned_jobs.OwnedJob, owned_jobs.ItemRun]]:
@@ -223,12 +210,14 @@
         for owned in self._owned.values():
             for run in owned.list_ready(now_s):
                 ready.append((self._classify_urgency(owned, run), owned, run))
-        # Of items with the same due time, those with more progress go first.
+        # Of items with the same due time, those with more progress go first, and those
+        # that more lost owners have run come last.
         ready.sort(
             key=lambda entry: (
                 entry[0],
                 entry[1].entry.job.due_ms,
                 -entry[2].last_event,
+                entry[1].records.count_unknown(entry[2].item.item_id),
             )
         )
         return item_requests.order_by_shares(ready, self._owned.values())
@@ -370,7 +359,7 @@
             failed = owned.failed_runs.record(run.item.item_id, time.monotonic())
         is_unprocessable = end is item_sender.RunEnd.UNPROCESSABLE
         if is_unprocessable or failed >= max(1, route.max_attempts):
-            self._complete(owned, run, is_completed=False, text="")
+            self._give_up(owned, run)
             return
         if end is item_sender.RunEnd.PREEMPTED:
             return
@@ -382,6 +371,10 @@
             backoff_s = _INITIAL_BACKOFF_S
         run.not_before_s = time.monotonic() + backoff_s
 
+    def _give_up(self, owned: owned_jobs.OwnedJob, run: owned_jobs.ItemRun) -> None:
+        """List an item as failed."""
+        self._complete(owned, run, is_completed=False, text="")
+
     def _complete(
         self,
         owned: owned_jobs.OwnedJob,
--- a/src/endivevane/serving/job_takeover.py
+++ b/src/endivevane/serving/job_takeover.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
-import secrets
 import time
 
 from endivevane import logs
@@ -105,7 +103,10 @@
         job_id = entry.job.job_id
         try:
             if entry.job.owner != self._identity.owner:
-                claimed = await self._claim(entry)
+                until_s = time.monotonic() + _CLAIM_TIMEOUT_S
+                claimed = await self._changes.claim(
+                    entry, self._identity.owner, until_s
+                )
                 if claimed is None:
                     return
                 entry = claimed
@@ -132,22 +133,3 @@
             version=latest.version,
         )
         self._runner.start_job(latest, items, jobs.JobProgress(done, progress))
-
-    async def _claim(
-        self, entry: job_registry.JobEntry
-    ) -> job_registry.JobEntry | None:
-        """Become the owner of a job.
-
-        :returns: ``None`` when another daemon claimed it first, or in case of doubt
-        """
-        claim = dataclasses.replace(
-            entry.job,
-            owner=self._identity.owner,
-            epoch=entry.job.epoch + 1,
-            operation=secrets.token_hex(8),
-        )
-        until_s = time.monotonic() + _CLAIM_TIMEOUT_S
-        current = await self._changes.replace(entry, claim, until_s)
-        if current is None or current.job.owner != self._identity.owner:
-            return None
-        return current
--- a/src/endivevane/serving/jobs.py
+++ b/src/endivevane/serving/jobs.py
@@ -110,6 +110,9 @@
     :param tokens_left: tokens of the items without a result
     :param operation: unique id of the change that wrote the row
     :param failed_runs: failed runs by item id, for items without a result
+    :param lost_owners: owners that were lost and may have run any item, up to a limit
+    :param begun_runs: runs that later owners have stored before they began, by the
+        position of the item; those behind the last one have none
     :param organisation: whose job it is, empty for clients without a key, ``None`` if
         there were no organisations at its submission
     """
@@ -129,6 +132,8 @@
     tokens_left: int
     operation: str
     failed_runs: dict[str, int] = dataclasses.field(default_factory=dict)
+    lost_owners: int = 0
+    begun_runs: tuple[int, ...] = ()
     organisation: str | None = None
 
     @property
@@ -170,7 +175,11 @@
 
 def encode_job(job: Job) -> bytes:
     """Return the value of a job's row."""
-    return orjson.dumps(dataclasses.asdict(job))
+    fields = dataclasses.asdict(job)
+    if not job.lost_owners:
+        # Most jobs lose no owner; their rows stay short.
+        del fields["lost_owners"], fields["begun_runs"]
+    return orjson.dumps(fields)
 
 
 def decode_job(value: bytes) -> Job:
@@ -187,7 +196,7 @@
 
 def _read_job(fields: dict[str, typing.Any]) -> Job:
     total = json_fields.read_count(fields["total"], _MAX_ITEMS)
-    # Rows of an earlier release lack it.
+    # Rows of earlier releases lack fields.
     organisation = fields.get("organisation")
     return Job(
         job_id=json_fields.read_text(fields["job_id"]),
@@ -210,6 +219,11 @@
                 fields.get("failed_runs", {})
             ).items()
         },
+        lost_owners=json_fields.read_count(fields.get("lost_owners", 0)),
+        begun_runs=tuple(
+            json_fields.read_count(count)
+            for count in json_fields.read_list(fields.get("begun_runs", []))
+        ),
         organisation=None
         if organisation is None
         else json_fields.read_text(organisation),
--- a/src/endivevane/serving/owned_jobs.py
+++ b/src/endivevane/serving/owned_jobs.py
@@ -11,6 +11,7 @@
     job_registry,
     jobs,
     model,
+    run_records,
     slot_registry,
     sse,
 )
@@ -32,6 +33,7 @@
     :ivar not_before_s: earliest monotonic time of the next run
     :ivar routeless_since_s: monotonic time since which the item has no route, 0 while
         it has one
+    :ivar is_held: whether too many of its runs may have failed for a further one
     :ivar slot: slot that it occupies, ``None`` while it does not run
     :ivar started_s: monotonic time at which the current run started
     :ivar advanced_s: monotonic time at which the last run with a new event ended, or
@@ -49,6 +51,7 @@
     stalled_runs: int = 0
     not_before_s: float = 0.0
     routeless_since_s: float = 0.0
+    is_held: bool = False
     slot: slot_registry.Slot | None = None
     started_s: float = 0.0
     advanced_s: float = 0.0
@@ -64,6 +67,11 @@
         if event.data is not None:
             self.pieces.append(event.data)
 
+    @property
+    def has_had_event(self) -> bool:
+        """Whether a target has sent an event of it, to this or an earlier owner."""
+        return bool(self.received_events or self.advanced_s)
+
     def can_go_on_at(self, target: model.Target) -> bool:
         """Return whether a target may go on behind the last event.
 
@@ -97,6 +105,7 @@
 
     :ivar runs: items without a result, by id
     :ivar failed_runs: failed runs of the items without a stored result
+    :ivar records: runs of these items whose end nobody may know
     :ivar results: results not yet committed to the store
     :ivar committing: task that commits results, ``None`` while there are none
     """
@@ -104,6 +113,7 @@
     entry: job_registry.JobEntry
     runs: dict[str, ItemRun]
     failed_runs: failed_runs.FailedRuns
+    records: run_records.RunRecords
     results: list[jobs.ItemResult] = dataclasses.field(default_factory=list)
     committing: asyncio.Task[None] | None = None
 
@@ -112,6 +122,12 @@
         """Id of the job."""
         return self.entry.job.job_id
 
+    @property
+    def unstored_since_s(self) -> float | None:
+        """Monotonic time since which items wait for the store, ``None`` if none do."""
+        times_s = (self.failed_runs.unstored_since_s, self.records.unstored_since_s)
+        return min((time_s for time_s in times_s if time_s is not None), default=None)
+
     def list_ready(self, now_s: float) -> list[ItemRun]:
         """Return the items that may start now."""
         return [
@@ -156,4 +172,5 @@
         for item_id, count in entry.job.failed_runs.items()
         if item_id in runs
     }
-    return OwnedJob(entry, runs, failed_runs.FailedRuns(failed))
+    records = run_records.RunRecords(entry.job, items)
+    return OwnedJob(entry, runs, failed_runs.FailedRuns(failed), records)
--- a/src/endivevane/serving/result_commits.py
+++ b/src/endivevane/serving/result_commits.py
@@ -27,7 +27,7 @@
 _PROGRESS_INTERVAL_S = 2.0
 _MIN_NEW_EVENTS = 16
 _MAX_PROGRESS_ROWS = 40
-# Transactions that store failed runs and no results, of all daemons together. The
+# Transactions that store no results, of all daemons together. The
 # store applies 300 transactions a second on the jobs' rows.
 _FAILED_RUNS_WRITES_PER_S = 60.0
 
@@ -37,8 +37,8 @@
 class ResultCommitter:
     """Commits results together with the job's row, and item progress separately.
 
-    The job's row holds the failed runs of items, which are stored with results, or
-    alone while nothing of the job is committed.
+    The job's row holds the failed runs of items and the records of runs, which are
+    stored with results, or alone while nothing of the job is committed.
 
     :param count_daemons: returns the number of daemons that share the store
     :param release: called with a job that this daemon must stop running, and the cause
@@ -108,10 +108,10 @@
     def store_failed_runs_if_due(
         self, owned_all: abc.Iterable[owned_jobs.OwnedJob], now_s: float
     ) -> None:
-        """Start to store the failed runs of the job that waits for it longest.
+        """Start to store the failed runs and records of the job that waits longest.
 
-        The next result of a job stores them too. Transactions for failed runs alone
-        are limited, and one at a time waits for the store.
+        The next result of a job stores them too. Transactions without a result are
+        limited, and one at a time waits for the store.
         """
         if now_s < self._failed_runs_due_s or self._is_storing_failed_runs:
             return
@@ -119,7 +119,7 @@
             (since_s, owned)
             for owned in owned_all
             if owned.committing is None
-            and (since_s := owned.failed_runs.unstored_since_s) is not None
+            and (since_s := owned.unstored_since_s) is not None
         ]
         if not waiting:
             return
@@ -129,7 +129,7 @@
         longest.committing = asyncio.ensure_future(self._store_failed_runs(longest))
 
     async def _store_failed_runs(self, owned: owned_jobs.OwnedJob) -> None:
-        """Store the failed runs of a job, then the results that it has got since."""
+        """Store failed runs and records, then the results that a job has got since."""
         self._is_storing_failed_runs = True
         try:
             is_running_here = await self._commit_batch(owned)
@@ -172,6 +172,7 @@
             state=jobs.JobState.OPEN if unfinished else jobs.JobState.DONE,
             operation=secrets.token_hex(8),
             failed_runs=owned.failed_runs.get_counts(without=done),
+            begun_runs=owned.records.get_counts(without=done),
         )
         # Retried until the outcome is known: another change with the same results
         # could list them at two positions.
@@ -201,6 +202,7 @@
         del owned.results[: len(batch)]
         done = frozenset(result.item_id for result in batch)
         owned.failed_runs.record_stored(job.failed_runs, done)
+        owned.records.record_stored(job.begun_runs, done)
         start = job.listed - len(batch)
         cached = {start + number: result for number, result in enumerate(batch)}
         self._reader.cache_results(job.job_id, cached)
--- a/src/endivevane/serving/routing_table.py
+++ b/src/endivevane/serving/routing_table.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import random
+from collections import abc
 
 from endivevane.coordination import rendezvous
 from endivevane.serving import model
@@ -47,6 +48,10 @@
             self._by_host[route.host.lower()].append(route)
         for routes in self._by_host.values():
             routes.sort(key=lambda route: len(route.prefix), reverse=True)
+        self._batch_by_host = {
+            host: [route for route in routes if route.kind is model.RouteKind.BATCH]
+            for host, routes in self._by_host.items()
+        }
 
     def find(self, host: str, path: str) -> model.Route | None:
         """Return the route with the longest prefix of a path.
@@ -54,7 +59,7 @@
         :param host: value of the ``Host`` header, with or without a port
         :param path: path with or without a query
         """
-        return _find_longest(self._list_routes(host), path)
+        return _find_longest(_list_routes(self._by_host, host), path)
 
     def find_batch(self, host: str, path: str) -> model.Route | None:
         """Return the batch route with the longest prefix of an item's path.
@@ -93,13 +98,15 @@
 
     def find_batch_routes(self, host: str) -> list[model.Route]:
         """Return the batch routes of a host."""
-        routes = self._list_routes(host)
-        return [route for route in routes if route.kind is model.RouteKind.BATCH]
+        return _list_routes(self._batch_by_host, host)
+
 
-    def _list_routes(self, host: str) -> list[model.Route]:
-        """Return the routes of a host, those with the longest prefix first."""
-        name = host.lower()
-        return self._by_host.get(name) or self._by_host.get(_strip_port(name), [])
+def _list_routes(
+    by_host: abc.Mapping[str, list[model.Route]], host: str
+) -> list[model.Route]:
+    """Return the routes of a host, those with the longest prefix first."""
+    name = host.lower()
+    return by_host.get(name) or by_host.get(_strip_port(name), [])
 
 
 def is_same_host(first: str, second: str) -> bool:
