--- a/features/failed_runs.feature
+++ b/features/failed_runs.feature
@@ -122,6 +122,13 @@
       | 3        | 9    |
       | 1        | 3    |
 
+  # Guards against an item that no target can do and that each further owner sends, since
+  # the answer that the last one had is lost with it.
+  Scenario: More owners are lost than an item may be answered 422
+    Given a route with 3 attempts and an item that is answered 422 at each run
+    When any number of owners are lost, each with its answer of 422
+    Then the item has begun at most 3 runs
+
   # Guards against an item that stays open for ever, and keeps its job open.
   Scenario: An item that is held is listed as failed once it may be abandoned
     Given a route with 1 attempts and an item that is answered 500 at each run
@@ -145,7 +152,8 @@
     And 5 owners are stopped as planned, each once its run has begun
     Then the item has begun 8 runs and completes at the next owner
 
-  # Guards against an item that is held although a target has answered it with events.
+  # Guards against a limit that is passed by one run or met too early, and against an item
+  # that is held although a target has answered it with events.
   Scenario Outline: Whether an item may run
     Given an item with <failed> failed runs on a route with <attempts> attempts
     And a row with <lost> lost owners and <begun> recorded runs of it
--- a/features/steps/failed_runs_steps.py
+++ b/features/steps/failed_runs_steps.py
@@ -391,7 +391,7 @@
         await world.add_owner().take_over("job")
 
 
-def _play_losses(context, event):
+def _play_losses(context, event, script=lambda _item_id, _number: 500):
     """Lose owners at an event of each, then let the last one run for some time."""
 
     async def play(world):
@@ -406,7 +406,7 @@
         await _replace_owners(world, lost, _ANY_LOSSES)
         await asyncio.sleep(_NEXT_OWNER_S)
 
-    _play(context, play)
+    _play(context, play, script)
 
 
 @when("any number of owners are lost, each with its 1. answer of 500")
@@ -414,6 +414,23 @@
     _play_losses(context, "on_answer")
 
 
+@given(
+    "a route with {attempts:d} attempts and an item that is answered 422 at each run"
+)
+def step_impossible_item(context, attempts):
+    context.attempts = attempts
+
+
+@when("any number of owners are lost, each with its answer of 422")
+def step_any_lost_with_422(context):
+    _play_losses(context, "on_answer", lambda _item_id, _number: 422)
+
+
+@then("the item has begun at most {count:d} runs")
+def step_most_runs(context, count):
+    assert context.world.runs["job-0"] <= count, context.world.runs
+
+
 @when("any number of owners are lost, each once its run has begun")
 def step_any_lost_with_run(context):
     _play_losses(context, "on_run")
