--- a/src/endivevane/serving/item_gate.py
+++ b/src/endivevane/serving/item_gate.py
@@ -12,9 +12,8 @@
 # An item without a route in the newest configuration fails after this time. While the
 # store is degraded, a daemon's configuration may be out of date for nearly as long.
 _ROUTE_MISSING_LIMIT_S = 12.5
-# An item is sent to targets until so many times ``max_attempts`` runs of it may have
-# failed.
-_MAX_FAILED_SHARE = 3
+# An item runs no more once so many times ``max_attempts`` runs of it may have failed.
+_MAX_FAILED_FACTOR = 3
 # Interval of looks at an item that is held; its route may have changed.
 _HELD_INTERVAL_S = 2.0
 # Clocks of daemons differ by less than this.
@@ -40,10 +39,10 @@
 ) -> Admission:
     """Decide whether an item runs, so that its failed runs stay within their limit.
 
-    A run whose end went with a lost owner may have failed or not. It counts as failed
-    where the limit of runs is kept, and not where an item is given up. In between an
-    item is held until it may be abandoned. One that has had an event does not fail at
-    each run.
+    A run that was under way when its owner was lost may have failed or not. It counts
+    towards the limit of runs, but an item is listed as failed only for failures that
+    are known. An item at the limit without enough of them is held until it may be
+    abandoned. One that has had an event does not fail at each run.
 
     :param age_s: time since the job was submitted
     """
@@ -53,7 +52,7 @@
     max_attempts = max(1, route.max_attempts)
     failed = owned.failed_runs.count(item_id)
     unknown = owned.records.count_unknown(item_id)
-    if failed + unknown < _MAX_FAILED_SHARE * max_attempts:
+    if failed + unknown < _MAX_FAILED_FACTOR * max_attempts:
         is_stored = owned.records.is_stored(item_id)
         return Admission.BEGIN if is_stored else Admission.RECORD
     may_be_abandoned = age_s > route.retention_s + _CLOCK_MARGIN_S
--- a/src/endivevane/serving/owned_jobs.py
+++ b/src/endivevane/serving/owned_jobs.py
@@ -105,7 +105,7 @@
 
     :ivar runs: items without a result, by id
     :ivar failed_runs: failed runs of the items without a stored result
-    :ivar records: runs of these items whose end nobody may know
+    :ivar records: runs of these items that may have failed unknown to this owner
     :ivar results: results not yet committed to the store
     :ivar committing: task that commits results, ``None`` while there are none
     """
--- a/src/endivevane/serving/request_matching.py
+++ b/src/endivevane/serving/request_matching.py
@@ -22,7 +22,8 @@
 
     A prefix may cover the paths of calls on jobs, since ``/`` is one. Method and path
     therefore go before the prefixes on each host that has a batch route, or had one
-    when a known job was submitted there. On other hosts such a path is as good as any.
+    when a known job was submitted there. On other hosts such a path belongs to the
+    route with the longest prefix.
 
     :param decoder: knows the methods and paths of calls
     :param registry: known jobs
@@ -39,8 +40,8 @@
     ) -> jobs.JobCall | model.Route | None:
         """Return the call or the route of a request, ``None`` if it has neither.
 
-        Without any route for its path, a call may be one on a job of a former route
-        that this daemon does not know yet.
+        A call without a route may be one on a job of a former route that this daemon
+        does not know yet.
         """
         route = table.find(request.host, request.path)
         job_call = self._decoder.decode_call(request.method, request.path)
--- a/src/endivevane/serving/run_records.py
+++ b/src/endivevane/serving/run_records.py
@@ -17,8 +17,8 @@
 def count_lost_owner(job: jobs.Job) -> int:
     """Return the lost owners to store when a job is claimed from its former owner.
 
-    A job that was released has none, and one whose owner recorded runs shows by the
-    records which items may have run.
+    A released job has lost no owner. Once owners record runs, the records show which
+    items may have run, and the number stays.
     """
     if not job.owner:
         return job.lost_owners
@@ -28,10 +28,10 @@
 class RunRecords:
     """Runs of the items of an owned job whose end nobody may know.
 
-    An owner that is lost leaves at most one run of each item whose end is not stored.
-    The first owners are only counted, and each may have run any item. Later ones store
-    a record of an item's run before it begins. The record of an item stands for its
-    next run too once the end of the last one is known.
+    A lost owner leaves at most one failed run of each item that the store does not
+    hold. The first lost owners are only counted, and each may have run any item. Later
+    owners store a record of an item's run before it begins. While they live, the same
+    record serves the item's further runs.
 
     :param job: the row of the job, as its owner found it
     :param items: all items of the job
@@ -89,7 +89,9 @@
 
         :param without: items whose results are stored in the same transaction
         """
-        counts = self._get_counts(self._recorded)
+        counts = list(self._unknown)
+        for item_id in self._recorded:
+            counts[self._positions[item_id]] += 1
         for item_id in without:
             if item_id in self._positions:
                 counts[self._positions[item_id]] = 0
@@ -117,12 +119,6 @@
                 self._stored.add(item_id)
         self._update_unstored()
 
-    def _get_counts(self, recorded: abc.Iterable[str]) -> list[int]:
-        counts = list(self._unknown)
-        for item_id in recorded:
-            counts[self._positions[item_id]] += 1
-        return counts
-
     def _update_unstored(self) -> None:
         if self._recorded == self._stored:
             self._unstored_since_s = None
