Take no answer for proof before it is whole

Cause: a first event cleared all traits of a request, an end behind it accused nobody, and runs that brought an event used up no attempt.

Change: a target that ends accuses every request that was there, half as much where events had come. Only a whole answer that one run brought clears (without a length or chunks: once the target accepts another connection), from items too. A request under which three targets have ended is sent once more and then given up. Targets known to have ended use up no attempt of a stream, which otherwise waited for them. Requests that left a target up to a second before its end are accused as well. The datagrams are unchanged.

--- a/features/crashing_prompts.feature
+++ b/features/crashing_prompts.feature
@@ -53,11 +53,20 @@
       | a        | 1:r1/a 2:r2/a 3:r3/a 4:r4/a             | nothing     |
       | a, b x 9 | 1:r1/a 2:r2/a 3:r3/a 4:r4/a             | a           |
 
+    Examples: requests whose answers were under way may have run beside the one that crashed the target
+      | answered     | ends                                                                | quarantined |
+      | a, 9 earlier | 1:+r1/a,p 2:+r1/a,p 3:+r1/a,p                                       | nothing     |
+      | a, 9 earlier | 1:+r1/a,p 2:+r1/a,p 3:+r1/a,p 4:+r1/a,p                             | p           |
+      | a            | 1:+r1/a,p 2:+r2/a,p 3:+r3/a,p 4:+r4/a,p                             | p           |
+      | a, 9 earlier | 1:r1/a,p 1:+r5/a,x 2:r2/a,p 2:+r5/a,x                               | p           |
+      | a, 9 earlier | 1:r1/a,p 1:+r5/a,x 2:r2/c,s 2:+r5/a,x 3:r3/d,t 3:+r5/a,x            | nothing     |
+      | a, 9 earlier | 1:+r1/a 2:+r2/a 3:+r3/a 4:+r4/a                                     | nothing     |
+
   # Guards against a quarantine that no answer ends.
   Scenario Outline: An answer clears the segments of its request
     Given a daemon that has seen answers on a
     When targets end under 1:r1/a,s,p 2:r2/a,s,p
-    And an answer begins on <segments>
+    And an answer on <segments> is whole
     Then in quarantine are <quarantined>
 
     Examples:
--- a/features/steps/crash_evidence_steps.py
+++ b/features/steps/crash_evidence_steps.py
@@ -29,7 +29,10 @@
 
 @when("targets end under {ends}")
 def step_ends(context, ends):
-    """Report ends, written as RUN:REQUEST/SEGMENT,... with ~ for one without a head."""
+    """Report ends, written as RUN:REQUEST/SEGMENT,...
+
+    A ~ marks a request without a head, a + one whose answer was under way.
+    """
     items = ends.split()
     for position, item in enumerate(items):
         run, _, suspect = item.partition(":")
@@ -39,9 +42,9 @@
             10.0 + int(run),
             [
                 evidence.Suspect(
-                    f"request:{name.lstrip('~')}",
+                    f"request:{name.lstrip('~+')}",
                     tuple(segments.split(",")),
-                    had_head=not name.startswith("~"),
+                    was_beginning=name[0] not in "~+",
                 )
             ],
         )
@@ -53,7 +56,7 @@
     context.registry.decide(21.0)
 
 
-@when("an answer begins on {segments}")
+@when("an answer on {segments} is whole")
 def step_answer(context, segments):
     context.registry.record_answers(_list_items(segments), 22.0)
 
@@ -119,7 +122,7 @@
 def step_hear_end(context, count):
     async def play(world):
         run_key = world.registry.find("a").target.run_key
-        suspect = evidence.Suspect("request:r1", ("p",), had_head=True)
+        suspect = evidence.Suspect("request:r1", ("p",), was_beginning=True)
         report = messages.EndReport(run_key, 0.0, (suspect,), {})
         news = messages.QuarantineNews("near", ends=(report,))
         world.quarantine.handle(news, "front-2")
@@ -138,7 +141,7 @@
 )
 def step_suspects(context, segment, count, segment_again):
     async def play(world):
-        suspect = evidence.Suspect("request:r1", ("a", segment), had_head=True)
+        suspect = evidence.Suspect("request:r1", ("a", segment), was_beginning=True)
         report = messages.EndReport("other/1", 0.0, (suspect,), {})
         news = messages.QuarantineNews("near", ends=(report,))
         world.quarantine.handle(news, "front-2")
--- a/features/steps/serving_online_steps.py
+++ b/features/steps/serving_online_steps.py
@@ -20,7 +20,7 @@
 @given("{count:d} targets behind a daemon with {route}")
 def step_world(context, count, route):
     context.configuration = serving_world.make_configuration(**_ROUTES[route])
-    context.names = list("abc"[:count])
+    context.names = list("abcdefgh"[:count])
     context.prepare = []
 
 
--- a/features/support/quarantine_net.py
+++ b/features/support/quarantine_net.py
@@ -123,7 +123,7 @@
 
     def end_target(self, member, run_key, fingerprint, segments):
         """Let a daemon find that a target has ended under a request."""
-        suspect = evidence.Suspect(fingerprint, segments, had_head=True)
+        suspect = evidence.Suspect(fingerprint, segments, was_beginning=True)
         member.quarantine.report_end(run_key, time.monotonic(), (suspect,))
 
 
--- a/features/support/scripted_items.py
+++ b/features/support/scripted_items.py
@@ -23,20 +23,20 @@
 )
 
 
-def make_sender(world):
-    """Return the sender of items of a world's daemon."""
+def make_sender(world, segments=()):
+    """Return the sender of items of a world's daemon, whose prompts have segments."""
     return item_sender.ItemSender(
         world.registry,
         world.client,
         lambda host, _headers: ((b"Host", host.encode()),),
-        lambda _headers: (),
+        lambda _headers: segments,
         world.quarantine,
     )
 
 
-async def run_item(world, body=b"hello"):
+async def run_item(world, body=b"hello", segments=()):
     """Run an item until it is completed, at one target after the other."""
-    sender = make_sender(world)
+    sender = make_sender(world, segments)
     item = jobs.Item("abc", "/quote/1", {}, body, 1)
     run = owned_jobs.ItemRun(item)
     names = itertools.islice(itertools.cycle(world.replicas), _MAX_RUNS)
--- a/src/endivevane/quarantine/crash_check.py
+++ b/src/endivevane/quarantine/crash_check.py
@@ -21,49 +21,68 @@
 _MAX_REMEMBERED = 256
 
 EndObserver = abc.Callable[[str, float, tuple[evidence.Suspect, ...]], None]
+LifeObserver = abc.Callable[[evidence.Suspect], None]
 
 
 @dataclasses.dataclass(slots=True)
 class _Examination:
-    """Attempts that one run of a target broke off.
+    """Attempts that one run of a target broke off, or may have.
 
     :ivar broken_s: monotonic time of the first one
+    :ivar broken: requests of attempts that it broke off
+    :ivar unframed: requests whose answers ended with their connection, and are whole if
+        the target has not ended
     """
 
     target: model.Target
     broken_s: float
-    suspects: list[evidence.Suspect] = dataclasses.field(default_factory=list)
+    broken: list[evidence.Suspect] = dataclasses.field(default_factory=list)
+    unframed: list[evidence.Suspect] = dataclasses.field(default_factory=list)
 
 
 class CrashCheck:
     """Finds out which targets have ended.
 
     :param on_end: called with the run of a target that has ended, the monotonic time
-        and this daemon's requests that had no event there
+        and this daemon's requests whose answers were not whole there
+    :param on_whole: called with a request whose answer ended with its connection and is
+        whole, since the target lives
     """
 
-    def __init__(self, on_end: EndObserver) -> None:
+    def __init__(self, on_end: EndObserver, on_whole: LifeObserver) -> None:
         self._on_end = on_end
+        self._on_whole = on_whole
         self._examinations: dict[str, _Examination] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
         self._alive_until_s: dict[str, float] = {}
         self._ended: dict[str, float] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
 
     def add(self, target: model.Target, suspect: evidence.Suspect) -> None:
-        """Add an attempt that a target broke off before its first event."""
+        """Add an attempt that a target broke off before its answer was whole."""
+        if time.monotonic() >= self._alive_until_s.get(target.run_key, 0.0):
+            self._find_examination(target).broken.append(suspect)
+
+    def add_unframed(self, target: model.Target, suspect: evidence.Suspect) -> None:
+        """Add an answer without a length or chunks that ended with its connection."""
+        self._find_examination(target).unframed.append(suspect)
+
+    def _find_examination(self, target: model.Target) -> _Examination:
+        """Return the examination of a target that is under way, or begin one."""
         run_key = target.run_key
-        now_s = time.monotonic()
-        if now_s < self._alive_until_s.get(run_key, 0.0):
-            return
         examination = self._examinations.get(run_key)
-        if examination is not None:
-            examination.suspects.append(suspect)
-            return
-        examination = _Examination(target, now_s, [suspect])
-        self._examinations[run_key] = examination
-        task = asyncio.ensure_future(self._examine(run_key, examination))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        if examination is None:
+            examination = _Examination(target, time.monotonic())
+            self._examinations[run_key] = examination
+            task = asyncio.ensure_future(self._examine(run_key, examination))
+            self._tasks[run_key] = task
+            task.add_done_callback(lambda _: self._tasks.pop(run_key, None))
+        return examination
+
+    async def wait(self, run_key: str) -> None:
+        """Wait until the check of a run of a target that is under way is over."""
+        task = self._tasks.get(run_key)
+        if task is not None:
+            await asyncio.wait((task,))
 
     async def _examine(self, run_key: str, examination: _Examination) -> None:
         await asyncio.sleep(COLLECT_S)
@@ -73,13 +92,21 @@
             _remember(self._ended, run_key, ended_s)
         del self._examinations[run_key]
         if ended_s is None:
-            until_s = time.monotonic() + _ALIVE_TTL_S
-            _remember(self._alive_until_s, run_key, until_s)
+            self._record_alive(run_key, examination)
             return
-        suspects = sorted(examination.suspects, key=lambda item: -item.weight)
+        suspects = sorted(
+            (*examination.broken, *examination.unframed), key=lambda item: -item.weight
+        )
         reported = tuple(suspects[: evidence.MAX_REPORTED_SUSPECTS])
         self._on_end(run_key, ended_s, reported)
 
+    def _record_alive(self, run_key: str, examination: _Examination) -> None:
+        for suspect in examination.unframed:
+            self._on_whole(suspect)
+        if examination.broken:
+            until_s = time.monotonic() + _ALIVE_TTL_S
+            _remember(self._alive_until_s, run_key, until_s)
+
 
 async def _refuses_connections(target: model.Target) -> bool:
     reachability = await target_probe.connect(target)
--- a/src/endivevane/quarantine/decisions.py
+++ b/src/endivevane/quarantine/decisions.py
@@ -14,13 +14,14 @@
 from endivevane.quarantine import evidence
 
 # Summed weight of ends that accuse a trait without any answer: two targets that ended
-# while they began to answer.
+# while they began to answer, or four that ended while requests waited or ran there. A
+# sound request may meet two or three ends under others.
 _MIN_SCORE = 2.0
 # Number of requests that must accuse a segment at a daemon that has seen fewer answers
 # than the second figure: it may not know the segments yet that most requests share.
 _MIN_REQUESTS = 2
 _MIN_ANSWERS_SEEN = 8
-# The same for a trait on which answers have begun before. While a service is out, many
+# The same for a trait that has been answered before. While a service is out, many
 # requests that share a sound segment end together, so others must be answered since.
 _MIN_SCORE_AFTER_ANSWER = 4.0
 _MIN_REQUESTS_AFTER_ANSWER = 4
@@ -139,7 +140,7 @@
     ends: abc.Iterable[evidence.TargetEnd],
     list_traits: abc.Callable[[evidence.Suspect], tuple[str, ...]],
 ) -> dict[str, _Case]:
-    """Return what accuses each trait since the last answer that began on it."""
+    """Return what accuses each trait since the last answer on it."""
     cases: dict[str, _Case] = {}
     for end in ends:
         suspects: dict[str, list[evidence.Suspect]] = {}
--- a/src/endivevane/quarantine/evidence.py
+++ b/src/endivevane/quarantine/evidence.py
@@ -1,8 +1,9 @@
-"""Evidence from targets that ended: which requests were waiting for an answer there.
+"""Evidence from targets that ended: which requests they were working on.
 
 A request's traits are the segments of its prompt that others may share and its
-fingerprint. A target that begins to answer a request clears all of its traits; a target
-that ends before the first event accuses them.
+fingerprint. A target that ends accuses the traits of all requests there, whatever it
+had written of their answers. An answer clears the traits of its request once it is
+whole: until then its target may still end.
 """
 
 from __future__ import annotations
@@ -24,35 +25,36 @@
 MAX_REPORTED_SUSPECTS = 16
 # Traits of each kind whose last answer is remembered, the newest ones.
 _MAX_ANSWERED_TRAITS = 4096
-# A request whose answer had begun was running; one without a head may only have waited.
-_RUNNING_WEIGHT = 1.0
-_WAITING_WEIGHT = 0.5
+# A target works on the few requests whose answers it is just beginning. One without a
+# head may only have waited, and one with events may only have run beside the others.
+_BEGINNING_WEIGHT = 1.0
+_OTHER_WEIGHT = 0.5
 _FINGERPRINT_PREFIX = "request:"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Suspect:
-    """A request that had no event of its answer when its target ended.
+    """A request whose answer was not whole when its target ended.
 
     :param fingerprint: the trait that only repeats of the request share
     :param segments: segments of the prompt that others may share, in order
-    :param had_head: whether the head of the response had arrived
+    :param was_beginning: whether the head of the response had arrived, but no event
     """
 
     fingerprint: str
     segments: tuple[str, ...]
-    had_head: bool
+    was_beginning: bool
 
     @property
     def weight(self) -> float:
         """How much it accuses its traits."""
-        return _RUNNING_WEIGHT if self.had_head else _WAITING_WEIGHT
+        return _BEGINNING_WEIGHT if self.was_beginning else _OTHER_WEIGHT
 
     def has_trait(self, trait: str) -> bool:
         """Return whether a trait is one of the request's."""
         return trait == self.fingerprint or trait in self.segments
 
-    def matches(self, traits: frozenset[str]) -> bool:
+    def matches(self, traits: abc.Set[str]) -> bool:
         """Return whether the request has all of some traits."""
         return all(self.has_trait(trait) for trait in traits)
 
@@ -62,7 +64,7 @@
     """The end of one run of a target, as all daemons report it.
 
     :ivar ended_s: monotonic time of the end
-    :ivar answers_before: answers that this daemon had seen begin by then
+    :ivar answers_before: whole answers that this daemon had seen by then
     :ivar suspects: by fingerprint
     """
 
@@ -73,14 +75,14 @@
     def add(self, suspect: Suspect) -> bool:
         """Add a request; return whether that is news."""
         known = self.suspects.get(suspect.fingerprint)
-        if known is not None and known.had_head >= suspect.had_head:
+        if known is not None and known.was_beginning >= suspect.was_beginning:
             return False
         if known is None and len(self.suspects) >= _MAX_SUSPECTS_PER_END:
             return False
         self.suspects[suspect.fingerprint] = suspect
         return True
 
-    def is_explained_by(self, traits: frozenset[str]) -> bool:
+    def is_explained_by(self, traits: abc.Set[str]) -> bool:
         """Return whether one of its requests has all of some traits."""
         return any(suspect.matches(traits) for suspect in self.suspects.values())
 
@@ -91,9 +93,9 @@
     def __init__(self) -> None:
         self._times_s: collections.OrderedDict[str, float] = collections.OrderedDict()
 
-    def add(self, trait: str, began_s: float) -> None:
-        """Record an answer at a monotonic time."""
-        self._times_s[trait] = max(self._times_s.get(trait, 0.0), began_s)
+    def add(self, trait: str, answered_s: float) -> None:
+        """Record an answer that was whole at a monotonic time."""
+        self._times_s[trait] = max(self._times_s.get(trait, 0.0), answered_s)
         self._times_s.move_to_end(trait)
         if len(self._times_s) > _MAX_ANSWERED_TRAITS:
             self._times_s.popitem(last=False)
@@ -104,15 +106,15 @@
 
 
 class Evidence:
-    """Ends of targets, and the traits on which answers have begun.
+    """Ends of targets, and the traits of requests that were answered whole.
 
-    :ivar answer_count: answers that this daemon has seen begin
+    :ivar answer_count: whole answers that this daemon has seen
     """
 
     def __init__(self) -> None:
         self.answer_count = 0
         self._ends: collections.OrderedDict[str, TargetEnd] = collections.OrderedDict()
-        # Segment -> monotonic time of the last end under a request that was running.
+        # Segment -> monotonic time of the last end for which it is suspect.
         self._accused: dict[str, float] = {}
         self._segment_answers = _AnswerTimes()
         self._fingerprint_answers = _AnswerTimes()
@@ -148,29 +150,47 @@
             if not end.add(suspect):
                 continue
             is_news = True
-            if suspect.had_head:
-                self._accuse(suspect, end.ended_s)
+            self._accuse(suspect, run_key)
         return is_news
 
-    def add_answer(self, traits: abc.Iterable[str], began_s: float) -> None:
-        """Record that an answer has begun on some traits."""
+    def has_end(self, run_key: str) -> bool:
+        """Return whether a run of a target is known to have ended."""
+        return run_key in self._ends
+
+    def add_answer(self, traits: abc.Iterable[str], answered_s: float) -> None:
+        """Record that a request with some traits was answered whole."""
         for trait in traits:
-            self._find_answer_times(trait).add(trait, began_s)
+            self._find_answer_times(trait).add(trait, answered_s)
 
     def find_answered_s(self, trait: str) -> float | None:
         """Return the monotonic time of the last answer on a trait, if there was one."""
         return self._find_answer_times(trait).find(trait)
 
     def is_accused(self, segment: str) -> bool:
-        """Return whether a target has ended under a segment since its last answer."""
+        """Return whether a segment is suspect since its last answer.
+
+        It is after one end under a request whose answer was just beginning, or after
+        two ends under other requests.
+        """
         accused_s = self._accused.get(segment)
         if accused_s is None:
             return False
         return accused_s > (self.find_answered_s(segment) or 0.0)
 
-    def _accuse(self, suspect: Suspect, ended_s: float) -> None:
+    def _accuse(self, suspect: Suspect, run_key: str) -> None:
+        ended_s = self._ends[run_key].ended_s
         for segment in suspect.segments:
-            self._accused[segment] = max(self._accused.get(segment, 0.0), ended_s)
+            if suspect.was_beginning or self._has_other_end(segment, run_key):
+                self._accused[segment] = max(self._accused.get(segment, 0.0), ended_s)
+
+    def _has_other_end(self, segment: str, run_key: str) -> bool:
+        """Return whether another run of a target has ended under a segment."""
+        answered_s = self.find_answered_s(segment) or 0.0
+        return any(
+            end.ended_s > answered_s and end.is_explained_by({segment})
+            for key, end in self._ends.items()
+            if key != run_key
+        )
 
     def _find_answer_times(self, trait: str) -> _AnswerTimes:
         if is_fingerprint(trait):
--- a/src/endivevane/quarantine/messages.py
+++ b/src/endivevane/quarantine/messages.py
@@ -22,9 +22,9 @@
 
     :param run_key: identifies the run of the target
     :param age_s: time since the end
-    :param suspects: requests of this daemon that waited for their first event there
-    :param answered: age of the last answer that the daemon saw begin, by trait, of
-        those that the suspects have
+    :param suspects: requests of this daemon whose answers were not whole there
+    :param answered: age of the last answer that the daemon saw, by trait, of those that
+        the suspects have
     """
 
     run_key: str
@@ -50,7 +50,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerNotice:
-    """Answers that have begun on traits which others accuse.
+    """Whole answers on traits which others accuse.
 
     :param ages_s: time since the last one, by trait
     """
@@ -122,7 +122,7 @@
 
 def _encode_end(end: EndReport) -> tuple[typing.Any, ...]:
     suspects = [
-        (suspect.fingerprint, suspect.segments, suspect.had_head)
+        (suspect.fingerprint, suspect.segments, suspect.was_beginning)
         for suspect in end.suspects
     ]
     return (end.run_key, round(end.age_s, 3), suspects, _round_ages(end.answered))
@@ -138,9 +138,9 @@
             evidence.Suspect(
                 json_fields.read_text(fingerprint),
                 json_fields.read_texts(segments),
-                json_fields.read_flag(had_head),
+                json_fields.read_flag(was_beginning),
             )
-            for fingerprint, segments, had_head in json_fields.read_list(suspects)
+            for fingerprint, segments, was_beginning in json_fields.read_list(suspects)
         ),
         answered=_decode_ages(answered),
     )
--- a/src/endivevane/quarantine/registry.py
+++ b/src/endivevane/quarantine/registry.py
@@ -84,7 +84,7 @@
         return None
 
     def find_suspect_segment(self, request: model.ClientRequest) -> str | None:
-        """Return a segment under which a target has ended and none has answered."""
+        """Return a suspect segment of which no request has been answered whole."""
         if not len(self.evidence):
             return None
         for segment in reversed(request.prompt_segments):
@@ -94,19 +94,19 @@
                 return segment
         return None
 
-    def record_answers(self, traits: abc.Iterable[str], began_s: float) -> list[str]:
-        """Record that an answer began on some traits.
+    def record_answers(self, traits: abc.Iterable[str], answered_s: float) -> list[str]:
+        """Record that a request with some traits was answered whole.
 
         :return: those of the traits that were in quarantine
         """
         cleared = list(traits)
-        self.evidence.add_answer(cleared, began_s)
+        self.evidence.add_answer(cleared, answered_s)
         if not self._entries:
             return []
         lifted = []
         for trait in cleared:
             for entry in list(self._by_trait.get(trait, ())):
-                if began_s > entry.decided_s:
+                if answered_s > entry.decided_s:
                     lifted.append(trait)
                     self._narrow(entry, trait)
         return lifted
--- a/src/endivevane/quarantine/service.py
+++ b/src/endivevane/quarantine/service.py
@@ -13,6 +13,7 @@
     crash_check,
     evidence,
     exchange,
+    left_requests,
     messages,
     registry,
     rows,
@@ -60,12 +61,13 @@
         self._exchange = news_exchange
         self._rows = quarantine_rows
         self._generator = generator
-        self._check = crash_check.CrashCheck(self.report_end)
+        self._check = crash_check.CrashCheck(self.report_end, self._record_whole)
         self._own_ends: set[str] = set()
         # Trait -> monotonic time at which a daemon last told of an answer on it.
         self._announced: dict[str, float] = {}
         self._claims: set[str] = set()
-        self._waiting = watches.WaitingRequests()
+        self._at_targets = watches.RequestsAtTargets()
+        self._left = left_requests.LeftRequests()
         self._decision: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -113,17 +115,19 @@
         return now_s >= entry.retry_at_s and await self._claim_try(entry)
 
     def find_suspect_segment(self, request: model.ClientRequest) -> str | None:
-        """Return a segment under which a target has ended and none has answered."""
+        """Return a suspect segment of which no request has been answered whole."""
         return self._registry.find_suspect_segment(request)
 
     def watch(
         self, request: model.ClientRequest, abort: abc.Callable[[str], None]
     ) -> watches.Watch:
-        """Return a context in which a request waits for its first event.
+        """Return a context that lasts while a request is at a target.
 
         :param abort: called with a cause when the request falls under a quarantine
+            before its answer has begun; one that is under way shows whether the
+            quarantine is in error
         """
-        return self._waiting.watch(request, abort)
+        return self._at_targets.watch(request, abort)
 
     async def wait_for_decision(self, request: model.ClientRequest) -> None:
         """Wait before a request is sent again after a target has ended under it.
@@ -133,13 +137,35 @@
         if self.find_suspect_segment(request) is not None:
             await asyncio.sleep(_DECISION_DELAY_S + crash_check.COLLECT_S)
 
+    def has_ended(self, run_key: str) -> bool:
+        """Return whether a run of a target is known to have ended a short while ago."""
+        return self._registry.evidence.has_end(run_key)
+
+    async def wait_for_check(self, run_key: str) -> None:
+        """Wait until it is known whether a run that broke off an attempt has ended."""
+        await self._check.wait(run_key)
+
     def record_answer(self, request: model.ClientRequest) -> None:
-        """Record that a target has begun to answer a request."""
+        """Record that one run of a target has answered a request whole."""
         fingerprint = evidence.make_fingerprint(request)
         self.record_answer_on((*request.prompt_segments, fingerprint))
 
+    def record_unframed_answer(
+        self, watch: watches.Watch, target: model.Target
+    ) -> None:
+        """Record an answer without a length or chunks that has ended.
+
+        It is whole unless its target has ended, which is checked only where the answer
+        would show anything new.
+        """
+        suspect = _make_suspect(watch.request, was_beginning=watch.is_waiting)
+        known = self._registry.evidence
+        if all(known.find_answered_s(trait) for trait in suspect.segments):
+            return
+        self._check.add_unframed(target, suspect)
+
     def record_answer_on(self, traits: tuple[str, ...]) -> None:
-        """Record that a target has begun to answer on some traits."""
+        """Record that one run of a target has answered a request with some traits."""
         self._registry.evidence.answer_count += 1
         self._record_answered(dict.fromkeys(traits, 0.0), is_own=True)
 
@@ -149,15 +175,18 @@
         target: model.Target,
         error: failures.TargetCallError,
     ) -> None:
-        """Record that a target broke off an attempt, if no answer had begun."""
+        """Record that a target broke off an attempt before its answer was whole."""
         is_crash = error.may_have_run and error.is_disconnect
-        if not is_crash or not watch.is_waiting:
+        if not is_crash or not watch.is_open:
             return
-        request = watch.request
-        suspect = evidence.Suspect(
-            evidence.make_fingerprint(request), request.prompt_segments, error.had_head
-        )
-        self._check.add(target, suspect)
+        was_beginning = error.had_head and watch.is_waiting
+        self._check.add(target, _make_suspect(watch.request, was_beginning))
+
+    def record_left(self, watch: watches.Watch, target: model.Target) -> None:
+        """Record that a request left a target before its answer was whole."""
+        if watch.is_open:
+            suspect = _make_suspect(watch.request, was_beginning=False)
+            self._left.add(target.run_key, suspect, time.monotonic())
 
     def report_end(
         self, run_key: str, ended_s: float, suspects: tuple[evidence.Suspect, ...]
@@ -166,10 +195,12 @@
 
         :param run_key: identifies the run of the target
         :param ended_s: monotonic time of the end
-        :param suspects: requests of this daemon that waited for their first event there
+        :param suspects: requests of this daemon whose answers were not whole there
         """
         now_s = time.monotonic()
         known = self._registry.evidence
+        suspects = (*suspects, *self._left.find(run_key, ended_s))
+        suspects = suspects[: evidence.MAX_REPORTED_SUSPECTS]
         if not known.add_end(run_key, ended_s, suspects):
             return
         self._own_ends.add(run_key)
@@ -183,7 +214,7 @@
             "target_ended",
             run=run_key,
             suspects=len(suspects),
-            running=sum(suspect.had_head for suspect in suspects),
+            running=sum(suspect.was_beginning for suspect in suspects),
         )
         metrics.TARGET_ENDS.inc()
         report = messages.EndReport(run_key, now_s - ended_s, suspects, answered)
@@ -233,6 +264,8 @@
         self._record_answered(end.answered, is_own=False)
         self._reply_later(end, now_s)
         self._schedule_decision()
+        if self._left.find(end.run_key, now_s - end.age_s):
+            self.report_end(end.run_key, now_s - end.age_s, ())
         return True
 
     def _apply_notice(self, notice: messages.EntryNotice, now_s: float) -> bool:
@@ -258,6 +291,9 @@
         self._record_answered(answer.ages_s, is_own=False)
         return bool(news)
 
+    def _record_whole(self, answered: evidence.Suspect) -> None:
+        self.record_answer_on((*answered.segments, answered.fingerprint))
+
     def _record_answered(self, ages_s: abc.Mapping[str, float], is_own: bool) -> None:
         now_s = time.monotonic()
         by_age: dict[float, list[str]] = {}
@@ -374,7 +410,7 @@
     def _abort_quarantined(self) -> None:
         """Abort the requests in quarantine that still wait at targets."""
         now_s = time.monotonic()
-        for watch in self._waiting.list_all():
+        for watch in self._at_targets.list_waiting():
             entry = self._registry.check(watch.request, now_s)
             if entry is not None and now_s < entry.retry_at_s:
                 watch.end()
@@ -389,6 +425,13 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _make_suspect(
+    request: model.ClientRequest, was_beginning: bool
+) -> evidence.Suspect:
+    fingerprint = evidence.make_fingerprint(request)
+    return evidence.Suspect(fingerprint, request.prompt_segments, was_beginning)
+
+
 def _make_notice(entry: registry.Entry, now_s: float) -> messages.EntryNotice:
     return messages.EntryNotice(
         entry_id=entry.entry_id,
--- a/src/endivevane/serving/answer_relay.py
+++ b/src/endivevane/serving/answer_relay.py
@@ -83,7 +83,7 @@
     ) -> attempts.Outcome | None:
         """Relay a response; return ``None`` if the request may be sent again.
 
-        :param waiting: ends with the first event, or with the whole response
+        :param waiting: told of the first event, and ended by the whole response
         :raises failures.TargetCallError: when the response is broken
         """
         relaying = _Relaying(known, attempt, waiting, target_response)
@@ -107,6 +107,7 @@
         known, target_response = relaying.known, relaying.target_response
         response = relaying.item.response
         event_reader.check_content_type(known, target_response.head)
+        is_resumed = attempts.is_event_id(relaying.item.progress.last_event_id)
         reader = event_reader.EventReader(known, _make_sequence(relaying.item.progress))
         while (data := await target_response.read()) is not None:
             if events := reader.feed(data):
@@ -115,6 +116,7 @@
             reader.check()
             target_response.record_kept(reader.unread_bytes)
         reader.finish(target_response.is_framed)
+        self._record_whole_answer(relaying, is_resumed)
         await self._claim(relaying)
         if not response.is_started:
             response.begin(target_response.head)
@@ -127,8 +129,8 @@
         """Write events to the client."""
         attempt, progress = relaying.attempt, relaying.item.progress
         response = relaying.item.response
+        relaying.waiting.begin_answer()
         await self._claim(relaying)
-        self._record_answer(relaying)
         await self._begin_stream(relaying)
         now_s = time.monotonic()
         progress.idle_deadline_s = now_s + progress.route.stream_idle_timeout_s
@@ -175,7 +177,7 @@
         )
         while (data := await relaying.target_response.read()) is not None:
             if not is_failure:
-                self._record_answer(relaying)
+                relaying.waiting.begin_answer()
             kept += data
             size += len(data)
             relaying.target_response.record_kept(len(kept))
@@ -187,6 +189,8 @@
             await response.write(bytes(kept))
             kept.clear()
             relaying.target_response.record_kept(0)
+        if not is_failure:
+            self._record_whole_answer(relaying)
         if response.is_started:
             await response.write(bytes(kept))
             response.finish()
@@ -218,12 +222,22 @@
                 target=relaying.known.target.target_id,
             )
 
-    def _record_answer(self, relaying: _Relaying) -> None:
-        """Record that an answer has begun, once in an attempt."""
-        if not relaying.waiting.is_waiting:
+    def _record_whole_answer(
+        self, relaying: _Relaying, is_resumed: bool = False
+    ) -> None:
+        """Record that a target has answered a request whole.
+
+        :param is_resumed: whether other runs brought the first events, so that this one
+            may have been too short to show anything
+        """
+        waiting = relaying.waiting
+        if not waiting.is_open:
             return
-        relaying.waiting.end()
-        self._quarantine.record_answer(relaying.item.request)
+        if not is_resumed and relaying.target_response.is_framed:
+            self._quarantine.record_answer(relaying.item.request)
+        elif not is_resumed:
+            self._quarantine.record_unframed_answer(waiting, relaying.known.target)
+        waiting.end()
 
     def _record_refusal(self, relaying: _Relaying) -> None:
         known, head = relaying.known, relaying.target_response.head
--- a/src/endivevane/serving/attempt_runner.py
+++ b/src/endivevane/serving/attempt_runner.py
@@ -68,6 +68,7 @@
         self, item: exchange.Exchange
     ) -> slot_registry.Slot | slot_queue.Refused:
         """Return a slot for the next attempt, or a refusal."""
+        await self._await_ended_targets(item.progress)
         version = self._find_version(item)
         has_begun = item.progress.stream_version is not None
         if not (version is None or has_begun) and not self._versions.can_begin(
@@ -280,6 +281,7 @@
             except asyncio.CancelledError:
                 # It may have run; another attempt has answered, or the client left.
                 progress.ran_on.add(known.target.target_id)
+                self._quarantine.record_left(waiting, known.target)
                 if waiting.is_waiting:
                     # It has not failed, so that it uses up no attempt.
                     progress.runs_without_event = max(
@@ -330,6 +332,8 @@
     ) -> None:
         if error.may_have_run:
             progress.ran_on.add(target.target_id)
+            if error.is_disconnect:
+                progress.broken_runs.append(target.run_key)
         else:
             if target.target_id in progress.ran_on:
                 # The target that ran the request no longer accepts connections.
@@ -338,7 +342,15 @@
             progress.refused_by.add(target.target_id)
         self._record_ended_targets(progress)
 
+    async def _await_ended_targets(self, progress: attempts.Progress) -> None:
+        """Wait until it is known whether targets that bind the request have ended."""
+        if not progress.broken_runs or progress.find_allowed_targets() is None:
+            return
+        await self._quarantine.wait_for_check(progress.broken_runs[-1])
+        self._record_ended_targets(progress)
+
     def _record_ended_targets(self, progress: attempts.Progress) -> None:
         for target_id in progress.ran_on:
-            if self._targets.find(target_id) is None:
+            known = self._targets.find(target_id)
+            if known is None or self._quarantine.has_ended(known.target.run_key):
                 progress.ended_targets.add(target_id)
--- a/src/endivevane/serving/attempts.py
+++ b/src/endivevane/serving/attempts.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+from collections import abc
 
 from endivevane.serving import model
 
@@ -14,6 +15,10 @@
 # Attempts that did not run the request are bounded too, in case every target keeps
 # refusing it.
 _MAX_SENDS = 12
+# Targets that may end under a request, whatever they had written of the answer, before
+# it is sent once more and then given up. A sound stream may meet some ends that are due
+# to others.
+_MAX_ENDED_RUNS = 3
 
 
 class Outcome(enum.StrEnum):
@@ -47,6 +52,7 @@
     :ivar stream_version: software version that the stream belongs to, ``None`` before
         its first event
     :ivar runs_without_event: consecutive runs that returned no event
+    :ivar broken_runs: runs of targets whose side broke off an attempt, in order
     :ivar causes: why attempts failed
     :ivar priority: 0 is the most urgent
     """
@@ -66,6 +72,7 @@
     answered_refusals: set[str] = dataclasses.field(default_factory=set)
     sends: int = 0
     runs_without_event: int = 0
+    broken_runs: list[str] = dataclasses.field(default_factory=list)
     causes: list[str] = dataclasses.field(default_factory=list)
     first_event_s: float | None = None
     slot_granted_s: float = 0.0
@@ -100,6 +107,15 @@
             self.find_allowed_targets() is None
         )
 
+    def has_met_many_ends(self, has_ended: abc.Callable[[str], bool]) -> bool:
+        """Return whether so many targets have ended that this request may be why.
+
+        The latest one is left out, since its end may not be known yet.
+
+        :param has_ended: tells whether a run of a target has ended
+        """
+        return sum(map(has_ended, self.broken_runs[:-1])) >= _MAX_ENDED_RUNS
+
     def may_retry(self, is_response_started: bool) -> bool:
         """Return whether another attempt is allowed.
 
@@ -133,7 +149,12 @@
 
 def has_events(request: model.ClientRequest) -> bool:
     """Return whether the client already has events of the stream."""
-    return request.last_event_id.strip() not in (b"", b"0")
+    return is_event_id(request.last_event_id)
+
+
+def is_event_id(last_event_id: bytes) -> bool:
+    """Return whether the id of a last event names one."""
+    return last_event_id.strip() not in (b"", b"0")
 
 
 def begin(
--- a/src/endivevane/serving/item_sender.py
+++ b/src/endivevane/serving/item_sender.py
@@ -126,9 +126,9 @@
 
         :param target: the target as it was when it got the item
         """
+        is_resumed = run.last_event > 0
         sequence = event_sequence.EventSequence(_encode_event_id(run.last_event))
         reader = event_reader.EventReader(known, sequence)
-        has_event = False
         size = sum(len(piece) for piece in run.pieces)
         while (data := await response.read()) is not None:
             size += len(data)
@@ -137,15 +137,13 @@
             )
             for event in reader.feed(data):
                 response.record_event()
-                if not has_event:
-                    has_event = True
-                    segments = self._decode_segments(run.item.headers)
-                    self._quarantine.record_answer_on(segments)
                 run.add_event(event, target)
             reader.check()
             if size > _MAX_OUTPUT_BYTES:
                 raise target_responses.make_too_large(known, "output too large")
         reader.finish(response.is_framed)
+        if response.is_framed and not is_resumed:
+            self._quarantine.record_answer_on(self._decode_segments(run.item.headers))
         return RunEnd.COMPLETED
 
     def _record_refusal(
--- a/src/endivevane/serving/online_service.py
+++ b/src/endivevane/serving/online_service.py
@@ -121,6 +121,8 @@
                 return self._end_failed(progress, response)
             metrics.RETRIES.labels(progress.causes[-1][:20]).inc()
             await self._quarantine.wait_for_decision(item.request)
+            if progress.has_met_many_ends(self._quarantine.has_ended):
+                return self._end_failed(progress, response)
 
     async def _find_version(self, item: exchange.Exchange) -> bool:
         """Find the version of a stream that goes on; return whether it is known.
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -69,6 +69,7 @@
     :ivar crash_segment: prompt segment on which the target crashes when it begins to
         write an answer; empty for none
     :ivar crash_runs: number of runs on which the target crashes, whatever they hold
+    :ivar crash_after: number of events of such a run that the target sends before
     :ivar unframed: end responses with the connection, without a length or chunks
     :ivar resets: number of unframed responses to reset half-way
     :ivar empty_by_close: number of streams without chunks to end after the head
@@ -107,6 +108,7 @@
     crash_segment: str = ""
     empty_by_close: int = 0
     crash_runs: int = 0
+    crash_after: int = 0
     unframed: bool = False
     resets: int = 0
     shows_version: bool = False
@@ -331,22 +333,33 @@
             run.ended = "closed"
             await _close(writer)
             return True
-        is_poisoned = manner.crash_segment and run.has_segment(manner.crash_segment)
-        if not (manner.crash_runs or is_poisoned):
+        if manner.crash_after or not self._must_crash(run):
             return False
-        manner.crash_runs = max(0, manner.crash_runs - 1)
         await writer.drain()
         await asyncio.sleep(manner.gap_s)
         run.ended = "crashed"
         self.crash()
         return True
 
+    def _must_crash(self, run: Run) -> bool:
+        manner = self.manner
+        is_poisoned = manner.crash_segment and run.has_segment(manner.crash_segment)
+        if not (manner.crash_runs or is_poisoned):
+            return False
+        manner.crash_runs = max(0, manner.crash_runs - 1)
+        return True
+
     async def _interrupt(
         self, run: Run, writer: asyncio.StreamWriter, number: int, event: bytes
     ) -> bool:
         """Interrupt the stream at an event if a fault applies; return whether so."""
         manner = self.manner
         sent = number - run.last_event
+        is_due = manner.crash_after and sent == manner.crash_after + 1
+        if is_due and self._must_crash(run):
+            run.ended = "crashed"
+            self.crash()
+            return True
         if manner.pauses and sent > manner.pause_after:
             manner.pauses -= 1
             await asyncio.sleep(3600)
