Tell items that every target rejects from those that wait for room

Cause: a refused item began again after 0.1 s without an end, and took nearly all of the four starts in 40 ms; nothing told a refusal for size, which targets word as if they were full, from one that passes.

Change: a refusal is telling if its target takes other requests meanwhile, or is at most half full where it got none. After four in a row an item backs off up to 4 s and goes behind all others, and so do items as large; once it may be abandoned, twelve list it as errored, three of them at each service that has targets. An item that fits is given up with a probability of at most exp(-12), whatever share of requests full targets refuse. Doubtful items no longer mark targets as full, keep no records of runs from others, and reach services of small weight.

--- a/features/steps/item_services_steps.py
+++ b/features/steps/item_services_steps.py
@@ -7,6 +7,7 @@
 
 from endivevane.serving import (
     failures,
+    item_refusals,
     item_sender,
     jobs,
     owned_jobs,
@@ -182,6 +183,7 @@
         lambda _host, _headers: (),
         lambda _headers: (),
         serving_fakes.make_quarantine(),
+        item_refusals.RefusalJudge(world.fleet.board),
     )
 
 
--- a/features/support/item_world.py
+++ b/features/support/item_world.py
@@ -45,6 +45,7 @@
     :ivar breaks: runs of each item to break off after some events
     :ivar broken_services: services that break off each run before its first event
     :ivar refusing_services: services that run nothing
+    :ivar refuses: tells whether a target refuses an item, given their ids
     :ivar held: breaks off, once set, all runs but the first of each item that have
         waited for it; ``None`` to let none wait
     """
@@ -54,6 +55,7 @@
         self.breaks = 0
         self.broken_services = set()
         self.refusing_services = set()
+        self.refuses = lambda _target_id, _item_id: False
         self.held = None
 
     @contextlib.asynccontextmanager
@@ -69,7 +71,10 @@
         limit = EVENTS if count > self.breaks else BREAK_AFTER
         if service in self.broken_services:
             limit = run.began_after
-        yield _Response(run, limit, service in self.refusing_services)
+        is_refused = service in self.refusing_services or self.refuses(
+            known.target.target_id, item_id
+        )
+        yield _Response(run, limit, is_refused)
 
 
 class _Response:
@@ -137,7 +142,7 @@
     return b"\n".join(pieces).decode()
 
 
-def make_route(weights):
+def make_route(weights, retention_s=90):
     """Return a batch route to services with weights."""
     return model.Route(
         name="digest",
@@ -150,7 +155,7 @@
         priority=2,
         max_attempts=3,
         completion_s=60,
-        retention_s=90,
+        retention_s=retention_s,
     )
 
 
@@ -201,12 +206,14 @@
         entry = await daemon.changes.accept(submission)
         return self._run(daemon, entry, jobs.JobProgress())
 
-    async def take_over(self):
+    async def take_over(self, lost_owners=0):
         """Let the second daemon run what the first has released."""
         daemon = self.daemons[1]
         entry = await daemon.changes.find_stored(_JOB)
         progress = await daemon.changes.load_progress(_JOB)
-        claim = dataclasses.replace(entry.job, owner=daemon.owner, operation="claim")
+        claim = dataclasses.replace(
+            entry.job, owner=daemon.owner, operation="claim", lost_owners=lost_owners
+        )
         until_s = time.monotonic() + 2.0
         entry = await daemon.changes.replace(entry, claim, until_s)
         return self._run(daemon, entry, jobs.JobProgress(progress=progress))
--- a/features/support/scripted_items.py
+++ b/features/support/scripted_items.py
@@ -2,7 +2,13 @@
 
 import itertools
 
-from endivevane.serving import failures, item_sender, jobs, owned_jobs
+from endivevane.serving import (
+    failures,
+    item_refusals,
+    item_sender,
+    jobs,
+    owned_jobs,
+)
 
 _MAX_RUNS = 6
 JOB = jobs.Job(
@@ -31,6 +37,7 @@
         lambda host, _headers: ((b"Host", host.encode()),),
         lambda _headers: segments,
         world.quarantine,
+        item_refusals.RefusalJudge(world.loads),
     )
 
 
--- a/src/endivevane/quarantine/evidence.py
+++ b/src/endivevane/quarantine/evidence.py
@@ -167,7 +167,7 @@
         return self._find_answer_times(trait).find(trait)
 
     def is_accused(self, segment: str) -> bool:
-        """Return whether a segment is suspect since its last answer.
+        """Return whether a segment that has not been answered before is suspect.
 
         It is after one end under a request whose answer was just beginning, or after
         two ends under other requests.
@@ -180,14 +180,15 @@
     def _accuse(self, suspect: Suspect, run_key: str) -> None:
         ended_s = self._ends[run_key].ended_s
         for segment in suspect.segments:
+            if self.find_answered_s(segment) is not None:
+                continue
             if suspect.was_beginning or self._has_other_end(segment, run_key):
                 self._accused[segment] = max(self._accused.get(segment, 0.0), ended_s)
 
     def _has_other_end(self, segment: str, run_key: str) -> bool:
         """Return whether another run of a target has ended under a segment."""
-        answered_s = self.find_answered_s(segment) or 0.0
         return any(
-            end.ended_s > answered_s and end.is_explained_by({segment})
+            end.is_explained_by({segment})
             for key, end in self._ends.items()
             if key != run_key
         )
--- a/src/endivevane/serving/answer_relay.py
+++ b/src/endivevane/serving/answer_relay.py
@@ -92,6 +92,7 @@
             await target_responses.drain_refusal(target_response)
             self._record_refusal(relaying)
             return None
+        known.health.record_taken(time.monotonic())
         progress.ran_on.add(known.target.target_id)
         target_responses.check_signature(known, head)
         is_stream = progress.route.kind is model.RouteKind.STREAMING
@@ -251,7 +252,9 @@
         if head.is_wrong_target:
             self._targets.record_replaced(known.target)
             return
-        known.health.record_full(time.monotonic())
+        now_s = time.monotonic()
+        known.health.record_full(now_s)
+        known.health.record_refused(now_s)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/endivevane/serving/batch_slots.py
+++ b/src/endivevane/serving/batch_slots.py
@@ -121,6 +121,7 @@
         due_left_s: float,
         version: str | None = None,
         organisation: str = "",
+        avoided: abc.Set[str] = frozenset(),
     ) -> slot_registry.Slot | None:
         """Return a slot for an item, ``None`` if none is free now.
 
@@ -128,6 +129,8 @@
         :param version: software version at which the item goes on, ``None`` for any;
             slots that a coordinator has granted may be at another one
         :param organisation: whose item it is, empty for none
+        :param avoided: targets that need not get the item; a coordinator does not know
+            of them
         """
 
 
@@ -155,6 +158,7 @@
         due_left_s: float,
         version: str | None = None,
         organisation: str = "",
+        avoided: abc.Set[str] = frozenset(),
     ) -> slot_registry.Slot | None:
         """Return a slot for an item, ``None`` if none is free now."""
         now_s = time.monotonic()
@@ -173,13 +177,13 @@
         target = self._selector.choose_batch(
             service,
             now_s,
-            self._cooling_down,
+            self._cooling_down | avoided,
             is_urgent,
             due_s=now_s + due_left_s,
             version=version,
         )
         if target is None:
-            if version is None:
+            if version is None and not avoided:
                 self._full.add(service)
             return None
         self._budgets[kind] -= 1
@@ -200,6 +204,7 @@
         due_left_s: float,
         version: str | None = None,
         organisation: str = "",
+        avoided: abc.Set[str] = frozenset(),
     ) -> slot_registry.Slot | None:
         """Return a slot for an item, ``None`` if none is free now."""
         return self._client.find_batch_slot(service, urgency, due_left_s, organisation)
--- a/src/endivevane/serving/item_gate.py
+++ b/src/endivevane/serving/item_gate.py
@@ -7,7 +7,13 @@
 from collections import abc
 
 from endivevane import logs, metrics
-from endivevane.serving import model, owned_jobs, routing_table
+from endivevane.serving import (
+    item_requests,
+    model,
+    owned_jobs,
+    routing_table,
+    target_registry,
+)
 
 # An item without a route in the newest configuration fails after this time. While the
 # store is degraded, a daemon's configuration may be out of date for nearly as long.
@@ -55,20 +61,31 @@
     if failed + unknown < _MAX_FAILED_FACTOR * max_attempts:
         is_stored = owned.records.is_stored(item_id)
         return Admission.BEGIN if is_stored else Admission.RECORD
-    may_be_abandoned = age_s > route.retention_s + _CLOCK_MARGIN_S
-    if may_be_abandoned or failed >= max_attempts:
+    if _is_overdue(age_s, route) or failed >= max_attempts:
         return Admission.GIVE_UP
     return Admission.HOLD
 
 
+def may_be_abandoned(owned: owned_jobs.OwnedJob, route: model.Route) -> bool:
+    """Return whether the items of a job may be listed as failed, for their age."""
+    return _is_overdue(_get_age_s(owned), route)
+
+
+def _is_overdue(age_s: float, route: model.Route) -> bool:
+    return age_s > route.retention_s + _CLOCK_MARGIN_S
+
+
 class ItemGate:
     """Finds the routes of items, and holds or gives up those that must not run.
 
     :param give_up: lists an item as failed
     """
 
-    def __init__(self, give_up: GiveUp) -> None:
+    def __init__(
+        self, give_up: GiveUp, targets: target_registry.TargetRegistry
+    ) -> None:
         self._give_up = give_up
+        self._targets = targets
 
     def find_route(
         self,
@@ -83,6 +100,10 @@
             self._handle_missing_route(owned, run, now_s)
             return None
         run.routeless_since_s = 0.0
+        if self._is_refused_for_good(owned, run, route):
+            self._log("refused_item_given_up", owned, run)
+            self._give_up(owned, run)
+            return None
         admission = decide(owned, run, route, _get_age_s(owned))
         if admission is Admission.BEGIN:
             return route
@@ -97,6 +118,14 @@
         self._hold(owned, run, now_s)
         return None
 
+    def _is_refused_for_good(
+        self, owned: owned_jobs.OwnedJob, run: owned_jobs.ItemRun, route: model.Route
+    ) -> bool:
+        """Return whether an item that may be abandoned fits into no target."""
+        if not run.refusals.is_doubtful or not may_be_abandoned(owned, route):
+            return False
+        return run.refusals.are_final(item_requests.list_served(route, self._targets))
+
     def _hold(
         self, owned: owned_jobs.OwnedJob, run: owned_jobs.ItemRun, now_s: float
     ) -> None:
--- a/src/endivevane/serving/item_requests.py
+++ b/src/endivevane/serving/item_requests.py
@@ -13,6 +13,7 @@
     model,
     owned_jobs,
     routing_table,
+    target_registry,
     target_selection,
 )
 
@@ -36,6 +37,17 @@
         """Whose item it is, empty for none."""
         return self.owned.entry.job.organisation or ""
 
+    def find_avoided(self, targets: target_registry.TargetRegistry) -> frozenset[str]:
+        """Return the targets that a doubtful item need not be sent to again.
+
+        They are those that have refused it, until all have.
+        """
+        if not self.run.refusals.is_doubtful:
+            return frozenset()
+        usable = {known.target.target_id for known in targets.list_usable(self.service)}
+        refused = usable & self.run.refused_by
+        return frozenset() if refused == usable else frozenset(refused)
+
 
 Ready = tuple[item_estimates.Urgency, owned_jobs.OwnedJob, owned_jobs.ItemRun]
 
@@ -53,8 +65,14 @@
     held: collections.Counter[str] = collections.Counter()
     for owned in owned_now:
         held[owned.entry.job.organisation or ""] += len(owned.list_running())
+    # Items that go last do so whose ever they are, as if less urgent still.
     return turns.order_by_turns(
-        ready, lambda entry: (entry[0], entry[1].entry.job.organisation or ""), held
+        ready,
+        lambda entry: (
+            entry[0] + entry[2].goes_last,
+            entry[1].entry.job.organisation or "",
+        ),
+        held,
     )
 
 
@@ -63,17 +81,34 @@
     route: model.Route,
     generator: random.Random,
     now_s: float,
+    targets: target_registry.TargetRegistry,
 ) -> str:
     """Return the service of its route that an item should run at.
 
     That is the service of its events, unless the route no longer allows it or the item
-    has waited for it too long; at another one the item starts again.
+    has waited for it too long; at another one the item starts again. A doubtful item is
+    sent to all services, whatever their weights.
     """
     if run.service and _may_wait(run, now_s) and route.allows(run.service):
         return run.service
+    if run.refusals.is_doubtful:
+        served = list_served(route, targets)
+        if served:
+            return run.refusals.choose_service(served, generator)
     return routing_table.choose_service(route, generator)
 
 
+def list_served(
+    route: model.Route, targets: target_registry.TargetRegistry
+) -> list[str]:
+    """Return the services of a route that have a target to use."""
+    return [
+        service.name
+        for service in route.services
+        if service.weight > 0 and targets.list_usable(service.name)
+    ]
+
+
 def find_fitting(requests: abc.Sequence[ItemRequest], target: model.Target) -> int:
     """Return the position of the item that gets the slot of the first one.
 
--- a/src/endivevane/serving/item_sender.py
+++ b/src/endivevane/serving/item_sender.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import enum
-import time
 from collections import abc
 
 from endivevane import logs, metrics
@@ -12,6 +11,7 @@
     event_reader,
     event_sequence,
     failures,
+    item_refusals,
     jobs,
     model,
     owned_jobs,
@@ -57,7 +57,9 @@
         encode_headers: HeaderEncoder,
         decode_segments: SegmentDecoder,
         quarantine: quarantine_service.QuarantineService,
+        refusal_judge: item_refusals.RefusalJudge,
     ) -> None:
+        self._refusal_judge = refusal_judge
         self._decode_segments = decode_segments
         self._quarantine = quarantine
         self._targets = targets
@@ -93,9 +95,9 @@
         async with self._caller.call(known, call, True) as response:
             status = response.head.status
             if response.head.is_not_run:
-                run.refused_by.add(target.target_id)
-                self._record_refusal(known, response.head)
+                self._record_refusal(job, run, known, response.head)
                 return RunEnd.NOT_RUN, status
+            self._refusal_judge.record_taken(job.route, run.item.tokens, run.refusals)
             if status == _UNPROCESSABLE_STATUS:
                 return RunEnd.UNPROCESSABLE, status
             if status == _FAILED_STATUS:
@@ -147,9 +149,25 @@
         return RunEnd.COMPLETED
 
     def _record_refusal(
-        self, known: target_registry.KnownTarget, reply: model.TargetReply
+        self,
+        job: jobs.Job,
+        run: owned_jobs.ItemRun,
+        known: target_registry.KnownTarget,
+        reply: model.TargetReply,
     ) -> None:
-        known.health.record_full(time.monotonic())
+        run.refused_by.add(known.target.target_id)
+        was_doubtful = run.refusals.is_doubtful
+        self._refusal_judge.record_refusal(
+            job.route, run.item.tokens, run.refusals, known, reply
+        )
+        if run.refusals.is_doubtful and not was_doubtful:
+            logs.limited_info(
+                "item_doubtful",
+                job=job.job_id,
+                item=run.item.item_id,
+                tokens=run.item.tokens,
+                refused_by=len(run.refused_by),
+            )
         if reply.is_wrong_target:
             self._targets.record_replaced(known.target)
 
--- a/src/endivevane/serving/job_runner.py
+++ b/src/endivevane/serving/job_runner.py
@@ -14,6 +14,7 @@
     failures,
     item_estimates,
     item_gate,
+    item_refusals,
     item_requests,
     item_sender,
     job_registry,
@@ -44,13 +45,15 @@
         self._wake = asyncio.Event()
         self._is_stopping = False
         self._estimates = item_estimates.ItemEstimator()
-        self._gate = item_gate.ItemGate(self._give_up)
+        self._refusal_judge = item_refusals.RefusalJudge(dependencies.load_table)
+        self._gate = item_gate.ItemGate(self._give_up, dependencies.targets)
         self._sender = item_sender.ItemSender(
             dependencies.targets,
             dependencies.caller,
             dependencies.encode_headers,
             dependencies.decode_segments,
             dependencies.quarantine,
+            self._refusal_judge,
         )
         self._commits = result_commits.ResultCommitter(
             dependencies.row_store,
@@ -178,7 +181,11 @@
             if route is None:
                 continue
             service = item_requests.choose_service(
-                run, route, self._dependencies.generator, now_s
+                run,
+                route,
+                self._dependencies.generator,
+                now_s,
+                self._dependencies.targets,
             )
             waiting[service] += 1
             requests.append(
@@ -193,7 +200,12 @@
                 first, self._dependencies.choices, now_s
             )
             slot = slot_round.find(
-                first.service, first.urgency, left_s, version, first.organisation
+                first.service,
+                first.urgency,
+                left_s,
+                version,
+                first.organisation,
+                first.find_avoided(self._dependencies.targets),
             )
             if slot is None:
                 del requests[0]
@@ -209,12 +221,16 @@
         ready = []
         for owned in self._owned.values():
             for run in owned.list_ready(now_s):
+                run.goes_last = self._refusal_judge.goes_last(
+                    owned.entry.job.route, run.item.tokens, run.refusals
+                )
                 ready.append((self._classify_urgency(owned, run), owned, run))
         # Of items with the same due time, those with more progress go first, and those
         # that more lost owners have run come last.
         ready.sort(
             key=lambda entry: (
                 entry[0],
+                entry[2].goes_last,
                 entry[1].entry.job.due_ms,
                 -entry[2].last_event,
                 entry[1].records.count_unknown(entry[2].item.item_id),
@@ -225,6 +241,8 @@
     def _classify_urgency(
         self, owned: owned_jobs.OwnedJob, run: owned_jobs.ItemRun
     ) -> item_estimates.Urgency:
+        if run.goes_last:
+            return item_estimates.Urgency.LATE
         return self._estimates.classify_urgency(run.last_event, _get_time_left_s(owned))
 
     def _publish_waiting_count(self) -> None:
@@ -368,7 +386,11 @@
             _MAX_BACKOFF_S, _INITIAL_BACKOFF_S * 2 ** min(run.stalled_runs, 6)
         )
         if end is item_sender.RunEnd.NOT_RUN:
-            backoff_s = _INITIAL_BACKOFF_S
+            if run.refusals.is_doubtful:
+                # Only some items have a record at a time, and others need it more.
+                owned.records.drop(run.item.item_id)
+            is_overdue = item_gate.may_be_abandoned(owned, route)
+            backoff_s = run.refusals.find_backoff_s(is_overdue)
         run.not_before_s = time.monotonic() + backoff_s
 
     def _give_up(self, owned: owned_jobs.OwnedJob, run: owned_jobs.ItemRun) -> None:
--- a/src/endivevane/serving/owned_jobs.py
+++ b/src/endivevane/serving/owned_jobs.py
@@ -8,6 +8,7 @@
 
 from endivevane.serving import (
     failed_runs,
+    item_refusals,
     job_registry,
     jobs,
     model,
@@ -29,6 +30,8 @@
     :ivar received_events: number of events of all runs
     :ivar stored_event: number of the last event whose data the store holds
     :ivar refused_by: targets that have refused it
+    :ivar refusals: those in a row that show that it may be too large
+    :ivar goes_last: whether others go before it, since it may be too large
     :ivar stalled_runs: consecutive runs without a new event
     :ivar not_before_s: earliest monotonic time of the next run
     :ivar routeless_since_s: monotonic time since which the item has no route, 0 while
@@ -48,6 +51,10 @@
     received_events: int = 0
     stored_event: int = 0
     refused_by: set[str] = dataclasses.field(default_factory=set)
+    refusals: item_refusals.ItemRefusals = dataclasses.field(
+        default_factory=item_refusals.ItemRefusals
+    )
+    goes_last: bool = False
     stalled_runs: int = 0
     not_before_s: float = 0.0
     routeless_since_s: float = 0.0
--- a/src/endivevane/serving/target_health.py
+++ b/src/endivevane/serving/target_health.py
@@ -21,6 +21,8 @@
 _ENDED_BACKOFF_S = 4.0
 # How long a target counts as full after it refused a request for lack of a slot.
 _FULL_TTL_S = 0.06
+# How long it is remembered whether a target took or refused an online request.
+_TAKING_TTL_S = 5.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,6 +41,8 @@
     _failures: int = 0
     _backoff_until_s: float = 0.0
     _full_until_s: float = 0.0
+    _taken_s: float = float("-inf")
+    _refused_s: float = float("-inf")
     _gap_s: float = _MIN_INACTIVITY_S / _INACTIVITY_GAPS
     _is_silence_backoff: bool = False
 
@@ -106,6 +110,20 @@
         """Record that the target refused a request for lack of a slot."""
         self._full_until_s = now_s + _FULL_TTL_S
 
+    def record_taken(self, now_s: float) -> None:
+        """Record that the target answers an online request."""
+        self._taken_s = now_s
+
+    def record_refused(self, now_s: float) -> None:
+        """Record that the target refused an online request."""
+        self._refused_s = now_s
+
+    def is_taking(self, now_s: float) -> bool | None:
+        """Return whether it took the latest online request, ``None`` if none is new."""
+        if now_s - max(self._taken_s, self._refused_s) > _TAKING_TTL_S:
+            return None
+        return self._taken_s > self._refused_s
+
     def is_available(self, now_s: float) -> bool:
         """Return whether this daemon knows of no recent problem of the target."""
         return not (
