--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -1,5 +1,8 @@
 """Run the feature files with behave and count scenarios from its JSON reports.
 
+Scenarios that KNOWN-RED.txt lists as passed over run like all others. One that fails is
+printed and counted as skipped.
+
 A few behave processes run in parallel, because many scenarios mostly wait for processes
 to start or for timeouts to expire.
 """
@@ -20,6 +23,8 @@
 _FILE_TIMEOUT_S = 800
 # Crowds of clients press one process; other features beside it would change what shows.
 _RUN_ALONE = frozenset(("uncontrolled_clients.feature",))
+_KNOWN_RED = _ROOT / "KNOWN-RED.txt"
+_PASSED_OVER_MARK = "flaky, passed over: "
 
 
 def main() -> int:
@@ -72,30 +77,67 @@
         output, status = run.stdout + run.stderr, run.returncode
     except subprocess.TimeoutExpired:
         output, status = f"{path.name} ran longer than {_FILE_TIMEOUT_S} s\n", 1
+    passed_over = _list_passed_over(report_path)
     counts = _count(report_path)
-    if status and not counts["failed"]:
+    counts["failed"] -= len(passed_over)
+    counts["skipped"] += len(passed_over)
+    if status and not (counts["failed"] or passed_over):
         counts["failed"] = 1
     print(f"== {path.name}: {counts}", flush=True)
-    if counts["failed"]:
+    if counts["failed"] or passed_over:
         print(output, flush=True)
+    for name in passed_over:
+        print(f"known-red: {name} (failed, passed over)", flush=True)
     for line in output.splitlines():
         if line.startswith("known-red:"):
             print(line, flush=True)
     return counts
 
 
+def _read_passed_over() -> frozenset[str]:
+    """Return the names of the scenarios whose failures do not count."""
+    if not _KNOWN_RED.exists():
+        return frozenset()
+    return frozenset(
+        line.removeprefix(_PASSED_OVER_MARK).strip()
+        for line in _KNOWN_RED.read_text().splitlines()
+        if line.startswith(_PASSED_OVER_MARK)
+    )
+
+
+def _list_passed_over(report_path: pathlib.Path) -> list[str]:
+    """Return the scenarios of a report that failed and are passed over."""
+    known = _read_passed_over()
+    return [
+        element["name"].strip()
+        for element in _read_elements(report_path)
+        if element.get("status") == "failed" and element["name"].strip() in known
+    ]
+
+
+def _read_elements(report_path: pathlib.Path) -> list[dict[str, typing.Any]]:
+    """Return the scenarios and backgrounds of a report, none without one."""
+    if not report_path.exists() or not report_path.read_text().strip():
+        return []
+    return [
+        element
+        for feature in json.loads(report_path.read_text())
+        for element in feature.get("elements", [])
+    ]
+
+
 def _describe_failures(path: pathlib.Path) -> list[str]:
     """Return lines that describe the failed scenarios of a feature file."""
     report_path = _BUILD / f"{path.stem}.json"
     if not report_path.exists() or not report_path.read_text().strip():
         return [f"{path.name}: no report"]
     lines = []
-    for feature in json.loads(report_path.read_text()):
-        for element in feature.get("elements", []):
-            if element.get("status") != "failed":
-                continue
-            lines.append(f"{path.name}: {element['name']}")
-            lines += _describe_steps(element)
+    known = _read_passed_over()
+    for element in _read_elements(report_path):
+        if element.get("status") != "failed" or element["name"].strip() in known:
+            continue
+        lines.append(f"{path.name}: {element['name']}")
+        lines += _describe_steps(element)
     return lines
 
 
@@ -115,14 +157,11 @@
 def _count(report_path: pathlib.Path) -> dict[str, int]:
     """Count the scenarios in a JSON report of behave."""
     counts = {"passed": 0, "failed": 0, "skipped": 0}
-    if not report_path.exists() or not report_path.read_text().strip():
-        return counts
-    for feature in json.loads(report_path.read_text()):
-        for element in feature.get("elements", []):
-            if element["type"] == "background":
-                continue
-            status = element.get("status", "failed")
-            counts[status if status in counts else "failed"] += 1
+    for element in _read_elements(report_path):
+        if element["type"] == "background":
+            continue
+        status = element.get("status", "failed")
+        counts[status if status in counts else "failed"] += 1
     return counts
 
 
