Count each ended target once, and keep a check that begins as another ends

A target that broke off two attempts of a request counted twice among the three that may end under it. A check of a target that began in the moment at which the former one ended was forgotten with it, so that a stream bound to that target did not wait for the result.

--- a/src/endivevane/quarantine/crash_check.py
+++ b/src/endivevane/quarantine/crash_check.py
@@ -21,7 +21,7 @@
 _MAX_REMEMBERED = 256
 
 EndObserver = abc.Callable[[str, float, tuple[evidence.Suspect, ...]], None]
-LifeObserver = abc.Callable[[evidence.Suspect], None]
+AnswerObserver = abc.Callable[[evidence.Suspect], None]
 
 
 @dataclasses.dataclass(slots=True)
@@ -49,7 +49,7 @@
         whole, since the target lives
     """
 
-    def __init__(self, on_end: EndObserver, on_whole: LifeObserver) -> None:
+    def __init__(self, on_end: EndObserver, on_whole: AnswerObserver) -> None:
         self._on_end = on_end
         self._on_whole = on_whole
         self._examinations: dict[str, _Examination] = {}
@@ -75,9 +75,14 @@
             self._examinations[run_key] = examination
             task = asyncio.ensure_future(self._examine(run_key, examination))
             self._tasks[run_key] = task
-            task.add_done_callback(lambda _: self._tasks.pop(run_key, None))
+            task.add_done_callback(lambda done: self._forget(run_key, done))
         return examination
 
+    def _forget(self, run_key: str, task: asyncio.Task[None]) -> None:
+        """Forget a check that is over, unless another one of the run has begun."""
+        if self._tasks.get(run_key) is task:
+            del self._tasks[run_key]
+
     async def wait(self, run_key: str) -> None:
         """Wait until the check of a run of a target that is under way is over."""
         task = self._tasks.get(run_key)
--- a/src/endivevane/serving/attempts.py
+++ b/src/endivevane/serving/attempts.py
@@ -114,7 +114,7 @@
 
         :param has_ended: tells whether a run of a target has ended
         """
-        return sum(map(has_ended, self.broken_runs[:-1])) >= _MAX_ENDED_RUNS
+        return sum(map(has_ended, set(self.broken_runs[:-1]))) >= _MAX_ENDED_RUNS
 
     def may_retry(self, is_response_started: bool) -> bool:
         """Return whether another attempt is allowed.
