--- a/features/steps/refused_items_steps.py
+++ b/features/steps/refused_items_steps.py
@@ -15,7 +15,7 @@
 class _World(item_world.World):
     """Two daemons and their targets, on a route with a retention.
 
-    :ivar errored_s: time from the submission until the last item was listed
+    :ivar listed_s: time from the submission until an item was listed, by item
     """
 
     def __init__(self, weights, count, retention_s):
@@ -65,21 +65,27 @@
     asyncio.run(run())
 
 
-def _make_names(numbers):
-    return [f"item{number}" for number in numbers]
-
+def _play_refusals(context, duration_s, refuses):
+    """Run a job at targets that refuse items, given the ids of target and item."""
 
-@when("every target refuses the first {count:d} items for {duration_s:d} s")
-def step_refuse(context, count, duration_s):
     async def act(world):
-        refused = set(_make_names(range(count)))
-        world.targets.refuses = lambda _target_id, item_id: item_id in refused
+        world.targets.refuses = refuses
         await world.start_job()
         return await world.watch(duration_s, len(world.items))
 
     _play(context, act)
 
 
+def _make_names(numbers):
+    return [f"item{number}" for number in numbers]
+
+
+@when("every target refuses the first {count:d} items for {duration_s:d} s")
+def step_refuse(context, count, duration_s):
+    refused = set(_make_names(range(count)))
+    _play_refusals(context, duration_s, lambda _target_id, item_id: item_id in refused)
+
+
 @when(
     "two owners are lost and every target refuses the first {count:d} items for "
     "{duration_s:d} s"
@@ -152,12 +158,7 @@
 
 @when("every target but {target} refuses all items for {duration_s:d} s")
 def step_one_takes(context, target, duration_s):
-    async def act(world):
-        world.targets.refuses = lambda target_id, _item_id: target_id != target
-        await world.start_job()
-        return await world.watch(duration_s, len(world.items))
-
-    _play(context, act)
+    _play_refusals(context, duration_s, lambda target_id, _item_id: target_id != target)
 
 
 @when(
