Clear requests by answers that end with their connection

Cause: since only whole answers clear, one without a length or chunks clears once its target accepts another connection, and that was checked for prompt segments only. A request that many clients send alike, always answered in that way, was never cleared, so that four ends of targets beside it put it in quarantine for all.

Change: once any target has ended, the check is made for the request itself too. The scenario "A request that was answered up to the end of its connection is not accused" failed before (refused for 30 s) and passes.

--- a/features/crashes_behind_events.feature
+++ b/features/crashes_behind_events.feature
@@ -32,6 +32,13 @@
       | an item   | is whole                                 | cleared |
       | an item   | is brought by two runs                   | suspect |
 
+  # Guards against a popular request that is quarantined since its whole answers, which end
+  # with their connections, never clear it.
+  Scenario: A request that was answered up to the end of its connection is not accused
+    Given 2 targets behind a daemon with a resumable route
+    When 4 targets end beside a request that was answered up to the end of its connection
+    Then that request is not in quarantine
+
   # Guards against a request whose target ends just after its client, or another attempt,
   # has cancelled its attempt, so that nothing is known of it.
   Scenario: A request that left its targets just before they ended is suspect
--- a/features/steps/crashes_behind_events_steps.py
+++ b/features/steps/crashes_behind_events_steps.py
@@ -99,6 +99,37 @@
     _play_ending(context, ending, send)
 
 
+def _make_end(run_key, fingerprint):
+    suspect = evidence.Suspect(fingerprint, (), was_beginning=False)
+    return messages.EndReport(run_key, 0.0, (suspect,), {})
+
+
+@when(
+    "{count:d} targets end beside a request that was answered up to the end of its "
+    "connection"
+)
+def step_answered_unframed(context, count):
+    async def play(world):
+        _set_manner(world, unframed=True)
+        _hear_of_end(world)
+        await _begin_request(world)
+        await asyncio.sleep(_FINDING_S)
+        # The same as the request that was answered.
+        request = quarantine_net.make_request("hello")
+        fingerprint = evidence.make_fingerprint(request)
+        ends = tuple(_make_end(f"t{n}/1", fingerprint) for n in range(count))
+        world.quarantine.handle(messages.QuarantineNews("near", ends=ends), "front-2")
+        await asyncio.sleep(_FINDING_S)
+        context.blocked_s = world.quarantine.find_blocking(request)
+
+    serving_world.play(context, play)
+
+
+@then("that request is not in quarantine")
+def step_not_blocked(context):
+    assert context.blocked_s is None, context.blocked_s
+
+
 async def _leave_and_crash(world, target):
     """Let a client leave a target, which then ends under another request."""
     count = len(target.runs)
--- a/src/endivevane/quarantine/service.py
+++ b/src/endivevane/quarantine/service.py
@@ -155,14 +155,16 @@
     ) -> None:
         """Record an answer without a length or chunks that has ended.
 
-        It is whole unless its target has ended, which is checked only where the answer
-        would show anything new.
+        It is whole unless its target has ended. That is checked only where the answer
+        would show anything new; of a request alone, only after a target has ended.
         """
         suspect = _make_suspect(watch.request, was_beginning=watch.is_waiting)
         known = self._registry.evidence
-        if all(known.find_answered_s(trait) for trait in suspect.segments):
-            return
-        self._check.add_unframed(target, suspect)
+        traits = suspect.segments
+        if len(known):
+            traits += (suspect.fingerprint,)
+        if any(known.find_answered_s(trait) is None for trait in traits):
+            self._check.add_unframed(target, suspect)
 
     def record_answer_on(self, traits: tuple[str, ...]) -> None:
         """Record that one run of a target has answered a request with some traits."""
