--- a/src/endivevane/quarantine/evidence.py
+++ b/src/endivevane/quarantine/evidence.py
@@ -221,6 +221,11 @@
     return _FINGERPRINT_PREFIX + digest.hexdigest()
 
 
+def make_suspect(request: model.ClientRequest, was_beginning: bool) -> Suspect:
+    """Return a request as one that may have ended its target."""
+    return Suspect(make_fingerprint(request), request.prompt_segments, was_beginning)
+
+
 def list_traits(suspects: abc.Iterable[Suspect]) -> set[str]:
     """Return the traits of some requests."""
     traits: set[str] = set()
--- a/src/endivevane/quarantine/messages.py
+++ b/src/endivevane/quarantine/messages.py
@@ -71,6 +71,17 @@
     answers: tuple[AnswerNotice, ...] = ()
 
 
+def make_notice(entry: registry.Entry, now_s: float) -> EntryNotice:
+    """Return what to tell of a quarantine in force."""
+    return EntryNotice(
+        entry_id=entry.entry_id,
+        traits=tuple(sorted(entry.traits)),
+        tries=entry.tries,
+        age_s=now_s - entry.decided_s,
+        retry_in_s=entry.retry_at_s - now_s,
+    )
+
+
 def encode_fields(news: QuarantineNews) -> tuple[typing.Any, ...]:
     """Return the fields of a datagram."""
     return (
--- a/src/endivevane/quarantine/service.py
+++ b/src/endivevane/quarantine/service.py
@@ -16,6 +16,7 @@
     left_requests,
     messages,
     registry,
+    replies,
     rows,
     watches,
 )
@@ -24,10 +25,6 @@
 # Time for the others' reports and answers on the same segments to arrive, twice the
 # way between regions.
 _DECISION_DELAY_S = 0.1
-# A daemon answers a report after a random part of this, unless another one has.
-_REPLY_JITTER_S = 0.04
-# An answer on a trait that is this much newer than what a report says is told.
-_REPLY_AGE_S = 1.0
 # The first writer of a row spares the others theirs.
 _WRITE_JITTER_S = 0.3
 # The first daemon that deletes an expired row spares the others theirs.
@@ -63,8 +60,9 @@
         self._generator = generator
         self._check = crash_check.CrashCheck(self.report_end, self._record_whole)
         self._own_ends: set[str] = set()
-        # Trait -> monotonic time at which a daemon last told of an answer on it.
-        self._announced: dict[str, float] = {}
+        self._replies = replies.AnswerReplies(
+            self._registry.evidence, generator, self._publish_answer
+        )
         self._claims: set[str] = set()
         self._at_targets = watches.RequestsAtTargets()
         self._left = left_requests.LeftRequests()
@@ -84,7 +82,7 @@
                 self._start(self._delete_later(entry_id))
             if not len(self._registry.evidence):
                 self._own_ends.clear()
-                self._announced.clear()
+                self._replies.clear()
 
     def find_blocking(self, request: model.ClientRequest) -> float | None:
         """Return how long a request is in quarantine, ``None`` if it may be sent.
@@ -158,7 +156,7 @@
         It is whole unless its target has ended. That is checked only where the answer
         would show anything new; of a request alone, only after a target has ended.
         """
-        suspect = _make_suspect(watch.request, was_beginning=watch.is_waiting)
+        suspect = evidence.make_suspect(watch.request, was_beginning=watch.is_waiting)
         known = self._registry.evidence
         traits = suspect.segments
         if len(known):
@@ -182,12 +180,12 @@
         if not is_crash or not watch.is_open:
             return
         was_beginning = error.had_head and watch.is_waiting
-        self._check.add(target, _make_suspect(watch.request, was_beginning))
+        self._check.add(target, evidence.make_suspect(watch.request, was_beginning))
 
     def record_left(self, watch: watches.Watch, target: model.Target) -> None:
         """Record that a request left a target before its answer was whole."""
         if watch.is_open:
-            suspect = _make_suspect(watch.request, was_beginning=False)
+            suspect = evidence.make_suspect(watch.request, was_beginning=False)
             self._left.add(target.run_key, suspect, time.monotonic())
 
     def report_end(
@@ -256,7 +254,9 @@
             self._registry.drop(row.row_key.key.removeprefix(rows.ROW_PREFIX))
 
     def _make_notices(self, now_s: float) -> tuple[messages.EntryNotice, ...]:
-        return tuple(_make_notice(entry, now_s) for entry in self._registry.entries)
+        return tuple(
+            messages.make_notice(entry, now_s) for entry in self._registry.entries
+        )
 
     def _apply_end(self, end: messages.EndReport, now_s: float) -> bool:
         known = self._registry.evidence
@@ -264,7 +264,7 @@
             return False
         self._on_target_end(end.run_key, now_s)
         self._record_answered(end.answered, is_own=False)
-        self._reply_later(end, now_s)
+        self._replies.reply_later(end, now_s)
         self._schedule_decision()
         if self._left.find(end.run_key, now_s - end.age_s):
             self.report_end(end.run_key, now_s - end.age_s, ())
@@ -286,10 +286,10 @@
         news = {
             trait: age_s
             for trait, age_s in answer.ages_s.items()
-            if now_s - age_s - (known.find_answered_s(trait) or 0.0) > _REPLY_AGE_S
+            if now_s - age_s - (known.find_answered_s(trait) or 0.0)
+            > replies.REPLY_AGE_S
         }
-        for trait in answer.ages_s:
-            self._announced[trait] = now_s
+        self._replies.record_announced(answer.ages_s, now_s)
         self._record_answered(answer.ages_s, is_own=False)
         return bool(news)
 
@@ -309,37 +309,7 @@
             for entry_id in before - after:
                 self._start(self._rows.delete(entry_id))
         if lifted and is_own:
-            notice = messages.AnswerNotice(dict.fromkeys(lifted, 0.0))
-            self._publish(messages.QuarantineNews(self._region, answers=(notice,)))
-
-    def _reply_later(self, end: messages.EndReport, now_s: float) -> None:
-        """Report answers on accused traits that the reporter may not know."""
-        known = self._registry.evidence
-        newer = []
-        for trait in evidence.list_traits(end.suspects):
-            answered_s = known.find_answered_s(trait)
-            if answered_s is None:
-                continue
-            reported_age_s = end.answered.get(trait, float("inf"))
-            if reported_age_s - (now_s - answered_s) > _REPLY_AGE_S:
-                newer.append(trait)
-        if newer:
-            delay_s = self._generator.uniform(0.0, _REPLY_JITTER_S)
-            loop = asyncio.get_running_loop()
-            loop.call_later(delay_s, self._reply, newer, now_s)
-
-    def _reply(self, traits: list[str], asked_s: float) -> None:
-        now_s = time.monotonic()
-        ages_s = {}
-        for trait in traits:
-            answered_s = self._registry.evidence.find_answered_s(trait)
-            if answered_s is None or self._announced.get(trait, 0.0) >= asked_s:
-                continue
-            self._announced[trait] = now_s
-            ages_s[trait] = now_s - answered_s
-        if ages_s:
-            notice = messages.AnswerNotice(ages_s)
-            self._publish(messages.QuarantineNews(self._region, answers=(notice,)))
+            self._publish_answer(messages.AnswerNotice(dict.fromkeys(lifted, 0.0)))
 
     def _schedule_decision(self) -> None:
         if self._decision is None:
@@ -356,7 +326,7 @@
             metrics.QUARANTINES.inc()
             if not self._has_observed(entry):
                 continue
-            notice = _make_notice(entry, now_s)
+            notice = messages.make_notice(entry, now_s)
             self._publish(messages.QuarantineNews(self._region, entries=(notice,)))
             self._start(self._store_entry(entry))
 
@@ -405,7 +375,7 @@
             return False
         entry.tries, entry.retry_at_s = tries, retry_at_s
         logs.info("quarantine_tried", entry=entry.entry_id, tries=tries)
-        notice = _make_notice(entry, now_s)
+        notice = messages.make_notice(entry, now_s)
         self._publish(messages.QuarantineNews(self._region, entries=(notice,)))
         return True
 
@@ -418,6 +388,9 @@
                 watch.end()
                 watch.abort(_QUARANTINED)
 
+    def _publish_answer(self, notice: messages.AnswerNotice) -> None:
+        self._publish(messages.QuarantineNews(self._region, answers=(notice,)))
+
     def _publish(self, news: messages.QuarantineNews) -> None:
         self._exchange.publish(news, time.monotonic())
 
@@ -425,20 +398,3 @@
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-
-def _make_suspect(
-    request: model.ClientRequest, was_beginning: bool
-) -> evidence.Suspect:
-    fingerprint = evidence.make_fingerprint(request)
-    return evidence.Suspect(fingerprint, request.prompt_segments, was_beginning)
-
-
-def _make_notice(entry: registry.Entry, now_s: float) -> messages.EntryNotice:
-    return messages.EntryNotice(
-        entry_id=entry.entry_id,
-        traits=tuple(sorted(entry.traits)),
-        tries=entry.tries,
-        age_s=now_s - entry.decided_s,
-        retry_in_s=entry.retry_at_s - now_s,
-    )
