--- a/src/endivevane/serving/job_runner.py
+++ b/src/endivevane/serving/job_runner.py
@@ -14,6 +14,7 @@
     failures,
     item_estimates,
     item_gate,
+    item_order,
     item_refusals,
     item_requests,
     item_sender,
@@ -45,7 +46,8 @@
         self._wake = asyncio.Event()
         self._is_stopping = False
         self._estimates = item_estimates.ItemEstimator()
-        self._refusal_judge = item_refusals.RefusalJudge(dependencies.load_table)
+        refusal_judge = item_refusals.RefusalJudge(dependencies.load_table)
+        self._order = item_order.ItemOrder(self._estimates, refusal_judge)
         self._gate = item_gate.ItemGate(self._give_up, dependencies.targets)
         self._sender = item_sender.ItemSender(
             dependencies.targets,
@@ -53,7 +55,7 @@
             dependencies.encode_headers,
             dependencies.decode_segments,
             dependencies.quarantine,
-            self._refusal_judge,
+            refusal_judge,
         )
         self._commits = result_commits.ResultCommitter(
             dependencies.row_store,
@@ -176,7 +178,7 @@
             return
         requests: list[item_requests.ItemRequest] = []
         waiting: collections.Counter[str] = collections.Counter()
-        for urgency, owned, run in self._list_ready(now_s):
+        for urgency, owned, run in self._order.list_ready(self._owned.values(), now_s):
             route = self._gate.find_route(table, owned, run, now_s)
             if route is None:
                 continue
@@ -195,7 +197,7 @@
         slot_round = self._dependencies.slots.begin_round(waiting)
         while requests:
             first = requests[0]
-            left_s = _get_time_left_s(first.owned)
+            left_s = item_order.get_time_left_s(first.owned)
             version = item_requests.find_version(
                 first, self._dependencies.choices, now_s
             )
@@ -214,37 +216,6 @@
             chosen = requests.pop(fitting)
             self._start(chosen.owned, chosen.run, chosen.route, slot)
 
-    def _list_ready(
-        self, now_s: float
-    ) -> list[tuple[item_estimates.Urgency, owned_jobs.OwnedJob, owned_jobs.ItemRun]]:
-        """Return the items that may start, most urgent first."""
-        ready = []
-        for owned in self._owned.values():
-            for run in owned.list_ready(now_s):
-                run.goes_last = self._refusal_judge.goes_last(
-                    owned.entry.job.route, run.item.tokens, run.refusals
-                )
-                ready.append((self._classify_urgency(owned, run), owned, run))
-        # Of items with the same due time, those with more progress go first, and those
-        # that more lost owners have run come last.
-        ready.sort(
-            key=lambda entry: (
-                entry[0],
-                entry[2].goes_last,
-                entry[1].entry.job.due_ms,
-                -entry[2].last_event,
-                entry[1].records.count_unknown(entry[2].item.item_id),
-            )
-        )
-        return item_requests.order_by_shares(ready, self._owned.values())
-
-    def _classify_urgency(
-        self, owned: owned_jobs.OwnedJob, run: owned_jobs.ItemRun
-    ) -> item_estimates.Urgency:
-        if run.goes_last:
-            return item_estimates.Urgency.LATE
-        return self._estimates.classify_urgency(run.last_event, _get_time_left_s(owned))
-
     def _publish_waiting_count(self) -> None:
         """Publish the number of items that could start to the other daemons."""
         now_s = time.monotonic()
@@ -282,7 +253,7 @@
         for owned in self._owned.values():
             for run in owned.list_running():
                 candidate = preemption.Candidate(
-                    run, self._classify_urgency(owned, run), run.started_s
+                    run, self._order.classify_urgency(owned, run), run.started_s
                 )
                 target_id = run.slot.target.target_id if run.slot else ""
                 by_target.setdefault(target_id, []).append(candidate)
@@ -418,8 +389,3 @@
         owned.runs.clear()
         if owned.committing is not None:
             owned.committing.cancel()
-
-
-def _get_time_left_s(owned: owned_jobs.OwnedJob) -> float:
-    """Return the time until a job's results are due, negative when overdue."""
-    return owned.entry.job.due_ms / 1000.0 - time.time()
