Show how old the copy of an empty read is, and how large and slow answers of the store are

New: endivevane_empty_read_age_seconds and job_read_empty (position, results listed here, versions, age of the copy), endivevane_store_answer_bytes and _seconds by call and by who answered, store_answer_large from 64 KiB on, and the size and decoding time in configuration_in_force. Requests log the version that they are served from already (request_ended, request_without_route); the end of a job now logs its row's.

--- a/src/endivevane/entry/configuration_rows.py
+++ b/src/endivevane/entry/configuration_rows.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 from endivevane import exceptions, logs, metrics
 from endivevane.platform import records
 from endivevane.serving import routing_table
@@ -9,6 +11,7 @@
 
 def decode_routes(value: bytes, row_version: int) -> routing_table.RoutingTable | None:
     """Return the routes of a configuration, ``None`` if it is unusable."""
+    begun_s = time.monotonic()
     try:
         configuration = records.decode_configuration(value)
     except exceptions.ProtocolError as error:
@@ -20,5 +23,7 @@
         version=configuration.version,
         row_version=row_version,
         routes=len(configuration.routes),
+        bytes=len(value),
+        decoded_ms=int((time.monotonic() - begun_s) * 1000),
     )
     return routing_table.RoutingTable(configuration)
--- a/src/endivevane/entry/store_endpoints.py
+++ b/src/endivevane/entry/store_endpoints.py
@@ -62,7 +62,7 @@
     def _get_relay(self, peer: peer_registry.Peer) -> http_client.Endpoint:
         endpoint = self._relays.get(peer.host)
         if endpoint is None:
-            endpoint = http_client.Endpoint(peer.host, peer.port)
+            endpoint = http_client.Endpoint(peer.host, peer.port, is_relay=True)
             self._relays[peer.host] = endpoint
         return endpoint
 
--- a/src/endivevane/metrics.py
+++ b/src/endivevane/metrics.py
@@ -115,6 +115,24 @@
     "Table service calls, by kind and outcome.",
     ["kind", "outcome"],
 )
+STORE_ANSWER_BYTES = prometheus_client.Counter(
+    "endivevane_store_answer_bytes",
+    "Bytes of the bodies of answers to store calls, by call and by who answered"
+    " (store, daemon).",
+    ["kind", "source"],
+)
+STORE_ANSWER_SECONDS = prometheus_client.Histogram(
+    "endivevane_store_answer_seconds",
+    "Time from a store call to its whole answer, by call and by who answered; a long"
+    " poll is held until there is a change.",
+    ["kind", "source"],
+    buckets=(0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 3, 5),
+)
+EMPTY_READ_AGE_SECONDS = prometheus_client.Histogram(
+    "endivevane_empty_read_age_seconds",
+    "Age of the copy of the jobs at each read of results that found none.",
+    buckets=(0.1, 0.2, 0.4, 0.7, 1, 2, 4, 8, 16),
+)
 CONFIG_REVISION = prometheus_client.Gauge(
     "endivevane_config_revision", "Configuration revision in force."
 )
--- a/src/endivevane/platform/table_store.py
+++ b/src/endivevane/platform/table_store.py
@@ -26,6 +26,8 @@
 # Added to the wait time of a long poll.
 _POLL_TIMEOUT_MARGIN_S = 1.0
 _OBJECT_TIMEOUT_S = 4.0
+# Larger answers are logged; those of most calls are below 2 kB.
+_LARGE_ANSWER_BYTES = 64 * 1024
 
 
 class TableStore:
@@ -236,6 +238,7 @@
         headers: tuple[tuple[bytes, bytes], ...],
     ) -> http_client.HttpResponse:
         sent = http_client.SentFlag()
+        begun_s = time.monotonic()
         try:
             async with asyncio.timeout(timeout_s):
                 response = await self._pool.call(
@@ -246,6 +249,7 @@
             if not sent.is_set:
                 raise failures.StoreRefused(name, cause) from error
             raise failures.StoreUncertain(name, cause) from error
+        _record_answer(name, path, endpoint, response, time.monotonic() - begun_s)
         if response.status in (200, 412):
             return response
         if response.status == 410:
@@ -259,6 +263,29 @@
         raise failures.StoreUncertain(name, f"status {response.status}")
 
 
+def _record_answer(
+    name: str,
+    path: str,
+    endpoint: http_client.Endpoint,
+    response: http_client.HttpResponse,
+    took_s: float,
+) -> None:
+    """Record the size and the time of an answer."""
+    source = "daemon" if endpoint.is_relay else "store"
+    size = len(response.body)
+    metrics.STORE_ANSWER_BYTES.labels(name, source).inc(size)
+    metrics.STORE_ANSWER_SECONDS.labels(name, source).observe(took_s)
+    if size >= _LARGE_ANSWER_BYTES:
+        logs.limited_info(
+            "store_answer_large",
+            path=path[:100],
+            source=source,
+            status=response.status,
+            bytes=size,
+            took_ms=int(took_s * 1000),
+        )
+
+
 def _make_read_path(table: str, partition: str, start: str, end: str) -> str:
     query = {"table": table, "part": partition, "limit": str(_PAGE_ROWS)}
     if start:
--- a/src/endivevane/serving/http_client.py
+++ b/src/endivevane/serving/http_client.py
@@ -70,11 +70,13 @@
 class Endpoint:
     """An address with a back-off after failures.
 
+    :param is_relay: whether it is a daemon that passes calls on to the store
     :ivar paused_until_s: monotonic time before which other endpoints are preferred
     """
 
     host: str
     port: int
+    is_relay: bool = False
     paused_until_s: float = 0.0
     _backoff_s: float = 0.0
 
--- a/src/endivevane/serving/job_api.py
+++ b/src/endivevane/serving/job_api.py
@@ -165,6 +165,8 @@
             logs.limited_info("job_unknown", job=job_call.job_id)
             return responder.Response(http.HTTPStatus.NOT_FOUND)
         total, results = found
+        if not results:
+            self._reader.record_empty_read(job_call.job_id, job_call.position)
         body = self._codec.encode_results(total, job_call.position, results)
         return responder.Response(
             http.HTTPStatus.OK, body, content_type="application/json"
@@ -184,7 +186,12 @@
         if entry is None:
             return responder.Response(http.HTTPStatus.NOT_FOUND)
         is_ended = await self._changes.end(job_call.job_id, until_s)
-        logs.info("job_end_asked", job=job_call.job_id, is_ended=is_ended)
+        logs.info(
+            "job_end_asked",
+            job=job_call.job_id,
+            row_version=entry.version,
+            is_ended=is_ended,
+        )
         if is_ended:
             return responder.Response(http.HTTPStatus.OK)
         return responder.Response(http.HTTPStatus.GATEWAY_TIMEOUT)
--- a/src/endivevane/serving/job_changes.py
+++ b/src/endivevane/serving/job_changes.py
@@ -65,6 +65,15 @@
         self._registry = registry
         self._owner = owner
 
+    @property
+    def copy_version(self) -> int:
+        """Version of the store up to which the copy of the jobs is complete."""
+        return self._state.version
+
+    def measure_copy_age_s(self) -> float:
+        """Return the age of the copy of the jobs, infinity before it is loaded."""
+        return self._state.age.measure_s()
+
     def stop_owning(self) -> None:
         """Accept further jobs without an owner, for other daemons to claim."""
         self._owner = ""
--- a/src/endivevane/serving/job_reader.py
+++ b/src/endivevane/serving/job_reader.py
@@ -6,6 +6,7 @@
 import collections
 import time
 
+from endivevane import logs, metrics
 from endivevane.serving import failures, job_changes, job_registry, jobs
 
 # Limit of the result texts in one response.
@@ -68,6 +69,21 @@
             return entry.job.total, []
         return entry.job.total, await self._load(entry.job, position)
 
+    def record_empty_read(self, job_id: str, position: int) -> None:
+        """Log from which copy of the jobs a read of results found none."""
+        age_s = self._changes.measure_copy_age_s()
+        metrics.EMPTY_READ_AGE_SECONDS.observe(age_s)
+        entry = self._registry.entries.get(job_id)
+        logs.limited_info(
+            "job_read_empty",
+            job=job_id,
+            position=position,
+            listed=None if entry is None else entry.job.listed,
+            row_version=None if entry is None else entry.version,
+            copy_version=self._changes.copy_version,
+            copy_age_ms=int(age_s * 1000) if age_s < float("inf") else None,
+        )
+
     async def read_body(self, job_id: str, item_id: str) -> bytes | None:
         """Return the body of an item, ``None`` when there is no such item.
 
