--- /dev/null
+++ b/features/configuration_readers.feature
@@ -0,0 +1,9 @@
+Feature: A region reads the configuration from the store through a few daemons
+
+  Scenario: A configuration of 1,400 routes is sent to a region of 18 daemons three times at most
+    # Guards against daemons that each read a large configuration over the link between
+    # two regions: the store's other answers wait behind those bytes, and all copies age.
+    Given a region of 18 daemons with few routes
+    When the operator publishes 1400 routes more
+    Then all daemons have the new configuration within 4 s of its acknowledgement
+    And the store has sent the configuration at most 3 times
--- /dev/null
+++ b/features/steps/configuration_readers_steps.py
@@ -0,0 +1,80 @@
+import json
+import re
+import time
+
+from behave import given, then, when
+
+from features.support import serving_processes
+
+_TARGETS = 2
+_IN_FORCE = re.compile(r"event=configuration_in_force version=(\d+)")
+
+
+def _add_routes(configuration, count):
+    """Return the next version of a configuration, with so many routes more."""
+    added = [
+        {
+            "name": f"r-{number:06x}",
+            "host": f"host{number % 7}.example",
+            "prefix": f"/added{number:05d}/",
+            "kind": "streaming",
+            "timeoutMs": 5000,
+            "goalMs": 310,
+            "priority": 0,
+            "service": "lm",
+            "maxAttempts": 2,
+            "sticky": True,
+            "resumable": True,
+            "gapTargetMs": 500,
+        }
+        for number in range(count)
+    ]
+    return {
+        **configuration,
+        "version": configuration["version"] + 3,
+        "routes": [*configuration["routes"], *added],
+    }
+
+
+def _read_version(daemon):
+    """Return the newest version of the configuration that a daemon has logged."""
+    found = _IN_FORCE.findall(daemon.log_path.read_text())
+    return max((int(version) for version in found), default=0)
+
+
+@given("a region of {count:d} daemons with few routes")
+def step_region(context, count):
+    fleet = serving_processes.Fleet(targets=_TARGETS, daemons=count)
+    context.cleanups.append(fleet.stop)
+    context.fleet = fleet
+    context.lost = []
+
+
+@when("the operator publishes {count:d} routes more")
+def step_publish(context, count):
+    fleet = context.fleet
+    context.configuration = _add_routes(fleet.configuration, count)
+    fleet.call(fleet.store.sent_bytes.clear)
+    fleet.call(fleet.store.write, "op", "config", context.configuration)
+    context.acked_s = time.monotonic()
+
+
+@then(
+    "all daemons have the new configuration within {limit:d} s of its acknowledgement"
+)
+def step_in_force(context, limit):
+    wanted = context.configuration["version"]
+    late = [item for item in context.fleet.daemons if item not in context.lost]
+    while late and time.monotonic() < context.acked_s + limit:
+        time.sleep(0.05)
+        late = [item for item in late if _read_version(item) < wanted]
+    assert not late, [(item.name, _read_version(item)) for item in late]
+
+
+@then("the store has sent the configuration at most {most:d} times")
+def step_sent(context, most):
+    # The answer to a poll that was under way may still be on its way.
+    time.sleep(1.0)
+    sent = context.fleet.call(lambda: context.fleet.store.sent_bytes["op"])
+    size = len(json.dumps(context.configuration)) * 4 / 3
+    assert sent <= most * size * 1.1, f"{sent / size:.1f} times {size:.0f} bytes"
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import collections
 import dataclasses
 import json
 import time
@@ -40,7 +41,10 @@
 
 
 class RowStore:
-    """In-memory store of rows, their history and objects."""
+    """In-memory store of rows, their history and objects.
+
+    :ivar sent_bytes: bytes of the bodies of answers, by the table that was read
+    """
 
     def __init__(self) -> None:
         self.faults = StoreFaults()
@@ -50,6 +54,7 @@
         self.history_start = 0
         self.objects: dict[str, bytes] = {}
         self.calls: list[str] = []
+        self.sent_bytes: collections.Counter[str] = collections.Counter()
         self._changed = asyncio.Event()
         self._runner: web.AppRunner | None = None
 
@@ -157,7 +162,10 @@
             await asyncio.sleep(3600)
         if self.faults.status:
             return web.json_response({}, status=self.faults.status)
-        return await handler(request)
+        response = await handler(request)
+        if isinstance(response, web.Response) and isinstance(response.body, bytes):
+            self.sent_bytes[request.query.get("table", "")] += len(response.body)
+        return response
 
     async def _transact(self, request: web.Request) -> web.StreamResponse:
         body = await request.json()
