Read a large region's configuration from the store by two daemons only

Each daemon read the whole row at each version, over the one link between the regions: 45 daemons x 0.47 MB (1,400 routes as base64) are 5 s of 30 Mbit/s, and all other answers of the store wait behind that.

Now the coordinator and its deputy read the configuration at the store; the others poll one of them (/copies/api/rows-feed), which answers from its copy, with its age, compressed once for all. The store is asked by others only when no reader responds, or none has a current copy for 3 s. Regions of up to 16 daemons have no coordinator and read as before. Polls of a reader are short, so that the age of a copy stays below 2 s behind one more step.

--- a/features/configuration_readers.feature
+++ b/features/configuration_readers.feature
@@ -7,3 +7,18 @@
     When the operator publishes 1400 routes more
     Then all daemons have the new configuration within 4 s of its acknowledgement
     And the store has sent the configuration at most 3 times
+
+  Scenario Outline: A change of the configuration reaches all daemons though <count> of its readers <fate>
+    # Guards against daemons that wait for a reader which no longer answers, or can't say
+    # that its own copy is old, while the store is sound.
+    Given a region of 18 daemons with few routes
+    When <count> of its 2 readers <fate>
+    And the operator publishes 1400 routes more
+    Then all daemons have the new configuration within 4 s of its acknowledgement
+
+    Examples:
+      | count | fate               |
+      | 1     | end                |
+      | 1     | stop without a sign |
+      | 2     | end                |
+      | 2     | stop without a sign |
--- a/features/steps/configuration_readers_steps.py
+++ b/features/steps/configuration_readers_steps.py
@@ -1,12 +1,16 @@
 import json
 import re
+import signal
 import time
 
 from behave import given, then, when
 
+from endivevane.serving import peer_registry
 from features.support import serving_processes
 
 _TARGETS = 2
+# Polls that began before the daemons knew each other have ended after this time.
+_SETTLE_S = 4.0
 _IN_FORCE = re.compile(r"event=configuration_in_force version=(\d+)")
 
 
@@ -48,6 +52,7 @@
     context.cleanups.append(fleet.stop)
     context.fleet = fleet
     context.lost = []
+    time.sleep(_SETTLE_S)
 
 
 @when("the operator publishes {count:d} routes more")
@@ -78,3 +83,25 @@
     sent = context.fleet.call(lambda: context.fleet.store.sent_bytes["op"])
     size = len(json.dumps(context.configuration)) * 4 / 3
     assert sent <= most * size * 1.1, f"{sent / size:.1f} times {size:.0f} bytes"
+
+
+def _find_readers(fleet):
+    """Return the daemons of the fleet that read for the others, the first one first."""
+    own = peer_registry.Identity("nobody", "near", "1", "127.0.0.1", 1)
+    registry = peer_registry.PeerRegistry(own)
+    for item in fleet.daemons:
+        peer = peer_registry.Peer(item.name, "near", item.ip, 1, "1")
+        peer.last_seen_s = time.monotonic()
+        registry.add(peer)
+    ranked = registry.rank("near", time.monotonic())
+    return [item for name in ranked for item in fleet.daemons if item.name == name]
+
+
+@when("{count:d} of its 2 readers {fate}")
+def step_lose_readers(context, count, fate):
+    readers = _find_readers(context.fleet)
+    assert len(readers) == 2, readers
+    context.lost = readers[:count]
+    number = signal.SIGKILL if fate == "end" else signal.SIGSTOP
+    for item in context.lost:
+        serving_processes.send_signal(item, number)
--- a/src/endivevane/entry/feeds.py
+++ b/src/endivevane/entry/feeds.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import dataclasses
+from collections import abc
 
 from endivevane import metrics
-from endivevane.platform import records, store_relay
+from endivevane.platform import copied_feed, records, store_relay
 from endivevane.serving import follower, jobs
 from endivevane.stream_versions import rows as version_rows
 
@@ -27,6 +28,18 @@
         ):
             metrics.COPY_AGE_SECONDS.labels(table).set_function(feed.age.measure_s)
 
+    def list_copied(
+        self, is_reader: abc.Callable[[], bool]
+    ) -> tuple[copied_feed.CopiedFeed, ...]:
+        """Return the tables that other daemons of the region may read here.
+
+        :param is_reader: returns whether this daemon reads from the store for them
+        """
+        copied = copied_feed.CopiedFeed
+        return (
+            copied(records.CONFIGURATION_TABLE, self.configuration, is_reader, True),
+        )
+
     def list_relayed(self) -> tuple[store_relay.FollowedRows, ...]:
         """Return the rows that other daemons may read here without the store."""
         start, end = version_rows.PLAN_PREFIX, version_rows.PLAN_END
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import time
+from collections import abc
 
 from endivevane import logs, types
 from endivevane.entry import (
@@ -43,6 +44,7 @@
     batch_slots,
     connection_limiter,
     coordinator,
+    feed_readers,
     follower,
     http_client,
     http_server,
@@ -162,16 +164,15 @@
         await self._stop()
 
     def _make_store(self) -> None:
+        self._readers = feed_readers.FeedReaders(self._identity, self._peer_registry)
         self._endpoints = store_endpoints.StoreEndpoints(
-            self._settings, self._peer_registry, self._generator
+            self._settings, self._peer_registry, self._readers, self._generator
         )
         self._store_pool = http_client.ConnectionPool(
             _CONNECT_TIMEOUT_S, self._make_budget("store")
         )
         self._store_clock = store_clock.StoreClock()
-        self._store = table_store.TableStore(
-            self._store_pool, self._endpoints.list_all, self._store_clock
-        )
+        self._store = self._make_table_store(self._endpoints.list_all)
         self._membership = membership.Membership(
             self._identity, self._peer_registry, self._store
         )
@@ -194,14 +195,19 @@
             on_loaded=self._open_when_loaded,
         )
         configuration = follower.TableFollower(
-            self._store,
+            self._make_table_store(self._endpoints.list_for_copies),
             records.CONFIGURATION_TABLE,
             "",
             self._on_configuration_row,
-            poll_wait_s=self._settings.keys.find_poll_wait_s(follower.POLL_WAIT_S),
+            find_poll_wait_s=self._find_configuration_wait_s,
         )
         self._feeds = feeds.Feeds(configuration, targets, state)
 
+    def _make_table_store(
+        self, endpoints: abc.Callable[[], abc.Sequence[http_client.Endpoint]]
+    ) -> table_store.TableStore:
+        return table_store.TableStore(self._store_pool, endpoints, self._store_clock)
+
     def _make_targets(self) -> None:
         vm, regions = self._settings.vm, dict(self._settings.regions)
         self._target_registry = target_registry.TargetRegistry(records.decode_target)
@@ -374,6 +380,7 @@
             self._store_pool,
             lambda: self._endpoints.store,
             self._feeds.list_relayed(),
+            self._feeds.list_copied(self._readers.is_reader),
         )
         budget = memory_budget.MemoryBudget(
             "callers", self._settings.vm.memory_bytes, weighs_stalls=True
@@ -418,6 +425,12 @@
         logs.set_level(loaded.log.level)
         self._endpoints.apply_settings(loaded)
 
+    def _find_configuration_wait_s(self) -> float:
+        """Return how long a poll of the configuration may be held."""
+        return self._settings.keys.find_poll_wait_s(
+            self._readers.find_poll_wait_s(follower.POLL_WAIT_S)
+        )
+
     def _on_configuration_row(self, row: store.Row) -> None:
         if row.row_key.key != records.CONFIGURATION_KEY or row.value is None:
             return
--- a/src/endivevane/platform/store_relay.py
+++ b/src/endivevane/platform/store_relay.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import base64
 import dataclasses
 import http
 import time
@@ -12,6 +11,7 @@
 import orjson
 
 from endivevane import logs
+from endivevane.platform import copied_feed
 from endivevane.serving import (
     follower,
     http_client,
@@ -20,11 +20,6 @@
 )
 
 _CALL_PREFIXES = ("/api/rows-", "/api/blob-")
-_READ_PATH = "/api/rows-get"
-# Time since rows that a relay answers from its memory were the store's, in seconds.
-AGE_FIELD = "relayAgeS"
-# A copy that has never been confirmed is older than any that counts.
-_MAX_AGE_S = 1e6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,6 +39,7 @@
     rows with their version, so that a daemon that has just started can load them.
 
     :param followers: followed tables whose rows may be read from memory
+    :param copied: tables that other daemons of the region may read from copies here
     """
 
     def __init__(
@@ -51,9 +47,11 @@
         pool: http_client.ConnectionPool,
         endpoint: abc.Callable[[], http_client.Endpoint],
         followers: abc.Sequence[FollowedRows],
+        copied: abc.Sequence[copied_feed.CopiedFeed] = (),
     ) -> None:
         self._pool = pool
         self._endpoint = endpoint
+        self._copied = copied
         self._followers = {
             (followed.table, followed.start, followed.end): followed.follower
             for followed in followers
@@ -63,6 +61,9 @@
         self, request: model.ClientRequest, response: responder.Responder
     ) -> None:
         """Handle a store call of another daemon."""
+        if request.path.startswith(copied_feed.PATH_PREFIX):
+            response.send(await copied_feed.answer(request, self._copied))
+            return
         if not request.path.startswith(_CALL_PREFIXES):
             response.send(responder.Response(http.HTTPStatus.NOT_FOUND))
             return
@@ -108,22 +109,17 @@
             (query.get(name) or [""])[0] for name in ("table", "from", "to")
         )
         followed = self._followers.get((table, start, end))
-        if parsed.path != _READ_PATH or followed is None:
+        if parsed.path != copied_feed.READ_PATH or followed is None:
             return responder.Response(http.HTTPStatus.SERVICE_UNAVAILABLE)
         if not followed.is_loaded:
             return responder.Response(http.HTTPStatus.SERVICE_UNAVAILABLE)
         rows = [
-            {
-                "table": row.row_key.table,
-                "part": row.row_key.partition,
-                "key": row.row_key.key,
-                "value": base64.b64encode(row.value or b"").decode(),
-                "ver": row.version,
-            }
+            copied_feed.encode_row(row)
             for _, row in sorted(followed.rows.items())
             if start <= row.row_key.key and (not end or row.row_key.key < end)
         ]
         content = {"rows": rows, "hasMore": False, "ver": followed.version, "nowMs": 0}
-        content[AGE_FIELD] = min(_MAX_AGE_S, followed.age.measure_s())
+        age_s = copied_feed.limit_age_s(followed.age.measure_s())
+        content[copied_feed.AGE_FIELD] = age_s
         body = orjson.dumps(content)
         return responder.Response(http.HTTPStatus.OK, body)
--- a/src/endivevane/platform/table_store.py
+++ b/src/endivevane/platform/table_store.py
@@ -4,18 +4,22 @@
 
 import asyncio
 import base64
+import gzip
+import io
 import time
 import typing
 import urllib.parse
+import zlib
 from collections import abc
 
 import orjson
 
 from endivevane import exceptions, json_fields, logs, metrics
-from endivevane.platform import store_relay
+from endivevane.platform import copied_feed
 from endivevane.serving import failures, http_client, store, store_clock
 
 _PAGE_ROWS = 500
+_ROW_READ = "rows-get"
 # An idle store responds within a few milliseconds; one that needs longer than this is
 # failing.
 _CALL_TIMEOUT_S = 1.5
@@ -23,9 +27,9 @@
 _QUICK_TIMEOUT_S = 0.35
 # The endpoint that has answered such a read is asked first for this long.
 _PREFER_S = 2.0
-# Added to the wait time of a long poll.
-_POLL_TIMEOUT_MARGIN_S = 1.0
 _OBJECT_TIMEOUT_S = 4.0
+# Limit of a decompressed answer.
+_MAX_BODY_BYTES = 64 << 20
 # Larger answers are logged; those of most calls are below 2 kB.
 _LARGE_ANSWER_BYTES = 64 * 1024
 
@@ -35,6 +39,7 @@
 
     :param endpoints: returns the endpoints of a call in order of preference
     :param clock: records the time that responses name
+    :param read_endpoints: the same for reads of rows, by default that of all calls
     """
 
     def __init__(
@@ -42,11 +47,13 @@
         pool: http_client.ConnectionPool,
         endpoints: abc.Callable[[], abc.Sequence[http_client.Endpoint]],
         clock: store_clock.StoreClock | None = None,
+        read_endpoints: abc.Callable[[], abc.Sequence[http_client.Endpoint]]
+        | None = None,
     ) -> None:
         self._clock = clock or store_clock.StoreClock()
         self._pool = pool
         self._endpoints = endpoints
-        self.last_response_s = 0.0
+        self._read_endpoints = read_endpoints or endpoints
         self._preferred: http_client.Endpoint | None = None
         self._preferred_until_s = 0.0
 
@@ -55,12 +62,12 @@
     ) -> store.RowPage:
         """Return the first rows of a partition in ``[start, end)``, one page."""
         path = _make_read_path(table, partition, start, end)
-        content = await self._call("rows-get", b"GET", path, b"")
+        content = await self._call(_ROW_READ, b"GET", path, b"")
         return store.RowPage(
             tuple(_decode_rows(content)),
-            _decode_version("rows-get", content),
+            _decode_version(_ROW_READ, content),
             bool(content.get("hasMore")),
-            _decode_age_s("rows-get", content),
+            _decode_age_s(_ROW_READ, content),
         )
 
     async def read_newest(
@@ -72,25 +79,25 @@
         """
         path = _make_read_path(table, partition, start, end)
         last_error: failures.StoreFailure = failures.StoreRefused(
-            "rows-get", "no endpoint"
+            _ROW_READ, "no endpoint"
         )
         for endpoint in self._list_preferred_first():
             try:
                 response = await self._send_once(
-                    "rows-get", endpoint, b"GET", path, b"", _QUICK_TIMEOUT_S, ()
+                    _ROW_READ, endpoint, b"GET", path, b"", _QUICK_TIMEOUT_S, ()
                 )
-                content = self._decode("rows-get", response)
-                if _decode_age_s("rows-get", content):
-                    raise failures.StoreRefused("rows-get", "a relay without the store")
+                content = self._decode(_ROW_READ, response)
+                if _decode_age_s(_ROW_READ, content):
+                    raise failures.StoreRefused(_ROW_READ, "a relay without the store")
             except failures.StoreFailure as error:
-                metrics.STORE_CALLS.labels("rows-get", type(error).__name__).inc()
+                metrics.STORE_CALLS.labels(_ROW_READ, type(error).__name__).inc()
                 last_error = error
                 continue
-            metrics.STORE_CALLS.labels("rows-get", "ok").inc()
+            metrics.STORE_CALLS.labels(_ROW_READ, "ok").inc()
             if endpoint is not self._preferred:
                 self._preferred = endpoint
                 self._preferred_until_s = time.monotonic() + _PREFER_S
-            version = _decode_version("rows-get", content)
+            version = _decode_version(_ROW_READ, content)
             rows = tuple(_decode_rows(content))
             return store.RowPage(rows, version, bool(content.get("hasMore")))
         raise last_error
@@ -129,10 +136,12 @@
             {"table": table, "after": after_version, "waitMs": int(wait_s * 1000)}
         )
         path = f"/api/rows-feed?{query}"
-        timeout_s = wait_s + _POLL_TIMEOUT_MARGIN_S
-        content = await self._call("rows-feed", b"GET", path, b"", timeout_s)
-        version = _decode_version("rows-feed", content)
-        return store.RowPage(tuple(_decode_rows(content)), version)
+        content = await self._call("rows-feed", b"GET", path, b"", poll_wait_s=wait_s)
+        return store.RowPage(
+            tuple(_decode_rows(content)),
+            _decode_version("rows-feed", content),
+            age_s=_decode_age_s("rows-feed", content),
+        )
 
     async def put_object(self, name: str, content: bytes) -> None:
         """Store an object unless one of this name exists."""
@@ -172,9 +181,11 @@
         method: bytes,
         path: str,
         body: bytes,
-        timeout_s: float = _CALL_TIMEOUT_S,
+        poll_wait_s: float | None = None,
     ) -> dict[str, typing.Any]:
-        response = await self._send(name, method, path, body, timeout_s)
+        response = await self._send(
+            name, method, path, body, _CALL_TIMEOUT_S, poll_wait_s=poll_wait_s
+        )
         return self._decode(name, response)
 
     def _decode(
@@ -182,9 +193,9 @@
     ) -> dict[str, typing.Any]:
         """Return the content of a response, with its status, and record its time."""
         try:
-            content = orjson.loads(response.body)
-        except orjson.JSONDecodeError as error:
-            raise failures.StoreUncertain(name, "invalid JSON") from error
+            content = orjson.loads(_decompress(response))
+        except (ValueError, OSError, EOFError, zlib.error) as error:
+            raise failures.StoreUncertain(name, "invalid body") from error
         if not isinstance(content, dict):
             raise failures.StoreUncertain(name, "no object")
         now_ms = content.get("nowMs")
@@ -201,10 +212,18 @@
         body: bytes,
         timeout_s: float,
         headers: tuple[tuple[bytes, bytes], ...] = (),
+        poll_wait_s: float | None = None,
     ) -> http_client.HttpResponse:
-        """Try the endpoints in order until one has, or may have, done the call."""
+        """Try the endpoints in order until one has, or may have, done the call.
+
+        :param poll_wait_s: how long a long poll may be held, ``None`` for other calls
+        """
         last_error: failures.StoreFailure = failures.StoreRefused(name, "no endpoint")
-        for endpoint in self._endpoints():
+        is_row_read = name == _ROW_READ
+        list_endpoints = self._read_endpoints if is_row_read else self._endpoints
+        for endpoint in list_endpoints():
+            if poll_wait_s is not None:
+                timeout_s = poll_wait_s + endpoint.poll_margin_s
             try:
                 response = await self._send_once(
                     name, endpoint, method, path, body, timeout_s, headers
@@ -223,7 +242,6 @@
                 continue
             metrics.STORE_CALLS.labels(name, "ok").inc()
             endpoint.record_success()
-            self.last_response_s = time.monotonic()
             return response
         raise last_error
 
@@ -239,16 +257,24 @@
     ) -> http_client.HttpResponse:
         sent = http_client.SentFlag()
         begun_s = time.monotonic()
+        if endpoint.is_relay:
+            headers = (*headers, (b"Accept-Encoding", b"gzip"))
         try:
             async with asyncio.timeout(timeout_s):
                 response = await self._pool.call(
-                    endpoint, method, path.encode(), headers, body, sent
+                    endpoint,
+                    method,
+                    (endpoint.path_prefix + path).encode(),
+                    headers,
+                    body,
+                    sent,
                 )
         except (TimeoutError, OSError, http_client.BrokenAnswer) as error:
             cause = type(error).__name__
             if not sent.is_set:
                 raise failures.StoreRefused(name, cause) from error
             raise failures.StoreUncertain(name, cause) from error
+        endpoint.heard_s = time.monotonic()
         _record_answer(name, path, endpoint, response, time.monotonic() - begun_s)
         if response.status in (200, 412):
             return response
@@ -263,6 +289,21 @@
         raise failures.StoreUncertain(name, f"status {response.status}")
 
 
+def _decompress(response: http_client.HttpResponse) -> bytes:
+    """Return the body of a response, which a daemon may have compressed.
+
+    :raises ValueError: when it is too large
+    :raises OSError, EOFError, zlib.error: when it is not whole
+    """
+    if (b"content-encoding", b"gzip") not in response.headers:
+        return response.body
+    with gzip.GzipFile(fileobj=io.BytesIO(response.body)) as file:
+        body = file.read(_MAX_BODY_BYTES + 1)
+    if len(body) > _MAX_BODY_BYTES:
+        raise ValueError("body too large")
+    return body
+
+
 def _record_answer(
     name: str,
     path: str,
@@ -320,7 +361,7 @@
     :raises failures.StoreUncertain: when it is malformed
     """
     try:
-        return json_fields.read_age_s(content.get(store_relay.AGE_FIELD, 0.0))
+        return json_fields.read_age_s(content.get(copied_feed.AGE_FIELD, 0.0))
     except ValueError as error:
         raise failures.StoreUncertain(name, f"age of the rows: {error}") from error
 
--- a/src/endivevane/serving/follower.py
+++ b/src/endivevane/serving/follower.py
@@ -41,9 +41,10 @@
     :param coalesce_s: wait after a change, so that further changes are read together
     :param on_loaded: called after each full read
     :param newest: records each version that is read
-    :param poll_wait_s: how long the store may hold a poll while nothing changes
+    :param find_poll_wait_s: returns how long a poll may be held while nothing changes
     :ivar rows: current rows by key
     :ivar version: version of the store up to which the copy is complete
+    :ivar history_start: version from which the copy has seen all changes
     :ivar age: how old the copy is
     """
 
@@ -57,10 +58,11 @@
         coalesce_s: float = 0.0,
         on_loaded: abc.Callable[[], None] | None = None,
         newest: newest_version.NewestVersion | None = None,
-        poll_wait_s: float = POLL_WAIT_S,
+        find_poll_wait_s: abc.Callable[[], float] = lambda: POLL_WAIT_S,
     ) -> None:
         self.rows: dict[str, store.Row] = {}
         self.version = -1
+        self.history_start = -1
         self.age = copy_age.CopyAge()
         self._store = rows
         self._table = table
@@ -69,7 +71,7 @@
         self._on_recovery = on_recovery
         self._coalesce_s = coalesce_s
         self._on_loaded = on_loaded
-        self._poll_wait_s = poll_wait_s
+        self._find_poll_wait_s = find_poll_wait_s
         self.newest = newest or newest_version.NewestVersion()
         self._deleted: dict[str, int] = {}
         self._advanced = asyncio.Event()
@@ -99,7 +101,7 @@
                     is_reread = True
                 else:
                     # After a failure, an answer soon shows that the store is back.
-                    wait_s = 0.0 if failing.pauses else self._poll_wait_s
+                    wait_s = 0.0 if failing.pauses else self._find_poll_wait_s()
                     await self._read_changes(wait_s)
                     is_reread = False
                     rereading.reset()
@@ -128,6 +130,10 @@
             if must_read:
                 await asyncio.sleep(_INITIAL_BACKOFF_S)
 
+    async def wait_until_loaded(self, timeout_s: float) -> bool:
+        """Wait until all rows have been read; return ``False`` if late."""
+        return await self.wait_until(0, timeout_s)
+
     async def wait_until(self, version: int, timeout_s: float) -> bool:
         """Wait until the copy is complete up to a version; return ``False`` if late."""
         try:
@@ -139,6 +145,30 @@
             return False
         return True
 
+    async def wait_for_changes(
+        self, after: int, timeout_s: float
+    ) -> tuple[store.Row, ...]:
+        """Wait until the copy has changes after a version and return them in order.
+
+        :param after: version at or above ``history_start``
+        :returns: nothing when the timeout expires
+        """
+        until_s = time.monotonic() + timeout_s
+        while not (changes := self._list_changes(after)):
+            left_s = until_s - time.monotonic()
+            if left_s <= 0 or not await self.wait_until(self.version + 1, left_s):
+                break
+        return changes
+
+    def _list_changes(self, after: int) -> tuple[store.Row, ...]:
+        """Return the rows that were written or deleted after a version."""
+        changes = [row for row in self.rows.values() if row.version > after]
+        for key, version in self._deleted.items():
+            if version > after:
+                row_key = store.RowKey(self._table, self._partition, key)
+                changes.append(store.Row(row_key, None, version))
+        return tuple(sorted(changes, key=lambda row: row.version))
+
     def apply_row(self, row: store.Row) -> bool:
         """Apply a row unless the copy has it or a newer version; return if applied."""
         key = row.row_key.key
@@ -189,6 +219,7 @@
                 self.apply_row(store.Row(row_key, None, version + 1))
                 self._deleted[key] = version
         self._pages = len(found.versions)
+        self.history_start = found.version
         self._advance(found.version)
         self.age.confirm(found.as_of_s)
         if self._on_loaded is not None:
@@ -227,7 +258,7 @@
         page = await self._store.wait_for_changes(self._table, self.version, wait_s)
         self._is_from_memory = False
         if len(page.rows) < _MAX_POLLED_ROWS:
-            self.age.confirm(sent_s)
+            self.age.confirm(sent_s - page.age_s)
         for row in page.rows:
             if row.row_key.partition == self._partition:
                 self.apply_row(row)
--- a/src/endivevane/serving/http_client.py
+++ b/src/endivevane/serving/http_client.py
@@ -71,12 +71,20 @@
     """An address with a back-off after failures.
 
     :param is_relay: whether it is a daemon that passes calls on to the store
+    :param path_prefix: prefix of the paths of all calls
+    :param poll_margin_s: time for the answer to a long poll after its wait
+    :ivar heard_s: monotonic time of its last response, whatever the status
+    :ivar answered_s: monotonic time of the last call that succeeded
     :ivar paused_until_s: monotonic time before which other endpoints are preferred
     """
 
     host: str
     port: int
     is_relay: bool = False
+    path_prefix: str = ""
+    poll_margin_s: float = 1.0
+    heard_s: float = 0.0
+    answered_s: float = 0.0
     paused_until_s: float = 0.0
     _backoff_s: float = 0.0
 
@@ -87,6 +95,7 @@
 
     def record_success(self) -> None:
         """End the back-off."""
+        self.answered_s = time.monotonic()
         self._backoff_s = 0.0
         self.paused_until_s = 0.0
 
--- a/src/endivevane/serving/peer_registry.py
+++ b/src/endivevane/serving/peer_registry.py
@@ -310,20 +310,36 @@
         known = self._ranks.get(region)
         if known is not None and now_s - known[0] < _RANK_TTL_S:
             return known[1]
+        is_ready = not self.is_coordinated or self.is_warmed_up(now_s)
+        ranked = self._list_ranked(region, now_s, is_ready)
+        self._ranks[region] = (now_s, ranked)
+        return ranked
+
+    def rank_readers(self, now_s: float) -> list[str]:
+        """Return the daemons that read from the store for this daemon's region.
+
+        They are the coordinator and its deputy, and those that will be at a start, when
+        no daemon may coordinate yet. A small region has none.
+        """
+        if not self.is_coordinated:
+            return []
+        return self._list_ranked(self._identity.region, now_s, True)
+
+    def _list_ranked(self, region: str, now_s: float, with_own: bool) -> list[str]:
+        """Return the daemons of a region with the highest scores, the best first.
+
+        :param with_own: whether this daemon may be among them
+        """
         scores = {
             peer.name: self._compute_score(region, peer.name, peer.weight)
             for peer in self.peers.values()
             if peer.region == region and self._may_coordinate(peer, now_s)
         }
         own = self._identity
-        is_ready = not self.is_coordinated or self.is_warmed_up(now_s)
-        if region == own.region and not self.is_stopping and is_ready:
+        if region == own.region and not self.is_stopping and with_own:
             scores[own.name] = self._compute_score(region, own.name, own.weight)
-        ranked = sorted(scores, key=lambda name: scores[name], reverse=True)[
-            :CANDIDATE_COUNT
-        ]
-        self._ranks[region] = (now_s, ranked)
-        return ranked
+        ranked = sorted(scores, key=lambda name: scores[name], reverse=True)
+        return ranked[:CANDIDATE_COUNT]
 
     def list_deciders(self, region: str, now_s: float) -> list[str]:
         """Return the daemons of a region that choose the targets of requests."""
