Give up an answer of the store only when it stops to arrive

A call ended 1.5 s, a poll 1 to 3 s after its beginning, however many bytes of its answer were arriving, and the answer was asked for again from the first byte, from up to three endpoints over the same link. Now each part that arrives puts the end off by 1.5 s, by 20 s in all at most.

The decoding of answers has moved to a module of its own, platform/store_answers.py.

--- a/src/endivevane/platform/table_store.py
+++ b/src/endivevane/platform/table_store.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import base64
-import gzip
-import io
 import time
 import typing
 import urllib.parse
@@ -14,8 +12,8 @@
 
 import orjson
 
-from endivevane import exceptions, json_fields, logs, metrics
-from endivevane.platform import copied_feed
+from endivevane import metrics
+from endivevane.platform import store_answers
 from endivevane.serving import failures, http_client, store, store_clock
 
 _PAGE_ROWS = 500
@@ -28,10 +26,10 @@
 # The endpoint that has answered such a read is asked first for this long.
 _PREFER_S = 2.0
 _OBJECT_TIMEOUT_S = 4.0
-# Limit of a decompressed answer.
-_MAX_BODY_BYTES = 64 << 20
-# Larger answers are logged; those of most calls are below 2 kB.
-_LARGE_ANSWER_BYTES = 64 * 1024
+# An answer may take longer while its bytes keep arriving, with pauses of this at most.
+_PROGRESS_TIMEOUT_S = 1.5
+# Longest time that this may add, so that an answer without end is given up.
+_MAX_EXTENSION_S = 20.0
 
 
 class TableStore:
@@ -64,10 +62,10 @@
         path = _make_read_path(table, partition, start, end)
         content = await self._call(_ROW_READ, b"GET", path, b"")
         return store.RowPage(
-            tuple(_decode_rows(content)),
-            _decode_version(_ROW_READ, content),
+            tuple(store_answers.decode_rows(content)),
+            store_answers.decode_version(_ROW_READ, content),
             bool(content.get("hasMore")),
-            _decode_age_s(_ROW_READ, content),
+            store_answers.decode_age_s(_ROW_READ, content),
         )
 
     async def read_newest(
@@ -87,7 +85,7 @@
                     _ROW_READ, endpoint, b"GET", path, b"", _QUICK_TIMEOUT_S, ()
                 )
                 content = self._decode(_ROW_READ, response)
-                if _decode_age_s(_ROW_READ, content):
+                if store_answers.decode_age_s(_ROW_READ, content):
                     raise failures.StoreRefused(_ROW_READ, "a relay without the store")
             except failures.StoreFailure as error:
                 metrics.STORE_CALLS.labels(_ROW_READ, type(error).__name__).inc()
@@ -97,8 +95,8 @@
             if endpoint is not self._preferred:
                 self._preferred = endpoint
                 self._preferred_until_s = time.monotonic() + _PREFER_S
-            version = _decode_version(_ROW_READ, content)
-            rows = tuple(_decode_rows(content))
+            version = store_answers.decode_version(_ROW_READ, content)
+            rows = tuple(store_answers.decode_rows(content))
             return store.RowPage(rows, version, bool(content.get("hasMore")))
         raise last_error
 
@@ -125,8 +123,8 @@
             "rows-tx", b"POST", "/api/rows-tx", orjson.dumps(body)
         )
         if content["status"] == 412:
-            return store.Conflict(tuple(_decode_rows(content)))
-        return store.Applied(_decode_version("rows-tx", content))
+            return store.Conflict(tuple(store_answers.decode_rows(content)))
+        return store.Applied(store_answers.decode_version("rows-tx", content))
 
     async def wait_for_changes(
         self, table: str, after_version: int, wait_s: float
@@ -138,9 +136,9 @@
         path = f"/api/rows-feed?{query}"
         content = await self._call("rows-feed", b"GET", path, b"", poll_wait_s=wait_s)
         return store.RowPage(
-            tuple(_decode_rows(content)),
-            _decode_version("rows-feed", content),
-            age_s=_decode_age_s("rows-feed", content),
+            tuple(store_answers.decode_rows(content)),
+            store_answers.decode_version("rows-feed", content),
+            age_s=store_answers.decode_age_s("rows-feed", content),
         )
 
     async def put_object(self, name: str, content: bytes) -> None:
@@ -193,7 +191,7 @@
     ) -> dict[str, typing.Any]:
         """Return the content of a response, with its status, and record its time."""
         try:
-            content = orjson.loads(_decompress(response))
+            content = orjson.loads(store_answers.decompress(response))
         except (ValueError, OSError, EOFError, zlib.error) as error:
             raise failures.StoreUncertain(name, "invalid body") from error
         if not isinstance(content, dict):
@@ -260,7 +258,8 @@
         if endpoint.is_relay:
             headers = (*headers, (b"Accept-Encoding", b"gzip"))
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as limit:
+                progress = _Progress(limit)
                 response = await self._pool.call(
                     endpoint,
                     method,
@@ -268,6 +267,7 @@
                     headers,
                     body,
                     sent,
+                    progress.extend,
                 )
         except (TimeoutError, OSError, http_client.BrokenAnswer) as error:
             cause = type(error).__name__
@@ -275,7 +275,9 @@
                 raise failures.StoreRefused(name, cause) from error
             raise failures.StoreUncertain(name, cause) from error
         endpoint.heard_s = time.monotonic()
-        _record_answer(name, path, endpoint, response, time.monotonic() - begun_s)
+        store_answers.record_answer(
+            name, path, endpoint, response, time.monotonic() - begun_s
+        )
         if response.status in (200, 412):
             return response
         if response.status == 410:
@@ -289,42 +291,21 @@
         raise failures.StoreUncertain(name, f"status {response.status}")
 
 
-def _decompress(response: http_client.HttpResponse) -> bytes:
-    """Return the body of a response, which a daemon may have compressed.
-
-    :raises ValueError: when it is too large
-    :raises OSError, EOFError, zlib.error: when it is not whole
-    """
-    if (b"content-encoding", b"gzip") not in response.headers:
-        return response.body
-    with gzip.GzipFile(fileobj=io.BytesIO(response.body)) as file:
-        body = file.read(_MAX_BODY_BYTES + 1)
-    if len(body) > _MAX_BODY_BYTES:
-        raise ValueError("body too large")
-    return body
+class _Progress:
+    """Puts off the timeout of a call while its answer is arriving."""
 
+    def __init__(self, limit: asyncio.Timeout) -> None:
+        self._limit = limit
+        self._latest_s = (limit.when() or 0.0) + _MAX_EXTENSION_S
 
-def _record_answer(
-    name: str,
-    path: str,
-    endpoint: http_client.Endpoint,
-    response: http_client.HttpResponse,
-    took_s: float,
-) -> None:
-    """Record the size and the time of an answer."""
-    source = "daemon" if endpoint.is_relay else "store"
-    size = len(response.body)
-    metrics.STORE_ANSWER_BYTES.labels(name, source).inc(size)
-    metrics.STORE_ANSWER_SECONDS.labels(name, source).observe(took_s)
-    if size >= _LARGE_ANSWER_BYTES:
-        logs.limited_info(
-            "store_answer_large",
-            path=path[:100],
-            source=source,
-            status=response.status,
-            bytes=size,
-            took_ms=int(took_s * 1000),
-        )
+    def extend(self) -> None:
+        """Allow more time, since a part of the answer has arrived."""
+        now_s = asyncio.get_running_loop().time()
+        current_s = self._limit.when()
+        if current_s is None or current_s <= now_s:
+            return
+        wanted_s = min(now_s + _PROGRESS_TIMEOUT_S, self._latest_s)
+        self._limit.reschedule(max(current_s, wanted_s))
 
 
 def _make_read_path(table: str, partition: str, start: str, end: str) -> str:
@@ -342,60 +323,3 @@
         "part": row_key.partition,
         "key": row_key.key,
     }
-
-
-def _decode_version(name: str, content: dict[str, typing.Any]) -> int:
-    """Return the version of the store that a response is as of.
-
-    :raises failures.StoreUncertain: when it has none
-    """
-    version = content.get("ver")
-    if not isinstance(version, int) or isinstance(version, bool):
-        raise failures.StoreUncertain(name, "no version")
-    return version
-
-
-def _decode_age_s(name: str, content: dict[str, typing.Any]) -> float:
-    """Return the age of rows that a relay answers from its memory, else 0.
-
-    :raises failures.StoreUncertain: when it is malformed
-    """
-    try:
-        return json_fields.read_age_s(content.get(copied_feed.AGE_FIELD, 0.0))
-    except ValueError as error:
-        raise failures.StoreUncertain(name, f"age of the rows: {error}") from error
-
-
-def _decode_rows(content: dict[str, typing.Any]) -> list[store.Row]:
-    """Decode the rows of a response; those without a key or a version are left out."""
-    entries = content.get("rows")
-    rows = []
-    for entry in entries if isinstance(entries, list) else ():
-        try:
-            rows.append(_decode_row(entry))
-        except exceptions.ProtocolError as error:
-            logs.limited_info("store_row_unusable", cause=error)
-    return rows
-
-
-def _decode_row(entry: typing.Any) -> store.Row:
-    """Decode a row; a value that is not base64 becomes empty.
-
-    :raises exceptions.ProtocolError: when it has no key or no version
-    """
-    if not isinstance(entry, dict):
-        raise exceptions.ProtocolError("the store", "a row is no object")
-    version = entry.get("ver", 0)
-    table, partition = entry.get("table", ""), entry.get("part", "")
-    key = entry.get("key")
-    is_named = all(isinstance(name, str) for name in (table, partition, key))
-    if not is_named or not isinstance(version, int) or isinstance(version, bool):
-        raise exceptions.ProtocolError("the store", "a row has no key or version")
-    value: bytes | None = None
-    if not entry.get("deleted") and entry.get("value") is not None:
-        try:
-            value = base64.b64decode(entry["value"], validate=True)
-        except (ValueError, TypeError):
-            # Written by another program; the decoder of the row reports it.
-            value = b""
-    return store.Row(store.RowKey(table, partition, str(key)), value, version)
--- a/src/endivevane/serving/http_client.py
+++ b/src/endivevane/serving/http_client.py
@@ -7,6 +7,7 @@
 import dataclasses
 import time
 import typing
+from collections import abc
 
 import h11
 
@@ -375,9 +376,11 @@
         headers: tuple[tuple[bytes, bytes], ...],
         body: bytes,
         sent: SentFlag,
+        on_data: abc.Callable[[], None] | None = None,
     ) -> HttpResponse:
         """Send a request and return the complete response.
 
+        :param on_data: called when a part of the body has arrived
         :raises BrokenAnswer: when the response ends early
         :raises OSError: when no connection can be opened
         """
@@ -398,6 +401,8 @@
                 raise BrokenAnswer("success before the request was received")
             while (data := await connection.read_data()) is not None:
                 response_body += data
+                if on_data is not None:
+                    on_data()
                 connection.stream.holding.set_collected(len(response_body))
                 if len(response_body) > _MAX_BODY_BYTES:
                     raise AnswerTooLarge("body too large")
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -8,12 +8,15 @@
 import asyncio
 import base64
 import collections
+import contextlib
 import dataclasses
 import json
 import time
 
 from aiohttp import web
 
+# Time between two pieces of an answer that is sent slowly.
+_PIECE_S = 0.1
 # Time of the store's clock when the machine started, above all ages in tests.
 _CLOCK_START_MS = 3_600_000
 
@@ -29,6 +32,8 @@
     :ivar late_s: delay after which ``late`` transactions are applied
     :ivar late: number of transactions to apply late, without a response
     :ivar stale_by: number of versions by which reads are stale
+    :ivar bytes_per_s: rate at which each answer is sent, 0 for no limit
+    :ivar stalls: whether answers of more than one piece stop after the first
     """
 
     status: int = 0
@@ -38,6 +43,8 @@
     late_s: float = 0.0
     late: int = 0
     stale_by: int = 0
+    bytes_per_s: float = 0.0
+    stalls: bool = False
 
 
 class RowStore:
@@ -165,6 +172,25 @@
         response = await handler(request)
         if isinstance(response, web.Response) and isinstance(response.body, bytes):
             self.sent_bytes[request.query.get("table", "")] += len(response.body)
+            if self.faults.bytes_per_s:
+                return await self._send_slowly(request, response.body)
+        return response
+
+    async def _send_slowly(
+        self, request: web.Request, body: bytes
+    ) -> web.StreamResponse:
+        """Send an answer piece by piece."""
+        response = web.StreamResponse(headers={"Content-Type": "application/json"})
+        response.content_length = len(body)
+        await response.prepare(request)
+        size = max(1, int(self.faults.bytes_per_s * _PIECE_S))
+        with contextlib.suppress(ConnectionResetError):
+            for start in range(0, len(body), size):
+                if start and self.faults.stalls:
+                    await asyncio.sleep(3600)
+                await response.write(body[start : start + size])
+                await asyncio.sleep(_PIECE_S)
+            await response.write_eof()
         return response
 
     async def _transact(self, request: web.Request) -> web.StreamResponse:
