Read a job's row before an old copy says that there is no result

JobReader.read answered from the copy of the jobs whatever its age, so that one daemon whose feed stands still is enough.

Before such an answer for an open job (listed <= position < total), from a copy older than 0.7 s, the job's row is now read with read_newest and applied, and the answer is made anew from the registry. A failed call, a page below the newest version that was known when the call was sent, and a row that can't be decoded give 503. A page without the row is not enough for 404: the transaction of find_stored decides, and the deletion is applied to the copy. A held call asks the store only at its end. Nothing is read for ended or complete jobs, positions behind the items, bodies of items, or a copy that was confirmed a moment ago.

Why it works: a copy that is at most 0.7 s old has all that was listed 0.7 s ago, and a row that is read after the question has all that was listed before it. Clients of one job share a read (serving/shared_reads.py), but only one that begins after they asked; the others wait for the next one. Rows go through TableFollower.apply_row, so that a row that is read late replaces no newer one.

--- a/features/reads_of_results.feature
+++ b/features/reads_of_results.feature
@@ -129,6 +129,19 @@
     Then 30 reads at "b" from position 2 give 200 and 1 results
     And "b" has read the row of the job 1 times
 
+  # Guards against one read for each client while the store fails, and against refusals
+  # that go on after it is back.
+  Scenario: Clients that ask at the same time share a failed read, and later ones do not
+    When the feed of "b" hangs
+    And "a" lists 1 results
+    And the copy of "b" is 0.8 s old
+    And the store refuses the calls of "b" for rows of jobs
+    Then 30 reads at "b" from position 2 give 503 and no results
+    And "b" has read the row of the job 1 times
+    When the store answers the calls of "b" for rows of jobs
+    Then 30 reads at "b" from position 2 give 200 and 1 results
+    And "b" has read the row of the job 2 times
+
   # Guards against an answer from a row that was read before the client asked.
   Scenario: A client is served by a read of the row that began after it asked
     When the feed of "b" hangs
--- a/features/steps/reads_of_results_steps.py
+++ b/features/steps/reads_of_results_steps.py
@@ -236,9 +236,9 @@
     context.loop.run(_lose_store(context, "refuses"))
 
 
-@when('the store refuses the calls of "b" for rows of jobs')
-def step_refuse_rows(context):
-    context.play.view.refuses_rows = True
+@when('the store {manner} the calls of "b" for rows of jobs')
+def step_refuse_rows(context, manner):
+    context.play.view.refuses_rows = manner == "refuses"
 
 
 @when('the pages that "b" reads have the {which} version that it was told')
--- a/src/endivevane/serving/job_changes.py
+++ b/src/endivevane/serving/job_changes.py
@@ -14,6 +14,7 @@
     follower,
     full_read,
     job_registry,
+    job_rows,
     jobs,
     model,
     run_records,
@@ -64,6 +65,7 @@
         self._state = state
         self._registry = registry
         self._owner = owner
+        self._job_rows = job_rows.JobRows(rows, state, registry)
 
     @property
     def copy_version(self) -> int:
@@ -253,23 +255,16 @@
     async def find_stored(self, job_id: str) -> job_registry.JobEntry | None:
         """Look up a job in the store; return its entry, ``None`` if there is none.
 
-        Reads may be seconds old, so that only a transaction shows that a row does not
-        exist.
-
         :raises failures.StoreFailure: when a call fails
         """
-        row_key = jobs.make_job_key(job_id)
-        page = await self._store.read_rows(
-            row_key.table, row_key.partition, row_key.key, row_key.key + "\0"
-        )
-        rows = page.rows
-        if not rows:
-            is_absent = store.Transaction((store.Condition(row_key, 0),))
-            result = await self._store.apply(is_absent)
-            rows = result.rows if isinstance(result, store.Conflict) else ()
-        for row in rows:
-            self._state.apply_row(row)
-        return self._registry.entries.get(job_id)
+        return await self._job_rows.find(job_id)
+
+    async def confirm(self, job_id: str) -> None:
+        """Bring the copy of a job's row up to the time of this call.
+
+        :raises failures.StoreFailure: when the row can't be read as of now
+        """
+        await self._job_rows.confirm(job_id)
 
     def _make_job(self, submission: Submission) -> jobs.Job:
         now_ms = int(time.time() * 1000)
--- a/src/endivevane/serving/job_reader.py
+++ b/src/endivevane/serving/job_reader.py
@@ -9,6 +9,9 @@
 from endivevane import logs, metrics
 from endivevane.serving import failures, job_changes, job_registry, jobs
 
+# Clients may count on a result that they have read being there a second later; the rest
+# of the second is for the time that an answer takes to reach them.
+_MAX_COPY_AGE_S = 0.7
 # Limit of the result texts in one response.
 _MAX_RESPONSE_BYTES = 800_000
 # Limit of the cached result texts; jobs cached first are evicted first.
@@ -63,12 +66,24 @@
                 break
             await self._registry.wait_for_change(job_id, left_s)
             entry = self._registry.entries.get(job_id)
+        if entry is not None and self._may_lack_result(entry.job, position):
+            await self._changes.confirm(job_id)
+            entry = self._registry.entries.get(job_id)
         if entry is None:
             return None
         if entry.job.listed <= position:
             return entry.job.total, []
         return entry.job.total, await self._load(entry.job, position)
 
+    def _may_lack_result(self, job: jobs.Job, position: int) -> bool:
+        """Return whether the store may have a result that the copy of a job lacks.
+
+        Nothing is listed any more once a job has ended.
+        """
+        if not job.is_open or not job.listed <= position < job.total:
+            return False
+        return self._changes.measure_copy_age_s() > _MAX_COPY_AGE_S
+
     def record_empty_read(self, job_id: str, position: int) -> None:
         """Log from which copy of the jobs a read of results found none."""
         age_s = self._changes.measure_copy_age_s()
