Load the tables of a daemon that starts from the readers of its region

After a loss of power of all machines, or once the store's history was gone, each daemon read all tables over the link between the regions: 45 x (configuration, jobs, targets).

Readers are known before anyone may coordinate: they are ranked as coordinators will be. Each table has its own record of whether its readers answer. This costs each start one more read, also in small regions.

--- a/features/configuration_readers.feature
+++ b/features/configuration_readers.feature
@@ -22,3 +22,14 @@
       | 1     | stop without a sign |
       | 2     | end                |
       | 2     | stop without a sign |
+
+  Scenario: Daemons that all restart at once load their tables from the readers
+    # Guards against a region that is not ready for long after a loss of power, since each
+    # of its daemons reads all tables over the link to the region of the store.
+    Given a region of 18 daemons with few routes
+    When the operator publishes 1400 routes more
+    And the store holds 600 rows of jobs
+    And all daemons are killed and start again, its 2 readers first
+    Then all daemons are ready and have the new configuration within 15 s
+    And the store has sent the configuration at most 3 times
+    And the store has sent the rows of jobs at most 3 times
--- a/features/steps/configuration_readers_steps.py
+++ b/features/steps/configuration_readers_steps.py
@@ -5,12 +5,13 @@
 
 from behave import given, then, when
 
-from endivevane.serving import peer_registry
-from features.support import serving_processes
+from endivevane.serving import jobs, peer_registry
+from features.support import serving_processes, serving_world
 
 _TARGETS = 2
 # Polls that began before the daemons knew each other have ended after this time.
 _SETTLE_S = 4.0
+_START_AHEAD_S = 2.0
 _IN_FORCE = re.compile(r"event=configuration_in_force version=(\d+)")
 
 
@@ -105,3 +106,79 @@
     number = signal.SIGKILL if fate == "end" else signal.SIGSTOP
     for item in context.lost:
         serving_processes.send_signal(item, number)
+
+
+@when("the store holds {count:d} rows of jobs")
+def step_jobs(context, count):
+    fleet = context.fleet
+
+    def write():
+        for number in range(count):
+            fleet.store.write("state", f"job/{number:016x}", _make_ended_job(number))
+
+    fleet.call(write)
+    rows = fleet.call(lambda: fleet.store.list_values("state"))
+    context.job_bytes = sum(
+        len(value) * 4 / 3 for key, value in rows.items() if key.startswith("job/")
+    )
+
+
+def _make_ended_job(number):
+    """Return the value of the row of a job that has ended a moment ago."""
+    now_ms = int(time.time() * 1000)
+    job = jobs.Job(
+        job_id=f"{number:016x}",
+        host=serving_world.HOST,
+        path=f"/digest/{number}",
+        route="digest",
+        total=10,
+        created_ms=now_ms,
+        due_ms=now_ms + 18000,
+        chunks=1,
+        state=jobs.JobState.ENDED,
+        owner="front-1/00000000",
+        epoch=1,
+        listed=10,
+        tokens_left=0,
+        operation=f"{number:016x}",
+    )
+    return jobs.encode_job(job)
+
+
+@when("all daemons are killed and start again, its 2 readers first")
+def step_restart(context):
+    fleet = context.fleet
+    readers = _find_readers(fleet)
+    for item in fleet.daemons:
+        item.stop()
+        item.log_path.write_text("")
+    fleet.call(fleet.store.sent_bytes.clear)
+    for item in readers:
+        item.start()
+    # Large VMs, which the readers are, start sooner than small ones.
+    time.sleep(_START_AHEAD_S)
+    for item in fleet.daemons:
+        if item not in readers:
+            item.start()
+    context.restarted_s = time.monotonic()
+
+
+@then("all daemons are ready and have the new configuration within {limit:d} s")
+def step_ready(context, limit):
+    wanted = context.configuration["version"]
+    until_s = context.restarted_s + limit
+    late = list(context.fleet.daemons)
+    while late and time.monotonic() < until_s:
+        time.sleep(0.1)
+        late = [
+            item for item in late if _read_version(item) < wanted or not item.is_ready()
+        ]
+    assert not late, [(item.name, _read_version(item)) for item in late]
+
+
+@then("the store has sent the rows of jobs at most {most:d} times")
+def step_sent_jobs(context, most):
+    sent = context.fleet.call(lambda: context.fleet.store.sent_bytes["state"])
+    # Of each row its key and its names are sent too, and rows of daemons and plans.
+    size = context.job_bytes * 1.5
+    assert sent <= most * size, f"{sent / size:.1f} times {size:.0f} bytes"
--- a/src/endivevane/entry/feeds.py
+++ b/src/endivevane/entry/feeds.py
@@ -38,6 +38,8 @@
         copied = copied_feed.CopiedFeed
         return (
             copied(records.CONFIGURATION_TABLE, self.configuration, is_reader, True),
+            copied(records.TARGETS_TABLE, self.targets, is_reader, False),
+            copied(jobs.STATE_TABLE, self.state, is_reader, False),
         )
 
     def list_relayed(self) -> tuple[store_relay.FollowedRows, ...]:
--- a/src/endivevane/entry/membership.py
+++ b/src/endivevane/entry/membership.py
@@ -9,9 +9,12 @@
 
 from endivevane import exceptions, json_fields, logs
 from endivevane.entry import settings
-from endivevane.serving import jobs, peer_registry, store
+from endivevane.serving import failures, full_read, jobs, peer_registry, store
 
 _RETRY_S = 0.5
+_LOAD_RETRY_S = 0.1
+# After so many failures the tables are read without knowing the other daemons.
+_MAX_LOADS = 3
 _MAX_NAME_CHARACTERS = 200
 # Above the cores of any VM.
 _MAX_WEIGHT = 65_536.0
@@ -46,6 +49,28 @@
                 continue
             return
 
+    async def load(self) -> None:
+        """Apply the rows of all daemons, unless the store fails for a while.
+
+        They tell where a daemon that has just started reads the other tables.
+        """
+        for _ in range(_MAX_LOADS):
+            try:
+                found = await full_read.read_all(
+                    self._store,
+                    jobs.STATE_TABLE,
+                    jobs.PARTITION,
+                    jobs.MEMBER_PREFIX,
+                    jobs.MEMBER_END,
+                )
+            except failures.StoreFailure as error:
+                logs.limited_info("members_not_loaded", cause=error)
+                await asyncio.sleep(_LOAD_RETRY_S)
+                continue
+            for row in found.rows:
+                self.apply(row)
+            return
+
     def apply(self, row: store.Row) -> None:
         """Apply the row of a daemon, or its deletion."""
         name = row.row_key.key.removeprefix(jobs.MEMBER_PREFIX)
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -9,11 +9,11 @@
 import signal
 import socket
 import time
-from collections import abc
 
 from endivevane import logs, types
 from endivevane.entry import (
     configuration_rows,
+    copy_endpoints,
     early_listener,
     feeds,
     graceful_stop,
@@ -144,8 +144,7 @@
         )
         for job in (
             self._feeds.targets.run(),
-            self._feeds.configuration.run(),
-            self._feeds.state.run(),
+            self._follow_tables(),
             self._network.run(),
             self._runner.run(),
             self._takeover.run(),
@@ -163,22 +162,29 @@
         await self._stop_requested.wait()
         await self._stop()
 
+    async def _follow_tables(self) -> None:
+        """Follow the large tables, once the daemons that keep copies are known."""
+        await self._membership.load()
+        await asyncio.gather(self._feeds.configuration.run(), self._feeds.state.run())
+
     def _make_store(self) -> None:
         self._readers = feed_readers.FeedReaders(self._identity, self._peer_registry)
         self._endpoints = store_endpoints.StoreEndpoints(
-            self._settings, self._peer_registry, self._readers, self._generator
+            self._settings, self._peer_registry, self._generator
         )
         self._store_pool = http_client.ConnectionPool(
             _CONNECT_TIMEOUT_S, self._make_budget("store")
         )
         self._store_clock = store_clock.StoreClock()
-        self._store = self._make_table_store(self._endpoints.list_all)
+        self._store = table_store.TableStore(
+            self._store_pool, self._endpoints.list_all, self._store_clock
+        )
         self._membership = membership.Membership(
             self._identity, self._peer_registry, self._store
         )
         self._job_registry = job_registry.JobRegistry()
         state = follower.TableFollower(
-            self._store,
+            self._make_followed_store(),
             jobs.STATE_TABLE,
             jobs.PARTITION,
             lambda row: self._state_rows.apply(row),
@@ -187,7 +193,7 @@
             newest=self._newest,
         )
         targets = follower.TableFollower(
-            self._store,
+            self._make_followed_store(),
             records.TARGETS_TABLE,
             "",
             lambda row: self._target_registry.apply(row, time.monotonic()),
@@ -195,7 +201,7 @@
             on_loaded=self._open_when_loaded,
         )
         configuration = follower.TableFollower(
-            self._make_table_store(self._endpoints.list_for_copies),
+            self._make_followed_store(has_polls=True),
             records.CONFIGURATION_TABLE,
             "",
             self._on_configuration_row,
@@ -203,10 +209,18 @@
         )
         self._feeds = feeds.Feeds(configuration, targets, state)
 
-    def _make_table_store(
-        self, endpoints: abc.Callable[[], abc.Sequence[http_client.Endpoint]]
-    ) -> table_store.TableStore:
-        return table_store.TableStore(self._store_pool, endpoints, self._store_clock)
+    def _make_followed_store(self, has_polls: bool = False) -> table_store.TableStore:
+        """Return the store for a table that the region's readers keep a copy of.
+
+        :param has_polls: whether they are polled for changes too
+        """
+        copies = copy_endpoints.CopyEndpoints(self._endpoints, self._readers)
+        return table_store.TableStore(
+            self._store_pool,
+            copies.list_all if has_polls else self._endpoints.list_all,
+            self._store_clock,
+            copies.list_all,
+        )
 
     def _make_targets(self) -> None:
         vm, regions = self._settings.vm, dict(self._settings.regions)
--- a/src/endivevane/serving/jobs.py
+++ b/src/endivevane/serving/jobs.py
@@ -21,6 +21,8 @@
 PROGRESS_TABLE = "progress"
 JOB_PREFIX = "job/"
 MEMBER_PREFIX = "member/"
+# Key after those of all members.
+MEMBER_END = "member0"
 QUOTA_PREFIX = "quota/"
 # Largest row value before base64, which expands it to 64,000 bytes.
 ROW_BYTES = 48_000
