Load a table beside daemons of an earlier release, and wait less for the rows of the daemons

Found by reading the change again. A daemon of an earlier release answers 404 to reads of its copies, which ended the call: a new daemon whose readers were both of that release would never have had a configuration (shown: none after 8 s). The first read of the daemons' rows is given up after 0.8 s, since a silent store would have put off the start by up to 5 s. A read of a range of keys gets that range from a copy, not all rows.

--- a/features/configuration_readers.feature
+++ b/features/configuration_readers.feature
@@ -33,3 +33,9 @@
     Then all daemons are ready and have the new configuration within 15 s
     And the store has sent the configuration at most 3 times
     And the store has sent the rows of jobs at most 3 times
+
+  Scenario: A daemon whose readers are of an earlier release reads from the store
+    # Guards against a daemon that is never ready, or late, while a release is rolled out.
+    Given a store with a configuration and two daemons of an earlier release that read it
+    When a daemon that starts beside them follows the configuration
+    Then it has the configuration after 4 s at most
--- a/features/steps/configuration_readers_steps.py
+++ b/features/steps/configuration_readers_steps.py
@@ -1,17 +1,23 @@
+import asyncio
 import json
 import re
 import signal
 import time
+import types
 
 from behave import given, then, when
 
-from endivevane.serving import jobs, peer_registry
+from endivevane.entry import copy_endpoints
+from endivevane.platform import table_store
+from endivevane.serving import follower, http_client, jobs, peer_registry
 from features.support import serving_processes, serving_world
+from standins import row_store
 
 _TARGETS = 2
 # Polls that began before the daemons knew each other have ended after this time.
 _SETTLE_S = 4.0
 _START_AHEAD_S = 2.0
+_FOLLOWED_S = 8.0
 _IN_FORCE = re.compile(r"event=configuration_in_force version=(\d+)")
 
 
@@ -182,3 +188,51 @@
     # Of each row its key and its names are sent too, and rows of daemons and plans.
     size = context.job_bytes * 1.5
     assert sent <= most * size, f"{sent / size:.1f} times {size:.0f} bytes"
+
+
+@given(
+    "a store with a configuration and two daemons of an earlier release that read it"
+)
+def step_earlier_release(context):
+    context.value = json.dumps(serving_world.make_configuration()).encode()
+
+
+@when("a daemon that starts beside them follows the configuration")
+def step_follow(context):
+    asyncio.run(_follow_beside_earlier(context))
+
+
+async def _follow_beside_earlier(context):
+    """Follow a table whose readers know nothing of copies, as any other server."""
+    store, *earlier = servers = [row_store.RowStore() for _ in range(3)]
+    ports = [await server.start() for server in servers]
+    store.write("op", "config", context.value)
+    readers = [
+        peer_registry.Peer(f"front-{port}", "near", "127.0.0.1", port, "1")
+        for port in ports[1:]
+    ]
+    direct = http_client.Endpoint("127.0.0.1", ports[0])
+    endpoints = copy_endpoints.CopyEndpoints(
+        types.SimpleNamespace(list_all=lambda: [direct]),
+        types.SimpleNamespace(list_readers=lambda: readers),
+    )
+    pool = http_client.ConnectionPool(0.5)
+    client = table_store.TableStore(
+        pool, endpoints.list_all, read_endpoints=endpoints.list_all
+    )
+    copy = follower.TableFollower(client, "op", "", lambda _row: None)
+    task = asyncio.ensure_future(copy.run())
+    started_s = time.monotonic()
+    while "config" not in copy.rows and time.monotonic() < started_s + _FOLLOWED_S:
+        await asyncio.sleep(0.05)
+    context.took_s = time.monotonic() - started_s
+    context.asked = [call for server in earlier for call in server.calls]
+    task.cancel()
+    for server in servers:
+        await server.stop()
+
+
+@then("it has the configuration after {limit:d} s at most")
+def step_has_configuration(context, limit):
+    assert context.asked, "no reader was asked"
+    assert context.took_s <= limit, context.took_s
--- a/src/endivevane/entry/membership.py
+++ b/src/endivevane/entry/membership.py
@@ -12,9 +12,8 @@
 from endivevane.serving import failures, full_read, jobs, peer_registry, store
 
 _RETRY_S = 0.5
-_LOAD_RETRY_S = 0.1
-# After so many failures the tables are read without knowing the other daemons.
-_MAX_LOADS = 3
+# After this time the other tables are read without knowing the other daemons.
+_MAX_LOAD_S = 0.8
 _MAX_NAME_CHARACTERS = 200
 # Above the cores of any VM.
 _MAX_WEIGHT = 65_536.0
@@ -50,12 +49,12 @@
             return
 
     async def load(self) -> None:
-        """Apply the rows of all daemons, unless the store fails for a while.
+        """Apply the rows of all daemons, unless the store fails.
 
         They tell where a daemon that has just started reads the other tables.
         """
-        for _ in range(_MAX_LOADS):
-            try:
+        try:
+            async with asyncio.timeout(_MAX_LOAD_S):
                 found = await full_read.read_all(
                     self._store,
                     jobs.STATE_TABLE,
@@ -63,13 +62,11 @@
                     jobs.MEMBER_PREFIX,
                     jobs.MEMBER_END,
                 )
-            except failures.StoreFailure as error:
-                logs.limited_info("members_not_loaded", cause=error)
-                await asyncio.sleep(_LOAD_RETRY_S)
-                continue
-            for row in found.rows:
-                self.apply(row)
+        except (failures.StoreFailure, TimeoutError) as error:
+            logs.info("members_not_loaded", cause=repr(error))
             return
+        for row in found.rows:
+            self.apply(row)
 
     def apply(self, row: store.Row) -> None:
         """Apply the row of a daemon, or its deletion."""
--- a/src/endivevane/platform/copied_feed.py
+++ b/src/endivevane/platform/copied_feed.py
@@ -69,7 +69,12 @@
         if self._copy.age.measure_s() > _MAX_COPY_AGE_S:
             return _refuse()
         if path == READ_PATH:
-            rows = tuple(row for _, row in sorted(self._copy.rows.items()))
+            start, end = query.get("from", ""), query.get("to", "")
+            rows = tuple(
+                row
+                for key, row in sorted(self._copy.rows.items())
+                if start <= key and (not end or key < end)
+            )
             return self._make_response(rows, accepts_gzip)
         after, wait_ms = _read_number(query, "after"), _read_number(query, "waitMs")
         if path != _FEED_PATH or not self._has_polls or after is None:
--- a/src/endivevane/platform/table_store.py
+++ b/src/endivevane/platform/table_store.py
@@ -274,6 +274,10 @@
             if not sent.is_set:
                 raise failures.StoreRefused(name, cause) from error
             raise failures.StoreUncertain(name, cause) from error
+        is_unknown_path = endpoint.path_prefix and response.status == 404
+        if is_unknown_path:
+            # A daemon of an earlier release.
+            raise failures.StoreRefused(name, "no copies there")
         endpoint.heard_s = time.monotonic()
         store_answers.record_answer(
             name, path, endpoint, response, time.monotonic() - begun_s
