Name no version in an answer whose changes it leaves out

A poll of a reader whose wait ended in the turn of the event loop in which the reader applied a change was answered with the new version and without the row: who had asked went on from that version and kept the old configuration until its next change, while its age counted as confirmed. The changes are listed again after the wait, in the same step in which the version is read.

Scenario: A change that a reader applies as a poll ends is in the answer; it failed before with (2, []) for version and rows.

--- a/features/configuration_readers.feature
+++ b/features/configuration_readers.feature
@@ -39,3 +39,10 @@
     Given a store with a configuration and two daemons of an earlier release that read it
     When a daemon that starts beside them follows the configuration
     Then it has the configuration after 4 s at most
+
+  Scenario: A change that a reader applies as a poll ends is in the answer
+    # Guards against an answer that names the version of a change and leaves out its row:
+    # who polls goes on from that version and never asks for the row again.
+    Given a reader with a copy of the configuration at version 1
+    When a poll after version 1 ends in the moment in which the reader applies version 2
+    Then its answer has version 1, or version 2 with the row
--- a/features/steps/configuration_readers_steps.py
+++ b/features/steps/configuration_readers_steps.py
@@ -8,8 +8,15 @@
 from behave import given, then, when
 
 from endivevane.entry import copy_endpoints
-from endivevane.platform import table_store
-from endivevane.serving import follower, http_client, jobs, peer_registry
+from endivevane.platform import copied_feed, table_store
+from endivevane.serving import (
+    copy_age,
+    follower,
+    http_client,
+    jobs,
+    peer_registry,
+    store,
+)
 from features.support import serving_processes, serving_world
 from standins import row_store
 
@@ -204,9 +211,9 @@
 
 async def _follow_beside_earlier(context):
     """Follow a table whose readers know nothing of copies, as any other server."""
-    store, *earlier = servers = [row_store.RowStore() for _ in range(3)]
+    sound, *earlier = servers = [row_store.RowStore() for _ in range(3)]
     ports = [await server.start() for server in servers]
-    store.write("op", "config", context.value)
+    sound.write("op", "config", context.value)
     readers = [
         peer_registry.Peer(f"front-{port}", "near", "127.0.0.1", port, "1")
         for port in ports[1:]
@@ -236,3 +243,42 @@
 def step_has_configuration(context, limit):
     assert context.asked, "no reader was asked"
     assert context.took_s <= limit, context.took_s
+
+
+@given("a reader with a copy of the configuration at version 1")
+def step_reader(context):
+    context.versions = (1, 2)
+
+
+@when("a poll after version 1 ends in the moment in which the reader applies version 2")
+def step_poll_ends(context):
+    context.answer = asyncio.run(_poll_beside_change(*context.versions))
+
+
+async def _poll_beside_change(first, second):
+    """Poll a reader whose copy changes in the turn of the loop that ends the wait."""
+    copy = follower.TableFollower(None, "op", "", lambda _row: None)
+
+    def apply(version):
+        key = store.RowKey("op", "", "config")
+        copy.apply_row(store.Row(key, b"value", version))
+        copy._advance(version)
+        copy.age.confirm(copy_age.read_clock_s())
+
+    apply(first)
+    feed = copied_feed.CopiedFeed("op", copy, lambda: True, True)
+    query = {"after": str(first), "waitMs": "100"}
+    polling = asyncio.ensure_future(feed.answer("/api/rows-feed", query, False))
+    await asyncio.sleep(0)
+    loop = asyncio.get_running_loop()
+    end_s = min(timer.when() for timer in loop._scheduled if not timer.cancelled())
+    loop.call_at(end_s - 1e-6, lambda: loop.call_soon(apply, second))
+    return json.loads((await polling).body)
+
+
+@then("its answer has version 1, or version 2 with the row")
+def step_whole_answer(context):
+    first, second = context.versions
+    versions = [row["ver"] for row in context.answer["rows"]]
+    answered = (context.answer["ver"], versions)
+    assert answered in ((first, []), (second, [second])), answered
--- a/src/endivevane/serving/follower.py
+++ b/src/endivevane/serving/follower.py
@@ -151,14 +151,17 @@
         """Wait until the copy has changes after a version and return them in order.
 
         :param after: version at or above ``history_start``
-        :returns: nothing when the timeout expires
+        :returns: nothing when the timeout expires; all changes up to the version that
+            the copy has when this returns
         """
         until_s = time.monotonic() + timeout_s
-        while not (changes := self._list_changes(after)):
+        while True:
+            # The copy may have advanced in the turn of the loop that ended the wait.
+            changes = self._list_changes(after)
             left_s = until_s - time.monotonic()
-            if left_s <= 0 or not await self.wait_until(self.version + 1, left_s):
-                break
-        return changes
+            if changes or left_s <= 0:
+                return changes
+            await self.wait_until(self.version + 1, left_s)
 
     def _list_changes(self, after: int) -> tuple[store.Row, ...]:
         """Return the rows that were written or deleted after a version."""
