Let the soak change a large configuration many times

New checks: CONFIG (4 s after the acknowledgement at undisturbed daemons), CONFIG BACK (a process never goes back to an older version) and LOST (a result that one daemon has shown is at another one after 1 s).

Faults of daemons record which daemon they disturb, and JobClient can read at a chosen daemon; the sequence of random numbers of the other modes is unchanged.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -53,6 +53,17 @@
       | seed |
       | 301  |
 
+  # Guards against daemons that apply a large configuration late or go back to an older
+  # one, and against results of jobs that are missing at another daemon, while the
+  # operator changes the configuration in bursts.
+  Scenario Outline: A short soak test with changes of a large configuration
+    When the soak test runs seed <seed> with 18 s of faults and configuration changes
+    Then no guarantee is violated and at least 100 streams and 1 job were served
+
+    Examples:
+      | seed |
+      | 402  |
+
   # Guards against a second process of a daemon that no later fault reaches and that
   # outlives the test, when a stop and a kill of the same daemon overlap.
   Scenario: Overlapping stops in the soak test leave no daemon behind
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -36,6 +36,16 @@
     )
 
 
+@when(
+    "the soak test runs seed {seed:d} with {fault_s:d} s of faults "
+    "and configuration changes"
+)
+def step_changes_soak(context, seed, fault_s):
+    context.report, context.faults, _ = asyncio.run(
+        run.run_seed(seed, float(fault_s), trouble=run.Trouble.CHANGES)
+    )
+
+
 @then("clients have resumed streams")
 def step_resumed(context):
     assert context.report.resumed, context.report
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -45,22 +45,30 @@
         prefix = generator.choice(("/quote/", "/once/"))
         attempt = f"{generator.getrandbits(48):012x}"
         daemon = generator.choice(items.daemons)
-        data = environment.make_stream(prefix, attempt)
-        try:
-            response = await serving_world.send_request(daemon.port, data, wait_s=5.0)
-        except (OSError, TimeoutError):
-            response = serving_world.Response()
-        _check_stream_response(items, report, prefix, attempt, response)
+        response = await send_stream(daemon, prefix, attempt)
+        check_stream_response(items, report, prefix, attempt, response)
         await asyncio.sleep(generator.uniform(0.0, 0.1))
 
 
-def _check_stream_response(
+async def send_stream(
+    daemon: serving_processes.Daemon, prefix: str, attempt: str
+) -> serving_world.Response:
+    """Send an online request; return an empty response if there is none in time."""
+    data = environment.make_stream(prefix, attempt)
+    try:
+        return await serving_world.send_request(daemon.port, data, wait_s=5.0)
+    except (OSError, TimeoutError):
+        return serving_world.Response()
+
+
+def check_stream_response(
     items: environment.Environment,
     report: Report,
     prefix: str,
     attempt: str,
     response: serving_world.Response,
 ) -> None:
+    """Count the response to a stream, and record what violates a guarantee."""
     expected = b"".join(
         replica.make_event(attempt, number)
         for number in range(1, environment.EVENTS + 1)
@@ -154,12 +162,22 @@
 
     async def _read(self) -> None:
         start = self._generator.randint(0, len(self._seen))
+        await self._read_from(start, self._generator.choice(self._env.daemons))
+
+    async def _read_from(
+        self, start: int, daemon: serving_processes.Daemon
+    ) -> serving_world.Response:
+        """Read the results from a position on, check them and return the response."""
         path = f"/api/lots/{self._job_id}?after={start}"
-        response = await self._send(serving_processes.make_call("GET", path))
+        data = serving_processes.make_call("GET", path)
+        response = await self._send_to(daemon, data)
         if response.status == 404:
             self._report.violations.append(f"LOST {self._job_id}: 404 after its 202")
-        if response.status != 200 or not response.is_complete:
-            return
+        if response.status == 200 and response.is_complete:
+            self._check_page(start, response)
+        return response
+
+    def _check_page(self, start: int, response: serving_world.Response) -> None:
         page = json.loads(response.body)
         if page["total"] != self._count:
             self._report.violations.append(f"MIXED {self._job_id}: total {page}")
@@ -191,7 +209,11 @@
                 )
 
     async def _send(self, data: bytes) -> serving_world.Response:
-        daemon = self._generator.choice(self._env.daemons)
+        return await self._send_to(self._generator.choice(self._env.daemons), data)
+
+    async def _send_to(
+        self, daemon: serving_processes.Daemon, data: bytes
+    ) -> serving_world.Response:
         try:
             return await serving_world.send_request(daemon.port, data, wait_s=4.0)
         except (OSError, TimeoutError):
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -10,7 +10,7 @@
 from collections import abc
 
 from features.support import serving_processes, serving_world
-from soak import proxy
+from soak import disturbances, proxy
 from standins import replica, row_store
 
 _DAEMON_COUNT = 3
@@ -24,6 +24,7 @@
     """Starts and stops everything that the soak test runs.
 
     :ivar store_links: the way of each daemon to the store
+    :ivar disturbances: when faults disturb which daemons
     :ivar target_version: software version of the targets that are added
     :ivar on_target_added: called with each target before it is registered
     """
@@ -35,6 +36,7 @@
         self.proxies: list[proxy.FaultyProxy] = []
         self.daemons: list[serving_processes.Daemon] = []
         self.store_links: list[proxy.FaultyProxy] = []
+        self.disturbances = disturbances.Disturbances()
         self.configuration = serving_processes.make_fleet_configuration()
         self.configuration["routes"].append(
             {
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -65,28 +65,31 @@
     env: environment.Environment, generator: random.Random, duration_s: float
 ) -> None:
     daemon = generator.choice(env.daemons)
-    daemon.process.kill()
-    await asyncio.to_thread(daemon.process.wait)
-    await asyncio.sleep(duration_s / 3)
-    start_again(daemon)
+    with env.disturbances.record(daemon.name):
+        daemon.process.kill()
+        await asyncio.to_thread(daemon.process.wait)
+        await asyncio.sleep(duration_s / 3)
+        start_again(daemon)
 
 
 async def _stop_daemon(
     env: environment.Environment, generator: random.Random, duration_s: float
 ) -> None:
     daemon = generator.choice(env.daemons)
-    daemon.process.send_signal(signal.SIGTERM)
-    await asyncio.to_thread(daemon.process.wait)
-    start_again(daemon)
+    with env.disturbances.record(daemon.name):
+        daemon.process.send_signal(signal.SIGTERM)
+        await asyncio.to_thread(daemon.process.wait)
+        start_again(daemon)
 
 
 async def _pause_daemon(
     env: environment.Environment, generator: random.Random, duration_s: float
 ) -> None:
     daemon = generator.choice(env.daemons)
-    daemon.process.send_signal(signal.SIGSTOP)
-    await asyncio.sleep(duration_s)
-    daemon.process.send_signal(signal.SIGCONT)
+    with env.disturbances.record(daemon.name):
+        daemon.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(duration_s)
+        daemon.process.send_signal(signal.SIGCONT)
 
 
 async def _reload_daemon(
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,6 +17,7 @@
 
 from soak import (
     callers,
+    configuration_changes,
     environment,
     faults,
     sound_silences,
@@ -38,6 +39,7 @@
     TROUBLED_TARGETS = "troubled targets"
     SOUND_SILENCES = "sound silences"
     RELEASES = "releases"
+    CHANGES = "changes"
 
 
 async def run_seed(
@@ -58,6 +60,9 @@
             releases = version_releases.Releases(env)
             await releases.prepare()
             kinds = releases.kinds
+        if trouble is Trouble.CHANGES:
+            changes = configuration_changes.ConfigurationChanges(env, report)
+            await changes.prepare()
         now_s = asyncio.get_running_loop().time()
         end_s = now_s + fault_s
         tasks = []
@@ -70,18 +75,16 @@
             tasks += version_releases.start_clients(env, report, seed, end_s)
         else:
             tasks += _start_stream_callers(env, report, seed, end_s)
-        job_client = callers.JobClient
-        if trouble is Trouble.RELEASES:
-            job_client = version_releases.JobClient
-        for number in range(_JOB_CALLERS):
-            caller = job_client(env, report, random.Random(f"{seed} job {number}"))
-            tasks.append(asyncio.ensure_future(caller.run(end_s + _FINISH_S)))
+        tasks += _start_job_clients(env, report, seed, end_s + _FINISH_S, trouble)
         if trouble is Trouble.TROUBLED_TARGETS:
             targets = random.Random(f"{seed} targets")
             tasks.append(
                 asyncio.ensure_future(troubled_targets.run(env, targets, end_s))
             )
-        names = await faults.inject(env, generator, end_s, kinds)
+        if trouble is Trouble.CHANGES:
+            names = await changes.run(seed, end_s, end_s + _FINISH_S)
+        else:
+            names = await faults.inject(env, generator, end_s, kinds)
         await asyncio.gather(*tasks)
         callers.check_runs(env, report)
         callers.check_daemons(env, report)
@@ -103,6 +106,22 @@
     ]
 
 
+def _start_job_clients(
+    env: environment.Environment,
+    report: callers.Report,
+    seed: int,
+    deadline_s: float,
+    trouble: Trouble,
+) -> list[asyncio.Future[None]]:
+    is_release = trouble is Trouble.RELEASES
+    job_client = version_releases.JobClient if is_release else callers.JobClient
+    clients = [
+        job_client(env, report, random.Random(f"{seed} job {number}"))
+        for number in range(_JOB_CALLERS)
+    ]
+    return [asyncio.ensure_future(client.run(deadline_s)) for client in clients]
+
+
 def main() -> int:
     """Run the seeds, print a line for each, and return 1 on a violation."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -112,7 +131,7 @@
     parser.add_argument(
         "--fresh", type=int, default=0, help="number of random seeds to draw instead"
     )
-    parser.add_argument("--fault-s", type=float, default=_FAULT_S)
+    parser.add_argument("--fault-s", type=float, help="duration, by mode by default")
     kinds = parser.add_mutually_exclusive_group()
     kinds.add_argument(
         "--troubled-targets",
@@ -136,18 +155,27 @@
         const=Trouble.RELEASES,
         help="targets are also replaced by other versions, and clients resume streams",
     )
+    kinds.add_argument(
+        "--changes",
+        dest="trouble",
+        action="store_const",
+        const=Trouble.CHANGES,
+        help="a large configuration changes many times, beside faults with pauses",
+    )
     parser.add_argument("--logs", type=pathlib.Path, default=pathlib.Path("build/soak"))
     arguments = parser.parse_args()
     first, _, last = arguments.seeds.partition("-")
     seeds = list(range(int(first), int(last or first) + 1))
     if arguments.fresh:
         seeds = [random.SystemRandom().getrandbits(32) for _ in range(arguments.fresh)]
+    fault_s = arguments.fault_s
+    if fault_s is None:
+        is_long = arguments.trouble is Trouble.CHANGES
+        fault_s = configuration_changes.DURATION_S if is_long else _FAULT_S
     failed = 0
     for seed in seeds:
         started_s = time.monotonic()
-        report, names, log = asyncio.run(
-            run_seed(seed, arguments.fault_s, arguments.trouble)
-        )
+        report, names, log = asyncio.run(run_seed(seed, fault_s, arguments.trouble))
         elapsed_s = time.monotonic() - started_s
         print(
             f"seed {seed}: served {report.served} refused {report.refused} failed "
