Count a reader as silent only from a call that it has not answered

The time without a response ran from the start of the process, or from the last call, however long ago: a daemon whose first call came 1.4 s after its start, and each one whose table is not polled at readers, had the store in its list from the beginning, and asked it in the same call in which a reader said that it is still loading. The time now runs from the first call since the last response.

Scenario: A daemon that has not asked its readers for long asks them first; before, the store was listed too.

--- a/features/configuration_readers.feature
+++ b/features/configuration_readers.feature
@@ -54,3 +54,11 @@
     Given a reader with a copy of the configuration at version 1
     When a poll after version 1 ends in the moment in which the reader applies version 2
     Then its answer has version 1, or version 2 with the row
+
+  Scenario: A daemon that has not asked its readers for long asks them first
+    # Guards against a region that reads whole tables from the store at the same moment,
+    # since its readers have not been heard while nobody asked them.
+    Given a daemon with two readers that has loaded a table from them
+    When it reads the table again 60 s later
+    Then it asks a reader and not the store
+    But it asks the store too once no reader has responded for 1.4 s
--- a/features/steps/configuration_readers_steps.py
+++ b/features/steps/configuration_readers_steps.py
@@ -4,6 +4,7 @@
 import signal
 import time
 import types
+from unittest import mock
 
 from aiohttp import web
 from behave import given, then, when
@@ -311,3 +312,44 @@
     versions = [row["ver"] for row in context.answer["rows"]]
     answered = (context.answer["ver"], versions)
     assert answered in ((first, []), (second, [second])), answered
+
+
+@given("a daemon with two readers that has loaded a table from them")
+def step_loaded(context):
+    peers = [
+        peer_registry.Peer(f"front-{number}", "near", f"10.0.0.{number}", 1, "1")
+        for number in range(2)
+    ]
+    direct = http_client.Endpoint("10.0.0.9", 1)
+    context.endpoints = copy_endpoints.CopyEndpoints(
+        types.SimpleNamespace(list_all=lambda: [direct]),
+        types.SimpleNamespace(list_readers=lambda: peers),
+    )
+    (reader,) = context.endpoints.list_all()
+    reader.heard_s = time.monotonic()
+    reader.record_success()
+
+
+@when("it reads the table again {later:d} s later")
+def step_later(context, later):
+    context.now_s = time.monotonic() + later
+    context.listed = _list_at(context.endpoints, context.now_s)
+
+
+def _list_at(endpoints, now_s):
+    """Return whether each endpoint of a call at a time is a reader."""
+    with mock.patch.object(time, "monotonic", lambda: now_s):
+        return [item.is_relay for item in endpoints.list_all()]
+
+
+@then("it asks a reader and not the store")
+def step_reader_asked(context):
+    assert context.listed == [True], context.listed
+
+
+@then("it asks the store too once no reader has responded for {silence:g} s")
+def step_store_asked(context, silence):
+    early = _list_at(context.endpoints, context.now_s + silence - 0.1)
+    late = _list_at(context.endpoints, context.now_s + silence + 0.1)
+    assert early == [True], early
+    assert late == [True, True, False], late
--- a/src/endivevane/entry/copy_endpoints.py
+++ b/src/endivevane/entry/copy_endpoints.py
@@ -33,9 +33,10 @@
     ) -> None:
         self._endpoints = endpoints
         self._readers = readers
-        # One endpoint per daemon, which keeps its back-off.
-        self._known: dict[str, http_client.Endpoint] = {}
-        self._started_s = time.monotonic()
+        # One endpoint per address, which keeps its back-off.
+        self._known: dict[tuple[str, int], http_client.Endpoint] = {}
+        # Times of the first call since a reader has last responded, or succeeded.
+        self._asked_s = self._wanted_s = 0.0
 
     def list_all(self) -> list[http_client.Endpoint]:
         """Return a reader, or the readers and the store once that has to be asked."""
@@ -54,13 +55,18 @@
         known = self._known.values()
         heard_s = max(item.heard_s for item in known)
         answered_s = max(item.answered_s for item in known)
+        # A reader says nothing while it is not asked.
+        if self._asked_s <= heard_s:
+            self._asked_s = now_s
+        if self._wanted_s <= answered_s:
+            self._wanted_s = now_s
         limit_s = _STALE_READERS_S if answered_s else _LOADING_READERS_S
-        if now_s - max(answered_s, self._started_s) >= limit_s:
-            return True
-        return now_s - max(heard_s, self._started_s) >= _SILENT_READERS_S
+        is_stale = now_s - self._wanted_s >= limit_s
+        return is_stale or now_s - self._asked_s >= _SILENT_READERS_S
 
     def _get_endpoint(self, peer: peer_registry.Peer) -> http_client.Endpoint:
-        endpoint = self._known.get(peer.host)
+        address = (peer.host, peer.port)
+        endpoint = self._known.get(address)
         if endpoint is None:
             endpoint = http_client.Endpoint(
                 peer.host,
@@ -69,5 +75,5 @@
                 path_prefix=copied_feed.PATH_PREFIX,
                 poll_margin_s=_POLL_MARGIN_S,
             )
-            self._known[peer.host] = endpoint
+            self._known[address] = endpoint
         return endpoint
