Keep asking for the rows of the daemons while the store is late, and load the targets by the readers too

A daemon that starts gave up the rows of the others at the first late answer, as over a full link, and then read all tables from the store; the targets' table did not wait for them at all. Late reads are repeated for 2 s; a store that says no ends the wait at once.

Scenario: A daemon that starts learns of the others though the store is silent for 1 s; it knew none before.

--- a/features/slow_answers.feature
+++ b/features/slow_answers.feature
@@ -18,3 +18,18 @@
     Given a store that stops in the middle of each answer
     When a daemon follows the table and the row is there before
     Then it has asked at least 2 times 6 s later
+
+  Scenario Outline: A daemon that starts learns of the others though the store <manner>
+    # Guards against a daemon that gives up the rows of the others at the first late answer
+    # and reads all tables over a link that is full, and against one that waits for a store
+    # which says no.
+    Given a store with the row of another daemon that <manner>
+    When a daemon that starts loads the rows of the daemons
+    Then it <knows> the other daemon after <most> s at most
+
+    Examples:
+      | manner                    | knows        | most |
+      | is silent for 1 s         | knows        | 2.5  |
+      | is sound                  | knows        | 1.0  |
+      | refuses all calls         | doesn't know | 1.0  |
+      | is silent                 | doesn't know | 3.0  |
--- a/features/steps/slow_answers_steps.py
+++ b/features/steps/slow_answers_steps.py
@@ -1,9 +1,11 @@
 import asyncio
+import time
 
 from behave import given, then, when
 
+from endivevane.entry import membership
 from endivevane.platform import table_store
-from endivevane.serving import follower, http_client
+from endivevane.serving import follower, http_client, peer_registry
 from standins import row_store
 
 _TABLE = "op"
@@ -74,3 +76,48 @@
         context.has_row = _KEY in copy.rows
         task.cancel()
         await rows.stop()
+
+
+@given("a store with the row of another daemon that {manner}")
+def step_other_daemon(context, manner):
+    context.manner = manner
+
+
+@when("a daemon that starts loads the rows of the daemons")
+def step_load_members(context):
+    asyncio.run(_load_members(context))
+
+
+async def _load_members(context):
+    rows = row_store.RowStore()
+    port = await rows.start()
+    other = peer_registry.Identity("front-2", "near", "1", "10.0.0.2", 1)
+    rows.write("state", "member/front-2", membership.encode_member(other))
+    rows.faults.silent = "silent" in context.manner
+    rows.faults.status = 503 if context.manner == "refuses all calls" else 0
+    endpoint = http_client.Endpoint("127.0.0.1", port)
+    pool = http_client.ConnectionPool(0.5)
+    client = table_store.TableStore(pool, lambda: [endpoint])
+    own = peer_registry.Identity("front-1", "near", "1", "10.0.0.1", 1)
+    registry = peer_registry.PeerRegistry(own)
+    loading = asyncio.ensure_future(membership.Membership(own, registry, client).load())
+    started_s = time.monotonic()
+    if context.manner == "is silent for 1 s":
+        await asyncio.sleep(1.0)
+        rows.faults.silent = False
+    await loading
+    context.took_s = time.monotonic() - started_s
+    context.names = list(registry.peers)
+    await rows.stop()
+
+
+@then("it knows the other daemon after {most:g} s at most")
+def step_knows(context, most):
+    assert context.names == ["front-2"], context.names
+    assert context.took_s <= most, context.took_s
+
+
+@then("it doesn't know the other daemon after {most:g} s at most")
+def step_does_not_know(context, most):
+    assert not context.names, context.names
+    assert context.took_s <= most, context.took_s
--- a/src/endivevane/entry/membership.py
+++ b/src/endivevane/entry/membership.py
@@ -12,8 +12,9 @@
 from endivevane.serving import failures, full_read, jobs, peer_registry, store
 
 _RETRY_S = 0.5
-# After this time the other tables are read without knowing the other daemons.
-_MAX_LOAD_S = 0.8
+# After this time the other tables are read without knowing the other daemons. While the
+# link to the store is full, these few bytes take a part of it.
+_MAX_LOAD_S = 2.0
 _MAX_NAME_CHARACTERS = 200
 # Above the cores of any VM.
 _MAX_WEIGHT = 65_536.0
@@ -55,18 +56,31 @@
         """
         try:
             async with asyncio.timeout(_MAX_LOAD_S):
-                found = await full_read.read_all(
+                found = await self._read_members()
+        except (failures.StoreFailure, TimeoutError) as error:
+            logs.info("members_not_loaded", cause=repr(error))
+            return
+        for row in found.rows:
+            self.apply(row)
+
+    async def _read_members(self) -> full_read.JoinedRows:
+        """Return the rows of all daemons; repeat reads that are late.
+
+        :raises failures.StoreFailure: when a read fails otherwise
+        """
+        while True:
+            try:
+                return await full_read.read_all(
                     self._store,
                     jobs.STATE_TABLE,
                     jobs.PARTITION,
                     jobs.MEMBER_PREFIX,
                     jobs.MEMBER_END,
                 )
-        except (failures.StoreFailure, TimeoutError) as error:
-            logs.info("members_not_loaded", cause=repr(error))
-            return
-        for row in found.rows:
-            self.apply(row)
+            except failures.StoreFailure as error:
+                if error.cause != TimeoutError.__name__:
+                    raise
+                logs.limited_info("members_delayed", cause=error.format_message())
 
     def apply(self, row: store.Row) -> None:
         """Apply the row of a daemon, or its deletion."""
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -143,7 +143,6 @@
             zone=self._settings.vm.availability_zone,
         )
         for job in (
-            self._feeds.targets.run(),
             self._follow_tables(),
             self._network.run(),
             self._runner.run(),
@@ -163,9 +162,12 @@
         await self._stop()
 
     async def _follow_tables(self) -> None:
-        """Follow the large tables, once the daemons that keep copies are known."""
+        """Follow the tables, once the daemons that keep copies of them are known."""
         await self._membership.load()
-        await asyncio.gather(self._feeds.configuration.run(), self._feeds.state.run())
+        tables = self._feeds
+        await asyncio.gather(
+            tables.configuration.run(), tables.targets.run(), tables.state.run()
+        )
 
     def _make_store(self) -> None:
         self._readers = feed_readers.FeedReaders(self._identity, self._peer_registry)
--- a/src/endivevane/platform/copied_feed.py
+++ b/src/endivevane/platform/copied_feed.py
@@ -29,6 +29,7 @@
 # Smaller answers gain too little by compression.
 _MIN_COMPRESSED_BYTES = 1024
 _COMPRESSION_LEVEL = 1
+_MAX_DIGITS = 18
 _GZIP = b"gzip"
 _GZIP_MAGIC = b"\x1f\x8b"
 
@@ -162,4 +163,6 @@
 def _read_number(query: abc.Mapping[str, str], name: str) -> int | None:
     """Return a number of a query, ``None`` if it has none."""
     text = query.get(name, "")
-    return int(text) if text.removeprefix("-").isdecimal() else None
+    if len(text) > _MAX_DIGITS or not text.removeprefix("-").isdecimal():
+        return None
+    return int(text)
--- a/src/endivevane/serving/shared_reads.py
+++ b/src/endivevane/serving/shared_reads.py
@@ -26,6 +26,8 @@
         task = self._next.get(key)
         if task is None:
             task = asyncio.ensure_future(self._run(key))
+            # A failure that nobody waits for any more is no error.
+            task.add_done_callback(_retrieve)
             self._next[key] = task
         # Whoever waits may leave; the read goes on for the others.
         await asyncio.shield(task)
@@ -40,3 +42,8 @@
             await self._read(key)
         finally:
             del self._running[key]
+
+
+def _retrieve(task: asyncio.Task[None]) -> None:
+    if not task.cancelled():
+        task.exception()
