Encode a whole table once for the daemons that start together, and don't reread a large one after each failed poll

Reads within a second now get the same rows, with the version and the age that they have.

A failed poll of a table of one page was followed by a read of the whole table. For a large configuration that is the whole row from the store, though nothing has changed; tables above 64 KiB are now polled again, as those of many pages are.

Scenario: Reads of a whole table by many daemons are encoded once, and tell their age.

--- a/features/configuration_readers.feature
+++ b/features/configuration_readers.feature
@@ -62,3 +62,11 @@
     When it reads the table again 60 s later
     Then it asks a reader and not the store
     But it asks the store too once no reader has responded for 1.4 s
+
+  Scenario: Reads of a whole table by many daemons are encoded once, and tell their age
+    # Guards against a reader that is busy with nothing else while a region starts.
+    Given a reader with a copy of 3000 rows
+    When 40 daemons read the table, a row of which changes before each read
+    Then the rows have been encoded 1 time
+    And each answer names the version that it is complete up to
+    And a read 1.5 s later has the newest version
--- a/features/steps/configuration_readers_steps.py
+++ b/features/steps/configuration_readers_steps.py
@@ -353,3 +353,54 @@
     late = _list_at(context.endpoints, context.now_s + silence + 0.1)
     assert early == [True], early
     assert late == [True, True, False], late
+
+
+@given("a reader with a copy of {count:d} rows")
+def step_copy(context, count):
+    context.copy = follower.TableFollower(None, "state", "", lambda _row: None)
+    for version in range(1, count + 1):
+        _apply_row(context.copy, f"job/{version:06d}", version)
+    context.feed = copied_feed.CopiedFeed("state", context.copy, lambda: True, False)
+
+
+def _apply_row(copy, key, version):
+    copy.apply_row(store.Row(store.RowKey("state", "", key), b"value", version))
+    copy._advance(version)
+    copy.age.confirm(copy_age.read_clock_s())
+
+
+def _read_all(context):
+    answer = context.feed.answer("/api/rows-get", {}, False)
+    return json.loads(asyncio.run(answer).body)
+
+
+@when("{count:d} daemons read the table, a row of which changes before each read")
+def step_read(context, count):
+    context.pages = []
+    encode = copied_feed._encode_rows
+    with mock.patch.object(copied_feed, "_encode_rows", side_effect=encode) as counted:
+        for number in range(count):
+            version = context.copy.version + 1
+            _apply_row(context.copy, f"job/{number + 1:06d}", version)
+            context.pages.append(_read_all(context))
+    context.encoded = counted.call_count
+
+
+@then("the rows have been encoded {count:d} time")
+def step_encoded(context, count):
+    assert context.encoded == count, context.encoded
+
+
+@then("each answer names the version that it is complete up to")
+def step_complete(context):
+    for page in context.pages:
+        assert page["ver"] == max(row["ver"] for row in page["rows"]), page["ver"]
+
+
+@then("a read {later:g} s later has the newest version")
+def step_read_later(context, later):
+    now_s = copy_age.read_clock_s() + later
+    with mock.patch.object(copy_age, "read_clock_s", lambda: now_s):
+        page = _read_all(context)
+    assert page["ver"] == context.copy.version, page["ver"]
+    assert page["relayAgeS"] >= later - 0.1, page["relayAgeS"]
--- a/src/endivevane/serving/follower.py
+++ b/src/endivevane/serving/follower.py
@@ -21,9 +21,11 @@
 # A daemon without a copy that has failed so many times to read a further page asks for
 # all rows again.
 _FAILED_UNTIL_WHOLE = 3
-# After this many failures in a row a table of many pages is read in full: the store
+# After this many failures in a row a table that is not short is read in full: the store
 # may serve rows and no changes.
 _MAX_FAILED_POLLS = 3
+# Shorter tables are read in full after each failure.
+_MAX_SHORT_BYTES = 64 * 1024
 # Pause after an empty response, to limit the rate of polls.
 _EMPTY_POLL_PAUSE_S = 0.02
 
@@ -116,8 +118,7 @@
                 continue
             except failures.StoreFailure as error:
                 self._record_failure(error)
-                is_short = self._pages <= 1
-                if is_short or failing.pauses >= _MAX_FAILED_POLLS:
+                if self._is_short() or failing.pauses >= _MAX_FAILED_POLLS:
                     must_read = True
                 await failing.pause()
                 continue
@@ -281,6 +282,13 @@
             raise failures.StoreRefused("read_rows", "more pages")
         return await reading.finish()
 
+    def _is_short(self) -> bool:
+        """Return whether a read of the whole table costs little more than a poll."""
+        if self._pages > 1:
+            return False
+        size = sum(len(row.value or b"") for row in self.rows.values())
+        return size <= _MAX_SHORT_BYTES
+
     def _advance(self, version: int) -> None:
         self.version = version
         self.newest.record(version)
