--- a/src/endivevane/entry/feeds.py
+++ b/src/endivevane/entry/feeds.py
@@ -31,7 +31,9 @@
     def list_copied(
         self, is_reader: abc.Callable[[], bool]
     ) -> tuple[copied_feed.CopiedFeed, ...]:
-        """Return the tables that other daemons of the region may read here.
+        """Return the tables that other daemons of the region read here, not there.
+
+        Unlike relayed rows, these are read while the store is in reach.
 
         :param is_reader: returns whether this daemon reads from the store for them
         """
@@ -43,7 +45,7 @@
         )
 
     def list_relayed(self) -> tuple[store_relay.FollowedRows, ...]:
-        """Return the rows that other daemons may read here without the store."""
+        """Return the rows that other daemons may read here while the store is away."""
         start, end = version_rows.PLAN_PREFIX, version_rows.PLAN_END
         followed = store_relay.FollowedRows
         return (
--- a/src/endivevane/serving/follower.py
+++ b/src/endivevane/serving/follower.py
@@ -123,7 +123,8 @@
                 await failing.pause()
                 continue
             if self._is_from_memory:
-                # A relay without the store has answered: the copy is only loaded.
+                # Another daemon has answered from its copy, and may have lost the
+                # store: this copy is only loaded.
                 await failing.pause()
                 continue
             self._record_success()
--- a/src/endivevane/serving/http_client.py
+++ b/src/endivevane/serving/http_client.py
@@ -71,8 +71,9 @@
 class Endpoint:
     """An address with a back-off after failures.
 
-    :param is_relay: whether it is a daemon that passes calls on to the store
-    :param path_prefix: prefix of the paths of all calls
+    :param is_relay: whether it is a daemon that answers in the store's place, by a
+        call of its own or from its copy
+    :param path_prefix: prefix of the paths of all calls, empty if they are forwarded
     :param poll_margin_s: time for the answer to a long poll after its wait
     :ivar heard_s: monotonic time of its last response, whatever the status
     :ivar answered_s: monotonic time of the last call that succeeded
