--- a/features/configuration_readers.feature
+++ b/features/configuration_readers.feature
@@ -8,6 +8,15 @@
     Then all daemons have the new configuration within 4 s of its acknowledgement
     And the store has sent the configuration at most 3 times
 
+  Scenario: A change a second of a large configuration passes a narrow link to the store
+    # Guards against copies that age for long after a change, since all daemons fill the
+    # link: nothing else arrives, and answers that time out are sent again.
+    Given a region of 18 daemons with few routes
+    And a link to the store that carries 1 MB/s
+    When the operator publishes 1400 routes more, and changes them each second for 5 s
+    Then all daemons have the new configuration within 4 s of its acknowledgement
+    And no answer of the store to a read of another table takes more than 1 s
+
   Scenario Outline: A change of the configuration reaches all daemons though <count> of its readers <fate>
     # Guards against daemons that wait for a reader which no longer answers, or can't say
     # that its own copy is old, while the store is sound.
--- a/features/steps/configuration_readers_steps.py
+++ b/features/steps/configuration_readers_steps.py
@@ -4,6 +4,7 @@
 import signal
 import time
 import types
+import urllib.request
 from unittest import mock
 
 from aiohttp import web
@@ -101,6 +102,42 @@
     assert sent <= most * size * 1.1, f"{sent / size:.1f} times {size:.0f} bytes"
 
 
+@given("a link to the store that carries {rate:d} MB/s")
+def step_link(context, rate):
+    context.fleet.store.faults.link_bytes_per_s = rate * 1e6
+
+
+@when(
+    "the operator publishes {count:d} routes more, and changes them each second for "
+    "{duration:d} s"
+)
+def step_publish_often(context, count, duration):
+    fleet = context.fleet
+    configuration = _add_routes(fleet.configuration, count)
+    context.read_s = []
+    for _ in range(duration):
+        configuration = {**configuration, "version": configuration["version"] + 1}
+        fleet.call(fleet.store.write, "op", "config", configuration)
+        context.acked_s = time.monotonic()
+        context.read_s.append(_measure_read(fleet))
+        time.sleep(max(0.0, context.acked_s + 1.0 - time.monotonic()))
+    context.configuration = configuration
+
+
+def _measure_read(fleet):
+    """Return how long a read of the targets takes over the link."""
+    started_s = time.monotonic()
+    url = f"http://127.0.0.1:{fleet.store_port}/api/rows-get?table=servers&part="
+    with urllib.request.urlopen(url, timeout=30) as answer:
+        answer.read()
+    return time.monotonic() - started_s
+
+
+@then("no answer of the store to a read of another table takes more than {limit:d} s")
+def step_reads(context, limit):
+    assert max(context.read_s) <= limit, context.read_s
+
+
 def _find_readers(fleet):
     """Return the daemons of the fleet that read for the others, the first one first."""
     own = peer_registry.Identity("nobody", "near", "1", "127.0.0.1", 1)
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -17,6 +17,7 @@
 
 # Time between two pieces of an answer that is sent slowly.
 _PIECE_S = 0.1
+_LINK_PIECE_BYTES = 16 * 1024
 # Time of the store's clock when the machine started, above all ages in tests.
 _CLOCK_START_MS = 3_600_000
 
@@ -33,6 +34,8 @@
     :ivar late: number of transactions to apply late, without a response
     :ivar stale_by: number of versions by which reads are stale
     :ivar bytes_per_s: rate at which each answer is sent, 0 for no limit
+    :ivar link_bytes_per_s: rate that all answers share, as on a narrow link, 0 for no
+        limit
     :ivar stalls: whether answers of more than one piece stop after the first
     """
 
@@ -44,6 +47,7 @@
     late: int = 0
     stale_by: int = 0
     bytes_per_s: float = 0.0
+    link_bytes_per_s: float = 0.0
     stalls: bool = False
 
 
@@ -62,6 +66,8 @@
         self.objects: dict[str, bytes] = {}
         self.calls: list[str] = []
         self.sent_bytes: collections.Counter[str] = collections.Counter()
+        # Monotonic time at which the link that all answers share is free.
+        self._link_free_s = 0.0
         self._changed = asyncio.Event()
         self._runner: web.AppRunner | None = None
 
@@ -172,27 +178,42 @@
         response = await handler(request)
         if isinstance(response, web.Response) and isinstance(response.body, bytes):
             self.sent_bytes[request.query.get("table", "")] += len(response.body)
-            if self.faults.bytes_per_s:
-                return await self._send_slowly(request, response.body)
+            if self.faults.bytes_per_s or self.faults.link_bytes_per_s:
+                return await self._send_slowly(request, response)
         return response
 
     async def _send_slowly(
-        self, request: web.Request, body: bytes
+        self, request: web.Request, whole: web.Response
     ) -> web.StreamResponse:
         """Send an answer piece by piece."""
-        response = web.StreamResponse(headers={"Content-Type": "application/json"})
+        response = web.StreamResponse(status=whole.status, headers=whole.headers)
+        body = whole.body if isinstance(whole.body, bytes) else b""
         response.content_length = len(body)
-        await response.prepare(request)
-        size = max(1, int(self.faults.bytes_per_s * _PIECE_S))
+        rate = self.faults.bytes_per_s or self.faults.link_bytes_per_s
+        size = max(1, int(rate * _PIECE_S))
+        if self.faults.link_bytes_per_s:
+            size = _LINK_PIECE_BYTES
         with contextlib.suppress(ConnectionResetError):
+            await response.prepare(request)
             for start in range(0, len(body), size):
                 if start and self.faults.stalls:
                     await asyncio.sleep(3600)
+                await self._wait_for_link(len(body[start : start + size]))
                 await response.write(body[start : start + size])
-                await asyncio.sleep(_PIECE_S)
+                if self.faults.bytes_per_s:
+                    await asyncio.sleep(_PIECE_S)
             await response.write_eof()
         return response
 
+    async def _wait_for_link(self, size: int) -> None:
+        """Wait until the link that all answers share has sent what is before."""
+        rate = self.faults.link_bytes_per_s
+        if not rate:
+            return
+        now_s = time.monotonic()
+        self._link_free_s = max(self._link_free_s, now_s) + size / rate
+        await asyncio.sleep(self._link_free_s - now_s)
+
     async def _transact(self, request: web.Request) -> web.StreamResponse:
         body = await request.json()
         faults = self.faults
