Apply the rows of daemons that a start reads by their versions

A daemon that starts read the rows of the daemons first and then loaded the table from a reader's copy, which may be older. The rows were applied past the copy's check of versions, so that the row of a daemon's former run replaced that of its new one, and the new run counted as replaced from then on: jobs of the former run had an owner that seemed alive, and were not taken over. The rows now go through the copy of the table, which takes only newer versions of a row.

Scenario: The row of a new run of a daemon is not replaced by that of its former run; it knew the former run before.

--- a/features/configuration_readers.feature
+++ b/features/configuration_readers.feature
@@ -79,3 +79,10 @@
     Then the rows have been encoded 1 time
     And each answer names the version that it is complete up to
     And a read 1.5 s later has the newest version
+
+  Scenario: The row of a new run of a daemon is not replaced by that of its former run
+    # Guards against jobs that nobody takes over after all daemons have lost power: what
+    # their owner's former run had was taken for the work of a daemon that is alive.
+    Given a daemon that has restarted, so that its row names a new run
+    When another one that starts reads that row, and then a reader's copy from before
+    Then it knows the new run
--- a/features/steps/configuration_readers_steps.py
+++ b/features/steps/configuration_readers_steps.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 from behave import given, then, when
 
-from endivevane.entry import copy_endpoints
+from endivevane.entry import copy_endpoints, membership
 from endivevane.platform import copied_feed, table_store
 from endivevane.serving import (
     copy_age,
@@ -20,7 +20,7 @@
     peer_registry,
     store,
 )
-from features.support import serving_processes, serving_world
+from features.support import serving_fakes, serving_processes, serving_world
 from standins import row_store
 
 _TARGETS = 2
@@ -441,3 +441,47 @@
         page = _read_all(context)
     assert page["ver"] == context.copy.version, page["ver"]
     assert page["relayAgeS"] >= later - 0.1, page["relayAgeS"]
+
+
+@given("a daemon that has restarted, so that its row names a new run")
+def step_restarted(context):
+    rows = context.rows = serving_fakes.FakeStore()
+    key = store.RowKey("state", "", "member/front-2")
+    for incarnation in ("former", "new"):
+        identity = peer_registry.Identity("front-2", "near", incarnation, "10.0.0.2", 1)
+        rows.put(key, membership.encode_member(identity))
+        if incarnation == "former":
+            context.earlier = store.RowPage(
+                (store.Row(key, *rows.rows[key]),), rows.version, age_s=0.5
+            )
+
+
+@when("another one that starts reads that row, and then a reader's copy from before")
+def step_start_beside_old_copy(context):
+    own = peer_registry.Identity("front-1", "near", "1", "10.0.0.1", 1)
+    context.registry = peer_registry.PeerRegistry(own)
+    members = membership.Membership(own, context.registry, context.rows)
+
+    class Reader(serving_fakes.FakeStore):
+        """Gives whole tables from a copy, and changes as the store does."""
+
+        async def read_rows(self, *_arguments):
+            return context.earlier
+
+    reader = Reader()
+    reader.rows, reader.version = context.rows.rows, context.rows.version
+
+    async def start():
+        state = follower.TableFollower(reader, "state", "", members.apply)
+        await members.load(state.apply_row)
+        task = asyncio.ensure_future(state.run())
+        await state.wait_until(context.rows.version, 3.0)
+        task.cancel()
+
+    asyncio.run(start())
+
+
+@then("it knows the new run")
+def step_knows_new_run(context):
+    known = context.registry.peers["front-2"].incarnation
+    assert known == "new", known
--- a/features/steps/slow_answers_steps.py
+++ b/features/steps/slow_answers_steps.py
@@ -100,7 +100,8 @@
     client = table_store.TableStore(pool, lambda: [endpoint])
     own = peer_registry.Identity("front-1", "near", "1", "10.0.0.1", 1)
     registry = peer_registry.PeerRegistry(own)
-    loading = asyncio.ensure_future(membership.Membership(own, registry, client).load())
+    members = membership.Membership(own, registry, client)
+    loading = asyncio.ensure_future(members.load(members.apply))
     started_s = time.monotonic()
     if context.manner == "is silent for 1 s":
         await asyncio.sleep(1.0)
--- a/src/endivevane/entry/membership.py
+++ b/src/endivevane/entry/membership.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import secrets
+from collections import abc
 
 import orjson
 
@@ -49,10 +50,13 @@
                 continue
             return
 
-    async def load(self) -> None:
-        """Apply the rows of all daemons, unless the store fails.
+    async def load(self, apply_row: abc.Callable[[store.Row], object]) -> None:
+        """Read the rows of all daemons, unless the store fails.
 
         They tell where a daemon that has just started reads the other tables.
+
+        :param apply_row: applies a row unless a newer version of it is known; a copy
+            that is read later may be older
         """
         try:
             async with asyncio.timeout(_MAX_LOAD_S):
@@ -61,7 +65,7 @@
             logs.info("members_not_loaded", cause=repr(error))
             return
         for row in found.rows:
-            self.apply(row)
+            apply_row(row)
 
     async def _read_members(self) -> full_read.JoinedRows:
         """Return the rows of all daemons; repeat reads that are late.
--- a/src/endivevane/entry/wiring.py
+++ b/src/endivevane/entry/wiring.py
@@ -163,8 +163,8 @@
 
     async def _follow_tables(self) -> None:
         """Follow the tables, once the daemons that keep copies of them are known."""
-        await self._membership.load()
         tables = self._feeds
+        await self._membership.load(tables.state.apply_row)
         await asyncio.gather(
             tables.configuration.run(), tables.targets.run(), tables.state.run()
         )
